--- /dev/null
+++ b/internal/httpconn/errors.go
@@ -0,0 +1,14 @@
+package httpconn
+
+import "github.com/rotisserie/eris"
+
+// Errors of an exchange.
+var (
+	// ErrNotSent: no byte of the request left this machine.
+	ErrNotSent = eris.New("httpconn: the request was not sent")
+	// ErrNoConnection: every connection this daemon may have to the address is
+	// in use; no byte left this machine.
+	ErrNoConnection = eris.Wrap(ErrNotSent, "httpconn: no connection is free")
+	// ErrBroken: the connection broke after some of the request was sent.
+	ErrBroken = eris.New("httpconn: the connection broke")
+)
--- /dev/null
+++ b/internal/httpconn/exchange.go
@@ -0,0 +1,126 @@
+package httpconn
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// firstFinalStatus is the lowest status that ends an exchange.
+const firstFinalStatus = 200
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	pool    *Pool
+	address string
+	conn    *conn
+	stop    func() bool
+	// written gets the outcome of writing the request.
+	written  chan error
+	inline   bool
+	finished sync.Once
+}
+
+// start writes the request and reads the answer's head.
+func (e *exchange) start(request *http.Request) (*http.Response, error) {
+	e.inline = request.ContentLength <= inlineBody
+	if e.inline {
+		if err := e.write(request); err != nil {
+			return nil, eris.Wrapf(ErrBroken, "write: %v", err)
+		}
+		e.written <- nil
+	} else {
+		go func() { e.written <- e.write(request) }()
+	}
+	response, err := e.readHead(request)
+	if err != nil {
+		return nil, eris.Wrapf(ErrBroken, "read: %v", err)
+	}
+	response.Body = &body{source: response.Body, exchange: e, response: response}
+	return response, nil
+}
+
+func (e *exchange) write(request *http.Request) error {
+	if err := request.Write(e.conn.writer); err != nil {
+		return err
+	}
+	return e.conn.writer.Flush()
+}
+
+// readHead skips answers that only tell of progress.
+func (e *exchange) readHead(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= firstFinalStatus {
+			return response, nil
+		}
+	}
+}
+
+// finish keeps the connection if the answer was read whole, the request was
+// written whole and nothing follows the answer.
+func (e *exchange) finish(response *http.Response) {
+	e.finished.Do(func() {
+		idle := idleTime(response)
+		if !e.stop() || idle == 0 || e.conn.reader.Buffered() > 0 || !e.isWritten() {
+			e.close()
+			return
+		}
+		e.pool.keep(e.address, e.conn, idle)
+	})
+}
+
+func (e *exchange) isWritten() bool {
+	select {
+	case err := <-e.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// discard closes the connection.
+func (e *exchange) discard() {
+	e.finished.Do(func() {
+		e.stop()
+		e.close()
+	})
+}
+
+func (e *exchange) close() {
+	_ = e.conn.Close()
+	e.pool.release(e.address)
+}
+
+// body is an answer's body that gives the connection back at its end.
+type body struct {
+	source   io.ReadCloser
+	exchange *exchange
+	response *http.Response
+	whole    bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(buffer []byte) (int, error) {
+	n, err := b.source.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close gives the connection back, or closes it if some of the answer was left.
+func (b *body) Close() error {
+	if b.whole {
+		b.exchange.finish(b.response)
+	} else {
+		b.exchange.discard()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpconn/pool.go
@@ -0,0 +1,211 @@
+// Package httpconn keeps HTTP/1.1 connections to back ends and makes one
+// exchange at a time on each. Unlike net/http's Transport it never repeats a
+// request by itself, tells whether any byte of it was sent, and bounds the
+// connections to each address, so that the caller alone decides what may run
+// twice. Messages are written and parsed by net/http.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// defaultIdle is how long a connection is used again after an answer that
+	// told no time.
+	defaultIdle = 400 * time.Millisecond
+	// idleShare is the part of the told idle time that is made use of.
+	idleShare = 0.7
+	// bufferSize is the size of read and write buffers in bytes.
+	bufferSize = 4 << 10
+	// inlineBody is the longest body, in bytes, that is written before the
+	// answer is waited for: a back end that answers without reading must not
+	// hold up a long one.
+	inlineBody = 2 << 10
+	// unacknowledgedTimeout is when the system gives up a connection on which
+	// the other side acknowledges nothing.
+	unacknowledgedTimeout = 2 * time.Second
+)
+
+// Pool keeps connections by address. It is safe for concurrent use.
+type Pool struct {
+	dialTimeout time.Duration
+	mutex       sync.Mutex
+	addresses   map[string]*address
+	dials       uint64
+}
+
+type address struct {
+	idle []*conn
+	// open counts connections, those in use included.
+	open int
+}
+
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	writer  *bufio.Writer
+	expires time.Time
+}
+
+// NewPool returns a pool whose dials take dialTimeout at most.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{dialTimeout: dialTimeout, addresses: map[string]*address{}}
+}
+
+// Dials returns how many connections were opened so far.
+func (p *Pool) Dials() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.dials
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		return
+	}
+	for _, c := range a.idle {
+		_ = c.Close()
+		a.open--
+	}
+	a.idle = nil
+	if a.open == 0 {
+		delete(p.addresses, name)
+	}
+}
+
+// Do sends a request to an address and reads the head of the answer. The body
+// of the answer must be closed; read to its end, the connection is kept. limit
+// bounds the connections to the address, 0 for none. The error wraps
+// ErrNotSent or ErrBroken. When ctx ends, the connection is closed.
+func (p *Pool) Do(ctx context.Context, name string, limit int, request *http.Request) (*http.Response, error) {
+	c, err := p.take(ctx, name, limit)
+	if err != nil {
+		return nil, err
+	}
+	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
+	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	response, err := e.start(request)
+	if err != nil {
+		e.discard()
+		return nil, err
+	}
+	return response, nil
+}
+
+// take returns a connection that is idle and sound, or opens one.
+func (p *Pool) take(ctx context.Context, name string, limit int) (*conn, error) {
+	if c := p.takeIdle(name); c != nil {
+		return c, nil
+	}
+	if !p.reserve(name, limit) {
+		return nil, ErrNoConnection
+	}
+	dialer := net.Dialer{Timeout: p.dialTimeout, Control: limitUnacknowledged, KeepAlive: -1}
+	raw, err := dialer.DialContext(ctx, "tcp", name)
+	if err != nil {
+		p.release(name)
+		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", name, err)
+	}
+	return &conn{
+		Conn:   raw,
+		reader: bufio.NewReaderSize(raw, bufferSize),
+		writer: bufio.NewWriterSize(raw, bufferSize),
+	}, nil
+}
+
+func (p *Pool) takeIdle(name string) *conn {
+	now := time.Now()
+	for {
+		p.mutex.Lock()
+		a := p.addresses[name]
+		if a == nil || len(a.idle) == 0 {
+			p.mutex.Unlock()
+			return nil
+		}
+		c := a.idle[len(a.idle)-1]
+		a.idle = a.idle[:len(a.idle)-1]
+		p.mutex.Unlock()
+		if now.Before(c.expires) && isQuiet(c.Conn) {
+			return c
+		}
+		_ = c.Close()
+		p.release(name)
+	}
+}
+
+func (p *Pool) reserve(name string, limit int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		a = &address{}
+		p.addresses[name] = a
+	}
+	if limit > 0 && a.open >= limit {
+		return false
+	}
+	a.open++
+	p.dials++
+	return true
+}
+
+func (p *Pool) release(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		return
+	}
+	a.open--
+	if a.open <= 0 && len(a.idle) == 0 {
+		delete(p.addresses, name)
+	}
+}
+
+func (p *Pool) keep(name string, c *conn, idle time.Duration) {
+	c.expires = time.Now().Add(idle)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		_ = c.Close()
+		return
+	}
+	a.idle = append(a.idle, c)
+}
+
+// idleTime tells how long a connection may rest after an answer; 0 means that
+// it must be closed.
+func idleTime(response *http.Response) time.Duration {
+	if response.Close {
+		return 0
+	}
+	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err == nil && seconds > 0 {
+			return time.Duration(float64(seconds) * idleShare * float64(time.Second))
+		}
+	}
+	return defaultIdle
+}
+
+// IsNotSent tells whether no byte of the request left this machine.
+func IsNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
--- /dev/null
+++ b/internal/instance/instance.go
@@ -0,0 +1,36 @@
+// Package instance keeps what a daemon believes of the back ends' running
+// instances: which there are, how full they are, and which one the next
+// request should go to.
+package instance
+
+import (
+	"time"
+)
+
+// State is what an instance last said of itself.
+type State string
+
+// States of an instance.
+const (
+	// StateReady instances take requests.
+	StateReady State = "ready"
+	// StateLeaving instances finish what they have and get no new request.
+	StateLeaving State = "leaving"
+)
+
+// Instance is one run of one back end.
+type Instance struct {
+	// ID names the run; a restart has another.
+	ID      string
+	Service string
+	// Address is "IP:PORT"; it may pass to another instance later.
+	Address string
+	Zone    string
+	// Slots is how many requests it works on at once.
+	Slots int
+	State State
+	// Sequence rises with every change of what it says of itself.
+	Sequence int64
+	// ColdFor is how much longer it stays slow from its start.
+	ColdFor time.Duration
+}
--- /dev/null
+++ b/internal/instance/pool.go
@@ -0,0 +1,278 @@
+package instance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// failurePause is how long an instance that failed is passed over where
+	// another can be had.
+	failurePause = 700 * time.Millisecond
+	// fullPause is the same for one that said it is full.
+	fullPause = 60 * time.Millisecond
+	// otherZoneCost is what another zone counts against an instance, in
+	// requests of its load.
+	otherZoneCost = 0.3
+	// affinityGain is what having seen the request's object counts for an
+	// instance, as a share of its slots.
+	affinityGain = 0.4
+	// pausedCost puts paused instances behind all others.
+	pausedCost = 1000
+	// remoteLife is how long another daemon's word about its load counts.
+	remoteLife = 2 * time.Second
+)
+
+// Pool keeps the instances of all services. It is safe for concurrent use.
+type Pool struct {
+	zone   string
+	mutex  sync.Mutex
+	random *rand.Rand
+	byID   map[string]*entry
+	// byService holds the instances of each service, in order of ID.
+	byService map[string][]*entry
+	remote    map[string]remoteLoad
+	listed    bool
+}
+
+type entry struct {
+	Instance
+	// inFlight counts this daemon's requests there.
+	inFlight int
+	// elsewhere sums what other daemons told of theirs.
+	elsewhere int
+	paused    time.Time
+}
+
+type remoteLoad struct {
+	at    time.Time
+	loads map[string]int
+}
+
+// NewPool returns an empty pool for a daemon in a zone.
+func NewPool(zone string, random *rand.Rand) *Pool {
+	return &Pool{
+		zone:      zone,
+		random:    random,
+		byID:      map[string]*entry{},
+		byService: map[string][]*entry{},
+		remote:    map[string]remoteLoad{},
+	}
+}
+
+// Replace takes the list of all instances there are; an instance that is not
+// on it is gone. It returns the addresses that nobody has any more.
+func (p *Pool) Replace(list []Instance) (gone []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.listed = true
+	seen := map[string]bool{}
+	addresses := map[string]bool{}
+	for _, instance := range list {
+		seen[instance.ID] = true
+		addresses[instance.Address] = true
+		known := p.byID[instance.ID]
+		if known == nil {
+			known = &entry{}
+			p.byID[instance.ID] = known
+		} else if instance.Sequence < known.Sequence {
+			continue
+		}
+		known.Instance = instance
+	}
+	for id, known := range p.byID {
+		if seen[id] {
+			continue
+		}
+		delete(p.byID, id)
+		if !addresses[known.Address] {
+			gone = append(gone, known.Address)
+		}
+	}
+	p.index()
+	return gone
+}
+
+func (p *Pool) index() {
+	clear(p.byService)
+	for _, e := range p.byID {
+		p.byService[e.Service] = append(p.byService[e.Service], e)
+	}
+	for _, list := range p.byService {
+		slices.SortFunc(list, func(a, b *entry) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// Listed tells whether a list was ever taken.
+func (p *Pool) Listed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.listed
+}
+
+// Query tells what a request needs of an instance.
+type Query struct {
+	Service string
+	// Preferred is the instance that lately saw the request's object, "" for
+	// none.
+	Preferred string
+	// Object names what the request concerns; each object has an instance of
+	// its own that it goes to if nothing is preferred. "" for none.
+	Object string
+	// Excluded instances are passed over.
+	Excluded []string
+}
+
+// Take picks the instance with the lowest cost and counts the request there;
+// Release ends that. It returns false when the service has none that may take
+// the request.
+func (p *Pool) Take(query Query) (Instance, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	if query.Preferred == "" && query.Object != "" {
+		query.Preferred = p.homeOf(query)
+	}
+	var best *entry
+	bestCost := 0.0
+	for _, e := range p.byService[query.Service] {
+		if e.State != StateReady || slices.Contains(query.Excluded, e.ID) {
+			continue
+		}
+		cost := p.cost(e, query, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return Instance{}, false
+	}
+	best.inFlight++
+	return best.Instance, true
+}
+
+// homeOf returns the instance with the highest hash of itself and the object,
+// so that only the objects of instances that come or go move.
+func (p *Pool) homeOf(query Query) string {
+	home, highest := "", uint64(0)
+	for _, e := range p.byService[query.Service] {
+		if e.State != StateReady {
+			continue
+		}
+		if hash := xxhash.Sum64String(e.ID + "/" + query.Object); home == "" || hash > highest {
+			home, highest = e.ID, hash
+		}
+	}
+	return home
+}
+
+// cost is an instance's load per slot, corrected by what speaks for and
+// against it, in shares of its slots.
+func (p *Pool) cost(e *entry, query Query, now time.Time) float64 {
+	slots := float64(max(e.Slots, 1))
+	cost := float64(e.inFlight+e.elsewhere) / slots
+	cost += p.random.Float64() / slots / 4
+	if e.Zone != p.zone {
+		cost += otherZoneCost / slots
+	}
+	if e.ID == query.Preferred {
+		cost -= affinityGain
+	}
+	if now.Before(e.paused) {
+		cost += pausedCost
+	}
+	if e.ColdFor > 0 {
+		cost += 1 / slots
+	}
+	return cost
+}
+
+// Outcome is what became of a request at an instance.
+type Outcome int
+
+// Outcomes.
+const (
+	// OutcomeAnswered: it answered as it should.
+	OutcomeAnswered Outcome = iota
+	// OutcomeFull: it took no more requests.
+	OutcomeFull
+	// OutcomeFailed: it could not be reached or broke off.
+	OutcomeFailed
+	// OutcomeGone: another instance has its address, or it is leaving.
+	OutcomeGone
+	// OutcomeGivenUp: this side ended the request.
+	OutcomeGivenUp
+)
+
+// Release ends a request that Take counted.
+func (p *Pool) Release(id string, outcome Outcome) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e := p.byID[id]
+	if e == nil {
+		return
+	}
+	e.inFlight--
+	switch outcome {
+	case OutcomeFull:
+		e.paused = time.Now().Add(fullPause)
+	case OutcomeFailed:
+		e.paused = time.Now().Add(failurePause)
+	case OutcomeGone:
+		e.paused = time.Now().Add(failurePause)
+		e.State = StateLeaving
+	}
+}
+
+// Loads returns the requests of this daemon at each instance that has any.
+func (p *Pool) Loads() map[string]int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	loads := map[string]int{}
+	for id, e := range p.byID {
+		if e.inFlight > 0 {
+			loads[id] = e.inFlight
+		}
+	}
+	return loads
+}
+
+// SetRemote takes another daemon's word about its requests at each instance.
+func (p *Pool) SetRemote(daemon string, loads map[string]int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	p.remote[daemon] = remoteLoad{at: now, loads: loads}
+	for _, e := range p.byID {
+		e.elsewhere = 0
+	}
+	for name, remote := range p.remote {
+		if now.Sub(remote.at) > remoteLife {
+			delete(p.remote, name)
+			continue
+		}
+		for id, count := range remote.loads {
+			if e := p.byID[id]; e != nil {
+				e.elsewhere += count
+			}
+		}
+	}
+}
+
+// Count returns how many instances of a service are ready.
+func (p *Pool) Count(service string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	count := 0
+	for _, e := range p.byService[service] {
+		if e.State == StateReady {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/ledger/account.go
@@ -0,0 +1,51 @@
+package ledger
+
+// account is what a program has spent and reserved. It is pure: the holder
+// makes changes durable.
+type account struct {
+	// Spent counts the tokens of settled turns.
+	Spent int64 `json:"spent"`
+	// Reserved holds the most that each unsettled turn may generate. The
+	// reservation of a turn whose daemon died stays: its caller may have got
+	// as much.
+	Reserved map[string]int64 `json:"reserved,omitempty"`
+	// RetentionMS is how long the account is kept after its last use, in
+	// milliseconds.
+	RetentionMS int64 `json:"retention_ms,omitempty"`
+}
+
+// reserve takes a turn's most from the budget. It returns false, and changes
+// nothing, if there is no room. A turn that was reserved before stays so.
+func (a *account) reserve(turn Turn) bool {
+	if _, already := a.Reserved[turn.ID]; already {
+		return true
+	}
+	if turn.BudgetTokens > 0 && a.committed()+turn.MostTokens > turn.BudgetTokens {
+		return false
+	}
+	if a.Reserved == nil {
+		a.Reserved = map[string]int64{}
+	}
+	a.Reserved[turn.ID] = turn.MostTokens
+	a.RetentionMS = max(a.RetentionMS, turn.Retention.Milliseconds())
+	return true
+}
+
+// settle replaces a turn's reservation by what it used. It returns false if
+// there is no such reservation.
+func (a *account) settle(turn string, used int64) bool {
+	if _, reserved := a.Reserved[turn]; !reserved {
+		return false
+	}
+	delete(a.Reserved, turn)
+	a.Spent += used
+	return true
+}
+
+func (a *account) committed() int64 {
+	total := a.Spent
+	for _, most := range a.Reserved {
+		total += most
+	}
+	return total
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,72 @@
+// Package ledger keeps what must survive of programs: the tokens that each has
+// spent and reserved, and the turns that later ones go on from.
+//
+// Programs hash to shards. A shard is one partition of the store; at any time
+// one daemon holds it, reads it into memory once and appends every change
+// before it answers. Any daemon may take a shard over at any moment by
+// appending with a higher epoch: the store refuses the former holder's appends
+// from then on, so no promise rests on time or on who believes to hold what.
+// Who should hold a shard follows from membership by rendezvous hashing.
+package ledger
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of the service.
+var (
+	// ErrBudgetSpent: the budget has no room for the turn. It does not run.
+	ErrBudgetSpent = eris.New("ledger: the budget is spent")
+	// ErrUnknownTurn: no such turn was completed and is still kept.
+	ErrUnknownTurn = eris.New("ledger: no such turn")
+	// ErrUnavailable: the record can not be reached now.
+	ErrUnavailable = eris.New("ledger: the record can not be reached")
+)
+
+// Turn is a turn that is about to run.
+type Turn struct {
+	// ID names the caller's try; every try has its own.
+	ID      string `json:"id"`
+	Program string `json:"program"`
+	// BudgetTokens bounds what all turns of the program generate together;
+	// 0 sets no bound.
+	BudgetTokens int64 `json:"budget,omitempty"`
+	// MostTokens is the most that this turn generates.
+	MostTokens int64 `json:"most,omitempty"`
+	// Previous is the turn that this one goes on from, "" for none.
+	Previous string `json:"previous,omitempty"`
+	// Retention is how long the program and its turns are kept after their
+	// last use.
+	Retention time.Duration `json:"retention,omitempty"`
+	// Imported is the previous turn as another shard keeps it, nil if this
+	// shard keeps it itself.
+	Imported *KeptTurn `json:"imported,omitempty"`
+}
+
+// Grant lets a turn run.
+type Grant struct {
+	// History is the text of the chain of turns before this one.
+	History []byte
+}
+
+// Outcome is what became of a turn.
+type Outcome struct {
+	Turn    string `json:"turn"`
+	Program string `json:"program"`
+	// UsedTokens is what the caller got.
+	UsedTokens int64 `json:"used,omitempty"`
+	// Kept is the turn, if later ones may go on from it.
+	Kept *KeptTurn `json:"kept,omitempty"`
+}
+
+// KeptTurn is a completed turn.
+type KeptTurn struct {
+	ID string `json:"id"`
+	// Previous is the turn before it in its chain, "" for none.
+	Previous string `json:"previous,omitempty"`
+	// Input is the turn's own input, Output the text of its answer.
+	Input  []byte `json:"input,omitempty"`
+	Output []byte `json:"output,omitempty"`
+}
--- /dev/null
+++ b/internal/ledger/messages.go
@@ -0,0 +1,68 @@
+package ledger
+
+import (
+	"github.com/mintpulley/mintpulley/internal/peer"
+)
+
+// result tells what became of a request to a shard's holder.
+type result string
+
+const (
+	resultOK          result = "ok"
+	resultBudgetSpent result = "budget_spent"
+	resultUnknownTurn result = "unknown_turn"
+	// resultOver: the turn was ended before it began.
+	resultOver result = "over"
+	// resultMoved: the daemon does not hold the shard, and will not take it.
+	resultMoved result = "moved"
+	// resultImpaired: the daemon cannot reach the shard's partition now.
+	resultImpaired result = "impaired"
+	// resultPending: the request was heard and takes a while.
+	resultPending result = "pending"
+)
+
+// isFinal tells whether another daemon would answer alike.
+func (r result) isFinal() bool {
+	switch r {
+	case resultOK, resultBudgetSpent, resultUnknownTurn, resultOver:
+		return true
+	}
+	return false
+}
+
+// Request asks the holder of a shard. One of Begin, End and Find is set.
+type Request struct {
+	Number uint64   `json:"n"`
+	Shard  int      `json:"s"`
+	Begin  *Turn    `json:"begin,omitempty"`
+	End    *Outcome `json:"end,omitempty"`
+	Find   *Find    `json:"find,omitempty"`
+}
+
+// Find asks for a turn with its whole chain.
+type Find struct {
+	Turn string `json:"turn"`
+	// Certain: that there is none is told only after the store confirmed that
+	// the shard is still held.
+	Certain bool `json:"certain,omitempty"`
+}
+
+// Response answers a Request.
+type Response struct {
+	Number uint64 `json:"n"`
+	Result string `json:"r"`
+	// History answers Begin, Found answers Find.
+	History []byte    `json:"h,omitempty"`
+	Found   *KeptTurn `json:"f,omitempty"`
+}
+
+// MessageKind implements peer.Message.
+func (*Request) MessageKind() peer.Kind { return "ledger.request" }
+
+// MessageKind implements peer.Message.
+func (*Response) MessageKind() peer.Kind { return "ledger.response" }
+
+func init() {
+	peer.Register(peer.ClassData, &Request{})
+	peer.Register(peer.ClassData, &Response{})
+}
--- /dev/null
+++ b/internal/ledger/metrics.go
@@ -0,0 +1,56 @@
+package ledger
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// Metrics counts what the ledger does.
+type Metrics struct {
+	claims   prometheus.Histogram
+	losses   *prometheus.CounterVec
+	skipped  prometheus.Counter
+	silences prometheus.Counter
+}
+
+// NewMetrics registers the ledger's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		claims: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "mintpulley", Subsystem: "ledger", Name: "claim_seconds",
+			Help: "Time to take a shard over.", Buckets: prometheus.ExponentialBuckets(0.002, 2, 11),
+		}),
+		losses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "mintpulley", Subsystem: "ledger", Name: "shards_lost_total",
+			Help: "Shards that this daemon lost, by cause.",
+		}, []string{"cause"}),
+		skipped: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "mintpulley", Subsystem: "ledger", Name: "records_skipped_total",
+			Help: "Records that could not be understood.",
+		}),
+		silences: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "mintpulley", Subsystem: "ledger", Name: "holders_silent_total",
+			Help: "Requests that a shard's holder did not answer.",
+		}),
+	}
+	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences)
+	return m
+}
+
+func (m *Metrics) claimed(took time.Duration) { m.claims.Observe(took.Seconds()) }
+
+func (m *Metrics) malformed() { m.skipped.Inc() }
+
+func (m *Metrics) silent() { m.silences.Inc() }
+
+func (m *Metrics) lost(err error) {
+	cause := "store"
+	if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) {
+		cause = "superseded"
+	}
+	m.losses.WithLabelValues(cause).Inc()
+}
--- /dev/null
+++ b/internal/ledger/service.go
@@ -0,0 +1,287 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// silence is how long a holder may say nothing before it is passed over.
+	silence = 300 * time.Millisecond
+	// pendingAfter is when a holder says that a request takes a while.
+	pendingAfter = 120 * time.Millisecond
+	// answerWithin bounds how long a holder is waited for that said so.
+	answerWithin = 1500 * time.Millisecond
+	// candidateTries is how many daemons are asked for one request.
+	candidateTries = 3
+	// endPause separates tries to settle a turn.
+	endPause = 150 * time.Millisecond
+)
+
+// Options give a Service what it works with.
+type Options struct {
+	Self      structs.DaemonID
+	Store     store.Store
+	Transport peer.Transport
+	View      membership.View
+	// Partitions names every shard's partition, the same in the whole fleet.
+	Partitions []store.Partition
+	Logger     zerolog.Logger
+	Metrics    *Metrics
+}
+
+// Service is a daemon's way to the ledger: it asks the holders of shards, and
+// holds those that fall to this daemon. It is safe for concurrent use.
+type Service struct {
+	Options
+	holders []*holder
+	avoided avoided
+	leaving atomic.Bool
+	number  atomic.Uint64
+
+	mutex   sync.Mutex
+	waiting map[uint64]chan Response
+}
+
+// NewService returns a service; Run makes it work.
+func NewService(options Options) *Service {
+	s := &Service{Options: options, waiting: map[uint64]chan Response{}}
+	records := &recordStore{Store: options.Store}
+	for i, partition := range options.Partitions {
+		s.holders = append(s.holders, &holder{
+			shard:      i,
+			partition:  partition,
+			daemon:     string(options.Self),
+			records:    records,
+			logger:     options.Logger.With().Int("shard", i).Logger(),
+			metrics:    options.Metrics,
+			operations: make(chan operation, operationQueue),
+			isLeaving:  s.leaving.Load,
+		})
+	}
+	return s
+}
+
+// Run works until ctx ends.
+func (s *Service) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	for _, h := range s.holders {
+		workers.Go(func() { h.run(ctx) })
+	}
+	workers.Wait()
+}
+
+// Leave stops holding shards: others take them over.
+func (s *Service) Leave() { s.leaving.Store(true) }
+
+// shardOf returns the shard of a program.
+func (s *Service) shardOf(program string) int {
+	return int(xxhash.Sum64String(program) % uint64(len(s.holders)))
+}
+
+// Begin reserves a turn's tokens and returns the history before it.
+func (s *Service) Begin(ctx context.Context, turn Turn) (Grant, error) {
+	shard := s.shardOf(turn.Program)
+	response := s.ask(ctx, shard, Request{Begin: &turn})
+	if result(response.Result) == resultUnknownTurn && turn.Imported == nil {
+		found, err := s.findElsewhere(ctx, shard, turn.Previous)
+		if err != nil {
+			return Grant{}, err
+		}
+		turn.Imported = found
+		response = s.ask(ctx, shard, Request{Begin: &turn})
+	}
+	switch result(response.Result) {
+	case resultOK:
+		return Grant{History: response.History}, nil
+	case resultBudgetSpent:
+		return Grant{}, ErrBudgetSpent
+	case resultUnknownTurn:
+		return Grant{}, ErrUnknownTurn
+	}
+	s.release(turn)
+	return Grant{}, eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, response.Result)
+}
+
+// release ends a turn of which it is not known whether it was reserved.
+func (s *Service) release(turn Turn) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), endedLife/2)
+		defer cancel()
+		_ = s.End(ctx, Outcome{Turn: turn.ID, Program: turn.Program})
+	}()
+}
+
+// End settles a turn. It tries until the outcome is durable or ctx ends.
+func (s *Service) End(ctx context.Context, outcome Outcome) error {
+	shard := s.shardOf(outcome.Program)
+	for {
+		response := s.ask(ctx, shard, Request{End: &outcome})
+		if result(response.Result) == resultOK {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, response.Result)
+		}
+		pause(ctx, endPause)
+	}
+}
+
+// findElsewhere looks for a turn in all other shards. ErrUnknownTurn means
+// that every one of them is sure not to keep it.
+func (s *Service) findElsewhere(ctx context.Context, except int, turn string) (*KeptTurn, error) {
+	if found, _ := s.findAll(ctx, except, Find{Turn: turn}); found != nil {
+		return found, nil
+	}
+	found, sure := s.findAll(ctx, except, Find{Turn: turn, Certain: true})
+	switch {
+	case found != nil:
+		return found, nil
+	case sure:
+		return nil, ErrUnknownTurn
+	}
+	return nil, eris.Wrapf(ErrUnavailable, "turn %s: not all shards could be asked", turn)
+}
+
+func (s *Service) findAll(ctx context.Context, except int, find Find) (found *KeptTurn, sure bool) {
+	responses := make(chan Response, len(s.holders))
+	asked := 0
+	for shard := range s.holders {
+		if shard == except {
+			continue
+		}
+		asked++
+		go func() { responses <- s.ask(ctx, shard, Request{Find: &find}) }()
+	}
+	sure = true
+	for range asked {
+		response := <-responses
+		if response.Found != nil {
+			return response.Found, true
+		}
+		sure = sure && result(response.Result) == resultUnknownTurn
+	}
+	return nil, sure
+}
+
+// ask sends a request to the daemon that should hold the shard, and to the
+// next ones if it cannot answer.
+func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
+	request.Shard = shard
+	last := Response{Result: string(resultMoved)}
+	for _, candidate := range s.candidates(shard, time.Now()) {
+		response := s.askOne(ctx, candidate, request)
+		if result(response.Result).isFinal() {
+			return response
+		}
+		s.avoided.note(shard, candidate, result(response.Result))
+		last = response
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return last
+}
+
+// askOne sends a request to one daemon and waits for its answer. A daemon that
+// says nothing counts as impaired.
+func (s *Service) askOne(ctx context.Context, to structs.DaemonID, request Request) Response {
+	request.Number = s.number.Add(1)
+	answers := make(chan Response, 2)
+	if to == s.Self {
+		s.operate(&request, func(response Response) { answers <- response })
+	} else {
+		s.await(request.Number, answers)
+		defer s.forget(request.Number)
+		s.Transport.Send(to, &request)
+	}
+	timer := time.NewTimer(silence)
+	defer timer.Stop()
+	for {
+		select {
+		case response := <-answers:
+			if result(response.Result) != resultPending {
+				return response
+			}
+			timer.Reset(answerWithin)
+		case <-timer.C:
+			s.Metrics.silent()
+			return Response{Result: ""}
+		case <-ctx.Done():
+			return Response{Result: ""}
+		}
+	}
+}
+
+func (s *Service) await(number uint64, answers chan Response) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting[number] = answers
+}
+
+func (s *Service) forget(number uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.waiting, number)
+}
+
+// Receive takes a message that arrived; false means it is another part's.
+func (s *Service) Receive(from structs.DaemonID, message peer.Message) bool {
+	switch message := message.(type) {
+	case *Request:
+		s.operate(message, func(response Response) { s.Transport.Send(from, &response) })
+	case *Response:
+		s.deliver(*message)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Service) deliver(response Response) {
+	s.mutex.Lock()
+	answers := s.waiting[response.Number]
+	s.mutex.Unlock()
+	if answers == nil {
+		return
+	}
+	select {
+	case answers <- response:
+	default: // a second answer
+	}
+}
+
+// operate hands a request to its shard's holder. If that takes a while, the
+// asker is told so.
+func (s *Service) operate(request *Request, reply func(Response)) {
+	if request.Shard < 0 || request.Shard >= len(s.holders) || !request.isWhole() {
+		reply(Response{Number: request.Number, Result: string(resultMoved)})
+		return
+	}
+	timer := time.AfterFunc(pendingAfter, func() {
+		reply(Response{Number: request.Number, Result: string(resultPending)})
+	})
+	o := operation{request: request, reply: func(response Response) {
+		timer.Stop()
+		reply(response)
+	}}
+	select {
+	case s.holders[request.Shard].operations <- o:
+	default:
+		o.reply(Response{Number: request.Number, Result: string(resultImpaired)})
+	}
+}
+
+// isWhole tells whether a request asks for something.
+func (r *Request) isWhole() bool { return r.Begin != nil || r.End != nil || r.Find != nil }
--- /dev/null
+++ b/internal/ledger/state.go
@@ -0,0 +1,235 @@
+package ledger
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// Keys of a shard's records.
+const (
+	// holderKey is the key of the record that tells who holds the shard.
+	holderKey = "holder"
+	// accountPrefix and turnPrefix precede the program's and the turn's ID.
+	accountPrefix = "account/"
+	turnPrefix    = "turn/"
+)
+
+const (
+	// keepMargin is added to every retention: ages are counted anew by each
+	// holder, and clocks are not shared.
+	keepMargin = 10 * time.Second
+	// chainLimit bounds the turns of one chain.
+	chainLimit = 10000
+	// endedLife is how long the end of a turn is remembered that was never
+	// reserved here, so that its reservation cannot come after it.
+	endedLife = 30 * time.Second
+)
+
+// errBrokenChain: a kept turn names one before it that is not kept.
+var errBrokenChain = eris.New("ledger: a turn of the chain is not kept")
+
+// holderRecord is the value under holderKey.
+type holderRecord struct {
+	Epoch  uint64 `json:"epoch"`
+	Daemon string `json:"daemon"`
+}
+
+// state is a shard's records in the memory of its holder.
+type state struct {
+	accounts map[string]*accountEntry
+	turns    map[string]*turnEntry
+	ended    map[string]time.Time
+	dirty    map[string]struct{}
+}
+
+type accountEntry struct {
+	account
+	usedAt time.Time
+}
+
+type turnEntry struct {
+	KeptTurn
+	RetentionMS int64 `json:"retention_ms,omitempty"`
+	usedAt      time.Time
+}
+
+func newState() *state {
+	return &state{
+		accounts: map[string]*accountEntry{},
+		turns:    map[string]*turnEntry{},
+		ended:    map[string]time.Time{},
+		dirty:    map[string]struct{}{},
+	}
+}
+
+// load takes a record that was read from the store. Errors tell of records
+// that cannot be understood; they change nothing.
+func (s *state) load(record store.Record, now time.Time) error {
+	switch {
+	case strings.HasPrefix(record.Key, accountPrefix):
+		entry := &accountEntry{usedAt: now}
+		if err := json.Unmarshal(record.Value, &entry.account); err != nil {
+			return eris.Wrapf(err, "ledger: record %q", record.Key)
+		}
+		s.accounts[strings.TrimPrefix(record.Key, accountPrefix)] = entry
+	case strings.HasPrefix(record.Key, turnPrefix):
+		entry := &turnEntry{usedAt: now}
+		if err := json.Unmarshal(record.Value, entry); err != nil {
+			return eris.Wrapf(err, "ledger: record %q", record.Key)
+		}
+		s.turns[strings.TrimPrefix(record.Key, turnPrefix)] = entry
+	}
+	return nil
+}
+
+// begin reserves a turn's tokens and gathers its history.
+func (s *state) begin(turn Turn, now time.Time) (history []byte, result result) {
+	if _, over := s.ended[turn.ID]; over {
+		return nil, resultOver
+	}
+	if turn.Imported != nil && s.turns[turn.Imported.ID] == nil {
+		s.keep(turn.Imported, turn.Retention.Milliseconds(), now)
+	}
+	history, err := s.history(turn.Previous, now)
+	if err != nil {
+		return nil, resultUnknownTurn
+	}
+	entry := s.accounts[turn.Program]
+	if entry == nil {
+		entry = &accountEntry{}
+	}
+	if !entry.reserve(turn) {
+		return nil, resultBudgetSpent
+	}
+	entry.usedAt = now
+	s.accounts[turn.Program] = entry
+	s.touch(accountPrefix + turn.Program)
+	return history, resultOK
+}
+
+// end settles a turn, and keeps it if later ones may go on from it.
+func (s *state) end(outcome Outcome, now time.Time) {
+	entry := s.accounts[outcome.Program]
+	if entry == nil || !entry.settle(outcome.Turn, outcome.UsedTokens) {
+		s.ended[outcome.Turn] = now
+	} else {
+		entry.usedAt = now
+		s.touch(accountPrefix + outcome.Program)
+	}
+	if outcome.Kept == nil {
+		return
+	}
+	retention := int64(0)
+	if entry != nil {
+		retention = entry.RetentionMS
+	}
+	s.keep(outcome.Kept, retention, now)
+}
+
+func (s *state) keep(turn *KeptTurn, retentionMS int64, now time.Time) {
+	if s.turns[turn.ID] != nil {
+		return
+	}
+	s.turns[turn.ID] = &turnEntry{KeptTurn: *turn, RetentionMS: retentionMS, usedAt: now}
+	s.touch(turnPrefix + turn.ID)
+	_, _ = s.history(turn.Previous, now) // its chain is kept as long as it is
+}
+
+func (s *state) touch(key string) { s.dirty[key] = struct{}{} }
+
+// history joins the texts of a chain of turns, from the oldest on.
+func (s *state) history(last string, now time.Time) ([]byte, error) {
+	var chain []*turnEntry
+	size := 0
+	for id := last; id != ""; {
+		entry := s.turns[id]
+		if entry == nil || len(chain) >= chainLimit {
+			return nil, errBrokenChain
+		}
+		chain = append(chain, entry)
+		size += len(entry.Input) + len(entry.Output)
+		id = entry.Previous
+	}
+	text := make([]byte, 0, size)
+	for i := len(chain) - 1; i >= 0; i-- {
+		chain[i].usedAt = now
+		text = append(text, chain[i].Input...)
+		text = append(text, chain[i].Output...)
+	}
+	return text, nil
+}
+
+// find returns a turn with its whole chain as one turn, nil if it is not kept.
+func (s *state) find(id string, now time.Time) *KeptTurn {
+	text, err := s.history(id, now)
+	if err != nil || id == "" {
+		return nil
+	}
+	return &KeptTurn{ID: id, Input: text}
+}
+
+// takeDirty returns the records of all changes since the last call.
+func (s *state) takeDirty() ([]store.Record, error) {
+	records := make([]store.Record, 0, len(s.dirty))
+	for key := range s.dirty {
+		value, err := s.value(key)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, store.Record{Key: key, Value: value})
+	}
+	clear(s.dirty)
+	return records, nil
+}
+
+// value encodes what stands under a key now; nil drops the key.
+func (s *state) value(key string) ([]byte, error) {
+	if id, isAccount := strings.CutPrefix(key, accountPrefix); isAccount {
+		if entry := s.accounts[id]; entry != nil {
+			return json.Marshal(entry.account)
+		}
+		return nil, nil
+	}
+	if id, isTurn := strings.CutPrefix(key, turnPrefix); isTurn {
+		if entry := s.turns[id]; entry != nil {
+			return json.Marshal(entry)
+		}
+	}
+	return nil, nil
+}
+
+// expire drops up to limit records that nobody used for their retention.
+func (s *state) expire(now time.Time, limit int) {
+	for id, entry := range s.accounts {
+		if len(s.dirty) >= limit {
+			return
+		}
+		if isOver(entry.usedAt, entry.RetentionMS, now) {
+			delete(s.accounts, id)
+			s.touch(accountPrefix + id)
+		}
+	}
+	for id, entry := range s.turns {
+		if len(s.dirty) >= limit {
+			return
+		}
+		if isOver(entry.usedAt, entry.RetentionMS, now) {
+			delete(s.turns, id)
+			s.touch(turnPrefix + id)
+		}
+	}
+	for id, at := range s.ended {
+		if now.Sub(at) > endedLife {
+			delete(s.ended, id)
+		}
+	}
+}
+
+func isOver(usedAt time.Time, retentionMS int64, now time.Time) bool {
+	return now.Sub(usedAt) > time.Duration(retentionMS)*time.Millisecond+keepMargin
+}
--- /dev/null
+++ b/internal/relay/call.go
@@ -0,0 +1,141 @@
+// Package relay carries callers' requests to back ends. It decides which
+// instance gets a request, when it is sent again, taken up elsewhere or
+// refused, and never lets a request run more often than its route allows.
+//
+// The package knows neither the callers' nor the back ends' protocol: a front
+// translates requests into Call and Responder, and a Driver carries them on.
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+// Call is one request of a caller.
+type Call struct {
+	ID    string
+	Route *route.Route
+	// Method, Target, Host, Header and Body go to the back end unchanged.
+	// Target is the path with its query, as it came.
+	Method string
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Received is when the request was read whole.
+	Received time.Time
+	// Deadline is when the caller stops waiting, or the route's timeout ends;
+	// the zero time means never.
+	Deadline time.Time
+	// Object names what the request concerns, for routes that are sticky.
+	Object string
+	// ResumeAfter is the last event that the caller has of a broken stream.
+	ResumeAfter string
+	// MostTokens is the most that an answer generates, 0 if not told.
+	MostTokens int64
+	// Program tells of the program that the request is a turn or a tool call
+	// of; nil if of none.
+	Program *Program
+}
+
+// Program is what a request tells of its program.
+type Program struct {
+	ID string
+	// Session names one line of turns within the program.
+	Session string
+	// BudgetTokens is what the program may generate in all its turns; 0 when
+	// the request is no turn.
+	BudgetTokens int64
+	// Previous is the turn that this one goes on from, "" for none.
+	Previous string
+	// FinishBy is when the program should be over; zero if not told.
+	FinishBy time.Time
+}
+
+// Refusal is a final answer of the system's own.
+type Refusal struct {
+	Reason Reason
+	// RetryAfter is when to come back; 0 if that would not help.
+	RetryAfter time.Duration
+	// Detail is a short sentence for the caller.
+	Detail string
+}
+
+// Reason tells why the system ends a request by itself.
+type Reason string
+
+// Reasons. Those of the first group promise that the request has not run and
+// never will.
+const (
+	ReasonNoInstance    Reason = "no_instance"
+	ReasonFull          Reason = "full"
+	ReasonLedger        Reason = "ledger_unavailable"
+	ReasonStarting      Reason = "starting"
+	ReasonNotInTime     Reason = "not_in_time"
+	ReasonBudgetSpent   Reason = "budget_spent"
+	ReasonUnknownTurn   Reason = "unknown_turn"
+	ReasonBroken        Reason = "broken"
+	ReasonTimeout       Reason = "timeout"
+	ReasonNoRoute       Reason = "no_route"
+	ReasonTooLarge      Reason = "too_large"
+	ReasonMalformed     Reason = "malformed"
+	ReasonNotAvailable  Reason = "not_available"
+	ReasonCallerLeft    Reason = "caller_left"
+	ReasonRecordTimeout Reason = "record_timeout"
+)
+
+// Responder is the caller's side of a call. Exactly one of Answer, Refuse, End
+// and Abort ends it.
+type Responder interface {
+	// Answer gives a back end's whole answer.
+	Answer(status int, header http.Header, body []byte)
+	// Refuse gives an answer of the system's own.
+	Refuse(refusal Refusal)
+	// Head begins a stream with a back end's status and header.
+	Head(status int, header http.Header)
+	// Event passes one whole event on; the error tells that the caller left.
+	Event(raw []byte) error
+	// End ends a stream that is complete.
+	End()
+	// Abort breaks a stream off, so that it cannot be taken for complete.
+	Abort()
+}
+
+// Outgoing is a call on its way to one instance.
+type Outgoing struct {
+	*Call
+	// Body replaces the call's own.
+	Body []byte
+	// Deadline is when the instance shall stop work; zero means never.
+	Deadline time.Time
+	// ResumeAfter is the last event that needs not come again, "" for none.
+	ResumeAfter string
+	// Urgency orders requests at the instance, 0 first to 9 last.
+	Urgency int
+	// ConnectionLimit bounds this daemon's connections to the instance.
+	ConnectionLimit int
+}
+
+// Answer is the head of what an instance answered.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Body must be closed.
+	Body io.ReadCloser
+	// NotRun: the instance promises that it did not run the request.
+	NotRun bool
+	// OtherInstance: another instance has the address by now.
+	OtherInstance bool
+}
+
+// Driver carries calls to instances in their protocol. Errors wrap
+// httpconn.ErrNotSent if no byte left this machine; after any other error the
+// request may have run.
+type Driver interface {
+	Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error)
+}
--- /dev/null
+++ b/internal/relay/carrier.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/httpconn"
+	"github.com/mintpulley/mintpulley/internal/instance"
+)
+
+// carrier carries one call.
+type carrier struct {
+	relay     *Relay
+	call      *Call
+	responder Responder
+	service   string
+	logger    zerolog.Logger
+
+	// excluded instances were offered the call in this round.
+	excluded []string
+	// preferred is the instance that knows the call's object or session.
+	preferred string
+	// runs counts instances that may have run the call.
+	runs int
+	// offers counts all tries.
+	offers int
+}
+
+// mayHaveRun tells whether some instance may have run the call.
+func (c *carrier) mayHaveRun() bool { return c.runs > 0 }
+
+// offerUntil is when the call stops being offered to full instances.
+func (c *carrier) offerUntil() time.Time {
+	if c.call.Deadline.IsZero() {
+		return c.call.Received.Add(time.Second)
+	}
+	whole := c.call.Deadline.Sub(c.call.Received)
+	return c.call.Received.Add(time.Duration(float64(whole) * offerShare))
+}
+
+// offer sends the call to one instance after another until one takes it. A nil
+// answer means that the call is over: refused, or its caller left.
+func (c *carrier) offer(ctx context.Context, outgoing Outgoing) (*Answer, instance.Instance) {
+	for {
+		if !c.hasTime() {
+			c.refuseLate(ctx)
+			return nil, instance.Instance{}
+		}
+		target, found := c.take()
+		if !found {
+			if !c.nextRound(ctx) {
+				return nil, instance.Instance{}
+			}
+			continue
+		}
+		answer, err := c.send(ctx, target, outgoing)
+		if err == nil && !answer.NotRun && !answer.OtherInstance {
+			c.runs++
+			return answer, target
+		}
+		if !c.goOn(ctx, target, answer, err) {
+			return nil, instance.Instance{}
+		}
+	}
+}
+
+func (c *carrier) hasTime() bool {
+	return c.call.Deadline.IsZero() || time.Until(c.call.Deadline) > leastTime
+}
+
+func (c *carrier) take() (instance.Instance, bool) {
+	return c.relay.Pool.Take(instance.Query{
+		Service:   c.service,
+		Preferred: c.preferred,
+		Object:    c.object(),
+		Excluded:  c.excluded,
+	})
+}
+
+func (c *carrier) object() string {
+	if !c.call.Route.Sticky {
+		return ""
+	}
+	return c.call.Object
+}
+
+func (c *carrier) send(ctx context.Context, target instance.Instance, outgoing Outgoing) (*Answer, error) {
+	c.offers++
+	outgoing.ConnectionLimit = c.connectionLimit()
+	return c.relay.Driver.Send(ctx, target, &outgoing)
+}
+
+// connectionLimit is this daemon's share of an instance's connections.
+func (c *carrier) connectionLimit() int {
+	table := c.relay.Table()
+	if table == nil {
+		return 0
+	}
+	service := table.Services[c.service]
+	if service == nil || service.MaxConnections == 0 {
+		return 0
+	}
+	return max(service.MaxConnections/max(c.relay.Daemons(), 1), 1)
+}
+
+// goOn takes note of a failed offer and tells whether the call may be offered
+// to another instance. If not, the call was ended.
+func (c *carrier) goOn(ctx context.Context, target instance.Instance, answer *Answer, err error) bool {
+	c.excluded = append(c.excluded, target.ID)
+	if err == nil {
+		_ = answer.Body.Close()
+		c.noteNotRun(target, answer)
+		return true
+	}
+	if ctx.Err() != nil {
+		c.relay.Pool.Release(target.ID, instance.OutcomeGivenUp)
+		if !httpconn.IsNotSent(err) {
+			c.runs++
+		}
+		c.refuseLate(ctx)
+		return false
+	}
+	if errors.Is(err, httpconn.ErrNoConnection) {
+		c.relay.Pool.Release(target.ID, instance.OutcomeFull)
+		return true
+	}
+	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
+	if httpconn.IsNotSent(err) {
+		return true
+	}
+	c.runs++
+	return c.mayRunAgain()
+}
+
+func (c *carrier) noteNotRun(target instance.Instance, answer *Answer) {
+	outcome := instance.OutcomeFull
+	if answer.OtherInstance {
+		outcome = instance.OutcomeGone
+	}
+	c.relay.Pool.Release(target.ID, outcome)
+	c.relay.Metrics.notRun(answer.OtherInstance)
+	c.logger.Debug().Str("instance", target.ID).Int("status", answer.Status).Int("offer", c.offers).Msg("Offer not taken.")
+}
+
+// mayRunAgain tells whether the route allows another run; if not, the call is
+// ended as one that may have run.
+func (c *carrier) mayRunAgain() bool {
+	limit := c.call.Route.MaxAttempts
+	if c.call.Route.Kind == kindStream {
+		limit = streamRuns
+	}
+	if c.call.Route.Repeatable() && c.runs < limit {
+		c.relay.Metrics.retry()
+		return true
+	}
+	c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+	return false
+}
+
+// nextRound waits before all instances are offered the call again. False
+// means that the call was refused.
+func (c *carrier) nextRound(ctx context.Context) bool {
+	now := time.Now()
+	if c.relay.Pool.Count(c.service) == 0 && c.offers == 0 {
+		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: refusalPause, Detail: "No back end of this service is known."})
+		return false
+	}
+	if now.After(c.offerUntil()) {
+		c.refuse(Refusal{Reason: ReasonFull, RetryAfter: refusalPause, Detail: "All back ends of this service are full."})
+		return false
+	}
+	c.excluded = c.excluded[:0]
+	select {
+	case <-ctx.Done():
+		c.refuseLate(ctx)
+		return false
+	case <-time.After(offerPause):
+		return true
+	}
+}
+
+// refuseLate ends a call whose time is over or whose caller left.
+func (c *carrier) refuseLate(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		c.refuse(Refusal{Reason: ReasonCallerLeft, Detail: "The caller left."})
+		return
+	}
+	if c.mayHaveRun() {
+		c.refuse(Refusal{Reason: ReasonTimeout, Detail: "The time for this request is over; it may have run."})
+		return
+	}
+	c.refuse(Refusal{Reason: ReasonNotInTime, Detail: "The time for this request is over; it has not run."})
+}
+
+// refuse ends the call with an answer of the system's own. Where the call may
+// have run, no answer may promise the contrary.
+func (c *carrier) refuse(refusal Refusal) {
+	if c.mayHaveRun() && refusal.Reason.PromisesNotRun() {
+		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
+	}
+	c.relay.Metrics.refused(refusal.Reason)
+	c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
+		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter).Msg("Request refused.")
+	c.responder.Refuse(refusal)
+}
+
+// PromisesNotRun tells whether a refusal for this reason says that the request
+// has not run and never will.
+func (r Reason) PromisesNotRun() bool {
+	switch r {
+	case ReasonBroken, ReasonTimeout, ReasonCallerLeft:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+)
+
+const (
+	namespace = "mintpulley"
+	subsystem = "relay"
+)
+
+// Metrics counts what the relay does.
+type Metrics struct {
+	answers     *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	offers      *prometheus.CounterVec
+	runs        *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	firstEvents prometheus.Histogram
+	begins      *prometheus.HistogramVec
+}
+
+// NewMetrics registers the relay's metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		answers:     counters("answers_total", "Back ends' answers passed on, by route kind and status.", "kind", "status"),
+		refusals:    counters("refusals_total", "Requests ended by the system itself, by reason.", "reason"),
+		offers:      counters("offers_not_taken_total", "Offers that an instance did not run, by cause.", "cause"),
+		runs:        counters("further_runs_total", "Requests run again or streams taken up.", "cause"),
+		latency:     histograms("answer_seconds", "From a request read to its answer ended.", "kind"),
+		begins:      histograms("turn_begin_seconds", "Time to reserve a turn's tokens, by outcome.", "outcome"),
+		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
+	}
+	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.firstEvents)
+	return m
+}
+
+func buckets() []float64 { return prometheus.ExponentialBuckets(0.001, 2, 14) }
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help}, labels)
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: name, Help: help, Buckets: buckets()}, labels)
+}
+
+func (m *Metrics) answered(call *Call, status int) {
+	kind := string(call.Route.Kind)
+	m.answers.WithLabelValues(kind, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(kind).Observe(time.Since(call.Received).Seconds())
+}
+
+func (m *Metrics) firstEvent(call *Call) {
+	m.firstEvents.Observe(time.Since(call.Received).Seconds())
+}
+
+func (m *Metrics) refused(reason Reason) { m.refusals.WithLabelValues(string(reason)).Inc() }
+
+func (m *Metrics) retry() { m.runs.WithLabelValues("retry").Inc() }
+
+func (m *Metrics) resumed() { m.runs.WithLabelValues("resumed").Inc() }
+
+func (m *Metrics) notRun(otherInstance bool) {
+	cause := "full"
+	if otherInstance {
+		cause = "other_instance"
+	}
+	m.offers.WithLabelValues(cause).Inc()
+}
+
+func (m *Metrics) begun(took time.Duration, err error) {
+	outcome := "granted"
+	switch {
+	case err == nil:
+	case errors.Is(err, ledger.ErrBudgetSpent):
+		outcome = "budget_spent"
+	case errors.Is(err, ledger.ErrUnknownTurn):
+		outcome = "unknown_turn"
+	default:
+		outcome = "unavailable"
+	}
+	m.begins.WithLabelValues(outcome).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/relay/plain.go
@@ -0,0 +1,70 @@
+package relay
+
+import (
+	"context"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+const kindStream = route.KindStream
+
+// errAnswerTooLong: an answer exceeds bodyLimit.
+var errAnswerTooLong = eris.New("relay: the answer is too long")
+
+// carryPlain carries a request whose answer is passed on as a whole: an answer
+// that breaks off is never seen by the caller, and a repeatable request runs
+// again.
+func (c *carrier) carryPlain(ctx context.Context) {
+	for {
+		outgoing := Outgoing{Call: c.call, Body: c.call.Body, Deadline: c.call.Deadline, Urgency: defaultUrgency}
+		answer, target := c.offer(ctx, outgoing)
+		if answer == nil {
+			return
+		}
+		body, err := readWhole(answer.Body)
+		if err == nil {
+			c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+			c.answer(answer, body, target)
+			return
+		}
+		if !c.retryBroken(ctx, target, err) {
+			return
+		}
+	}
+}
+
+func (c *carrier) answer(answer *Answer, body []byte, target instance.Instance) {
+	c.relay.Metrics.answered(c.call, answer.Status)
+	c.logger.Debug().Str("instance", target.ID).Int("status", answer.Status).Int("offers", c.offers).Msg("Request answered.")
+	c.responder.Answer(answer.Status, answer.Header, body)
+}
+
+// retryBroken takes note of an answer that broke off and tells whether the
+// request may run again. If not, the call was ended.
+func (c *carrier) retryBroken(ctx context.Context, target instance.Instance, err error) bool {
+	if ctx.Err() != nil {
+		c.relay.Pool.Release(target.ID, instance.OutcomeGivenUp)
+		c.refuseLate(ctx)
+		return false
+	}
+	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.logger.Info().Str("instance", target.ID).Err(err).Int("runs", c.runs).Msg("Answer broke off.")
+	c.excluded = append(c.excluded, target.ID)
+	return c.mayRunAgain()
+}
+
+func readWhole(body io.ReadCloser) ([]byte, error) {
+	defer func() { _ = body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(body, bodyLimit+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > bodyLimit {
+		return nil, errAnswerTooLong
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+const (
+	// offerShare is the part of a call's time during which it is offered to
+	// instances that are full, before it is refused.
+	offerShare = 0.45
+	// offerPause separates rounds of offers to all instances of a service.
+	offerPause = 15 * time.Millisecond
+	// refusalPause is after when a caller should come back that was refused
+	// because all instances are full or none is there.
+	refusalPause = 120 * time.Millisecond
+	// ledgerPause is the same when a program's record could not be reached.
+	ledgerPause = 250 * time.Millisecond
+	// leastTime is the time below which a call is not sent any more.
+	leastTime = 5 * time.Millisecond
+	// streamRuns bounds how often one stream is taken up.
+	streamRuns = 4
+	// bodyLimit is the longest answer that is read whole, in bytes.
+	bodyLimit = 16 << 20
+	// eventLimit is the longest event of a stream, in bytes.
+	eventLimit = 4 << 20
+	// recordTimeout bounds how long the end of a kept turn waits for its record.
+	recordTimeout = 1500 * time.Millisecond
+	// settleTimeout bounds how long a finished turn is tried to be settled.
+	settleTimeout = 20 * time.Second
+)
+
+// Ledger keeps programs' budgets and turns.
+type Ledger interface {
+	// Begin reserves a turn's tokens and returns the history before it. Errors
+	// wrap ledger.ErrBudgetSpent, ledger.ErrUnknownTurn or
+	// ledger.ErrUnavailable.
+	Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error)
+	// End settles a turn. It returns once the outcome is durable.
+	End(ctx context.Context, outcome ledger.Outcome) error
+}
+
+// Options give a Relay what it works with.
+type Options struct {
+	Pool   *instance.Pool
+	Driver Driver
+	Ledger Ledger
+	// Table returns the routes in force, nil while none are known.
+	Table func() *route.Table
+	// Daemons returns how many daemons share the instances' connections.
+	Daemons func() int
+	Logger  zerolog.Logger
+	Metrics *Metrics
+}
+
+// Relay carries calls. It is safe for concurrent use.
+type Relay struct {
+	Options
+	sessions *sessions
+	splits   splits
+	// settling counts turns whose outcome is not on record yet.
+	settling sync.WaitGroup
+}
+
+// New returns a relay.
+func New(options Options) *Relay {
+	return &Relay{Options: options, sessions: newSessions()}
+}
+
+// Serve carries one call to its end. It returns once the responder was ended.
+func (r *Relay) Serve(ctx context.Context, call *Call, responder Responder) {
+	if !call.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
+		defer cancel()
+	}
+	c := &carrier{
+		relay:     r,
+		call:      call,
+		responder: responder,
+		service:   r.splits.choose(call.Route),
+		logger:    callLogger(r.Logger, call),
+	}
+	if call.Route.Kind == route.KindStream {
+		c.carryStream(ctx)
+		return
+	}
+	c.carryPlain(ctx)
+}
+
+func callLogger(logger zerolog.Logger, call *Call) zerolog.Logger {
+	fields := logger.With().Str("request", call.ID).Str("route", call.Route.Name)
+	if call.Program != nil {
+		fields = fields.Str("program", call.Program.ID)
+	}
+	return fields.Logger()
+}
+
+// Wait waits until all turns are settled, or ctx ends.
+func (r *Relay) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.settling.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relay/split.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"sync"
+
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+// splits deals the requests of routes that have several services, smoothly by
+// weight: after any number of requests each service is within one of its share.
+type splits struct {
+	mutex  sync.Mutex
+	routes map[string]*split
+}
+
+type split struct {
+	version *route.Route
+	credit  []float64
+}
+
+// choose returns the service that gets the next request of a route.
+func (s *splits) choose(r *route.Route) string {
+	if len(r.Services) == 0 {
+		return ""
+	}
+	if len(r.Services) == 1 {
+		return r.Services[0].Service
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.routes == nil {
+		s.routes = map[string]*split{}
+	}
+	state := s.routes[r.Name]
+	if state == nil || state.version != r {
+		state = &split{version: r, credit: make([]float64, len(r.Services))}
+		s.routes[r.Name] = state
+	}
+	return r.Services[state.next()].Service
+}
+
+func (s *split) next() int {
+	total := 0.0
+	best := 0
+	for i, part := range s.version.Services {
+		s.credit[i] += part.Weight
+		total += part.Weight
+		if s.credit[i] > s.credit[best] {
+			best = i
+		}
+	}
+	s.credit[best] -= total
+	return best
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/mintpulley/mintpulley/internal/eventstream"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+)
+
+const statusOK = http.StatusOK
+
+// streamState is what was passed on of a stream so far.
+type streamState struct {
+	turn *turnState
+	// hasHead: the caller has the head of the answer.
+	hasHead bool
+	// lastID is the last event that the caller has.
+	lastID string
+	events int64
+	output []byte
+}
+
+// carryStream carries a request that is answered by a stream of events. Events
+// are passed on whole as they come; a stream that breaks is taken up behind
+// the last one, if its route allows that.
+func (c *carrier) carryStream(ctx context.Context) {
+	state := &streamState{lastID: c.call.ResumeAfter}
+	body := c.call.Body
+	if c.isTurn() {
+		turn, history, ok := c.beginTurn(ctx)
+		if !ok {
+			return
+		}
+		state.turn = turn
+		body = append(history, c.call.Body...)
+	}
+	c.preferred = c.relay.sessions.find(c.call.Program)
+	for c.runStream(ctx, state, body) {
+		c.relay.Metrics.resumed()
+	}
+	if state.turn != nil {
+		c.settle(state, false)
+	}
+}
+
+// runStream runs the stream once. It returns true when the stream broke and
+// may be taken up.
+func (c *carrier) runStream(ctx context.Context, state *streamState, body []byte) bool {
+	answer, target := c.offerStream(ctx, state, body)
+	if answer == nil {
+		return false
+	}
+	if answer.Status != statusOK {
+		c.passFailure(ctx, answer, target, state)
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	err := c.passEvents(answer, state)
+	if errors.Is(err, io.EOF) {
+		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+		c.relay.sessions.note(c.call.Program, target.ID)
+		c.endStream(ctx, answer, state)
+		return false
+	}
+	if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
+		c.relay.Pool.Release(target.ID, instance.OutcomeGivenUp)
+		c.breakOff(ctx, state)
+		return false
+	}
+	return c.takeUp(target, state, err)
+}
+
+func (c *carrier) offerStream(ctx context.Context, state *streamState, body []byte) (*Answer, instance.Instance) {
+	responder := c.responder
+	if state.hasHead {
+		// A refusal can not be told any more: the stream is broken off.
+		c.responder = abortOnly{responder}
+		defer func() { c.responder = responder }()
+	}
+	return c.offer(ctx, Outgoing{
+		Call:        c.call,
+		Body:        body,
+		Deadline:    c.call.Deadline,
+		ResumeAfter: state.lastID,
+		Urgency:     c.urgency(),
+	})
+}
+
+// passFailure passes an answer on that is no stream.
+func (c *carrier) passFailure(ctx context.Context, answer *Answer, target instance.Instance, state *streamState) {
+	body, err := readWhole(answer.Body)
+	if err != nil {
+		c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	} else {
+		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+	}
+	switch {
+	case state.hasHead:
+		c.breakOff(ctx, state)
+	case err != nil:
+		c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+	default:
+		c.answer(answer, body, target)
+	}
+}
+
+var errCallerLeft = errors.New("relay: the caller left")
+
+// passEvents passes events on until the stream ends; io.EOF means that it is
+// complete.
+func (c *carrier) passEvents(answer *Answer, state *streamState) error {
+	reader := eventstream.NewReader(answer.Body, eventLimit)
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return err
+		}
+		if !state.hasHead {
+			c.responder.Head(answer.Status, answer.Header)
+			state.hasHead = true
+			c.relay.Metrics.firstEvent(c.call)
+		}
+		state.note(event)
+		if err := c.responder.Event(event.Raw); err != nil {
+			return errCallerLeft
+		}
+	}
+}
+
+func (s *streamState) note(event eventstream.Event) {
+	s.events++
+	if event.ID != "" {
+		s.lastID = event.ID
+	}
+	if s.turn != nil && s.turn.retain {
+		s.output = append(s.output, event.Data...)
+		s.output = append(s.output, '\n')
+	}
+}
+
+// takeUp tells whether a stream that broke may be taken up; if not, the call
+// is ended.
+func (c *carrier) takeUp(target instance.Instance, state *streamState, err error) bool {
+	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.logger.Info().Str("instance", target.ID).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
+	if c.call.Route.Resumable && c.runs < streamRuns && c.hasTime() {
+		c.excluded = append(c.excluded[:0], target.ID)
+		return true
+	}
+	if state.hasHead {
+		c.responder.Abort()
+		return false
+	}
+	c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+	return false
+}
+
+// breakOff ends a stream that can not be completed.
+func (c *carrier) breakOff(ctx context.Context, state *streamState) {
+	if state.hasHead {
+		c.logger.Info().Int64("events", state.events).AnErr("context", ctx.Err()).Msg("Stream given up.")
+		c.responder.Abort()
+		return
+	}
+	c.refuseLate(ctx)
+}
+
+// endStream ends a complete stream, once its turn is on record.
+func (c *carrier) endStream(ctx context.Context, answer *Answer, state *streamState) {
+	if !state.hasHead {
+		c.responder.Head(answer.Status, answer.Header)
+		state.hasHead = true
+	}
+	if state.turn != nil && !c.settle(state, true) {
+		c.logger.Warn().AnErr("context", ctx.Err()).Msg("Turn not recorded. The stream is broken off.")
+		c.responder.Abort()
+		return
+	}
+	c.relay.Metrics.answered(c.call, answer.Status)
+	c.responder.End()
+}
+
+// abortOnly breaks a stream off where a refusal comes too late.
+type abortOnly struct{ Responder }
+
+// Refuse implements Responder.
+func (a abortOnly) Refuse(Refusal) { a.Abort() }
+
+var _ Ledger = (*ledger.Service)(nil)
--- /dev/null
+++ b/internal/relay/turn.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+)
+
+// turnState is a turn that the ledger granted.
+type turnState struct {
+	retain bool
+	// perEvent is how many tokens each event carries.
+	perEvent int64
+	settled  bool
+}
+
+// isTurn tells whether the call is a turn of a program with a budget, or goes
+// on from one.
+func (c *carrier) isTurn() bool {
+	program := c.call.Program
+	return program != nil && (program.BudgetTokens > 0 || program.Previous != "" || c.call.Route.RetainContext)
+}
+
+// beginTurn reserves the turn's tokens. False means that the call was ended.
+func (c *carrier) beginTurn(ctx context.Context) (turn *turnState, history []byte, ok bool) {
+	started := time.Now()
+	grant, err := c.relay.Ledger.Begin(ctx, ledger.Turn{
+		ID:           c.call.ID,
+		Program:      c.call.Program.ID,
+		BudgetTokens: c.call.Program.BudgetTokens,
+		MostTokens:   c.mostTokens(),
+		Previous:     c.call.Program.Previous,
+		Retention:    c.call.Route.Retention,
+	})
+	c.relay.Metrics.begun(time.Since(started), err)
+	if err == nil {
+		return &turnState{retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent()}, grant.History, true
+	}
+	switch {
+	case errors.Is(err, ledger.ErrBudgetSpent):
+		c.refuse(Refusal{Reason: ReasonBudgetSpent, Detail: "The program's token budget has no room for this turn."})
+	case errors.Is(err, ledger.ErrUnknownTurn):
+		c.refuse(Refusal{Reason: ReasonUnknownTurn, Detail: "The previous turn is not known."})
+	default:
+		c.logger.Warn().Err(err).Dur("took", time.Since(started)).Msg("Program's record not reached.")
+		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: ledgerPause, Detail: "The program's record can not be reached."})
+	}
+	return nil, nil, false
+}
+
+func (c *carrier) tokensPerEvent() int64 {
+	table := c.relay.Table()
+	if table == nil {
+		return 1
+	}
+	service := table.Services[c.service]
+	if service == nil || service.Model == nil {
+		return 1
+	}
+	return max(service.Model.TokensPerEvent, 1)
+}
+
+// mostTokens is the most that the turn generates: what the caller names,
+// rounded up to whole events.
+func (c *carrier) mostTokens() int64 {
+	perEvent := c.tokensPerEvent()
+	return (c.call.MostTokens + perEvent - 1) / perEvent * perEvent
+}
+
+// settle tells the ledger what became of the turn. A turn that others may go
+// on from is on record when settle returns true; all others are settled in
+// the background, until settleTimeout.
+func (c *carrier) settle(state *streamState, whole bool) bool {
+	turn := state.turn
+	if turn.settled {
+		return true
+	}
+	turn.settled = true
+	outcome := ledger.Outcome{
+		Turn:       c.call.ID,
+		Program:    c.call.Program.ID,
+		UsedTokens: state.events * turn.perEvent,
+	}
+	if whole && turn.retain && c.call.ResumeAfter == "" {
+		outcome.Kept = &ledger.KeptTurn{
+			ID:       c.call.ID,
+			Previous: c.call.Program.Previous,
+			Input:    c.call.Body,
+			Output:   state.output,
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		defer cancel()
+		return c.relay.Ledger.End(ctx, outcome) == nil
+	}
+	c.relay.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := c.relay.Ledger.End(ctx, outcome); err != nil {
+			c.logger.Warn().Err(err).Msg("Turn not settled. Its reservation stays spent.")
+		}
+	})
+	return true
+}
--- /dev/null
+++ b/internal/relaydaemon/adapter.go
@@ -0,0 +1,54 @@
+package relaydaemon
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/kernel"
+	"github.com/mintpulley/mintpulley/internal/relay"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// Adapters holds the adapters that registered themselves.
+var Adapters kernel.Registry[func(AdapterOptions) Adapter]
+
+// AdapterOptions give an adapter what it works with.
+type AdapterOptions struct {
+	StoreAddress string
+	Logger       zerolog.Logger
+	Registry     prometheus.Registerer
+}
+
+// Gateway is what an adapter's front may ask of the daemon.
+type Gateway interface {
+	// Table returns the routes in force, nil while none are known.
+	Table() *route.Table
+	// Stopping tells whether the daemon is about to stop.
+	Stopping() bool
+	// Serve carries a call to its end.
+	Serve(ctx context.Context, call *relay.Call, responder relay.Responder)
+}
+
+// Adapter translates one platform's protocols. It decides nothing.
+type Adapter interface {
+	Store() store.Store
+	Driver() relay.Driver
+	// Forget drops idle connections to addresses that nobody has any more.
+	Forget(addresses []string)
+	// Front handles callers' requests, Ready the platform's question whether
+	// the daemon takes any.
+	Front(daemon Gateway) http.Handler
+	Ready(isReady func() bool) http.Handler
+	// RoutesPartition and InstancesPartition are where operators and back ends
+	// write; Routes and Instances read what they wrote. Routes returns nil if
+	// nothing was written yet.
+	RoutesPartition() store.Partition
+	InstancesPartition() store.Partition
+	Routes(records map[string]store.Record) (*route.Table, error)
+	Instances(records map[string]store.Record) []instance.Instance
+}
--- /dev/null
+++ b/internal/relaydaemon/daemon.go
@@ -0,0 +1,212 @@
+package relaydaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/peer/tcp"
+	"github.com/mintpulley/mintpulley/internal/relay"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// ledgerSpace is where the ledger's shards lie; a number follows.
+	ledgerSpace = "ledger-"
+	// memoryShare is the part of the memory that the runtime aims to stay in.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+)
+
+// Daemon is a running relay daemon.
+type Daemon struct {
+	settings Settings
+	logger   zerolog.Logger
+	adapter  Adapter
+
+	relay      *relay.Relay
+	ledger     *ledger.Service
+	membership *membership.Membership
+	transport  *tcp.Transport
+	pool       *instance.Pool
+	registry   *memberRegistry
+	figures    *prometheus.Registry
+	servers    []*http.Server
+
+	table    atomic.Pointer[route.Table]
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	workers  sync.WaitGroup
+}
+
+// Start opens the listeners and sets the daemon going.
+func Start(settings Settings, logger zerolog.Logger, lost *LostLines) (*Daemon, error) {
+	if settings.MemoryMegabytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes) * megabyte))
+	}
+	newAdapter, err := Adapters.Lookup(settings.Adapter)
+	if err != nil {
+		return nil, err
+	}
+	figures := prometheus.NewRegistry()
+	figures.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "log", Name: "lines_lost_total", Help: "Log lines that were dropped.",
+	}, func() float64 { return float64(lost.Count()) }))
+	d := &Daemon{
+		settings: settings,
+		logger:   logger,
+		figures:  figures,
+		pool:     instance.NewPool(settings.Zone, newRandom()),
+		adapter: newAdapter(AdapterOptions{
+			StoreAddress: settings.StoreAddress,
+			Logger:       part(logger, "adapter"),
+			Registry:     figures,
+		}),
+	}
+	if err := d.join(figures); err != nil {
+		return nil, err
+	}
+	if err := d.listen(); err != nil {
+		d.transport.Close()
+		return nil, err
+	}
+	d.run()
+	logger.Info().Str("id", string(d.membership.Self.ID)).Str("zone", settings.Zone).Msg("Daemon started.")
+	return d, nil
+}
+
+func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func part(logger zerolog.Logger, name string) zerolog.Logger {
+	return logger.With().Str("part", name).Logger()
+}
+
+// join makes the daemon one of the fleet, with its share of the ledger.
+func (d *Daemon) join(figures prometheus.Registerer) error {
+	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, part(d.logger, "members"))
+	self := structs.Daemon{
+		ID:     structs.NewDaemonID(d.settings.PeerAddress, d.registry.incarnation()),
+		Zone:   structs.ZoneName(d.settings.Zone),
+		Region: structs.RegionName(d.settings.Region),
+	}
+	receiver := &receiverSlot{}
+	transport, err := tcp.Listen(self.ID, receiver, nil, part(d.logger, "peer"))
+	if err != nil {
+		return err
+	}
+	d.transport = transport
+	d.membership = membership.New(membership.Options{
+		Self:      self,
+		Clock:     clock.System(),
+		Random:    newRandom(),
+		Transport: transport,
+		Settings:  membership.DefaultSettings(),
+		Logger:    part(d.logger, "membership"),
+	})
+	d.ledger = ledger.NewService(ledger.Options{
+		Self:       self.ID,
+		Store:      d.adapter.Store(),
+		Transport:  transport,
+		View:       d.membership,
+		Partitions: ledgerPartitions(d.settings),
+		Logger:     part(d.logger, "ledger"),
+		Metrics:    ledger.NewMetrics(figures),
+	})
+	d.relay = relay.New(relay.Options{
+		Pool:    d.pool,
+		Driver:  d.adapter.Driver(),
+		Ledger:  d.ledger,
+		Table:   d.Table,
+		Daemons: func() int { return len(d.membership.Members()) },
+		Logger:  part(d.logger, "relay"),
+		Metrics: relay.NewMetrics(figures),
+	})
+	receiver.daemon.Store(d)
+	return nil
+}
+
+func ledgerPartitions(settings Settings) []store.Partition {
+	var partitions []store.Partition
+	for space := range settings.LedgerSpaces {
+		for number := range settings.LedgerPartitions {
+			partitions = append(partitions, store.Partition{Space: ledgerSpace + strconv.Itoa(space), Number: number})
+		}
+	}
+	return partitions
+}
+
+// receiverSlot lets the transport start before the parts that it serves.
+type receiverSlot struct{ daemon atomic.Pointer[Daemon] }
+
+// Receive implements peer.Handler.
+func (s *receiverSlot) Receive(from structs.DaemonID, message peer.Message) {
+	d := s.daemon.Load()
+	if d == nil {
+		return
+	}
+	if !d.membership.Receive(from, message) {
+		d.ledger.Receive(from, message)
+	}
+}
+
+// run starts what works in the background.
+func (d *Daemon) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.membership.Subscribe(d.noteMember)
+	d.membership.Start()
+	d.workers.Go(func() { d.registry.run(ctx, d.membership.MachinesListed) })
+	d.workers.Go(func() { d.ledger.Run(ctx) })
+	d.workers.Go(func() { d.watchRoutes(ctx) })
+	d.workers.Go(func() { d.watchInstances(ctx) })
+}
+
+func (d *Daemon) noteMember(member membership.Member) {
+	d.logger.Info().Str("part", "membership").Str("daemon", string(member.Daemon.ID)).
+		Str("state", string(member.State)).Msg("Member changed.")
+}
+
+// Table implements Gateway.
+func (d *Daemon) Table() *route.Table { return d.table.Load() }
+
+// Stopping implements Gateway.
+func (d *Daemon) Stopping() bool { return d.stopping.Load() }
+
+// Serve implements Gateway.
+func (d *Daemon) Serve(ctx context.Context, call *relay.Call, responder relay.Responder) {
+	d.relay.Serve(ctx, call, responder)
+}
+
+// isReady tells whether the daemon may get requests.
+func (d *Daemon) isReady() bool {
+	return !d.stopping.Load() && d.table.Load() != nil && d.pool.Listed()
+}
+
+var _ Gateway = (*Daemon)(nil)
+
+// watchSettings are the pauses with which operators' and back ends' records
+// are followed. Back ends write often: their changes are read together.
+var (
+	routesWatch = store.WatchSettings{
+		Wait: time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+	}
+	instancesWatch = store.WatchSettings{
+		Wait: time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Pause: 300 * time.Millisecond,
+	}
+)
--- /dev/null
+++ b/internal/relaydaemon/listen.go
@@ -0,0 +1,55 @@
+package relaydaemon
+
+import (
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerTimeout and idleTimeout are what callers may take for a request's
+	// head, and how long their connections may rest.
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerLimit is the longest head of a request, in bytes.
+	headerLimit = 64 << 10
+	// metricsPath is where figures are read.
+	metricsPath = "/metrics"
+)
+
+// listen opens the daemon's listeners and serves on them.
+func (d *Daemon) listen() error {
+	if err := d.serve(d.settings.ReadyAddress, d.adapter.Ready(d.isReady)); err != nil {
+		return err
+	}
+	if d.settings.MetricsAddress != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET "+metricsPath, promhttp.HandlerFor(d.figures, promhttp.HandlerOpts{}))
+		if err := d.serve(d.settings.MetricsAddress, mux); err != nil {
+			return err
+		}
+	}
+	return d.serve(d.settings.FrontAddress, d.adapter.Front(d))
+}
+
+func (d *Daemon) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "relaydaemon: listen")
+	}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerLimit,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
--- /dev/null
+++ b/internal/relaydaemon/members.go
@@ -0,0 +1,134 @@
+package relaydaemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// daemonsSpace is where daemons tell each other their addresses.
+	daemonsSpace = "daemons"
+	// registryTimeout bounds one call for the registry.
+	registryTimeout = 600 * time.Millisecond
+	// registryRetry separates tries to write this daemon's entry.
+	registryRetry = 300 * time.Millisecond
+)
+
+// registryWatch: daemons come and go rarely, and gossip spreads that sooner.
+var registryWatch = store.WatchSettings{
+	Wait: 5 * time.Second, Answer: time.Second, Retry: 500 * time.Millisecond, Pause: time.Second,
+}
+
+// memberRegistry is the list of daemons in the store: how those find each
+// other that no seed joins.
+type memberRegistry struct {
+	store    store.Store
+	settings Settings
+	logger   zerolog.Logger
+	own      memberRecord
+}
+
+// memberRecord stands under a daemon's peer address.
+type memberRecord struct {
+	Incarnation uint64 `json:"incarnation"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+}
+
+func newMemberRegistry(s store.Store, settings Settings, logger zerolog.Logger) *memberRegistry {
+	return &memberRegistry{store: s, settings: settings, logger: logger}
+}
+
+func registryPartition() store.Partition { return store.Partition{Space: daemonsSpace} }
+
+// incarnation chooses a number above that of this daemon's former run, even if
+// the time of day was set back since.
+func (r *memberRegistry) incarnation() uint64 {
+	r.own = memberRecord{
+		Incarnation: uint64(time.Now().UnixNano()),
+		Zone:        r.settings.Zone,
+		Region:      r.settings.Region,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), registryTimeout)
+	defer cancel()
+	records, _, err := r.store.Newest(ctx, registryPartition())
+	if err != nil {
+		r.logger.Warn().Err(err).Msg("Registry not read. The time of day numbers this run.")
+		return r.own.Incarnation
+	}
+	for _, record := range records {
+		var former memberRecord
+		if record.Key == r.settings.PeerAddress && json.Unmarshal(record.Value, &former) == nil {
+			r.own.Incarnation = max(r.own.Incarnation, former.Incarnation+1)
+		}
+	}
+	return r.own.Incarnation
+}
+
+// run writes this daemon's entry and tells of the others until ctx ends.
+func (r *memberRegistry) run(ctx context.Context, listed func([]structs.Machine)) {
+	listed(r.machines(nil))
+	r.write(ctx)
+	watcher := store.Watcher{
+		Store:     r.store,
+		Partition: registryPartition(),
+		Settings:  registryWatch,
+		OnChange:  func(records map[string]store.Record) { listed(r.machines(records)) },
+		OnContact: func(err error) { r.logger.Debug().Err(err).Msg("Registry's contact changed.") },
+	}
+	watcher.Run(ctx)
+}
+
+func (r *memberRegistry) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.append(ctx, r.own) == nil {
+			return
+		}
+		time.Sleep(registryRetry)
+	}
+}
+
+func (r *memberRegistry) append(ctx context.Context, own memberRecord) error {
+	value, err := json.Marshal(own)
+	if err != nil {
+		return err
+	}
+	return r.put(ctx, value)
+}
+
+// withdraw drops this daemon's entry.
+func (r *memberRegistry) withdraw(ctx context.Context) {
+	if err := r.put(ctx, nil); err != nil {
+		r.logger.Warn().Err(err).Msg("Entry not withdrawn.")
+	}
+}
+
+func (r *memberRegistry) put(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	record := store.Record{Key: r.settings.PeerAddress, Value: value}
+	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
+}
+
+// machines returns the seeds and the daemons on record.
+func (r *memberRegistry) machines(records map[string]store.Record) []structs.Machine {
+	var machines []structs.Machine
+	add := func(address string) {
+		machines = append(machines, structs.Machine{
+			Kind: structs.MachineDaemon, Address: address, State: structs.MachineLive,
+		})
+	}
+	for _, seed := range r.settings.seedAddresses() {
+		add(seed)
+	}
+	for address := range records {
+		add(address)
+	}
+	return machines
+}
--- /dev/null
+++ b/internal/relaydaemon/settings.go
@@ -0,0 +1,136 @@
+// Package relaydaemon runs a relay with its ledger and membership as one
+// process behind an adapter, which translates the platform's protocols.
+package relaydaemon
+
+import (
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/yamlfile"
+)
+
+// ErrUnreadable: the settings file cannot be read.
+var ErrUnreadable = eris.New("relaydaemon: cannot read the settings")
+
+// Settings is the content of a relay daemon's settings file.
+type Settings struct {
+	// Adapter names the adapter to the platform.
+	Adapter string `yaml:"adapter"`
+	// Name names the machine in logs.
+	Name   string `yaml:"name"`
+	Zone   string `yaml:"zone"`
+	Region string `yaml:"region"`
+	// FrontAddress is where callers reach it, ReadyAddress where it tells
+	// whether it takes requests, PeerAddress where other daemons reach it;
+	// each "IP:PORT".
+	FrontAddress string `yaml:"front_address"`
+	ReadyAddress string `yaml:"ready_address"`
+	PeerAddress  string `yaml:"peer_address"`
+	// MetricsAddress is where figures are read, "IP:PORT"; "" for nowhere.
+	MetricsAddress string `yaml:"metrics_address"`
+	// Seeds are peer addresses of other daemons, separated by commas.
+	Seeds string `yaml:"seeds"`
+	// StoreAddress is where the durable store listens, "IP:PORT".
+	StoreAddress string `yaml:"store_address"`
+	// LedgerSpaces times LedgerPartitions is the number of the ledger's shards,
+	// the same in the whole fleet.
+	LedgerSpaces     int `yaml:"ledger_spaces"`
+	LedgerPartitions int `yaml:"ledger_partitions"`
+	// MemoryMegabytes is what the process may take; 0 sets no bound.
+	MemoryMegabytes int `yaml:"memory_megabytes"`
+	// StopSeconds bounds a planned stop.
+	StopSeconds float64 `yaml:"stop_seconds"`
+	// LogLevel is "trace", "debug", "info", "warn" or "error".
+	LogLevel string `yaml:"log_level"`
+}
+
+// DefaultSettings returns settings with everything that has a default.
+func DefaultSettings() Settings {
+	return Settings{
+		LedgerSpaces:     2,
+		LedgerPartitions: 12,
+		StopSeconds:      8,
+		LogLevel:         "info",
+	}
+}
+
+// ReadSettings reads and checks a settings file. The error is ErrUnreadable or
+// yamlfile.Problems.
+func ReadSettings(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrapf(ErrUnreadable, "%v", err)
+	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings checks the content of a settings file.
+func ParseSettings(path string, data []byte) (Settings, error) {
+	settings := DefaultSettings()
+	_, problems := yamlfile.Decode(path, data, &settings)
+	problems = append(problems, settings.check(path)...)
+	if len(problems) > 0 {
+		return Settings{}, yamlfile.Problems(problems)
+	}
+	return settings, nil
+}
+
+func (s *Settings) check(path string) []yamlfile.Problem {
+	var problems []yamlfile.Problem
+	add := func(field, reason string) {
+		problems = append(problems, yamlfile.Problem{File: path, Field: field, Reason: reason})
+	}
+	addresses := []struct {
+		field, value string
+		optional     bool
+	}{
+		{"front_address", s.FrontAddress, false},
+		{"ready_address", s.ReadyAddress, false},
+		{"peer_address", s.PeerAddress, false},
+		{"store_address", s.StoreAddress, false},
+		{"metrics_address", s.MetricsAddress, true},
+	}
+	for _, a := range addresses {
+		if a.value == "" && a.optional {
+			continue
+		}
+		if _, err := net.ResolveTCPAddr("tcp", a.value); err != nil || a.value == "" {
+			add(a.field, "must be an address \"IP:PORT\"")
+		}
+	}
+	if s.Zone == "" {
+		add("zone", "must be given")
+	}
+	if _, err := Adapters.Lookup(s.Adapter); err != nil {
+		add("adapter", err.Error())
+	}
+	if s.LedgerSpaces < 1 || s.LedgerPartitions < 1 {
+		add("ledger_spaces, ledger_partitions", "must be at least 1")
+	}
+	if s.MemoryMegabytes < 0 {
+		add("memory_megabytes", "must not be negative")
+	}
+	if s.StopSeconds <= 0 {
+		add("stop_seconds", "must be above 0")
+	}
+	return problems
+}
+
+// seedAddresses splits the seeds.
+func (s *Settings) seedAddresses() []string {
+	var addresses []string
+	for part := range strings.SplitSeq(s.Seeds, ",") {
+		if part = strings.TrimSpace(part); part != "" {
+			addresses = append(addresses, part)
+		}
+	}
+	return addresses
+}
+
+func (s *Settings) stopTime() time.Duration {
+	return time.Duration(s.StopSeconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/relaydaemon/watch.go
@@ -0,0 +1,63 @@
+package relaydaemon
+
+import (
+	"context"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// watchRoutes follows the operators' routes until ctx ends.
+func (d *Daemon) watchRoutes(ctx context.Context) {
+	watcher := store.Watcher{
+		Store:     d.adapter.Store(),
+		Partition: d.adapter.RoutesPartition(),
+		Settings:  routesWatch,
+		OnChange:  d.takeRoutes,
+		OnContact: d.contact("routes"),
+	}
+	watcher.Run(ctx)
+}
+
+// takeRoutes puts the newest routes in force. Routes that cannot be understood
+// or that are older change nothing.
+func (d *Daemon) takeRoutes(records map[string]store.Record) {
+	table, err := d.adapter.Routes(records)
+	if err != nil {
+		d.logger.Error().Err(err).Msg("Routes refused. Those before stay in force.")
+		return
+	}
+	if table == nil {
+		return
+	}
+	before := d.table.Load()
+	if before != nil && table.Version <= before.Version {
+		return
+	}
+	d.table.Store(table)
+	d.logger.Info().Int64("version", table.Version).Msg("Routes in force.")
+}
+
+// watchInstances follows the list of back ends until ctx ends.
+func (d *Daemon) watchInstances(ctx context.Context) {
+	watcher := store.Watcher{
+		Store:     d.adapter.Store(),
+		Partition: d.adapter.InstancesPartition(),
+		Settings:  instancesWatch,
+		OnChange: func(records map[string]store.Record) {
+			d.adapter.Forget(d.pool.Replace(d.adapter.Instances(records)))
+		},
+		OnContact: d.contact("instances"),
+	}
+	watcher.Run(ctx)
+}
+
+// contact logs when what is followed in the store is lost and regained.
+func (d *Daemon) contact(what string) func(error) {
+	return func(err error) {
+		if err != nil {
+			d.logger.Warn().Str("watch", what).Err(err).Msg("Store lost. What was read last stays in force.")
+			return
+		}
+		d.logger.Info().Str("watch", what).Msg("Store regained.")
+	}
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,119 @@
+// Package route holds the operators' routes in force: which service answers a
+// caller's request, under which promises and bounds. A table is immutable; a
+// newer version replaces it whole.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be done again for a request.
+type Kind string
+
+// Kinds of route.
+const (
+	// KindRepeatable requests may run more than once.
+	KindRepeatable Kind = "repeatable"
+	// KindOnce requests run at most once.
+	KindOnce Kind = "once"
+	// KindStream requests are answered by a stream of events.
+	KindStream Kind = "stream"
+)
+
+// Weighted is one part of a route that is split over services.
+type Weighted struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one route.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest that a request is held; 0 sets no bound.
+	Timeout time.Duration
+	// Target is the time within which an answer is worth most.
+	Target time.Duration
+	// GapTarget is the longest pause between events that is in time.
+	GapTarget time.Duration
+	// MaxAttempts is on how many back ends one request may run; at least 1.
+	MaxAttempts int
+	// Priority ranks requests, 0 highest.
+	Priority int
+	// Sticky: a back end that lately saw the same object works faster.
+	Sticky bool
+	// Resumable streams may be taken up at another back end.
+	Resumable bool
+	// RetainContext: a turn brings its new input alone; the system keeps the
+	// chain of turns before it.
+	RetainContext bool
+	// Retention is how long turns and programs are kept after their last use.
+	Retention time.Duration
+	// Services answer the route, each with its weight.
+	Services []Weighted
+}
+
+// Repeatable tells whether a request of the route may run again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindRepeatable || (r.Kind == KindStream && r.Resumable)
+}
+
+// Service is a group of like back ends.
+type Service struct {
+	Name string
+	// MaxConnections bounds the connections of all callers to one back end.
+	MaxConnections int
+	// Model describes the model engines of the service, nil for plain ones.
+	Model *Model
+}
+
+// Model describes the model engines of a service.
+type Model struct {
+	// Slots is how many requests an engine works on at once.
+	Slots int
+	// CapacityTokens is an engine's memory.
+	CapacityTokens int64
+	// TokensPerEvent is how many tokens each event of a stream carries.
+	TokensPerEvent int64
+}
+
+// Table is one version of all routes and services.
+type Table struct {
+	Version  int64
+	Services map[string]*Service
+	hosts    map[string][]*Route
+}
+
+// NewTable returns a table of routes and services.
+func NewTable(version int64, routes []*Route, services []*Service) *Table {
+	t := &Table{Version: version, Services: map[string]*Service{}, hosts: map[string][]*Route{}}
+	for _, service := range services {
+		t.Services[service.Name] = service
+	}
+	for _, r := range routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, list := range t.hosts {
+		slices.SortFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Lookup returns the route with the longest prefix of the path at a host, or
+// nil. The host may carry a port.
+func (t *Table) Lookup(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/memory/memory.go
@@ -0,0 +1,209 @@
+// Package memory is a store in the memory of one process: the stand-in for
+// the platform's store in tests. It fences, answers repeats alike, and can be
+// told to be down, to lose answers and to do calls late.
+package memory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// repeatsKept is how many calls of a writer are answered again alike.
+const repeatsKept = 5
+
+// Fault tells what becomes of one call to Append.
+type Fault int
+
+// Faults of a call.
+const (
+	// FaultNone: the call is done and answered.
+	FaultNone Fault = iota
+	// FaultRefused: nothing is done.
+	FaultRefused
+	// FaultAnswerLost: the call is done, and the caller hears nothing.
+	FaultAnswerLost
+	// FaultDoneLate: the caller hears nothing, and the call is done when
+	// DoLate is called, if its writer was not fenced by then.
+	FaultDoneLate
+)
+
+// Store implements store.Store.
+type Store struct {
+	mutex      sync.Mutex
+	changed    *sync.Cond
+	partitions map[store.Partition]*partition
+	fault      func(store.Partition, store.Writer) Fault
+	late       []func()
+	down       bool
+	appends    int
+}
+
+type partition struct {
+	records []store.Record
+	newest  map[string]int
+	writers map[string]*writer
+}
+
+type writer struct {
+	epoch    uint64
+	sequence uint64
+}
+
+// New returns an empty store.
+func New() *Store {
+	s := &Store{partitions: map[store.Partition]*partition{}}
+	s.changed = sync.NewCond(&s.mutex)
+	return s
+}
+
+// SetDown makes every call fail without effect, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+}
+
+// SetFault installs a function that picks the fault of each Append.
+func (s *Store) SetFault(fault func(store.Partition, store.Writer) Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = fault
+}
+
+// DoLate does the calls that FaultDoneLate put off.
+func (s *Store) DoLate() {
+	s.mutex.Lock()
+	late := s.late
+	s.late = nil
+	s.mutex.Unlock()
+	for _, call := range late {
+		call()
+	}
+}
+
+// Appends returns how many calls to Append were made.
+func (s *Store) Appends() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.appends
+}
+
+// Append implements store.Store.
+func (s *Store) Append(_ context.Context, name store.Partition, by store.Writer, records []store.Record) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.appends++
+	if s.down {
+		return store.ErrUnavailable
+	}
+	fault := FaultNone
+	if s.fault != nil {
+		fault = s.fault(name, by)
+	}
+	switch fault {
+	case FaultRefused:
+		return store.ErrUnavailable
+	case FaultAnswerLost:
+		_ = s.append(name, by, records)
+		return store.ErrOutcomeUnknown
+	case FaultDoneLate:
+		s.late = append(s.late, func() {
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			_ = s.append(name, by, records)
+		})
+		return store.ErrOutcomeUnknown
+	}
+	return s.append(name, by, records)
+}
+
+func (s *Store) append(name store.Partition, by store.Writer, records []store.Record) error {
+	p := s.partition(name)
+	if by.Name != "" {
+		repeated, err := p.admit(by)
+		if err != nil || repeated {
+			return err
+		}
+	}
+	for _, record := range records {
+		record.Offset = int64(len(p.records))
+		p.records = append(p.records, record)
+		p.newest[record.Key] = len(p.records) - 1
+	}
+	s.changed.Broadcast()
+	return nil
+}
+
+// admit checks the writer's epoch and number; repeated means it was done.
+func (p *partition) admit(by store.Writer) (repeated bool, err error) {
+	known := p.writers[by.Name]
+	if known == nil || by.Epoch > known.epoch {
+		p.writers[by.Name] = &writer{epoch: by.Epoch, sequence: by.Sequence}
+		return false, nil
+	}
+	if by.Epoch < known.epoch {
+		return false, store.ErrFenced
+	}
+	if by.Sequence <= known.sequence && by.Sequence+repeatsKept > known.sequence {
+		return true, nil
+	}
+	if by.Sequence != known.sequence+1 {
+		return false, store.ErrSequence
+	}
+	known.sequence = by.Sequence
+	return false, nil
+}
+
+func (s *Store) partition(name store.Partition) *partition {
+	p := s.partitions[name]
+	if p == nil {
+		p = &partition{newest: map[string]int{}, writers: map[string]*writer{}}
+		s.partitions[name] = p
+	}
+	return p
+}
+
+// Newest implements store.Store.
+func (s *Store) Newest(_ context.Context, name store.Partition) ([]store.Record, int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, 0, store.ErrUnavailable
+	}
+	p := s.partition(name)
+	var records []store.Record
+	for _, index := range p.newest {
+		if len(p.records[index].Value) > 0 {
+			records = append(records, p.records[index])
+		}
+	}
+	return records, int64(len(p.records)), nil
+}
+
+// Read implements store.Store.
+func (s *Store) Read(_ context.Context, name store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return nil, 0, store.ErrUnavailable
+	}
+	p := s.partition(name)
+	expired := false
+	timer := time.AfterFunc(wait, func() {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		expired = true
+		s.changed.Broadcast()
+	})
+	defer timer.Stop()
+	for int64(len(p.records)) <= from && !expired {
+		s.changed.Wait()
+	}
+	if int64(len(p.records)) <= from {
+		return nil, from, nil
+	}
+	return append([]store.Record(nil), p.records[from:]...), int64(len(p.records)), nil
+}
--- /dev/null
+++ b/internal/store/watch.go
@@ -0,0 +1,104 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// WatchSettings give the pauses of a Watcher.
+type WatchSettings struct {
+	// Wait is how long one reading waits at the store for a change.
+	Wait time.Duration
+	// Answer is how much longer than that the store may take.
+	Answer time.Duration
+	// Pause separates readings, so that frequent changes are read together.
+	Pause time.Duration
+	// Retry separates tries while the store does not answer.
+	Retry time.Duration
+}
+
+// Watcher follows the newest record of each key of a partition.
+type Watcher struct {
+	Store     Store
+	Partition Partition
+	Settings  WatchSettings
+	// OnChange is called with the newest records by key after each change, and
+	// after the first reading. The map must not be kept.
+	OnChange func(records map[string]Record)
+	// OnContact is called when the store is lost, with the cause, and with nil
+	// when it answers again.
+	OnContact func(err error)
+}
+
+// Run follows the partition until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	known := map[string]Record{}
+	next := int64(-1)
+	lost := false
+	for ctx.Err() == nil {
+		changed, from, err := w.advance(ctx, known, next)
+		next = from
+		if err != nil {
+			if ctx.Err() == nil && !lost {
+				lost = true
+				w.OnContact(err)
+			}
+			wait(ctx, w.Settings.Retry)
+			continue
+		}
+		if lost {
+			lost = false
+			w.OnContact(nil)
+		}
+		if changed {
+			w.OnChange(known)
+		}
+		wait(ctx, w.Settings.Pause)
+	}
+}
+
+// advance reads what follows next, or everything if next is negative. It
+// returns where to go on.
+func (w *Watcher) advance(ctx context.Context, known map[string]Record, next int64) (changed bool, from int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, w.Settings.Wait+w.Settings.Answer)
+	defer cancel()
+	if next < 0 {
+		records, end, err := w.Store.Newest(ctx, w.Partition)
+		if err != nil {
+			return false, -1, err
+		}
+		clear(known)
+		apply(known, records)
+		return true, end, nil
+	}
+	records, end, err := w.Store.Read(ctx, w.Partition, next, w.Settings.Wait)
+	if errors.Is(err, ErrTrimmed) {
+		return false, -1, nil
+	}
+	if err != nil {
+		return false, next, err
+	}
+	apply(known, records)
+	return len(records) > 0, end, nil
+}
+
+func apply(known map[string]Record, records []Record) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(known, record.Key)
+			continue
+		}
+		known[record.Key] = record
+	}
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
