Ledger: shards stay with the holder that lives, claims read a small directory

Cause: each daemon asked whom its own view preferred and whoever was asked claimed, so shards moved 70 times a second for good once views had differed; after a start all daemons claimed all shards at once, and readings of megabytes under the wait of a small append were cut and begun again until the store had nothing else to do. Ruled out: the store's write rate (no 429). Change: answers name holder and epoch; a daemon takes a shard only from a holder that is dead or that the asker got no answer from; a directory partition tells holders; claims wait 800 ms after a start; turns are stored as they are.

--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"cmp"
 	"slices"
 	"strconv"
 	"sync"
@@ -14,58 +13,71 @@
 )
 
 const (
-	// avoidSilent is how long a daemon that said nothing is asked last.
+	// avoidSilent is how long a daemon that said nothing is not asked first.
 	avoidSilent = time.Second
-	// avoidImpaired is how long a daemon is asked last for a shard whose
-	// partition it could not reach, or that it had lost.
+	// avoidImpaired is the same for one that could not reach the partition of
+	// a shard, for that shard.
 	avoidImpaired = time.Second
 )
 
-// candidate is a daemon that may hold a shard.
-type candidate struct {
-	daemon structs.DaemonID
-	// rank orders candidates: lower ones are asked first.
-	rank int
-	hash uint64
+// choose returns the daemon to ask for a shard, "" if there is none left. That
+// is the holder, unless it was asked already or there is bad news of it: then
+// failed is its epoch, and another daemon is asked to take the shard.
+func (s *Service) choose(shard int, asked []structs.DaemonID, now time.Time) (target structs.DaemonID, failed uint64) {
+	holder := s.known.get(shard)
+	id := structs.DaemonID(holder.Daemon)
+	if holder.Daemon != "" {
+		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isAvoided(shard, id, now) {
+			return id, 0
+		}
+		failed = holder.Epoch
+	}
+	return s.successor(shard, append(slices.Clone(asked), id), now), failed
 }
 
-// candidates returns the daemons to ask for a shard, best first: those that
-// are alive in the order of a hash of daemon and shard, then those of which
-// there was bad news.
-func (s *Service) candidates(shard int, now time.Time) []structs.DaemonID {
-	var list []candidate
+// successor returns the daemon that should hold a shard if some cannot: the
+// one with the highest hash of itself and the shard among those of which there
+// is no bad news, or else among all others that live.
+func (s *Service) successor(shard int, except []structs.DaemonID, now time.Time) structs.DaemonID {
+	best, bestRank, bestHash := structs.DaemonID(""), 0, uint64(0)
 	for _, member := range s.View.Members() {
-		if member.State == membership.StateLeaving || member.State == membership.StateDead {
+		id := member.Daemon.ID
+		if !s.mayHold(member) || slices.Contains(except, id) {
 			continue
 		}
-		if member.Daemon.ID == s.Self && s.leaving.Load() {
-			continue
+		rank := 0
+		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, now) {
+			rank = 1
+		}
+		hash := xxhash.Sum64String(id.Address() + "/" + strconv.Itoa(shard))
+		if best == "" || rank < bestRank || (rank == bestRank && hash > bestHash) {
+			best, bestRank, bestHash = id, rank, hash
 		}
-		list = append(list, candidate{
-			daemon: member.Daemon.ID,
-			rank:   s.rank(shard, member, now),
-			hash:   xxhash.Sum64String(member.Daemon.ID.Address() + "/" + strconv.Itoa(shard)),
-		})
-	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.hash, a.hash))
-	})
-	daemons := make([]structs.DaemonID, 0, candidateTries)
-	for _, c := range list[:min(len(list), candidateTries)] {
-		daemons = append(daemons, c.daemon)
 	}
-	return daemons
+	return best
 }
 
-func (s *Service) rank(shard int, member membership.Member, now time.Time) int {
-	rank := 0
-	if member.State == membership.StateSuspect {
-		rank++
+// mayHold tells whether a member may hold shards.
+func (s *Service) mayHold(member membership.Member) bool {
+	if member.Daemon.ID == s.Self {
+		return !s.leaving.Load()
 	}
-	if s.avoided.isAvoided(shard, member.Daemon.ID, now) {
-		rank++
+	return member.State == membership.StateAlive || member.State == membership.StateSuspect
+}
+
+// isAlive implements fleet. A daemon that is leaving gives its shards up.
+func (s *Service) isAlive(daemon string) bool {
+	id := structs.DaemonID(daemon)
+	if id == s.Self {
+		return !s.leaving.Load()
 	}
-	return rank
+	state := s.View.State(id)
+	return state == membership.StateAlive || state == membership.StateSuspect
+}
+
+// preferred implements fleet.
+func (s *Service) preferred(shard int) string {
+	return string(s.successor(shard, nil, time.Now()))
 }
 
 // avoided remembers bad news about daemons. The zero value is ready.
@@ -89,11 +101,13 @@
 		a.shards = map[avoidedShard]time.Time{}
 		a.daemons = map[structs.DaemonID]time.Time{}
 	}
-	if answer == resultMoved || answer == resultImpaired {
+	switch answer {
+	case resultMoved: // it said who holds the shard
+	case resultImpaired:
 		a.shards[avoidedShard{shard, daemon}] = now.Add(avoidImpaired)
-		return
+	default:
+		a.daemons[daemon] = now.Add(avoidSilent)
 	}
-	a.daemons[daemon] = now.Add(avoidSilent)
 }
 
 func (a *avoided) isAvoided(shard int, daemon structs.DaemonID, now time.Time) bool {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -19,8 +20,10 @@
 	settleDelay = 100 * time.Millisecond
 	// operationQueue bounds the operations that wait for one shard.
 	operationQueue = 1024
-	// movedFor is how long a daemon that lost a shard points to others.
-	movedFor = time.Second
+	// shortestStay is how long a daemon keeps a shard at least that another
+	// should hold; it doubles up to longestStay each time the shard comes back.
+	shortestStay = 4 * time.Second
+	longestStay  = time.Minute
 	// firstPause and longestPause separate tries to reach a partition that
 	// does not answer.
 	firstPause   = 200 * time.Millisecond
@@ -37,6 +40,9 @@
 	loadTries = 3
 )
 
+// errHeld: another daemon holds the shard, and lives.
+var errHeld = eris.New("ledger: another daemon holds the shard")
+
 // errStale: a reading after a claim does not show the claim.
 var errStale = eris.New("ledger: the store's answer is older than the claim")
 
@@ -60,15 +66,22 @@
 	logger     zerolog.Logger
 	metrics    *Metrics
 	operations chan operation
-	isLeaving  func() bool
-
-	state      *state // nil while the shard is not held
-	epoch      uint64
-	sequence   uint64
-	movedUntil time.Time
-	retryAt    time.Time
-	pause      time.Duration
-	expiredAt  time.Time
+	// directory is the partition that tells who holds each shard.
+	directory store.Partition
+	isLeaving func() bool
+	known     *holderTable
+	fleet     fleet
+
+	state    *state // nil while the shard is not held
+	epoch    uint64
+	sequence uint64
+	// heldSince is when the shard was claimed, and stay how long it is kept
+	// from then on even if another daemon should hold it.
+	heldSince time.Time
+	stay      time.Duration
+	retryAt   time.Time
+	pause     time.Duration
+	expiredAt time.Time
 }
 
 // run works until ctx ends.
@@ -109,8 +122,8 @@
 
 // process applies a batch, makes it durable and answers it.
 func (h *holder) process(ctx context.Context, batch []operation) {
-	if refusal, refused := h.hold(ctx); refused {
-		answerAll(batch, refusal)
+	if refusal, refused := h.hold(ctx, failedEpoch(batch)); refused {
+		h.answerAll(batch, refusal)
 		return
 	}
 	now := time.Now()
@@ -122,21 +135,51 @@
 	}
 	h.expire(now)
 	if err := h.persist(ctx, barrier); err != nil {
-		answerAll(batch, h.lose(err))
+		h.answerAll(batch, h.lose(ctx, err))
 		return
 	}
 	for i, o := range batch {
 		answers[i].Number = o.request.Number
+		answers[i].Epoch = h.epoch
+		answers[i].Holder = h.daemon
 		o.reply(answers[i])
 	}
+	h.yield(now)
+}
+
+func failedEpoch(batch []operation) uint64 {
+	highest := uint64(0)
+	for _, o := range batch {
+		highest = max(highest, o.request.Failed)
+	}
+	return highest
 }
 
-func answerAll(batch []operation, with result) {
+// answerAll gives all operations of a batch the same answer, with the holder
+// that this daemon knows of.
+func (h *holder) answerAll(batch []operation, with result) {
+	holder := h.known.get(h.shard)
 	for _, o := range batch {
-		o.reply(Response{Number: o.request.Number, Result: string(with)})
+		o.reply(Response{
+			Number: o.request.Number,
+			Result: string(with),
+			Epoch:  holder.Epoch,
+			Holder: holder.Daemon,
+		})
 	}
 }
 
+// yield gives the shard up if another daemon should hold it for a while now.
+// What was answered is in the store, so the other misses nothing.
+func (h *holder) yield(now time.Time) {
+	if now.Sub(h.heldSince) < h.stay || h.fleet.preferred(h.shard) == h.daemon {
+		return
+	}
+	h.state = nil
+	h.known.forget(h.shard)
+	h.logger.Info().Uint64("epoch", h.epoch).Str("to", h.fleet.preferred(h.shard)).Msg("Shard given up.")
+}
+
 func (h *holder) apply(request *Request, now time.Time) Response {
 	switch {
 	case request.Begin != nil:
@@ -167,53 +210,114 @@
 	return answer.Result != string(resultOK)
 }
 
-// hold makes sure that this daemon holds the shard, or tells why not.
-func (h *holder) hold(ctx context.Context) (result, bool) {
+// hold makes sure that this daemon holds the shard, or tells why not. failed
+// is the epoch of a holder that does not answer.
+func (h *holder) hold(ctx context.Context, failed uint64) (result, bool) {
 	now := time.Now()
 	switch {
-	case h.isLeaving(), now.Before(h.movedUntil):
+	case h.isLeaving():
+		h.state = nil
 		return resultMoved, true
 	case h.state != nil:
 		return "", false
+	case h.mustLeaveTo(h.known.get(h.shard), failed):
+		return resultMoved, true
 	case now.Before(h.retryAt):
 		return resultImpaired, true
 	}
-	if err := h.claim(ctx); err != nil {
-		return h.lose(err), true
+	if err := h.claim(ctx, failed); err != nil {
+		return h.lose(ctx, err), true
 	}
 	h.pause = 0
 	return "", false
 }
 
+// mustLeaveTo tells whether a shard must be left to its holder: one that lives
+// and of which there is no bad news.
+func (h *holder) mustLeaveTo(holder holderRecord, failed uint64) bool {
+	return holder.Daemon != "" && holder.Daemon != h.daemon && holder.Epoch > failed && h.fleet.isAlive(holder.Daemon)
+}
+
 // claim takes the shard over: first the new epoch, which shuts the former
-// holder out, then the reading, which therefore misses nothing.
-func (h *holder) claim(ctx context.Context) error {
+// holder out, then the reading, which therefore misses nothing. The directory
+// only points the way; a claim that dies between the two leaves it behind, and
+// the next claim is told by the store that its epoch is too low.
+func (h *holder) claim(ctx context.Context, failed uint64) error {
 	started := time.Now()
-	known, err := h.records.newest(ctx, h.partition)
+	before, err := h.readDirectory(ctx)
 	if err != nil {
 		return err
 	}
-	h.epoch = nextEpoch(holderOf(known).Epoch)
-	h.sequence = 0
-	if err := h.append(ctx, []store.Record{h.holderRecord()}); err != nil {
+	h.known.note(h.shard, before)
+	if h.mustLeaveTo(before, failed) {
+		return errHeld
+	}
+	if err := h.seize(ctx, before.Epoch); err != nil {
 		return err
 	}
+	h.writeDirectory(ctx)
 	loaded, err := h.readClaimed(ctx)
 	if err != nil {
 		return err
 	}
+	h.take(loaded, time.Now())
+	h.metrics.claimed(time.Since(started))
+	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).
+		Int("records", len(loaded)).Dur("took", time.Since(started)).Msg("Shard taken over.")
+	return nil
+}
+
+// seize makes a higher epoch known to the store. The epoch in the directory
+// may be behind; the shard's own records are not.
+func (h *holder) seize(ctx context.Context, known uint64) error {
+	err := h.appendClaim(ctx, nextEpoch(known))
+	if !errors.Is(err, store.ErrFenced) {
+		return err
+	}
+	records, err := h.records.newest(ctx, h.partition)
+	if err != nil {
+		return err
+	}
+	return h.appendClaim(ctx, nextEpoch(holderOf(records).Epoch))
+}
+
+func (h *holder) appendClaim(ctx context.Context, epoch uint64) error {
+	h.epoch = epoch
+	h.sequence = 0
+	return h.append(ctx, []store.Record{h.holderRecord(holderKey)})
+}
+
+// readDirectory reads who holds the shard.
+func (h *holder) readDirectory(ctx context.Context) (holderRecord, error) {
+	records, err := h.records.newest(ctx, h.directory)
+	if err != nil {
+		return holderRecord{}, err
+	}
+	return holderUnder(strconv.Itoa(h.shard), records), nil
+}
+
+// writeDirectory tells who holds the shard. A claim that was superseded is
+// kept from overwriting the later one by its epoch.
+func (h *holder) writeDirectory(ctx context.Context) {
+	key := strconv.Itoa(h.shard)
+	writer := store.Writer{Name: writerName + "-" + key, Epoch: h.epoch, Sequence: 1}
+	if err := h.records.append(ctx, h.directory, writer, []store.Record{h.holderRecord(key)}); err != nil {
+		h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Msg("Directory not written.")
+	}
+}
+
+// take makes what was read the state of the shard.
+func (h *holder) take(records []store.Record, now time.Time) {
 	h.state = newState()
-	now := time.Now()
-	for _, record := range loaded {
+	h.heldSince = now
+	h.stay = min(max(2*h.stay, shortestStay), longestStay)
+	h.known.note(h.shard, holderRecord{Epoch: h.epoch, Daemon: h.daemon})
+	for _, record := range records {
 		if err := h.state.load(record, now); err != nil {
 			h.metrics.malformed()
 			h.logger.Warn().Err(err).Int64("offset", record.Offset).Msg("Record skipped.")
 		}
 	}
-	h.metrics.claimed(time.Since(started))
-	h.logger.Info().Uint64("epoch", h.epoch).Str("before", holderOf(known).Daemon).Int("records", len(loaded)).
-		Dur("took", time.Since(started)).Msg("Shard taken over.")
-	return nil
 }
 
 // readClaimed reads the shard, this daemon's claim included.
@@ -240,22 +344,25 @@
 	return (known>>epochRandomBits+1)<<epochRandomBits | rand.Uint64N(1<<epochRandomBits)
 }
 
-func holderOf(records []store.Record) holderRecord {
+// holderOf returns who holds the shard by its own records.
+func holderOf(records []store.Record) holderRecord { return holderUnder(holderKey, records) }
+
+func holderUnder(key string, records []store.Record) holderRecord {
 	var found holderRecord
 	for _, record := range records {
-		if record.Key == holderKey {
-			_ = json.Unmarshal(record.Value, &found)
+		if record.Key == key {
+			_ = json.Unmarshal(record.Value, &found) // one that is malformed is none
 		}
 	}
 	return found
 }
 
-func (h *holder) holderRecord() store.Record {
+func (h *holder) holderRecord(key string) store.Record {
 	value, err := json.Marshal(holderRecord{Epoch: h.epoch, Daemon: h.daemon})
 	if err != nil {
 		panic(err) // two plain fields
 	}
-	return store.Record{Key: holderKey, Value: value}
+	return store.Record{Key: key, Value: value}
 }
 
 // persist appends all changes. With a barrier it appends at least the holder's
@@ -266,7 +373,7 @@
 		return err
 	}
 	if len(records) == 0 && barrier {
-		records = append(records, h.holderRecord())
+		records = append(records, h.holderRecord(holderKey))
 	}
 	if len(records) == 0 {
 		return nil
@@ -282,21 +389,31 @@
 
 // lose drops the shard after an error: what was applied may or may not be in
 // the store, so it is read again before anything else is answered.
-func (h *holder) lose(err error) result {
-	now := time.Now()
+func (h *holder) lose(ctx context.Context, err error) result {
 	h.state = nil
+	if errors.Is(err, errHeld) {
+		return resultMoved
+	}
 	h.metrics.lost(err)
 	if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) {
-		h.movedUntil = now.Add(movedFor)
 		h.logger.Info().Uint64("epoch", h.epoch).Msg("Shard lost to another holder.")
+		h.learnHolder(ctx)
 		return resultMoved
 	}
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
-	h.retryAt = now.Add(h.pause)
+	h.retryAt = time.Now().Add(h.pause)
 	h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Dur("pause", h.pause).Msg("Shard's partition not reached.")
 	return resultImpaired
 }
 
+// learnHolder reads who holds the shard now.
+func (h *holder) learnHolder(ctx context.Context) {
+	h.known.forget(h.shard)
+	if holder, err := h.readDirectory(ctx); err == nil {
+		h.known.note(h.shard, holder)
+	}
+}
+
 func (h *holder) expire(now time.Time) {
 	if now.Sub(h.expiredAt) < expireInterval {
 		return
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -32,8 +32,11 @@
 
 // Request asks the holder of a shard. One of Begin, End and Find is set.
 type Request struct {
-	Number uint64   `json:"n"`
-	Shard  int      `json:"s"`
+	Number uint64 `json:"n"`
+	Shard  int    `json:"s"`
+	// Failed is the epoch of the holder that the asker got no answer from, 0
+	// for none: only then may a daemon take the shard from a holder that lives.
+	Failed uint64   `json:"x,omitempty"`
 	Begin  *Turn    `json:"begin,omitempty"`
 	End    *Outcome `json:"end,omitempty"`
 	Find   *Find    `json:"find,omitempty"`
@@ -51,6 +54,9 @@
 type Response struct {
 	Number uint64 `json:"n"`
 	Result string `json:"r"`
+	// Epoch and Holder tell who holds the shard, as far as the answerer knows.
+	Epoch  uint64 `json:"e,omitempty"`
+	Holder string `json:"d,omitempty"`
 	// History answers Begin, Found answers Find.
 	History []byte    `json:"h,omitempty"`
 	Found   *KeptTurn `json:"f,omitempty"`
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -10,8 +10,12 @@
 )
 
 const (
-	// giveUpAfter is how long one call to the store is tried.
-	giveUpAfter = 900 * time.Millisecond
+	// giveUpAfter is how long one append is tried, and giveUpReading one
+	// reading, which may be of megabytes.
+	giveUpAfter   = 700 * time.Millisecond
+	giveUpReading = 2 * time.Second
+	// readingWait is how long one try to read waits for its answer.
+	readingWait = 900 * time.Millisecond
 	// shortestWait and longestWait bound how long one try waits for an answer.
 	shortestWait = 80 * time.Millisecond
 	longestWait  = time.Second
@@ -33,32 +37,35 @@
 
 // append appends records, trying for giveUpAfter at most.
 func (r *recordStore) append(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
-	return r.try(ctx, func(ctx context.Context) error {
-		return r.Append(ctx, partition, writer, records)
+	ctx, cancel := context.WithTimeout(ctx, giveUpAfter)
+	defer cancel()
+	return r.try(ctx, r.firstWait(), func(ctx context.Context) error {
+		started := time.Now()
+		err := r.Append(ctx, partition, writer, records)
+		if err == nil {
+			r.note(time.Since(started))
+		}
+		return err
 	})
 }
 
-// newest reads the newest record of each key, trying for giveUpAfter at most.
+// newest reads the newest record of each key, trying for giveUpReading at most.
 func (r *recordStore) newest(ctx context.Context, partition store.Partition) (records []store.Record, err error) {
-	err = r.try(ctx, func(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, giveUpReading)
+	defer cancel()
+	err = r.try(ctx, readingWait, func(ctx context.Context) error {
 		records, _, err = r.Newest(ctx, partition)
 		return err
 	})
 	return records, err
 }
 
-func (r *recordStore) try(ctx context.Context, call func(context.Context) error) error {
-	ctx, cancel := context.WithTimeout(ctx, giveUpAfter)
-	defer cancel()
-	wait := r.firstWait()
+// try makes a call until it is answered with success or for good. A try that
+// was not answered is followed by one that waits longer.
+func (r *recordStore) try(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	for {
-		started := time.Now()
 		err := r.once(ctx, wait, call)
-		if err == nil {
-			r.note(time.Since(started))
-			return nil
-		}
-		if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || errors.Is(err, store.ErrMalformed) {
+		if err == nil || isFinal(err) {
 			return err
 		}
 		if errors.Is(err, store.ErrUnavailable) {
@@ -72,6 +79,11 @@
 	}
 }
 
+// isFinal tells whether another try would be answered alike.
+func isFinal(err error) bool {
+	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || errors.Is(err, store.ErrMalformed)
+}
+
 func (r *recordStore) once(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -24,9 +24,12 @@
 	// answerWithin bounds how long a holder is waited for that said so.
 	answerWithin = 1500 * time.Millisecond
 	// candidateTries is how many daemons are asked for one request.
-	candidateTries = 3
+	candidateTries = 4
 	// endPause separates tries to settle a turn.
 	endPause = 150 * time.Millisecond
+	// settleTime is how long a daemon that started waits for news of the
+	// others before it asks for, or takes, any shard: it would take them all.
+	settleTime = 800 * time.Millisecond
 )
 
 // Options give a Service what it works with.
@@ -37,8 +40,10 @@
 	View      membership.View
 	// Partitions names every shard's partition, the same in the whole fleet.
 	Partitions []store.Partition
-	Logger     zerolog.Logger
-	Metrics    *Metrics
+	// Directory is the partition that tells who holds each shard.
+	Directory store.Partition
+	Logger    zerolog.Logger
+	Metrics   *Metrics
 }
 
 // Service is a daemon's way to the ledger: it asks the holders of shards, and
@@ -46,9 +51,11 @@
 type Service struct {
 	Options
 	holders []*holder
+	known   *holderTable
 	avoided avoided
 	leaving atomic.Bool
 	number  atomic.Uint64
+	settled chan struct{}
 
 	mutex   sync.Mutex
 	waiting map[uint64]chan Response
@@ -56,7 +63,12 @@
 
 // NewService returns a service; Run makes it work.
 func NewService(options Options) *Service {
-	s := &Service{Options: options, waiting: map[uint64]chan Response{}}
+	s := &Service{
+		Options: options,
+		known:   newHolderTable(len(options.Partitions)),
+		waiting: map[uint64]chan Response{},
+		settled: make(chan struct{}),
+	}
 	records := &recordStore{Store: options.Store}
 	for i, partition := range options.Partitions {
 		s.holders = append(s.holders, &holder{
@@ -67,7 +79,10 @@
 			logger:     options.Logger.With().Int("shard", i).Logger(),
 			metrics:    options.Metrics,
 			operations: make(chan operation, operationQueue),
+			directory:  options.Directory,
 			isLeaving:  s.leaving.Load,
+			known:      s.known,
+			fleet:      s,
 		})
 	}
 	return s
@@ -75,6 +90,8 @@
 
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
+	timer := time.AfterFunc(settleTime, func() { close(s.settled) })
+	defer timer.Stop()
 	var workers sync.WaitGroup
 	for _, h := range s.holders {
 		workers.Go(func() { h.run(ctx) })
@@ -82,6 +99,16 @@
 	workers.Wait()
 }
 
+// IsSettled tells whether the daemon had time to hear of the others.
+func (s *Service) IsSettled() bool {
+	select {
+	case <-s.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Leave stops holding shards: others take them over.
 func (s *Service) Leave() { s.leaving.Store(true) }
 
@@ -175,17 +202,30 @@
 	return nil, sure
 }
 
-// ask sends a request to the daemon that should hold the shard, and to the
-// next ones if it cannot answer.
+// ask sends a request to the daemon that holds the shard, as far as is known,
+// and to the one that should hold it if there is bad news of the holder.
 func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
 	request.Shard = shard
 	last := Response{Result: string(resultMoved)}
-	for _, candidate := range s.candidates(shard, time.Now()) {
-		response := s.askOne(ctx, candidate, request)
+	var asked []structs.DaemonID
+	select {
+	case <-s.settled:
+	case <-ctx.Done():
+		return last
+	}
+	for range candidateTries {
+		target, failed := s.choose(shard, asked, time.Now())
+		if target == "" {
+			break
+		}
+		request.Failed = failed
+		response := s.askOne(ctx, target, request)
+		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
 		if result(response.Result).isFinal() {
 			return response
 		}
-		s.avoided.note(shard, candidate, result(response.Result))
+		s.avoided.note(shard, target, result(response.Result))
+		asked = append(asked, target)
 		last = response
 		if ctx.Err() != nil {
 			break
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -54,7 +54,7 @@
 
 type turnEntry struct {
 	KeptTurn
-	RetentionMS int64 `json:"retention_ms,omitempty"`
+	RetentionMS int64
 	usedAt      time.Time
 }
 
@@ -78,11 +78,13 @@
 		}
 		s.accounts[strings.TrimPrefix(record.Key, accountPrefix)] = entry
 	case strings.HasPrefix(record.Key, turnPrefix):
-		entry := &turnEntry{usedAt: now}
-		if err := json.Unmarshal(record.Value, entry); err != nil {
+		id := strings.TrimPrefix(record.Key, turnPrefix)
+		entry, err := decodeTurn(id, record.Value)
+		if err != nil {
 			return eris.Wrapf(err, "ledger: record %q", record.Key)
 		}
-		s.turns[strings.TrimPrefix(record.Key, turnPrefix)] = entry
+		entry.usedAt = now
+		s.turns[id] = entry
 	}
 	return nil
 }
@@ -197,7 +199,7 @@
 	}
 	if id, isTurn := strings.CutPrefix(key, turnPrefix); isTurn {
 		if entry := s.turns[id]; entry != nil {
-			return json.Marshal(entry)
+			return encodeTurn(entry)
 		}
 	}
 	return nil, nil
--- /dev/null
+++ b/internal/ledger/turn_record.go
@@ -0,0 +1,55 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+)
+
+// turnHead is the first line of a turn's record; the input and the output
+// follow as they are.
+type turnHead struct {
+	Previous    string `json:"previous,omitempty"`
+	InputBytes  int    `json:"input"`
+	OutputBytes int    `json:"output"`
+	RetentionMS int64  `json:"retention_ms,omitempty"`
+}
+
+// errTurnLength: a turn's record is not as long as its head says.
+var errTurnLength = eris.New("ledger: the length of a turn's record is wrong")
+
+func encodeTurn(entry *turnEntry) ([]byte, error) {
+	head, err := json.Marshal(turnHead{
+		Previous:    entry.Previous,
+		InputBytes:  len(entry.Input),
+		OutputBytes: len(entry.Output),
+		RetentionMS: entry.RetentionMS,
+	})
+	if err != nil {
+		return nil, eris.Wrap(err, "ledger: encode a turn")
+	}
+	record := append(head, '\n')
+	record = append(record, entry.Input...)
+	return append(record, entry.Output...), nil
+}
+
+func decodeTurn(id string, record []byte) (*turnEntry, error) {
+	line, text, _ := bytes.Cut(record, []byte("\n"))
+	var head turnHead
+	if err := json.Unmarshal(line, &head); err != nil {
+		return nil, eris.Wrap(err, "ledger: a turn's head")
+	}
+	if head.InputBytes < 0 || head.OutputBytes < 0 || head.InputBytes+head.OutputBytes != len(text) {
+		return nil, errTurnLength
+	}
+	return &turnEntry{
+		KeptTurn: KeptTurn{
+			ID:       id,
+			Previous: head.Previous,
+			Input:    text[:head.InputBytes],
+			Output:   text[head.InputBytes:],
+		},
+		RetentionMS: head.RetentionMS,
+	}, nil
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,8 @@
 	bodyLimit = 16 << 20
 	// eventLimit is the longest event of a stream, in bytes.
 	eventLimit = 4 << 20
+	// beginTimeout bounds how long a turn waits for its reservation.
+	beginTimeout = 1200 * time.Millisecond
 	// recordTimeout bounds how long the end of a kept turn waits for its record.
 	recordTimeout = 1500 * time.Millisecond
 	// settleTimeout bounds how long a finished turn is tried to be settled.
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -26,6 +26,8 @@
 // beginTurn reserves the turn's tokens. False means that the call was ended.
 func (c *carrier) beginTurn(ctx context.Context) (turn *turnState, history []byte, ok bool) {
 	started := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
 	grant, err := c.relay.Ledger.Begin(ctx, ledger.Turn{
 		ID:           c.call.ID,
 		Program:      c.call.Program.ID,
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -28,6 +28,8 @@
 const (
 	// ledgerSpace is where the ledger's shards lie; a number follows.
 	ledgerSpace = "ledger-"
+	// ledgerDirectory is where the shards' holders are told.
+	ledgerDirectory = "ledger-holders"
 	// memoryShare is the part of the memory that the runtime aims to stay in.
 	memoryShare = 0.7
 	megabyte    = 1 << 20
@@ -124,6 +126,7 @@
 		Transport:  transport,
 		View:       d.membership,
 		Partitions: ledgerPartitions(d.settings),
+		Directory:  store.Partition{Space: ledgerDirectory},
 		Logger:     part(d.logger, "ledger"),
 		Metrics:    ledger.NewMetrics(figures),
 	})
@@ -168,7 +171,6 @@
 func (d *Daemon) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
-	d.membership.Subscribe(d.noteMember)
 	d.membership.Start()
 	d.workers.Go(func() { d.registry.run(ctx, d.membership.MachinesListed) })
 	d.workers.Go(func() { d.ledger.Run(ctx) })
@@ -176,11 +178,6 @@
 	d.workers.Go(func() { d.watchInstances(ctx) })
 }
 
-func (d *Daemon) noteMember(member membership.Member) {
-	d.logger.Info().Str("part", "membership").Str("daemon", string(member.Daemon.ID)).
-		Str("state", string(member.State)).Msg("Member changed.")
-}
-
 // Table implements Gateway.
 func (d *Daemon) Table() *route.Table { return d.table.Load() }
 
@@ -194,7 +191,7 @@
 
 // isReady tells whether the daemon may get requests.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.table.Load() != nil && d.pool.Listed()
+	return !d.stopping.Load() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
 }
 
 var _ Gateway = (*Daemon)(nil)
