Ledger: a fenced claimant leaves the shard to a later one that lives

Cause: after an outage of the store every daemon claimed every shard: one that was fenced while claiming claimed again with a higher epoch, and bad news of a daemon from before its claim made askers call for another. Ruled out: a partition too slow for the claims (they took 0.1 to 0.5 s only because of one another).

--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -27,7 +28,7 @@
 	holder := s.known.get(shard)
 	id := structs.DaemonID(holder.Daemon)
 	if holder.Daemon != "" {
-		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isAvoided(shard, id, now) {
+		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isAvoided(shard, id, holder.Epoch, now) {
 			return id, 0
 		}
 		failed = holder.Epoch
@@ -46,7 +47,7 @@
 			continue
 		}
 		rank := 0
-		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, now) {
+		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, 0, now) {
 			rank = 1
 		}
 		hash := xxhash.Sum64String(id.Address() + "/" + strconv.Itoa(shard))
@@ -83,8 +84,8 @@
 // avoided remembers bad news about daemons. The zero value is ready.
 type avoided struct {
 	mutex   sync.Mutex
-	shards  map[avoidedShard]time.Time
-	daemons map[structs.DaemonID]time.Time
+	shards  map[avoidedShard]badNews
+	daemons map[structs.DaemonID]badNews
 }
 
 type avoidedShard struct {
@@ -92,26 +93,42 @@
 	daemon structs.DaemonID
 }
 
-// note takes an answer that was none.
-func (a *avoided) note(shard int, daemon structs.DaemonID, answer result) {
+// badNews holds until a time, for holders of up to an epoch: a daemon that
+// claimed a shard since can be asked again.
+type badNews struct {
+	until time.Time
+	epoch uint64
+}
+
+func (b badNews) holds(epoch uint64, now time.Time) bool {
+	return now.Before(b.until) && b.epoch >= epoch
+}
+
+// note takes a daemon's answer, "" for none, while the shard's holder was known
+// by an epoch.
+func (a *avoided) note(shard int, daemon structs.DaemonID, epoch uint64, answer result) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := time.Now()
 	if a.shards == nil {
-		a.shards = map[avoidedShard]time.Time{}
-		a.daemons = map[structs.DaemonID]time.Time{}
+		a.shards = map[avoidedShard]badNews{}
+		a.daemons = map[structs.DaemonID]badNews{}
 	}
-	switch answer {
-	case resultMoved: // it said who holds the shard
-	case resultImpaired:
-		a.shards[avoidedShard{shard, daemon}] = now.Add(avoidImpaired)
-	default:
-		a.daemons[daemon] = now.Add(avoidSilent)
+	key := avoidedShard{shard, daemon}
+	switch {
+	case answer == "":
+		a.daemons[daemon] = badNews{until: now.Add(avoidSilent), epoch: math.MaxUint64}
+		return
+	case answer == resultImpaired:
+		a.shards[key] = badNews{until: now.Add(avoidImpaired), epoch: epoch}
+	case answer.isFinal():
+		delete(a.shards, key)
 	}
+	delete(a.daemons, daemon)
 }
 
-func (a *avoided) isAvoided(shard int, daemon structs.DaemonID, now time.Time) bool {
+func (a *avoided) isAvoided(shard int, daemon structs.DaemonID, epoch uint64, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return now.Before(a.daemons[daemon]) || now.Before(a.shards[avoidedShard{shard, daemon}])
+	return a.daemons[daemon].holds(epoch, now) || a.shards[avoidedShard{shard, daemon}].holds(epoch, now)
 }
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -27,7 +27,7 @@
 	// firstPause and longestPause separate tries to reach a partition that
 	// does not answer.
 	firstPause   = 200 * time.Millisecond
-	longestPause = 1500 * time.Millisecond
+	longestPause = 600 * time.Millisecond
 	// expireInterval separates looks for records that nobody needs any more.
 	expireInterval = 5 * time.Second
 	// expireLimit bounds the records that are dropped at a time.
@@ -252,7 +252,7 @@
 	if h.mustLeaveTo(before, failed) {
 		return errHeld
 	}
-	if err := h.seize(ctx, before.Epoch); err != nil {
+	if err := h.seize(ctx, before.Epoch, failed); err != nil {
 		return err
 	}
 	h.writeDirectory(ctx)
@@ -268,8 +268,9 @@
 }
 
 // seize makes a higher epoch known to the store. The epoch in the directory
-// may be behind; the shard's own records are not.
-func (h *holder) seize(ctx context.Context, known uint64) error {
+// may be behind: then either another daemon claims the shard at this moment, or
+// one died before it wrote there. The shard's own records tell which.
+func (h *holder) seize(ctx context.Context, known, failed uint64) error {
 	err := h.appendClaim(ctx, nextEpoch(known))
 	if !errors.Is(err, store.ErrFenced) {
 		return err
@@ -278,7 +279,12 @@
 	if err != nil {
 		return err
 	}
-	return h.appendClaim(ctx, nextEpoch(holderOf(records).Epoch))
+	before := holderOf(records)
+	h.known.note(h.shard, before)
+	if h.mustLeaveTo(before, failed) {
+		return errHeld
+	}
+	return h.appendClaim(ctx, nextEpoch(before.Epoch))
 }
 
 func (h *holder) appendClaim(ctx context.Context, epoch uint64) error {
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -21,7 +21,7 @@
 	longestWait  = time.Second
 	// waitFactor times the usual time of an answer is how long a first try waits.
 	waitFactor = 6
-	// refusedPause follows a try that was refused.
+	// refusedPause follows a try that was refused; it doubles each time.
 	refusedPause = 30 * time.Millisecond
 	// averageWeight is the weight of the newest answer in the usual time.
 	averageWeight = 0.2
@@ -63,13 +63,15 @@
 // try makes a call until it is answered with success or for good. A try that
 // was not answered is followed by one that waits longer.
 func (r *recordStore) try(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
+	refused := refusedPause
 	for {
 		err := r.once(ctx, wait, call)
 		if err == nil || isFinal(err) {
 			return err
 		}
 		if errors.Is(err, store.ErrUnavailable) {
-			pause(ctx, refusedPause)
+			pause(ctx, refused)
+			refused *= 2
 		} else {
 			wait = min(2*wait, longestWait)
 		}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -219,12 +219,15 @@
 			break
 		}
 		request.Failed = failed
+		epoch := s.known.get(shard).Epoch
 		response := s.askOne(ctx, target, request)
+		if ctx.Err() == nil {
+			s.avoided.note(shard, target, epoch, result(response.Result))
+		}
 		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
 		if result(response.Result).isFinal() {
 			return response
 		}
-		s.avoided.note(shard, target, result(response.Result))
 		asked = append(asked, target)
 		last = response
 		if ctx.Err() != nil {
