--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -1,7 +1,6 @@
 package ledger
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -28,7 +27,7 @@
 	holder := s.known.get(shard)
 	id := structs.DaemonID(holder.Daemon)
 	if holder.Daemon != "" {
-		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isAvoided(shard, id, holder.Epoch, now) {
+		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isAvoided(shard, id, holder.learnedAt, now) {
 			return id, 0
 		}
 		failed = holder.Epoch
@@ -47,7 +46,7 @@
 			continue
 		}
 		rank := 0
-		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, 0, now) {
+		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, time.Time{}, now) {
 			rank = 1
 		}
 		hash := xxhash.Sum64String(id.Address() + "/" + strconv.Itoa(shard))
@@ -93,20 +92,19 @@
 	daemon structs.DaemonID
 }
 
-// badNews holds until a time, for holders of up to an epoch: a daemon that
-// claimed a shard since can be asked again.
+// badNews holds for a while, and only against who held the shard when it came:
+// a daemon that claimed a shard since can be asked again.
 type badNews struct {
+	at    time.Time
 	until time.Time
-	epoch uint64
 }
 
-func (b badNews) holds(epoch uint64, now time.Time) bool {
-	return now.Before(b.until) && b.epoch >= epoch
+func (b badNews) holds(since, now time.Time) bool {
+	return now.Before(b.until) && !b.at.Before(since)
 }
 
-// note takes a daemon's answer, "" for none, while the shard's holder was known
-// by an epoch.
-func (a *avoided) note(shard int, daemon structs.DaemonID, epoch uint64, answer result) {
+// note takes a daemon's answer, "" for none.
+func (a *avoided) note(shard int, daemon structs.DaemonID, answer result) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	now := time.Now()
@@ -117,18 +115,19 @@
 	key := avoidedShard{shard, daemon}
 	switch {
 	case answer == "":
-		a.daemons[daemon] = badNews{until: now.Add(avoidSilent), epoch: math.MaxUint64}
+		a.daemons[daemon] = badNews{at: now, until: now.Add(avoidSilent)}
 		return
 	case answer == resultImpaired:
-		a.shards[key] = badNews{until: now.Add(avoidImpaired), epoch: epoch}
+		a.shards[key] = badNews{at: now, until: now.Add(avoidImpaired)}
 	case answer.isFinal():
 		delete(a.shards, key)
 	}
 	delete(a.daemons, daemon)
 }
 
-func (a *avoided) isAvoided(shard int, daemon structs.DaemonID, epoch uint64, now time.Time) bool {
+// isAvoided tells whether there is bad news of a daemon that came since a time.
+func (a *avoided) isAvoided(shard int, daemon structs.DaemonID, since, now time.Time) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	return a.daemons[daemon].holds(epoch, now) || a.shards[avoidedShard{shard, daemon}].holds(epoch, now)
+	return a.daemons[daemon].holds(since, now) || a.shards[avoidedShard{shard, daemon}].holds(since, now)
 }
--- /dev/null
+++ b/internal/ledger/fleet_test.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// testShards is the number of shards in tests.
+const testShards = 4
+
+// testFleet is some daemons' services over one store, with a network that can
+// be told to lose what goes to a daemon.
+type testFleet struct {
+	t     *testing.T
+	store *memory.Store
+
+	mutex    sync.Mutex
+	services map[structs.DaemonID]*Service
+	stops    map[structs.DaemonID]context.CancelFunc
+	deaf     map[structs.DaemonID]bool
+	dead     map[structs.DaemonID]bool
+}
+
+func newTestFleet(t *testing.T, daemons int) *testFleet {
+	t.Helper()
+	f := &testFleet{
+		t:        t,
+		store:    memory.New(),
+		services: map[structs.DaemonID]*Service{},
+		stops:    map[structs.DaemonID]context.CancelFunc{},
+		deaf:     map[structs.DaemonID]bool{},
+		dead:     map[structs.DaemonID]bool{},
+	}
+	for i := range daemons {
+		f.start(daemonID(i, 1))
+	}
+	t.Cleanup(f.killAll)
+	return f
+}
+
+func daemonID(number int, run uint64) structs.DaemonID {
+	return structs.NewDaemonID(fmt.Sprintf("10.0.0.%d:7000", number+1), run)
+}
+
+func (f *testFleet) start(id structs.DaemonID) *Service {
+	var partitions []store.Partition
+	for number := range testShards {
+		partitions = append(partitions, store.Partition{Space: "ledger", Number: number})
+	}
+	s := NewService(Options{
+		Self:       id,
+		Store:      f.store,
+		Transport:  &testTransport{fleet: f, self: id},
+		View:       f,
+		Partitions: partitions,
+		Directory:  store.Partition{Space: "holders"},
+		Logger:     zerolog.Nop(),
+		Metrics:    NewMetrics(prometheus.NewRegistry()),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mutex.Lock()
+	f.services[id] = s
+	f.stops[id] = cancel
+	f.mutex.Unlock()
+	go s.Run(ctx)
+	return s
+}
+
+func (f *testFleet) kill(id structs.DaemonID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.stops[id]()
+	f.dead[id] = true
+	delete(f.services, id)
+}
+
+func (f *testFleet) killAll() {
+	for _, id := range f.ids() {
+		f.kill(id)
+	}
+}
+
+func (f *testFleet) ids() []structs.DaemonID {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var ids []structs.DaemonID
+	for id := range f.services {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (f *testFleet) setDeaf(id structs.DaemonID, deaf bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaf[id] = deaf
+}
+
+func (f *testFleet) service(id structs.DaemonID) *Service {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.services[id]
+}
+
+// holderOf returns the daemon that the directory names for a program's shard.
+func (f *testFleet) holderOf(program string) structs.DaemonID {
+	records, _, err := f.store.Newest(context.Background(), store.Partition{Space: "holders"})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	shard := f.service(f.ids()[0]).shardOf(program)
+	return structs.DaemonID(holderUnder(fmt.Sprint(shard), records).Daemon)
+}
+
+// other returns a daemon that does not hold a program's shard.
+func (f *testFleet) other(program string) *Service {
+	holder := f.holderOf(program)
+	for _, id := range f.ids() {
+		if id != holder {
+			return f.service(id)
+		}
+	}
+	f.t.Fatal("no other daemon")
+	return nil
+}
+
+// Members implements membership.View.
+func (f *testFleet) Members() []membership.Member {
+	var members []membership.Member
+	for _, id := range f.ids() {
+		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id}, State: membership.StateAlive})
+	}
+	return members
+}
+
+// State implements membership.View.
+func (f *testFleet) State(id structs.DaemonID) membership.State {
+	if f.service(id) == nil {
+		return membership.StateDead
+	}
+	return membership.StateAlive
+}
+
+// Subscribe implements membership.View.
+func (f *testFleet) Subscribe(func(membership.Member)) {}
+
+type testTransport struct {
+	fleet *testFleet
+	self  structs.DaemonID
+}
+
+// Send implements peer.Transport.
+func (t *testTransport) Send(to structs.DaemonID, message peer.Message) {
+	t.fleet.mutex.Lock()
+	target := t.fleet.services[to]
+	lost := target == nil || t.fleet.deaf[to] || t.fleet.deaf[t.self]
+	t.fleet.mutex.Unlock()
+	if !lost {
+		go target.Receive(t.self, message)
+	}
+}
+
+func testContext(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually tries until attempt succeeds: after a fault the first answers may
+// say that the record cannot be reached.
+func eventually(t *testing.T, attempt func() error) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		err := attempt()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -220,7 +220,7 @@
 		return resultMoved, true
 	case h.state != nil:
 		return "", false
-	case h.mustLeaveTo(h.known.get(h.shard), failed):
+	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
 	case now.Before(h.retryAt):
 		return resultImpaired, true
@@ -363,8 +363,10 @@
 	return found
 }
 
-func (h *holder) holderRecord(key string) store.Record {
-	value, err := json.Marshal(holderRecord{Epoch: h.epoch, Daemon: h.daemon})
+func (h *holder) holderRecord(key string) store.Record { return h.recordOf(key, h.epoch) }
+
+func (h *holder) recordOf(key string, epoch uint64) store.Record {
+	value, err := json.Marshal(holderRecord{Epoch: epoch, Daemon: h.daemon})
 	if err != nil {
 		panic(err) // two plain fields
 	}
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -1,18 +1,28 @@
 package ledger
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // holderTable is what a daemon knows of who holds each shard.
 type holderTable struct {
 	mutex   sync.Mutex
-	holders []holderRecord
+	holders []knownHolder
+}
+
+// knownHolder is a holder and when this daemon heard of its claim: bad news
+// from before does not hold against it.
+type knownHolder struct {
+	holderRecord
+	learnedAt time.Time
 }
 
 func newHolderTable(shards int) *holderTable {
-	return &holderTable{holders: make([]holderRecord, shards)}
+	return &holderTable{holders: make([]knownHolder, shards)}
 }
 
-func (t *holderTable) get(shard int) holderRecord {
+func (t *holderTable) get(shard int) knownHolder {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.holders[shard]
@@ -22,9 +32,14 @@
 func (t *holderTable) note(shard int, holder holderRecord) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if holder.Daemon != "" && holder.Epoch >= t.holders[shard].Epoch {
-		t.holders[shard] = holder
+	known := &t.holders[shard]
+	if holder.Daemon == "" || holder.Epoch < known.Epoch {
+		return
+	}
+	if holder.Epoch > known.Epoch {
+		known.learnedAt = time.Now()
 	}
+	known.holderRecord = holder
 }
 
 // forget drops who holds a shard; the epoch stays, so that older news is not
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -27,9 +27,9 @@
 	candidateTries = 4
 	// endPause separates tries to settle a turn.
 	endPause = 150 * time.Millisecond
-	// settleTime is how long a daemon that started waits for news of the
-	// others before it asks for, or takes, any shard: it would take them all.
-	settleTime = 800 * time.Millisecond
+	// DefaultSettleTime suits a fleet whose daemons hear of each other within
+	// some probes.
+	DefaultSettleTime = 800 * time.Millisecond
 )
 
 // Options give a Service what it works with.
@@ -42,8 +42,11 @@
 	Partitions []store.Partition
 	// Directory is the partition that tells who holds each shard.
 	Directory store.Partition
-	Logger    zerolog.Logger
-	Metrics   *Metrics
+	// SettleTime is how long a daemon that started waits for news of the
+	// others before it asks for, or takes, any shard: it would take them all.
+	SettleTime time.Duration
+	Logger     zerolog.Logger
+	Metrics    *Metrics
 }
 
 // Service is a daemon's way to the ledger: it asks the holders of shards, and
@@ -90,7 +93,7 @@
 
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	timer := time.AfterFunc(settleTime, func() { close(s.settled) })
+	timer := time.AfterFunc(s.SettleTime, func() { close(s.settled) })
 	defer timer.Stop()
 	var workers sync.WaitGroup
 	for _, h := range s.holders {
@@ -219,10 +222,9 @@
 			break
 		}
 		request.Failed = failed
-		epoch := s.known.get(shard).Epoch
 		response := s.askOne(ctx, target, request)
 		if ctx.Err() == nil {
-			s.avoided.note(shard, target, epoch, result(response.Result))
+			s.avoided.note(shard, target, result(response.Result))
 		}
 		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
 		if result(response.Result).isFinal() {
--- /dev/null
+++ b/internal/ledger/state_test.go
@@ -0,0 +1,92 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"pgregory.net/rapid"
+)
+
+func TestAccountNeverCommitsMoreThanItsBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := rapid.Int64Range(1, 500).Draw(t, "budget")
+		var a account
+		for i := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			id := fmt.Sprint(rapid.IntRange(0, 8).Draw(t, "turn"))
+			if rapid.Bool().Draw(t, "settles") {
+				used := rapid.Int64Range(0, a.Reserved[id]).Draw(t, "used")
+				a.settle(id, used)
+			} else {
+				most := rapid.Int64Range(0, 100).Draw(t, "most")
+				a.reserve(Turn{ID: id, BudgetTokens: budget, MostTokens: most})
+			}
+			if a.committed() > budget {
+				t.Fatalf("step %d: %d committed of %d", i, a.committed(), budget)
+			}
+		}
+	})
+}
+
+func TestTurnThatEndedIsNotReservedLater(t *testing.T) {
+	s := newState()
+	now := time.Now()
+	s.end(Outcome{Turn: "a", Program: "p"}, now)
+	if _, got := s.begin(Turn{ID: "a", Program: "p", MostTokens: 5}, now); got != resultOver {
+		t.Errorf("got %q, want %q", got, resultOver)
+	}
+}
+
+func TestRecordsAreDroppedAfterTheirRetention(t *testing.T) {
+	s := newState()
+	start := time.Now()
+	s.begin(Turn{ID: "a", Program: "p", Retention: time.Minute}, start)
+	s.end(Outcome{Turn: "a", Program: "p", Kept: &KeptTurn{ID: "a", Input: []byte("x")}}, start)
+	s.begin(Turn{ID: "b", Program: "p", Previous: "a"}, start.Add(50*time.Second))
+	s.expire(start.Add(time.Minute+keepMargin+time.Second), 100)
+	if s.turns["a"] == nil || s.accounts["p"] == nil {
+		t.Fatal("a record was dropped that was used 21 s ago")
+	}
+	s.expire(start.Add(50*time.Second+time.Minute+keepMargin+time.Second), 100)
+	if s.turns["a"] != nil || s.accounts["p"] != nil {
+		t.Error("a record was kept beyond its retention")
+	}
+	records, err := s.takeDirty()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, record := range records {
+		if len(record.Value) > 0 {
+			t.Errorf("%s is not dropped in the store", record.Key)
+		}
+	}
+}
+
+func FuzzDecodeTurn(f *testing.F) {
+	sample, err := encodeTurn(&turnEntry{KeptTurn: KeptTurn{ID: "a", Previous: "b", Input: []byte("in\n"), Output: []byte("out")}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sample)
+	f.Add([]byte("{}"))
+	f.Add([]byte(`{"input":-1,"output":2}` + "\nx"))
+	f.Fuzz(func(t *testing.T, record []byte) {
+		entry, err := decodeTurn("a", record)
+		if err != nil {
+			return
+		}
+		again, err := encodeTurn(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := decodeTurn("a", again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(entry.KeptTurn, second.KeptTurn, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("(-first +second):\n%s", diff)
+		}
+	})
+}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -127,6 +127,7 @@
 		View:       d.membership,
 		Partitions: ledgerPartitions(d.settings),
 		Directory:  store.Partition{Space: ledgerDirectory},
+		SettleTime: ledger.DefaultSettleTime,
 		Logger:     part(d.logger, "ledger"),
 		Metrics:    ledger.NewMetrics(figures),
 	})
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -38,6 +38,7 @@
 	fault      func(store.Partition, store.Writer) Fault
 	late       []func()
 	down       bool
+	delay      time.Duration
 	appends    int
 }
 
@@ -66,6 +67,23 @@
 	s.down = down
 }
 
+// SetDelay makes every call take a while before it is done.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay = delay
+}
+
+// await lets the delay of a call pass.
+func (s *Store) await() {
+	s.mutex.Lock()
+	delay := s.delay
+	s.mutex.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+}
+
 // SetFault installs a function that picks the fault of each Append.
 func (s *Store) SetFault(fault func(store.Partition, store.Writer) Fault) {
 	s.mutex.Lock()
@@ -93,6 +111,7 @@
 
 // Append implements store.Store.
 func (s *Store) Append(_ context.Context, name store.Partition, by store.Writer, records []store.Record) error {
+	s.await()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.appends++
@@ -168,6 +187,7 @@
 
 // Newest implements store.Store.
 func (s *Store) Newest(_ context.Context, name store.Partition) ([]store.Record, int64, error) {
+	s.await()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
