Relay: tests of retries, refusals, streams and turns with a scripted driver

Ruled out by them: a second run of an unrepeatable request, a refusal that promises too much, an event passed on in part.

--- /dev/null
+++ b/internal/relay/harness_test.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/httpconn"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+// errCut stands for a connection that breaks.
+var errCut = errors.New("cut")
+
+// step is what the driver does with one offer.
+type step struct {
+	err    error
+	status int
+	notRun bool
+	other  bool
+	body   string
+	// cut breaks the body off at its end.
+	cut bool
+	// hold waits until the call's context ends.
+	hold bool
+}
+
+// scriptedDriver plays steps in turn; the last one is repeated.
+type scriptedDriver struct {
+	mutex sync.Mutex
+	steps []step
+	sent  []Outgoing
+	to    []instance.Instance
+}
+
+// Send implements Driver.
+func (d *scriptedDriver) Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error) {
+	d.mutex.Lock()
+	next := d.steps[min(len(d.sent), len(d.steps)-1)]
+	d.sent = append(d.sent, *outgoing)
+	d.to = append(d.to, to)
+	d.mutex.Unlock()
+	if next.hold {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	var body io.Reader = strings.NewReader(next.body)
+	if next.cut {
+		body = io.MultiReader(body, cutReader{})
+	}
+	status := next.status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, OtherInstance: next.other}, nil
+}
+
+type cutReader struct{}
+
+func (cutReader) Read([]byte) (int, error) { return 0, errCut }
+
+// recorder is a caller that notes what it gets.
+type recorder struct {
+	mutex   sync.Mutex
+	status  int
+	body    bytes.Buffer
+	refusal *Refusal
+	ended   bool
+	aborted bool
+	endings int
+	gone    bool
+}
+
+func (r *recorder) Answer(status int, _ http.Header, body []byte) {
+	r.status = status
+	r.body.Write(body)
+	r.endings++
+}
+
+func (r *recorder) Refuse(refusal Refusal) {
+	r.refusal = &refusal
+	r.endings++
+}
+
+func (r *recorder) Head(status int, _ http.Header) { r.status = status }
+
+func (r *recorder) Event(raw []byte) error {
+	if r.gone {
+		return errCut
+	}
+	r.body.Write(raw)
+	return nil
+}
+
+func (r *recorder) End() {
+	r.ended = true
+	r.endings++
+}
+
+func (r *recorder) Abort() {
+	r.aborted = true
+	r.endings++
+}
+
+// fakeLedger grants, refuses and notes.
+type fakeLedger struct {
+	mutex    sync.Mutex
+	err      error
+	endErr   error
+	history  string
+	turns    []ledger.Turn
+	outcomes []ledger.Outcome
+}
+
+func (l *fakeLedger) Begin(_ context.Context, turn ledger.Turn) (ledger.Grant, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.turns = append(l.turns, turn)
+	return ledger.Grant{History: []byte(l.history)}, l.err
+}
+
+func (l *fakeLedger) End(_ context.Context, outcome ledger.Outcome) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.outcomes = append(l.outcomes, outcome)
+	return l.endErr
+}
+
+type harness struct {
+	t      *testing.T
+	driver *scriptedDriver
+	ledger *fakeLedger
+	relay  *Relay
+	pool   *instance.Pool
+}
+
+func newHarness(t *testing.T, steps ...step) *harness {
+	t.Helper()
+	h := &harness{t: t, driver: &scriptedDriver{steps: steps}, ledger: &fakeLedger{}}
+	h.pool = instance.NewPool("z", rand.New(rand.NewPCG(1, 1)))
+	h.pool.Replace([]instance.Instance{
+		{ID: "i1", Service: "s", Address: "a:1", Zone: "z", Slots: 4, State: instance.StateReady},
+		{ID: "i2", Service: "s", Address: "a:2", Zone: "z", Slots: 4, State: instance.StateReady},
+		{ID: "i3", Service: "s", Address: "a:3", Zone: "z", Slots: 4, State: instance.StateReady},
+	})
+	table := route.NewTable(1, nil, []*route.Service{{Name: "s", MaxConnections: 20, Model: &route.Model{TokensPerEvent: 4}}})
+	h.relay = New(Options{
+		Pool:    h.pool,
+		Driver:  h.driver,
+		Ledger:  h.ledger,
+		Table:   func() *route.Table { return table },
+		Daemons: func() int { return 2 },
+		Logger:  zerolog.Nop(),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	return h
+}
+
+func newRoute(kind route.Kind) *route.Route {
+	return &route.Route{
+		Name: "r", Kind: kind, MaxAttempts: 3, Resumable: true,
+		Services: []route.Weighted{{Service: "s", Weight: 1}},
+	}
+}
+
+func newCall(r *route.Route) *Call {
+	now := time.Now()
+	return &Call{ID: "q", Route: r, Method: "POST", Target: "/x", Body: []byte("new"), Received: now, Deadline: now.Add(20 * time.Second)}
+}
+
+func newTurn(r *route.Route) *Call {
+	call := newCall(r)
+	call.MostTokens = 10
+	call.Program = &Program{ID: "p", Session: "s1", BudgetTokens: 100}
+	return call
+}
+
+// serve carries a call and checks that it was ended once.
+func (h *harness) serve(call *Call) *recorder {
+	h.t.Helper()
+	r := &recorder{}
+	h.relay.Serve(context.Background(), call, r)
+	h.relay.Wait(context.Background())
+	if r.endings != 1 {
+		h.t.Errorf("the call was ended %d times", r.endings)
+	}
+	if len(h.pool.Loads()) != 0 {
+		h.t.Errorf("requests are still counted at instances: %v", h.pool.Loads())
+	}
+	return r
+}
+
+func (h *harness) sentTo() []string {
+	var ids []string
+	for _, to := range h.driver.to {
+		ids = append(ids, to.ID)
+	}
+	return ids
+}
+
+func allDiffer(ids []string) bool {
+	sorted := slices.Sorted(slices.Values(ids))
+	return len(slices.Compact(sorted)) == len(ids)
+}
+
+var errNotSent = httpconn.ErrNotSent
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,276 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+func TestPlainAnswerIsPassedOn(t *testing.T) {
+	h := newHarness(t, step{status: 201, body: "whole"})
+	got := h.serve(newCall(newRoute(route.KindOnce)))
+	if got.status != 201 || got.body.String() != "whole" {
+		t.Errorf("got %d %q", got.status, got.body.String())
+	}
+	if limit := h.driver.sent[0].ConnectionLimit; limit != 10 {
+		t.Errorf("connection limit %d, want this daemon's half of 20", limit)
+	}
+}
+
+func TestRequestThatWasNotRunGoesToOthers(t *testing.T) {
+	for name, first := range map[string]step{
+		"refused":        {status: 503, notRun: true},
+		"other instance": {status: 421, other: true},
+		"not sent":       {err: errNotSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, first, step{body: "ok"})
+			got := h.serve(newCall(newRoute(route.KindOnce)))
+			if got.status != 200 || !allDiffer(h.sentTo()) {
+				t.Errorf("got %d from %v", got.status, h.sentTo())
+			}
+		})
+	}
+}
+
+func TestUnrepeatableRequestRunsOnce(t *testing.T) {
+	for name, first := range map[string]step{
+		"connection broke":   {err: errCut},
+		"answer broke off":   {body: "half", cut: true},
+		"foreign answer":     {err: errCut},
+		"its own failure":    {status: 500, body: "no"},
+		"its own time is up": {status: 504},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, first, step{body: "second"})
+			got := h.serve(newCall(newRoute(route.KindOnce)))
+			if len(h.driver.sent) != 1 {
+				t.Fatalf("it was sent %d times", len(h.driver.sent))
+			}
+			if got.refusal != nil && got.refusal.Reason.PromisesNotRun() {
+				t.Errorf("%q promises that it was not run", got.refusal.Reason)
+			}
+		})
+	}
+}
+
+func TestRepeatableRequestRunsAgainWithinItsAttempts(t *testing.T) {
+	h := newHarness(t, step{err: errCut}, step{body: "half", cut: true}, step{body: "whole"})
+	if got := h.serve(newCall(newRoute(route.KindRepeatable))); got.body.String() != "whole" {
+		t.Errorf("got %q", got.body.String())
+	}
+	h = newHarness(t, step{err: errCut})
+	if got := h.serve(newCall(newRoute(route.KindRepeatable))); got.refusal == nil || got.refusal.Reason != ReasonBroken {
+		t.Errorf("got %+v", got.refusal)
+	}
+	if got := len(h.driver.sent); got != 3 {
+		t.Errorf("it was sent %d times, want 3", got)
+	}
+}
+
+func TestFullServiceIsRefusedWithATimeToComeBack(t *testing.T) {
+	h := newHarness(t, step{status: 503, notRun: true})
+	call := newCall(newRoute(route.KindOnce))
+	call.Deadline = call.Received.Add(200 * time.Millisecond)
+	got := h.serve(call)
+	if got.refusal == nil || got.refusal.Reason != ReasonFull || got.refusal.RetryAfter == 0 {
+		t.Errorf("got %+v", got.refusal)
+	}
+	if len(h.driver.sent) < 3 {
+		t.Errorf("it was offered %d times, want all three instances", len(h.driver.sent))
+	}
+}
+
+func TestServiceWithoutInstancesIsRefusedAtOnce(t *testing.T) {
+	h := newHarness(t, step{})
+	h.pool.Replace(nil)
+	h.pool.Replace([]instance.Instance{{ID: "x", Service: "other", State: instance.StateReady}})
+	call := newCall(newRoute(route.KindOnce))
+	call.Route.Services[0].Service = "none"
+	got := h.serve(call)
+	if got.refusal == nil || got.refusal.Reason != ReasonNoInstance || got.refusal.RetryAfter == 0 {
+		t.Errorf("got %+v", got.refusal)
+	}
+}
+
+func TestTimeoutEndsACallAtOnce(t *testing.T) {
+	h := newHarness(t, step{hold: true})
+	call := newCall(newRoute(route.KindOnce))
+	call.Deadline = call.Received.Add(50 * time.Millisecond)
+	got := h.serve(call)
+	if got.refusal == nil || got.refusal.Reason != ReasonTimeout {
+		t.Errorf("got %+v", got.refusal)
+	}
+}
+
+func TestCallerThatLeavesEndsTheCall(t *testing.T) {
+	h := newHarness(t, step{hold: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	r := &recorder{}
+	h.relay.Serve(ctx, newCall(newRoute(route.KindOnce)), r)
+	if r.refusal == nil || r.refusal.Reason != ReasonCallerLeft {
+		t.Errorf("got %+v", r.refusal)
+	}
+}
+
+const (
+	eventOne   = "id: 1\ndata: a\n\n"
+	eventTwo   = "id: 2\ndata: b\n\n"
+	eventThree = "id: 3\ndata: c\n\n"
+)
+
+func TestStreamIsTakenUpBehindTheLastWholeEvent(t *testing.T) {
+	h := newHarness(t, step{body: eventOne + "id: 2\nda", cut: true}, step{body: eventTwo + eventThree})
+	got := h.serve(newCall(newRoute(route.KindStream)))
+	if want := eventOne + eventTwo + eventThree; got.body.String() != want || !got.ended {
+		t.Errorf("got %q, ended %v", got.body.String(), got.ended)
+	}
+	if after := h.driver.sent[1].ResumeAfter; after != "1" {
+		t.Errorf("taken up after %q, want 1", after)
+	}
+	if !allDiffer(h.sentTo()) {
+		t.Errorf("sent to %v", h.sentTo())
+	}
+}
+
+func TestStreamThatMayNotBeTakenUpIsBrokenOff(t *testing.T) {
+	h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
+	r := newRoute(route.KindStream)
+	r.Resumable = false
+	got := h.serve(newCall(r))
+	if !got.aborted || len(h.driver.sent) != 1 {
+		t.Errorf("aborted %v, sent %d times", got.aborted, len(h.driver.sent))
+	}
+	h = newHarness(t, step{err: errCut})
+	got = h.serve(newCall(r))
+	if got.refusal == nil || got.refusal.Reason != ReasonBroken || len(h.driver.sent) != 1 {
+		t.Errorf("before its first event: got %+v", got.refusal)
+	}
+}
+
+func TestStreamThatIsNotTakenAnyMoreIsBrokenOffNotRefused(t *testing.T) {
+	h := newHarness(t, step{body: eventOne, cut: true}, step{status: 503, notRun: true})
+	call := newCall(newRoute(route.KindStream))
+	call.Deadline = call.Received.Add(100 * time.Millisecond)
+	if got := h.serve(call); !got.aborted || got.refusal != nil {
+		t.Errorf("aborted %v, refused %+v", got.aborted, got.refusal)
+	}
+}
+
+func TestTurnIsReservedAndSettled(t *testing.T) {
+	h := newHarness(t, step{body: eventOne + eventTwo})
+	got := h.serve(newTurn(newRoute(route.KindStream)))
+	if !got.ended {
+		t.Error("the stream did not end")
+	}
+	if most := h.ledger.turns[0].MostTokens; most != 12 {
+		t.Errorf("%d tokens reserved, want 10 rounded up to events of 4", most)
+	}
+	want := []ledger.Outcome{{Turn: "q", Program: "p", UsedTokens: 8}}
+	if diff := cmp.Diff(want, h.ledger.outcomes); diff != "" {
+		t.Errorf("outcomes (-want +got):\n%s", diff)
+	}
+}
+
+func TestTurnThatFailsIsSettledWithWhatItsCallerGot(t *testing.T) {
+	r := newRoute(route.KindStream)
+	r.Resumable = false
+	h := newHarness(t, step{body: eventOne, cut: true})
+	h.serve(newTurn(r))
+	if used := h.ledger.outcomes[0].UsedTokens; used != 4 {
+		t.Errorf("%d tokens settled, want 4", used)
+	}
+	h = newHarness(t, step{status: 500})
+	h.serve(newTurn(r))
+	if used := h.ledger.outcomes[0].UsedTokens; used != 0 {
+		t.Errorf("%d tokens settled of a failure, want 0", used)
+	}
+}
+
+func TestRefusedTurnsNeverReachAnInstance(t *testing.T) {
+	for reason, err := range map[Reason]error{
+		ReasonBudgetSpent: ledger.ErrBudgetSpent,
+		ReasonUnknownTurn: ledger.ErrUnknownTurn,
+		ReasonLedger:      ledger.ErrUnavailable,
+	} {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = err
+		got := h.serve(newTurn(newRoute(route.KindStream)))
+		if got.refusal == nil || got.refusal.Reason != reason || len(h.driver.sent) > 0 {
+			t.Errorf("%v: got %+v, sent %d times", err, got.refusal, len(h.driver.sent))
+		}
+		if reason == ReasonLedger && got.refusal.RetryAfter == 0 {
+			t.Error("no time to come back")
+		}
+	}
+}
+
+func TestKeptTurnEndsOnlyOnceItIsOnRecord(t *testing.T) {
+	r := newRoute(route.KindStream)
+	r.RetainContext = true
+	call := newTurn(r)
+	call.Program.Previous = "before"
+	h := newHarness(t, step{body: eventOne + eventTwo})
+	h.ledger.history = "old "
+	if got := h.serve(call); !got.ended {
+		t.Error("the stream did not end")
+	}
+	if got := string(h.driver.sent[0].Body); got != "old new" {
+		t.Errorf("the instance got %q", got)
+	}
+	want := &ledger.KeptTurn{ID: "q", Previous: "before", Input: []byte("new"), Output: []byte("a\nb\n")}
+	if diff := cmp.Diff(want, h.ledger.outcomes[0].Kept); diff != "" {
+		t.Errorf("kept turn (-want +got):\n%s", diff)
+	}
+	h = newHarness(t, step{body: eventOne})
+	h.ledger.endErr = ledger.ErrUnavailable
+	if got := h.serve(newTurn(r)); !got.aborted {
+		t.Error("a turn that is not on record was ended as complete")
+	}
+}
+
+func TestSessionStaysAtItsInstance(t *testing.T) {
+	h := newHarness(t, step{body: eventOne})
+	for range 10 {
+		h.serve(newTurn(newRoute(route.KindStream)))
+	}
+	ids := h.sentTo()
+	for _, id := range ids[1:] {
+		if id != ids[0] {
+			t.Fatalf("the session went to %v", ids)
+		}
+	}
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	r := newRoute(route.KindOnce)
+	r.Services = []route.Weighted{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}
+	var s splits
+	counts := map[string]int{}
+	for range 100 {
+		counts[s.choose(r)]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 90, "b": 10}, counts); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestUrgencyRisesAsTimeRunsOut(t *testing.T) {
+	last := -1
+	for _, left := range []time.Duration{0 + time.Millisecond, time.Second, 4 * time.Second, time.Minute} {
+		call := newTurn(newRoute(route.KindStream))
+		call.Program.FinishBy = time.Now().Add(left)
+		got := (&carrier{call: call}).urgency()
+		if got < last || got > leastUrgency {
+			t.Errorf("%s left: urgency %d after %d", left, got, last)
+		}
+		last = got
+	}
+}
