Relay: callers come back late while the store is unreachable; ends of turns ride along

Cause: a refusal during an outage of the store named 0.25 s, so a caller's few tries were spent within 1.3 s of outages that last 4 s. Change: up to 0.3 of the caller's time, 1.2 s at most; ends of turns wait 0.4 s for other appends to their shard.

--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -17,7 +17,7 @@
 const (
 	// settleDelay is how long the end of a turn may wait for other changes to
 	// ride along with.
-	settleDelay = 100 * time.Millisecond
+	settleDelay = 400 * time.Millisecond
 	// operationQueue bounds the operations that wait for one shard.
 	operationQueue = 1024
 	// shortestStay is how long a daemon keeps a shard at least that another
@@ -53,9 +53,7 @@
 }
 
 // urgent operations have somebody waiting for them.
-func (o operation) urgent() bool {
-	return o.request.End == nil || o.request.End.Kept != nil
-}
+func (o operation) urgent() bool { return o.request.isUrgent() }
 
 // holder is one daemon's side of one shard. All its state belongs to run.
 type holder struct {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,6 +23,9 @@
 	ErrUnknownTurn = eris.New("ledger: no such turn")
 	// ErrUnavailable: the record can not be reached now.
 	ErrUnavailable = eris.New("ledger: the record can not be reached")
+	// ErrStoreUnreachable is ErrUnavailable where no daemon that was asked could
+	// reach the store: that may last.
+	ErrStoreUnreachable = eris.Wrap(ErrUnavailable, "ledger: the store can not be reached")
 )
 
 // Turn is a turn that is about to run.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -141,7 +141,15 @@
 		return Grant{}, ErrUnknownTurn
 	}
 	s.release(turn)
-	return Grant{}, eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, response.Result)
+	return Grant{}, unavailable(shard, response)
+}
+
+// unavailable is the error for an answer that was none.
+func unavailable(shard int, last Response) error {
+	if result(last.Result) == resultImpaired {
+		return eris.Wrapf(ErrStoreUnreachable, "shard %d", shard)
+	}
+	return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, last.Result)
 }
 
 // release ends a turn of which it is not known whether it was reserved.
@@ -251,7 +259,7 @@
 		defer s.forget(request.Number)
 		s.Transport.Send(to, &request)
 	}
-	timer := time.NewTimer(silence)
+	timer := time.NewTimer(request.patience())
 	defer timer.Stop()
 	for {
 		select {
@@ -314,13 +322,16 @@
 		reply(Response{Number: request.Number, Result: string(resultMoved)})
 		return
 	}
-	timer := time.AfterFunc(pendingAfter, func() {
-		reply(Response{Number: request.Number, Result: string(resultPending)})
-	})
-	o := operation{request: request, reply: func(response Response) {
-		timer.Stop()
-		reply(response)
-	}}
+	o := operation{request: request, reply: reply}
+	if o.urgent() {
+		timer := time.AfterFunc(pendingAfter, func() {
+			reply(Response{Number: request.Number, Result: string(resultPending)})
+		})
+		o.reply = func(response Response) {
+			timer.Stop()
+			reply(response)
+		}
+	}
 	select {
 	case s.holders[request.Shard].operations <- o:
 	default:
@@ -328,5 +339,17 @@
 	}
 }
 
+// patience is how long the holder may say nothing to a request. One that
+// nobody waits for may ride along with others.
+func (r *Request) patience() time.Duration {
+	if r.isUrgent() {
+		return silence
+	}
+	return settleDelay + silence
+}
+
+// isUrgent tells whether somebody waits for the answer.
+func (r *Request) isUrgent() bool { return r.End == nil || r.End.Kept != nil }
+
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool { return r.Begin != nil || r.End != nil || r.Find != nil }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,8 +21,12 @@
 	// refusalPause is after when a caller should come back that was refused
 	// because all instances are full or none is there.
 	refusalPause = 120 * time.Millisecond
-	// ledgerPause is the same when a program's record could not be reached.
-	ledgerPause = 250 * time.Millisecond
+	// takeoverPause is the same when a program's record is being taken over.
+	takeoverPause = 250 * time.Millisecond
+	// outageShare is the part of a caller's time after which it should come
+	// back while the store cannot be reached, and outagePause the longest.
+	outageShare = 0.3
+	outagePause = 1200 * time.Millisecond
 	// leastTime is the time below which a call is not sent any more.
 	leastTime = 5 * time.Millisecond
 	// streamRuns bounds how often one stream is taken up.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -212,6 +212,25 @@
 	}
 }
 
+func TestCallersComeBackLateWhileTheStoreIsUnreachable(t *testing.T) {
+	for err, want := range map[error]time.Duration{
+		ledger.ErrUnavailable:      takeoverPause,
+		ledger.ErrStoreUnreachable: outagePause,
+	} {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = err
+		if got := h.serve(newTurn(newRoute(route.KindStream))).refusal.RetryAfter; got != want {
+			t.Errorf("%v: come back after %s, want %s", err, got, want)
+		}
+	}
+	call := newTurn(newRoute(route.KindStream))
+	call.Deadline = time.Now().Add(time.Second)
+	got := (&carrier{call: call}).ledgerPause(ledger.ErrStoreUnreachable)
+	if got > time.Second/3 {
+		t.Errorf("come back after %s of the second that is left: callers heed a third", got)
+	}
+}
+
 func TestKeptTurnEndsOnlyOnceItIsOnRecord(t *testing.T) {
 	r := newRoute(route.KindStream)
 	r.RetainContext = true
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -47,11 +47,22 @@
 		c.refuse(Refusal{Reason: ReasonUnknownTurn, Detail: "The previous turn is not known."})
 	default:
 		c.logger.Warn().Err(err).Dur("took", time.Since(started)).Msg("Program's record not reached.")
-		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: ledgerPause, Detail: "The program's record can not be reached."})
+		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.ledgerPause(err), Detail: "The program's record can not be reached."})
 	}
 	return nil, nil, false
 }
 
+// ledgerPause is after when a caller should come back whose program's record
+// could not be reached: soon after a takeover, and as late as its time allows
+// while the store is unreachable, so that its tries last through that.
+func (c *carrier) ledgerPause(err error) time.Duration {
+	if !errors.Is(err, ledger.ErrStoreUnreachable) || c.call.Deadline.IsZero() {
+		return takeoverPause
+	}
+	left := time.Until(c.call.Deadline)
+	return min(max(time.Duration(outageShare*float64(left)), takeoverPause), outagePause)
+}
+
 func (c *carrier) tokensPerEvent() int64 {
 	table := c.relay.Table()
 	if table == nil {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -205,6 +205,6 @@
 	}
 	instancesWatch = store.WatchSettings{
 		Wait: time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
-		Pause: 300 * time.Millisecond,
+		Pause: 500 * time.Millisecond,
 	}
 )
