Ledger: headroom leaves room for the turns that follow the loss of a holder

Cause: half of what is left was set aside, so short programs whose holder died had no room for the turn that was cut and the next (12 programs got 402 after all were killed; log lines now tell spent, forfeited and reserved). Test: a program of two turns survives the loss of its holder; fails before.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -3,6 +3,8 @@
 const (
 	// headroomDivisor is the part of what is left that is set aside.
 	headroomDivisor = 2
+	// turnsSpared is how many turns fit in besides the headroom.
+	turnsSpared = 2
 	// unboundedHeadroom is set aside for programs without a budget.
 	unboundedHeadroom = 1 << 40
 )
@@ -18,9 +20,14 @@
 	Reserved map[string]int64 `json:"reserved,omitempty"`
 	// BudgetTokens bounds what is spent and reserved, 0 for no bound.
 	BudgetTokens int64 `json:"budget,omitempty"`
+	// MostTokens is the most of the program's latest turn.
+	MostTokens int64 `json:"most,omitempty"`
 	// Headroom is what the holder may grant without telling the store: whoever
 	// reads the record later must count it as spent.
 	Headroom int64 `json:"headroom,omitempty"`
+	// Forfeited is the part of what is spent that was headroom of a holder that
+	// lost the shard.
+	Forfeited int64 `json:"forfeited,omitempty"`
 	// RetentionMS is how long the account is kept after its last use, in
 	// milliseconds.
 	RetentionMS int64 `json:"retention_ms,omitempty"`
@@ -40,6 +47,7 @@
 	}
 	a.Reserved[turn.ID] = turn.MostTokens
 	a.BudgetTokens = turn.BudgetTokens
+	a.MostTokens = turn.MostTokens
 	a.RetentionMS = max(a.RetentionMS, turn.Retention.Milliseconds())
 	return true
 }
@@ -59,17 +67,20 @@
 func (a *account) forfeit() {
 	if a.BudgetTokens > 0 {
 		a.Spent += a.Headroom
+		a.Forfeited += a.Headroom
 	}
 	a.Headroom = 0
 }
 
-// nextHeadroom is what may be set aside for the program's next turns: half of
-// what is left, so that a program whose shard is taken over can go on.
+// nextHeadroom is what may be set aside for the program's next turns: at most
+// half of what is left, and so little that some turns still fit in if the
+// holder dies: one that was cut, and the one that replaces it.
 func (a *account) nextHeadroom() int64 {
 	if a.BudgetTokens == 0 {
 		return unboundedHeadroom
 	}
-	return max(a.BudgetTokens-a.committed(), 0) / headroomDivisor
+	left := a.BudgetTokens - a.committed()
+	return max(min(left/headroomDivisor, left-turnsSpared*a.MostTokens), 0)
 }
 
 func (a *account) committed() int64 {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -154,13 +154,23 @@
 	}
 	if outcome != resultOK {
 		h.barrier = true // a final no must not rest on a state that another has gone on from
-		h.logger.Info().Str("request", turn.ID).Str("program", turn.Program).Int64("budget", turn.BudgetTokens).
-			Str("result", string(outcome)).Uint64("epoch", h.epoch).Msg("Turn not granted.")
+		h.logRefusal(turn, outcome)
 	}
 	h.metrics.granted("append")
 	h.await(ctx, o, answer)
 }
 
+// logRefusal tells what a refusal rests on.
+func (h *holder) logRefusal(turn Turn, outcome result) {
+	event := h.logger.Info().Str("request", turn.ID).Str("program", turn.Program).Str("result", string(outcome)).
+		Uint64("epoch", h.epoch).Dur("held_for", time.Since(h.heldSince))
+	if entry := h.state.accounts[turn.Program]; entry != nil {
+		event = event.Int64("budget", turn.BudgetTokens).Int64("most", turn.MostTokens).Int64("spent", entry.Spent).
+			Int64("forfeited", entry.Forfeited).Int64("committed", entry.committed()).Int("reserved_turns", len(entry.Reserved))
+	}
+	event.Str("previous", turn.Previous).Msg("Turn not granted.")
+}
+
 // end settles a turn.
 func (h *holder) end(ctx context.Context, o operation, now time.Time) {
 	h.state.end(*o.request.End, now)
