Tests of the platform's adapter, connections, instances, event streams and logs

Ruled out by them: an unsafe request sent twice after a foreign, unsealed, encoded or cut answer; a kept connection behind an early answer; a log that holds up its writer.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -41,19 +41,9 @@
 	var event Event
 	hasData := false
 	for {
-		line, err := r.source.ReadSlice('\n')
-		event.Raw = append(event.Raw, line...)
-		if len(event.Raw) > r.limit {
-			return Event{}, ErrTooLong
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			if err := r.finishLine(&event); err != nil {
-				return Event{}, err
-			}
-			continue
-		}
+		line, err := r.readLine(&event)
 		if err != nil {
-			return Event{}, endOf(err, event.Raw)
+			return Event{}, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
@@ -63,24 +53,21 @@
 	}
 }
 
-// finishLine reads the rest of a line that is longer than the buffer. Such a
-// line is read again as a whole from what was gathered.
-func (r *Reader) finishLine(event *Event) error {
-	start := bytes.LastIndexByte(event.Raw[:len(event.Raw)-1], '\n') + 1
+// readLine adds the next line to the event's bytes and returns it.
+func (r *Reader) readLine(event *Event) ([]byte, error) {
+	start := len(event.Raw)
 	for {
 		part, err := r.source.ReadSlice('\n')
 		event.Raw = append(event.Raw, part...)
 		if len(event.Raw) > r.limit {
-			return ErrTooLong
+			return nil, ErrTooLong
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
+		if err == nil {
+			return event.Raw[start:], nil
 		}
-		if err != nil {
-			return endOf(err, event.Raw)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, endOf(err, event.Raw)
 		}
-		event.field(bytes.TrimRight(event.Raw[start:], "\r\n"), len(event.Data) > 0)
-		return nil
 	}
 }
 
--- /dev/null
+++ b/internal/httpconn/pool_test.go
@@ -0,0 +1,230 @@
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// rawServer answers each request on a connection with the next text; "" closes
+// the connection.
+type rawServer struct {
+	address string
+	mutex   sync.Mutex
+	answers []string
+	read    []string
+	// skipBody answers before the body is read.
+	skipBody bool
+	accepted atomic.Int64
+}
+
+func newRawServer(t *testing.T, answers ...string) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawServer{address: listener.Addr().String(), answers: answers}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !s.skipBody {
+			body, _ := io.ReadAll(request.Body)
+			s.mutex.Lock()
+			s.read = append(s.read, string(body))
+			s.mutex.Unlock()
+		}
+		s.mutex.Lock()
+		answer := ""
+		if len(s.answers) > 0 {
+			answer, s.answers = s.answers[0], s.answers[1:]
+		}
+		s.mutex.Unlock()
+		if answer == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+		if s.skipBody {
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=10\r\n\r\nok"
+
+func get(body string) *http.Request {
+	request := &http.Request{Method: "POST", URL: &url.URL{Opaque: "/x"}, Host: "h", Header: http.Header{}, ContentLength: int64(len(body))}
+	if body != "" {
+		request.Body = io.NopCloser(strings.NewReader(body))
+	}
+	return request
+}
+
+func exchangeBody(t *testing.T, p *Pool, address string, body string) (string, error) {
+	t.Helper()
+	response, err := p.Do(context.Background(), address, 0, get(body))
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return string(data), err
+}
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	s := newRawServer(t, okAnswer, okAnswer, okAnswer)
+	p := NewPool(time.Second)
+	for range 3 {
+		if body, err := exchangeBody(t, p, s.address, "b"); err != nil || body != "ok" {
+			t.Fatalf("got %q, %v", body, err)
+		}
+	}
+	if got := s.accepted.Load(); got != 1 {
+		t.Errorf("%d connections, want 1", got)
+	}
+}
+
+func TestConnectionIsNotUsedAgain(t *testing.T) {
+	for name, answer := range map[string]string{
+		"told to close":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+		"bytes behind an answer": okAnswer + okAnswer,
+		"no length":              "HTTP/1.0 200 OK\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRawServer(t, answer, okAnswer)
+			p := NewPool(time.Second)
+			if name == "no length" {
+				s.answers = s.answers[:1]
+				s.answers = append(s.answers, "")
+			}
+			response, err := p.Do(context.Background(), s.address, 0, get(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.ReadFull(response.Body, make([]byte, 2))
+			if name != "no length" {
+				_, _ = io.ReadAll(response.Body)
+			}
+			_ = response.Body.Close()
+			_, _ = exchangeBody(t, p, s.address, "")
+			if got := s.accepted.Load(); got != 2 {
+				t.Errorf("%d connections, want 2", got)
+			}
+		})
+	}
+}
+
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := newRawServer(t, okAnswer, "", okAnswer)
+	p := NewPool(time.Second)
+	if _, err := exchangeBody(t, p, s.address, ""); err != nil {
+		t.Fatal(err)
+	}
+	_, err := exchangeBody(t, p, s.address, "") // read, then closed without an answer
+	if !errors.Is(err, ErrBroken) || IsNotSent(err) {
+		t.Errorf("got %v, want %v: the request may have run", err, ErrBroken)
+	}
+	if body, err := exchangeBody(t, p, s.address, ""); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
+func TestDeadPortIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	_, err = exchangeBody(t, NewPool(time.Second), listener.Addr().String(), "")
+	if !IsNotSent(err) {
+		t.Errorf("got %v, want %v", err, ErrNotSent)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := newRawServer(t, okAnswer, okAnswer)
+	p := NewPool(time.Second)
+	first, err := p.Do(context.Background(), s.address, 1, get(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.Do(context.Background(), s.address, 1, get("")); !errors.Is(err, ErrNoConnection) || !IsNotSent(err) {
+		t.Errorf("got %v, want %v", err, ErrNoConnection)
+	}
+	_ = first.Body.Close()
+	second, err := p.Do(context.Background(), s.address, 1, get(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = second.Body.Close()
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	s := newRawServer(t, okAnswer)
+	s.skipBody = true
+	p := NewPool(time.Second)
+	body, err := exchangeBody(t, p, s.address, strings.Repeat("x", 8<<20))
+	if err != nil || body != "ok" {
+		t.Fatalf("got %q, %v", body, err)
+	}
+	if c := p.takeIdle(s.address); c != nil {
+		t.Error("a connection is kept on which the rest of a body is due")
+	}
+}
+
+func TestContextEndsAnExchange(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := NewPool(time.Second).Do(ctx, listener.Addr().String(), 0, get("")); !errors.Is(err, ErrBroken) {
+		t.Errorf("got %v, want %v", err, ErrBroken)
+	}
+}
+
+func TestIdleTimeFollowsTheAnswer(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"":                 defaultIdle,
+		"timeout=10":       7 * time.Second,
+		"max=5, timeout=2": 1400 * time.Millisecond,
+		"timeout=x":        defaultIdle,
+	} {
+		header := http.Header{}
+		header.Set("Keep-Alive", value)
+		if got := idleTime(&http.Response{Header: header}); got != want {
+			t.Errorf("%q: got %s, want %s", value, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/instance/pool_test.go
@@ -0,0 +1,132 @@
+package instance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func newTestPool(ready ...string) *Pool {
+	p := NewPool("z", rand.New(rand.NewPCG(1, 2)))
+	p.Replace(listOf(StateReady, ready...))
+	return p
+}
+
+func listOf(state State, ids ...string) []Instance {
+	var list []Instance
+	for _, id := range ids {
+		list = append(list, Instance{ID: id, Service: "s", Address: "a-" + id, Zone: "z", Slots: 4, State: state, Sequence: 1})
+	}
+	return list
+}
+
+func TestLoadIsSpread(t *testing.T) {
+	p := newTestPool("a", "b", "c")
+	counts := map[string]int{}
+	for range 30 {
+		instance, found := p.Take(Query{Service: "s"})
+		if !found {
+			t.Fatal("no instance")
+		}
+		counts[instance.ID]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 10, "b": 10, "c": 10}, counts); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
+
+func TestOtherDaemonsLoadCounts(t *testing.T) {
+	p := newTestPool("a", "b")
+	p.SetRemote("other", map[string]int{"a": 8})
+	for range 4 {
+		if got, _ := p.Take(Query{Service: "s"}); got.ID != "b" {
+			t.Errorf("got %s, which another daemon keeps busy", got.ID)
+		}
+	}
+}
+
+func TestPreferredInstanceUnlessItIsBusy(t *testing.T) {
+	p := newTestPool("a", "b")
+	first, _ := p.Take(Query{Service: "s", Preferred: "b"})
+	if first.ID != "b" {
+		t.Errorf("got %s", first.ID)
+	}
+	for range 12 {
+		p.Take(Query{Service: "s", Preferred: "b"})
+	}
+	if p.Loads()["a"] == 0 {
+		t.Errorf("all went to a busy instance: %v", p.Loads())
+	}
+}
+
+func TestObjectsKeepTheirInstanceWhenAnotherGoes(t *testing.T) {
+	p := newTestPool("a", "b", "c", "d")
+	homes := map[string]string{}
+	for i := range 50 {
+		object := fmt.Sprint("object-", i)
+		homes[object] = p.homeOf(Query{Service: "s", Object: object})
+	}
+	p.Replace(listOf(StateReady, "a", "b", "c"))
+	for object, home := range homes {
+		if got := p.homeOf(Query{Service: "s", Object: object}); home != "d" && got != home {
+			t.Errorf("%s moved from %s to %s", object, home, got)
+		}
+	}
+}
+
+func TestLeavingAndExcludedInstancesGetNothing(t *testing.T) {
+	p := newTestPool("a", "b")
+	p.Replace(append(listOf(StateReady, "a"), listOf(StateLeaving, "b")...))
+	if got, _ := p.Take(Query{Service: "s"}); got.ID != "a" {
+		t.Errorf("got %s", got.ID)
+	}
+	if got, found := p.Take(Query{Service: "s", Excluded: []string{"a"}}); found {
+		t.Errorf("got %s", got.ID)
+	}
+	if p.Count("s") != 1 {
+		t.Errorf("%d ready", p.Count("s"))
+	}
+}
+
+func TestOlderWordOfAnInstanceIsIgnored(t *testing.T) {
+	p := newTestPool("a")
+	leaving := listOf(StateLeaving, "a")
+	leaving[0].Sequence = 5
+	p.Replace(leaving)
+	p.Replace(listOf(StateReady, "a"))
+	if got, found := p.Take(Query{Service: "s"}); found {
+		t.Errorf("got %s, which said since that it leaves", got.ID)
+	}
+}
+
+func TestFailedInstanceIsPassedOverButNotGivenUp(t *testing.T) {
+	p := newTestPool("a", "b")
+	p.Release("a", OutcomeFailed)
+	for range 5 {
+		if got, _ := p.Take(Query{Service: "s"}); got.ID != "b" {
+			t.Errorf("got %s", got.ID)
+		}
+	}
+	if got, found := p.Take(Query{Service: "s", Excluded: []string{"b"}}); !found || got.ID != "a" {
+		t.Error("the last instance was given up")
+	}
+}
+
+func TestGoneInstanceGetsNothing(t *testing.T) {
+	p := newTestPool("a", "b")
+	p.Release("a", OutcomeGone)
+	if _, found := p.Take(Query{Service: "s", Excluded: []string{"b"}}); found {
+		t.Error("an instance whose address another has got a request")
+	}
+}
+
+func TestReplaceTellsAddressesThatNobodyHas(t *testing.T) {
+	p := newTestPool("a", "b")
+	next := listOf(StateReady, "c")
+	next[0].Address = "a-a"
+	if diff := cmp.Diff([]string{"a-b"}, p.Replace(next)); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/internal/relaydaemon/settings_test.go
@@ -0,0 +1,48 @@
+package relaydaemon
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+func TestSettingsNameEveryMistake(t *testing.T) {
+	_, err := ParseSettings("boot.yaml", []byte("front_address: nowhere\nunknown: 1\nstop_seconds: -1\nmemory_megabytes: x\n"))
+	if err == nil {
+		t.Fatal("taken")
+	}
+	for _, want := range []string{"adapter", "front_address", "ready_address", "peer_address", "store_address", "zone", "unknown", "stop_seconds", "memory_megabytes"} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%q is not named in:\n%v", want, err)
+		}
+	}
+}
+
+func TestMissingSettingsFile(t *testing.T) {
+	if _, err := ReadSettings("/nowhere/boot.yaml"); !errors.Is(err, ErrUnreadable) {
+		t.Errorf("got %v, want %v", err, ErrUnreadable)
+	}
+}
+
+func TestLogNeverBlocks(t *testing.T) {
+	reader, writer := io.Pipe() // nobody reads
+	defer func() { _ = reader.Close() }()
+	var lost LostLines
+	logger, _ := NewLogger(writer, zerolog.InfoLevel, lost.Add)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 3 * logQueue {
+			logger.Info().Msg("line")
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(20 * time.Second):
+		t.Fatal("writing a line waits for a reader that does not read")
+	}
+}
