Outages: lapsed engines stay a last resort, a store that is down is told at once

Cause: after an outage engines' entries had lapsed and 55 requests were refused for want of a back end until they were written anew; during it each turn asked four daemons that each tried the store for 0.4 s, 1.2 s in all. Change: an instance missing on the list gets requests for 1.2 s more if no other can be had; a daemon whose store calls all fail says so without a try, and two such answers end the asking. Tests: vanished instances, outage told at once.

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -24,6 +24,13 @@
 	affinityGain = 0.4
 	// pausedCost puts paused instances behind all others.
 	pausedCost = 1000
+	// vanishedLife is how long an instance is a last resort that is not on the
+	// list any more. While the store is down entries lapse of instances that
+	// are well, and they are written anew only after it is back. It must stay
+	// below the time that instances serve on after they were taken off.
+	vanishedLife = 1200 * time.Millisecond
+	// vanishedCost puts vanished instances behind all that are listed.
+	vanishedCost = 100
 	// remoteLife is how long another daemon's word about its load counts.
 	remoteLife = 2 * time.Second
 )
@@ -47,6 +54,17 @@
 	// elsewhere sums what other daemons told of theirs.
 	elsewhere int
 	paused    time.Time
+	// vanished is when the instance was first missing on the list; zero while
+	// it is listed.
+	vanished time.Time
+}
+
+// mayServe tells whether an instance may get requests.
+func (e *entry) mayServe(now time.Time) bool {
+	if e.State != StateReady {
+		return false
+	}
+	return e.vanished.IsZero() || now.Sub(e.vanished) < vanishedLife
 }
 
 type remoteLoad struct {
@@ -66,11 +84,12 @@
 }
 
 // Replace takes the list of all instances there are; an instance that is not
-// on it is gone. It returns the addresses that nobody has any more.
+// on it is a last resort for vanishedLife, and then gone. It returns the addresses that nobody has any more.
 func (p *Pool) Replace(list []Instance) (gone []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.listed = true
+	now := time.Now()
 	seen := map[string]bool{}
 	addresses := map[string]bool{}
 	for _, instance := range list {
@@ -80,7 +99,9 @@
 		if known == nil {
 			known = &entry{}
 			p.byID[instance.ID] = known
-		} else if instance.Sequence < known.Sequence {
+		}
+		known.vanished = time.Time{}
+		if instance.Sequence < known.Sequence {
 			continue
 		}
 		known.Instance = instance
@@ -89,6 +110,12 @@
 		if seen[id] {
 			continue
 		}
+		if known.vanished.IsZero() {
+			known.vanished = now
+		}
+		if known.mayServe(now) {
+			continue
+		}
 		delete(p.byID, id)
 		if !addresses[known.Address] {
 			gone = append(gone, known.Address)
@@ -136,12 +163,12 @@
 	defer p.mutex.Unlock()
 	now := time.Now()
 	if query.Preferred == "" && query.Object != "" {
-		query.Preferred = p.homeOf(query)
+		query.Preferred = p.homeOf(query, now)
 	}
 	var best *entry
 	bestCost := 0.0
 	for _, e := range p.byService[query.Service] {
-		if e.State != StateReady || slices.Contains(query.Excluded, e.ID) {
+		if !e.mayServe(now) || slices.Contains(query.Excluded, e.ID) {
 			continue
 		}
 		cost := p.cost(e, query, now)
@@ -158,10 +185,10 @@
 
 // homeOf returns the instance with the highest hash of itself and the object,
 // so that only the objects of instances that come or go move.
-func (p *Pool) homeOf(query Query) string {
+func (p *Pool) homeOf(query Query, now time.Time) string {
 	home, highest := "", uint64(0)
 	for _, e := range p.byService[query.Service] {
-		if e.State != StateReady {
+		if !e.mayServe(now) {
 			continue
 		}
 		if hash := xxhash.Sum64String(e.ID + "/" + query.Object); home == "" || hash > highest {
@@ -186,6 +213,9 @@
 	if now.Before(e.paused) {
 		cost += pausedCost
 	}
+	if !e.vanished.IsZero() {
+		cost += vanishedCost
+	}
 	if e.ColdFor > 0 {
 		cost += 1 / slots
 	}
@@ -264,13 +294,14 @@
 	}
 }
 
-// Count returns how many instances of a service are ready.
+// Count returns how many instances of a service may get requests.
 func (p *Pool) Count(service string) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	count := 0
+	now := time.Now()
 	for _, e := range p.byService[service] {
-		if e.State == StateReady {
+		if e.mayServe(now) {
 			count++
 		}
 	}
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -66,11 +67,11 @@
 	homes := map[string]string{}
 	for i := range 50 {
 		object := fmt.Sprint("object-", i)
-		homes[object] = p.homeOf(Query{Service: "s", Object: object})
+		homes[object] = p.homeOf(Query{Service: "s", Object: object}, time.Now())
 	}
 	p.Replace(listOf(StateReady, "a", "b", "c"))
 	for object, home := range homes {
-		if got := p.homeOf(Query{Service: "s", Object: object}); home != "d" && got != home {
+		if got := p.homeOf(Query{Service: "s", Object: object}, time.Now()); home != "d" && got != home {
 			t.Errorf("%s moved from %s to %s", object, home, got)
 		}
 	}
@@ -126,7 +127,51 @@
 	p := newTestPool("a", "b")
 	next := listOf(StateReady, "c")
 	next[0].Address = "a-a"
+	p.Replace(next)
+	p.forget(t, "a", "b")
 	if diff := cmp.Diff([]string{"a-b"}, p.Replace(next)); diff != "" {
 		t.Errorf("(-want +got):\n%s", diff)
 	}
 }
+
+// forget lets the time pass for which vanished instances are a last resort.
+func (p *Pool) forget(t *testing.T, ids ...string) {
+	t.Helper()
+	for _, id := range ids {
+		if p.byID[id] == nil || p.byID[id].vanished.IsZero() {
+			t.Fatalf("%s is not a last resort", id)
+		}
+		p.byID[id].vanished = time.Now().Add(-2 * vanishedLife)
+	}
+}
+
+func TestVanishedInstancesAreALastResort(t *testing.T) {
+	p := newTestPool("a", "b")
+	p.Replace(listOf(StateReady, "a"))
+	for range 20 {
+		if got, _ := p.Take(Query{Service: "s"}); got.ID != "a" {
+			t.Fatalf("got %s, which is not listed", got.ID)
+		}
+	}
+	p.Replace(nil)
+	if _, found := p.Take(Query{Service: "s"}); !found {
+		t.Error("no instance, though all lapsed only now")
+	}
+	p.forget(t, "a", "b")
+	if got, found := p.Take(Query{Service: "s"}); found {
+		t.Errorf("got %s long after it vanished", got.ID)
+	}
+	p.Replace(listOf(StateReady, "a"))
+	if got, found := p.Take(Query{Service: "s"}); !found || got.ID != "a" {
+		t.Error("an instance that is listed again gets nothing")
+	}
+}
+
+func TestLeavingInstanceThatVanishesIsNoLastResort(t *testing.T) {
+	p := newTestPool("a")
+	p.Replace(listOf(StateLeaving, "a"))
+	p.Replace(nil)
+	if got, found := p.Take(Query{Service: "s"}); found {
+		t.Errorf("got %s", got.ID)
+	}
+}
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -48,7 +48,7 @@
 		return "", false
 	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
-	case now.Before(h.retryAt):
+	case now.Before(h.retryAt), h.records.isDown(now):
 		return resultImpaired, true
 	}
 	if err := h.claim(ctx, failed); err != nil {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -190,6 +190,25 @@
 	refusedWith(t, s, Turn{ID: "more", Program: "p", BudgetTokens: 1000, MostTokens: 1}, ErrBudgetSpent)
 }
 
+func TestOutageIsToldAtOnce(t *testing.T) {
+	f := newTestFleet(t, 4)
+	s := f.service(daemonID(0, 1))
+	begin(t, s, Turn{ID: "a", Program: "p"})
+	f.store.SetDown(true)
+	_, _ = s.Begin(testContext(t), Turn{ID: "first", Program: "q", BudgetTokens: 10, MostTokens: 10})
+	before := f.store.Appends()
+	const turns = 30
+	for i := range turns {
+		_, err := s.Begin(testContext(t), Turn{ID: fmt.Sprint("down-", i), Program: "q", BudgetTokens: 10, MostTokens: 10})
+		if !errors.Is(err, ErrStoreUnreachable) {
+			t.Fatalf("got %v, want %v", err, ErrStoreUnreachable)
+		}
+	}
+	if got := f.store.Appends() - before; got > turns {
+		t.Errorf("%d appends were tried for %d turns that were refused", got, turns)
+	}
+}
+
 func TestShortProgramsSurviveTheLossOfTheirHolder(t *testing.T) {
 	f := newTestFleet(t, 2)
 	// Budgets are half as much again as the most of all turns, here two.
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -25,6 +25,11 @@
 	waitFactor = 4
 	// refusedPause follows a try that was refused; it doubles each time.
 	refusedPause = 30 * time.Millisecond
+	// downAfter is how long no call must have been answered until the store
+	// counts as down for this daemon, and probePause separates the calls that
+	// are made all the same to see whether it is back.
+	downAfter  = 300 * time.Millisecond
+	probePause = 250 * time.Millisecond
 	// averageWeight is the weight of the newest answer in the usual time.
 	averageWeight = 0.2
 )
@@ -35,6 +40,37 @@
 	store.Store
 	mutex sync.Mutex
 	usual time.Duration
+	// failingSince is when the first call failed since one was answered; zero
+	// if none did.
+	failingSince time.Time
+	probeAt      time.Time
+}
+
+// isDown tells whether the store does not answer this daemon at all. Now and
+// then it says no, so that the caller tries.
+func (r *recordStore) isDown(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.failingSince.IsZero() || now.Sub(r.failingSince) < downAfter {
+		return false
+	}
+	if now.Before(r.probeAt) {
+		return true
+	}
+	r.probeAt = now.Add(probePause)
+	return false
+}
+
+// noteOutcome takes note of whether a call was answered.
+func (r *recordStore) noteOutcome(err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	switch {
+	case err == nil || isFinal(err):
+		r.failingSince = time.Time{}
+	case r.failingSince.IsZero():
+		r.failingSince = time.Now()
+	}
 }
 
 // append appends records, trying for giveUpAfter at most.
@@ -100,7 +136,9 @@
 func (r *recordStore) once(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	return call(ctx)
+	err := call(ctx)
+	r.noteOutcome(err)
+	return err
 }
 
 func pause(ctx context.Context, length time.Duration) {
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -25,6 +25,9 @@
 	answerWithin = 1500 * time.Millisecond
 	// candidateTries is how many daemons are asked for one request.
 	candidateTries = 4
+	// impairedTries is how many daemons must be unable to reach a shard's
+	// partition until it counts as out for all.
+	impairedTries = 2
 	// endPause separates tries to settle a turn; it doubles up to
 	// longestEndPause.
 	endPause        = 150 * time.Millisecond
@@ -237,6 +240,7 @@
 	case <-ctx.Done():
 		return last
 	}
+	impaired := 0
 	for range candidateTries {
 		target, failed := s.choose(shard, asked, time.Now())
 		if target == "" {
@@ -253,7 +257,10 @@
 		}
 		asked = append(asked, target)
 		last = response
-		if ctx.Err() != nil {
+		if result(response.Result) == resultImpaired {
+			impaired++
+		}
+		if ctx.Err() != nil || impaired >= impairedTries {
 			break
 		}
 	}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -166,7 +166,7 @@
 func (c *carrier) nextRound(ctx context.Context) bool {
 	now := time.Now()
 	if c.relay.Pool.Count(c.service) == 0 && c.offers == 0 {
-		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: refusalPause, Detail: "No back end of this service is known."})
+		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.outagePause(), Detail: "No back end of this service is known."})
 		return false
 	}
 	if now.After(c.offerUntil()) {
@@ -183,6 +183,16 @@
 	}
 }
 
+// outagePause is after when a caller should come back while something is out
+// that may last: as late as its time allows, so that its tries last through it.
+func (c *carrier) outagePause() time.Duration {
+	if c.call.Deadline.IsZero() {
+		return takeoverPause
+	}
+	left := time.Until(c.call.Deadline)
+	return min(max(time.Duration(outageShare*float64(left)), takeoverPause), outagePause)
+}
+
 // refuseLate ends a call whose time is over or whose caller left.
 func (c *carrier) refuseLate(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -77,7 +77,6 @@
 
 // recorder is a caller that notes what it gets.
 type recorder struct {
-	mutex   sync.Mutex
 	status  int
 	body    bytes.Buffer
 	refusal *Refusal
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -55,14 +55,12 @@
 }
 
 // ledgerPause is after when a caller should come back whose program's record
-// could not be reached: soon after a takeover, and as late as its time allows
-// while the store is unreachable, so that its tries last through that.
+// could not be reached: soon after a takeover, late while the store is out.
 func (c *carrier) ledgerPause(err error) time.Duration {
-	if !errors.Is(err, ledger.ErrStoreUnreachable) || c.call.Deadline.IsZero() {
-		return takeoverPause
+	if errors.Is(err, ledger.ErrStoreUnreachable) {
+		return c.outagePause()
 	}
-	left := time.Until(c.call.Deadline)
-	return min(max(time.Duration(outageShare*float64(left)), takeoverPause), outagePause)
+	return takeoverPause
 }
 
 func (c *carrier) tokensPerEvent() int64 {
