--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -20,15 +21,18 @@
 // exitBadUse is the exit code for settings that cannot be used.
 const exitBadUse = 2
 
+var errNoSettings = errors.New("--settings: is missing")
+
 func main() {
 	command := &cli.Command{
 		Name:  "mintpulley-relay",
 		Usage: "carry programs' requests to engines and services on the platform",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{traceCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mintpulley-relay:", err)
@@ -38,6 +42,9 @@
 
 func run(_ context.Context, command *cli.Command) error {
 	path := command.String("settings")
+	if path == "" {
+		return errNoSettings
+	}
 	settings, err := relaydaemon.ReadSettings(path)
 	if err != nil || command.Bool("check") {
 		return err
--- a/internal/relaydaemon/logs.go
+++ b/internal/relaydaemon/logs.go
@@ -12,10 +12,14 @@
 // counted.
 const logQueue = 4096
 
+// timeFormat is RFC 3339 with milliseconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewLogger returns a logger whose lines never hold up who writes them: they
 // wait in a bounded queue, and those that find it full are dropped and counted
 // by dropped.
 func NewLogger(output io.Writer, level zerolog.Level, dropped func(lines int)) (zerolog.Logger, io.Closer) {
+	zerolog.TimeFieldFormat = timeFormat
 	writer := diode.NewWriter(output, logQueue, 0, dropped)
 	return zerolog.New(writer).Level(level).With().Timestamp().Logger(), writer
 }
