The hollow fleet and its commands go

Its tests (soundness of the hollow run, its options, fits of slopes) go with it, as what they tested is gone; the promises that its checker watched stay tested by the simulation's scenarios.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -51,9 +51,7 @@
 			programsCommand(),
 			simCommand(),
 			goodputCommand(),
-			hollowCommand(),
 			loadCommand(),
-			capacityCommand(),
 		},
 	}
 }
--- a/internal/enginemodel/engine.go
+++ b/internal/enginemodel/engine.go
@@ -2,7 +2,7 @@
 // batching with chunked prefill, a bounded block cache with prefix sharing,
 // priorities and preemption, resumable streams, holds, fenced orders, late and
 // lossy reports. It is driven by a clock.Clock and by nothing else, so the
-// simulation, the experiment, the hollow fleet and the HTTP stand-in share it.
+// simulation, the experiment and the HTTP stand-in share it.
 //
 // An Engine is not safe for concurrent use: on a virtual clock everything runs
 // in one goroutine; otherwise Options.Serialize must run one task at a time.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,6 @@
 // Package node puts the decision code of one daemon together: membership,
 // configuration, replication, scheduling, dispatch and submission. It touches
-// no socket and no wall clock, so that a daemon, the simulation and the hollow
+// no socket and no wall clock, so that a daemon and the simulation
 // fleet run the very same code with other clocks, transports and drivers.
 package node
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -1,6 +1,6 @@
 // Package peer carries typed messages between daemons as JSON lines. Parts
-// register the kinds they send; the real transport, the simulation and the
-// hollow fleet share the same encoding, so that bytes are counted alike.
+// register the kinds they send; the real transport and the simulation
+// share the same encoding, so that bytes are counted alike.
 package peer
 
 import (
--- a/internal/replication/planned_stop_test.go
+++ b/internal/replication/planned_stop_test.go
@@ -96,7 +96,7 @@
 
 // TestPlannedStopsAroundACutLoseNothing cuts two of three members off together
 // with nobody who could take their place, and stops all three as planned within
-// 14 s, as the day of failures of the hollow fleet once did. Each must stay
+// 14 s, as a day of failures at 400 daemons once did. Each must stay
 // until the link is back and others hold the records.
 func TestPlannedStopsAroundACutLoseNothing(t *testing.T) {
 	f, daemons := startThree(t, 11, 2)
--- a/internal/simulation/network/network.go
+++ b/internal/simulation/network/network.go
@@ -1,6 +1,6 @@
 // Package network is a network on a virtual clock: seeded delays and losses,
 // cuts between machines and zones, and processes that can be killed, paused
-// and restarted. The simulation and the hollow fleet share it.
+// and restarted.
 package network
 
 import (
