Relay: a stream is taken up where it ran if its route allows one instance

Change: a call that ran on as many instances as its route allows is bound to the last of them; only one that cannot be reached or whose address another has is left.

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -151,10 +151,20 @@
 	// Object names what the request concerns; each object has an instance of
 	// its own that it goes to if nothing is preferred. "" for none.
 	Object string
+	// Only restricts the choice to one instance, "" for no restriction.
+	Only string
 	// Excluded instances are passed over.
 	Excluded []string
 }
 
+// admits tells whether an instance comes into question.
+func (q *Query) admits(e *entry, now time.Time) bool {
+	if q.Only != "" && e.ID != q.Only {
+		return false
+	}
+	return e.mayServe(now) && !slices.Contains(q.Excluded, e.ID)
+}
+
 // Take picks the instance with the lowest cost and counts the request there;
 // Release ends that. It returns false when the service has none that may take
 // the request.
@@ -168,7 +178,7 @@
 	var best *entry
 	bestCost := 0.0
 	for _, e := range p.byService[query.Service] {
-		if !e.mayServe(now) || slices.Contains(query.Excluded, e.ID) {
+		if !query.admits(e, now) {
 			continue
 		}
 		cost := p.cost(e, query, now)
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,6 +22,10 @@
 
 	// excluded instances were offered the call in this round.
 	excluded []string
+	// ranOn lists the instances that may have run the call, each once, and only
+	// is the one that may run it again: see bind.
+	ranOn []string
+	only  string
 	// preferred is the instance that knows the call's object or session.
 	preferred string
 	// runs counts instances that may have run the call.
@@ -50,6 +55,10 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.take()
+		if !found && c.only != "" && len(c.excluded) == 0 {
+			c.only = "" // it is gone
+			continue
+		}
 		if !found {
 			if !c.nextRound(ctx) {
 				return nil, instance.Instance{}
@@ -58,7 +67,7 @@
 		}
 		answer, err := c.send(ctx, target, outgoing)
 		if err == nil && !answer.NotRun && !answer.OtherInstance {
-			c.runs++
+			c.noteRun(target)
 			return answer, target
 		}
 		if !c.goOn(ctx, target, answer, err) {
@@ -76,6 +85,7 @@
 		Service:   c.service,
 		Preferred: c.preferred,
 		Object:    c.object(),
+		Only:      c.only,
 		Excluded:  c.excluded,
 	})
 }
@@ -118,7 +128,7 @@
 	if ctx.Err() != nil {
 		c.relay.Pool.Release(target.ID, instance.OutcomeGivenUp)
 		if !httpconn.IsNotSent(err) {
-			c.runs++
+			c.noteRun(target)
 		}
 		c.refuseLate(ctx)
 		return false
@@ -130,16 +140,37 @@
 	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
 	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
 	if httpconn.IsNotSent(err) {
+		c.only = "" // it cannot be reached, so it runs nothing any more
 		return true
 	}
-	c.runs++
+	c.noteRun(target)
 	return c.mayRunAgain()
 }
 
+// noteRun takes note that an instance may have run the call.
+func (c *carrier) noteRun(target instance.Instance) {
+	c.runs++
+	if !slices.Contains(c.ranOn, target.ID) {
+		c.ranOn = append(c.ranOn, target.ID)
+	}
+}
+
+// bind keeps a call that ran on as many instances as its route allows to the
+// last of them. Only the connection to it may have broken, not its run; one
+// that cannot be reached any more is left.
+func (c *carrier) bind() {
+	if len(c.ranOn) < c.call.Route.MaxAttempts {
+		return
+	}
+	c.only = c.ranOn[len(c.ranOn)-1]
+	c.excluded = c.excluded[:0]
+}
+
 func (c *carrier) noteNotRun(target instance.Instance, answer *Answer) {
 	outcome := instance.OutcomeFull
 	if answer.OtherInstance {
 		outcome = instance.OutcomeGone
+		c.only = ""
 	}
 	c.relay.Pool.Release(target.ID, outcome)
 	c.relay.Metrics.notRun(answer.OtherInstance)
@@ -154,6 +185,7 @@
 		limit = streamRuns
 	}
 	if c.call.Route.Repeatable() && c.runs < limit {
+		c.bind()
 		c.relay.Metrics.retry()
 		return true
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+func TestStreamIsTakenUpWhereItRanIfItsRouteAllowsOneInstance(t *testing.T) {
+	r := newRoute(route.KindStream)
+	r.MaxAttempts = 1
+	// The third step is a refusal for now, the fourth a dead port.
+	h := newHarness(t,
+		step{body: eventOne, cut: true}, step{err: errCut}, step{status: 503, notRun: true}, step{err: errNotSent},
+		step{body: eventTwo + eventThree})
+	got := h.serve(newCall(r))
+	if want := eventOne + eventTwo + eventThree; got.body.String() != want || !got.ended {
+		t.Fatalf("got %q, ended %v", got.body.String(), got.ended)
+	}
+	ids := h.sentTo()
+	for i, id := range ids[:4] {
+		if id != ids[0] {
+			t.Errorf("offer %d went to %s, though %s may still run it", i, id, ids[0])
+		}
+	}
+	if ids[4] == ids[0] {
+		t.Error("the last offer went to an instance that cannot be reached")
+	}
+}
+
+func TestStreamLeavesAnInstanceThatIsGone(t *testing.T) {
+	r := newRoute(route.KindStream)
+	r.MaxAttempts = 1
+	h := newHarness(t, step{body: eventOne, cut: true}, step{status: 421, other: true}, step{body: eventTwo})
+	if got := h.serve(newCall(r)); !got.ended || h.sentTo()[2] == h.sentTo()[0] {
+		t.Errorf("ended %v, sent to %v", got.ended, h.sentTo())
+	}
+}
+
 func TestStreamThatMayNotBeTakenUpIsBrokenOff(t *testing.T) {
 	h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
 	r := newRoute(route.KindStream)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -153,6 +153,7 @@
 	c.logger.Info().Str("instance", target.ID).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
 	if c.call.Route.Resumable && c.runs < streamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
+		c.bind()
 		return true
 	}
 	if state.hasHead {
