Relay: a turn's reservation is tried on for a third of the caller's time

Change: the reservation is tried again each 0.12 s for a third of the caller's time, 1.2 s at most; then 503 with up to 0.32 of the rest.

--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -136,7 +136,9 @@
 	return int(xxhash.Sum64String(program) % uint64(len(s.holders)))
 }
 
-// Begin reserves a turn's tokens and returns the history before it.
+// Begin reserves a turn's tokens and returns the history before it. After
+// ErrUnavailable it is not known whether they are reserved: the same turn may be
+// tried again, which reserves them once, or must be abandoned.
 func (s *Service) Begin(ctx context.Context, turn Turn) (Grant, error) {
 	shard := s.shardOf(turn.Program)
 	response := s.ask(ctx, shard, Request{Begin: &turn})
@@ -156,7 +158,6 @@
 	case resultUnknownTurn:
 		return Grant{}, ErrUnknownTurn
 	}
-	s.release(turn)
 	return Grant{}, unavailable(shard, response)
 }
 
@@ -168,8 +169,9 @@
 	return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, last.Result)
 }
 
-// release ends a turn of which it is not known whether it was reserved.
-func (s *Service) release(turn Turn) {
+// Abandon ends a turn of which it is not known whether it was reserved: it
+// can not be reserved later either. It returns at once.
+func (s *Service) Abandon(turn Turn) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endedLife/2)
 		defer cancel()
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -125,6 +125,8 @@
 	history  string
 	turns    []ledger.Turn
 	outcomes []ledger.Outcome
+	// abandoned lists turns that were given up before they began.
+	abandoned []string
 }
 
 func (l *fakeLedger) Begin(_ context.Context, turn ledger.Turn) (ledger.Grant, error) {
@@ -134,6 +136,12 @@
 	return ledger.Grant{History: []byte(l.history)}, l.err
 }
 
+func (l *fakeLedger) Abandon(turn ledger.Turn) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.abandoned = append(l.abandoned, turn.ID)
+}
+
 func (l *fakeLedger) End(_ context.Context, outcome ledger.Outcome) error {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -141,6 +149,12 @@
 	return l.endErr
 }
 
+func (l *fakeLedger) setError(err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.err = err
+}
+
 type harness struct {
 	t      *testing.T
 	driver *scriptedDriver
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,8 +25,8 @@
 	takeoverPause = 250 * time.Millisecond
 	// outageShare is the part of a caller's time after which it should come
 	// back while the store cannot be reached, and outagePause the longest.
-	outageShare = 0.3
-	outagePause = 1200 * time.Millisecond
+	outageShare = 0.32
+	outagePause = 1500 * time.Millisecond
 	// leastTime is the time below which a call is not sent any more.
 	leastTime = 5 * time.Millisecond
 	// streamRuns bounds how often one stream is taken up.
@@ -35,8 +35,12 @@
 	bodyLimit = 16 << 20
 	// eventLimit is the longest event of a stream, in bytes.
 	eventLimit = 4 << 20
-	// beginTimeout bounds how long a turn waits for its reservation.
+	// beginTimeout bounds how long a turn waits for its reservation, and
+	// beginShare is the part of the caller's time that it may take.
 	beginTimeout = 1200 * time.Millisecond
+	beginShare   = 0.33
+	// beginPause separates tries to reserve a turn.
+	beginPause = 120 * time.Millisecond
 	// recordTimeout bounds how long the end of a kept turn waits for its record.
 	recordTimeout = 1500 * time.Millisecond
 	// settleTimeout bounds how long a finished turn is tried to be settled.
@@ -48,7 +52,11 @@
 	// Begin reserves a turn's tokens and returns the history before it. Errors
 	// wrap ledger.ErrBudgetSpent, ledger.ErrUnknownTurn or
 	// ledger.ErrUnavailable.
+	// After ErrUnavailable the same turn may be tried again, or abandoned.
 	Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error)
+	// Abandon ends a turn of which it is not known whether it was reserved. It
+	// returns at once.
+	Abandon(turn ledger.Turn)
 	// End settles a turn. It returns once the outcome is durable.
 	End(ctx context.Context, outcome ledger.Outcome) error
 }
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -27,16 +27,9 @@
 // beginTurn reserves the turn's tokens. False means that the call was ended.
 func (c *carrier) beginTurn(ctx context.Context) (turn *turnState, ok bool) {
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.beginTime())
 	defer cancel()
-	grant, err := c.relay.Ledger.Begin(ctx, ledger.Turn{
-		ID:           c.call.ID,
-		Program:      c.call.Program.ID,
-		BudgetTokens: c.call.Program.BudgetTokens,
-		MostTokens:   c.mostTokens(),
-		Previous:     c.call.Program.Previous,
-		Retention:    c.call.Route.Retention,
-	})
+	grant, err := c.tryBegin(ctx)
 	c.relay.Metrics.begun(time.Since(started), err)
 	if err == nil {
 		c.logger.Debug().Dur("took", time.Since(started)).Bool("underway", grant.Underway).Int("history", len(grant.History)).Msg("Turn granted.")
@@ -54,6 +47,40 @@
 	return nil, false
 }
 
+// beginTime is how long the turn's reservation is tried for: a part of the
+// caller's time, so that it can still come back after a refusal.
+func (c *carrier) beginTime() time.Duration {
+	if c.call.Deadline.IsZero() {
+		return beginTimeout
+	}
+	return min(time.Duration(beginShare*float64(time.Until(c.call.Deadline))), beginTimeout)
+}
+
+// tryBegin asks for the reservation until it is granted, refused for good, or
+// its time is over: an outage of the store or a takeover may end any moment.
+func (c *carrier) tryBegin(ctx context.Context) (ledger.Grant, error) {
+	turn := ledger.Turn{
+		ID:           c.call.ID,
+		Program:      c.call.Program.ID,
+		BudgetTokens: c.call.Program.BudgetTokens,
+		MostTokens:   c.mostTokens(),
+		Previous:     c.call.Program.Previous,
+		Retention:    c.call.Route.Retention,
+	}
+	for {
+		grant, err := c.relay.Ledger.Begin(ctx, turn)
+		if !errors.Is(err, ledger.ErrUnavailable) {
+			return grant, err
+		}
+		select {
+		case <-ctx.Done():
+			c.relay.Ledger.Abandon(turn)
+			return grant, err
+		case <-time.After(beginPause):
+		}
+	}
+}
+
 // ledgerPause is after when a caller should come back whose program's record
 // could not be reached: soon after a takeover, late while the store is out.
 func (c *carrier) ledgerPause(err error) time.Duration {
