TCP option and asking of holders in files of their own

Cause: the option that closes unacknowledged connections stood in peer/tcp and httpconn alike; ledger/service.go had two jobs, asking and serving. Change: internal/tcpoption, internal/ledger/ask.go; behaviour as before. Measured: tests of ledger, httpconn, peer and platform green, lint clean.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/tcpoption"
 )
 
 const (
@@ -114,7 +116,7 @@
 	if !p.reserve(name, limit) {
 		return nil, ErrNoConnection
 	}
-	dialer := net.Dialer{Timeout: p.dialTimeout, Control: limitUnacknowledged, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: p.dialTimeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout), KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		p.release(name)
--- a/internal/httpconn/socket_other.go
+++ b/internal/httpconn/socket_other.go
@@ -2,11 +2,6 @@
 
 package httpconn
 
-import (
-	"net"
-	"syscall"
-)
-
-func limitUnacknowledged(_, _ string, _ syscall.RawConn) error { return nil }
+import "net"
 
 func isQuiet(net.Conn) bool { return true }
--- /dev/null
+++ b/internal/ledger/ask.go
@@ -0,0 +1,126 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// silence is how long a holder may say nothing before it is passed over.
+	silence = 300 * time.Millisecond
+	// answerWithin bounds how long a holder is waited for that said that a
+	// request takes a while.
+	answerWithin = 1500 * time.Millisecond
+	// candidateTries is how many daemons are asked for one request.
+	candidateTries = 4
+	// impairedTries is how many daemons must be unable to reach a shard's
+	// partition until it counts as out for all.
+	impairedTries = 2
+)
+
+// ask sends a request to the daemon that holds the shard, as far as is known,
+// and to the one that should hold it if there is bad news of the holder.
+func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
+	request.Shard = shard
+	last := Response{Result: string(resultMoved)}
+	var asked []structs.DaemonID
+	select {
+	case <-s.settled:
+	case <-ctx.Done():
+		return last
+	}
+	impaired := 0
+	for range candidateTries {
+		target, failed := s.choose(shard, asked, time.Now())
+		if target == "" {
+			break
+		}
+		request.Failed = failed
+		response := s.askOne(ctx, target, request)
+		if ctx.Err() == nil {
+			s.avoided.note(shard, target, result(response.Result))
+		}
+		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+		if result(response.Result).isFinal() {
+			return response
+		}
+		asked = append(asked, target)
+		last = response
+		if result(response.Result) == resultImpaired {
+			impaired++
+		}
+		if ctx.Err() != nil || impaired >= impairedTries {
+			break
+		}
+	}
+	return last
+}
+
+// askOne sends a request to one daemon and waits for its answer. A daemon that
+// says nothing counts as impaired.
+func (s *Service) askOne(ctx context.Context, to structs.DaemonID, request Request) Response {
+	request.Number = s.number.Add(1)
+	answers := make(chan Response, 2)
+	if to == s.Self {
+		s.operate(&request, func(response Response) { answers <- response })
+	} else {
+		s.await(request.Number, answers)
+		defer s.forget(request.Number)
+		s.Transport.Send(to, &request)
+	}
+	timer := time.NewTimer(request.patience())
+	defer timer.Stop()
+	for {
+		select {
+		case response := <-answers:
+			if result(response.Result) != resultPending {
+				return response
+			}
+			timer.Reset(answerWithin)
+		case <-timer.C:
+			s.Metrics.silent()
+			return Response{Result: ""}
+		case <-ctx.Done():
+			return Response{Result: ""}
+		}
+	}
+}
+
+func (s *Service) await(number uint64, answers chan Response) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting[number] = answers
+}
+
+func (s *Service) forget(number uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.waiting, number)
+}
+
+func (s *Service) deliver(response Response) {
+	s.mutex.Lock()
+	answers := s.waiting[response.Number]
+	s.mutex.Unlock()
+	if answers == nil {
+		return
+	}
+	select {
+	case answers <- response:
+	default: // a second answer
+	}
+}
+
+// patience is how long the holder may say nothing to a request. One that
+// nobody waits for may ride along with others.
+func (r *Request) patience() time.Duration {
+	if r.isUrgent() {
+		return silence
+	}
+	return settleDelay + silence
+}
+
+// isUrgent tells whether somebody waits for the answer.
+func (r *Request) isUrgent() bool { return r.End == nil || r.End.Kept != nil }
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -16,6 +16,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/tcpoption"
 )
 
 const (
@@ -29,8 +30,7 @@
 	// closes.
 	closeTimeout = 200 * time.Millisecond
 	// unacknowledgedTimeout is when the system gives up a connection on which
-	// the other side acknowledges nothing. Left alone it would send again at
-	// ever longer pauses, and a healed cut would go unnoticed for a minute.
+	// the other side acknowledges nothing.
 	unacknowledgedTimeout = 3 * time.Second
 	// redialPause follows a failed try; messages meanwhile are dropped.
 	redialPause = 200 * time.Millisecond
@@ -198,7 +198,7 @@
 func (t *Transport) writeLink(l *link) {
 	defer t.workers.Done()
 	for t.context.Err() == nil {
-		conn, err := (&net.Dialer{Timeout: dialTimeout, Control: limitUnacknowledged}).DialContext(t.context, "tcp", l.address)
+		conn, err := (&net.Dialer{Timeout: dialTimeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout)}).DialContext(t.context, "tcp", l.address)
 		if err != nil {
 			t.dropFor(l, redialPause)
 			continue
