Ledger and relay: what stood twice stands once

Waiting for a time or a context's end was written three times (now clock.Sleep), asking whether a channel is closed three times, the check for a superseded writer three times, a service's lookup and a refusal's text twice; answers carried their result as text and were converted at every use; two refusal reasons were never given; yield asked for the successor up to three times. Change: one piece each, a typed result; behaviour, bounds and assertions as before. Ruled out: a change of behaviour.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -24,7 +24,7 @@
 // and to the one that should hold it if there is bad news of the holder.
 func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
 	request.Shard = shard
-	last := Response{Result: string(resultMoved)}
+	last := Response{Result: resultMoved}
 	var asked []structs.DaemonID
 	select {
 	case <-s.settled:
@@ -40,15 +40,15 @@
 		request.Failed = failed
 		response := s.askOne(ctx, target, request)
 		if ctx.Err() == nil {
-			s.avoided.note(shard, target, result(response.Result))
+			s.avoided.note(shard, target, response.Result)
 		}
 		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
-		if result(response.Result).isFinal() {
+		if response.Result.isFinal() {
 			return response
 		}
 		asked = append(asked, target)
 		last = response
-		if result(response.Result) == resultImpaired {
+		if response.Result == resultImpaired {
 			impaired++
 		}
 		if ctx.Err() != nil || impaired >= impairedTries {
@@ -75,7 +75,7 @@
 	for {
 		select {
 		case response := <-answers:
-			if result(response.Result) != resultPending {
+			if response.Result != resultPending {
 				return response
 			}
 			timer.Reset(answerWithin)
--- a/internal/ledger/flight.go
+++ b/internal/ledger/flight.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -64,7 +64,7 @@
 func (h *holder) try(ctx context.Context, after time.Duration) {
 	current := h.flight
 	go func() {
-		pause(ctx, after)
+		clock.Sleep(ctx, after)
 		err := h.records.append(ctx, h.partition, current.writer, current.records)
 		select {
 		case h.landed <- landing{flight: current, err: err}:
@@ -94,7 +94,7 @@
 		if h.isLeaving() {
 			h.leave(ctx)
 		}
-	case errors.Is(landing.err, store.ErrFenced), errors.Is(landing.err, store.ErrSequence), errors.Is(landing.err, store.ErrMalformed):
+	case isFinal(landing.err):
 		h.drop()
 		h.refuseAll(current.waiting, h.lose(ctx, landing.err))
 	default:
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -102,14 +102,7 @@
 	}
 }
 
-func (h *holder) isLeaving() bool {
-	select {
-	case <-h.leaving:
-		return true
-	default:
-		return false
-	}
-}
+func (h *holder) isLeaving() bool { return isClosed(h.leaving) }
 
 // leave gives the shard up once no append is under way.
 func (h *holder) leave(ctx context.Context) {
@@ -146,7 +139,7 @@
 		return
 	}
 	grant, outcome := h.state.begin(turn, now)
-	answer := Response{Result: string(outcome), Grant: grant}
+	answer := Response{Result: outcome, Grant: grant}
 	if outcome == resultOK && h.state.takeHeadroom(turn) {
 		h.metrics.granted("headroom")
 		h.answer(o, answer)
@@ -178,16 +171,16 @@
 		h.refuse(o, resultImpaired) // it is settled here; the asker asks again until it is durable
 		return
 	}
-	h.await(ctx, o, Response{Result: string(resultOK)})
+	h.await(ctx, o, Response{Result: resultOK})
 }
 
 // find looks for a turn.
 func (h *holder) find(ctx context.Context, o operation, now time.Time) {
 	if found := h.state.find(o.request.Find.Turn, now); found != nil {
-		h.answer(o, Response{Result: string(resultOK), Found: found})
+		h.answer(o, Response{Result: resultOK, Found: found})
 		return
 	}
-	answer := Response{Result: string(resultUnknownTurn)}
+	answer := Response{Result: resultUnknownTurn}
 	switch {
 	case !o.request.Find.Certain:
 		h.answer(o, answer)
@@ -223,7 +216,7 @@
 	holder := h.known.get(h.shard)
 	o.reply(Response{
 		Number: o.request.Number,
-		Result: string(with),
+		Result: with,
 		Epoch:  holder.Epoch,
 		Holder: holder.Daemon,
 	})
@@ -240,11 +233,15 @@
 	if h.state == nil || h.flight != nil || len(h.waiting) > 0 {
 		return
 	}
-	if now.Sub(h.heldSince) < h.stay || h.fleet.preferred(h.shard) == h.daemon {
+	if now.Sub(h.heldSince) < h.stay {
+		return
+	}
+	successor := h.fleet.preferred(h.shard)
+	if successor == h.daemon {
 		return
 	}
 	h.relinquish(ctx)
-	h.logger.Info().Uint64("epoch", h.epoch).Str("to", h.fleet.preferred(h.shard)).Msg("Shard given up.")
+	h.logger.Info().Uint64("epoch", h.epoch).Str("to", successor).Msg("Shard given up.")
 }
 
 // relinquish gives the shard up, and first back to the programs what was set
@@ -289,7 +286,7 @@
 		return resultMoved
 	}
 	h.metrics.lost(err)
-	if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) {
+	if isSuperseded(err) {
 		h.logger.Info().Uint64("epoch", h.epoch).Msg("Shard lost to another holder.")
 		h.learnHolder(ctx)
 		return resultMoved
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -129,7 +129,7 @@
 func askHolder(t *testing.T, s *Service, request Request) result {
 	t.Helper()
 	request.Shard = s.shardOf("p")
-	return result(s.askOne(testContext(t), s.Self, request).Result)
+	return s.askOne(testContext(t), s.Self, request).Result
 }
 
 func TestHolderThatDoesNotKnowThatItLostTheShardStaysWithinTheBudget(t *testing.T) {
@@ -454,7 +454,7 @@
 	for _, request := range []Request{{Shard: -1}, {Shard: testShards}, {Shard: 0}} {
 		answers := make(chan Response, 1)
 		s.operate(&request, func(response Response) { answers <- response })
-		if got := (<-answers).Result; got != string(resultMoved) {
+		if got := (<-answers).Result; got != resultMoved {
 			t.Errorf("%+v: got %q", request, got)
 		}
 	}
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -53,7 +53,7 @@
 // Response answers a Request.
 type Response struct {
 	Number uint64 `json:"n"`
-	Result string `json:"r"`
+	Result result `json:"r"`
 	// Epoch and Holder tell who holds the shard, as far as the answerer knows.
 	Epoch  uint64 `json:"e,omitempty"`
 	Holder string `json:"d,omitempty"`
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -1,12 +1,9 @@
 package ledger
 
 import (
-	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 // Metrics counts what the ledger does.
@@ -56,7 +53,7 @@
 
 func (m *Metrics) lost(err error) {
 	cause := "store"
-	if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) {
+	if isSuperseded(err) {
 		cause = "superseded"
 	}
 	m.losses.WithLabelValues(cause).Inc()
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -117,7 +118,7 @@
 			return err
 		}
 		if errors.Is(err, store.ErrUnavailable) {
-			pause(ctx, refused)
+			clock.Sleep(ctx, refused)
 			refused *= 2
 		} else {
 			wait = min(2*wait, longestWait)
@@ -130,7 +131,12 @@
 
 // isFinal tells whether another try would be answered alike.
 func isFinal(err error) bool {
-	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) || errors.Is(err, store.ErrMalformed)
+	return isSuperseded(err) || errors.Is(err, store.ErrMalformed)
+}
+
+// isSuperseded tells whether another writer has the shard.
+func isSuperseded(err error) bool {
+	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence)
 }
 
 func (r *recordStore) once(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
@@ -141,13 +147,6 @@
 	return err
 }
 
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
-
 func (r *recordStore) firstWait() time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -101,26 +102,12 @@
 }
 
 // IsSettled tells whether the daemon had time to hear of the others.
-func (s *Service) IsSettled() bool {
-	select {
-	case <-s.settled:
-		return true
-	default:
-		return false
-	}
-}
+func (s *Service) IsSettled() bool { return isClosed(s.settled) }
 
 // Leave stops holding shards: others take them over.
 func (s *Service) Leave() { s.left.Do(func() { close(s.leaving) }) }
 
-func (s *Service) isLeaving() bool {
-	select {
-	case <-s.leaving:
-		return true
-	default:
-		return false
-	}
-}
+func (s *Service) isLeaving() bool { return isClosed(s.leaving) }
 
 // shardOf returns the shard of a program.
 func (s *Service) shardOf(program string) int {
@@ -133,7 +120,7 @@
 func (s *Service) Begin(ctx context.Context, turn Turn) (Grant, error) {
 	shard := s.shardOf(turn.Program)
 	response := s.ask(ctx, shard, Request{Begin: &turn})
-	if result(response.Result) == resultUnknownTurn && turn.Imported == nil {
+	if response.Result == resultUnknownTurn && turn.Imported == nil {
 		found, err := s.findElsewhere(ctx, shard, turn.Previous)
 		if err != nil {
 			return Grant{}, err
@@ -141,7 +128,7 @@
 		turn.Imported = found
 		response = s.ask(ctx, shard, Request{Begin: &turn})
 	}
-	switch result(response.Result) {
+	switch response.Result {
 	case resultOK:
 		return response.Grant, nil
 	case resultBudgetSpent:
@@ -154,7 +141,7 @@
 
 // unavailable is the error for an answer that was none.
 func unavailable(shard int, last Response) error {
-	if result(last.Result) == resultImpaired {
+	if last.Result == resultImpaired {
 		return eris.Wrapf(ErrStoreUnreachable, "shard %d", shard)
 	}
 	return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, last.Result)
@@ -175,13 +162,13 @@
 	shard := s.shardOf(outcome.Program)
 	for wait := endPause; ; wait = min(2*wait, longestEndPause) {
 		response := s.ask(ctx, shard, Request{End: &outcome})
-		if result(response.Result) == resultOK {
+		if response.Result == resultOK {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, response.Result)
 		}
-		pause(ctx, wait)
+		clock.Sleep(ctx, wait)
 	}
 }
 
@@ -217,7 +204,7 @@
 		if response.Found != nil {
 			return response.Found, true
 		}
-		sure = sure && result(response.Result) == resultUnknownTurn
+		sure = sure && response.Result == resultUnknownTurn
 	}
 	return nil, sure
 }
@@ -239,13 +226,13 @@
 // asker is told so.
 func (s *Service) operate(request *Request, reply func(Response)) {
 	if request.Shard < 0 || request.Shard >= len(s.holders) || !request.isWhole() {
-		reply(Response{Number: request.Number, Result: string(resultMoved)})
+		reply(Response{Number: request.Number, Result: resultMoved})
 		return
 	}
 	o := operation{request: request, reply: reply}
 	if o.urgent() {
 		timer := time.AfterFunc(pendingAfter, func() {
-			reply(Response{Number: request.Number, Result: string(resultPending)})
+			reply(Response{Number: request.Number, Result: resultPending})
 		})
 		o.reply = func(response Response) {
 			timer.Stop()
@@ -255,9 +242,19 @@
 	select {
 	case s.holders[request.Shard].operations <- o:
 	default:
-		o.reply(Response{Number: request.Number, Result: string(resultImpaired)})
+		o.reply(Response{Number: request.Number, Result: resultImpaired})
 	}
 }
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool { return r.Begin != nil || r.End != nil || r.Find != nil }
+
+// isClosed tells whether a channel that carries nothing was closed.
+func isClosed(signal <-chan struct{}) bool {
+	select {
+	case <-signal:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -72,21 +72,19 @@
 // Reasons. Those of the first group promise that the request has not run and
 // never will.
 const (
-	ReasonNoInstance    Reason = "no_instance"
-	ReasonFull          Reason = "full"
-	ReasonLedger        Reason = "ledger_unavailable"
-	ReasonStarting      Reason = "starting"
-	ReasonNotInTime     Reason = "not_in_time"
-	ReasonBudgetSpent   Reason = "budget_spent"
-	ReasonUnknownTurn   Reason = "unknown_turn"
-	ReasonBroken        Reason = "broken"
-	ReasonTimeout       Reason = "timeout"
-	ReasonNoRoute       Reason = "no_route"
-	ReasonTooLarge      Reason = "too_large"
-	ReasonMalformed     Reason = "malformed"
-	ReasonNotAvailable  Reason = "not_available"
-	ReasonCallerLeft    Reason = "caller_left"
-	ReasonRecordTimeout Reason = "record_timeout"
+	ReasonNoInstance  Reason = "no_instance"
+	ReasonFull        Reason = "full"
+	ReasonLedger      Reason = "ledger_unavailable"
+	ReasonStarting    Reason = "starting"
+	ReasonNotInTime   Reason = "not_in_time"
+	ReasonBudgetSpent Reason = "budget_spent"
+	ReasonUnknownTurn Reason = "unknown_turn"
+	ReasonBroken      Reason = "broken"
+	ReasonTimeout     Reason = "timeout"
+	ReasonNoRoute     Reason = "no_route"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonMalformed   Reason = "malformed"
+	ReasonCallerLeft  Reason = "caller_left"
 )
 
 // Responder is the caller's side of a call. Exactly one of Answer, Refuse, End
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -10,8 +10,12 @@
 
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/route"
 )
 
+// brokenOff ends a call whose back end broke off and that may not run again.
+var brokenOff = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
+
 // carrier carries one call.
 type carrier struct {
 	relay     *Relay
@@ -103,13 +107,19 @@
 	return c.relay.Driver.Send(ctx, target, &outgoing)
 }
 
-// connectionLimit is this daemon's share of an instance's connections.
-func (c *carrier) connectionLimit() int {
+// serviceInForce is the service as the routes in force have it, nil if they do
+// not.
+func (c *carrier) serviceInForce() *route.Service {
 	table := c.relay.Table()
 	if table == nil {
-		return 0
+		return nil
 	}
-	service := table.Services[c.service]
+	return table.Services[c.service]
+}
+
+// connectionLimit is this daemon's share of an instance's connections.
+func (c *carrier) connectionLimit() int {
+	service := c.serviceInForce()
 	if service == nil || service.MaxConnections == 0 {
 		return 0
 	}
@@ -189,7 +199,7 @@
 		c.relay.Metrics.retry()
 		return true
 	}
-	c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+	c.refuse(brokenOff)
 	return false
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -105,7 +105,7 @@
 	case state.hasHead:
 		c.breakOff(ctx, state)
 	case err != nil:
-		c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+		c.refuse(brokenOff)
 	default:
 		c.answer(answer, body, target)
 	}
@@ -160,7 +160,7 @@
 		c.responder.Abort()
 		return false
 	}
-	c.refuse(Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."})
+	c.refuse(brokenOff)
 	return false
 }
 
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -91,11 +91,7 @@
 }
 
 func (c *carrier) tokensPerEvent() int64 {
-	table := c.relay.Table()
-	if table == nil {
-		return 1
-	}
-	service := table.Services[c.service]
+	service := c.serviceInForce()
 	if service == nil || service.Model == nil {
 		return 1
 	}
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
 const (
@@ -24,7 +26,7 @@
 	defer cancel()
 	d.ledger.Leave()
 	d.membership.Leave()
-	sleep(ctx, noticeTime)
+	clock.Sleep(ctx, noticeTime)
 	front := d.servers[len(d.servers)-1]
 	if err := front.Shutdown(ctx); err != nil {
 		d.logger.Warn().Err(err).Msg("Requests were cut at the end of the stop.")
@@ -40,10 +42,3 @@
 	}
 	d.logger.Info().Dur("took", time.Since(started)).Msg("Daemon stopped.")
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
-}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
 // WatchSettings give the pauses of a Watcher.
@@ -44,7 +46,7 @@
 				lost = true
 				w.OnContact(err)
 			}
-			wait(ctx, w.Settings.Retry)
+			clock.Sleep(ctx, w.Settings.Retry)
 			continue
 		}
 		if lost {
@@ -54,7 +56,7 @@
 		if changed {
 			w.OnChange(known)
 		}
-		wait(ctx, w.Settings.Pause)
+		clock.Sleep(ctx, w.Settings.Pause)
 	}
 }
 
@@ -92,13 +94,3 @@
 		known[record.Key] = record
 	}
 }
-
-func wait(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(pause):
-	}
-}
