Store: calls go by way of another daemon where this one is not served

Cause: machines that the platform's store refuses, throttles or is cut off from lost their shards and followed stale lists, though daemons beside them reached it. A return of the store is told to all. Watchers break a hanging reading off then.

--- /dev/null
+++ b/internal/store/proxy/helper.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// helperSilence is how long a helper may say nothing, beyond the wait that
+	// the call asks for, until another is asked: some ways between zones and
+	// one answer of a store that is slow.
+	helperSilence = 600 * time.Millisecond
+	// avoidSilent is how long a helper that said nothing is not asked.
+	avoidSilent = 3 * time.Second
+	// outPause is how long no helper is asked after one said that it cannot
+	// reach the store either, or makes calls enough for others.
+	outPause = 250 * time.Millisecond
+)
+
+// errNoHelper: no daemon can be asked to pass a call on.
+var errNoHelper = eris.Wrap(store.ErrUnavailable, "proxy: no other daemon to pass the call on")
+
+// helpers is what is known of the daemons that may pass calls on.
+type helpers struct {
+	mutex sync.Mutex
+	// chosen is the helper that answered last, "" for none.
+	chosen structs.DaemonID
+	// avoided helpers said nothing; they are asked again from then on.
+	avoided map[structs.DaemonID]time.Time
+	// outUntil is until when no helper is asked.
+	outUntil time.Time
+	// unansweredSince is when a helper was first asked since one answered; zero
+	// if none was.
+	unansweredSince time.Time
+}
+
+// choose returns the helper to ask.
+func (h *helpers) choose(candidates []structs.DaemonID, pick func(int) int, now time.Time) (structs.DaemonID, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if now.Before(h.outUntil) {
+		return "", false
+	}
+	candidates = slices.DeleteFunc(candidates, func(id structs.DaemonID) bool { return now.Before(h.avoided[id]) })
+	if len(candidates) == 0 {
+		return "", false
+	}
+	if h.unansweredSince.IsZero() {
+		h.unansweredSince = now
+	}
+	if !slices.Contains(candidates, h.chosen) {
+		h.chosen = candidates[pick(len(candidates))]
+	}
+	return h.chosen, true
+}
+
+// note takes a helper's answer; helped is false if it could not reach the store
+// either.
+func (h *helpers) note(helped bool, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.unansweredSince = time.Time{}
+	if !helped {
+		h.chosen = ""
+		h.outUntil = now.Add(outPause)
+	}
+}
+
+// noteSilent passes a helper over that said nothing.
+func (h *helpers) noteSilent(id structs.DaemonID, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.avoided == nil {
+		h.avoided = map[structs.DaemonID]time.Time{}
+	}
+	for other, until := range h.avoided {
+		if now.After(until) {
+			delete(h.avoided, other)
+		}
+	}
+	h.avoided[id] = now.Add(avoidSilent)
+	if h.chosen == id {
+		h.chosen = ""
+	}
+}
+
+// silentFor returns for how long helpers that were asked have said nothing.
+func (h *helpers) silentFor(now time.Time) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.unansweredSince.IsZero() {
+		return 0
+	}
+	return now.Sub(h.unansweredSince)
+}
+
+// candidates are the other daemons that live.
+func (s *Service) candidates() []structs.DaemonID {
+	var candidates []structs.DaemonID
+	for _, member := range s.View.Members() {
+		if member.Daemon.ID != s.Self && member.State == membership.StateAlive {
+			candidates = append(candidates, member.Daemon.ID)
+		}
+	}
+	return candidates
+}
+
+func (s *Service) pick(n int) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.Random.IntN(n)
+}
+
+// callHelper makes a call by way of another daemon.
+func (s *Service) callHelper(ctx context.Context, request *Request) outcome {
+	helper, found := s.helpers.choose(s.candidates(), s.pick, time.Now())
+	if !found {
+		return outcome{next: request.From, err: errNoHelper}
+	}
+	response := s.ask(ctx, helper, request)
+	now := time.Now()
+	if response == nil {
+		if ctx.Err() == nil {
+			s.helpers.noteSilent(helper, now)
+			s.Metrics.asked("silent")
+		}
+		return outcome{next: request.From, err: eris.Wrapf(store.ErrOutcomeUnknown, "proxy: %s says nothing", helper)}
+	}
+	got := response.outcome()
+	s.helpers.note(isAnswered(got.err), now)
+	s.Metrics.asked(string(response.Result))
+	return got
+}
+
+// ask sends a call to a helper and waits for its answer; nil means none came.
+func (s *Service) ask(ctx context.Context, helper structs.DaemonID, request *Request) *Response {
+	patience := request.wait() + helperSilence
+	sent := *request
+	sent.Number = s.number.Add(1)
+	sent.WithinMS = patience.Milliseconds()
+	answers := make(chan *Response, 1)
+	s.await(sent.Number, answers)
+	defer s.forget(sent.Number)
+	s.Transport.Send(helper, &sent)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case response := <-answers:
+		return response
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func (s *Service) await(number uint64, answers chan *Response) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.waiting[number] = answers
+}
+
+func (s *Service) forget(number uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.waiting, number)
+}
+
+func (s *Service) deliver(response *Response) {
+	s.mutex.Lock()
+	answers := s.waiting[response.Number]
+	s.mutex.Unlock()
+	if answers == nil {
+		return // it came too late
+	}
+	select {
+	case answers <- response:
+	default: // a second answer
+	}
+}
--- /dev/null
+++ b/internal/store/proxy/messages.go
@@ -0,0 +1,134 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// call names one of the store's calls.
+type call string
+
+const (
+	callAppend call = "append"
+	callNewest call = "newest"
+	callRead   call = "read"
+)
+
+// Request asks another daemon to make a call to the store.
+type Request struct {
+	Number    uint64          `json:"n"`
+	Call      call            `json:"c"`
+	Partition store.Partition `json:"p"`
+	Writer    store.Writer    `json:"w,omitzero"`
+	Records   []store.Record  `json:"r,omitempty"`
+	From      int64           `json:"f,omitempty"`
+	// WaitMS is how long a reading waits at the store, and WithinMS how long
+	// the asker waits for the answer, both in milliseconds.
+	WaitMS   int64 `json:"wait,omitempty"`
+	WithinMS int64 `json:"within"`
+}
+
+// Response answers a Request.
+type Response struct {
+	Number  uint64         `json:"n"`
+	Result  result         `json:"r"`
+	Detail  string         `json:"d,omitempty"`
+	Records []store.Record `json:"l,omitempty"`
+	Next    int64          `json:"o,omitempty"`
+}
+
+// Returned tells that the store answers again.
+type Returned struct{}
+
+// MessageKind implements peer.Message.
+func (*Request) MessageKind() peer.Kind { return "store.request" }
+
+// MessageKind implements peer.Message.
+func (*Response) MessageKind() peer.Kind { return "store.response" }
+
+// MessageKind implements peer.Message.
+func (*Returned) MessageKind() peer.Kind { return "store.returned" }
+
+func init() {
+	peer.Register(peer.ClassData, &Request{})
+	peer.Register(peer.ClassData, &Response{})
+	peer.Register(peer.ClassControl, &Returned{})
+}
+
+// isKnown tells whether a request names a call.
+func (r *Request) isKnown() bool {
+	return r.Call == callAppend || r.Call == callNewest || r.Call == callRead
+}
+
+// wait is how long the store itself may let the call wait.
+func (r *Request) wait() time.Duration { return time.Duration(r.WaitMS) * time.Millisecond }
+
+// perform makes the call.
+func (r *Request) perform(ctx context.Context, s store.Store) outcome {
+	var got outcome
+	switch r.Call {
+	case callAppend:
+		got.err = s.Append(ctx, r.Partition, r.Writer, r.Records)
+	case callNewest:
+		got.records, got.next, got.err = s.Newest(ctx, r.Partition)
+	case callRead:
+		got.records, got.next, got.err = s.Read(ctx, r.Partition, r.From, r.wait())
+	}
+	return got
+}
+
+// result tells what became of a call that was passed on.
+type result string
+
+const (
+	resultOK          result = "ok"
+	resultUnavailable result = "unavailable"
+	resultUnknown     result = "unknown"
+	resultFenced      result = "fenced"
+	resultSequence    result = "sequence"
+	resultTrimmed     result = "trimmed"
+	resultMalformed   result = "malformed"
+)
+
+// errorOf gives the error of each result but resultOK.
+var errorOf = map[result]error{
+	resultUnavailable: store.ErrUnavailable,
+	resultUnknown:     store.ErrOutcomeUnknown,
+	resultFenced:      store.ErrFenced,
+	resultSequence:    store.ErrSequence,
+	resultTrimmed:     store.ErrTrimmed,
+	resultMalformed:   store.ErrMalformed,
+}
+
+func resultOf(err error) result {
+	if err == nil {
+		return resultOK
+	}
+	for result, known := range errorOf {
+		if errors.Is(err, known) {
+			return result
+		}
+	}
+	return resultUnknown
+}
+
+// outcome turns an answer into what the call would have returned. A result
+// that this version does not know tells nothing of what was done.
+func (r *Response) outcome() outcome {
+	got := outcome{records: r.Records, next: r.Next}
+	if r.Result == resultOK {
+		return got
+	}
+	known, found := errorOf[r.Result]
+	if !found {
+		known = store.ErrOutcomeUnknown
+	}
+	got.err = eris.Wrapf(known, "proxy: %s", r.Detail)
+	return got
+}
--- /dev/null
+++ b/internal/store/proxy/proxy.go
@@ -0,0 +1,227 @@
+// Package proxy lets a daemon that cannot reach the store call it by way of
+// another daemon.
+//
+// A platform may refuse, throttle or cut off some machines while it serves the
+// others. A call that fails, or that takes long, is made a second time by way
+// of a daemon that may reach the store; the first answer counts. That is safe
+// for reads, and for appends that carry a writer's epoch and number: the store
+// does a repeated append once, and fences a superseded writer whichever way its
+// append comes. Appends without a writer must be harmless when done twice.
+package proxy
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// overdueAfter is how long a direct call may take, beyond the wait that it
+	// asks for, until it is made by way of a helper, too. An answer of the store
+	// takes some milliseconds; one of a store that is slow for all takes as long
+	// for a helper, so little is gained by asking sooner.
+	overdueAfter = 150 * time.Millisecond
+	// noticeAfter is how long the store must have been out for its return to be
+	// told to the other daemons, and noticePause separates such notices.
+	noticeAfter = 300 * time.Millisecond
+	noticePause = time.Second
+)
+
+// Options give a Service what it works with.
+type Options struct {
+	Self structs.DaemonID
+	// Direct is the store as this daemon reaches it itself.
+	Direct    store.Store
+	Transport peer.Transport
+	View      membership.View
+	Random    *rand.Rand
+	Logger    zerolog.Logger
+	Metrics   *Metrics
+}
+
+// Service is a store.Store and a store.Contact. It is safe for concurrent use.
+type Service struct {
+	Options
+	contact contact
+	helpers helpers
+	// serving bounds the calls that are made for other daemons at a time.
+	serving chan struct{}
+	served  served
+	number  atomic.Uint64
+
+	mutex   sync.Mutex
+	waiting map[uint64]chan *Response
+}
+
+// New returns a service.
+func New(options Options) *Service {
+	return &Service{
+		Options: options,
+		contact: newContact(),
+		serving: make(chan struct{}, servingLimit),
+		waiting: map[uint64]chan *Response{},
+	}
+}
+
+// outcome is what became of a call.
+type outcome struct {
+	records []store.Record
+	next    int64
+	err     error
+}
+
+// isAnswered tells whether the store itself answered a call.
+func isAnswered(err error) bool {
+	return !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown)
+}
+
+// Append implements store.Store.
+func (s *Service) Append(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
+	return s.do(ctx, &Request{Call: callAppend, Partition: partition, Writer: writer, Records: records}).err
+}
+
+// Newest implements store.Store.
+func (s *Service) Newest(ctx context.Context, partition store.Partition) ([]store.Record, int64, error) {
+	got := s.do(ctx, &Request{Call: callNewest, Partition: partition})
+	return got.records, got.next, got.err
+}
+
+// Read implements store.Store.
+func (s *Service) Read(ctx context.Context, partition store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	got := s.do(ctx, &Request{Call: callRead, Partition: partition, From: from, WaitMS: wait.Milliseconds()})
+	return got.records, got.next, got.err
+}
+
+// do makes a call directly, by way of a helper, or both.
+func (s *Service) do(ctx context.Context, request *Request) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan outcome, 2)
+	underway := 0
+	start := func(way func(context.Context, *Request) outcome) {
+		underway++
+		go func() { answers <- way(ctx, request) }()
+	}
+	helped := false
+	askHelper := func() {
+		if !helped {
+			helped = true
+			start(s.callHelper)
+		}
+	}
+	if s.contact.mayCall(time.Now()) {
+		start(s.callDirect)
+	} else {
+		askHelper()
+	}
+	overdue := time.NewTimer(request.wait() + overdueAfter)
+	defer overdue.Stop()
+	failed := outcome{next: request.From}
+	for {
+		select {
+		case got := <-answers:
+			underway--
+			if isAnswered(got.err) {
+				return got
+			}
+			failed.err = worse(failed.err, got.err)
+			askHelper()
+			if underway == 0 {
+				return failed
+			}
+		case <-overdue.C:
+			askHelper()
+		case <-ctx.Done():
+			failed.err = store.ErrOutcomeUnknown
+			return failed
+		}
+	}
+}
+
+// worse joins the errors of a call that was made in two ways: it may have been
+// done if either of them may have done it.
+func worse(a, b error) error {
+	if a == nil || errors.Is(b, store.ErrOutcomeUnknown) {
+		return b
+	}
+	return a
+}
+
+// callDirect makes a call without a helper, and takes note of whether the
+// store answers.
+func (s *Service) callDirect(ctx context.Context, request *Request) outcome {
+	got := request.perform(ctx, s.Direct)
+	if !isAnswered(got.err) && errors.Is(ctx.Err(), context.Canceled) {
+		return got // nobody waited for the answer any more
+	}
+	s.noteDirect(got.err)
+	return got
+}
+
+// noteDirect takes the outcome of a direct call.
+func (s *Service) noteDirect(err error) {
+	if !isAnswered(err) {
+		if s.contact.fail(time.Now()) {
+			s.Logger.Warn().Err(err).Msg("The store does not answer. Calls go by way of other daemons, too.")
+		}
+		return
+	}
+	out := s.contact.answer(time.Now())
+	if out == 0 {
+		return
+	}
+	s.Logger.Info().Dur("out", out).Msg("The store answers again.")
+	if out >= noticeAfter && s.contact.mayNotify(time.Now()) {
+		s.notify()
+	}
+}
+
+// notify tells the other daemons that the store answers again.
+func (s *Service) notify() {
+	for _, member := range s.View.Members() {
+		if member.Daemon.ID != s.Self {
+			s.Transport.Send(member.Daemon.ID, &Returned{})
+		}
+	}
+}
+
+// Returned implements store.Contact.
+func (s *Service) Returned() <-chan struct{} { return s.contact.signal() }
+
+// IsIsolated implements store.Contact.
+func (s *Service) IsIsolated() bool {
+	now := time.Now()
+	return s.contact.failingFor(now) > isolatedAfter && s.helpers.silentFor(now) > isolatedAfter
+}
+
+// Receive takes a message that arrived; false means it is another part's.
+func (s *Service) Receive(from structs.DaemonID, message peer.Message) bool {
+	switch message := message.(type) {
+	case *Request:
+		s.serve(from, message)
+	case *Response:
+		s.deliver(message)
+	case *Returned:
+		if s.contact.hearOfReturn(time.Now()) {
+			s.Logger.Info().Str("from", string(from)).Msg("Another daemon tells that the store answers again.")
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+var (
+	_ store.Store   = (*Service)(nil)
+	_ store.Contact = (*Service)(nil)
+)
--- /dev/null
+++ b/internal/store/proxy/proxy_test.go
@@ -0,0 +1,370 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// trouble is what one daemon's own way to the store is like.
+type trouble int
+
+const (
+	reaches trouble = iota
+	refused
+	silent
+)
+
+// way is one daemon's own way to the store.
+type way struct {
+	*memory.Store
+	mutex   sync.Mutex
+	trouble trouble
+	calls   int
+}
+
+func (w *way) set(to trouble) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.trouble = to
+}
+
+func (w *way) count() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.calls
+}
+
+// pass tells whether a call gets to the store.
+func (w *way) pass(ctx context.Context) error {
+	w.mutex.Lock()
+	w.calls++
+	now := w.trouble
+	w.mutex.Unlock()
+	time.Sleep(2 * time.Millisecond)
+	switch now {
+	case refused:
+		return store.ErrUnavailable
+	case silent:
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+func (w *way) Append(ctx context.Context, p store.Partition, by store.Writer, records []store.Record) error {
+	if err := w.pass(ctx); err != nil {
+		return err
+	}
+	return w.Store.Append(ctx, p, by, records)
+}
+
+func (w *way) Newest(ctx context.Context, p store.Partition) ([]store.Record, int64, error) {
+	if err := w.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return w.Store.Newest(ctx, p)
+}
+
+func (w *way) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	if err := w.pass(ctx); err != nil {
+		return nil, from, err
+	}
+	return w.Store.Read(ctx, p, from, wait)
+}
+
+// fleet is some daemons over one store.
+type fleet struct {
+	store    *memory.Store
+	ids      []structs.DaemonID
+	ways     []*way
+	services []*Service
+
+	mutex sync.Mutex
+	deaf  map[structs.DaemonID]bool
+	sent  int
+}
+
+func newFleet(daemons int) *fleet {
+	f := &fleet{store: memory.New(), deaf: map[structs.DaemonID]bool{}}
+	for i := range daemons {
+		id := structs.NewDaemonID(fmt.Sprintf("10.0.0.%d:7000", i+1), 1)
+		f.ids = append(f.ids, id)
+		f.ways = append(f.ways, &way{Store: f.store})
+		f.services = append(f.services, New(Options{
+			Self: id, Direct: f.ways[i], Transport: &transport{fleet: f, self: id}, View: f,
+			Random: rand.New(rand.NewPCG(1, uint64(i))), Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		}))
+	}
+	return f
+}
+
+func (f *fleet) setDeaf(id structs.DaemonID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deaf[id] = true
+}
+
+// Members implements membership.View.
+func (f *fleet) Members() []membership.Member {
+	var members []membership.Member
+	for _, id := range f.ids {
+		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id}, State: membership.StateAlive})
+	}
+	return members
+}
+
+// State implements membership.View.
+func (f *fleet) State(structs.DaemonID) membership.State { return membership.StateAlive }
+
+// Subscribe implements membership.View.
+func (f *fleet) Subscribe(func(membership.Member)) {}
+
+// transport carries one daemon's messages through the codec.
+type transport struct {
+	fleet *fleet
+	self  structs.DaemonID
+}
+
+// Send implements peer.Transport.
+func (t *transport) Send(to structs.DaemonID, message peer.Message) {
+	line, err := peer.Encode(t.self, to, message)
+	if err != nil {
+		panic(err)
+	}
+	t.fleet.mutex.Lock()
+	t.fleet.sent++
+	lost := t.fleet.deaf[to] || t.fleet.deaf[t.self]
+	t.fleet.mutex.Unlock()
+	for i, id := range t.fleet.ids {
+		if id == to && !lost {
+			go func() {
+				time.Sleep(time.Millisecond)
+				from, _, decoded, err := peer.Decode(line)
+				if err != nil {
+					panic(err)
+				}
+				t.fleet.services[i].Receive(from, decoded)
+			}()
+		}
+	}
+}
+
+var (
+	partition = store.Partition{Space: "x", Number: 3}
+	record    = store.Record{Key: "k", Value: []byte("v")}
+)
+
+func within(t *testing.T, limit time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestDaemonThatTheStoreDoesNotServeCallsItByWayOfAnother(t *testing.T) {
+	for name, how := range map[string]trouble{"refused": refused, "silent": silent} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(3)
+				f.ways[0].set(how)
+				s := f.services[0]
+				for number := range uint64(4) {
+					writer := store.Writer{Name: "w", Epoch: 7, Sequence: number + 1}
+					if err := s.Append(within(t, 500*time.Millisecond), partition, writer, []store.Record{record}); err != nil {
+						t.Fatalf("append %d: %v", number, err)
+					}
+				}
+				got, end, err := s.Newest(within(t, 500*time.Millisecond), partition)
+				if err != nil || end != 4 {
+					t.Fatalf("newest: end %d, %v", end, err)
+				}
+				want := []store.Record{{Key: "k", Value: []byte("v"), Offset: 3}}
+				if diff := cmp.Diff(want, got); diff != "" {
+					t.Errorf("newest (-want +got):\n%s", diff)
+				}
+				if got, next, err := s.Read(within(t, time.Second), partition, 2, 100*time.Millisecond); err != nil || len(got) != 2 || next != 4 {
+					t.Errorf("read: %d records, next %d, %v", len(got), next, err)
+				}
+				if s.IsIsolated() {
+					t.Error("takes itself to be cut off")
+				}
+			})
+		})
+	}
+}
+
+func TestSupersededWriterIsFencedByWayOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		ctx := within(t, 10*time.Second)
+		if err := f.services[1].Append(ctx, partition, store.Writer{Name: "w", Epoch: 2, Sequence: 1}, nil); err != nil {
+			t.Fatal(err)
+		}
+		f.ways[0].set(refused)
+		err := f.services[0].Append(ctx, partition, store.Writer{Name: "w", Epoch: 1, Sequence: 1}, []store.Record{record})
+		if !errors.Is(err, store.ErrFenced) {
+			t.Errorf("got %v, want %v", err, store.ErrFenced)
+		}
+		err = f.services[0].Append(ctx, partition, store.Writer{Name: "w", Epoch: 2, Sequence: 9}, []store.Record{record})
+		if !errors.Is(err, store.ErrSequence) {
+			t.Errorf("got %v, want %v", err, store.ErrSequence)
+		}
+	})
+}
+
+func TestSilentHelperIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		f.ways[0].set(refused)
+		f.setDeaf(f.ids[1])
+		f.setDeaf(f.ids[2])
+		done := 0
+		for range 8 {
+			if f.services[0].Append(within(t, time.Second), partition, store.Writer{}, []store.Record{record}) == nil {
+				done++
+			}
+		}
+		if done < 6 {
+			t.Errorf("%d of 8 appends were done by way of the one helper that answers", done)
+		}
+	})
+}
+
+func TestOutageForAllCostsFewCallsAndItsEndIsToldToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons, length = 8, 10 * time.Second
+		f := newFleet(daemons)
+		for _, w := range f.ways {
+			w.set(refused)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
+		for _, s := range f.services {
+			for range 3 { // those who wait for the store try all the time
+				callers.Go(func() {
+					for ctx.Err() == nil {
+						_ = s.Append(ctx, partition, store.Writer{}, []store.Record{record})
+						time.Sleep(20 * time.Millisecond)
+					}
+				})
+			}
+		}
+		time.Sleep(length)
+		stop()
+		callers.Wait()
+		calls := 0
+		for _, w := range f.ways {
+			calls += w.count()
+		}
+		if most := daemons * int(length/probePause) * 2; calls > most {
+			t.Errorf("%d calls in an outage of %s for %d daemons, want %d at most", calls, length, daemons, most)
+		}
+		if f.sent > calls*4 {
+			t.Errorf("%d messages between daemons for %d calls", f.sent, calls)
+		}
+		var heard []<-chan struct{}
+		for _, s := range f.services {
+			heard = append(heard, s.Returned())
+		}
+		for _, w := range f.ways {
+			w.set(reaches)
+		}
+		time.Sleep(probePause) // one daemon's next try may come
+		if err := f.services[3].Append(t.Context(), partition, store.Writer{}, []store.Record{record}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+		for i := range heard {
+			select {
+			case <-heard[i]:
+			default:
+				t.Errorf("daemon %d does not know that the store answers again", i)
+			}
+			if err := f.services[i].Append(within(t, 50*time.Millisecond), partition, store.Writer{}, []store.Record{record}); err != nil {
+				t.Errorf("daemon %d: %v", i, err)
+			}
+		}
+	})
+}
+
+func TestDaemonThatReachesNobodyKnowsThatItIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		f.ways[0].set(silent)
+		f.setDeaf(f.ids[0])
+		for range 6 {
+			_ = f.services[0].Append(within(t, 500*time.Millisecond), partition, store.Writer{}, []store.Record{record})
+		}
+		if !f.services[0].IsIsolated() {
+			t.Error("does not know that it is cut off")
+		}
+		if f.services[1].IsIsolated() {
+			t.Error("another daemon takes itself to be cut off")
+		}
+		// An outage for all is no reason to give work to others.
+		f = newFleet(3)
+		for _, w := range f.ways {
+			w.set(refused)
+		}
+		for range 6 {
+			_ = f.services[0].Append(within(t, 500*time.Millisecond), partition, store.Writer{}, []store.Record{record})
+			time.Sleep(400 * time.Millisecond)
+		}
+		if f.services[0].IsIsolated() {
+			t.Error("takes itself to be cut off in an outage for all")
+		}
+	})
+}
+
+func TestHelpIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.ways[0].set(refused)
+		f.ways[1].set(silent)
+		var callers sync.WaitGroup
+		for range 4 * servingLimit {
+			callers.Go(func() {
+				_, _, _ = f.services[0].Newest(within(t, 400*time.Millisecond), partition)
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		if calls := f.ways[1].count(); calls > servingLimit {
+			t.Errorf("a daemon makes %d calls at a time for another, want %d at most", calls, servingLimit)
+		}
+		callers.Wait()
+		time.Sleep(2 * time.Second) // what the helper makes ends
+	})
+}
+
+func TestCallsOfWhichNothingIsKnownAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		s := f.services[1]
+		answers := make(chan *Response, 1)
+		s.await(5, answers)
+		f.services[0].serve(s.Self, &Request{Number: 5, Call: "drop", WithinMS: 100})
+		if got := <-answers; got.Result != resultUnavailable {
+			t.Errorf("got %q", got.Result)
+		}
+		s.deliver(&Response{Number: 77}) // nobody waits
+		if got := (&Response{Result: "new"}).outcome().err; !errors.Is(got, store.ErrOutcomeUnknown) {
+			t.Errorf("a result of a later version: got %v", got)
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/proxy/serve.go
@@ -0,0 +1,74 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// servingLimit bounds the calls that one daemon makes for others at a time,
+	// so that its own callers keep most of its machine.
+	servingLimit = 32
+	// servedPause separates the log lines that tell of help for one daemon.
+	servedPause = 5 * time.Second
+	// servedLimit bounds the daemons whose help is remembered.
+	servedLimit = 1024
+)
+
+// served remembers which daemons were helped lately, for the log.
+type served struct {
+	mutex  sync.Mutex
+	toldAt map[structs.DaemonID]time.Time
+}
+
+// isNews tells whether help for a daemon is to be logged.
+func (s *served) isNews(daemon structs.DaemonID, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now.Sub(s.toldAt[daemon]) < servedPause {
+		return false
+	}
+	if s.toldAt == nil || len(s.toldAt) >= servedLimit {
+		s.toldAt = map[structs.DaemonID]time.Time{}
+	}
+	s.toldAt[daemon] = now
+	return true
+}
+
+// serve makes a call for another daemon. It never passes the call on further.
+func (s *Service) serve(from structs.DaemonID, request *Request) {
+	if !request.isKnown() || !s.contact.mayCall(time.Now()) {
+		s.reply(from, request, outcome{err: store.ErrUnavailable})
+		return
+	}
+	select {
+	case s.serving <- struct{}{}:
+	default:
+		s.reply(from, request, outcome{err: store.ErrUnavailable})
+		return
+	}
+	if s.served.isNews(from, time.Now()) {
+		s.Logger.Info().Str("for", string(from)).Str("call", string(request.Call)).
+			Msg("Makes calls to the store for another daemon.")
+	}
+	go func() {
+		defer func() { <-s.serving }()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(request.WithinMS)*time.Millisecond)
+		defer cancel()
+		s.reply(from, request, s.callDirect(ctx, request))
+	}()
+}
+
+func (s *Service) reply(to structs.DaemonID, request *Request, got outcome) {
+	result := resultOf(got.err)
+	s.Metrics.served(string(result))
+	response := &Response{Number: request.Number, Result: result, Records: got.records, Next: got.next}
+	if got.err != nil {
+		response.Detail = got.err.Error()
+	}
+	s.Transport.Send(to, response)
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -34,6 +34,9 @@
 	// OnContact is called when the store is lost, with the cause, and with nil
 	// when it answers again.
 	OnContact func(err error)
+	// Contact, if given, tells when the store answers again: then a reading that
+	// hangs is broken off and made anew.
+	Contact Contact
 }
 
 // Run follows the partition until ctx ends.
@@ -44,12 +47,15 @@
 	for ctx.Err() == nil {
 		changed, from, err := w.advance(ctx, known, next)
 		next = from
+		if errors.Is(err, errReturned) {
+			continue
+		}
 		if err != nil {
 			if ctx.Err() == nil && !lost {
 				lost = true
 				w.OnContact(err)
 			}
-			clock.Sleep(ctx, w.Settings.Retry)
+			w.pause(ctx)
 			continue
 		}
 		if lost {
@@ -66,15 +72,35 @@
 	}
 }
 
+// pause waits before the next try, until the store answers again at most.
+func (w *Watcher) pause(ctx context.Context) {
+	timer := time.NewTimer(w.Settings.Retry)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-w.contact().Returned():
+	}
+}
+
+func (w *Watcher) contact() Contact {
+	if w.Contact == nil {
+		return NoContact{}
+	}
+	return w.Contact
+}
+
 // advance reads what follows next, or everything if next is negative. It
 // returns where to go on.
 func (w *Watcher) advance(ctx context.Context, known map[string]Record, next int64) (changed bool, from int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, w.Settings.Wait+w.Settings.Answer)
 	defer cancel()
+	ctx, stop := UntilReturned(ctx, w.contact())
+	defer stop()
 	if next < 0 {
 		records, end, err := w.Store.Newest(ctx, w.Partition)
 		if err != nil {
-			return false, -1, err
+			return false, -1, brokenOff(ctx, err)
 		}
 		clear(known)
 		apply(known, records)
@@ -85,7 +111,7 @@
 		return false, -1, nil
 	}
 	if err != nil {
-		return false, next, err
+		return false, next, brokenOff(ctx, err)
 	}
 	apply(known, records)
 	return len(records) > 0, end, nil
