Ledger and relay: what waits for the store goes on waiting, and settles early

Cause: the end of a kept turn was broken off 1.5 s after it was ready; holders refused all that waited when the store did not answer, so others took shards of living holders at its return; each daemon waited 0.8 s after a start. Change: an answer waits for its record as long as its caller; holders keep what waits and append hedged, noticing the return at once; a daemon that heard of most others on record settles, after 0.12 s in place of 0.8. TestOutageIsToldAtOnce is replaced by two: turns wait now for as long as their caller gives them, hear of the outage then, and go on at the return.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -62,9 +62,9 @@
 // says nothing counts as impaired.
 func (s *Service) askOne(ctx context.Context, to structs.DaemonID, request Request) Response {
 	request.Number = s.number.Add(1)
-	answers := make(chan Response, 2)
+	answers := make(chan Response, 8)
 	if to == s.Self {
-		s.operate(&request, func(response Response) { answers <- response })
+		s.operate(&request, func(response Response) { offer(answers, response) })
 	} else {
 		s.await(request.Number, answers)
 		defer s.forget(request.Number)
@@ -72,17 +72,22 @@
 	}
 	timer := time.NewTimer(request.patience())
 	defer timer.Stop()
+	storeOut := false
 	for {
 		select {
 		case response := <-answers:
 			if response.Result != resultPending {
 				return response
 			}
+			storeOut = response.StoreOut
 			timer.Reset(answerWithin)
 		case <-timer.C:
 			s.Metrics.silent()
 			return Response{Result: resultSilent}
 		case <-ctx.Done():
+			if storeOut {
+				return Response{Result: resultImpaired}
+			}
 			return Response{Result: resultSilent}
 		}
 	}
@@ -107,9 +112,14 @@
 	if answers == nil {
 		return
 	}
+	offer(answers, response)
+}
+
+// offer hands an answer to who waits for it. Beyond what fits, nobody does.
+func offer(answers chan<- Response, response Response) {
 	select {
 	case answers <- response:
-	default: // a second answer
+	default:
 	}
 }
 
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,8 +21,8 @@
 	epochRandomBits = 20
 	// loadTries bounds the readings after a claim.
 	loadTries = 3
-	// firstPause and longestPause separate tries to reach a partition that
-	// does not answer.
+	// firstPause and longestPause separate tries to claim a shard whose
+	// partition does not answer.
 	firstPause   = 200 * time.Millisecond
 	longestPause = 600 * time.Millisecond
 	// shortestStay is how long a daemon keeps a shard at least that another
@@ -48,7 +49,7 @@
 		return "", false
 	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
-	case now.Before(h.retryAt), h.records.isDown(now):
+	case now.Before(h.retryAt) && !isClosed(h.returned), h.records.isDown(now):
 		return resultImpaired, true
 	}
 	if err := h.claim(ctx, failed); err != nil {
@@ -83,8 +84,10 @@
 	if err := h.seize(ctx, before.Epoch, failed); err != nil {
 		return err
 	}
-	h.writeDirectory(ctx)
+	var writing sync.WaitGroup
+	writing.Go(func() { h.writeDirectory(ctx, h.epoch) })
 	loaded, err := h.readClaimed(ctx)
+	writing.Wait()
 	if err != nil {
 		return err
 	}
@@ -118,7 +121,7 @@
 func (h *holder) appendClaim(ctx context.Context, epoch uint64) error {
 	h.epoch = epoch
 	h.sequence = 1
-	return h.records.append(ctx, h.partition, h.writer(), []store.Record{h.holderRecord(holderKey)})
+	return h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), []store.Record{h.holderRecord(holderKey)})
 }
 
 // readDirectory reads who holds the shard.
@@ -132,11 +135,12 @@
 
 // writeDirectory tells who holds the shard. A claim that was superseded is
 // kept from overwriting the later one by its epoch.
-func (h *holder) writeDirectory(ctx context.Context) {
+func (h *holder) writeDirectory(ctx context.Context, epoch uint64) {
 	key := strconv.Itoa(h.shard)
-	writer := store.Writer{Name: writerName + "-" + key, Epoch: h.epoch, Sequence: 1}
-	if err := h.records.append(ctx, h.directory, writer, []store.Record{h.holderRecord(key)}); err != nil {
-		h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Msg("Directory not written.")
+	writer := store.Writer{Name: writerName + "-" + key, Epoch: epoch, Sequence: 1}
+	err := h.records.appendWithin(ctx, giveUpAfter, h.directory, writer, []store.Record{h.recordOf(key, epoch)})
+	if err != nil {
+		h.logger.Warn().Err(err).Uint64("epoch", epoch).Msg("Directory not written.")
 	}
 }
 
--- a/internal/ledger/flight.go
+++ b/internal/ledger/flight.go
@@ -4,22 +4,31 @@
 	"context"
 	"time"
 
-	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
+const (
+	// troubleAfter is how long an append may take until its shard's holder
+	// counts as struggling, and troublePause separates looks at what it still
+	// can do.
+	troubleAfter = 700 * time.Millisecond
+	troublePause = 500 * time.Millisecond
+	// waitingLimit bounds the operations that wait for the store at one shard.
+	waitingLimit = 4096
+)
+
 // flight is an append that is under way, with the operations that wait for it.
 type flight struct {
 	writer  store.Writer
 	records []store.Record
 	waiting []answered
-	pause   time.Duration
 }
 
-// landing is the outcome of a try at an append.
+// landing tells of an append: how it ended, or that it is still under way.
 type landing struct {
-	flight *flight
-	err    error
+	flight   *flight
+	err      error
+	underway bool
 }
 
 func (h *holder) writer() store.Writer {
@@ -50,8 +59,9 @@
 		return
 	}
 	h.sequence++
-	h.flight = &flight{writer: h.writer(), records: records, waiting: waiting, pause: firstPause}
-	h.try(ctx, 0)
+	h.flight = &flight{writer: h.writer(), records: records, waiting: waiting}
+	h.appending.Store(true)
+	go h.fly(ctx, h.flight)
 }
 
 func (h *holder) answerAll(list []answered) {
@@ -60,21 +70,34 @@
 	}
 }
 
-// try makes the append that is under way, after a pause.
-func (h *holder) try(ctx context.Context, after time.Duration) {
-	current := h.flight
-	go func() {
-		clock.Sleep(ctx, after)
-		err := h.records.append(ctx, h.partition, current.writer, current.records)
+// fly makes an append until the store answers for good: it keeps its number,
+// so it is done once. Now and then it tells that it is still under way.
+func (h *holder) fly(ctx context.Context, current *flight) {
+	done := make(chan error, 1)
+	go func() { done <- h.records.append(ctx, h.partition, current.writer, current.records) }()
+	trouble := time.NewTimer(troubleAfter)
+	defer trouble.Stop()
+	for {
+		told := landing{flight: current, underway: true}
+		select {
+		case told.err = <-done:
+			told.underway = false
+		case <-trouble.C:
+			trouble.Reset(troublePause)
+		case <-ctx.Done():
+			return
+		}
 		select {
-		case h.landed <- landing{flight: current, err: err}:
+		case h.landed <- told:
 		case <-ctx.Done():
 		}
-	}()
+		if !told.underway {
+			return
+		}
+	}
 }
 
-// land takes the outcome of a try. An append of which nothing is known is made
-// again with its number, so that it is done once; meanwhile nothing else is
+// land takes news of an append. While it is under way nothing else is
 // appended, and turns are granted only from headroom that the store counts as
 // spent already: if another daemon takes the shard, it counts it so, too.
 func (h *holder) land(ctx context.Context, landing landing) {
@@ -83,9 +106,12 @@
 		return // the shard was lost meanwhile
 	}
 	switch {
+	case landing.underway:
+		h.struggle(current)
 	case landing.err == nil:
 		h.flight = nil
-		h.struggling = false
+		h.appending.Store(false)
+		h.calm()
 		h.state.landHeadroom()
 		h.answerAll(current.waiting)
 		if len(h.waiting) > 0 {
@@ -94,25 +120,37 @@
 		if h.isLeaving() {
 			h.leave(ctx)
 		}
-	case isFinal(landing.err):
+	default:
 		h.drop()
 		h.refuseAll(current.waiting, h.lose(ctx, landing.err))
-	default:
-		h.struggle(ctx, current, landing.err)
 	}
 }
 
-// struggle tells all that wait that the store cannot be reached, and tries on.
-func (h *holder) struggle(ctx context.Context, current *flight, err error) {
-	if !h.struggling {
-		h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Msg("Shard's partition not reached. Turns are granted from headroom alone.")
-		h.metrics.lost(err)
+// struggle takes note that the store does not answer. What waits for it goes on
+// to wait: it is answered as soon as the store does. Only a daemon that is cut
+// off from the store and from all that could help sends its callers elsewhere.
+func (h *holder) struggle(current *flight) {
+	if !h.struggling.Swap(true) {
+		h.struggledAt = time.Now()
+		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.waiting)).
+			Msg("Shard's partition does not answer. Turns are granted from headroom alone.")
+		h.metrics.lost(store.ErrUnavailable)
+	}
+	if h.isIsolated() {
+		h.refuseAll(current.waiting, resultImpaired)
+		current.waiting = nil
+		h.refuseAll(h.waiting, resultImpaired)
+		h.waiting = nil
 	}
-	h.struggling = true
-	h.refuseAll(current.waiting, resultImpaired)
-	current.waiting = nil
-	h.refuseAll(h.waiting, resultImpaired)
-	h.waiting = nil
-	h.try(ctx, current.pause)
-	current.pause = min(2*current.pause, longestPause)
 }
+
+// calm takes note that the store answered.
+func (h *holder) calm() {
+	if h.struggling.Swap(false) {
+		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", time.Since(h.struggledAt)).Int("waiting", len(h.waiting)).
+			Msg("Shard's partition answers again.")
+	}
+}
+
+// isIsolated tells whether another daemon had better hold the shard.
+func (h *holder) isIsolated() bool { return h.struggling.Load() && h.records.contact.IsIsolated() }
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -34,10 +34,12 @@
 	return e.headroom >= most && (!e.isFlying || e.flying >= most)
 }
 
-// canGrant tells whether a turn can begin without an append.
+// canGrant tells whether a turn can begin without an append. A chain that came
+// from another shard need not be on record for that: the turn's end brings it
+// along again.
 func (s *state) canGrant(turn Turn) bool {
 	entry := s.accounts[turn.Program]
-	return entry != nil && turn.Imported == nil && entry.hasHeadroom(turn.MostTokens)
+	return entry != nil && entry.hasHeadroom(turn.MostTokens)
 }
 
 // takeHeadroom grants a turn that was reserved from headroom, if there is room.
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -60,20 +61,27 @@
 	waiting []answered
 	// barrier: the next append must take place even without a change.
 	barrier bool
-	// flight is the append that is under way, nil for none.
-	flight *flight
-	landed chan landing
-	// struggling: the append under way was not answered for long.
-	struggling bool
-	flush      *time.Timer
+	// flight is the append that is under way, nil for none; appending tells
+	// askers of it.
+	flight    *flight
+	appending atomic.Bool
+	landed    chan landing
+	// struggling: the append under way was not answered for long, since
+	// struggledAt.
+	struggling  atomic.Bool
+	struggledAt time.Time
+	flush       *time.Timer
 
 	// heldSince is when the shard was claimed, and stay how long it is kept
 	// from then on even if another daemon should hold it.
 	heldSince time.Time
 	stay      time.Duration
 	// rankedAt is when the members were last ranked for the shard.
-	rankedAt  time.Time
+	rankedAt time.Time
+	// retryAt is when the shard may be claimed again after the store did not
+	// answer, or once returned is closed.
 	retryAt   time.Time
+	returned  <-chan struct{}
 	pause     time.Duration
 	expiredAt time.Time
 }
@@ -89,6 +97,7 @@
 	h.landed = make(chan landing, 1)
 	h.flush = time.NewTimer(time.Hour)
 	h.flush.Stop()
+	defer h.appending.Store(false)
 	leaving := h.leaving
 	for {
 		select {
@@ -139,7 +148,7 @@
 // else with an append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
-	if h.struggling && !h.state.canGrant(turn) {
+	if h.isIsolated() && !h.state.canGrant(turn) {
 		h.refuse(o, resultImpaired)
 		return
 	}
@@ -172,7 +181,7 @@
 // end settles a turn.
 func (h *holder) end(ctx context.Context, o operation, now time.Time) {
 	outcome := h.state.end(*o.request.End, now)
-	if h.struggling {
+	if h.isIsolated() {
 		h.refuse(o, resultImpaired) // it is settled here; the asker asks again until it is durable
 		return
 	}
@@ -192,7 +201,7 @@
 	switch {
 	case !o.request.Find.Certain:
 		h.answer(o, answer)
-	case h.struggling:
+	case h.isIsolated():
 		h.refuse(o, resultImpaired)
 	default:
 		h.barrier = true
@@ -202,6 +211,10 @@
 
 // await answers an operation once all changes so far are durable.
 func (h *holder) await(ctx context.Context, o operation, answer Response) {
+	if len(h.waiting) >= waitingLimit {
+		h.refuse(o, resultImpaired)
+		return
+	}
 	h.waiting = append(h.waiting, answered{operation: o, answer: answer})
 	if o.urgent() {
 		h.launch(ctx)
@@ -260,7 +273,7 @@
 	records, err := h.state.takeDirty()
 	if err == nil && len(records) > 0 {
 		h.sequence++
-		err = h.records.append(ctx, h.partition, h.writer(), records)
+		err = h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), records)
 	}
 	if err != nil {
 		h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Msg("Headroom not given back.")
@@ -273,7 +286,8 @@
 func (h *holder) drop() {
 	h.state = nil
 	h.flight = nil
-	h.struggling = false
+	h.appending.Store(false)
+	h.struggling.Store(false)
 	h.barrier = false
 	h.refuseAll(h.waiting, resultMoved)
 	h.waiting = nil
@@ -302,6 +316,7 @@
 	}
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
 	h.retryAt = time.Now().Add(h.pause)
+	h.returned = h.records.contact.Returned()
 	h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Dur("pause", h.pause).Msg("Shard's partition not reached.")
 	return resultImpaired
 }
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -56,6 +56,9 @@
 type Response struct {
 	Number uint64 `json:"n"`
 	Result result `json:"r"`
+	// StoreOut tells, with resultPending, that the holder waits for a store that
+	// does not answer.
+	StoreOut bool `json:"out,omitempty"`
 	// Epoch and Holder tell who holds the shard, as far as the answerer knows.
 	Epoch  uint64 `json:"e,omitempty"`
 	Holder string `json:"d,omitempty"`
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -11,19 +11,27 @@
 )
 
 const (
-	// giveUpAfter is how long one append is tried, and giveUpReading one
-	// reading, which may be of megabytes.
+	// giveUpAfter is how long an append is tried that a shard's holder waits for
+	// itself, and giveUpReading one reading, which may be of megabytes.
 	giveUpAfter   = 700 * time.Millisecond
 	giveUpReading = 2 * time.Second
 	// readingWait is how long one try to read waits for its answer.
 	readingWait = 900 * time.Millisecond
 	// shortReadingWait is how long the single try at a short reading waits.
 	shortReadingWait = 400 * time.Millisecond
-	// shortestWait and longestWait bound how long one try waits for an answer.
+	// shortestWait and longestWait bound how long a try is waited for until
+	// another is made beside it. The longest is how late the store's return may
+	// be noticed by an append that waits for it.
 	shortestWait = 30 * time.Millisecond
-	longestWait  = time.Second
+	longestWait  = 400 * time.Millisecond
 	// waitFactor times the usual time of an answer is how long a first try waits.
 	waitFactor = 4
+	// tryTimeout bounds one try at an append: a store that is slow answers later
+	// than another try is made.
+	tryTimeout = 2 * time.Second
+	// triesAtOnce bounds the tries of one append that are under way. The store
+	// answers a repeated append alike while at most five have followed it.
+	triesAtOnce = 4
 	// refusedPause follows a try that was refused, or broken off before its time;
 	// it doubles each time.
 	refusedPause = 30 * time.Millisecond
@@ -40,12 +48,15 @@
 // append keeps its number, so the store does it once.
 type recordStore struct {
 	store.Store
-	mutex sync.Mutex
-	usual time.Duration
+	contact store.Contact
+	mutex   sync.Mutex
+	usual   time.Duration
 	// failingSince is when the first call failed since one was answered; zero
 	// if none did.
 	failingSince time.Time
 	probeAt      time.Time
+	// returned is closed when the store is said to answer again after it failed.
+	returned <-chan struct{}
 }
 
 // isDown tells whether the store does not answer this daemon at all. Now and
@@ -56,6 +67,10 @@
 	if r.failingSince.IsZero() || now.Sub(r.failingSince) < downAfter {
 		return false
 	}
+	if isClosed(r.returned) {
+		r.returned = r.contact.Returned()
+		return false
+	}
 	if now.Before(r.probeAt) {
 		return true
 	}
@@ -72,21 +87,67 @@
 		r.failingSince = time.Time{}
 	case r.failingSince.IsZero():
 		r.failingSince = time.Now()
+		r.returned = r.contact.Returned()
 	}
 }
 
-// append appends records, trying for giveUpAfter at most.
+// append appends records until the store answers for good or ctx ends. A try
+// that is not answered in time is not broken off: another is made beside it, on
+// another connection, and the first answer counts. So an append waits neither
+// for an answer that was lost nor, where the store is slow, from the start.
 func (r *recordStore) append(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, giveUpAfter)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	return r.try(ctx, r.firstWait(), func(ctx context.Context) error {
-		started := time.Now()
-		err := r.Append(ctx, partition, writer, records)
-		if err == nil {
-			r.note(time.Since(started))
+	results := make(chan error, triesAtOnce)
+	underway := 0
+	try := func() {
+		if underway < triesAtOnce {
+			underway++
+			go func() { results <- r.tryAppend(ctx, partition, writer, records) }()
 		}
-		return err
+	}
+	try()
+	wait := r.firstWait()
+	next := time.NewTimer(wait)
+	defer next.Stop()
+	last := store.ErrOutcomeUnknown
+	for {
+		select {
+		case err := <-results:
+			underway--
+			if err == nil || isFinal(err) {
+				return err
+			}
+			last = err
+		case <-r.contact.Returned():
+			try()
+		case <-next.C:
+			try()
+			wait = min(2*wait, longestWait)
+			next.Reset(wait)
+		case <-ctx.Done():
+			return last
+		}
+	}
+}
+
+// appendWithin is append with a bound on its time.
+func (r *recordStore) appendWithin(ctx context.Context, limit time.Duration, partition store.Partition, writer store.Writer, records []store.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return r.append(ctx, partition, writer, records)
+}
+
+// tryAppend makes one try at an append.
+func (r *recordStore) tryAppend(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
+	started := time.Now()
+	err := r.once(ctx, tryTimeout, func(ctx context.Context) error {
+		return r.Append(ctx, partition, writer, records)
 	})
+	if err == nil {
+		r.note(time.Since(started))
+	}
+	return err
 }
 
 // newest reads the newest record of each key, trying for giveUpReading at most.
@@ -109,8 +170,8 @@
 	return records, err
 }
 
-// try makes a call until it is answered with success or for good. A try that
-// was not answered is followed by one that waits longer.
+// try makes a reading until it is answered with success or for good. A try that
+// was not answered is followed by one that waits longer, up to readingWait.
 func (r *recordStore) try(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	refused := refusedPause
 	for {
@@ -123,7 +184,7 @@
 			clock.Sleep(ctx, refused)
 			refused *= 2
 		} else {
-			wait = min(2*wait, longestWait)
+			wait = min(2*wait, readingWait)
 		}
 		if ctx.Err() != nil {
 			return err
@@ -145,7 +206,9 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	err := call(ctx)
-	r.noteOutcome(err)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		r.noteOutcome(err) // else another try was answered, or nobody waits any more
+	}
 	return err
 }
 
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// pendingAfter is when a holder says that a request takes a while.
+	// pendingAfter is when a holder says that a request takes a while, and
+	// pendingPause separates such words while it waits for an append. It must
+	// stay below answerWithin, even if one is late.
 	pendingAfter = 120 * time.Millisecond
+	pendingPause = 500 * time.Millisecond
 	// endPause separates tries to settle a turn; it doubles up to
 	// longestEndPause.
 	endPause        = 150 * time.Millisecond
@@ -30,12 +33,25 @@
 	DefaultSettleTime = 800 * time.Millisecond
 )
 
+const (
+	// settledShare is the part of the daemons on record that must have been heard
+	// of for a daemon to settle early: some of them may be gone for good.
+	settledShare = 0.8
+	// settledQuiet is how long no further daemon must have been heard of then:
+	// several ways between zones.
+	settledQuiet = 60 * time.Millisecond
+	// settledLook separates looks at that.
+	settledLook = 10 * time.Millisecond
+)
+
 // Options give a Service what it works with.
 type Options struct {
 	Self      structs.DaemonID
 	Store     store.Store
 	Transport peer.Transport
 	View      membership.View
+	// Contact tells when the store answers again; nil if nothing does.
+	Contact store.Contact
 	// Partitions names every shard's partition, the same in the whole fleet.
 	Partitions []store.Partition
 	// Directory is the partition that tells who holds each shard.
@@ -43,8 +59,11 @@
 	// SettleTime is how long a daemon that started waits for news of the
 	// others before it asks for, or takes, any shard: it would take them all.
 	SettleTime time.Duration
-	Logger     zerolog.Logger
-	Metrics    *Metrics
+	// Expected returns how many daemons are on record, this one included, 0 if
+	// that is not known: one that heard of most of them settles early.
+	Expected func() int
+	Logger   zerolog.Logger
+	Metrics  *Metrics
 }
 
 // Service is a daemon's way to the ledger: it asks the holders of shards, and
@@ -72,7 +91,11 @@
 		settled: make(chan struct{}),
 		leaving: make(chan struct{}),
 	}
-	records := &recordStore{Store: options.Store}
+	contact := options.Contact
+	if contact == nil {
+		contact = store.NoContact{}
+	}
+	records := &recordStore{Store: options.Store, contact: contact}
 	for i, partition := range options.Partitions {
 		s.holders = append(s.holders, &holder{
 			shard:      i,
@@ -93,15 +116,40 @@
 
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
-	timer := time.AfterFunc(s.SettleTime, func() { close(s.settled) })
-	defer timer.Stop()
 	var workers sync.WaitGroup
+	workers.Go(func() { s.settle(ctx) })
 	for _, h := range s.holders {
 		workers.Go(func() { h.run(ctx) })
 	}
 	workers.Wait()
 }
 
+// settle waits until the daemon had time to hear of the others.
+func (s *Service) settle(ctx context.Context) {
+	started := time.Now()
+	heard, heardAt := 0, started
+	for time.Since(started) < s.SettleTime && ctx.Err() == nil {
+		if members := len(s.View.Members()); members != heard {
+			heard, heardAt = members, time.Now()
+		}
+		if s.hasHeardMost(heard) && time.Since(heardAt) >= settledQuiet {
+			break
+		}
+		clock.Sleep(ctx, min(settledLook, s.SettleTime-time.Since(started)))
+	}
+	s.Logger.Info().Int("members", heard).Dur("took", time.Since(started)).Msg("Settled.")
+	close(s.settled)
+}
+
+// hasHeardMost tells whether most daemons on record were heard of.
+func (s *Service) hasHeardMost(heard int) bool {
+	if s.Expected == nil {
+		return false
+	}
+	expected := s.Expected()
+	return expected > 0 && float64(heard) >= settledShare*float64(expected)
+}
+
 // IsSettled tells whether the daemon had time to hear of the others.
 func (s *Service) IsSettled() bool { return isClosed(s.settled) }
 
@@ -236,29 +284,56 @@
 }
 
 // operate hands a request to its shard's holder. If that takes a while, the
-// asker is told so.
+// asker is told so, again and again while the holder waits for an append.
 func (s *Service) operate(request *Request, reply func(Response)) {
 	if request.Shard < 0 || request.Shard >= len(s.holders) || !request.isWhole() {
 		reply(Response{Number: request.Number, Result: resultMoved})
 		return
 	}
-	o := operation{request: request, reply: reply}
-	if o.urgent() {
-		timer := time.AfterFunc(pendingAfter, func() {
-			reply(Response{Number: request.Number, Result: resultPending})
-		})
-		o.reply = func(response Response) {
-			timer.Stop()
-			reply(response)
-		}
-	}
+	holder := s.holders[request.Shard]
+	stop := tellPending(request, holder, reply)
+	o := operation{request: request, reply: func(response Response) {
+		stop()
+		reply(response)
+	}}
 	select {
-	case s.holders[request.Shard].operations <- o:
+	case holder.operations <- o:
 	default:
 		o.reply(Response{Number: request.Number, Result: resultImpaired})
 	}
 }
 
+// tellPending tells the asker that its request takes a while, until stop.
+func tellPending(request *Request, holder *holder, reply func(Response)) (stop func()) {
+	after := pendingAfter
+	if !request.isUrgent() {
+		after += settleDelay
+	}
+	var mutex sync.Mutex
+	stopped := false
+	var timer *time.Timer
+	tell := func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if stopped {
+			return
+		}
+		reply(Response{Number: request.Number, Result: resultPending, StoreOut: holder.struggling.Load()})
+		if holder.appending.Load() {
+			timer.Reset(pendingPause)
+		}
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	timer = time.AfterFunc(after, tell)
+	return func() {
+		mutex.Lock()
+		defer mutex.Unlock()
+		stopped = true
+		timer.Stop()
+	}
+}
+
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool { return r.Begin != nil || r.End != nil || r.Find != nil }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -82,7 +82,8 @@
 		m.startedAt = m.Clock.Now()
 		m.broadcast.add(m.self.update(), true)
 		m.after(m.jitter(m.settings.ProbeInterval), m.probeTick)
-		m.after(m.jitter(m.settings.JoinInterval), m.joinTick)
+		interval, _ := m.joinPace()
+		m.after(m.jitter(interval), m.joinTick)
 	})
 }
 
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -44,6 +44,12 @@
 	PushBytesPerSecond int
 	PushBurst          int
 
+	// FirstJoinTime is how long after its start a daemon asks FirstJoinFanout
+	// others at a time, every FirstJoinInterval: for fleets that serve nobody
+	// after a loss of all daemons until these know of each other. 0 for never.
+	FirstJoinTime     time.Duration
+	FirstJoinInterval time.Duration
+	FirstJoinFanout   int
 	// JoinInterval is the pause between tries to find others while alone.
 	JoinInterval time.Duration
 	// ReconnectInterval is the pause between tries to reach a daemon that is
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -78,17 +78,28 @@
 func (m *Membership) joinTick() {
 	m.forgetTombstones()
 	absent := m.absentAddresses()
-	interval := m.settings.ReconnectInterval
-	if m.fleet() == 1 || m.Clock.Now().Sub(m.startedAt) < joinTime {
-		interval = m.settings.JoinInterval
-	}
-	if len(absent) > 0 {
-		address := absent[m.Random.IntN(len(absent))]
-		m.requestSync(structs.NewDaemonID(address, structs.AnyIncarnation))
+	interval, fanout := m.joinPace()
+	for range min(fanout, len(absent)) {
+		i := m.Random.IntN(len(absent))
+		m.requestSync(structs.NewDaemonID(absent[i], structs.AnyIncarnation))
+		absent = slices.Delete(absent, i, i+1)
 	}
 	m.after(interval/2+m.jitter(interval), m.joinTick)
 }
 
+// joinPace returns the pause between rounds of looking for others, and how many
+// are asked in each.
+func (m *Membership) joinPace() (interval time.Duration, fanout int) {
+	age := m.Clock.Now().Sub(m.startedAt)
+	switch {
+	case age < m.settings.FirstJoinTime:
+		return m.settings.FirstJoinInterval, m.settings.FirstJoinFanout
+	case m.fleet() == 1 || age < joinTime:
+		return m.settings.JoinInterval, 1
+	}
+	return m.settings.ReconnectInterval, 1
+}
+
 // absentAddresses lists, in order, addresses that are no member's but may be.
 func (m *Membership) absentAddresses() []string {
 	var absent []string
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -65,7 +65,7 @@
 	if state != nil {
 		event = event.Int64("events", state.events).Dur("first_event", state.firstAfter)
 		if state.turn != nil {
-			event = event.Dur("granted_after", state.turn.grantedAfter).Bool("underway", state.turn.Underway).
+			event = event.Dur("granted_after", state.turn.grantedAfter).Dur("recorded_after", state.turn.recordedAfter).Bool("underway", state.turn.Underway).
 				Int("history", len(state.turn.History))
 		}
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -24,6 +24,7 @@
 	latency     *prometheus.HistogramVec
 	firstEvents prometheus.Histogram
 	begins      *prometheus.HistogramVec
+	records     *prometheus.HistogramVec
 	leftOut     prometheus.Counter
 }
 
@@ -36,10 +37,11 @@
 		runs:        counters("further_runs_total", "Requests run again or streams taken up.", "cause"),
 		latency:     histograms("answer_seconds", "From a request read to its answer ended.", "kind"),
 		begins:      histograms("turn_begin_seconds", "Time to reserve a turn's tokens, by outcome.", "outcome"),
+		records:     histograms("turn_record_seconds", "Time until the end of a kept turn was on record, by outcome.", "outcome"),
 		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
 	}
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
-	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.firstEvents, m.leftOut)
+	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut)
 	return m
 }
 
@@ -79,6 +81,14 @@
 	m.offers.WithLabelValues(cause).Inc()
 }
 
+func (m *Metrics) recorded(took time.Duration, err error) {
+	outcome := "recorded"
+	if err != nil {
+		outcome = "given_up"
+	}
+	m.records.WithLabelValues(outcome).Observe(took.Seconds())
+}
+
 func (m *Metrics) begun(took time.Duration, err error) {
 	outcome := "granted"
 	switch {
--- /dev/null
+++ b/internal/relay/record_test.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+// slowLedger takes a while to put the end of a kept turn on record.
+type slowLedger struct {
+	fakeLedger
+	takes time.Duration
+}
+
+func (l *slowLedger) End(ctx context.Context, outcome ledger.Outcome) error {
+	if outcome.Kept != nil {
+		select {
+		case <-time.After(l.takes):
+		case <-ctx.Done():
+			return ledger.ErrUnavailable
+		}
+	}
+	return l.fakeLedger.End(ctx, outcome)
+}
+
+// newRecording returns a relay whose ledger takes a while, and a kept turn.
+func newRecording(t *testing.T, takes time.Duration) (*harness, *slowLedger, *Call) {
+	h := newHarness(t, step{body: eventOne + eventTwo})
+	slow := &slowLedger{takes: takes}
+	h.relay.Ledger = slow
+	r := newRoute(route.KindStream)
+	r.RetainContext = true
+	call := newTurn(r)
+	call.Deadline = call.Received.Add(5 * time.Second)
+	return h, slow, call
+}
+
+func TestAnswerThatIsReadyWaitsForItsRecordAsLongAsItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, slow, call := newRecording(t, 4900*time.Millisecond)
+		if got := h.serve(call); !got.ended {
+			t.Error("an answer that was ready, and whose caller waited for it, was broken off")
+		}
+		if len(slow.outcomes) != 1 || slow.outcomes[0].Kept == nil {
+			t.Errorf("outcomes: %+v", slow.outcomes)
+		}
+	})
+}
+
+func TestTurnWhoseCallerLeavesBeforeItsRecordIsSettledWithWhatItGot(t *testing.T) {
+	for name, leave := range map[string]bool{"leaves": true, "its time is over": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, slow, call := newRecording(t, time.Minute)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				left := 5 * time.Second
+				if leave {
+					left = 3 * time.Second
+					time.AfterFunc(left, cancel)
+				}
+				got := &recorder{}
+				h.relay.Serve(ctx, call, got)
+				if !got.aborted || got.ended {
+					t.Error("a turn that is not on record was ended as complete")
+				}
+				if held := time.Since(call.Received); held > left {
+					t.Errorf("held for %s, want %s", held, left)
+				}
+				h.relay.Wait(t.Context())
+				want := []ledger.Outcome{{Turn: "q", Program: "p", UsedTokens: 8}}
+				if diff := cmp.Diff(want, slow.outcomes); diff != "" {
+					t.Errorf("outcomes (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+func TestTextThatWaitsForItsRecordIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _, first := newRecording(t, 2*time.Second)
+		h.relay.RecordBytes = 100
+		first.Body = []byte(strings.Repeat("x", 90))
+		ended := make(chan *recorder, 1)
+		go func() {
+			got := &recorder{}
+			h.relay.Serve(t.Context(), first, got)
+			ended <- got
+		}()
+		time.Sleep(time.Second)
+		second := newTurn(first.Route)
+		second.Body = []byte(strings.Repeat("y", 90))
+		got := &recorder{}
+		h.relay.Serve(t.Context(), second, got)
+		if held := time.Since(second.Received); !got.aborted || held > time.Millisecond {
+			t.Errorf("beyond the bound: broken off %v, after %s", got.aborted, held)
+		}
+		if !(<-ended).ended {
+			t.Error("the turn that waited before was broken off")
+		}
+		third := newTurn(first.Route)
+		got = &recorder{}
+		h.relay.Serve(t.Context(), third, got)
+		if !got.ended {
+			t.Error("what waited once is still counted")
+		}
+		h.relay.Wait(t.Context())
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,8 +44,6 @@
 	beginShare   = 0.33
 	// beginPause separates tries to reserve a turn.
 	beginPause = 120 * time.Millisecond
-	// recordTimeout bounds how long the end of a kept turn waits for its record.
-	recordTimeout = 1500 * time.Millisecond
 	// settleTimeout bounds how long a finished turn is tried to be settled.
 	settleTimeout = 20 * time.Second
 )
@@ -73,8 +71,11 @@
 	Table func() *route.Table
 	// Daemons returns how many daemons share the instances' connections.
 	Daemons func() int
-	Logger  zerolog.Logger
-	Metrics *Metrics
+	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
+	// bound.
+	RecordBytes int64
+	Logger      zerolog.Logger
+	Metrics     *Metrics
 }
 
 // Relay carries calls. It is safe for concurrent use.
@@ -84,6 +85,8 @@
 	splits   splits
 	// ordinary is for lines of requests that went the ordinary way.
 	ordinary zerolog.Logger
+	// recording counts the text of turns that wait for their record.
+	recording waitingBytes
 	// settling counts turns whose outcome is not on record yet.
 	settling sync.WaitGroup
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,7 +46,7 @@
 		c.relay.Metrics.resumed()
 	}
 	if state.turn != nil {
-		c.settle(state, false)
+		c.settle(ctx, state, false)
 	}
 }
 
@@ -184,8 +184,7 @@
 		c.responder.Head(answer.Status, answer.Header)
 		state.hasHead = true
 	}
-	if state.turn != nil && !c.settle(state, true) {
-		c.logger.Warn().AnErr("context", ctx.Err()).Msg("Turn not recorded. The stream is broken off.")
+	if state.turn != nil && !c.settle(ctx, state, true) {
 		c.responder.Abort()
 		return
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -14,9 +14,11 @@
 	retain bool
 	// perEvent is how many tokens each event carries.
 	perEvent int64
-	// grantedAfter is how long the reservation took.
-	grantedAfter time.Duration
-	settled      bool
+	// grantedAfter is how long the reservation took, and recordedAfter the
+	// record of its end.
+	grantedAfter  time.Duration
+	recordedAfter time.Duration
+	settled       bool
 }
 
 // isTurn tells whether the call is a turn of a program with a budget, or goes
@@ -108,9 +110,9 @@
 }
 
 // settle tells the ledger what became of the turn. A turn that others may go
-// on from is on record when settle returns true; all others are settled in
-// the background, until settleTimeout.
-func (c *carrier) settle(state *streamState, whole bool) bool {
+// on from is on record when settle returns true, which may take until ctx ends;
+// all others are settled in the background.
+func (c *carrier) settle(ctx context.Context, state *streamState, whole bool) bool {
 	turn := state.turn
 	if turn.settled {
 		return true
@@ -128,10 +130,37 @@
 			Input:    c.call.Body,
 			Output:   state.output,
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-		defer cancel()
-		return c.relay.Ledger.End(ctx, outcome) == nil
+		return c.record(ctx, state, outcome)
+	}
+	c.settleLater(outcome)
+	return true
+}
+
+// record waits until a kept turn is on record, for as long as its caller does:
+// the answer is ready, and an outage of the store may end any moment. False
+// means that the caller left, or that too much waits already.
+func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) bool {
+	started := time.Now()
+	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output) + len(state.turn.History))
+	err := errTooMuchWaits
+	if c.relay.recording.add(size, c.relay.RecordBytes) {
+		err = c.relay.Ledger.End(ctx, outcome)
+		c.relay.recording.remove(size)
 	}
+	state.turn.recordedAfter = time.Since(started)
+	c.relay.Metrics.recorded(state.turn.recordedAfter, err)
+	if err == nil {
+		return true
+	}
+	c.logger.Warn().Err(err).AnErr("context", ctx.Err()).Dur("waited", state.turn.recordedAfter).
+		Msg("Turn not recorded. The stream is broken off.")
+	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
+	c.settleLater(outcome)
+	return false
+}
+
+// settleLater settles a turn in the background, until settleTimeout.
+func (c *carrier) settleLater(outcome ledger.Outcome) {
 	c.relay.settling.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
@@ -139,5 +168,4 @@
 			c.logger.Warn().Err(err).Msg("Turn not settled. Its reservation stays spent.")
 		}
 	})
-	return true
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -32,6 +33,9 @@
 	ledgerDirectory = "ledger-holders"
 	// memoryShare is the part of the memory that the runtime aims to stay in.
 	memoryShare = 0.7
+	// recordShare is the part of the memory that the text of turns may take
+	// which wait for their record: some hundred turns on the smallest machines.
+	recordShare = 0.1
 	megabyte    = 1 << 20
 )
 
@@ -47,7 +51,9 @@
 	transport  *tcp.Transport
 	pool       *instance.Pool
 	registry   *memberRegistry
-	figures    *prometheus.Registry
+	// store is reached by way of other daemons where this one does not reach it.
+	store   *proxy.Service
+	figures *prometheus.Registry
 	// servers are all that listen, and front is the one that callers reach.
 	servers []*http.Server
 	front   *http.Server
@@ -119,17 +125,29 @@
 		Clock:     clock.System(),
 		Random:    newRandom(),
 		Transport: transport,
-		Settings:  membership.DefaultSettings(),
+		Settings:  membershipSettings(),
 		Logger:    part(d.logger, "membership"),
 	})
+	d.store = proxy.New(proxy.Options{
+		Self:      self.ID,
+		Direct:    d.adapter.Store(),
+		Transport: transport,
+		View:      d.membership,
+		Random:    newRandom(),
+		Logger:    part(d.logger, "store"),
+		Metrics:   proxy.NewMetrics(figures),
+	})
+	d.registry.store, d.registry.contact = d.store, d.store
 	d.ledger = ledger.NewService(ledger.Options{
 		Self:       self.ID,
-		Store:      d.adapter.Store(),
+		Store:      d.store,
+		Contact:    d.store,
 		Transport:  transport,
 		View:       d.membership,
 		Partitions: ledgerPartitions(d.settings),
 		Directory:  store.Partition{Space: ledgerDirectory},
 		SettleTime: ledger.DefaultSettleTime,
+		Expected:   d.registry.count,
 		Logger:     part(d.logger, "ledger"),
 		Metrics:    ledger.NewMetrics(figures),
 	})
@@ -139,13 +157,26 @@
 		Ledger:  d.ledger,
 		Table:   d.Table,
 		Daemons: func() int { return len(d.membership.Members()) },
-		Logger:  part(d.logger, "relay"),
-		Metrics: relay.NewMetrics(figures),
+
+		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
+		Logger:      part(d.logger, "relay"),
+		Metrics:     relay.NewMetrics(figures),
 	})
 	receiver.daemon.Store(d)
 	return nil
 }
 
+// membershipSettings are those of a fleet whose daemons must find each other
+// fast after the loss of all of them: within some 0.1 s, where looking for one
+// another at the usual pace took 0.6 s.
+func membershipSettings() membership.Settings {
+	settings := membership.DefaultSettings()
+	settings.FirstJoinTime = 600 * time.Millisecond
+	settings.FirstJoinInterval = 50 * time.Millisecond
+	settings.FirstJoinFanout = 3
+	return settings
+}
+
 func ledgerPartitions(settings Settings) []store.Partition {
 	var partitions []store.Partition
 	for space := range settings.LedgerSpaces {
@@ -165,7 +196,7 @@
 	if d == nil {
 		return
 	}
-	if !d.membership.Receive(from, message) {
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) {
 		d.ledger.Receive(from, message)
 	}
 }
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,9 +30,12 @@
 // other that no seed joins.
 type memberRegistry struct {
 	store    store.Store
+	contact  store.Contact
 	settings Settings
 	logger   zerolog.Logger
 	own      memberRecord
+	// known is how many daemons were on record when that was last read.
+	known atomic.Int64
 }
 
 // memberRecord stands under a daemon's peer address.
@@ -47,7 +51,7 @@
 
 func registryPartition() store.Partition { return store.Partition{Space: daemonsSpace} }
 
-// incarnation chooses a number above that of this daemon's former run, even if
+// incarnation reads the registry and chooses a number above that of this daemon's former run, even if
 // the time of day was set back since.
 func (r *memberRegistry) incarnation() uint64 {
 	r.own = memberRecord{
@@ -62,6 +66,7 @@
 		r.logger.Warn().Err(err).Msg("Registry not read. The time of day numbers this run.")
 		return r.own.Incarnation
 	}
+	r.known.Store(int64(len(records)))
 	for _, record := range records {
 		var former memberRecord
 		if record.Key == r.settings.PeerAddress && json.Unmarshal(record.Value, &former) == nil {
@@ -77,9 +82,13 @@
 	r.write(ctx)
 	watcher := store.Watcher{
 		Store:     r.store,
+		Contact:   r.contact,
 		Partition: registryPartition(),
 		Settings:  registryWatch,
-		OnChange:  func(records map[string]store.Record) { listed(r.machines(records)) },
+		OnChange: func(records map[string]store.Record) {
+			r.known.Store(int64(len(records)))
+			listed(r.machines(records))
+		},
 		OnContact: func(err error) { r.logger.Debug().Err(err).Msg("Registry's contact changed.") },
 	}
 	watcher.Run(ctx)
@@ -116,6 +125,9 @@
 	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
 }
 
+// count returns how many daemons are on record; 0 if that is not known.
+func (r *memberRegistry) count() int { return int(r.known.Load()) }
+
 // machines returns the seeds and the daemons on record.
 func (r *memberRegistry) machines(records map[string]store.Record) []structs.Machine {
 	var machines []structs.Machine
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -9,7 +9,8 @@
 // watchRoutes follows the operators' routes until ctx ends.
 func (d *Daemon) watchRoutes(ctx context.Context) {
 	watcher := store.Watcher{
-		Store:     d.adapter.Store(),
+		Store:     d.store,
+		Contact:   d.store,
 		Partition: d.adapter.RoutesPartition(),
 		Settings:  routesWatch,
 		OnChange:  d.takeRoutes,
@@ -40,14 +41,22 @@
 // watchInstances follows the list of back ends until ctx ends.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	watcher := store.Watcher{
-		Store:     d.adapter.Store(),
+		Store:     d.store,
+		Contact:   d.store,
 		Partition: d.adapter.InstancesPartition(),
 		Settings:  instancesWatch,
 		OnChange: func(records map[string]store.Record) {
 			d.adapter.Forget(d.pool.Replace(d.adapter.Instances(records)))
 		},
-		OnRead:    d.pool.Confirm,
-		OnContact: d.contact("instances"),
+		OnRead: d.pool.Confirm,
+		OnContact: func(err error) {
+			if err != nil {
+				d.pool.NoteLost()
+			} else {
+				d.pool.NoteReturned()
+			}
+			d.contact("instances")(err)
+		},
 	}
 	watcher.Run(ctx)
 }
