Instances: entries that lapsed in an outage are waited for

Cause: the reading between two outages showed no engine, and 1.2 s of the second outage later they counted as gone. Change: no time counts against missing entries while the list cannot be read, nor in the 2.2 s after. Tests: TestInstancesWhoseEntriesLapsedInAnOutageServeUntilTheyAreBack.

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -29,6 +29,13 @@
 	vanishedLife = 1200 * time.Millisecond
 	// vanishedCost puts vanished instances behind all that are listed.
 	vanishedCost = 100
+	// lapsedLife is how long after the store's return instances are still tried
+	// that are missing on the list: entries of those that are well lapse in an
+	// outage and are written anew within about two seconds of its end.
+	lapsedLife = 2200 * time.Millisecond
+	// lapsedCost is what a missing entry counts against an instance meanwhile, as
+	// a share of its slots: most of the missing ones are well.
+	lapsedCost = 0.3
 )
 
 // Pool keeps the instances of all services. It is safe for concurrent use.
@@ -43,6 +50,11 @@
 	// listedAt is when the list was last known to be the newest; zero if there
 	// was none.
 	listedAt time.Time
+	// lostAt is since when the list cannot be read; zero while it can.
+	lostAt time.Time
+	// lapsedUntil is until when instances may be missing on the list because
+	// their entries lapsed while it could not be read.
+	lapsedUntil time.Time
 }
 
 type entry struct {
@@ -57,11 +69,35 @@
 }
 
 // mayServe tells whether an instance may get requests.
-func (e *entry) mayServe(now time.Time) bool {
-	if e.State != StateReady {
+func (p *Pool) mayServe(e *entry, now time.Time) bool {
+	switch {
+	case e.State != StateReady:
 		return false
+	case e.vanished.IsZero(), p.mayHaveLapsed(now):
+		return true
 	}
-	return e.vanished.IsZero() || now.Sub(e.vanished) < vanishedLife
+	return now.Sub(e.vanished) < vanishedLife
+}
+
+// mayHaveLapsed tells whether an instance may be missing on the list although
+// it is well: nobody can know while the list cannot be read and shortly after.
+func (p *Pool) mayHaveLapsed(now time.Time) bool {
+	return !p.lostAt.IsZero() || now.Before(p.lapsedUntil)
+}
+
+// NoteLost takes note that the list cannot be read any more.
+func (p *Pool) NoteLost() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.lostAt = time.Now()
+}
+
+// NoteReturned takes note that the list can be read again.
+func (p *Pool) NoteReturned() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.lostAt = time.Time{}
+	p.lapsedUntil = time.Now().Add(lapsedLife)
 }
 
 // NewPool returns an empty pool for a daemon in a zone.
@@ -105,7 +141,7 @@
 		if known.vanished.IsZero() {
 			known.vanished = now
 		}
-		if known.mayServe(now) {
+		if p.mayServe(known, now) {
 			continue
 		}
 		delete(p.byID, id)
@@ -168,12 +204,12 @@
 	Excluded []string
 }
 
-// admits tells whether an instance comes into question.
-func (q *Query) admits(e *entry, now time.Time) bool {
+// admits tells whether an instance comes into question for a query.
+func (p *Pool) admits(q *Query, e *entry, now time.Time) bool {
 	if q.Only != "" && e.ID != q.Only {
 		return false
 	}
-	return e.mayServe(now) && !slices.Contains(q.Excluded, e.ID)
+	return p.mayServe(e, now) && !slices.Contains(q.Excluded, e.ID)
 }
 
 // Take picks the instance with the lowest cost and counts the request there;
@@ -189,7 +225,7 @@
 	var best *entry
 	bestCost := 0.0
 	for _, e := range p.byService[query.Service] {
-		if !query.admits(e, now) {
+		if !p.admits(&query, e, now) {
 			continue
 		}
 		cost := p.cost(e, query, now)
@@ -209,7 +245,7 @@
 func (p *Pool) homeOf(query Query, now time.Time) string {
 	home, highest := "", uint64(0)
 	for _, e := range p.byService[query.Service] {
-		if !e.mayServe(now) {
+		if !p.mayServe(e, now) {
 			continue
 		}
 		if hash := xxhash.Sum64String(e.ID + "/" + query.Object); home == "" || hash > highest {
@@ -235,7 +271,11 @@
 	if now.Before(e.paused) {
 		cost += pausedCost
 	}
-	if !e.vanished.IsZero() {
+	switch {
+	case e.vanished.IsZero():
+	case p.mayHaveLapsed(now):
+		cost += lapsedCost
+	default:
 		cost += vanishedCost
 	}
 	if e.ColdFor > 0 {
@@ -310,7 +350,7 @@
 	count := 0
 	now := time.Now()
 	for _, e := range p.byService[service] {
-		if e.mayServe(now) {
+		if p.mayServe(e, now) {
 			count++
 		}
 	}
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -172,3 +172,52 @@
 		t.Errorf("got %s", got.ID)
 	}
 }
+
+func TestInstancesWhoseEntriesLapsedInAnOutageServeUntilTheyAreBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool("a", "b")
+		serves := func(want bool, when string) {
+			t.Helper()
+			if _, found := p.Take(Query{Service: "s"}); found != want {
+				t.Errorf("%s: an instance was found: %v", when, found)
+			}
+		}
+		p.NoteLost()
+		time.Sleep(5 * time.Second)
+		serves(true, "in an outage")
+		p.NoteReturned()
+		p.Replace(nil) // all entries lapsed
+		time.Sleep(vanishedLife + 100*time.Millisecond)
+		serves(true, "before the entries must be back")
+		// The next outage begins: nothing is heard until its end.
+		p.NoteLost()
+		time.Sleep(5 * time.Second)
+		serves(true, "in the next outage")
+		p.NoteReturned()
+		p.Replace(nil)
+		serves(true, "after the next outage")
+		time.Sleep(lapsedLife)
+		serves(false, "when the entries must be back")
+		p.Replace(nil)
+		if len(p.byID) != 0 {
+			t.Errorf("%d instances are kept that are gone", len(p.byID))
+		}
+	})
+}
+
+func TestInstancesThatMayHaveLapsedShareTheLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool("a", "b", "c")
+		p.NoteLost()
+		p.NoteReturned()
+		p.Replace(listOf(StateReady, "a")) // the first entry is back
+		taken := map[string]int{}
+		for range 12 {
+			got, _ := p.Take(Query{Service: "s"})
+			taken[got.ID]++
+		}
+		if taken["a"] == 12 || taken["a"] < taken["b"] || taken["a"] < taken["c"] {
+			t.Errorf("requests by instance: %v", taken)
+		}
+	})
+}
