Ledger: a program's record names the instance that has each session's prompt

Cause: which engine has a session's prompt was known to the daemon alone that carried its last turn. Change: the end of a turn names its instance, and the grant of the next one tells it.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -9,6 +9,10 @@
 	unboundedHeadroom = 1 << 40
 )
 
+// instancesLimit bounds the sessions of a program whose instances are
+// remembered: sub-agents come and go, and each costs some 40 bytes of a record.
+const instancesLimit = 12
+
 // account is what a program has spent and reserved. It is pure: the holder
 // makes changes durable.
 type account struct {
@@ -28,6 +32,9 @@
 	// Forfeited is the part of what is spent that was headroom of a holder that
 	// lost the shard.
 	Forfeited int64 `json:"forfeited,omitempty"`
+	// Instances names the back end's instance that ran the latest turn of each
+	// session, and under "" that of the program.
+	Instances map[string]string `json:"instances,omitempty"`
 	// RetentionMS is how long the account is kept after its last use, in
 	// milliseconds.
 	RetentionMS int64 `json:"retention_ms,omitempty"`
@@ -90,3 +97,21 @@
 	}
 	return total
 }
+
+// noteInstance remembers which instance ran a session's turn.
+func (a *account) noteInstance(session, instance string) {
+	if a.Instances == nil || len(a.Instances) >= instancesLimit {
+		a.Instances = map[string]string{}
+	}
+	a.Instances[session] = instance
+	a.Instances[""] = instance
+}
+
+// instanceOf returns the instance that ran the session's latest turn, or else
+// the program's.
+func (a *account) instanceOf(session string) string {
+	if instance := a.Instances[session]; instance != "" {
+		return instance
+	}
+	return a.Instances[""]
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -33,6 +33,8 @@
 	// ID names the caller's try; every try has its own.
 	ID      string `json:"id"`
 	Program string `json:"program"`
+	// Session names the line of turns within the program that this one is of.
+	Session string `json:"session,omitempty"`
 	// BudgetTokens bounds what all turns of the program generate together;
 	// 0 sets no bound.
 	BudgetTokens int64 `json:"budget,omitempty"`
@@ -54,12 +56,18 @@
 	History []byte `json:"history,omitempty"`
 	// Underway: the program has had turns before.
 	Underway bool `json:"underway,omitempty"`
+	// Instance ran the session's turn before, or else the program's latest: it
+	// has most of the prompt in its cache. "" if that is not known.
+	Instance string `json:"instance,omitempty"`
 }
 
 // Outcome is what became of a turn.
 type Outcome struct {
 	Turn    string `json:"turn"`
 	Program string `json:"program"`
+	// Session is the turn's, and Instance ran it to its end, "" if none did.
+	Session  string `json:"session,omitempty"`
+	Instance string `json:"instance,omitempty"`
 	// UsedTokens is what the caller got.
 	UsedTokens int64 `json:"used,omitempty"`
 	// Kept is the turn, if later ones may go on from it.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -440,3 +440,46 @@
 		refusedWith(t, s, Turn{ID: "three", Program: "p", Previous: "two"}, ErrUnknownTurn)
 	})
 }
+
+func TestSessionsInstanceIsKnownAfterAllDaemonsWereKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		s := f.service(daemonID(0, 1))
+		instanceOf := func(s *Service, id, session string) string {
+			t.Helper()
+			var got string
+			eventually(t, func() error {
+				grant, err := s.Begin(testContext(t), Turn{ID: id, Program: "p", Session: session, BudgetTokens: 1000, MostTokens: 10, Retention: time.Minute})
+				got = grant.Instance
+				return err
+			})
+			return got
+		}
+		if got := instanceOf(s, "a", "main"); got != "" {
+			t.Errorf("a first turn is bound to %q", got)
+		}
+		end(t, s, Outcome{Turn: "a", Program: "p", Session: "main", Instance: "i-1", UsedTokens: 5})
+		if got := instanceOf(s, "b", "helper"); got != "i-1" {
+			t.Errorf("a sub-agent begins at %q, want its parent's i-1", got)
+		}
+		end(t, s, Outcome{Turn: "b", Program: "p", Session: "helper", Instance: "i-2", UsedTokens: 5})
+		f.killAll()
+		s = f.start(daemonID(0, 2))
+		f.start(daemonID(1, 2))
+		if got := instanceOf(s, "c", "main"); got != "i-1" {
+			t.Errorf("the session goes on at %q, want i-1", got)
+		}
+		if got := instanceOf(s, "d", "helper"); got != "i-2" {
+			t.Errorf("the sub-agent goes on at %q, want i-2", got)
+		}
+		for i := range 3 * instancesLimit {
+			id := fmt.Sprint("many-", i)
+			instanceOf(s, id, id)
+			end(t, s, Outcome{Turn: id, Program: "p", Session: id, Instance: "i-3", UsedTokens: 0})
+		}
+		holder := f.service(f.holderOf("p"))
+		if got := len(holder.holders[holder.shardOf("p")].state.accounts["p"].Instances); got > instancesLimit {
+			t.Errorf("%d sessions' instances are remembered, want %d at most", got, instancesLimit)
+		}
+	})
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -121,7 +121,7 @@
 	entry.usedAt = now
 	s.accounts[turn.Program] = entry
 	s.touch(accountPrefix + turn.Program)
-	return Grant{History: history, Underway: underway}, resultOK
+	return Grant{History: history, Underway: underway, Instance: entry.instanceOf(turn.Session)}, resultOK
 }
 
 // end settles a turn, and keeps it if later ones may go on from it. A turn
@@ -135,6 +135,9 @@
 		entry.usedAt = now
 		s.touch(accountPrefix + outcome.Program)
 	}
+	if entry != nil && outcome.Instance != "" {
+		entry.noteInstance(outcome.Session, outcome.Instance)
+	}
 	if outcome.Kept == nil {
 		return resultOK
 	}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -123,6 +123,7 @@
 	err      error
 	endErr   error
 	history  string
+	instance string
 	turns    []ledger.Turn
 	outcomes []ledger.Outcome
 	// abandoned lists turns that were given up before they began.
@@ -133,7 +134,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.turns = append(l.turns, turn)
-	return ledger.Grant{History: []byte(l.history)}, l.err
+	return ledger.Grant{History: []byte(l.history), Instance: l.instance}, l.err
 }
 
 func (l *fakeLedger) Abandon(turn ledger.Turn) {
--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -75,7 +75,7 @@
 					t.Errorf("held for %s, want %s", held, left)
 				}
 				h.relay.Wait(t.Context())
-				want := []ledger.Outcome{{Turn: "q", Program: "p", UsedTokens: 8}}
+				want := []ledger.Outcome{{Turn: "q", Program: "p", Session: "s1", Instance: h.driver.to[0].ID, UsedTokens: 8}}
 				if diff := cmp.Diff(want, slow.outcomes); diff != "" {
 					t.Errorf("outcomes (-want +got):\n%s", diff)
 				}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -204,7 +204,7 @@
 	if most := h.ledger.turns[0].MostTokens; most != 12 {
 		t.Errorf("%d tokens reserved, want 10 rounded up to events of 4", most)
 	}
-	want := []ledger.Outcome{{Turn: "q", Program: "p", UsedTokens: 8}}
+	want := []ledger.Outcome{{Turn: "q", Program: "p", Session: "s1", Instance: h.driver.to[0].ID, UsedTokens: 8}}
 	if diff := cmp.Diff(want, h.ledger.outcomes); diff != "" {
 		t.Errorf("outcomes (-want +got):\n%s", diff)
 	}
@@ -360,3 +360,16 @@
 		t.Errorf("ranks %v: begun, new and overdue programs are not told apart", order)
 	}
 }
+
+func TestSessionFromAnotherDaemonGoesToTheInstanceThatItsRecordNames(t *testing.T) {
+	h := newHarness(t, step{body: eventOne})
+	h.ledger.instance = "i2"
+	for range 10 {
+		h.serve(newTurn(newRoute(route.KindStream)))
+	}
+	for _, id := range h.sentTo() {
+		if id != "i2" {
+			t.Fatalf("the session went to %v", h.sentTo())
+		}
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -25,6 +25,8 @@
 	lastID string
 	events int64
 	output []byte
+	// instance ran the stream to its end, "" while none did.
+	instance string
 }
 
 // carryStream carries a request that is answered by a stream of events. Events
@@ -41,7 +43,7 @@
 		state.turn = turn
 		body = append(turn.History, c.call.Body...)
 	}
-	c.preferred = c.relay.sessions.find(c.call.Program)
+	c.preferred = c.sessionInstance(state.turn)
 	for c.runStream(ctx, state, body) {
 		c.relay.Metrics.resumed()
 	}
@@ -50,6 +52,16 @@
 	}
 }
 
+// sessionInstance returns the instance that has most of the prompt in its
+// cache, "" if that is not known. The program's record knows it also after the
+// session came from another daemon, or all were killed.
+func (c *carrier) sessionInstance(turn *turnState) string {
+	if turn != nil && turn.Instance != "" {
+		return turn.Instance
+	}
+	return c.relay.sessions.find(c.call.Program)
+}
+
 // runStream runs the stream once. It returns true when the stream broke and
 // may be taken up.
 func (c *carrier) runStream(ctx context.Context, state *streamState, body []byte) bool {
@@ -66,6 +78,7 @@
 	if errors.Is(err, io.EOF) {
 		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
+		state.instance = target.ID
 		c.endStream(ctx, answer, target, state)
 		return false
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -66,6 +66,7 @@
 	turn := ledger.Turn{
 		ID:           c.call.ID,
 		Program:      c.call.Program.ID,
+		Session:      c.call.Program.Session,
 		BudgetTokens: c.call.Program.BudgetTokens,
 		MostTokens:   c.mostTokens(),
 		Previous:     c.call.Program.Previous,
@@ -121,6 +122,8 @@
 	outcome := ledger.Outcome{
 		Turn:       c.call.ID,
 		Program:    c.call.Program.ID,
+		Session:    c.call.Program.Session,
+		Instance:   state.instance,
 		UsedTokens: state.events * turn.perEvent,
 	}
 	if whole && turn.retain && c.call.ResumeAfter == "" {
