Prices: peer buffers of 8 KB, readings of the store wait two seconds

Cause: each pair of daemons had 64 KB buffers in both directions, 8 MB on machines of 112 MB; three readings a second and daemon found nothing new.

--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -34,8 +34,10 @@
 	unacknowledgedTimeout = 3 * time.Second
 	// redialPause follows a failed try; messages meanwhile are dropped.
 	redialPause = 200 * time.Millisecond
-	// bufferSize is the size of read and write buffers in bytes.
-	bufferSize = 64 << 10
+	// bufferSize is the size of read and write buffers in bytes at first; a
+	// longer line makes a read buffer grow. Each daemon has one of them for each
+	// other one and direction, so 64 KB took 8 MB of machines that have 112.
+	bufferSize = 8 << 10
 	// lineLimit bounds one message in bytes.
 	lineLimit = 64 << 20
 )
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -255,14 +255,17 @@
 
 var _ Gateway = (*Daemon)(nil)
 
-// watchSettings are the pauses with which operators' and back ends' records
-// are followed. Back ends write often: their changes are read together.
+// Pauses with which operators' and back ends' records are followed. A reading
+// that hangs since its machine was cut off must end within the three seconds
+// after which a machine that reaches the store again is held to what stands
+// there: Wait and Answer stay below. Back ends write often: their changes are
+// read together.
 var (
 	routesWatch = store.WatchSettings{
-		Wait: time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
 	}
 	instancesWatch = store.WatchSettings{
-		Wait: time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
 		Pause: 500 * time.Millisecond,
 	}
 )
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -23,7 +23,7 @@
 
 // registryWatch: daemons come and go rarely, and gossip spreads that sooner.
 var registryWatch = store.WatchSettings{
-	Wait: 5 * time.Second, Answer: time.Second, Retry: 500 * time.Millisecond, Pause: time.Second,
+	Wait: 15 * time.Second, Answer: time.Second, Retry: 500 * time.Millisecond, Pause: time.Second,
 }
 
 // memberRegistry is the list of daemons in the store: how those find each
