--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -55,8 +55,10 @@
 	// lostAt is since when the list cannot be read; zero while it can.
 	lostAt time.Time
 	// lapsedUntil is until when instances may be missing on the list because
-	// their entries lapsed while it could not be read.
+	// their entries lapsed while it could not be read, and lapsedSince when that
+	// time began; outages that follow soon on each other are one.
 	lapsedUntil time.Time
+	lapsedSince time.Time
 }
 
 type entry struct {
@@ -75,12 +77,18 @@
 	switch {
 	case e.State != StateReady:
 		return false
-	case e.vanished.IsZero(), p.mayHaveLapsed(now):
+	case e.vanished.IsZero(), p.mayHaveLapsed(now) && e.hasVanishedSince(p.lapsedSince):
 		return true
 	}
 	return now.Sub(e.vanished) < vanishedLife
 }
 
+// hasVanishedSince tells whether an instance went missing on the list at that
+// time or later: one that was taken off before an outage is leaving.
+func (e *entry) hasVanishedSince(since time.Time) bool {
+	return !e.vanished.IsZero() && !e.vanished.Before(since)
+}
+
 // mayHaveLapsed tells whether an instance may be missing on the list although
 // it is well: nobody can know while the list cannot be read and shortly after.
 func (p *Pool) mayHaveLapsed(now time.Time) bool {
@@ -101,7 +109,11 @@
 func (p *Pool) NoteLost() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.lostAt = time.Now()
+	now := time.Now()
+	if !now.Before(p.lapsedUntil) {
+		p.lapsedSince = now
+	}
+	p.lostAt = now
 }
 
 // NoteReturned takes note that the list can be read again.
@@ -288,7 +300,7 @@
 	}
 	switch {
 	case e.vanished.IsZero():
-	case p.mayHaveLapsed(now):
+	case p.mayHaveLapsed(now) && e.hasVanishedSince(p.lapsedSince):
 		cost += lapsedCost
 	default:
 		cost += vanishedCost
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -205,6 +205,21 @@
 	})
 }
 
+func TestInstanceTakenOffBeforeAnOutageIsNotKeptByIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool("a", "b")
+		p.Replace(listOf(StateReady, "a"))
+		time.Sleep(vanishedLife / 2)
+		p.NoteLost()
+		time.Sleep(vanishedLife)
+		for range 50 {
+			if got, _ := p.Take(Query{Service: "s", Excluded: []string{"a"}}); got.ID == "b" {
+				t.Fatal("an instance that was taken off while the list was read got a request after its time")
+			}
+		}
+	})
+}
+
 func TestInstancesThatMayHaveLapsedShareTheLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPool("a", "b", "c")
