--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -62,8 +62,8 @@
 		}
 		target, found := c.take()
 		if !found && c.only != "" && len(c.excluded) == 0 {
-			c.only = "" // it is gone
-			continue
+			c.refuse(brokenOff) // it left the list, and may run the call to its end
+			return nil, instance.Instance{}
 		}
 		if !found {
 			if !c.nextRound(ctx) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -44,6 +44,8 @@
 	steps []step
 	sent  []Outgoing
 	to    []instance.Instance
+	// onSend, if given, is called with each offer.
+	onSend func()
 }
 
 // Send implements Driver.
@@ -53,6 +55,9 @@
 	d.sent = append(d.sent, *outgoing)
 	d.to = append(d.to, to)
 	d.mutex.Unlock()
+	if d.onSend != nil {
+		d.onSend()
+	}
 	if next.hold {
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,9 +40,10 @@
 	eventLimit = 4 << 20
 	// beginTimeout bounds how long a turn waits for its reservation where the
 	// caller's patience is not known, and beginShare is the part of the caller's
-	// time that it may take: a second try must fit in.
+	// time that it may take: less than half, so that a second try fits in that
+	// waits as long.
 	beginTimeout = 1200 * time.Millisecond
-	beginShare   = 0.5
+	beginShare   = 0.4
 	// patienceMargin is kept between that and the end of the caller's patience:
 	// the instance must answer within it.
 	patienceMargin = 500 * time.Millisecond
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -194,6 +194,25 @@
 	}
 }
 
+func TestStreamIsNotTakenUpElsewhereWhileItsInstanceMayRunIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
+		r := newRoute(route.KindStream)
+		r.MaxAttempts = 1
+		h.driver.onSend = func() { // all leave, and another comes
+			list := []instance.Instance{{ID: "i4", Service: "s", Address: "a:4", Zone: "z", Slots: 4, State: instance.StateReady}}
+			for _, id := range []string{"i1", "i2", "i3"} {
+				list = append(list, instance.Instance{ID: id, Service: "s", Zone: "z", Slots: 4, State: instance.StateLeaving})
+			}
+			h.pool.Replace(list)
+		}
+		got := h.serve(newCall(r))
+		if !got.aborted || len(h.driver.sent) != 1 {
+			t.Errorf("broken off: %v; sent to %v, of which the first may still run it", got.aborted, h.sentTo())
+		}
+	})
+}
+
 func TestStreamThatMayNotBeTakenUpIsBrokenOff(t *testing.T) {
 	h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
 	r := newRoute(route.KindStream)
@@ -283,10 +302,10 @@
 	}
 	call := newTurn(newRoute(route.KindStream))
 	for _, c := range []struct{ left, patience, most time.Duration }{
-		{900 * time.Millisecond, 0, 450 * time.Millisecond},
+		{900 * time.Millisecond, 0, 360 * time.Millisecond},
 		{5 * time.Second, 0, beginTimeout},
 		{5 * time.Second, 2 * time.Second, 1500 * time.Millisecond},
-		{5 * time.Second, 3200 * time.Millisecond, 2500 * time.Millisecond},
+		{5 * time.Second, 3200 * time.Millisecond, 2 * time.Second},
 		{time.Minute, 3200 * time.Millisecond, 2700 * time.Millisecond},
 	} {
 		call.Deadline, call.Patience = time.Now().Add(c.left), c.patience
