Relay: a stream is bound to the instance that ran it last

Change: the latest run is the last. Test: TestStreamIsBoundToTheInstanceThatRanItLast, which failed first. The simulation tells the story of a call that ran too often.

--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -26,8 +26,8 @@
 
 	// excluded instances were offered the call in this round.
 	excluded []string
-	// ranOn lists the instances that may have run the call, each once, and only
-	// is the one that may run it again: see bind.
+	// ranOn lists the instances that may have run the call, each once, the latest
+	// last, and only is the one that may run it again: see bind.
 	ranOn []string
 	only  string
 	// preferred is the instance that knows the call's object or session.
@@ -169,12 +169,11 @@
 	return instance.OutcomeGivenUp
 }
 
-// noteRun takes note that an instance may have run the call.
+// noteRun takes note that an instance may have run the call, after all others.
 func (c *carrier) noteRun(target instance.Instance) {
 	c.runs++
-	if !slices.Contains(c.ranOn, target.ID) {
-		c.ranOn = append(c.ranOn, target.ID)
-	}
+	c.ranOn = slices.DeleteFunc(c.ranOn, func(id string) bool { return id == target.ID })
+	c.ranOn = append(c.ranOn, target.ID)
 }
 
 // bind keeps a call that ran on as many instances as its route allows to the
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -213,6 +213,25 @@
 	})
 }
 
+func TestStreamIsBoundToTheInstanceThatRanItLast(t *testing.T) {
+	cut := func(body string) step { return step{body: body, cut: true} }
+	lost := step{err: errNotSent}
+	// It runs at one, at the other, and at the first again, whose connection breaks.
+	h := newHarness(t, cut(eventOne), lost, cut(eventTwo), lost, cut(""), step{body: eventTwo})
+	h.pool.Replace([]instance.Instance{
+		{ID: "i1", Service: "s", Address: "a:1", Zone: "z", Slots: 4, State: instance.StateReady},
+		{ID: "i2", Service: "s", Address: "a:2", Zone: "z", Slots: 4, State: instance.StateReady},
+		{ID: "i3", Service: "s", Address: "a:3", Zone: "z", Slots: 4, State: instance.StateLeaving},
+	})
+	r := newRoute(route.KindStream)
+	r.MaxAttempts = 1
+	h.serve(newCall(r))
+	to := h.sentTo()
+	if len(to) != 6 || to[0] != to[1] || to[2] != to[3] || to[4] != to[0] || to[5] != to[4] {
+		t.Errorf("sent to %v, want the instance that may still run it at the end", to)
+	}
+}
+
 func TestStreamThatMayNotBeTakenUpIsBrokenOff(t *testing.T) {
 	h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
 	r := newRoute(route.KindStream)
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -69,6 +69,8 @@
 	most map[string]int
 	// gone instances are no more: another has their address.
 	gone map[string]bool
+	// stories tell of the offers of each call, for calls that went wrong.
+	stories map[string][]string
 }
 
 func newSimulatedDriver(t *testing.T, seed uint64) *simulatedDriver {
@@ -154,6 +156,23 @@
 	return len(d.runs[id]), d.most[id]
 }
 
+// story tells of all offers of a call, in order.
+func (d *simulatedDriver) story(id string) string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return strings.Join(d.stories[id], ", ")
+}
+
+// tell adds to a call's story.
+func (d *simulatedDriver) tell(id string, does behaviour, at string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.stories == nil {
+		d.stories = map[string][]string{}
+	}
+	d.stories[id] = append(d.stories[id], fmt.Sprintf("%s behaviour %v at %s", time.Now().Format("05.000"), does, at))
+}
+
 // Send implements Driver.
 func (d *simulatedDriver) Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error) {
 	does, took := d.pick()
@@ -163,6 +182,7 @@
 	case <-time.After(took / 4):
 	}
 	does = d.override(does, to.ID, outgoing.ID)
+	d.tell(outgoing.ID, does, to.ID)
 	switch does {
 	case notReached:
 		d.end(outgoing.ID, to.ID)
@@ -294,7 +314,7 @@
 		t.Errorf("%s ran %d times of %d", call.ID, runs, call.Route.MaxAttempts)
 	}
 	if most > call.Route.MaxAttempts {
-		t.Errorf("%s ran at %d instances at once, of %d", call.ID, most, call.Route.MaxAttempts)
+		t.Errorf("%s ran at %d instances at once, of %d: %s", call.ID, most, call.Route.MaxAttempts, d.story(call.ID))
 	}
 	if heard.refusal != nil && heard.refusal.Reason.PromisesNotRun() && runs > 0 {
 		t.Errorf("%s was refused as %s and ran %d times", call.ID, heard.refusal.Reason, runs)
