Ledger: a holder that misses one message keeps its shard

Cause: daemons that start together miss each other by milliseconds; a link that failed dropped messages for 0.2 s, a holder that said nothing for 0.3 s counted as failed, and each takeover forfeits headroom. Change: a holder that lives is asked twice; links are tried again after 50 ms at first. Test: TestHolderThatMissesOneMessageKeepsItsShard, which failed first.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -15,6 +15,10 @@
 	answerWithin = 1500 * time.Millisecond
 	// candidateTries is how many daemons are asked for one request.
 	candidateTries = 4
+	// holderTries is how often a holder that lives is asked that says nothing,
+	// until another daemon is asked to take the shard: one message may be lost,
+	// and a takeover forfeits headroom.
+	holderTries = 2
 	// impairedTries is how many daemons must be unable to reach a shard's
 	// partition until it counts as out for all.
 	impairedTries = 2
@@ -32,6 +36,7 @@
 		return last
 	}
 	impaired := 0
+	silences := 0
 	for range candidateTries {
 		target, failed := s.choose(shard, asked, time.Now())
 		if target == "" {
@@ -39,6 +44,13 @@
 		}
 		request.Failed = failed
 		response := s.askOne(ctx, target, request)
+		if response.Result == resultSilent && failed == 0 && ctx.Err() == nil {
+			silences++
+			if silences < holderTries {
+				last = response
+				continue
+			}
+		}
 		if ctx.Err() == nil {
 			s.avoided.note(shard, target, response.Result)
 		}
--- a/internal/ledger/claim_test.go
+++ b/internal/ledger/claim_test.go
@@ -183,3 +183,24 @@
 	request.Shard = s.shardOf("p")
 	return s.askOne(testContext(t), s.Self, request).Result
 }
+
+func TestHolderThatMissesOneMessageKeepsItsShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 4)
+		begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		holder, other := f.holderOf("p"), f.other("p")
+		begin(t, other, Turn{ID: "b", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		f.setDeaf(holder, true)
+		time.AfterFunc(silence/2, func() { f.setDeaf(holder, false) })
+		begin(t, other, Turn{ID: "c", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		if now := f.holderOf("p"); now != holder {
+			t.Errorf("the shard moved from %s, which lives, to %s", holder, now)
+		}
+		f.setDeaf(holder, true) // it says nothing any more
+		started := time.Now()
+		begin(t, other, Turn{ID: "d", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		if took := time.Since(started); took > holderTries*silence+100*time.Millisecond {
+			t.Errorf("a silent holder was passed over after %s", took)
+		}
+	})
+}
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -32,8 +32,12 @@
 	// unacknowledgedTimeout is when the system gives up a connection on which
 	// the other side acknowledges nothing.
 	unacknowledgedTimeout = 3 * time.Second
-	// redialPause follows a failed try; messages meanwhile are dropped.
-	redialPause = 200 * time.Millisecond
+	// firstRedialPause follows a failed try, and doubles up to longestRedialPause;
+	// messages meanwhile are dropped. The first is short against the time after
+	// which a daemon that says nothing counts as failed, 0.3 s for holders of
+	// shards: daemons that start together miss each other by some milliseconds.
+	firstRedialPause   = 50 * time.Millisecond
+	longestRedialPause = 200 * time.Millisecond
 	// bufferSize is the size of read and write buffers in bytes at first; a
 	// longer line makes a read buffer grow. Each daemon has one of them for each
 	// other one and direction, so 64 KB took 8 MB of machines that have 112.
@@ -199,12 +203,15 @@
 // writeLink connects and writes until the transport closes.
 func (t *Transport) writeLink(l *link) {
 	defer t.workers.Done()
+	pause := firstRedialPause
 	for t.context.Err() == nil {
 		conn, err := (&net.Dialer{Timeout: dialTimeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout)}).DialContext(t.context, "tcp", l.address)
 		if err != nil {
-			t.dropFor(l, redialPause)
+			t.dropFor(l, pause)
+			pause = min(2*pause, longestRedialPause)
 			continue
 		}
+		pause = firstRedialPause
 		t.writeTo(l, conn)
 		_ = conn.Close()
 	}
