Peer: answers are matched to requests in one place; lapsed entries judged in one

The ledger and the store's proxy each kept their own table of who waits for which answer; the pool asked twice, in the same words, whether a missing entry may have lapsed, and kept a time of which only zero or not was read; the watcher waited in a loop of its own for what UntilReturned does. Change: peer.Replies serves both; Pool.mayHaveLapsed takes the entry; the watcher sleeps until the return. Behaviour is as before; no check is loosened, one test takes its number from peer.Replies in place of a fixed one.

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -52,8 +52,8 @@
 	listedAt time.Time
 	// firstListedAt is when the first list was taken.
 	firstListedAt time.Time
-	// lostAt is since when the list cannot be read; zero while it can.
-	lostAt time.Time
+	// lost: the list cannot be read.
+	lost bool
 	// lapsedUntil is until when instances may be missing on the list because
 	// their entries lapsed while it could not be read, and lapsedSince when that
 	// time began; outages that follow soon on each other are one.
@@ -77,22 +77,23 @@
 	switch {
 	case e.State != StateReady:
 		return false
-	case e.vanished.IsZero(), p.mayHaveLapsed(now) && e.hasVanishedSince(p.lapsedSince):
+	case e.vanished.IsZero(), p.mayHaveLapsed(e, now):
 		return true
 	}
 	return now.Sub(e.vanished) < vanishedLife
 }
 
-// hasVanishedSince tells whether an instance went missing on the list at that
-// time or later: one that was taken off before an outage is leaving.
-func (e *entry) hasVanishedSince(since time.Time) bool {
-	return !e.vanished.IsZero() && !e.vanished.Before(since)
+// mayHaveLapsed tells whether an instance that is missing on the list may be
+// well: its entry may have lapsed in an outage. One that was taken off before is
+// leaving.
+func (p *Pool) mayHaveLapsed(e *entry, now time.Time) bool {
+	return p.isListUncertain(now) && !e.vanished.Before(p.lapsedSince)
 }
 
-// mayHaveLapsed tells whether an instance may be missing on the list although
-// it is well: nobody can know while the list cannot be read and shortly after.
-func (p *Pool) mayHaveLapsed(now time.Time) bool {
-	return !p.lostAt.IsZero() || now.Before(p.lapsedUntil)
+// isListUncertain tells whether instances that are well may be missing on the
+// list: nobody can know while it cannot be read and shortly after.
+func (p *Pool) isListUncertain(now time.Time) bool {
+	return p.lost || now.Before(p.lapsedUntil)
 }
 
 // IsUncertain tells whether instances may be running that this daemon does not
@@ -102,7 +103,7 @@
 	defer p.mutex.Unlock()
 	now := time.Now()
 	isNew := now.Sub(p.firstListedAt) < lapsedLife // the first list may have followed an outage
-	return isNew || p.mayHaveLapsed(now)
+	return isNew || p.isListUncertain(now)
 }
 
 // NoteLost takes note that the list cannot be read any more.
@@ -113,14 +114,14 @@
 	if !now.Before(p.lapsedUntil) {
 		p.lapsedSince = now
 	}
-	p.lostAt = now
+	p.lost = true
 }
 
 // NoteReturned takes note that the list can be read again.
 func (p *Pool) NoteReturned() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.lostAt = time.Time{}
+	p.lost = false
 	p.lapsedUntil = time.Now().Add(lapsedLife)
 }
 
@@ -300,7 +301,7 @@
 	}
 	switch {
 	case e.vanished.IsZero():
-	case p.mayHaveLapsed(now) && e.hasVanishedSince(p.lapsedSince):
+	case p.mayHaveLapsed(e, now):
 		cost += lapsedCost
 	default:
 		cost += vanishedCost
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -13,6 +13,9 @@
 	// answerWithin bounds how long a holder is waited for that said that a
 	// request takes a while.
 	answerWithin = 1500 * time.Millisecond
+	// answersKept bounds the answers to one request that were not taken yet: all
+	// but the last only say that it takes a while.
+	answersKept = 8
 	// candidateTries is how many daemons are asked for one request.
 	candidateTries = 4
 	// holderTries is how often a holder that lives is asked that says nothing,
@@ -73,13 +76,12 @@
 // askOne sends a request to one daemon and waits for its answer. A daemon that
 // says nothing counts as impaired.
 func (s *Service) askOne(ctx context.Context, to structs.DaemonID, request Request) Response {
-	request.Number = s.number.Add(1)
-	answers := make(chan Response, 8)
+	number, answers, forget := s.replies.Expect(answersKept)
+	defer forget()
+	request.Number = number
 	if to == s.Self {
-		s.operate(&request, func(response Response) { offer(answers, response) })
+		s.operate(&request, s.deliver)
 	} else {
-		s.await(request.Number, answers)
-		defer s.forget(request.Number)
 		s.Transport.Send(to, &request)
 	}
 	timer := time.NewTimer(request.patience())
@@ -105,35 +107,7 @@
 	}
 }
 
-func (s *Service) await(number uint64, answers chan Response) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.waiting[number] = answers
-}
-
-func (s *Service) forget(number uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.waiting, number)
-}
-
-func (s *Service) deliver(response Response) {
-	s.mutex.Lock()
-	answers := s.waiting[response.Number]
-	s.mutex.Unlock()
-	if answers == nil {
-		return
-	}
-	offer(answers, response)
-}
-
-// offer hands an answer to who waits for it. Beyond what fits, nobody does.
-func offer(answers chan<- Response, response Response) {
-	select {
-	case answers <- response:
-	default:
-	}
-}
+func (s *Service) deliver(response Response) { s.replies.Deliver(response.Number, response) }
 
 // patience is how long the holder may say nothing to a request. One that
 // nobody waits for may ride along with others.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,11 +74,8 @@
 	avoided avoided
 	leaving chan struct{}
 	left    sync.Once
-	number  atomic.Uint64
+	replies peer.Replies[Response]
 	settled chan struct{}
-
-	mutex   sync.Mutex
-	waiting map[uint64]chan Response
 }
 
 // NewService returns a service; Run makes it work.
@@ -87,7 +83,6 @@
 	s := &Service{
 		Options: options,
 		known:   newHolderTable(len(options.Partitions)),
-		waiting: map[uint64]chan Response{},
 		settled: make(chan struct{}),
 		leaving: make(chan struct{}),
 	}
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -144,11 +144,10 @@
 func (s *Service) ask(ctx context.Context, helper structs.DaemonID, request *Request) *Response {
 	patience := request.wait() + helperSilence
 	sent := *request
-	sent.Number = s.number.Add(1)
+	number, answers, forget := s.replies.Expect(1)
+	defer forget()
+	sent.Number = number
 	sent.WithinMS = patience.Milliseconds()
-	answers := make(chan *Response, 1)
-	s.await(sent.Number, answers)
-	defer s.forget(sent.Number)
 	s.Transport.Send(helper, &sent)
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
@@ -160,28 +159,3 @@
 	}
 	return nil
 }
-
-func (s *Service) await(number uint64, answers chan *Response) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.waiting[number] = answers
-}
-
-func (s *Service) forget(number uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.waiting, number)
-}
-
-func (s *Service) deliver(response *Response) {
-	s.mutex.Lock()
-	answers := s.waiting[response.Number]
-	s.mutex.Unlock()
-	if answers == nil {
-		return // it came too late
-	}
-	select {
-	case answers <- response:
-	default: // a second answer
-	}
-}
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -14,7 +14,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -57,10 +56,9 @@
 	// serving bounds the calls that are made for other daemons at a time.
 	serving chan struct{}
 	served  served
-	number  atomic.Uint64
-
-	mutex   sync.Mutex
-	waiting map[uint64]chan *Response
+	replies peer.Replies[*Response]
+	// mutex guards Options.Random.
+	mutex sync.Mutex
 }
 
 // New returns a service.
@@ -69,7 +67,6 @@
 		Options: options,
 		contact: newContact(),
 		serving: make(chan struct{}, servingLimit),
-		waiting: map[uint64]chan *Response{},
 	}
 }
 
@@ -210,7 +207,7 @@
 	case *Request:
 		s.serve(from, message)
 	case *Response:
-		s.deliver(message)
+		s.replies.Deliver(message.Number, message)
 	case *Returned:
 		if s.contact.hearOfReturn(time.Now()) {
 			s.Logger.Info().Str("from", string(from)).Msg("Another daemon tells that the store answers again.")
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -356,13 +356,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2)
 		s := f.services[1]
-		answers := make(chan *Response, 1)
-		s.await(5, answers)
-		f.services[0].serve(s.Self, &Request{Number: 5, Call: "drop", WithinMS: 100})
+		number, answers, forget := s.replies.Expect(1)
+		defer forget()
+		f.services[0].serve(s.Self, &Request{Number: number, Call: "drop", WithinMS: 100})
 		if got := <-answers; got.Result != resultUnavailable {
 			t.Errorf("got %q", got.Result)
 		}
-		s.deliver(&Response{Number: 77}) // nobody waits
+		s.Receive(f.services[0].Self, &Response{Number: 77}) // nobody waits
 		if got := (&Response{Result: "new"}).outcome().err; !errors.Is(got, store.ErrOutcomeUnknown) {
 			t.Errorf("a result of a later version: got %v", got)
 		}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -74,13 +74,9 @@
 
 // pause waits before the next try, until the store answers again at most.
 func (w *Watcher) pause(ctx context.Context) {
-	timer := time.NewTimer(w.Settings.Retry)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-w.contact().Returned():
-	}
+	ctx, stop := UntilReturned(ctx, w.contact())
+	defer stop()
+	clock.Sleep(ctx, w.Settings.Retry)
 }
 
 func (w *Watcher) contact() Contact {
