--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -26,11 +27,15 @@
 	t     *testing.T
 	store *memory.Store
 
+	// readTime is how long a reading takes a record.
+	readTime time.Duration
+
 	mutex    sync.Mutex
 	services map[structs.DaemonID]*Service
 	stops    map[structs.DaemonID]context.CancelFunc
 	deaf     map[structs.DaemonID]bool
 	dead     map[structs.DaemonID]bool
+	leaving  map[structs.DaemonID]bool
 }
 
 func newTestFleet(t *testing.T, daemons int) *testFleet {
@@ -42,6 +47,7 @@
 		stops:    map[structs.DaemonID]context.CancelFunc{},
 		deaf:     map[structs.DaemonID]bool{},
 		dead:     map[structs.DaemonID]bool{},
+		leaving:  map[structs.DaemonID]bool{},
 	}
 	for i := range daemons {
 		f.start(daemonID(i, 1))
@@ -61,7 +67,7 @@
 	}
 	s := NewService(Options{
 		Self:       id,
-		Store:      f.store,
+		Store:      &testStore{Store: f.store, fleet: f},
 		Transport:  &testTransport{fleet: f, self: id},
 		View:       f,
 		Partitions: partitions,
@@ -86,6 +92,20 @@
 	delete(f.services, id)
 }
 
+// leave lets a daemon begin its planned stop, as all others hear.
+func (f *testFleet) leave(id structs.DaemonID) {
+	f.mutex.Lock()
+	f.leaving[id] = true
+	f.mutex.Unlock()
+	f.service(id).Leave()
+}
+
+func (f *testFleet) isLeaving(id structs.DaemonID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leaving[id]
+}
+
 func (f *testFleet) killAll() {
 	for _, id := range f.ids() {
 		f.kill(id)
@@ -140,15 +160,18 @@
 func (f *testFleet) Members() []membership.Member {
 	var members []membership.Member
 	for _, id := range f.ids() {
-		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id}, State: membership.StateAlive})
+		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id}, State: f.State(id)})
 	}
 	return members
 }
 
 // State implements membership.View.
 func (f *testFleet) State(id structs.DaemonID) membership.State {
-	if f.service(id) == nil {
+	switch {
+	case f.service(id) == nil:
 		return membership.StateDead
+	case f.isLeaving(id):
+		return membership.StateLeaving
 	}
 	return membership.StateAlive
 }
@@ -156,6 +179,40 @@
 // Subscribe implements membership.View.
 func (f *testFleet) Subscribe(func(membership.Member)) {}
 
+// testStore is a daemon's way to the fleet's store: readings take their time.
+type testStore struct {
+	store.Store
+	fleet *testFleet
+}
+
+// Newest implements store.Store.
+func (s *testStore) Newest(ctx context.Context, partition store.Partition) ([]store.Record, int64, error) {
+	records, end, err := s.Store.Newest(ctx, partition)
+	if err == nil {
+		err = s.fleet.read(ctx, len(records))
+	}
+	return records, end, err
+}
+
+// Read implements store.Store.
+func (s *testStore) Read(ctx context.Context, partition store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	records, next, err := s.Store.Read(ctx, partition, from, wait)
+	if err == nil {
+		err = s.fleet.read(ctx, len(records))
+	}
+	return records, next, err
+}
+
+// read lets the time pass that a reading takes; an error tells that it was
+// broken off before its end.
+func (f *testFleet) read(ctx context.Context, records int) error {
+	clock.Sleep(ctx, time.Duration(records)*f.readTime)
+	if ctx.Err() != nil {
+		return store.ErrOutcomeUnknown
+	}
+	return nil
+}
+
 type testTransport struct {
 	fleet *testFleet
 	self  structs.DaemonID
--- /dev/null
+++ b/internal/ledger/rolling_stop_test.go
@@ -0,0 +1,190 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// The rolling stop of an incident: two fifths of the daemons are stopped one
+// after the other, several at a time. See
+// docs/incidents/answers-cut-under-rolling-stop.md.
+const (
+	rollingDaemons = 20
+	rollingStops   = 8
+	rollingPause   = 270 * time.Millisecond
+	// rollingPrograms take turns all the time, at every shard.
+	rollingPrograms = 16
+	// rollingStopTime is how long a daemon takes to stop, and rollingRestart how
+	// long until it runs again.
+	rollingStopTime = 4 * time.Second
+	rollingRestart  = time.Second
+	// rollingCallers is how long a daemon that stops goes on to get requests.
+	rollingCallers = 1500 * time.Millisecond
+	// rollingHistory is how many records each shard has, and rollingReadTime what
+	// the reading of one takes on a small machine: 1,834 took 0.99 s.
+	rollingHistory  = 2000
+	rollingReadTime = 500 * time.Microsecond
+	// callersPatience is how long the callers of a stream hear nothing until they
+	// leave, and longestWithoutHolder what they should wait at most for a record.
+	callersPatience      = 2 * time.Second
+	longestWithoutHolder = 300 * time.Millisecond
+)
+
+// recordWaits is what callers saw.
+type recordWaits struct {
+	mutex   sync.Mutex
+	calls   int
+	cut     int
+	longest time.Duration
+}
+
+func (w *recordWaits) note(took time.Duration, err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.calls++
+	w.longest = max(w.longest, took)
+	if err != nil {
+		w.cut++
+	}
+}
+
+// rollingFleet is a fleet whose daemons stop one after the other.
+type rollingFleet struct {
+	*testFleet
+	mutex   sync.Mutex
+	random  *rand.Rand
+	callers []structs.DaemonID
+}
+
+func newRollingFleet(t *testing.T) *rollingFleet {
+	f := &rollingFleet{testFleet: newTestFleet(t, rollingDaemons), random: rand.New(rand.NewPCG(22, 1))}
+	f.callers = f.ids()
+	f.store.SetDelay(4 * time.Millisecond)
+	return f
+}
+
+// caller returns a daemon that gets requests.
+func (f *rollingFleet) caller() *Service {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.service(f.callers[f.random.IntN(len(f.callers))])
+}
+
+func (f *rollingFleet) setCalled(id structs.DaemonID, called bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var callers []structs.DaemonID
+	for _, other := range f.callers {
+		if other != id {
+			callers = append(callers, other)
+		}
+	}
+	if called {
+		callers = append(callers, id)
+	}
+	f.callers = callers
+}
+
+// stopAndRestart is one daemon's planned stop.
+func (f *rollingFleet) stopAndRestart(number int) {
+	id := daemonID(number, 1)
+	f.leave(id)
+	time.Sleep(rollingCallers)
+	f.setCalled(id, false)
+	time.Sleep(rollingStopTime - rollingCallers)
+	f.kill(id)
+	time.Sleep(rollingRestart)
+	f.start(daemonID(number, 2))
+	f.setCalled(daemonID(number, 2), true)
+}
+
+// fillHistory gives each shard records of turns that are kept.
+func (f *rollingFleet) fillHistory(t *testing.T) {
+	for shard := range testShards {
+		var records []store.Record
+		for i := range rollingHistory {
+			value, err := encodeTurn(&turnEntry{KeptTurn: KeptTurn{Input: []byte("old")}, RetentionMS: 60_000})
+			if err != nil {
+				t.Fatal(err)
+			}
+			records = append(records, store.Record{Key: fmt.Sprint(turnPrefix, "old-", i), Value: value})
+		}
+		partition := store.Partition{Space: "ledger", Number: shard}
+		if err := f.store.Append(testContext(t), partition, store.Writer{}, records); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// takeTurns lets a program's turns begin and end until stop.
+func (f *rollingFleet) takeTurns(program string, waits *recordWaits, stop <-chan struct{}) {
+	for i := 0; !isClosed(stop); i++ {
+		id := fmt.Sprint(program, "-", i)
+		turn := Turn{ID: id, Program: program, Retention: time.Minute}
+		waits.time(func(ctx context.Context) error { return beginInTime(ctx, f.caller(), turn) })
+		kept := &KeptTurn{ID: id, Input: []byte("in")}
+		waits.time(func(ctx context.Context) error {
+			return f.caller().End(ctx, Outcome{Turn: id, Program: program, Kept: kept})
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// beginInTime tries to begin a turn until it is granted or ctx ends.
+func beginInTime(ctx context.Context, s *Service, turn Turn) error {
+	for {
+		_, err := s.Begin(ctx, turn)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// time makes a call as long as a caller waits for it, and notes how it went.
+func (w *recordWaits) time(call func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callersPatience)
+	defer cancel()
+	started := time.Now()
+	err := call(ctx)
+	w.note(time.Since(started), err)
+}
+
+// TestRollingStopLeavesNoShardWithoutHolder: the incident. No answer may be cut,
+// and no record be out of reach for long, while daemons stop as planned.
+func TestRollingStopLeavesNoShardWithoutHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRollingFleet(t)
+		f.fillHistory(t)
+		for i := range rollingPrograms { // each shard has its holder before
+			begin(t, f.caller(), Turn{ID: fmt.Sprint("first-", i), Program: fmt.Sprint("program-", i)})
+		}
+		f.readTime = rollingReadTime
+		var waits recordWaits
+		stop := make(chan struct{})
+		var callers, stops sync.WaitGroup
+		for i := range rollingPrograms {
+			callers.Go(func() { f.takeTurns(fmt.Sprint("program-", i), &waits, stop) })
+		}
+		for number := range rollingStops {
+			stops.Go(func() { f.stopAndRestart(number) })
+			time.Sleep(rollingPause)
+		}
+		stops.Wait()
+		close(stop)
+		callers.Wait()
+		t.Logf("%d calls, the longest took %s, %d were cut", waits.calls, waits.longest, waits.cut)
+		if waits.cut > 0 || waits.longest > longestWithoutHolder {
+			t.Errorf("%d of %d calls were cut, the longest took %s; want none, and at most %s",
+				waits.cut, waits.calls, waits.longest, longestWithoutHolder)
+		}
+	})
+}
