Ledger: a takeover's log line tells its bytes and the parts of its time

Cause: the line did not tell whether the claim or the reading takes long, nor how much is read. Change: bytes and seized_after beside records and took.

--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -84,6 +84,7 @@
 	if err := h.seize(ctx, before.Epoch, failed); err != nil {
 		return err
 	}
+	seizedAfter := time.Since(started)
 	var writing sync.WaitGroup
 	writing.Go(func() { h.writeDirectory(ctx, h.epoch) })
 	loaded, err := h.readClaimed(ctx)
@@ -94,7 +95,8 @@
 	h.take(loaded, time.Now())
 	h.metrics.claimed(time.Since(started))
 	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).
-		Int("records", len(loaded)).Dur("took", time.Since(started)).Msg("Shard taken over.")
+		Int("records", len(loaded)).Int("bytes", sizeOf(loaded)).
+		Dur("seized_after", seizedAfter).Dur("took", time.Since(started)).Msg("Shard taken over.")
 	return nil
 }
 
@@ -144,6 +146,15 @@
 	}
 }
 
+// sizeOf returns the bytes of records' keys and values.
+func sizeOf(records []store.Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return size
+}
+
 // take makes what was read the state of the shard.
 func (h *holder) take(records []store.Record, now time.Time) {
 	h.state = newState()
