Ledger: who asks a holder that gave its shard up hears who is to claim it

Pages of the store's listing over 0.15 s were read a second time by way of another daemon. Change: a refusal after a release names the successor, which may claim at once; up to three daemons are asked to read ahead; the second reading waits three times as long as the latest page took.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -57,7 +57,7 @@
 		if ctx.Err() == nil {
 			s.avoided.note(shard, target, response.Result)
 		}
-		s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+		s.noteHolder(shard, response)
 		if response.Result.isFinal() {
 			return response
 		}
@@ -73,6 +73,15 @@
 	return last
 }
 
+// noteHolder takes what an answer tells of who holds the shard.
+func (s *Service) noteHolder(shard int, response Response) {
+	if response.Released {
+		s.known.noteReleased(shard, response.Epoch, response.Holder)
+		return
+	}
+	s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+}
+
 // askOne sends a request to one daemon and waits for its answer. A daemon that
 // says nothing counts as impaired.
 func (s *Service) askOne(ctx context.Context, to structs.DaemonID, request Request) Response {
--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -27,10 +27,14 @@
 	holder := s.known.get(shard)
 	id := structs.DaemonID(holder.Daemon)
 	if holder.Daemon != "" {
-		if s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isSilent(id, holder.learnedAt, now) {
+		isUsable := s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isSilent(id, holder.learnedAt, now)
+		if isUsable && !holder.released {
 			return id, 0
 		}
 		failed = holder.Epoch
+		if isUsable {
+			return id, failed // it is to claim the shard
+		}
 	}
 	return s.successor(shard, append(slices.Clone(asked), id), now), failed
 }
@@ -73,8 +77,8 @@
 }
 
 // preferred implements fleet.
-func (s *Service) preferred(shard int) string {
-	return string(s.successor(shard, nil, time.Now()))
+func (s *Service) preferred(shard int, except ...structs.DaemonID) string {
+	return string(s.successor(shard, except, time.Now()))
 }
 
 // avoided remembers bad news about daemons. The zero value is ready.
--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -29,6 +29,9 @@
 	// prepareTime bounds how long a successor may read ahead. It stays below the
 	// time that a stopping daemon goes on to serve (relaydaemon, 2.5 s).
 	prepareTime = 2 * time.Second
+	// successorTries bounds the daemons that are asked to read a shard ahead: the
+	// first may be stopping, too.
+	successorTries = 3
 	// takeTime bounds how long a former holder sends callers elsewhere until it
 	// knows that the successor took the shard.
 	takeTime = time.Second
@@ -79,19 +82,37 @@
 		h.relinquish(ctx)
 		return
 	}
-	current := &handover{to: successor}
+	current := &handover{}
 	h.handover = current
 	started := time.Now()
 	go func() {
-		result := h.askSuccessor(ctx, prepareTime, current.to, Request{Prepare: true}).Result
-		h.post(ctx, func(ctx context.Context) { h.notePrepared(ctx, current, result, time.Since(started)) })
+		successor, result := h.findSuccessor(ctx, successor)
+		h.post(ctx, func(ctx context.Context) {
+			current.to = successor
+			h.notePrepared(ctx, current, result, time.Since(started))
+		})
 	}()
 }
 
-// askSuccessor sends a request about the shard to a daemon.
-func (h *holder) askSuccessor(ctx context.Context, within time.Duration, to string, request Request) Response {
-	ctx, cancel := context.WithTimeout(ctx, within)
+// findSuccessor lets a daemon read the shard ahead, and others if that cannot. It
+// returns the one that did, or the last that was asked.
+func (h *holder) findSuccessor(ctx context.Context, first string) (successor string, answer result) {
+	ctx, cancel := context.WithTimeout(ctx, prepareTime)
 	defer cancel()
+	var asked []structs.DaemonID
+	for next := first; next != "" && len(asked) < successorTries; next = h.fleet.preferred(h.shard, asked...) {
+		successor = next
+		answer = h.askSuccessor(ctx, successor, Request{Prepare: true}).Result
+		if answer == resultOK || ctx.Err() != nil {
+			break
+		}
+		asked = append(asked, structs.DaemonID(successor))
+	}
+	return successor, answer
+}
+
+// askSuccessor sends a request about the shard to a daemon.
+func (h *holder) askSuccessor(ctx context.Context, to string, request Request) Response {
 	request.Shard = h.shard
 	return h.fleet.askOne(ctx, structs.DaemonID(to), request)
 }
@@ -127,7 +148,9 @@
 func (h *holder) passTo(ctx context.Context, successor string, epoch uint64) {
 	h.givenTo = successor
 	go func() {
-		response := h.askSuccessor(ctx, takeTime, successor, Request{Take: true, Failed: epoch})
+		asking, cancel := context.WithTimeout(ctx, takeTime)
+		defer cancel()
+		response := h.askSuccessor(asking, successor, Request{Take: true, Failed: epoch})
 		h.post(ctx, func(context.Context) {
 			h.givenTo = ""
 			h.known.note(h.shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -264,10 +264,11 @@
 func (h *holder) refuse(o operation, with result) {
 	holder := h.known.get(h.shard)
 	o.reply(Response{
-		Number: o.request.Number,
-		Result: with,
-		Epoch:  holder.Epoch,
-		Holder: holder.Daemon,
+		Number:   o.request.Number,
+		Result:   with,
+		Epoch:    holder.Epoch,
+		Holder:   holder.Daemon,
+		Released: holder.released,
 	})
 }
 
@@ -311,12 +312,15 @@
 		h.answerAll(h.waiting)
 		h.waiting = nil
 	}
-	successor := h.handover
-	h.drop()
-	h.known.forget(h.shard)
-	if successor != nil {
-		h.passTo(ctx, successor.to, h.epoch)
+	current := h.handover
+	if current == nil {
+		h.drop()
+		h.known.forget(h.shard)
+		return
 	}
+	h.known.noteReleased(h.shard, h.epoch, current.to)
+	h.drop()
+	h.passTo(ctx, current.to, h.epoch)
 }
 
 // drop forgets the shard's state.
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -19,6 +19,8 @@
 type knownHolder struct {
 	holderRecord
 	learnedAt time.Time
+	// released: the holder of that epoch gave the shard up, for Daemon to claim.
+	released bool
 }
 
 func newHolderTable(shards int) *holderTable {
@@ -36,29 +38,47 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := &t.holders[shard]
-	if holder.Daemon == "" || holder.Epoch < known.Epoch {
+	if holder.Daemon == "" || holder.Epoch < known.Epoch || known.released && holder.Epoch == known.Epoch {
 		return
 	}
 	if holder.Epoch > known.Epoch {
 		known.learnedAt = time.Now()
+		known.released = false
 	}
 	known.holderRecord = holder
 }
 
+// noteReleased takes news that the holder of an epoch gave the shard up for
+// another daemon to claim.
+func (t *holderTable) noteReleased(shard int, epoch uint64, successor string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := &t.holders[shard]
+	if epoch < known.Epoch {
+		return
+	}
+	*known = knownHolder{
+		holderRecord: holderRecord{Epoch: epoch, Daemon: successor},
+		learnedAt:    time.Now(),
+		released:     true,
+	}
+}
+
 // forget drops who holds a shard; the epoch stays, so that older news is not
 // taken up again.
 func (t *holderTable) forget(shard int) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.holders[shard].Daemon = ""
+	t.holders[shard].released = false
 }
 
 // fleet is what a holder asks of membership.
 type fleet interface {
 	// isAlive tells whether a daemon lives, as far as is known.
 	isAlive(daemon string) bool
-	// preferred returns the daemon that should hold a shard.
-	preferred(shard int) string
+	// preferred returns the daemon that should hold a shard if some cannot.
+	preferred(shard int, except ...structs.DaemonID) string
 	// askOne sends a request to one daemon and waits for its answer.
 	askOne(ctx context.Context, to structs.DaemonID, request Request) Response
 }
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -67,6 +67,9 @@
 	// Epoch and Holder tell who holds the shard, as far as the answerer knows.
 	Epoch  uint64 `json:"e,omitempty"`
 	Holder string `json:"d,omitempty"`
+	// Released tells that the holder of Epoch gave the shard up, and that Holder
+	// is to claim it.
+	Released bool `json:"rel,omitempty"`
 	// Grant answers Begin, Found answers Find.
 	Grant Grant     `json:"g,omitzero"`
 	Found *KeptTurn `json:"f,omitempty"`
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -30,6 +30,10 @@
 	// takes some milliseconds; one of a store that is slow for all takes as long
 	// for a helper, so little is gained by asking sooner.
 	overdueAfter = 150 * time.Millisecond
+	// overdueFactor times what the latest page of newest records of a space took
+	// is how long the next may take: a page is up to a megabyte, and made twice it
+	// costs two machines what one of them is short of.
+	overdueFactor = 3
 	// noticeAfter is how long the store must have been out for its return to be
 	// told to the other daemons, and noticePause separates such notices.
 	noticeAfter = 300 * time.Millisecond
@@ -57,8 +61,10 @@
 	serving chan struct{}
 	served  served
 	replies peer.Replies[*Response]
-	// mutex guards Options.Random.
-	mutex sync.Mutex
+	// mutex guards Options.Random and pageTimes, which tells by space how long the
+	// latest page of newest records took.
+	mutex     sync.Mutex
+	pageTimes map[string]time.Duration
 }
 
 // New returns a service.
@@ -67,6 +73,8 @@
 		Options: options,
 		contact: newContact(),
 		serving: make(chan struct{}, servingLimit),
+
+		pageTimes: map[string]time.Duration{},
 	}
 }
 
@@ -122,7 +130,7 @@
 	} else {
 		askHelper()
 	}
-	overdue := time.NewTimer(request.wait() + overdueAfter)
+	overdue := time.NewTimer(s.overdueTime(request))
 	defer overdue.Stop()
 	failed := outcome{next: request.From}
 	for {
@@ -146,6 +154,26 @@
 	}
 }
 
+// overdueTime is how long a direct call may take until a helper makes it, too.
+func (s *Service) overdueTime(request *Request) time.Duration {
+	if request.Call != callNewest {
+		return request.wait() + overdueAfter
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return max(overdueFactor*s.pageTimes[request.Partition.Space], overdueAfter)
+}
+
+// notePageTime takes note of how long a page took.
+func (s *Service) notePageTime(request *Request, took time.Duration) {
+	if request.Call != callNewest {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pageTimes[request.Partition.Space] = took
+}
+
 // worse joins the errors of a call that was made in two ways: it may have been
 // done if either of them may have done it.
 func worse(a, b error) error {
@@ -158,7 +186,11 @@
 // callDirect makes a call without a helper, and takes note of whether the
 // store answers.
 func (s *Service) callDirect(ctx context.Context, request *Request) outcome {
+	started := time.Now()
 	got := request.perform(ctx, s.Direct)
+	if got.err == nil {
+		s.notePageTime(request, time.Since(started))
+	}
 	if !isAnswered(got.err) && errors.Is(ctx.Err(), context.Canceled) {
 		return got // nobody waited for the answer any more
 	}
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -368,3 +368,21 @@
 		}
 	})
 }
+
+// TestLongPageIsNotReadTwice: a page that takes long, as pages of its space do, is
+// not read by way of a helper, too.
+func TestLongPageIsNotReadTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		s := f.services[0]
+		f.store.SetDelay(400 * time.Millisecond)
+		for range 2 { // the first tells how long pages take
+			if _, err := s.NewestPage(within(t, 2*time.Second), partition, ""); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := f.ways[1].count(); got != 1 {
+			t.Errorf("the helper made %d calls, want one, for the first page", got)
+		}
+	})
+}
