Daemon: a request that crosses the end of a stop is answered, not dropped

Cause: a planned stop used http.Server.Shutdown once the platform had seen that the daemon is not ready. From then on net/http closes a connection without an answer whose request it has read whole (conn.serve: "if shuttingDown, return"): on a connection that was opened just before, or whose request was half read. The caller got neither an answer nor a promise that it has not run.

Change: callers are served by frontServer, whose drain closes the listener and only connections on which nothing has arrived since their last answer (or, new ones, for a second); the end of the wait is a read deadline set under the lock that also notes arriving bytes, so that it never falls on a request under way. A call that arrives in the drain is refused by the relay as one that has not run (reason "stopping", 503, back in 50 ms, Connection: close); calls under way go on as before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -79,6 +79,7 @@
 	ReasonFull        Reason = "full"
 	ReasonLedger      Reason = "ledger_unavailable"
 	ReasonStarting    Reason = "starting"
+	ReasonStopping    Reason = "stopping"
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -16,6 +16,10 @@
 // brokenOff ends a call whose back end broke off and that may not run again.
 var brokenOff = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
 
+// stopping ends a call that reaches a daemon which is about to leave: it would
+// not be there for the answer.
+var stopping = Refusal{Reason: ReasonStopping, RetryAfter: stoppingPause, Detail: "This daemon stops."}
+
 // carrier carries one call.
 type carrier struct {
 	relay     *Relay
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,8 @@
 	refusalPause = 120 * time.Millisecond
 	// takeoverPause is the same when a program's record is being taken over.
 	takeoverPause = 250 * time.Millisecond
+	// stoppingPause is the same when the daemon stops: others serve already.
+	stoppingPause = 50 * time.Millisecond
 	// outageShare is the part of a caller's time after which it should come
 	// back while the store cannot be reached, and outagePause the longest.
 	outageShare = 0.32
@@ -92,6 +95,8 @@
 	ordinary zerolog.Logger
 	// recording counts the text of turns that wait for their record.
 	recording waitingBytes
+	// draining: calls that come now are refused.
+	draining atomic.Bool
 	// settling counts turns whose outcome is not on record yet.
 	settling sync.WaitGroup
 }
@@ -119,6 +124,10 @@
 		service:   r.splits.choose(call.Route),
 		logger:    callLogger(r.Logger, call),
 	}
+	if r.draining.Load() {
+		c.refuse(stopping)
+		return
+	}
 	if call.Route.Kind == route.KindStream {
 		c.carryStream(ctx)
 		return
@@ -126,6 +135,9 @@
 	c.carryPlain(ctx)
 }
 
+// Drain makes the relay refuse calls that come from now on. Those under way go on.
+func (r *Relay) Drain() { r.draining.Store(true) }
+
 // Wait waits until all turns are settled, or ctx ends.
 func (r *Relay) Wait(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -63,9 +63,9 @@
 	// store is reached by way of other daemons where this one does not reach it.
 	store   *proxy.Service
 	figures *prometheus.Registry
-	// servers are all that listen, and front is the one that callers reach.
+	// servers are all that listen but for front, the one that callers reach.
 	servers []*http.Server
-	front   *http.Server
+	front   *frontServer
 
 	table atomic.Pointer[route.Table]
 	// hasTable is closed once routes are known.
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -25,38 +25,49 @@
 // listen opens the daemon's listeners and serves on them. Figures come last and
 // are not needed to serve: if their address is taken, the daemon goes without.
 func (d *Daemon) listen() error {
-	if _, err := d.serve(d.settings.ReadyAddress, d.adapter.Ready(d.isReady)); err != nil {
+	if err := d.serve(d.settings.ReadyAddress, d.adapter.Ready(d.isReady)); err != nil {
 		return err
 	}
-	front, err := d.serve(d.settings.FrontAddress, d.adapter.Front(d))
-	if err != nil {
+	if err := d.listenToCallers(); err != nil {
 		return err
 	}
-	d.front = front
 	if d.settings.MetricsAddress == "" {
 		return nil
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(d.figures, promhttp.HandlerOpts{}))
-	if _, err := d.serve(d.settings.MetricsAddress, mux); err != nil {
+	if err := d.serve(d.settings.MetricsAddress, mux); err != nil {
 		d.logger.Error().Err(err).Str("metrics_address", d.settings.MetricsAddress).Msg("Figures can not be read.")
 	}
 	return nil
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) (*http.Server, error) {
+func (d *Daemon) listenToCallers() error {
+	listener, err := net.Listen("tcp", d.settings.FrontAddress)
+	if err != nil {
+		return eris.Wrap(err, "relaydaemon: listen")
+	}
+	d.front = newFrontServer(newServer(d.adapter.Front(d)), listener)
+	return nil
+}
+
+func (d *Daemon) serve(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, eris.Wrap(err, "relaydaemon: listen")
+		return eris.Wrap(err, "relaydaemon: listen")
 	}
-	server := &http.Server{
+	server := newServer(handler)
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
-	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
 }
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -27,10 +27,11 @@
 	d.ledger.Leave()
 	d.membership.Leave()
 	clock.Sleep(ctx, noticeTime)
-	if err := d.front.Shutdown(ctx); err != nil {
+	d.relay.Drain()
+	if err := d.front.drain(ctx); err != nil {
 		d.logger.Warn().Err(err).Msg("Requests were cut at the end of the stop.")
-		_ = d.front.Close()
 	}
+	d.front.close()
 	d.relay.Wait(ctx)
 	d.registry.withdraw(ctx)
 	d.membership.Stop()
