Stop: who still waits at the bound gets a refusal in place of a closed connection

Cause: at the bound of a stop the daemon closed all callers' connections. Plain requests and streams without a first event got nothing, although a promise (not run) or a 502 could be told; and since the close ended their contexts, the log named them "caller_left" and a turn that waited for its record "context canceled".

The relay refuses what has not run as "stopping" (503), what may have run as "broken" with cause "stopping" (502), and breaks off what has begun; 0.2 s of the margin before the kill are for these answers, then connections are cut. Lines name request, age and cause.

--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -250,8 +250,13 @@
 	return min(max(time.Duration(outageShare*float64(left)), takeoverPause), outagePause)
 }
 
-// refuseLate ends a call whose time is over or whose caller left.
+// refuseLate ends a call whose time is over, whose caller left, or whose daemon
+// leaves.
 func (c *carrier) refuseLate(ctx context.Context) {
+	if isStopBound(ctx) {
+		c.refuse(stopping)
+		return
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		c.refuse(Refusal{Reason: ReasonCallerLeft, Detail: "The caller left."})
 		return
@@ -263,15 +268,22 @@
 	c.refuse(Refusal{Reason: ReasonNotInTime, Detail: "The time for this request is over; it has not run."})
 }
 
+func isStopBound(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopBound) }
+
 // refuse ends the call with an answer of the system's own. Where the call may
 // have run, no answer may promise the contrary.
 func (c *carrier) refuse(refusal Refusal) {
+	cause := refusal.Reason
 	if c.mayHaveRun() && refusal.Reason.PromisesNotRun() {
 		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
 	}
 	c.relay.Metrics.refused(refusal.Reason)
-	c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
-		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter).Msg("Request refused.")
+	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
+		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
+	if cause != refusal.Reason {
+		line = line.Str("cause", string(cause))
+	}
+	line.Msg("Request refused.")
 	c.responder.Refuse(refusal)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/instance"
@@ -56,6 +57,10 @@
 	settleTimeout = 20 * time.Second
 )
 
+// ErrStopBound is the cause of a context that ends because the daemon's stop is
+// at its bound: the caller is still there.
+var ErrStopBound = eris.New("relay: the daemon's stop is at its bound")
+
 // Ledger keeps programs' budgets and turns.
 type Ledger interface {
 	// Begin reserves a turn's tokens and returns the history before it. Errors
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -184,7 +184,8 @@
 // breakOff ends a stream that can not be completed.
 func (c *carrier) breakOff(ctx context.Context, state *streamState) {
 	if state.hasHead {
-		c.logger.Info().Int64("events", state.events).AnErr("context", ctx.Err()).Msg("Stream given up.")
+		c.logger.Info().Int64("events", state.events).Dur("held", time.Since(c.call.Received)).
+			AnErr("context", context.Cause(ctx)).Msg("Stream given up.")
 		c.responder.Abort()
 		return
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -44,6 +44,8 @@
 		c.refuse(Refusal{Reason: ReasonBudgetSpent, Detail: "The program's token budget has no room for this turn."})
 	case errors.Is(err, ledger.ErrUnknownTurn):
 		c.refuse(Refusal{Reason: ReasonUnknownTurn, Detail: "The previous turn is not known."})
+	case isStopBound(ctx):
+		c.refuse(stopping)
 	default:
 		c.logger.Warn().Err(err).Dur("took", took).Msg("Program's record not reached.")
 		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.ledgerPause(err), Detail: "The program's record can not be reached."})
@@ -161,7 +163,7 @@
 	if err == nil {
 		return true
 	}
-	c.logger.Warn().Err(err).AnErr("context", ctx.Err()).Dur("waited", state.turn.recordedAfter).
+	c.logger.Warn().Err(err).AnErr("context", context.Cause(ctx)).Dur("waited", state.turn.recordedAfter).
 		Msg("Turn not recorded. The stream is broken off.")
 	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
 	c.settleLater(outcome)
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -25,6 +25,8 @@
 	listener net.Listener
 	// served is closed once no connection is accepted any more.
 	served chan struct{}
+	// giveUp ends the contexts of all requests, with their cause.
+	giveUp context.CancelCauseFunc
 
 	mutex sync.Mutex
 	open  map[*frontConnection]struct{}
@@ -32,12 +34,15 @@
 
 // newFrontServer starts to serve on a listener.
 func newFrontServer(server *http.Server, listener net.Listener) *frontServer {
+	base, giveUp := context.WithCancelCause(context.Background())
 	s := &frontServer{
+		giveUp:   giveUp,
 		server:   server,
 		listener: listener,
 		served:   make(chan struct{}),
 		open:     map[*frontConnection]struct{}{},
 	}
+	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.ConnState = s.noteState
 	go func() {
 		defer close(s.served)
@@ -62,7 +67,17 @@
 }
 
 // close closes the listener and cuts all connections.
-func (s *frontServer) close() { _ = s.server.Close() }
+func (s *frontServer) close() {
+	s.giveUp(nil)
+	_ = s.server.Close()
+}
+
+// count returns how many connections are open.
+func (s *frontServer) count() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.open)
+}
 
 // expireResting ends the wait for a next request on connections that rest, and
 // returns how many connections are open.
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -5,19 +5,24 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/relay"
 )
 
 const (
 	// noticeTime is how long the platform takes to see that a daemon is not
 	// ready any more; requests go on to arrive until then.
 	noticeTime = 2500 * time.Millisecond
-	// exitMargin is kept between the end of a planned stop and its bound.
+	// exitMargin is kept between the last answers of a planned stop and its
+	// bound, at which the platform kills the process.
 	exitMargin = 700 * time.Millisecond
+	// refusalTime is the part of it in which callers that still wait are told
+	// that they wait in vain.
+	refusalTime = 200 * time.Millisecond
 )
 
 // Stop ends the daemon as planned: it is not ready from now on, passes its
 // shards on, answers what it has, and leaves. What still runs at the bound is
-// cut.
+// given up.
 func (d *Daemon) Stop() {
 	started := time.Now()
 	d.stopping.Store(true)
@@ -28,10 +33,7 @@
 	d.membership.Leave()
 	clock.Sleep(ctx, noticeTime)
 	d.relay.Drain()
-	if err := d.front.drain(ctx); err != nil {
-		d.logger.Warn().Err(err).Msg("Requests were cut at the end of the stop.")
-	}
-	d.front.close()
+	d.drainFront(ctx)
 	d.relay.Wait(ctx)
 	d.registry.withdraw(ctx)
 	d.membership.Stop()
@@ -42,3 +44,20 @@
 	}
 	d.logger.Info().Dur("took", time.Since(started)).Msg("Daemon stopped.")
 }
+
+// drainFront answers what callers have sent. Who still waits when ctx ends gets
+// a refusal, or where an answer has begun, its visible break; what does not end
+// on that is cut.
+func (d *Daemon) drainFront(ctx context.Context) {
+	defer d.front.close()
+	if d.front.drain(ctx) == nil {
+		return
+	}
+	d.logger.Warn().Int("connections", d.front.count()).Msg("Requests are given up at the bound of the stop.")
+	d.front.giveUp(relay.ErrStopBound)
+	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
+	defer cancel()
+	if d.front.drain(ctx) != nil {
+		d.logger.Warn().Int("connections", d.front.count()).Msg("Requests were cut at the bound of the stop.")
+	}
+}
