Stop: a daemon that reaches the bound still settles and withdraws

Cause: settling the turns that were broken off and withdrawing the entry ran under the context of the answers. Where a request took the stop to its bound, both got none of the 0.7 s that are left before the kill: the turns' reservations stayed spent, and the others went on to expect the daemon.

Change: both have until 0.25 s before the kill, beside each other. Stop runs once; further calls wait for it.

That reservations are settled in that time has no test of its own.

--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -71,6 +71,7 @@
 	// hasTable is closed once routes are known.
 	hasTable chan struct{}
 	stopping atomic.Bool
+	stopOnce sync.Once
 	cancel   context.CancelFunc
 	workers  sync.WaitGroup
 }
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
@@ -18,12 +19,18 @@
 	// refusalTime is the part of it in which callers that still wait are told
 	// that they wait in vain.
 	refusalTime = 200 * time.Millisecond
+	// killMargin is kept between the end of everything else, such as settling the
+	// turns that were given up, and the kill.
+	killMargin = 250 * time.Millisecond
 )
 
 // Stop ends the daemon as planned: it is not ready from now on, passes its
 // shards on, answers what it has, and leaves. What still runs at the bound is
 // given up.
-func (d *Daemon) Stop() {
+// Further calls wait for the first.
+func (d *Daemon) Stop() { d.stopOnce.Do(d.stop) }
+
+func (d *Daemon) stop() {
 	started := time.Now()
 	d.stopping.Store(true)
 	d.logger.Info().Msg("Daemon stops.")
@@ -34,8 +41,7 @@
 	clock.Sleep(ctx, noticeTime)
 	d.relay.Drain()
 	d.drainFront(ctx)
-	d.relay.Wait(ctx)
-	d.registry.withdraw(ctx)
+	d.settleAndWithdraw(started.Add(d.settings.stopTime() - killMargin))
 	d.membership.Stop()
 	d.cancel()
 	d.transport.Close()
@@ -61,3 +67,14 @@
 		d.logger.Warn().Int("connections", d.front.count()).Msg("Requests were cut at the bound of the stop.")
 	}
 }
+
+// settleAndWithdraw settles turns and withdraws this daemon's entry, both until
+// end: also after requests took all of the time that is for them.
+func (d *Daemon) settleAndWithdraw(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	var withdrawing sync.WaitGroup
+	withdrawing.Go(func() { d.registry.withdraw(ctx) })
+	d.relay.Wait(ctx)
+	withdrawing.Wait()
+}
