Relay: a stream that waits for its record gives its connection back first

Cause: the engine's connection was given back when the call was over. Since an answer waits for its record as long as its caller does, a late record kept the connection too, and a daemon's share is a few of each engine (160 over 59 daemons: 2): further offers then found no connection and were refused as full.

Change: the answer is closed once it was read whole.

Measured: TestStreamThatWaitsForItsRecordHoldsNoConnection failed before; it passes 20 times with -race.

--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
@@ -115,3 +118,52 @@
 		h.relay.Wait(t.Context())
 	})
 }
+
+// closeCounter counts bodies that were closed.
+type closeCounter struct {
+	io.Reader
+	closed *atomic.Int64
+}
+
+func (c closeCounter) Close() error {
+	c.closed.Add(1)
+	return nil
+}
+
+// closingDriver counts the answers whose bodies were closed.
+type closingDriver struct {
+	*scriptedDriver
+	closed atomic.Int64
+}
+
+func (d *closingDriver) Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error) {
+	answer, err := d.scriptedDriver.Send(ctx, to, outgoing)
+	if err == nil {
+		answer.Body = closeCounter{Reader: answer.Body, closed: &d.closed}
+	}
+	return answer, err
+}
+
+// TestStreamThatWaitsForItsRecordHoldsNoConnection: a daemon's share of an
+// instance's connections is a few, and a record may take as long as its caller
+// waits.
+func TestStreamThatWaitsForItsRecordHoldsNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _, call := newRecording(t, 2*time.Second)
+		driver := &closingDriver{scriptedDriver: h.driver}
+		h.relay.Driver = driver
+		ended := make(chan *recorder, 1)
+		go func() {
+			got := &recorder{}
+			h.relay.Serve(t.Context(), call, got)
+			ended <- got
+		}()
+		time.Sleep(time.Second)
+		if driver.closed.Load() != 1 {
+			t.Error("the answer was read whole, and its connection is held")
+		}
+		if !(<-ended).ended {
+			t.Error("the stream was broken off")
+		}
+	})
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -76,6 +76,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	err := c.passEvents(answer, target, state)
 	if errors.Is(err, io.EOF) {
+		_ = answer.Body.Close() // the connection serves others while the record is waited for
 		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
 		state.instance = target.ID
