Relay: turns are refused before finished ones must be broken off

Cause: the text that waits for its record is bounded. The bound was judged only at the end of a run: a daemon went on to begin turns whose finished answers it could then only break off.

Change: from half of the bound on a kept turn is not begun but refused as one that has not run, to come back as in an outage. The bound itself stays as it was.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,7 +85,7 @@
 	// Daemons returns how many daemons share the instances' connections.
 	Daemons func() int
 	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
-	// bound.
+	// bound. From half of it on no further turns are begun.
 	RecordBytes int64
 	Logger      zerolog.Logger
 	Metrics     *Metrics
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -80,6 +80,9 @@
 		Previous:     c.call.Program.Previous,
 		Retention:    c.call.Route.Retention,
 	}
+	if c.call.Route.RetainContext && c.relay.recording.isCrowded(c.relay.RecordBytes) {
+		return ledger.Grant{}, errTooMuchWaits
+	}
 	for {
 		grant, err := c.relay.Ledger.Begin(ctx, turn)
 		if !errors.Is(err, ledger.ErrUnavailable) {
@@ -97,7 +100,7 @@
 // ledgerPause is after when a caller should come back whose program's record
 // could not be reached: soon after a takeover, late while the store is out.
 func (c *carrier) ledgerPause(err error) time.Duration {
-	if errors.Is(err, ledger.ErrStoreUnreachable) {
+	if errors.Is(err, ledger.ErrStoreUnreachable) || errors.Is(err, errTooMuchWaits) {
 		return c.outagePause()
 	}
 	return takeoverPause
