Log: the last line of a process is written

Cause: the diode that keeps lines from holding up their writers may return from Close without the line that was queued just before (its reader looks at the queue, then at whether it is closed; the line and the close may come in between).

Change: lines that wait are counted, and Close waits for them, 0.1 s at most.

--- a/internal/relaydaemon/logs.go
+++ b/internal/relaydaemon/logs.go
@@ -3,25 +3,75 @@
 import (
 	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 )
 
-// logQueue is how many lines may wait to be written; more are dropped and
-// counted.
-const logQueue = 4096
+const (
+	// logQueue is how many lines may wait to be written; more are dropped and
+	// counted.
+	logQueue = 4096
+	// flushTime is how long a process that ends waits for its lines to be
+	// written, and flushPoll separates looks for that.
+	flushTime = 100 * time.Millisecond
+	flushPoll = 100 * time.Microsecond
+)
 
 // timeFormat is RFC 3339 with milliseconds.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 // NewLogger returns a logger whose lines never hold up who writes them: they
 // wait in a bounded queue, and those that find it full are dropped and counted
-// by dropped.
+// by dropped. Close writes what waits.
 func NewLogger(output io.Writer, level zerolog.Level, dropped func(lines int)) (zerolog.Logger, io.Closer) {
 	zerolog.TimeFieldFormat = timeFormat
-	writer := diode.NewWriter(output, logQueue, 0, dropped)
-	return zerolog.New(writer).Level(level).With().Timestamp().Logger(), writer
+	queue := &lineQueue{}
+	queue.Writer = diode.NewWriter(lineOutput{output, queue}, logQueue, 0, func(lines int) {
+		queue.waiting.Add(-int64(lines))
+		dropped(lines)
+	})
+	return zerolog.New(queue).Level(level).With().Timestamp().Logger(), queue
+}
+
+// lineQueue is a diode that writes what waits before it closes: by itself it
+// drops a line that comes just before.
+type lineQueue struct {
+	diode.Writer
+	// waiting counts lines that are not written yet.
+	waiting atomic.Int64
+}
+
+// Write implements io.Writer.
+func (q *lineQueue) Write(line []byte) (int, error) {
+	q.waiting.Add(1)
+	return q.Writer.Write(line)
+}
+
+// Close implements io.Closer. An empty line wakes a reader that missed the last
+// one's signal.
+func (q *lineQueue) Close() error {
+	for end := time.Now().Add(flushTime); q.waiting.Load() > 0 && time.Now().Before(end); {
+		_, _ = q.Writer.Write(nil)
+		time.Sleep(flushPoll)
+	}
+	return q.Writer.Close()
+}
+
+// lineOutput notes what was written.
+type lineOutput struct {
+	io.Writer
+	queue *lineQueue
+}
+
+// Write implements io.Writer.
+func (o lineOutput) Write(line []byte) (int, error) {
+	if len(line) == 0 {
+		return 0, nil
+	}
+	defer o.queue.waiting.Add(-1)
+	return o.Writer.Write(line)
 }
 
 // LostLines counts log lines that were dropped. The zero value is ready.
