Relay daemon: signals are taken from the first moment on

Cause: signals were asked for only after the settings had been read and the log opened. A SIGHUP before that (the platform lays new settings just as it starts the process) ended the process.

Change: they are asked for first. A SIGTERM that comes while the daemon starts is held until it has started and then stops it as planned; further signals in a stop change nothing, as before.

Measured: TestSignalBeforeTheSettingsAreReadDoesNotEndTheProcess failed before ("signal: hangup"). TestFurtherSignalsDoNotDisturbAStop (SIGHUP with wrong settings, then SIGTERM, SIGTERM, SIGHUP, SIGINT, SIGTERM) checks what held already. Both pass 30 times with -race.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -21,6 +21,10 @@
 // exitBadUse is the exit code for settings that cannot be used.
 const exitBadUse = 2
 
+// signalQueue is how many signals may wait while the daemon starts; during a stop
+// further ones change nothing.
+const signalQueue = 4
+
 var errNoSettings = errors.New("--settings: is missing")
 
 func main() {
@@ -45,6 +49,8 @@
 	if path == "" {
 		return errNoSettings
 	}
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // at once: a signal not asked for ends the process
 	settings, err := relaydaemon.ReadSettings(path)
 	if err != nil || command.Bool("check") {
 		return err
@@ -57,8 +63,6 @@
 	logger, closer := relaydaemon.NewLogger(os.Stdout, level, lost.Add)
 	defer func() { _ = closer.Close() }()
 	logger = logger.With().Str("machine", settings.Name).Logger()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	daemon, err := relaydaemon.Start(settings, logger, &lost)
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/mintpulley-relay/main_test.go
@@ -0,0 +1,142 @@
+//go:build unix
+
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/loopback"
+)
+
+// asDaemon is the variable that makes the test's program run as the daemon.
+const asDaemon = "MINTPULLEY_RELAY_TEST_AS_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asDaemon) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// output collects what a process writes.
+type output struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (o *output) Write(data []byte) (int, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.bytes.Write(data)
+}
+
+func (o *output) text() string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.bytes.String()
+}
+
+// startProcess starts the daemon's program.
+func startProcess(t *testing.T, arguments ...string) (*exec.Cmd, *output) {
+	t.Helper()
+	command := exec.Command(os.Args[0], arguments...)
+	command.Env = append(os.Environ(), asDaemon+"=1")
+	out := &output{}
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = command.Process.Kill() })
+	return command, out
+}
+
+// settingsText are settings of a daemon whose store is not there.
+func settingsText(t *testing.T) string {
+	t.Helper()
+	text := "adapter: platform\nzone: z\nregion: r\nstop_seconds: 1\n"
+	for _, name := range []string{"front", "ready", "peer", "store"} {
+		address, err := loopback.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		text += fmt.Sprintf("%s_address: %s\n", name, address)
+	}
+	return text
+}
+
+func send(t *testing.T, command *exec.Cmd, signals ...syscall.Signal) {
+	t.Helper()
+	for _, signal := range signals {
+		if err := command.Process.Signal(signal); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestSignalBeforeTheSettingsAreReadDoesNotEndTheProcess: a system that tells of
+// changed settings while it starts the process must not kill it.
+func TestSignalBeforeTheSettingsAreReadDoesNotEndTheProcess(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command, out := startProcess(t, "--settings", path, "--check")
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the process reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	send(t, command, syscall.SIGHUP)
+	if _, err := pipe.WriteString(settingsText(t)); err != nil {
+		t.Error(err)
+	}
+	_ = pipe.Close()
+	if err := command.Wait(); err != nil {
+		t.Errorf("the process ended with %v:\n%s", err, out.text())
+	}
+}
+
+func TestFurtherSignalsDoNotDisturbAStop(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(path, []byte(settingsText(t)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command, out := startProcess(t, "--settings", path)
+	waitFor(t, out, "Daemon started.")
+	if err := os.WriteFile(path, []byte("front_address: wrong\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	send(t, command, syscall.SIGHUP)
+	waitFor(t, out, "Settings refused.")
+	send(t, command, syscall.SIGTERM)
+	waitFor(t, out, "Daemon stops.")
+	send(t, command, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	if err := command.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+	for _, line := range []string{"Daemon stops.", "Daemon stopped."} {
+		if count := strings.Count(out.text(), line); count != 1 {
+			t.Errorf("%q stands %d times in:\n%s", line, count, out.text())
+		}
+	}
+}
+
+func waitFor(t *testing.T, out *output, line string) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !strings.Contains(out.text(), line) {
+		if time.Now().After(deadline) {
+			t.Fatalf("no %q in:\n%s", line, out.text())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
