Members: the entry of a daemon that stopped keeps the number of its run

Cause: a planned stop dropped the daemon's entry, and with it the number that the next run must be above. If the time of day had been set back by more than the restart took, that run was numbered below the one that had left; the others do not take such a run in, for as long as they remember the old one (an hour).

Change: the entry stays and says that the daemon has left. Such entries are neither counted nor listed as daemons to join.

Measured: TestRunAfterAPlannedStopIsNumberedAboveIt failed before (numbered below); it and TestDaemonThatWithdrewIsNotListed pass 20 times with -race.

--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -38,11 +38,31 @@
 	known atomic.Int64
 }
 
-// memberRecord stands under a daemon's peer address.
+// memberRecord stands under a daemon's peer address. That of a daemon that
+// stopped as planned stays, with left: its next run must be numbered above it.
 type memberRecord struct {
 	Incarnation uint64 `json:"incarnation"`
 	Zone        string `json:"zone"`
 	Region      string `json:"region"`
+	Left        bool   `json:"left,omitempty"`
+}
+
+// present tells whether a record is that of a daemon that has not withdrawn it.
+func present(value []byte) bool {
+	var record memberRecord
+	return json.Unmarshal(value, &record) != nil || !record.Left
+}
+
+// presentAddresses returns the addresses under which daemons are on record that
+// have not withdrawn.
+func presentAddresses(records map[string]store.Record) []string {
+	var addresses []string
+	for address, record := range records {
+		if present(record.Value) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
 }
 
 func newMemberRegistry(s store.Store, settings Settings, logger zerolog.Logger) *memberRegistry {
@@ -66,13 +86,17 @@
 		r.logger.Warn().Err(err).Msg("Registry not read. The time of day numbers this run.")
 		return r.own.Incarnation
 	}
-	r.known.Store(int64(len(records)))
+	known := int64(0)
 	for _, record := range records {
+		if present(record.Value) {
+			known++
+		}
 		var former memberRecord
 		if record.Key == r.settings.PeerAddress && json.Unmarshal(record.Value, &former) == nil {
 			r.own.Incarnation = max(r.own.Incarnation, former.Incarnation+1)
 		}
 	}
+	r.known.Store(known)
 	return r.own.Incarnation
 }
 
@@ -86,8 +110,9 @@
 		Partition: registryPartition(),
 		Settings:  registryWatch,
 		OnChange: func(records map[string]store.Record) {
-			r.known.Store(int64(len(records)))
-			listed(r.machines(records))
+			addresses := presentAddresses(records)
+			r.known.Store(int64(len(addresses)))
+			listed(r.machines(addresses))
 		},
 		OnContact: func(err error) { r.logger.Debug().Err(err).Msg("Registry's contact changed.") },
 	}
@@ -108,28 +133,26 @@
 	if err != nil {
 		return err
 	}
-	return r.put(ctx, value)
+	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	defer cancel()
+	record := store.Record{Key: r.settings.PeerAddress, Value: value}
+	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
 }
 
-// withdraw drops this daemon's entry.
+// withdraw notes that this daemon has left.
 func (r *memberRegistry) withdraw(ctx context.Context) {
-	if err := r.put(ctx, nil); err != nil {
+	own := r.own
+	own.Left = true
+	if err := r.append(ctx, own); err != nil {
 		r.logger.Warn().Err(err).Msg("Entry not withdrawn.")
 	}
 }
 
-func (r *memberRegistry) put(ctx context.Context, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
-	defer cancel()
-	record := store.Record{Key: r.settings.PeerAddress, Value: value}
-	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
-}
-
 // count returns how many daemons are on record; 0 if that is not known.
 func (r *memberRegistry) count() int { return int(r.known.Load()) }
 
 // machines returns the seeds and the daemons on record.
-func (r *memberRegistry) machines(records map[string]store.Record) []structs.Machine {
+func (r *memberRegistry) machines(onRecord []string) []structs.Machine {
 	var machines []structs.Machine
 	add := func(address string) {
 		machines = append(machines, structs.Machine{
@@ -139,7 +162,7 @@
 	for _, seed := range r.settings.seedAddresses() {
 		add(seed)
 	}
-	for address := range records {
+	for _, address := range onRecord {
 		add(address)
 	}
 	return machines
