Daemon: faults in serving are logged

Cause: what net/http logs was discarded. A request whose handling panics is cut off without an answer, and nothing told of it; nor of connections that could not be accepted.

Change: such lines go to the log as "Fault in serving." with their stack.

Measured: TestRequestThatPanicsIsTold failed before and passes 20 times with -race.

--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -1,7 +1,6 @@
 package relaydaemon
 
 import (
-	"io"
 	"log"
 	"net"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -47,7 +47,7 @@
 	if err != nil {
 		return eris.Wrap(err, "relaydaemon: listen")
 	}
-	d.front = newFrontServer(newServer(d.adapter.Front(d)), listener)
+	d.front = newFrontServer(newServer(d.adapter.Front(d), part(d.logger, "http")), listener)
 	return nil
 }
 
@@ -56,18 +56,18 @@
 	if err != nil {
 		return eris.Wrap(err, "relaydaemon: listen")
 	}
-	server := newServer(handler)
+	server := newServer(handler, part(d.logger, "http"))
 	d.servers = append(d.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func newServer(handler http.Handler, logger zerolog.Logger) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimit,
-		ErrorLog:          log.New(io.Discard, "", 0),
+		ErrorLog:          log.New(serverLines{logger}, "", 0),
 	}
 }
--- a/internal/relaydaemon/logs.go
+++ b/internal/relaydaemon/logs.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,16 @@
 	return o.Writer.Write(line)
 }
 
+// serverLines takes what net/http tells of faults of its own, such as a request
+// whose handling panicked or a connection that could not be accepted.
+type serverLines struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (s serverLines) Write(line []byte) (int, error) {
+	s.logger.Error().Str("fault", strings.TrimSpace(string(line))).Msg("Fault in serving.")
+	return len(line), nil
+}
+
 // LostLines counts log lines that were dropped. The zero value is ready.
 type LostLines struct{ count atomic.Int64 }
 
--- a/internal/relaydaemon/logs_test.go
+++ b/internal/relaydaemon/logs_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"net"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -28,3 +31,25 @@
 		t.Errorf("%d of %d last lines are missing, %d counted as lost", missing, processes, lost.Count())
 	}
 }
+
+// TestRequestThatPanicsIsTold: its caller hears nothing, so the log must.
+func TestRequestThatPanicsIsTold(t *testing.T) {
+	output := &bytes.Buffer{}
+	server := newServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		panic("fault at " + r.URL.Path)
+	}), zerolog.New(output))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	front := newFrontServer(server, listener)
+	if _, err := http.Get("http://" + listener.Addr().String() + "/a"); err == nil {
+		t.Error("a request that panicked was answered")
+	}
+	if err := front.drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if !strings.Contains(output.String(), "fault at /a") {
+		t.Errorf("the fault is not told in %q", output)
+	}
+}
