--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -76,6 +76,7 @@
 	defer func() { _ = answer.Body.Close() }()
 	err := c.passEvents(answer, target, state)
 	if errors.Is(err, io.EOF) {
+		_ = answer.Body.Close() // the connection serves others while the record is waited for
 		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
 		state.instance = target.ID
@@ -184,7 +185,8 @@
 // breakOff ends a stream that can not be completed.
 func (c *carrier) breakOff(ctx context.Context, state *streamState) {
 	if state.hasHead {
-		c.logger.Info().Int64("events", state.events).AnErr("context", ctx.Err()).Msg("Stream given up.")
+		c.logger.Info().Int64("events", state.events).Dur("held", time.Since(c.call.Received)).
+			AnErr("context", context.Cause(ctx)).Msg("Stream given up.")
 		c.responder.Abort()
 		return
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -44,6 +44,8 @@
 		c.refuse(Refusal{Reason: ReasonBudgetSpent, Detail: "The program's token budget has no room for this turn."})
 	case errors.Is(err, ledger.ErrUnknownTurn):
 		c.refuse(Refusal{Reason: ReasonUnknownTurn, Detail: "The previous turn is not known."})
+	case isStopBound(ctx):
+		c.refuse(stopping)
 	default:
 		c.logger.Warn().Err(err).Dur("took", took).Msg("Program's record not reached.")
 		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.ledgerPause(err), Detail: "The program's record can not be reached."})
@@ -78,6 +80,9 @@
 		Previous:     c.call.Program.Previous,
 		Retention:    c.call.Route.Retention,
 	}
+	if c.call.Route.RetainContext && c.relay.recording.isCrowded(c.relay.RecordBytes) {
+		return ledger.Grant{}, errTooMuchWaits
+	}
 	for {
 		grant, err := c.relay.Ledger.Begin(ctx, turn)
 		if !errors.Is(err, ledger.ErrUnavailable) {
@@ -95,7 +100,7 @@
 // ledgerPause is after when a caller should come back whose program's record
 // could not be reached: soon after a takeover, late while the store is out.
 func (c *carrier) ledgerPause(err error) time.Duration {
-	if errors.Is(err, ledger.ErrStoreUnreachable) {
+	if errors.Is(err, ledger.ErrStoreUnreachable) || errors.Is(err, errTooMuchWaits) {
 		return c.outagePause()
 	}
 	return takeoverPause
@@ -161,7 +166,7 @@
 	if err == nil {
 		return true
 	}
-	c.logger.Warn().Err(err).AnErr("context", ctx.Err()).Dur("waited", state.turn.recordedAfter).
+	c.logger.Warn().Err(err).AnErr("context", context.Cause(ctx)).Dur("waited", state.turn.recordedAfter).
 		Msg("Turn not recorded. The stream is broken off.")
 	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
 	c.settleLater(outcome)
