Ledger: an append is called an append

Cause: flight, fly, land, struggle and calm were words of our own for an append, its run, its end, a store that does not answer and one that does again.

--- a/internal/ledger/flight.go
+++ b/internal/ledger/append.go
@@ -9,7 +9,7 @@
 
 const (
 	// troubleAfter is how long an append may take until its shard's holder
-	// counts as struggling, and troublePause separates looks at what it still
+	// counts as storeSilent, and troublePause separates looks at what it still
 	// can do.
 	troubleAfter = 700 * time.Millisecond
 	troublePause = 500 * time.Millisecond
@@ -17,16 +17,16 @@
 	waitingLimit = 4096
 )
 
-// flight is an append that is under way, with the operations that wait for it.
-type flight struct {
+// pendingAppend is an append that is under way, with the operations that wait for it.
+type pendingAppend struct {
 	writer  store.Writer
 	records []store.Record
 	waiting []answered
 }
 
-// landing tells of an append: how it ended, or that it is still under way.
-type landing struct {
-	flight   *flight
+// appendNews tells of an append: how it ended, or that it is still under way.
+type appendNews struct {
+	append   *pendingAppend
 	err      error
 	underway bool
 }
@@ -35,10 +35,10 @@
 	return store.Writer{Name: writerName, Epoch: h.epoch, Sequence: h.sequence}
 }
 
-// launch appends all changes, unless an append is under way: then they go with
+// startAppend appends all changes, unless an append is under way: then they go with
 // the next one.
-func (h *holder) launch(ctx context.Context) {
-	if h.state == nil || h.flight != nil {
+func (h *holder) startAppend(ctx context.Context) {
+	if h.state == nil || h.pending != nil {
 		return
 	}
 	h.flush.Stop()
@@ -59,9 +59,9 @@
 		return
 	}
 	h.sequence++
-	h.flight = &flight{writer: h.writer(), records: records, waiting: waiting}
+	h.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting}
 	h.appending.Store(true)
-	go h.fly(ctx, h.flight)
+	go h.runAppend(ctx, h.pending)
 }
 
 func (h *holder) answerAll(list []answered) {
@@ -70,15 +70,15 @@
 	}
 }
 
-// fly makes an append until the store answers for good: it keeps its number,
+// runAppend makes an append until the store answers for good: it keeps its number,
 // so it is done once. Now and then it tells that it is still under way.
-func (h *holder) fly(ctx context.Context, current *flight) {
+func (h *holder) runAppend(ctx context.Context, current *pendingAppend) {
 	done := make(chan error, 1)
 	go func() { done <- h.records.append(ctx, h.partition, current.writer, current.records) }()
 	trouble := time.NewTimer(troubleAfter)
 	defer trouble.Stop()
 	for {
-		told := landing{flight: current, underway: true}
+		told := appendNews{append: current, underway: true}
 		select {
 		case told.err = <-done:
 			told.underway = false
@@ -88,7 +88,7 @@
 			return
 		}
 		select {
-		case h.landed <- told:
+		case h.appendNews <- told:
 		case <-ctx.Done():
 		}
 		if !told.underway {
@@ -97,41 +97,41 @@
 	}
 }
 
-// land takes news of an append. While it is under way nothing else is
+// noteAppend takes news of an append. While it is under way nothing else is
 // appended, and turns are granted only from headroom that the store counts as
 // spent already: if another daemon takes the shard, it counts it so, too.
-func (h *holder) land(ctx context.Context, landing landing) {
-	current := landing.flight
-	if current != h.flight || h.state == nil {
+func (h *holder) noteAppend(ctx context.Context, news appendNews) {
+	current := news.append
+	if current != h.pending || h.state == nil {
 		return // the shard was lost meanwhile
 	}
 	switch {
-	case landing.underway:
-		h.struggle(current)
-	case landing.err == nil:
-		h.flight = nil
+	case news.underway:
+		h.noteSlowAppend(current)
+	case news.err == nil:
+		h.pending = nil
 		h.appending.Store(false)
-		h.calm()
-		h.state.landHeadroom()
+		h.noteAnswered()
+		h.state.confirmHeadroom()
 		h.answerAll(current.waiting)
 		switch {
 		case h.handover != nil && h.handover.prepared:
 			h.relinquish(ctx)
 		case len(h.waiting) > 0:
-			h.launch(ctx)
+			h.startAppend(ctx)
 		}
 	default:
 		h.drop()
-		h.refuseAll(current.waiting, h.lose(ctx, landing.err))
+		h.refuseAll(current.waiting, h.lose(ctx, news.err))
 	}
 }
 
-// struggle takes note that the store does not answer. What waits for it goes on
+// noteSlowAppend takes note that the store does not answer. What waits for it goes on
 // to wait: it is answered as soon as the store does. Only a daemon that is cut
 // off from the store and from all that could help sends its callers elsewhere.
-func (h *holder) struggle(current *flight) {
-	if !h.struggling.Swap(true) {
-		h.struggledAt = time.Now()
+func (h *holder) noteSlowAppend(current *pendingAppend) {
+	if !h.storeSilent.Swap(true) {
+		h.silentSince = time.Now()
 		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.waiting)).
 			Msg("Shard's partition does not answer. Turns are granted from headroom alone.")
 		h.metrics.lost(store.ErrUnavailable)
@@ -144,13 +144,13 @@
 	}
 }
 
-// calm takes note that the store answered.
-func (h *holder) calm() {
-	if h.struggling.Swap(false) {
-		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", time.Since(h.struggledAt)).Int("waiting", len(h.waiting)).
+// noteAnswered takes note that the store answered.
+func (h *holder) noteAnswered() {
+	if h.storeSilent.Swap(false) {
+		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", time.Since(h.silentSince)).Int("waiting", len(h.waiting)).
 			Msg("Shard's partition answers again.")
 	}
 }
 
 // isIsolated tells whether another daemon had better hold the shard.
-func (h *holder) isIsolated() bool { return h.struggling.Load() && h.records.contact.IsIsolated() }
+func (h *holder) isIsolated() bool { return h.storeSilent.Load() && h.records.contact.IsIsolated() }
--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -138,7 +138,7 @@
 		return
 	}
 	current.prepared = true
-	if h.flight == nil {
+	if h.pending == nil {
 		h.relinquish(ctx)
 	}
 }
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -15,23 +15,23 @@
 	if s.returning {
 		entry.Headroom = 0
 	}
-	entry.flying = entry.Headroom
-	entry.isFlying = true
-	s.flying = append(s.flying, entry)
+	entry.appending = entry.Headroom
+	entry.isInAppend = true
+	s.inAppend = append(s.inAppend, entry)
 }
 
-// landHeadroom takes note that all records on their way have arrived.
-func (s *state) landHeadroom() {
-	for _, entry := range s.flying {
-		entry.headroom = entry.flying
-		entry.isFlying = false
+// confirmHeadroom takes note that all records on their way have arrived.
+func (s *state) confirmHeadroom() {
+	for _, entry := range s.inAppend {
+		entry.headroom = entry.appending
+		entry.isInAppend = false
 	}
-	s.flying = s.flying[:0]
+	s.inAppend = s.inAppend[:0]
 }
 
 // hasHeadroom tells whether an account's headroom has room for a turn.
 func (e *accountEntry) hasHeadroom(most int64) bool {
-	return e.headroom >= most && (!e.isFlying || e.flying >= most)
+	return e.headroom >= most && (!e.isInAppend || e.appending >= most)
 }
 
 // canGrant tells whether a turn can begin without an append. A chain that came
@@ -49,8 +49,8 @@
 	}
 	entry := s.accounts[turn.Program]
 	entry.headroom -= turn.MostTokens
-	if entry.isFlying {
-		entry.flying -= turn.MostTokens
+	if entry.isInAppend {
+		entry.appending -= turn.MostTokens
 	}
 	return true
 }
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -63,15 +63,15 @@
 	waiting []answered
 	// barrier: the next append must take place even without a change.
 	barrier bool
-	// flight is the append that is under way, nil for none; appending tells
+	// pending is the append that is under way, nil for none; appending tells
 	// askers of it.
-	flight    *flight
-	appending atomic.Bool
-	landed    chan landing
-	// struggling: the append under way was not answered for long, since
-	// struggledAt.
-	struggling  atomic.Bool
-	struggledAt time.Time
+	pending    *pendingAppend
+	appending  atomic.Bool
+	appendNews chan appendNews
+	// storeSilent: the append under way was not answered for long, since
+	// silentSince.
+	storeSilent atomic.Bool
+	silentSince time.Time
 	flush       *time.Timer
 	// tasks are done by run, one after the other.
 	tasks chan func(context.Context)
@@ -108,7 +108,7 @@
 
 // run works until ctx ends.
 func (h *holder) run(ctx context.Context) {
-	h.landed = make(chan landing, 1)
+	h.appendNews = make(chan appendNews, 1)
 	h.tasks = make(chan func(context.Context), 1)
 	h.flush = time.NewTimer(time.Hour)
 	h.flush.Stop()
@@ -123,10 +123,10 @@
 			return
 		case o := <-h.operations:
 			h.handle(ctx, o)
-		case landing := <-h.landed:
-			h.land(ctx, landing)
+		case news := <-h.appendNews:
+			h.noteAppend(ctx, news)
 		case <-h.flush.C:
-			h.launch(ctx)
+			h.startAppend(ctx)
 		case task := <-h.tasks:
 			task(ctx)
 		}
@@ -245,7 +245,7 @@
 	}
 	h.waiting = append(h.waiting, answered{operation: o, answer: answer})
 	if o.urgent() {
-		h.launch(ctx)
+		h.startAppend(ctx)
 		return
 	}
 	if len(h.waiting) == 1 {
@@ -326,10 +326,10 @@
 // drop forgets the shard's state.
 func (h *holder) drop() {
 	h.state = nil
-	h.flight = nil
+	h.pending = nil
 	h.handover = nil
 	h.appending.Store(false)
-	h.struggling.Store(false)
+	h.storeSilent.Store(false)
 	h.barrier = false
 	h.refuseAll(h.waiting, resultMoved)
 	h.waiting = nil
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -313,7 +313,7 @@
 		if stopped {
 			return
 		}
-		reply(Response{Number: request.Number, Result: resultPending, StoreOut: holder.struggling.Load()})
+		reply(Response{Number: request.Number, Result: resultPending, StoreOut: holder.storeSilent.Load()})
 		if holder.isBusy() {
 			timer.Reset(pendingPause)
 		}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -45,8 +45,8 @@
 	turns    map[string]*turnEntry
 	ended    map[string]time.Time
 	dirty    map[string]struct{}
-	// flying accounts are on their way to the store.
-	flying []*accountEntry
+	// inAppend are the accounts that are on their way to the store.
+	inAppend []*accountEntry
 	// returning: no headroom is set aside any more.
 	returning bool
 	clock     shardClock
@@ -56,10 +56,10 @@
 	account
 	usedAt time.Time
 	// headroom is what is left of the headroom that the store knows of, and
-	// flying what is left of that which is on its way there.
-	headroom int64
-	flying   int64
-	isFlying bool
+	// appending what is left of that which is on its way there.
+	headroom   int64
+	appending  int64
+	isInAppend bool
 }
 
 type turnEntry struct {
