--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -133,6 +133,7 @@
 	}
 	h.logger.Info().Uint64("epoch", h.epoch).Str("to", current.to).Str("result", string(result)).
 		Dur("took", took).Bool("leaving", h.isLeaving()).Msg("Successor answered.")
+	h.metrics.handedOver(result)
 	if result != resultOK && !h.isLeaving() {
 		h.handover = nil
 		return
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -13,6 +13,8 @@
 	skipped  prometheus.Counter
 	silences prometheus.Counter
 	grants   *prometheus.CounterVec
+	// handovers are planned ones, by the successor's last word.
+	handovers *prometheus.CounterVec
 }
 
 // NewMetrics registers the ledger's metrics.
@@ -39,7 +41,11 @@
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "turns_total",
 		Help: "Turns that began, by what they waited for.",
 	}, []string{"by"})
-	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.grants)
+	m.handovers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "handovers_total",
+		Help: "Shards that were to be passed on as planned, by what the successor said last.",
+	}, []string{"result"})
+	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.grants, m.handovers)
 	return m
 }
 
@@ -47,6 +53,8 @@
 
 func (m *Metrics) granted(by string) { m.grants.WithLabelValues(by).Inc() }
 
+func (m *Metrics) handedOver(with result) { m.handovers.WithLabelValues(string(with)).Inc() }
+
 func (m *Metrics) malformed() { m.skipped.Inc() }
 
 func (m *Metrics) silent() { m.silences.Inc() }
