--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -18,6 +19,8 @@
 	// avoidImpaired is the same for one that could not reach the partition of
 	// a shard, for that shard.
 	avoidImpaired = time.Second
+	// hashBitsDropped of a hash do not fit into a float64 exactly.
+	hashBitsDropped = 11
 )
 
 // choose returns the daemon to ask for a shard, "" if there is none left. That
@@ -40,10 +43,10 @@
 }
 
 // successor returns the daemon that should hold a shard if some cannot: the
-// one with the highest hash of itself and the shard among those of which there
-// is no bad news, or else among all others that live.
+// first by rendezvous among those of which there is no bad news, or else among
+// all others that live.
 func (s *Service) successor(shard int, except []structs.DaemonID, now time.Time) structs.DaemonID {
-	best, bestRank, bestHash := structs.DaemonID(""), 0, uint64(0)
+	best, bestRank, bestScore := structs.DaemonID(""), 0, 0.0
 	for _, member := range s.View.Members() {
 		id := member.Daemon.ID
 		if !s.mayHold(member) || slices.Contains(except, id) {
@@ -53,14 +56,23 @@
 		if member.State == membership.StateSuspect || s.avoided.isAvoided(shard, id, time.Time{}, now) {
 			rank = 1
 		}
-		hash := xxhash.Sum64String(id.Address() + "/" + strconv.Itoa(shard))
-		if best == "" || rank < bestRank || (rank == bestRank && hash > bestHash) {
-			best, bestRank, bestHash = id, rank, hash
+		score := rendezvousScore(shard, member.Daemon)
+		if best == "" || rank < bestRank || (rank == bestRank && score > bestScore) {
+			best, bestRank, bestScore = id, rank, score
 		}
 	}
 	return best
 }
 
+// rendezvousScore is a daemon's claim on a shard; the highest should hold it.
+// Each daemon is first for as many shards as its capacity is of that of all
+// (weighted rendezvous hashing).
+func rendezvousScore(shard int, daemon structs.Daemon) float64 {
+	hash := xxhash.Sum64String(daemon.ID.Address() + "/" + strconv.Itoa(shard))
+	fraction := (float64(hash>>hashBitsDropped) + 0.5) / (1 << (64 - hashBitsDropped))
+	return float64(max(daemon.Capacity, 1)) / -math.Log(fraction)
+}
+
 // mayHold tells whether a member may hold shards.
 func (s *Service) mayHold(member membership.Member) bool {
 	if member.Daemon.ID == s.Self {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -67,6 +67,7 @@
 		Zone:        options.Self.Zone,
 		Region:      options.Self.Region,
 		HTTPAddress: options.Self.HTTPAddress,
+		Capacity:    options.Self.Capacity,
 	})
 	m.insert(m.self)
 	m.changes = nil
@@ -110,7 +111,7 @@
 		if m.self.leaving {
 			update := m.self.update()
 			update.Status = statusLeft
-			update.Zone, update.Region, update.HTTPAddress = "", "", ""
+			update.Zone, update.Region, update.HTTPAddress, update.Capacity = "", "", "", 0
 			m.broadcast.add(update, true)
 			m.flush()
 		}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -15,10 +15,11 @@
 	Status status `json:"s,omitempty"`
 	// Refutation counts how often the run has contradicted news about itself.
 	Refutation uint64 `json:"r,omitempty"`
-	// Zone, Region and HTTPAddress are absent when the run is dead.
+	// Zone, Region, HTTPAddress and Capacity are absent when the run is dead.
 	Zone        structs.ZoneName   `json:"z,omitempty"`
 	Region      structs.RegionName `json:"g,omitempty"`
 	HTTPAddress string             `json:"h,omitempty"`
+	Capacity    int                `json:"c,omitempty"`
 }
 
 // Ping asks for an Ack.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -66,6 +66,7 @@
 			Zone:        update.Zone,
 			Region:      update.Region,
 			HTTPAddress: update.HTTPAddress,
+			Capacity:    update.Capacity,
 		},
 		address:    update.Address,
 		run:        update.Run,
@@ -117,6 +118,7 @@
 		update.Zone = r.daemon.Zone
 		update.Region = r.daemon.Region
 		update.HTTPAddress = r.daemon.HTTPAddress
+		update.Capacity = r.daemon.Capacity
 	}
 	return update
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -127,6 +127,8 @@
 		ID:     structs.NewDaemonID(d.settings.PeerAddress, d.registry.incarnation()),
 		Zone:   structs.ZoneName(d.settings.Zone),
 		Region: structs.RegionName(d.settings.Region),
+
+		Capacity: d.settings.capacity(),
 	}
 	receiver := &receiverSlot{}
 	transport, err := tcp.Listen(self.ID, receiver, nil, part(d.logger, "peer"))
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -42,6 +42,12 @@
 	LedgerPartitions int `yaml:"ledger_partitions"`
 	// MemoryMegabytes is what the process may take; 0 sets no bound.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
+	// ProcessorShare is the part of a core that the process gets, ProcessorSpeed
+	// how many times as fast that core runs, and LinkMegabits what its link carries
+	// in Mbit/s; 0 if that is not known.
+	ProcessorShare float64 `yaml:"processor_share"`
+	ProcessorSpeed float64 `yaml:"processor_speed"`
+	LinkMegabits   float64 `yaml:"link_megabits"`
 	// StopSeconds bounds a planned stop.
 	StopSeconds float64 `yaml:"stop_seconds"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
@@ -114,6 +120,9 @@
 	if s.MemoryMegabytes < 0 {
 		add("memory_megabytes", "must not be negative")
 	}
+	if s.ProcessorShare < 0 || s.ProcessorSpeed < 0 || s.LinkMegabits < 0 {
+		add("processor_share, processor_speed, link_megabits", "must not be negative")
+	}
 	if s.StopSeconds <= 0 {
 		add("stop_seconds", "must be above 0")
 	}
--- a/internal/structs/fleet.go
+++ b/internal/structs/fleet.go
@@ -7,6 +7,9 @@
 	Region RegionName `json:"region"`
 	// HTTPAddress is where callers and operators reach it, "IP:PORT".
 	HTTPAddress string `json:"http_address"`
+	// Capacity tells how much work the machine can take beside others; 0 counts
+	// as 1.
+	Capacity int `json:"capacity,omitempty"`
 }
 
 // MachineKind tells what a machine on the platform's list runs.
