Tests take free addresses, and HTTP drivers their client, from one place

Cause: freeAddress stood word for word in the tests of command and integration and again in httpdriver's; three packages set up the same HTTP transport. Change: loopbacktest.FreeAddress and httpdriver.NewClient serve them. The copy in platform's tests stays for now: others work there. Behaviour is as before.

--- a/internal/command/operators_test.go
+++ b/internal/command/operators_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/command"
 	"github.com/mintpulley/mintpulley/internal/daemon"
-	"github.com/mintpulley/mintpulley/internal/loopback"
+	"github.com/mintpulley/mintpulley/internal/loopback/loopbacktest"
 	"github.com/mintpulley/mintpulley/internal/operator"
 	"github.com/mintpulley/mintpulley/internal/settings"
 	"github.com/mintpulley/mintpulley/internal/standin/eventlog"
@@ -36,7 +36,7 @@
 	for i := range configs {
 		configs[i] = settings.Default()
 		configs[i].Zone = structs.ZoneName([]string{"zone-a", "zone-b", "zone-c"}[i])
-		configs[i].PeerAddress, configs[i].HTTPAddress = freeAddress(t), freeAddress(t)
+		configs[i].PeerAddress, configs[i].HTTPAddress = loopbacktest.FreeAddress(t), loopbacktest.FreeAddress(t)
 		machines = append(machines, structs.Machine{
 			Kind: structs.MachineDaemon, Address: configs[i].PeerAddress, Zone: configs[i].Zone, Region: configs[i].Region, State: structs.MachineLive,
 		})
@@ -83,15 +83,6 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	address, err := loopback.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 // run runs a command and returns what it printed and its exit code.
 func run(arguments ...string) (string, int) {
 	var out bytes.Buffer
--- a/internal/integration/fleet_test.go
+++ b/internal/integration/fleet_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/loopback/loopbacktest"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -87,18 +88,18 @@
 
 // startStandins starts the platform and the back ends behind one proxy.
 func (f *fleet) startStandins() {
-	f.proxy = freeAddress(f.t)
+	f.proxy = loopbacktest.FreeAddress(f.t)
 	arguments := []string{"proxy", "--listen", f.proxy}
 	behind := func(name, target string) string {
-		listen := freeAddress(f.t)
+		listen := loopbacktest.FreeAddress(f.t)
 		arguments = append(arguments, route(name, listen, target))
 		return listen
 	}
-	logAddress, appAddress := freeAddress(f.t), freeAddress(f.t)
+	logAddress, appAddress := loopbacktest.FreeAddress(f.t), loopbacktest.FreeAddress(f.t)
 	f.log, f.application = logAddress, appAddress
 	var machines []structs.Machine
 	for i := range 2 {
-		address := freeAddress(f.t)
+		address := loopbacktest.FreeAddress(f.t)
 		f.engines = append(f.engines, address)
 		start(f.t, fmt.Sprintf("engine-%d", i), programs.standin, "engine", "--listen", address, "--model", modelName, "--profile", "fast")
 		machines = append(machines, structs.Machine{Kind: structs.MachineEngine, Address: behind(fmt.Sprintf("engine-%d", i), address), Zone: zoneOf(i), State: structs.MachineLive})
@@ -108,8 +109,8 @@
 	machines = append(machines, structs.Machine{Kind: structs.MachineApplication, Name: "wholesale", Address: behind("application", appAddress), Zone: zoneOf(0), State: structs.MachineLive})
 	proxiedLog := behind("log", logAddress)
 	for i := range 3 {
-		m := &member{name: string(rune('a' + i)), listenHTTP: freeAddress(f.t)}
-		listenPeer := freeAddress(f.t)
+		m := &member{name: string(rune('a' + i)), listenHTTP: loopbacktest.FreeAddress(f.t)}
+		listenPeer := loopbacktest.FreeAddress(f.t)
 		m.http, m.peer = behind("http-"+m.name, m.listenHTTP), behind("peer-"+m.name, listenPeer)
 		m.settings = f.writeSettings(m, zoneOf(i), listenPeer, proxiedLog)
 		machines = append(machines, structs.Machine{Kind: structs.MachineDaemon, Address: m.peer, Zone: zoneOf(i), State: structs.MachineLive})
@@ -138,7 +139,7 @@
 
 func (f *fleet) writeSettings(m *member, zone structs.ZoneName, listenPeer, logAddress string) string {
 	if f.machines == "" {
-		f.machines = freeAddress(f.t)
+		f.machines = loopbacktest.FreeAddress(f.t)
 	}
 	text := fmt.Sprintf("peer_address: %s\npeer_listen: %s\nhttp_address: %s\nzone: %s\nregion: local\nshards: 16\n"+
 		"event_log: {addresses: [%q]}\nmachine_list: {addresses: [%q]}\nlog_level: debug\n"+
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -15,8 +15,6 @@
 	"syscall"
 	"testing"
 	"time"
-
-	"github.com/mintpulley/mintpulley/internal/loopback"
 )
 
 // programs are the paths of the built programs.
@@ -105,16 +103,6 @@
 	<-p.ended
 }
 
-// freeAddress returns an address on loopback that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	address, err := loopback.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return address
-}
-
 // eventually waits for a condition; what names it in the failure.
 func eventually(t *testing.T, within time.Duration, what string, condition func() bool) {
 	t.Helper()
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/gateway"
+	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
 )
 
 // Errors of calls.
@@ -32,11 +33,7 @@
 type caller struct{ client *http.Client }
 
 func newCaller() *caller {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = connectionsPerDaemon
-	transport.MaxIdleConns = 0
-	transport.DisableCompression = true
-	return &caller{client: &http.Client{Transport: transport}}
+	return &caller{client: httpdriver.NewClient(connectionsPerDaemon)}
 }
 
 // message is one turn of a conversation on the wire.
--- a/internal/plugins/application/httpapp/setup.go
+++ b/internal/plugins/application/httpapp/setup.go
@@ -50,11 +50,7 @@
 
 // New returns a client of application back ends.
 func New(settings framework.DriverSettings) framework.ApplicationDriver {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = connectionsPerService
-	transport.MaxIdleConns = 0
-	transport.DisableCompression = true
-	return &driver{client: &http.Client{Transport: transport}, timeout: settings.TimeoutOr(defaultTimeout)}
+	return &driver{client: httpdriver.NewClient(connectionsPerService), timeout: settings.TimeoutOr(defaultTimeout)}
 }
 
 // Invoke implements framework.ApplicationDriver.
--- a/internal/plugins/engine/openai/setup.go
+++ b/internal/plugins/engine/openai/setup.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
+	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -36,11 +37,7 @@
 
 // New returns a driver for all engines of the dialect.
 func New(settings framework.DriverSettings) framework.EngineDriver {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = connectionsPerEngine
-	transport.MaxIdleConns = 0
-	transport.DisableCompression = true
-	return &driver{client: &http.Client{Transport: transport}, timeout: settings.TimeoutOr(defaultTimeout)}
+	return &driver{client: httpdriver.NewClient(connectionsPerEngine), timeout: settings.TimeoutOr(defaultTimeout)}
 }
 
 // Cancel implements framework.EngineDriver.
--- a/internal/plugins/httpdriver/httpdriver.go
+++ b/internal/plugins/httpdriver/httpdriver.go
@@ -1,15 +1,27 @@
-// Package httpdriver holds what the drivers that speak HTTP have in common: how
-// an error of the connection and a rejected request are understood.
+// Package httpdriver holds what the drivers that speak HTTP have in common: their
+// client, and how an error of the connection and a rejected request are understood.
 package httpdriver
 
 import (
 	"net"
+	"net/http"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
 )
 
+// NewClient returns a client that keeps up to a number of idle connections to
+// each back end, and any number in all. It asks for no compression, which would
+// hold back the pieces of a stream.
+func NewClient(idleConnectionsPerBackEnd int) *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxIdleConnsPerHost = idleConnectionsPerBackEnd
+	transport.MaxIdleConns = 0 // no limit
+	transport.DisableCompression = true
+	return &http.Client{Transport: transport}
+}
+
 // HeaderRejected is set on answers that say the request certainly did not run.
 const HeaderRejected = "X-Rejected"
 
--- a/internal/plugins/httpdriver/httpdriver_test.go
+++ b/internal/plugins/httpdriver/httpdriver_test.go
@@ -6,16 +6,12 @@
 	"testing"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
-	"github.com/mintpulley/mintpulley/internal/loopback"
+	"github.com/mintpulley/mintpulley/internal/loopback/loopbacktest"
 	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
 )
 
 func TestRefusedConnectionWasNotSent(t *testing.T) {
-	address, err := loopback.FreeAddress()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if end := endOfPost(t, address); end.Kind != framework.EndRejected {
+	if end := endOfPost(t, loopbacktest.FreeAddress(t)); end.Kind != framework.EndRejected {
 		t.Errorf("nobody listens, and the end is %s: %s", end.Kind, end.Message)
 	}
 }
