Stand-ins' configuration, files and measurements: written once each

Cause: the change that sets a whole configuration stood in demo and load, the loop that reads files twice in configuration/files, the choice of a result's form twice in command. Change: configuration.EncodeWhole, files.load and command.writeMeasurement serve both places. Behaviour is as before.

--- a/internal/command/load.go
+++ b/internal/command/load.go
@@ -100,11 +100,7 @@
 	if err != nil {
 		return err
 	}
-	if command.String("format") == "json" {
-		return load.WriteJSON(command.Root().Writer, result)
-	}
-	result.WriteTable(command.Root().Writer)
-	return nil
+	return writeMeasurement(command, result)
 }
 
 func serviceOf(command *cli.Command) load.Service {
@@ -178,6 +174,14 @@
 	if err != nil {
 		return err
 	}
+	return writeMeasurement(command, result)
+}
+
+// measurement is a result that can be shown as a table.
+type measurement interface{ WriteTable(w io.Writer) }
+
+// writeMeasurement prints a result in the form that --format asks for.
+func writeMeasurement(command *cli.Command, result measurement) error {
 	if command.String("format") == "json" {
 		return load.WriteJSON(command.Root().Writer, result)
 	}
--- a/internal/configuration/entry.go
+++ b/internal/configuration/entry.go
@@ -53,6 +53,16 @@
 	return payload, nil
 }
 
+// EncodeWhole returns the payload of a change that sets everything that is
+// wanted. One name serves as its operation and its operator.
+func EncodeWhole(name string, wanted structs.Configuration) ([]byte, error) {
+	return EncodeEntry(Entry{Change: &structs.Change{OperationID: name, Operator: name, Patch: structs.Patch{
+		Models:    structs.Edit[structs.ModelName, structs.Model]{Set: wanted.Models},
+		Templates: structs.Edit[structs.TemplateName, structs.Template]{Set: wanted.Templates},
+		Tenants:   structs.Edit[structs.TenantName, structs.Tenant]{Set: wanted.Tenants},
+	}}})
+}
+
 // DecodeEntry reads a payload. Unknown fields are refused: a daemon that
 // ignored a field would fold another configuration than one that knows it.
 func DecodeEntry(payload []byte) (Entry, error) {
--- a/internal/configuration/files/files.go
+++ b/internal/configuration/files/files.go
@@ -47,37 +47,28 @@
 
 // Load reads files and all .yaml and .yml files of directories.
 func Load(paths []string) (*Wanted, []yamlfile.Problem) {
-	var sources []Source
-	var problems []yamlfile.Problem
-	for _, given := range paths {
-		names, err := list(given)
-		if err != nil {
-			problems = append(problems, yamlfile.Problem{File: given, Reason: err.Error()})
-		}
-		for _, name := range names {
-			data, err := os.ReadFile(name)
-			if err != nil {
-				problems = append(problems, yamlfile.Problem{File: name, Reason: err.Error()})
-				continue
-			}
-			sources = append(sources, Source{Name: name, Data: data})
-		}
-	}
-	wanted, found := Parse(sources)
-	return wanted, append(problems, found...)
+	return load(paths, list, os.ReadFile)
 }
 
 // LoadFS reads all .yaml files of directories of a file system.
 func LoadFS(system fs.FS, directories ...string) (*Wanted, []yamlfile.Problem) {
+	list := func(directory string) ([]string, error) { return fs.Glob(system, path.Join(directory, "*.yaml")) }
+	read := func(name string) ([]byte, error) { return fs.ReadFile(system, name) }
+	return load(directories, list, read)
+}
+
+// load reads the files that paths stand for. What cannot be read is a problem,
+// and the rest is parsed.
+func load(paths []string, list func(string) ([]string, error), read func(string) ([]byte, error)) (*Wanted, []yamlfile.Problem) {
 	var sources []Source
 	var problems []yamlfile.Problem
-	for _, directory := range directories {
-		names, err := fs.Glob(system, path.Join(directory, "*.yaml"))
+	for _, given := range paths {
+		names, err := list(given)
 		if err != nil {
-			problems = append(problems, yamlfile.Problem{File: directory, Reason: err.Error()})
+			problems = append(problems, yamlfile.Problem{File: given, Reason: err.Error()})
 		}
 		for _, name := range names {
-			data, err := fs.ReadFile(system, name)
+			data, err := read(name)
 			if err != nil {
 				problems = append(problems, yamlfile.Problem{File: name, Reason: err.Error()})
 				continue
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -96,12 +96,7 @@
 
 // Publish appends a change to the log that sets everything wanted.
 func (c *Cluster) Publish(wanted structs.Configuration) error {
-	change := structs.Change{OperationID: "demo", Operator: "demo", Patch: structs.Patch{
-		Models:    structs.Edit[structs.ModelName, structs.Model]{Set: wanted.Models},
-		Templates: structs.Edit[structs.TemplateName, structs.Template]{Set: wanted.Templates},
-		Tenants:   structs.Edit[structs.TenantName, structs.Tenant]{Set: wanted.Tenants},
-	}}
-	payload, err := configuration.EncodeEntry(configuration.Entry{Change: &change})
+	payload, err := configuration.EncodeWhole("demo", wanted)
 	if err != nil {
 		return eris.Wrap(err, "demo: publish")
 	}
--- a/internal/load/standins.go
+++ b/internal/load/standins.go
@@ -100,13 +100,7 @@
 }
 
 func publish(log *eventlog.Log) error {
-	wanted := StandInConfiguration()
-	change := structs.Change{OperationID: "load", Operator: "load", Patch: structs.Patch{
-		Models:    structs.Edit[structs.ModelName, structs.Model]{Set: wanted.Models},
-		Templates: structs.Edit[structs.TemplateName, structs.Template]{Set: wanted.Templates},
-		Tenants:   structs.Edit[structs.TenantName, structs.Tenant]{Set: wanted.Tenants},
-	}}
-	payload, err := configuration.EncodeEntry(configuration.Entry{Change: &change})
+	payload, err := configuration.EncodeWhole("load", StandInConfiguration())
 	if err != nil {
 		return eris.Wrap(err, "load: configuration")
 	}
