--- /dev/null
+++ b/internal/replication/genesis.go
@@ -0,0 +1,135 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// genesis names the first group of every shard. The first in the stream counts.
+type genesis struct {
+	Daemons []structs.Daemon `json:"daemons"`
+	// Groups lists, for each shard, indexes into Daemons.
+	Groups [][]int `json:"groups"`
+}
+
+// foldGenesis takes the first groups and returns what is to be done after the
+// lock is free.
+func (g *registry) foldGenesis(first *genesis) []func() {
+	m := g.manager
+	if len(first.Groups) != m.Settings.Shards {
+		m.Logger.Error().Int("shards", len(first.Groups)).Msg("Genesis refused. It has another number of shards.")
+		return nil
+	}
+	g.hasGroups = true
+	var effects []func()
+	for number, indexes := range first.Groups {
+		var group Group
+		for _, index := range indexes {
+			if index >= 0 && index < len(first.Daemons) {
+				group = append(group, first.Daemons[index].ID)
+			}
+		}
+		shard := structs.ShardNumber(number)
+		g.groups[shard] = knownGroup{group: group}
+		if group.Contains(m.Self.ID) {
+			effects = append(effects, func() { m.openFirst(shard, group) })
+		}
+	}
+	m.Logger.Info().Int("shards", len(first.Groups)).Msg("First groups known.")
+	return effects
+}
+
+// openFirst makes the replica of a member of a shard's first group.
+func (m *Manager) openFirst(shard structs.ShardNumber, group Group) {
+	r := m.open(shard, promise{}, group)
+	r.post(func() {
+		if r.log.base == 0 && r.log.baseGroup == nil && generation(r.promise.epoch) == 0 {
+			r.log.baseGroup = group
+			r.log.findGroup()
+		}
+		r.publish()
+		r.considerElection()
+	})
+}
+
+// memberChanged looks whether there are enough daemons for the first groups.
+func (g *registry) memberChanged() {
+	g.mutex.Lock()
+	waiting := !g.hasGroups
+	g.mutex.Unlock()
+	if waiting {
+		g.read()
+	}
+}
+
+// Parts of the listed daemons that must be seen before the first groups are
+// written: nearly all at first, after a wait half, and in the end any. Groups
+// written among the first few to start would put every shard on those, and
+// spreading them afterwards takes long.
+const (
+	genesisPart        = 0.9
+	genesisPartWaited  = 0.5
+	genesisAnyAfter    = 6
+	genesisWaitedAfter = 1
+	// genesisListDivisor of the wait is given to the first reading of the list:
+	// others may find this daemon before it knows how many there are.
+	genesisListDivisor = 5
+)
+
+// enoughForGenesis tells whether the first groups may be written by a daemon
+// that has seen some others and has run for some time.
+func (m *Manager) enoughForGenesis(seen int, running time.Duration) bool {
+	m.mutex.Lock()
+	listed, listKnown := float64(len(m.machines.listed)), m.machines.known()
+	m.mutex.Unlock()
+	switch {
+	case !listKnown && running < m.Settings.GenesisWait/genesisListDivisor:
+		return false
+	case running >= genesisAnyAfter*m.Settings.GenesisWait:
+		return true
+	case running >= genesisWaitedAfter*m.Settings.GenesisWait:
+		return float64(seen) >= genesisPartWaited*listed
+	default:
+		return seen >= m.Settings.MinimumDaemons && float64(seen) >= genesisPart*listed
+	}
+}
+
+// firstGroups returns the groups to begin with, once it is this daemon's turn
+// to write them: enough others are seen, or were waited for long enough.
+func (g *registry) firstGroups() (*genesis, bool) {
+	m := g.manager
+	daemons := m.candidates()
+	now := m.Clock.Now()
+	if !g.caughtUp || len(daemons) == 0 || !m.enoughForGenesis(len(daemons), now.Sub(g.startedAt)) {
+		g.genesisAt = time.Time{}
+		return nil, false
+	}
+	if g.genesisAt.IsZero() {
+		rank := max(indexOf(daemons, m.Self.ID), 0)
+		g.genesisAt = now.Add(time.Duration(rank) * m.Settings.GenesisPause)
+	}
+	if now.Before(g.genesisAt) {
+		return nil, false
+	}
+	return m.genesisOf(daemons), true
+}
+
+// genesisOf places the first group of each shard among daemons.
+func (m *Manager) genesisOf(daemons []structs.Daemon) *genesis {
+	first := &genesis{Daemons: daemons}
+	for shard := range structs.ShardNumber(m.Settings.Shards) {
+		var indexes []int
+		for _, chosen := range place(shard, daemons, m.Settings.GroupSize) {
+			indexes = append(indexes, indexOf(daemons, chosen.ID))
+		}
+		first.Groups = append(first.Groups, indexes)
+	}
+	return first
+}
+
+// indexOf returns the index of a daemon in a list, -1 if it is not there.
+func indexOf(daemons []structs.Daemon, id structs.DaemonID) int {
+	return slices.IndexFunc(daemons, func(daemon structs.Daemon) bool { return daemon.ID == id })
+}
