--- /dev/null
+++ b/internal/instance/choice.go
@@ -0,0 +1,131 @@
+package instance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// What counts for and against an instance when one is chosen; see cost.
+const (
+	// otherZoneCost is what another zone counts against an instance, in
+	// requests of its load.
+	otherZoneCost = 0.3
+	// coldCost is the same for an instance that has yet to warm up.
+	coldCost = 1.0
+	// randomCost bounds the random share that spreads equal loads, in requests.
+	randomCost = 0.25
+	// affinityGain is what having seen the request's object counts for an
+	// instance, as a share of its slots.
+	affinityGain = 0.4
+	// lapsedCost is what a missing entry counts against an instance after an
+	// outage of the store, as a share of its slots: most of the missing ones are
+	// well.
+	lapsedCost = 0.3
+	// vanishedCost puts vanished instances behind all that are listed.
+	vanishedCost = 100
+	// pausedCost puts paused instances behind all others.
+	pausedCost = 1000
+)
+
+// Query tells what a request needs of an instance.
+type Query struct {
+	Service string
+	// Preferred is the instance that lately saw the request's object, "" for
+	// none.
+	Preferred string
+	// Object names what the request concerns; each object has an instance of
+	// its own that it goes to if nothing is preferred. "" for none.
+	Object string
+	// Only restricts the choice to one instance, "" for no restriction.
+	Only string
+	// Excluded instances are passed over.
+	Excluded []string
+}
+
+// admits tells whether an instance comes into question for a query.
+func (p *Pool) admits(q *Query, e *entry, now time.Time) bool {
+	if q.Only != "" && e.ID != q.Only {
+		return false
+	}
+	return p.mayServe(e, now) && !slices.Contains(q.Excluded, e.ID)
+}
+
+// Take picks the instance with the lowest cost and counts the request there;
+// Release ends that. It returns false when the service has none that may take
+// the request.
+func (p *Pool) Take(query Query) (Instance, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	if query.Preferred == "" && query.Object != "" {
+		query.Preferred = p.homeOf(query, now)
+	}
+	var best *entry
+	bestCost := 0.0
+	for _, e := range p.byService[query.Service] {
+		if !p.admits(&query, e, now) {
+			continue
+		}
+		cost := p.cost(e, query, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	if best == nil {
+		return Instance{}, false
+	}
+	best.inFlight++
+	return best.Instance, true
+}
+
+// homeOf returns the instance with the highest hash of itself and the object,
+// so that only the objects of instances that come or go move.
+func (p *Pool) homeOf(query Query, now time.Time) string {
+	home, highest := "", uint64(0)
+	for _, e := range p.byService[query.Service] {
+		if !p.mayServe(e, now) {
+			continue
+		}
+		if hash := xxhash.Sum64String(e.ID + "/" + query.Object); home == "" || hash > highest {
+			home, highest = e.ID, hash
+		}
+	}
+	return home
+}
+
+// cost is an instance's load per slot, corrected by what speaks for and
+// against it, in shares of its slots.
+func (p *Pool) cost(e *entry, query Query, now time.Time) float64 {
+	slots := float64(max(e.Slots, 1))
+	cost := float64(e.inFlight) / slots
+	cost += randomCost * p.random.Float64() / slots
+	if e.Zone != p.zone {
+		cost += otherZoneCost / slots
+	}
+	if e.ID == query.Preferred {
+		cost -= affinityGain
+	}
+	cost += e.health.cost(now)
+	if now.Before(e.paused) {
+		cost += pausedCost
+	}
+	cost += p.unlistedCost(e, now)
+	if e.ColdFor > 0 {
+		cost += coldCost / slots
+	}
+	return cost
+}
+
+// unlistedCost is what counts against an instance that is missing on the list.
+func (p *Pool) unlistedCost(e *entry, now time.Time) float64 {
+	switch {
+	case e.vanished.IsZero():
+		return 0
+	case p.mayHaveLapsed(e, now):
+		return lapsedCost
+	default:
+		return vanishedCost
+	}
+}
--- /dev/null
+++ b/internal/instance/listing.go
@@ -0,0 +1,96 @@
+package instance
+
+import (
+	"time"
+)
+
+const (
+	// vanishedLife is how long an instance is a last resort that is not on the
+	// list any more. While the store is down entries lapse of instances that
+	// are well, and they are written anew only after it is back. It must stay
+	// below the time that instances serve on after they were taken off.
+	vanishedLife = 1200 * time.Millisecond
+	// lapsedLife is how long after the store's return instances are still tried
+	// that are missing on the list: entries of those that are well lapse in an
+	// outage and are written anew within about two seconds of its end.
+	lapsedLife = 2200 * time.Millisecond
+)
+
+// mayServe tells whether an instance may get requests.
+func (p *Pool) mayServe(e *entry, now time.Time) bool {
+	switch {
+	case e.State != StateReady:
+		return false
+	case e.vanished.IsZero(), p.mayHaveLapsed(e, now):
+		return true
+	}
+	return now.Sub(e.vanished) < vanishedLife
+}
+
+// mayHaveLapsed tells whether an instance that is missing on the list may be
+// well: its entry may have lapsed in an outage. One that was taken off before is
+// leaving.
+func (p *Pool) mayHaveLapsed(e *entry, now time.Time) bool {
+	return p.isListUncertain(now) && !e.vanished.Before(p.lapsedSince)
+}
+
+// isListUncertain tells whether instances that are well may be missing on the
+// list: nobody can know while it cannot be read and shortly after.
+func (p *Pool) isListUncertain(now time.Time) bool {
+	return p.lost || now.Before(p.lapsedUntil)
+}
+
+// IsUncertain tells whether instances may be running that this daemon does not
+// know of: before the first list, while none can be read, and shortly after.
+func (p *Pool) IsUncertain() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	isNew := now.Sub(p.firstListedAt) < lapsedLife // the first list may have followed an outage
+	return isNew || p.isListUncertain(now)
+}
+
+// NoteLost takes note that the list cannot be read any more.
+func (p *Pool) NoteLost() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	if !now.Before(p.lapsedUntil) {
+		p.lapsedSince = now
+	}
+	p.lost = true
+}
+
+// NoteReturned takes note that the list can be read again.
+func (p *Pool) NoteReturned() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.lost = false
+	p.lapsedUntil = time.Now().Add(lapsedLife)
+}
+
+// Listed tells whether a list was ever taken.
+func (p *Pool) Listed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return !p.listedAt.IsZero()
+}
+
+// Confirm takes note that the last list is still the newest.
+func (p *Pool) Confirm() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.listedAt.IsZero() {
+		p.listedAt = time.Now()
+	}
+}
+
+// Age tells how long ago the list was known to be the newest.
+func (p *Pool) Age() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.listedAt.IsZero() {
+		return 0
+	}
+	return time.Since(p.listedAt)
+}
