--- /dev/null
+++ b/internal/schedule/candidates.go
@@ -0,0 +1,170 @@
+package schedule
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/prefix"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// choice is the outcome of comparing engines for one call.
+type choice struct {
+	free, any           *EngineView
+	freeScore, anyScore float64
+	freeMiss            int64
+}
+
+// engineHit is an engine that serves a call's model, and how much of the
+// prompt it is believed to hold.
+type engineHit struct {
+	engine    *EngineView
+	hitTokens int64
+}
+
+// choose compares all engines for a call.
+func (s *Scheduler) choose(entry *waitingItem, now time.Time) choice {
+	s.index.match(entry.Blocks)
+	s.survey(entry)
+	var best choice
+	c := &s.judged
+	s.describe(c, entry, now)
+	for _, candidate := range s.candidates {
+		view := candidate.engine
+		s.consider(c, entry, view, candidate.hitTokens)
+		if !s.admits(c) {
+			continue
+		}
+		score := s.score(c)
+		if best.any == nil || score < best.anyScore {
+			best.any, best.anyScore = view, score
+		}
+		if c.Room && (best.free == nil || score < best.freeScore) {
+			best.free, best.freeScore, best.freeMiss = view, score, c.MissTokens()
+		}
+	}
+	return best
+}
+
+// serving gathers the engines for a model, and returns which of them the
+// prefix index follows.
+func (s *Scheduler) serving(model structs.ModelName) engineSet {
+	var followed engineSet
+	s.candidates = s.candidates[:0]
+	for _, view := range s.order {
+		if !view.Serves(model) {
+			continue
+		}
+		s.candidates = append(s.candidates, engineHit{engine: view})
+		if view.residences != nil {
+			followed.add(view.residences.slot)
+		}
+	}
+	return followed
+}
+
+// survey looks at all engines for a call: the fewest calls on one of them, the
+// mean, and the most that one holds of the prompt. What a new program finds is
+// its template's prefix, of which another copy soon pays.
+func (s *Scheduler) survey(entry *waitingItem) {
+	least, total := math.MaxInt, 0
+	followed := s.serving(entry.Model)
+	s.index.hits(entry.Blocks, followed, &s.hits)
+	entry.bestHit = 0
+	for i := range s.candidates {
+		candidate := &s.candidates[i]
+		view := candidate.engine
+		least = min(least, view.Occupied())
+		total += view.Occupied()
+		if view.residences != nil {
+			candidate.hitTokens = tokensOf(int(s.hits[view.residences.slot]), entry)
+		}
+		if !isNew(entry) {
+			entry.bestHit = max(entry.bestHit, candidate.hitTokens)
+		}
+	}
+	s.leastOccupied = least
+	if serving := len(s.candidates); serving > 0 {
+		s.meanOccupied = float64(total) / float64(serving)
+	}
+}
+
+// describe fills in what is the same for all engines that are considered for
+// a call.
+func (s *Scheduler) describe(c *Candidate, entry *waitingItem, now time.Time) {
+	*c = Candidate{
+		Item:          entry.Item,
+		Outlook:       entry.outlook,
+		Now:           now,
+		BestHitTokens: entry.bestHit,
+		MeanOccupied:  s.meanOccupied,
+		LeastOccupied: s.leastOccupied,
+		Zone:          s.zone,
+		CacheWeight:   s.weight,
+	}
+}
+
+// consider fills in one engine, and what it is believed to hold of the prompt.
+func (s *Scheduler) consider(c *Candidate, entry *waitingItem, view *EngineView, hitTokens int64) {
+	backlog := view.backlog(c.Now)
+	c.Engine = view
+	c.HitTokens = hitTokens
+	c.BacklogSeconds = backlog.Seconds()
+	c.Room = view.hasRoom(s.demand(entry, view), backlog) && !s.givesWay(entry, view, c.Now)
+	c.Transfer = s.transferTo(entry, view, hitTokens)
+	c.WaitSeconds = 0
+	if !c.Room {
+		c.WaitSeconds = max(view.slotWait(entry, c.BacklogSeconds), c.BacklogSeconds-s.profile.PrefillBacklog.Seconds())
+	}
+}
+
+// judge describes one engine for a call. The prompt must have been given to
+// the index by match before.
+func (s *Scheduler) judge(c *Candidate, entry *waitingItem, view *EngineView, now time.Time) {
+	s.describe(c, entry, now)
+	s.consider(c, entry, view, s.hitTokens(entry, view))
+}
+
+// hitTokens returns how much of a prompt an engine is believed to hold. The
+// prompt must have been given to the index by match before.
+func (s *Scheduler) hitTokens(entry *waitingItem, view *EngineView) int64 {
+	if view.residences == nil {
+		return 0
+	}
+	return tokensOf(s.index.hit(view.residences, entry.Blocks), entry)
+}
+
+// tokensOf returns the prompt tokens in the first blocks of a call's prompt.
+func tokensOf(blocks int, entry *waitingItem) int64 {
+	return min(int64(blocks)*prefix.BlockTokens, entry.PromptTokens)
+}
+
+// avoidFor is how long a waiting call keeps away from engines that failed it.
+// This daemon may know no others for its model, and by then they may be back.
+const avoidFor = 10 * time.Second
+
+// avoids tells whether a call is still to keep away from an engine.
+func (c *Candidate) avoids() bool {
+	return slices.Contains(c.Item.Avoid, c.Engine.Engine.ID) && c.Now.Sub(c.Item.EnqueuedAt) < avoidFor
+}
+
+func (s *Scheduler) admits(c *Candidate) bool {
+	if len(c.Item.Avoid) > 0 && c.avoids() {
+		return false
+	}
+	for _, filter := range s.plugins.filters {
+		if !filter.Admit(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) score(c *Candidate) float64 {
+	total := c.WaitSeconds
+	for _, scorer := range s.plugins.scorers {
+		total += scorer.Score(c)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/schedule/charge.go
@@ -0,0 +1,35 @@
+package schedule
+
+// charge books the expected engine time of a call on its tenant.
+func (s *Scheduler) charge(entry *waitingItem, view *EngineView, missTokens int64) {
+	decode := entry.outlook.AnswerTokens * view.DecodeSecondsPerToken / float64(max(view.Load.MaximumRunning, 1))
+	engineSeconds := float64(missTokens)*view.PrefillSecondsPerToken + decode
+	account := s.fairness.account(entry.Key.Tenant)
+	account.share = s.shareOf(account)
+	s.fairness.charge(account, engineSeconds, s.ownEngines())
+	account.penalty = s.fairness.penaltyOf(account)
+	if queue := s.classes[classKey{model: entry.Model, adapter: entry.Adapter}]; queue != nil {
+		if own := queue.tenants[account.name]; own != nil {
+			queue.reorder(own)
+		}
+	}
+}
+
+// ownEngines returns how many engines' worth of work this daemon gives out:
+// engines that it shares with others count in part.
+func (s *Scheduler) ownEngines() float64 {
+	engines := 0.0
+	for _, view := range s.order {
+		engines += float64(view.Assigned+1) / float64(view.Occupied()+1)
+	}
+	return engines
+}
+
+// shareOf returns a tenant's share; one with waiting calls keeps the share it
+// was listed with.
+func (s *Scheduler) shareOf(account *tenantAccount) float64 {
+	if account.listed {
+		return account.share
+	}
+	return s.share(account.name)
+}
--- /dev/null
+++ b/internal/schedule/queues.go
@@ -0,0 +1,98 @@
+package schedule
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+func (s *Scheduler) add(entry *waitingItem, account *tenantAccount) {
+	entry.account = account
+	s.waiting[entry.Item] = entry
+	s.fairness.joined(account, s.share(account.name))
+	s.class(entry).add(entry, account)
+	if !entry.Deadline.IsZero() {
+		s.deadlines.ReplaceOrInsert(entry)
+	}
+}
+
+// drop takes an entry out of every queue.
+func (s *Scheduler) drop(entry *waitingItem) {
+	delete(s.waiting, entry.Item)
+	account := entry.account
+	s.fairness.left(account)
+	queue := s.class(entry)
+	queue.remove(entry, account)
+	if queue.count == 0 {
+		delete(s.classes, queue.key)
+		s.classOrder = slices.DeleteFunc(s.classOrder, func(c *class) bool { return c == queue })
+	}
+	if !entry.Deadline.IsZero() {
+		s.deadlines.Delete(entry)
+	}
+	s.leaveHome(entry)
+}
+
+func (s *Scheduler) class(entry *waitingItem) *class {
+	key := classKey{model: entry.Model, adapter: entry.Adapter}
+	known := s.classes[key]
+	if known == nil {
+		known = newClass(key)
+		s.classes[key] = known
+		s.insertClass(known)
+	}
+	return known
+}
+
+func (s *Scheduler) insertClass(added *class) {
+	place, _ := slices.BinarySearchFunc(s.classOrder, added.key, func(c *class, key classKey) int {
+		return c.key.compare(key)
+	})
+	s.classOrder = slices.Insert(s.classOrder, place, added)
+}
+
+func (s *Scheduler) leaveHome(entry *waitingItem) {
+	if entry.home != nil {
+		entry.home.home.remove(entry)
+		entry.home = nil
+	}
+}
+
+func (s *Scheduler) joinHome(entry *waitingItem, home *EngineView) {
+	if entry.home == home {
+		return
+	}
+	s.leaveHome(entry)
+	entry.home = home
+	home.home.add(entry)
+}
+
+// Waiting returns the number of calls that wait.
+func (s *Scheduler) Waiting() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.waiting)
+}
+
+// ModelWaiting counts the calls that wait for a model with an adapter or
+// without.
+type ModelWaiting struct {
+	structs.ModelAdapter
+	Calls int
+}
+
+// WaitingByModel returns what calls wait for, in order.
+func (s *Scheduler) WaitingByModel() []ModelWaiting {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	calls := map[structs.ModelAdapter]int{}
+	for item := range s.waiting {
+		calls[structs.ModelAdapter{Model: item.Model, Adapter: item.Adapter}]++
+	}
+	var counts []ModelWaiting
+	for _, wanted := range slices.SortedFunc(maps.Keys(calls), structs.ModelAdapter.Compare) {
+		counts = append(counts, ModelWaiting{ModelAdapter: wanted, Calls: calls[wanted]})
+	}
+	return counts
+}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -157,67 +155,6 @@
 	s.placeArrival(entry, now)
 }
 
-func (s *Scheduler) add(entry *waitingItem, account *tenantAccount) {
-	entry.account = account
-	s.waiting[entry.Item] = entry
-	s.fairness.joined(account, s.share(account.name))
-	s.class(entry).add(entry, account)
-	if !entry.Deadline.IsZero() {
-		s.deadlines.ReplaceOrInsert(entry)
-	}
-}
-
-func (s *Scheduler) class(entry *waitingItem) *class {
-	key := classKey{model: entry.Model, adapter: entry.Adapter}
-	known := s.classes[key]
-	if known == nil {
-		known = newClass(key)
-		s.classes[key] = known
-		s.insertClass(known)
-	}
-	return known
-}
-
-func (s *Scheduler) insertClass(added *class) {
-	place, _ := slices.BinarySearchFunc(s.classOrder, added.key, func(c *class, key classKey) int {
-		return c.key.compare(key)
-	})
-	s.classOrder = slices.Insert(s.classOrder, place, added)
-}
-
-// drop takes an entry out of every queue.
-func (s *Scheduler) drop(entry *waitingItem) {
-	delete(s.waiting, entry.Item)
-	account := entry.account
-	s.fairness.left(account)
-	queue := s.class(entry)
-	queue.remove(entry, account)
-	if queue.count == 0 {
-		delete(s.classes, queue.key)
-		s.classOrder = slices.DeleteFunc(s.classOrder, func(c *class) bool { return c == queue })
-	}
-	if !entry.Deadline.IsZero() {
-		s.deadlines.Delete(entry)
-	}
-	s.leaveHome(entry)
-}
-
-func (s *Scheduler) leaveHome(entry *waitingItem) {
-	if entry.home != nil {
-		entry.home.home.remove(entry)
-		entry.home = nil
-	}
-}
-
-func (s *Scheduler) joinHome(entry *waitingItem, home *EngineView) {
-	if entry.home == home {
-		return
-	}
-	s.leaveHome(entry)
-	entry.home = home
-	home.home.add(entry)
-}
-
 // Remove takes back an item that was neither assigned nor refused.
 func (s *Scheduler) Remove(item *Item) bool {
 	s.mutex.Lock()
@@ -267,102 +204,3 @@
 	tokens := s.ownTokens(assignment.Item, result.Usage.PromptTokens+result.Usage.CompletionTokens)
 	s.keep(state, record.engine, tokens, now.Add(record.holdFor))
 }
-
-// UpdateEngine adds or changes an engine.
-func (s *Scheduler) UpdateEngine(engine structs.Engine) {
-	s.locked(func() {
-		view := s.engines[engine.ID]
-		if view == nil {
-			view = newEngineView(s.profile.BatchFraction)
-			s.engines[engine.ID] = view
-			view.Engine = engine
-			view.residences = s.index.engine(engine.ID)
-			s.insertOrdered(view)
-		}
-		view.Engine = engine
-		s.fill(view, s.clock.Now())
-	})
-}
-
-func (s *Scheduler) insertOrdered(view *EngineView) {
-	position, _ := slices.BinarySearchFunc(s.order, view.Engine.ID, func(v *EngineView, id structs.EngineID) int {
-		if v.Engine.ID < id {
-			return -1
-		}
-		if v.Engine.ID > id {
-			return 1
-		}
-		return 0
-	})
-	s.order = slices.Insert(s.order, position, view)
-}
-
-// RemoveEngine forgets an engine that has left the fleet.
-func (s *Scheduler) RemoveEngine(id structs.EngineID) {
-	s.locked(func() {
-		view := s.engines[id]
-		if view == nil {
-			return
-		}
-		delete(s.engines, id)
-		s.order = slices.DeleteFunc(s.order, func(v *EngineView) bool { return v == view })
-		s.index.forget(id)
-		s.sendHome(view)
-	})
-}
-
-// sendHome lets calls that waited for an engine go elsewhere.
-func (s *Scheduler) sendHome(view *EngineView) {
-	for waiting := view.home.first(1); len(waiting) > 0; waiting = view.home.first(1) {
-		s.leaveHome(waiting[0])
-	}
-}
-
-// UpdateLoad takes an engine's latest report. A new run of the engine has an
-// empty cache.
-func (s *Scheduler) UpdateLoad(report structs.LoadReport) {
-	s.locked(func() {
-		view := s.engines[report.Engine]
-		if view == nil {
-			return
-		}
-		restarted := view.Load.StartedUnixNano != 0 && view.Load.StartedUnixNano != report.StartedUnixNano
-		if restarted {
-			s.index.forget(report.Engine)
-			view.residences = s.index.engine(report.Engine)
-		}
-		now := s.clock.Now()
-		view.report(report, now)
-		s.boundBelief(report)
-		s.fill(view, now)
-	})
-}
-
-// Waiting returns the number of calls that wait.
-func (s *Scheduler) Waiting() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return len(s.waiting)
-}
-
-// ModelWaiting counts the calls that wait for a model with an adapter or
-// without.
-type ModelWaiting struct {
-	structs.ModelAdapter
-	Calls int
-}
-
-// WaitingByModel returns what calls wait for, in order.
-func (s *Scheduler) WaitingByModel() []ModelWaiting {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	calls := map[structs.ModelAdapter]int{}
-	for item := range s.waiting {
-		calls[structs.ModelAdapter{Model: item.Model, Adapter: item.Adapter}]++
-	}
-	var counts []ModelWaiting
-	for _, wanted := range slices.SortedFunc(maps.Keys(calls), structs.ModelAdapter.Compare) {
-		counts = append(counts, ModelWaiting{ModelAdapter: wanted, Calls: calls[wanted]})
-	}
-	return counts
-}
