--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"slices"
+
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/framework"
 	"github.com/mintpulley/mintpulley/internal/membership"
@@ -42,20 +44,6 @@
 	outgoing outgoingSnapshot
 }
 
-type incomingSnapshot struct {
-	offset structs.LogOffset
-	digest uint64
-	parts  int
-	next   int
-	data   []byte
-}
-
-type outgoingSnapshot struct {
-	offset structs.LogOffset
-	digest uint64
-	data   []byte
-}
-
 func newExchange() exchange { return exchange{} }
 
 // NoteHeard takes a peer's word about itself from a heartbeat.
@@ -116,12 +104,9 @@
 
 // remember keeps a peer that is ahead.
 func (s *Store) remember(from structs.DaemonID, offset structs.LogOffset) {
-	kept := s.exchange.ahead[:0]
-	for _, entry := range s.exchange.ahead {
-		if entry.peer != from && entry.offset > s.state.Next {
-			kept = append(kept, entry)
-		}
-	}
+	kept := slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool {
+		return entry.peer == from || entry.offset <= s.state.Next
+	})
 	if len(kept) == aheadLimit {
 		kept = kept[1:]
 	}
@@ -162,13 +147,7 @@
 }
 
 func (s *Store) dropAhead(daemon structs.DaemonID) {
-	kept := s.exchange.ahead[:0]
-	for _, entry := range s.exchange.ahead {
-		if entry.peer != daemon {
-			kept = append(kept, entry)
-		}
-	}
-	s.exchange.ahead = kept
+	s.exchange.ahead = slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool { return entry.peer == daemon })
 }
 
 // answered ends the fetch that is under way at a peer.
@@ -199,39 +178,6 @@
 	s.Transport.Send(to, &Entries{Entries: entries, Offset: s.state.Next, Digest: s.state.Digest()})
 }
 
-// packOutgoing keeps a packed snapshot as long as the entries behind it are
-// at hand, so that handing one over survives the changes made meanwhile.
-func (s *Store) packOutgoing() {
-	out := &s.exchange.outgoing
-	if out.data != nil {
-		if _, kept := s.retained.from(out.offset, 0); kept || out.offset == s.state.Next {
-			return
-		}
-	}
-	data, err := EncodeSnapshot(s.state)
-	if err != nil {
-		s.Logger.Error().Err(err).Msg("Configuration snapshot not packed.")
-		return
-	}
-	*out = outgoingSnapshot{offset: s.state.Next, digest: s.state.Digest(), data: data}
-}
-
-func (s *Store) sendPart(to structs.DaemonID, part int) {
-	out := &s.exchange.outgoing
-	first := part * partBytes
-	if first >= len(out.data) {
-		return
-	}
-	end := min(first+partBytes, len(out.data))
-	s.Transport.Send(to, &SnapshotPart{
-		Offset: out.offset,
-		Digest: out.digest,
-		Part:   part,
-		Parts:  (len(out.data) + partBytes - 1) / partBytes,
-		Data:   out.data[first:end],
-	})
-}
-
 // takeEntries folds what a peer handed over and asks for more.
 func (s *Store) takeEntries(from structs.DaemonID, message *Entries) {
 	if s.stopped || s.Guards.SkipDissemination {
@@ -250,98 +196,3 @@
 	s.hear(from, message.Offset, message.Digest)
 	s.fetch()
 }
-
-// takePart gathers a snapshot from a peer.
-func (s *Store) takePart(from structs.DaemonID, part *SnapshotPart) {
-	if s.stopped || s.exchange.asked != from {
-		return
-	}
-	s.answered(from)
-	incoming := &s.exchange.incoming
-	if part.Part == 0 {
-		*incoming = incomingSnapshot{offset: part.Offset, digest: part.Digest, parts: min(part.Parts, maximumParts)}
-	}
-	if part.Offset != incoming.offset || part.Digest != incoming.digest || part.Part != incoming.next || part.Offset <= s.state.Next {
-		*incoming = incomingSnapshot{}
-		s.dropAhead(from)
-		s.fetch()
-		return
-	}
-	incoming.data = append(incoming.data, part.Data...)
-	incoming.next++
-	if incoming.next < incoming.parts {
-		s.ask(from, &Fetch{From: s.state.Next, SnapshotOffset: incoming.offset, Part: incoming.next})
-		return
-	}
-	s.unpackIncoming(from)
-}
-
-func (s *Store) unpackIncoming(from structs.DaemonID) {
-	incoming := s.exchange.incoming
-	s.exchange.incoming = incomingSnapshot{}
-	state, err := DecodeSnapshot(incoming.data, incoming.digest)
-	if err != nil {
-		s.Logger.Error().Err(err).Str("peer", string(from)).Msg("Configuration snapshot refused.")
-		s.dropAhead(from)
-		s.fetch()
-		return
-	}
-	s.adopt(state)
-	s.fetch()
-}
-
-// tellPeers offers a new entry to a few peers at once, and to others a little
-// later: one round alone leaves out a few daemons of a large fleet. They ask
-// for what they lack, and tell others in turn; heartbeats reach whom the offers
-// missed.
-func (s *Store) tellPeers() {
-	if s.Guards.SkipDissemination {
-		return
-	}
-	s.offerToSome()
-	if s.exchange.secondRound {
-		return
-	}
-	s.exchange.secondRound = true
-	s.after(s.Settings.SecondRound, func() {
-		s.exchange.secondRound = false
-		s.offerToSome()
-	})
-}
-
-func (s *Store) offerToSome() {
-	for _, daemon := range s.somePeers() {
-		s.Transport.Send(daemon, &Offer{Offset: s.state.Next, Digest: s.state.Digest()})
-	}
-}
-
-// askPeers asks a few peers how far they are, without waiting for heartbeats,
-// and others again until the grace is over: at first the list may be empty.
-func (s *Store) askPeers() {
-	if s.Guards.SkipDissemination {
-		return
-	}
-	for _, daemon := range s.somePeers() {
-		s.Transport.Send(daemon, &Offer{Offset: s.state.Next, Digest: s.state.Digest(), Ask: true})
-	}
-	if !s.graceOver {
-		s.after(s.Settings.PeerGrace/askDivisor, s.askPeers)
-	}
-}
-
-// askDivisor is how many times within its grace a starting daemon asks.
-const askDivisor = 4
-
-// somePeers draws Fanout peers at random.
-func (s *Store) somePeers() []structs.DaemonID {
-	peers := s.Peers()
-	if s.Transport == nil {
-		return nil
-	}
-	count := min(s.Settings.Fanout, len(peers))
-	drawn := make([]structs.DaemonID, 0, count)
-	for _, i := range s.random.Perm(len(peers))[:count] {
-		drawn = append(drawn, peers[i])
-	}
-	return drawn
-}
--- /dev/null
+++ b/internal/configuration/snapshot_transfer.go
@@ -0,0 +1,91 @@
+package configuration
+
+import (
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+type incomingSnapshot struct {
+	offset structs.LogOffset
+	digest uint64
+	parts  int
+	next   int
+	data   []byte
+}
+
+type outgoingSnapshot struct {
+	offset structs.LogOffset
+	digest uint64
+	data   []byte
+}
+
+// packOutgoing keeps a packed snapshot as long as the entries behind it are
+// at hand, so that handing one over survives the changes made meanwhile.
+func (s *Store) packOutgoing() {
+	out := &s.exchange.outgoing
+	if out.data != nil {
+		if _, kept := s.retained.from(out.offset, 0); kept || out.offset == s.state.Next {
+			return
+		}
+	}
+	data, err := EncodeSnapshot(s.state)
+	if err != nil {
+		s.Logger.Error().Err(err).Msg("Configuration snapshot not packed.")
+		return
+	}
+	*out = outgoingSnapshot{offset: s.state.Next, digest: s.state.Digest(), data: data}
+}
+
+func (s *Store) sendPart(to structs.DaemonID, part int) {
+	out := &s.exchange.outgoing
+	first := part * partBytes
+	if first >= len(out.data) {
+		return
+	}
+	end := min(first+partBytes, len(out.data))
+	s.Transport.Send(to, &SnapshotPart{
+		Offset: out.offset,
+		Digest: out.digest,
+		Part:   part,
+		Parts:  (len(out.data) + partBytes - 1) / partBytes,
+		Data:   out.data[first:end],
+	})
+}
+
+// takePart gathers a snapshot from a peer.
+func (s *Store) takePart(from structs.DaemonID, part *SnapshotPart) {
+	if s.stopped || s.exchange.asked != from {
+		return
+	}
+	s.answered(from)
+	incoming := &s.exchange.incoming
+	if part.Part == 0 {
+		*incoming = incomingSnapshot{offset: part.Offset, digest: part.Digest, parts: min(part.Parts, maximumParts)}
+	}
+	if part.Offset != incoming.offset || part.Digest != incoming.digest || part.Part != incoming.next || part.Offset <= s.state.Next {
+		*incoming = incomingSnapshot{}
+		s.dropAhead(from)
+		s.fetch()
+		return
+	}
+	incoming.data = append(incoming.data, part.Data...)
+	incoming.next++
+	if incoming.next < incoming.parts {
+		s.ask(from, &Fetch{From: s.state.Next, SnapshotOffset: incoming.offset, Part: incoming.next})
+		return
+	}
+	s.unpackIncoming(from)
+}
+
+func (s *Store) unpackIncoming(from structs.DaemonID) {
+	incoming := s.exchange.incoming
+	s.exchange.incoming = incomingSnapshot{}
+	state, err := DecodeSnapshot(incoming.data, incoming.digest)
+	if err != nil {
+		s.Logger.Error().Err(err).Str("peer", string(from)).Msg("Configuration snapshot refused.")
+		s.dropAhead(from)
+		s.fetch()
+		return
+	}
+	s.adopt(state)
+	s.fetch()
+}
