Dispatch: early calls and refusals in files of their own

Change: early.go and refuse.go; the limits of an accepted call in a function. Behaviour is as before.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -1,32 +1,14 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
-	"time"
 
-	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/configuration/resolve"
 	"github.com/mintpulley/mintpulley/internal/program"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// earlySubmit is a submission that waits for lower sequence numbers.
-type earlySubmit struct {
-	from   attachment
-	submit *Submit
-	timer  clock.Timer
-}
-
-// retryAfterOrder is when a caller may send a call again whose predecessors
-// have not arrived.
-const retryAfterOrder = time.Second
-
-// startWait is how long a later call waits for the first of its program, which
-// may take another way.
-const startWait = time.Second
-
 // submit admits a call, or attaches to it when it is known.
 func (l *leader) submit(from structs.DaemonID, submit *Submit) {
 	follower := attachment{daemon: from, submission: submit.Submission}
@@ -64,11 +46,20 @@
 			l.refuseUnresolved(follower, submit, *refusal)
 			return
 		}
-		if l.shedForMemory(follower, call, admission) || l.shedProgram(follower, call, admission) || l.waitForProgramSlot(follower, submit, admission) {
-			return
-		}
-		l.accept(follower, submit, admission)
+		l.acceptWithinLimits(follower, submit, call, admission)
+	}
+}
+
+// acceptWithinLimits accepts an admitted call unless memory, the queue or the
+// tenant's programs leave no room for it.
+func (l *leader) acceptWithinLimits(follower attachment, submit *Submit, call structs.Call, admission program.Admission) {
+	if l.shedForMemory(follower, call, admission) || l.shedProgram(follower, call, admission) {
+		return
+	}
+	if l.waitForProgramSlot(follower, submit, admission) {
+		return
 	}
+	l.accept(follower, submit, admission)
 }
 
 // attachAgain goes on answering a call without its content.
@@ -163,54 +154,6 @@
 	l.settleWith(follower, outcome)
 }
 
-// settleWith sends an outcome. Refusals that no record keeps are remembered,
-// so that a second copy of the same submission meets the same answer.
-func (l *leader) settleWith(follower attachment, outcome structs.Outcome) {
-	if outcome.Status == structs.OutcomeNotRun {
-		l.refused.remember(follower, outcome)
-	}
-	l.Transport.Send(follower.daemon, &Settled{Submission: follower.submission, Outcome: outcome})
-}
-
-// refuseForGood answers a call that this program will never take. Of a call
-// that may have been sent before, another leader may know more: the epoch is
-// confirmed first, and a leader that was replaced stays silent.
-func (l *leader) refuseForGood(follower attachment, call structs.Call, refusal structs.Outcome) {
-	if !call.Retry {
-		l.settleWith(follower, refusal)
-		return
-	}
-	l.leadership.Confirm(func(err error) {
-		if err == nil && !l.stopped {
-			l.settleWith(follower, refusal)
-		}
-	})
-}
-
-// refuseForNow answers a call that is not taken now and may be later. An earlier
-// copy of it may still be under way, in a daemon that is paused for instance,
-// and be taken then; so a caller that sent it before is not told "not run".
-func (l *leader) refuseForNow(follower attachment, call structs.Call, refusal structs.Outcome) {
-	if call.Retry && !l.Guards.SkipDisproof {
-		refusal.Status = structs.OutcomeUnknown
-	}
-	l.refuseForGood(follower, call, refusal)
-}
-
-func (l *leader) refuse(follower attachment, call structs.Call, admission program.Admission) {
-	l.decide(call.Key, call.RequestID, "refuse", admission.Refusal.Message)
-	if l.machine.Program(call.Key) != nil {
-		l.refuseForGood(follower, call, admission.Refusal)
-	} else {
-		l.refuseForNow(follower, call, admission.Refusal)
-	}
-	for _, record := range admission.Records {
-		if record.ProgramEnded != nil {
-			l.endProgram(record.ProgramEnded.Key, record.ProgramEnded.Reason)
-		}
-	}
-}
-
 // accept records the call in its program's order. The caller hears Accepted
 // only once that is acknowledged; a caller that asks again meanwhile attaches.
 func (l *leader) accept(follower attachment, submit *Submit, admission program.Admission) {
@@ -272,59 +215,6 @@
 	l.proposed[active.key] = rest
 }
 
-// waitForOrder keeps a submission until the calls before it have arrived.
-func (l *leader) waitForOrder(follower attachment, submit *Submit) {
-	key := submit.Call.Key
-	for _, waiting := range l.early[key] {
-		if waiting.submit.Call.RequestID == submit.Call.RequestID {
-			waiting.from, waiting.submit = follower, submit
-			return
-		}
-	}
-	waiting := &earlySubmit{from: follower, submit: submit}
-	wait := l.Settings.SequenceWait
-	if l.machine.Program(key) == nil {
-		wait = min(wait, startWait)
-	}
-	waiting.timer = l.after(wait, func() { l.giveUpOrder(key, waiting) })
-	l.early[key] = append(l.early[key], waiting)
-}
-
-func (l *leader) giveUpOrder(key structs.ProgramKey, waiting *earlySubmit) {
-	l.early[key] = slices.DeleteFunc(l.early[key], func(other *earlySubmit) bool { return other == waiting })
-	if len(l.early[key]) == 0 {
-		delete(l.early, key)
-	}
-	refusal := structs.Refused(structs.ReasonSequenceConflict, "sequence",
-		"Calls with lower sequence numbers did not arrive.", retryAfterOrder)
-	if l.machine.Program(key) == nil {
-		refusal = structs.Refused(structs.ReasonUnknownProgram, "program",
-			"No such program is under way, and only call 1 starts one.", 0)
-	}
-	l.refuseForNow(waiting.from, waiting.submit.Call, refusal)
-}
-
-// admitEarly submits again what waited for the call just accepted.
-func (l *leader) admitEarly(key structs.ProgramKey) {
-	waiting := l.early[key]
-	delete(l.early, key)
-	for _, early := range waiting {
-		early.timer.Stop()
-		l.submit(early.from.daemon, early.submit)
-	}
-}
-
-func (l *leader) sortedEarly() []*earlySubmit {
-	var all []*earlySubmit
-	for _, waiting := range l.early {
-		all = append(all, waiting...)
-	}
-	slices.SortFunc(all, func(a, b *earlySubmit) int {
-		return cmp.Or(cmp.Compare(a.from.daemon, b.from.daemon), cmp.Compare(a.from.submission, b.from.submission))
-	})
-	return all
-}
-
 // detach ends an attachment. A call that nobody follows any more goes on for a
 // while, since the caller may come back at another daemon.
 func (l *leader) detach(from structs.DaemonID, m *Detach) {
