Replication, configuration, schedule: names say what things are

Cause: names that need explaining (Where and Is, asking, telling, strays, hopeless, giveWay, rivals, hear, handOver, freshen); searchOrphans in 49 lines gathered, sent and ended. Change: RouteRequest and RouteReply, routeLookup, extraRoutes, leaderless, isUnavailable, resetAfterClaim, outsideReplicas, receiveOffset, answerFetch, refreshPenalties, releaseWaiters; nextSearch, search.add and otherLiveMembers as functions. Kinds of messages and JSON names stay as they are, tests change in names alone. Behaviour is as before.

--- a/internal/configuration/dissemination.go
+++ b/internal/configuration/dissemination.go
@@ -4,11 +4,11 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// tellPeers offers a new entry to a few peers at once, and to others a little
+// offerToPeers offers a new entry to a few peers at once, and to others a little
 // later: one round alone leaves out a few daemons of a large fleet. They ask
 // for what they lack, and tell others in turn; heartbeats reach whom the offers
 // missed.
-func (s *Store) tellPeers() {
+func (s *Store) offerToPeers() {
 	if s.Guards.SkipDissemination {
 		return
 	}
--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -29,9 +29,9 @@
 
 // exchange is the store's dealing with its peers.
 type exchange struct {
-	// heard is set once any peer told its offset; highest is the highest told.
-	heard   bool
-	highest structs.LogOffset
+	// hasPeerOffset is set once any peer told its offset; highest is the highest told.
+	hasPeerOffset bool
+	highest       structs.LogOffset
 	// ahead are peers that can hand over entries, the latest told last.
 	ahead []ahead
 	// asked is the peer that a fetch is under way at, "" for none.
@@ -48,42 +48,42 @@
 
 // NoteHeard takes a peer's word about itself from a heartbeat.
 func (s *Store) NoteHeard(from structs.DaemonID, note membership.Note) {
-	s.queue.Do(func() { s.hear(from, note.ConfigurationOffset, note.ConfigurationDigest) })
+	s.queue.Do(func() { s.receiveOffset(from, note.ConfigurationOffset, note.ConfigurationDigest) })
 }
 
 // Receive handles the messages of this package; false for all others.
 func (s *Store) Receive(from structs.DaemonID, message peer.Message) bool {
 	switch m := message.(type) {
 	case *Offer:
-		s.queue.Do(func() { s.takeOffer(from, m) })
+		s.queue.Do(func() { s.receiveOffer(from, m) })
 	case *Fetch:
-		s.queue.Do(func() { s.handOver(from, m) })
+		s.queue.Do(func() { s.answerFetch(from, m) })
 	case *Entries:
-		s.queue.Do(func() { s.takeEntries(from, m) })
+		s.queue.Do(func() { s.receiveEntries(from, m) })
 	case *SnapshotPart:
-		s.queue.Do(func() { s.takePart(from, m) })
+		s.queue.Do(func() { s.receiveSnapshotPart(from, m) })
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *Store) takeOffer(from structs.DaemonID, offer *Offer) {
+func (s *Store) receiveOffer(from structs.DaemonID, offer *Offer) {
 	if offer.Ask && !s.stopped && !s.Guards.SkipDissemination {
 		s.Transport.Send(from, &Offer{Offset: s.state.Next, Digest: s.state.Digest()})
 	}
-	s.hear(from, offer.Offset, offer.Digest)
+	s.receiveOffset(from, offer.Offset, offer.Digest)
 }
 
-// hear notes how far a peer is and fetches what this store lacks.
-func (s *Store) hear(from structs.DaemonID, offset structs.LogOffset, digest uint64) {
+// receiveOffset notes how far a peer is and fetches what this store lacks.
+func (s *Store) receiveOffset(from structs.DaemonID, offset structs.LogOffset, digest uint64) {
 	if s.stopped || s.Guards.SkipDissemination || from == s.Self {
 		return
 	}
-	s.exchange.heard = true
+	s.exchange.hasPeerOffset = true
 	s.exchange.highest = max(s.exchange.highest, offset)
 	if offset > s.state.Next {
-		s.remember(from, offset)
+		s.rememberAhead(from, offset)
 		s.fetch()
 		return
 	}
@@ -102,8 +102,8 @@
 	s.publish()
 }
 
-// remember keeps a peer that is ahead.
-func (s *Store) remember(from structs.DaemonID, offset structs.LogOffset) {
+// rememberAhead keeps a peer that is ahead.
+func (s *Store) rememberAhead(from structs.DaemonID, offset structs.LogOffset) {
 	kept := slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool {
 		return entry.peer == from || entry.offset <= s.state.Next
 	})
@@ -150,8 +150,8 @@
 	s.exchange.ahead = slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool { return entry.peer == daemon })
 }
 
-// answered ends the fetch that is under way at a peer.
-func (s *Store) answered(from structs.DaemonID) {
+// endFetch ends the fetch that is under way at a peer.
+func (s *Store) endFetch(from structs.DaemonID) {
 	if s.exchange.asked != from {
 		return
 	}
@@ -160,8 +160,8 @@
 	s.exchange.timeout = nil
 }
 
-// handOver answers a peer's fetch.
-func (s *Store) handOver(to structs.DaemonID, request *Fetch) {
+// answerFetch answers a peer's fetch.
+func (s *Store) answerFetch(to structs.DaemonID, request *Fetch) {
 	if s.stopped || s.Guards.SkipDissemination {
 		return
 	}
@@ -178,12 +178,12 @@
 	s.Transport.Send(to, &Entries{Entries: entries, Offset: s.state.Next, Digest: s.state.Digest()})
 }
 
-// takeEntries folds what a peer handed over and asks for more.
-func (s *Store) takeEntries(from structs.DaemonID, message *Entries) {
+// receiveEntries folds what a peer handed over and asks for more.
+func (s *Store) receiveEntries(from structs.DaemonID, message *Entries) {
 	if s.stopped || s.Guards.SkipDissemination {
 		return
 	}
-	s.answered(from)
+	s.endFetch(from)
 	entries := make([]framework.LogEntry, 0, len(message.Entries))
 	for _, entry := range message.Entries {
 		entries = append(entries, framework.LogEntry{Offset: entry.Offset, Payload: entry.Payload})
@@ -193,6 +193,6 @@
 		s.fetch()
 		return
 	}
-	s.hear(from, message.Offset, message.Digest)
+	s.receiveOffset(from, message.Offset, message.Digest)
 	s.fetch()
 }
--- a/internal/configuration/snapshot_transfer.go
+++ b/internal/configuration/snapshot_transfer.go
@@ -51,12 +51,12 @@
 	})
 }
 
-// takePart gathers a snapshot from a peer.
-func (s *Store) takePart(from structs.DaemonID, part *SnapshotPart) {
+// receiveSnapshotPart gathers a snapshot from a peer.
+func (s *Store) receiveSnapshotPart(from structs.DaemonID, part *SnapshotPart) {
 	if s.stopped || s.exchange.asked != from {
 		return
 	}
-	s.answered(from)
+	s.endFetch(from)
 	incoming := &s.exchange.incoming
 	if part.Part == 0 {
 		*incoming = incomingSnapshot{offset: part.Offset, digest: part.Digest, parts: min(part.Parts, maximumParts)}
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -269,7 +269,7 @@
 	s.considerServing()
 	s.publish()
 	s.settlePublications()
-	s.tellPeers()
+	s.offerToPeers()
 	s.considerSnapshot()
 }
 
@@ -281,7 +281,7 @@
 	if s.serving || s.stopped {
 		return
 	}
-	caughtUp := s.logCaughtUp || s.exchange.heard
+	caughtUp := s.logCaughtUp || s.exchange.hasPeerOffset
 	if !s.graceOver || !caughtUp || s.state.Next < s.exchange.highest {
 		return
 	}
--- a/internal/replication/claims.go
+++ b/internal/replication/claims.go
@@ -38,7 +38,7 @@
 	})
 }
 
-// mayTakeUp tells whether a claim of this daemon is news: neither taken up
+// mayTakeUp tells whether a claim of this daemon is new: neither taken up
 // before nor followed by another daemon's.
 func (r *replica) mayTakeUp(c claim) bool {
 	known := generation(r.promise.epoch)
@@ -56,7 +56,7 @@
 	}
 	r.post(func() {
 		r.observe(firstEpoch(c.Generation))
-		r.giveWay()
+		r.resetAfterClaim()
 		if r.log.last() == 0 {
 			r.drop()
 		}
@@ -102,26 +102,26 @@
 		claim:  claim{Shard: r.shard, Generation: generation(r.promise.epoch) + 1, Claimant: r.Self.ID},
 		group:  r.log.group,
 		epoch:  r.log.lastEpoch(),
-		behind: r.rivalsBehind(),
+		behind: r.outsideReplicasBehind(),
 	})
 }
 
-// meetRival notes a daemon outside the group that holds a replica too, and asks
+// noteOutsideReplica notes a daemon outside the group that holds a replica too, and asks
 // how far its log goes.
-func (r *replica) meetRival(from structs.DaemonID) {
-	if !r.rivals.Contains(from) {
-		r.rivals = append(r.rivals, from)
+func (r *replica) noteOutsideReplica(from structs.DaemonID) {
+	if !r.outsideReplicas.Contains(from) {
+		r.outsideReplicas = append(r.outsideReplicas, from)
 	}
 	r.askPosition(from)
 }
 
-// rivalsBehind returns the rivals whose log is known to be behind this one:
-// former members that did not hear of their removal.
-func (r *replica) rivalsBehind() Group {
+// outsideReplicasBehind returns the replicas outside the group whose log is known
+// to be behind this one: former members that do not know of their removal.
+func (r *replica) outsideReplicasBehind() Group {
 	var behind Group
-	for _, rival := range r.rivals {
-		if r.knownBehind(rival) {
-			behind = append(behind, rival)
+	for _, daemon := range r.outsideReplicas {
+		if r.knownBehind(daemon) {
+			behind = append(behind, daemon)
 		}
 	}
 	return behind
--- /dev/null
+++ b/internal/replication/extra_routes.go
@@ -0,0 +1,113 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// A daemon that has just started knows no routes, and its callers' programs
+// are of all shards. One request for each would cost it some hundred bytes a
+// shard, so while many routes are missing and it sends requests often, these ask
+// for more than it needs now. A daemon with few callers may never need the rest.
+
+const (
+	// missingDivisor: a daemon that misses more than one in so many routes asks
+	// for more.
+	missingDivisor = 8
+	// frequentRequestPause is the pause below which requests are frequent.
+	frequentRequestPause = time.Second
+	// extraRoutesLimit bounds the extra routes of a reply; extraRouteSize is about
+	// the encoded size of one in bytes.
+	extraRoutesLimit = 32
+	extraRouteSize   = 60
+)
+
+// requestsOften notes that requests are sent now and tells whether the last were
+// sent lately.
+func (m *Manager) requestsOften() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.Clock.Now()
+	last := m.lookup.lastAt
+	m.lookup.lastAt = now
+	return !last.IsZero() && now.Sub(last) < frequentRequestPause
+}
+
+// newRouteRequest makes a request, for more routes if wanted.
+func (m *Manager) newRouteRequest(shards []structs.ShardNumber, more bool) *RouteRequest {
+	request := &RouteRequest{Shards: shards}
+	if more {
+		request.From, request.More = m.nextMissingRoute()
+	}
+	return request
+}
+
+// nextMissingRoute returns the next shard whose route is not known, in turn; false
+// when few are missing.
+func (m *Manager) nextMissingRoute() (structs.ShardNumber, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	count := structs.ShardNumber(m.Settings.Shards)
+	missing, next, found := 0, structs.ShardNumber(0), false
+	for i := range count {
+		shard := (m.lookup.missingFrom + i) % count
+		if m.routes.knows(shard) {
+			continue
+		}
+		missing++
+		if !found {
+			next, found = shard, true
+		}
+	}
+	if missing <= m.Settings.Shards/missingDivisor {
+		return 0, false
+	}
+	m.lookup.missingFrom = (next + extraRoutesLimit) % count
+	return next, true
+}
+
+// knows tells whether a leader of the shard is known, be it dead by now.
+func (t *routeTable) knows(shard structs.ShardNumber) bool {
+	if local := t.local[shard]; local.member && local.route.Leader != "" {
+		return true
+	}
+	entry := t.cached[shard]
+	return entry != nil && entry.route.Leader != ""
+}
+
+// extraRoutes lists the routes known here of the shards from request.From on,
+// within the rate limit.
+func (m *Manager) extraRoutes(request *RouteRequest) []ShardRoute {
+	shards := m.knownFrom(request.From, request.Shards)
+	m.mutex.Lock()
+	granted := m.lookup.extras.take(m.Clock.Now(), float64(extraRouteSize*len(shards)))
+	m.mutex.Unlock()
+	if !granted {
+		return nil
+	}
+	routes := make([]ShardRoute, 0, len(shards))
+	for _, shard := range shards {
+		if route := m.shardRoute(shard); route.Leader != "" {
+			routes = append(routes, route)
+		}
+	}
+	return routes
+}
+
+// knownFrom lists up to tellLimit shards with a known leader, from a shard on
+// and around, without those asked for.
+func (m *Manager) knownFrom(from structs.ShardNumber, asked []structs.ShardNumber) []structs.ShardNumber {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	count := structs.ShardNumber(m.Settings.Shards)
+	var shards []structs.ShardNumber
+	for i := range count {
+		shard := (from%count + i) % count
+		if len(shards) < extraRoutesLimit && m.routes.knows(shard) && !slices.Contains(asked, shard) {
+			shards = append(shards, shard)
+		}
+	}
+	return shards
+}
--- a/internal/replication/telling_test.go
+++ b/internal/replication/extra_routes_test.go
@@ -26,7 +26,7 @@
 			t.Errorf("shard %d is not known after two questions of a moment", shard)
 		}
 	}
-	if from, more := outsider.manager.nextLacked(); more {
+	if from, more := outsider.manager.nextMissingRoute(); more {
 		t.Errorf("asks for more, from %d on, though it lacks none", from)
 	}
 }
@@ -37,7 +37,7 @@
 	f.run(50 * time.Millisecond)
 	var asked []structs.ShardNumber
 	for range 4 {
-		from, more := outsider.manager.nextLacked()
+		from, more := outsider.manager.nextMissingRoute()
 		if !more {
 			t.Fatal("an outsider lacks no routes")
 		}
@@ -65,22 +65,22 @@
 	}
 	outsider := f.start(4, "a")
 	f.run(50 * time.Millisecond)
-	if routes := outsider.manager.tellMore(&Where{More: true}); len(routes) != 0 {
+	if routes := outsider.manager.extraRoutes(&RouteRequest{More: true}); len(routes) != 0 {
 		t.Errorf("a daemon that knows no routes tells %v", routes)
 	}
 }
 
 func TestRoutesToldUnaskedAreBounded(t *testing.T) {
-	f, daemons := startThree(t, 35, tellLimit)
+	f, daemons := startThree(t, 35, extraRoutesLimit)
 	told := 0
 	const seconds = 20
 	for range seconds {
 		for range 20 {
-			told += len(daemons[0].manager.tellMore(&Where{More: true}))
+			told += len(daemons[0].manager.extraRoutes(&RouteRequest{More: true}))
 		}
 		f.run(time.Second)
 	}
-	if limit := (askBurst + askRate*seconds) / toldShardSize; told > limit || told < limit/2 {
+	if limit := (askBurst + askRate*seconds) / extraRouteSize; told > limit || told < limit/2 {
 		t.Errorf("%d routes told in %d s, want at most %d", told, seconds, limit)
 	}
 }
@@ -98,13 +98,13 @@
 			follower = d
 		}
 	}
-	outsider.manager.Receive(follower.self.ID, &Is{Routes: []ShardRoute{{Shard: 0, Leader: follower.self.ID, Epoch: epoch - 1}}})
+	outsider.manager.Receive(follower.self.ID, &RouteReply{Routes: []ShardRoute{{Shard: 0, Leader: follower.self.ID, Epoch: epoch - 1}}})
 	if got := outsider.manager.Route(0).Leader; got != follower.self.ID {
 		t.Fatalf("hearsay was not taken: %q", got)
 	}
 	// The daemon that does not lead redirects what is sent to it.
 	outsider.manager.Learn(0, Route{Leader: leader.self.ID, Epoch: epoch})
-	outsider.manager.Receive(follower.self.ID, &Is{Routes: []ShardRoute{{Shard: 0, Leader: follower.self.ID, Epoch: epoch - 1}}})
+	outsider.manager.Receive(follower.self.ID, &RouteReply{Routes: []ShardRoute{{Shard: 0, Leader: follower.self.ID, Epoch: epoch - 1}}})
 	if got := outsider.manager.Route(0).Leader; got != leader.self.ID {
 		t.Errorf("older hearsay replaced the leader by %q", got)
 	}
--- a/internal/replication/fuzz_test.go
+++ b/internal/replication/fuzz_test.go
@@ -22,8 +22,8 @@
 		&Chunk{Epoch: 3, Index: 5, IndexEpoch: 3, Group: Group{stranger}, Total: 3, Data: []byte("abc")},
 		&ChunkTaken{Epoch: 1, Next: -1},
 		&Dismiss{Epoch: 1 << 33},
-		&Where{Shards: []structs.ShardNumber{0, 99}},
-		&Is{Routes: []ShardRoute{{Shard: 0, Epoch: 5, Leader: stranger}}},
+		&RouteRequest{Shards: []structs.ShardNumber{0, 99}},
+		&RouteReply{Routes: []ShardRoute{{Shard: 0, Epoch: 5, Leader: stranger}}},
 		&Audit{Shards: []ShardEpoch{{Shard: 0, Epoch: 1}}},
 	} {
 		line, err := peer.Encode(stranger, stranger, message)
--- a/internal/replication/strays.go
+++ b/internal/replication/leaderless.go
@@ -6,19 +6,19 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// strayAfter is how long nobody was known to lead a shard before a former
-// member has all daemons asked. It is longer than any election takes.
-const strayAfter = 10 * time.Second
+// leaderlessAfter is how long no leader of a shard was known before a former
+// member asks all daemons. It is longer than any election takes.
+const leaderlessAfter = 10 * time.Second
 
-// A stray shard is one whose group in the stream is out of date: it names this
+// A leaderless shard is one whose group in the stream is out of date: it names this
 // daemon, which has left the group since, and no leader is known. The note of
 // the later group may never have been written, if the log was down, and that
 // group may be lost. No daemon would then look for the shard as an orphan,
 // because a member named in the stream lives.
 
-// dueStrays returns the stray shards that have been without a leader for long.
-// It has the likely holders of the others asked. The caller holds the mutex.
-func (g *registry) dueStrays() []structs.ShardNumber {
+// dueLeaderless returns the shards that have been leaderless for long, and asks
+// the likely holders of the others. The caller holds the mutex.
+func (g *registry) dueLeaderless() []structs.ShardNumber {
 	m := g.manager
 	if !g.hasGroups {
 		return nil
@@ -26,17 +26,17 @@
 	now := m.Clock.Now()
 	var due []structs.ShardNumber
 	for shard := range structs.ShardNumber(m.Settings.Shards) {
-		if !g.stray(shard) {
-			delete(g.straySince, shard)
+		if !g.isLeaderless(shard) {
+			delete(g.leaderlessSince, shard)
 			continue
 		}
-		since, known := g.straySince[shard]
+		since, known := g.leaderlessSince[shard]
 		switch {
 		case !known:
-			g.straySince[shard] = now
-			m.ask(shard)
-		case now.Sub(since) < strayAfter:
-			m.ask(shard)
+			g.leaderlessSince[shard] = now
+			m.requestRoute(shard)
+		case now.Sub(since) < leaderlessAfter:
+			m.requestRoute(shard)
 		default:
 			due = append(due, shard)
 		}
@@ -44,11 +44,11 @@
 	return due
 }
 
-// stray tells whether this daemon is to look for a shard: it is the first
+// isLeaderless tells whether this daemon must search for a shard: it is the first
 // living one of the group in the stream, it holds no replica as a member, the
 // dead ones of that group are gone, and it knows no living leader. The living
 // ones are asked like every other daemon.
-func (g *registry) stray(shard structs.ShardNumber) bool {
+func (g *registry) isLeaderless(shard structs.ShardNumber) bool {
 	m := g.manager
 	group := g.groups[shard].group
 	if !group.Contains(m.Self.ID) || m.isMemberOf(shard) || m.knowsLeader(shard) {
@@ -90,7 +90,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	for address := range m.machines.unlistedAt {
-		if !addresses[address] && m.machines.lackedFor(address) < m.Settings.ClaimGrace {
+		if !addresses[address] && m.machines.missingFor(address) < m.Settings.ClaimGrace {
 			return false
 		}
 	}
--- a/internal/replication/machines.go
+++ b/internal/replication/machines.go
@@ -22,9 +22,9 @@
 	return since, true
 }
 
-// machineWord is the machine list's word about the addresses of daemons. The
-// Manager's mutex guards it.
-type machineWord struct {
+// machineListView is what readings of the machine list have shown of the addresses
+// of daemons. The Manager's mutex guards it.
+type machineListView struct {
 	// firstAt and lastAt are when the list was read first and last.
 	firstAt time.Time
 	lastAt  time.Time
@@ -37,16 +37,16 @@
 // its time; one that is forgotten counts as lacking since the first reading.
 const unlistedMemory = time.Hour
 
-func newMachineWord() machineWord {
-	return machineWord{listed: map[string]bool{}, unlistedAt: map[string]time.Time{}}
+func newMachineListView() machineListView {
+	return machineListView{listed: map[string]bool{}, unlistedAt: map[string]time.Time{}}
 }
 
 // known tells whether the list was ever read.
-func (w *machineWord) known() bool { return !w.firstAt.IsZero() }
+func (w *machineListView) known() bool { return !w.firstAt.IsZero() }
 
-// lackedFor tells for how long readings have lacked an address, from the first
+// missingFor tells for how long readings have lacked an address, from the first
 // of them to the last: what was not read since proves nothing.
-func (w *machineWord) lackedFor(address string) time.Duration {
+func (w *machineListView) missingFor(address string) time.Duration {
 	if !w.known() || w.listed[address] {
 		return 0
 	}
@@ -120,5 +120,5 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.machines.lackedFor(daemon.Address()) >= m.Settings.ClaimGrace
+	return m.machines.missingFor(daemon.Address()) >= m.Settings.ClaimGrace
 }
--- a/internal/replication/machines_test.go
+++ b/internal/replication/machines_test.go
@@ -93,7 +93,7 @@
 	if kept := len(m.machines.unlistedAt); kept > 2*perDay/24 {
 		t.Errorf("%d addresses are remembered after %d left", kept, days*perDay)
 	}
-	if lacked := m.machines.lackedFor("10.0.0.0:7000"); lacked < 24*time.Hour {
+	if lacked := m.machines.missingFor("10.0.0.0:7000"); lacked < 24*time.Hour {
 		t.Errorf("a forgotten address counts as lacking for %s", lacked)
 	}
 }
--- a/internal/replication/manager.go
+++ b/internal/replication/manager.go
@@ -43,12 +43,12 @@
 	// promises are those of replicas that were dropped.
 	promises map[structs.ShardNumber]promise
 	routes   routeTable
-	asking   asking
+	lookup   routeLookup
 	// deadAt is since when daemons are believed dead.
 	deadAt map[structs.DaemonID]time.Time
 	// latest is the highest incarnation ever seen at an address.
 	latest   map[string]uint64
-	machines machineWord
+	machines machineListView
 	// leavingAddresses are the addresses whose latest run said that it stops.
 	leavingAddresses map[string]bool
 
@@ -69,10 +69,10 @@
 		replicas:         map[structs.ShardNumber]*replica{},
 		promises:         map[structs.ShardNumber]promise{},
 		routes:           newRouteTable(),
-		asking:           newAsking(),
+		lookup:           newRouteLookup(),
 		deadAt:           map[structs.DaemonID]time.Time{},
 		latest:           map[string]uint64{options.Self.ID.Address(): options.Self.ID.Incarnation()},
-		machines:         newMachineWord(),
+		machines:         newMachineListView(),
 		leavingAddresses: map[string]bool{},
 		planWanted:       map[structs.ShardNumber]bool{},
 	}
@@ -135,10 +135,10 @@
 
 func (m *Manager) receiveForDaemon(from structs.DaemonID, message peer.Message) bool {
 	switch body := message.(type) {
-	case *Where:
-		m.answerWhere(from, body)
-	case *Is:
-		m.receiveIs(from, body)
+	case *RouteRequest:
+		m.answerRouteRequest(from, body)
+	case *RouteReply:
+		m.receiveRouteReply(from, body)
 	case *Audit:
 		m.answerAudit(from, body)
 	default:
--- a/internal/replication/messages.go
+++ b/internal/replication/messages.go
@@ -187,8 +187,8 @@
 	Leads  bool `json:"a,omitempty"`
 }
 
-// Where asks a daemon where shards are led.
-type Where struct {
+// RouteRequest asks a daemon where shards are led.
+type RouteRequest struct {
 	Shards []structs.ShardNumber `json:"s"`
 	// More is set by a daemon that lacks many routes: the answer may tell of
 	// further shards, from From on.
@@ -197,15 +197,15 @@
 }
 
 // MessageKind implements peer.Message.
-func (*Where) MessageKind() peer.Kind { return "replication.where" }
+func (*RouteRequest) MessageKind() peer.Kind { return "replication.where" }
 
-// Is answers Where, and Audit where the two disagree.
-type Is struct {
+// RouteReply answers RouteRequest, and Audit where the two disagree.
+type RouteReply struct {
 	Routes []ShardRoute `json:"r"`
 }
 
 // MessageKind implements peer.Message.
-func (*Is) MessageKind() peer.Kind { return "replication.is" }
+func (*RouteReply) MessageKind() peer.Kind { return "replication.is" }
 
 func init() {
 	peer.Register(peer.ClassData, &Append{})
@@ -217,6 +217,6 @@
 	peer.Register(peer.ClassControl, &TakeOver{})
 	peer.Register(peer.ClassControl, &Dismiss{})
 	peer.Register(peer.ClassControl, &Audit{})
-	peer.Register(peer.ClassControl, &Where{})
-	peer.Register(peer.ClassControl, &Is{})
+	peer.Register(peer.ClassControl, &RouteRequest{})
+	peer.Register(peer.ClassControl, &RouteReply{})
 }
--- a/internal/replication/registry.go
+++ b/internal/replication/registry.go
@@ -74,8 +74,9 @@
 	quickReads int
 	// survivors wait for the next search before they claim.
 	survivors map[structs.ShardNumber]*survivor
-	// straySince is since when stray shards have no known leader.
-	straySince map[structs.ShardNumber]time.Time
+	// leaderlessSince is since when the group in the stream is out of date and no
+	// leader is known.
+	leaderlessSince map[structs.ShardNumber]time.Time
 }
 
 // readLimit bounds the entries of one read.
@@ -97,11 +98,11 @@
 
 func newRegistry(m *Manager) *registry {
 	return &registry{
-		manager:    m,
-		groups:     map[structs.ShardNumber]knownGroup{},
-		notes:      map[structs.ShardNumber]groupNote{},
-		survivors:  map[structs.ShardNumber]*survivor{},
-		straySince: map[structs.ShardNumber]time.Time{},
+		manager:         m,
+		groups:          map[structs.ShardNumber]knownGroup{},
+		notes:           map[structs.ShardNumber]groupNote{},
+		survivors:       map[structs.ShardNumber]*survivor{},
+		leaderlessSince: map[structs.ShardNumber]time.Time{},
 	}
 }
 
@@ -169,7 +170,7 @@
 // its majority, or something waits to be written.
 func (g *registry) urgent() bool {
 	toWrite := len(g.notes) > 0 || len(g.claims) > 0
-	searching := g.search != nil || len(g.survivors) > 0 || len(g.straySince) > 0
+	searching := g.search != nil || len(g.survivors) > 0 || len(g.leaderlessSince) > 0
 	return toWrite || searching || g.anyOrphan() || g.manager.anyLost()
 }
 
@@ -283,9 +284,9 @@
 	return g.groups[shard].group
 }
 
-// hopeless tells whether a call for a shard had better be refused than kept
+// isUnavailable tells whether a call for a shard is refused rather than kept
 // waiting: the first groups are not known for long, or all members are dead.
-func (g *registry) hopeless(shard structs.ShardNumber) bool {
+func (g *registry) isUnavailable(shard structs.ShardNumber) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if !g.hasGroups {
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -48,8 +48,8 @@
 	positions map[structs.DaemonID]position
 	// askedPositions is when members were asked for that last.
 	askedPositions map[structs.DaemonID]time.Time
-	// rivals are daemons outside the group that were found to hold a replica.
-	rivals Group
+	// outsideReplicas are daemons outside the group that were found to hold a replica.
+	outsideReplicas Group
 	// lostAt is when the group was found without a majority, zero if it has one.
 	lostAt time.Time
 	// claimUnread is set while this replica has heard that its shard was
@@ -159,7 +159,7 @@
 		return
 	}
 	r.observe(m.Epoch)
-	r.giveWay()
+	r.resetAfterClaim()
 	r.follow(from)
 	r.hear(m.Epoch, m.Round)
 	if m.Previous > r.log.last() {
--- a/internal/replication/asking.go
+++ b/internal/replication/route_lookup.go
@@ -8,20 +8,20 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// asking bounds what this daemon spends on finding leaders. Questions of a
-// moment go out together, one message per daemon asked; repeated ones come at
-// growing pauses and out of an allowance, so that a part of the fleet that is
-// cut off does not fill its links with questions that nobody can answer.
-type asking struct {
+// routeLookup bounds what this daemon spends on finding leaders. Requests that
+// come up together are batched, one message per daemon; repeated ones are sent at
+// growing pauses and within a rate limit, so that a part of the fleet that is
+// cut off does not fill its links with requests that nobody can answer.
+type routeLookup struct {
 	wanted map[structs.ShardNumber]bool
-	// repeats bounds repeated questions, answers included.
+	// repeats limits the rate of repeated requests, replies included.
 	repeats allowance
-	// telling bounds the routes that this daemon tells unasked.
-	telling allowance
-	// lastAt is when questions last went out.
+	// extras limits the rate of routes that replies carry beyond those asked for.
+	extras allowance
+	// lastAt is when requests were last sent.
 	lastAt time.Time
-	// lackedFrom is where the next look for a lacked route begins.
-	lackedFrom structs.ShardNumber
+	// missingFrom is the shard from which the next missing route is looked for.
+	missingFrom structs.ShardNumber
 }
 
 // allowance is a number of bytes that may still be caused; it grows with time.
@@ -32,25 +32,25 @@
 }
 
 const (
-	// askCount is how many daemons a repeated question adds.
+	// askCount is how many daemons a repeated request adds.
 	askCount = 3
 	// firstAskCount is how many daemons are asked at first.
 	firstAskCount = 2
-	// askGather is how long questions wait for others to go with.
+	// askGather is how long requests wait for others to be batched with.
 	askGather = 5 * time.Millisecond
 	// askDoublings bounds the pauses: AskInterval times a power of two.
 	askDoublings = 2
 	// askRate and askBurst bound each allowance, in bytes a second and bytes.
 	askRate  = 500
 	askBurst = 8 << 10
-	// Estimates of encoded sizes in bytes, question and answer together.
+	// Estimates of encoded sizes in bytes, request and reply together.
 	askMessageSize = 200
 	askShardSize   = 110
-	// askShards bounds the shards of one question.
+	// askShards bounds the shards of one request.
 	askShards = 32
 )
 
-func newAsking() asking { return asking{wanted: map[structs.ShardNumber]bool{}} }
+func newRouteLookup() routeLookup { return routeLookup{wanted: map[structs.ShardNumber]bool{}} }
 
 // take takes bytes for a message and returns whether there were enough.
 func (a *allowance) take(now time.Time, size float64) bool {
@@ -65,8 +65,8 @@
 	return true
 }
 
-// ask has daemons asked that may know where a shard is led, not too often.
-func (m *Manager) ask(shard structs.ShardNumber) {
+// requestRoute asks daemons that may know the leader of a shard, not too often.
+func (m *Manager) requestRoute(shard structs.ShardNumber) {
 	now := m.Clock.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -77,15 +77,15 @@
 	}
 	entry.askedAt = now
 	entry.asked++
-	first := len(m.asking.wanted) == 0
-	m.asking.wanted[shard] = true
+	first := len(m.lookup.wanted) == 0
+	m.lookup.wanted[shard] = true
 	if first {
-		m.Clock.AfterFunc(askGather, m.sendQuestions)
+		m.Clock.AfterFunc(askGather, m.sendRouteRequests)
 	}
 }
 
-// question is the shards that one daemon is asked for.
-type question struct {
+// pendingRequest holds the shards that one daemon is asked for.
+type pendingRequest struct {
 	to     structs.DaemonID
 	shards []structs.ShardNumber
 	// repeated is set when none of the shards is asked for the first time.
@@ -94,50 +94,50 @@
 	first bool
 }
 
-// sendQuestions sends what was gathered: first questions always, repeated ones
-// as far as the allowance goes.
-func (m *Manager) sendQuestions() {
+// sendRouteRequests sends the batch: first requests always, repeated ones within
+// the rate limit.
+func (m *Manager) sendRouteRequests() {
 	if m.isStopped() {
 		return
 	}
-	often := m.asksOften()
-	for _, q := range m.questions() {
+	often := m.requestsOften()
+	for _, q := range m.groupRequests() {
 		for shards := range slices.Chunk(q.shards, askShards) {
 			size := float64(askMessageSize + askShardSize*len(shards))
 			m.mutex.Lock()
-			granted := m.asking.repeats.take(m.Clock.Now(), size) || !q.repeated
+			granted := m.lookup.repeats.take(m.Clock.Now(), size) || !q.repeated
 			m.mutex.Unlock()
 			if granted {
-				m.Transport.Send(q.to, m.where(shards, often && q.first && !q.repeated))
+				m.Transport.Send(q.to, m.newRouteRequest(shards, often && q.first && !q.repeated))
 			}
 		}
 	}
 }
 
-// questions divides the gathered shards over the daemons to ask, those shards
+// groupRequests divides the wanted shards over the daemons to ask, those shards
 // first that were asked for least.
-func (m *Manager) questions() []*question {
+func (m *Manager) groupRequests() []*pendingRequest {
 	type want struct {
 		shard  structs.ShardNumber
 		turn   int
 		holder structs.DaemonID
 	}
 	m.mutex.Lock()
-	wants := make([]want, 0, len(m.asking.wanted))
-	for shard := range m.asking.wanted {
+	wants := make([]want, 0, len(m.lookup.wanted))
+	for shard := range m.lookup.wanted {
 		entry := m.routes.entry(shard)
 		wants = append(wants, want{shard, entry.asked, entry.holder})
 	}
-	clear(m.asking.wanted)
+	clear(m.lookup.wanted)
 	m.mutex.Unlock()
 	slices.SortFunc(wants, func(a, b want) int {
 		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.shard, b.shard))
 	})
-	var list []*question
+	var list []*pendingRequest
 	for _, w := range wants {
 		for i, daemon := range m.likelyHolders(w.shard, w.holder, w.turn) {
-			var q *question
-			list, q = questionTo(list, daemon, w.turn > 1)
+			var q *pendingRequest
+			list, q = pendingRequestTo(list, daemon, w.turn > 1)
 			q.shards = append(q.shards, w.shard)
 			q.first = q.first || i == 0
 		}
@@ -145,14 +145,14 @@
 	return list
 }
 
-// questionTo returns the question to a daemon, which it adds if there is none.
-func questionTo(list []*question, to structs.DaemonID, repeated bool) ([]*question, *question) {
+// pendingRequestTo returns the request to a daemon, which it adds if there is none.
+func pendingRequestTo(list []*pendingRequest, to structs.DaemonID, repeated bool) ([]*pendingRequest, *pendingRequest) {
 	for _, q := range list {
 		if q.to == to && q.repeated == repeated {
 			return list, q
 		}
 	}
-	q := &question{to: to, repeated: repeated}
+	q := &pendingRequest{to: to, repeated: repeated}
 	return append(list, q), q
 }
 
--- a/internal/replication/asking_test.go
+++ b/internal/replication/route_lookup_test.go
@@ -31,11 +31,11 @@
 	outsider := f.start(4, "a")
 	f.run(50 * time.Millisecond)
 	for shard := range structs.ShardNumber(shards) {
-		outsider.manager.ask(shard)
-		outsider.manager.ask(shard)
+		outsider.manager.requestRoute(shard)
+		outsider.manager.requestRoute(shard)
 	}
 	asked := map[structs.ShardNumber]int{}
-	questions := outsider.manager.questions()
+	questions := outsider.manager.groupRequests()
 	for _, q := range questions {
 		for _, shard := range q.shards {
 			asked[shard]++
--- a/internal/replication/routes.go
+++ b/internal/replication/routes.go
@@ -120,8 +120,8 @@
 	if route.Leader != "" {
 		return route
 	}
-	m.ask(shard)
-	route.NoMajority = told || m.registry.hopeless(shard)
+	m.requestRoute(shard)
+	route.NoMajority = told || m.registry.isUnavailable(shard)
 	return route
 }
 
@@ -156,7 +156,7 @@
 	}
 	m.mutex.Unlock()
 	if route.Leader == "" {
-		m.ask(shard)
+		m.requestRoute(shard)
 	}
 }
 
@@ -183,21 +183,21 @@
 	}
 }
 
-func (m *Manager) answerWhere(from structs.DaemonID, where *Where) {
-	answer := &Is{}
+func (m *Manager) answerRouteRequest(from structs.DaemonID, where *RouteRequest) {
+	answer := &RouteReply{}
 	for _, shard := range where.Shards {
 		if int(shard) < m.Settings.Shards {
 			answer.Routes = append(answer.Routes, m.shardRoute(shard))
 		}
 	}
 	if where.More {
-		answer.Routes = append(answer.Routes, m.tellMore(where)...)
+		answer.Routes = append(answer.Routes, m.extraRoutes(where)...)
 	}
 	m.Transport.Send(from, answer)
 }
 
-// receiveIs takes routes that were asked for.
-func (m *Manager) receiveIs(from structs.DaemonID, is *Is) {
+// receiveRouteReply takes routes that were asked for.
+func (m *Manager) receiveRouteReply(from structs.DaemonID, is *RouteReply) {
 	for _, route := range is.Routes {
 		if int(route.Shard) >= m.Settings.Shards {
 			continue
@@ -273,7 +273,7 @@
 
 // answerAudit tells the sender where its replicas and this daemon disagree.
 func (m *Manager) answerAudit(from structs.DaemonID, audit *Audit) {
-	answer := &Is{}
+	answer := &RouteReply{}
 	for _, asked := range audit.Shards {
 		if int(asked.Shard) >= m.Settings.Shards {
 			continue
--- a/internal/replication/search.go
+++ b/internal/replication/search.go
@@ -38,13 +38,13 @@
 // daemon has answered that it is no member, and every daemon that the machine
 // list names is among those that were asked, is a shard claimed.
 type search struct {
-	shards    []structs.ShardNumber
-	survivors map[structs.ShardNumber]*survivor
-	strays    map[structs.ShardNumber]bool
-	asked     Group
-	waiting   Group
-	found     map[structs.ShardNumber]bool
-	at        time.Time
+	shards     []structs.ShardNumber
+	survivors  map[structs.ShardNumber]*survivor
+	leaderless map[structs.ShardNumber]bool
+	asked      Group
+	waiting    Group
+	found      map[structs.ShardNumber]bool
+	at         time.Time
 }
 
 // searchInterval is the pause between searches for survivors.
@@ -98,52 +98,79 @@
 		g.mutex.Unlock()
 		return
 	}
-	g.tellUnanswered()
-	var mine []structs.ShardNumber
+	g.logUnanswered()
+	s := g.nextSearch(daemons)
+	if len(s.shards) == 0 {
+		g.search = nil
+		g.mutex.Unlock()
+		return
+	}
+	s.asked = m.otherLiveMembers()
+	s.waiting = slices.Clone(s.asked)
+	g.search = s
+	g.mutex.Unlock()
+	for _, daemon := range s.asked {
+		m.Transport.Send(daemon, &RouteRequest{Shards: s.shards})
+	}
+	g.endSearch()
+}
+
+// nextSearch returns a search for the shards that this daemon must search for:
+// orphans of which it ranks first, leaderless shards, and those of survivors. The
+// caller holds the mutex.
+func (g *registry) nextSearch(daemons []structs.Daemon) *search {
+	m := g.manager
+	s := &search{
+		survivors:  g.survivors,
+		leaderless: map[structs.ShardNumber]bool{},
+		found:      map[structs.ShardNumber]bool{},
+		at:         m.Clock.Now(),
+	}
+	g.survivors = map[structs.ShardNumber]*survivor{}
 	for _, shard := range g.orphans() {
 		order := ranked(shard, daemons)
-		if len(order) > 0 && order[0].ID == m.Self.ID && m.allGone(g.groups[shard].group) && len(mine) < searchLimit {
-			mine = append(mine, shard)
+		isFirst := len(order) > 0 && order[0].ID == m.Self.ID
+		if isFirst && m.allGone(g.groups[shard].group) {
+			s.add(shard)
 		}
 	}
-	strays := map[structs.ShardNumber]bool{}
-	for _, shard := range g.dueStrays() {
-		if len(mine) < searchLimit {
-			strays[shard] = true
-			mine = append(mine, shard)
+	for _, shard := range g.dueLeaderless() {
+		if s.add(shard) {
+			s.leaderless[shard] = true
 		}
 	}
-	survivors := g.survivors
-	g.survivors = map[structs.ShardNumber]*survivor{}
 	for shard := range structs.ShardNumber(m.Settings.Shards) {
-		if survivors[shard] != nil && !slices.Contains(mine, shard) && len(mine) < searchLimit {
-			mine = append(mine, shard)
+		if s.survivors[shard] != nil && !slices.Contains(s.shards, shard) {
+			s.add(shard)
 		}
 	}
-	g.search = nil
-	if len(mine) == 0 {
-		g.mutex.Unlock()
-		return
+	return s
+}
+
+// add takes a shard into the search; false when that is full.
+func (s *search) add(shard structs.ShardNumber) bool {
+	if len(s.shards) >= searchLimit {
+		return false
 	}
-	s := &search{shards: mine, survivors: survivors, strays: strays, found: map[structs.ShardNumber]bool{}, at: m.Clock.Now()}
+	s.shards = append(s.shards, shard)
+	return true
+}
+
+// otherLiveMembers returns all members that are not dead, without this daemon.
+func (m *Manager) otherLiveMembers() Group {
+	var others Group
 	for _, member := range m.Members.Members() {
 		if member.Daemon.ID != m.Self.ID && member.State != membership.StateDead {
-			s.asked = append(s.asked, member.Daemon.ID)
+			others = append(others, member.Daemon.ID)
 		}
 	}
-	s.waiting = slices.Clone(s.asked)
-	g.search = s
-	g.mutex.Unlock()
-	for _, daemon := range s.asked {
-		m.Transport.Send(daemon, &Where{Shards: mine})
-	}
-	g.endSearch()
+	return others
 }
 
-// tellUnanswered says whom the search before still waits for: daemons that did
+// logUnanswered logs whom the search before still waits for: daemons that did
 // not answer, and machines of the list that could not be asked. The caller has
 // the lock.
-func (g *registry) tellUnanswered() {
+func (g *registry) logUnanswered() {
 	s := g.search
 	if s == nil {
 		return
@@ -161,7 +188,7 @@
 }
 
 // answered takes a daemon's answer into the search.
-func (g *registry) answered(from structs.DaemonID, is *Is) {
+func (g *registry) answered(from structs.DaemonID, is *RouteReply) {
 	g.mutex.Lock()
 	s := g.search
 	if s == nil || !s.waiting.Contains(from) {
@@ -169,7 +196,7 @@
 		return
 	}
 	said := 0
-	var rivals []structs.ShardNumber
+	var contradicted []structs.ShardNumber
 	for _, route := range is.Routes {
 		if !slices.Contains(s.shards, route.Shard) {
 			continue
@@ -179,20 +206,20 @@
 		if (lone == nil && route.Holder) || (lone != nil && lone.contradicts(from, route)) {
 			s.found[route.Shard] = true
 		}
-		if s.strays[route.Shard] && route.Leader != "" {
+		if s.leaderless[route.Shard] && route.Leader != "" {
 			s.found[route.Shard] = true
 		}
 		if lone != nil && lone.contradicts(from, route) {
-			rivals = append(rivals, route.Shard)
+			contradicted = append(contradicted, route.Shard)
 		}
 	}
 	if said == len(s.shards) {
 		s.waiting = s.waiting.without(from)
 	}
 	g.mutex.Unlock()
-	for _, shard := range rivals {
+	for _, shard := range contradicted {
 		if r := g.manager.replica(shard); r != nil {
-			r.post(func() { r.meetRival(from) })
+			r.post(func() { r.noteOutsideReplica(from) })
 		}
 	}
 	g.endSearch()
@@ -216,7 +243,7 @@
 			continue
 		}
 		held := s.found[shard] || m.isMemberOf(shard)
-		if s.strays[shard] && !m.coversLately(s.asked) {
+		if s.leaderless[shard] && !m.coversLately(s.asked) {
 			continue
 		}
 		if !held {
--- a/internal/replication/supersede.go
+++ b/internal/replication/supersede.go
@@ -26,11 +26,11 @@
 	r.publish()
 }
 
-// giveWay empties a replica whose shard was claimed by another, as a leader of
+// resetAfterClaim empties a replica whose shard was claimed by another, as a leader of
 // the new generation or the stream shows. What it held beyond the claimant's
 // log was never acknowledged to be kept, or was lost with the majority; the
 // leader sends the whole state anew.
-func (r *replica) giveWay() {
+func (r *replica) resetAfterClaim() {
 	if !r.claimUnread {
 		return
 	}
--- a/internal/replication/supersede_test.go
+++ b/internal/replication/supersede_test.go
@@ -28,7 +28,7 @@
 	outsider := f.start(4, "b")
 	f.run(time.Second)
 	claimed := ShardRoute{Shard: shard, Epoch: firstEpoch(1)}
-	survivor.manager.Receive(outsider.self.ID, &Is{Routes: []ShardRoute{claimed}})
+	survivor.manager.Receive(outsider.self.ID, &RouteReply{Routes: []ShardRoute{claimed}})
 	if r := survivor.manager.replica(shard); r.isMember() || r.leading != nil {
 		t.Error("a replica takes part though its shard was claimed, and it does not know by whom")
 	}
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -168,7 +168,7 @@
 		return
 	}
 	r.observe(m.Epoch)
-	r.giveWay()
+	r.resetAfterClaim()
 	r.follow(from)
 	r.hear(m.Epoch, m.Round)
 	if m.Index <= r.commit {
--- a/internal/schedule/engines.go
+++ b/internal/schedule/engines.go
@@ -40,12 +40,12 @@
 		delete(s.engines, id)
 		s.order = slices.DeleteFunc(s.order, func(v *EngineView) bool { return v == view })
 		s.index.forget(id)
-		s.sendHome(view)
+		s.releaseWaiters(view)
 	})
 }
 
-// sendHome lets calls that waited for an engine go elsewhere.
-func (s *Scheduler) sendHome(view *EngineView) {
+// releaseWaiters lets calls that waited for an engine go elsewhere.
+func (s *Scheduler) releaseWaiters(view *EngineView) {
 	for waiting := view.home.first(1); len(waiting) > 0; waiting = view.home.first(1) {
 		s.leaveHome(waiting[0])
 	}
--- a/internal/schedule/memory.go
+++ b/internal/schedule/memory.go
@@ -43,14 +43,14 @@
 
 // keep notes that an engine keeps a program's cache.
 func (s *Scheduler) keep(state *programState, engine *EngineView, tokens int64, until time.Time) {
-	s.unkeep(state)
+	s.dropKept(state)
 	state.kept = &keptCache{engine: engine, tokens: tokens, until: until}
 	engine.KeptTokens += tokens
 	heap.Push(&s.kept, state.kept)
 }
 
-// unkeep notes that nothing is kept for a program any more.
-func (s *Scheduler) unkeep(state *programState) {
+// dropKept notes that nothing is kept for a program any more.
+func (s *Scheduler) dropKept(state *programState) {
 	if state == nil || state.kept == nil {
 		return
 	}
@@ -81,7 +81,7 @@
 		if state.kept != nil {
 			freed = state.kept.engine
 		}
-		s.unkeep(state)
+		s.dropKept(state)
 		s.estimates.forget(state)
 		if freed != nil {
 			s.fill(freed, s.clock.Now())
--- a/internal/schedule/placement.go
+++ b/internal/schedule/placement.go
@@ -69,7 +69,7 @@
 		if !view.Serves(queue.key.model) {
 			continue
 		}
-		s.freshen(queue)
+		s.refreshPenalties(queue)
 		queue.first(max(s.profile.LookAhead, 1), func(entry *waitingItem, due float64) bool {
 			if entry.home != view && !(s.profile.KeepHome && entry.home != nil) {
 				consider(entry, due, "next in the queue")
@@ -80,8 +80,8 @@
 	return best, bestMiss, reason
 }
 
-// freshen brings the penalties of the first tenants up to date.
-func (s *Scheduler) freshen(queue *class) {
+// refreshPenalties brings the penalties of the first tenants up to date.
+func (s *Scheduler) refreshPenalties(queue *class) {
 	if !s.fairness.enabled {
 		return
 	}
@@ -114,7 +114,7 @@
 	s.placed[entry.Item] = record
 	scores := s.explain(entry, view, now)
 	transfer := s.transferTo(entry, view, s.hitTokens(entry, view))
-	s.unkeep(s.estimates.programs[entry.Key])
+	s.dropKept(s.estimates.programs[entry.Key])
 	view.assign(record, missTokens, now)
 	s.drain.rate.add(1, now)
 	s.charge(entry, view, missTokens)
