Membership: an update is called an update; penalties and bounds have names

Cause: updates were also news, word and verdict; health counted doubt; bounds stood as bare numbers (three quarters of the buckets, two records) or among sizes. Change: UpdatePush, shortUpdate, isComplete, processHeartbeat, countDuplicate, relayUpdate, sendRefutations, healthPenalty, pendingVerification and others; named constants. Kinds on the wire and JSON names stay. Tests change in names alone. Behaviour is as before.

--- a/internal/membership/api.go
+++ b/internal/membership/api.go
@@ -1,6 +1,7 @@
 // Package membership keeps every daemon's view of the others: who is alive,
 // suspected, dead or leaving. It joins the platform's lagging machine list
-// with probes between daemons; the newest news wins by incarnation.
+// with probes between daemons; the update of the latest run, with the
+// highest refutation number, wins.
 package membership
 
 import (
@@ -28,7 +29,7 @@
 	State  State          `json:"state"`
 }
 
-// Note is a daemon's small word about itself that travels with its probes.
+// Note is what a daemon adds about itself to its probes.
 type Note struct {
 	// ConfigurationOffset and ConfigurationDigest tell how far it has folded
 	// the configuration log, and to what.
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -7,17 +7,17 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// broadcast keeps the news that this daemon passes on: each update rides on a
-// bounded number of messages, and urgent ones are pushed to neighbours too.
+// broadcast keeps the updates that this daemon passes on: each is piggybacked on
+// a bounded number of messages, and urgent ones are pushed to neighbours too.
 type broadcast struct {
-	items   []*item
+	items   []*queuedUpdate
 	pending []Update
 	waiting bool
 	pushes  tokenBucket
 }
 
-// item is an update with the number of messages that carried it.
-type item struct {
+// queuedUpdate is an update with the number of messages that carried it.
+type queuedUpdate struct {
 	update Update
 	sends  int
 }
@@ -26,10 +26,10 @@
 	b.pushes = newTokenBucket(settings.PushBytesPerSecond, settings.PushBurst)
 }
 
-// add queues an update in place of older news of the same address.
+// add queues an update in place of an older one of the same address.
 func (b *broadcast) add(update Update, urgent bool) {
-	b.items = slices.DeleteFunc(b.items, func(i *item) bool { return i.update.Address == update.Address })
-	b.items = append(b.items, &item{update: update})
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.update.Address == update.Address })
+	b.items = append(b.items, &queuedUpdate{update: update})
 	if !urgent {
 		return
 	}
@@ -37,33 +37,34 @@
 	b.pending = append(b.pending, update)
 }
 
-// heardWeight is how many sendings it saves to hear the same news from another.
-const heardWeight = 4
+// duplicateWeight is how many sendings are saved when another daemon sends the
+// same update.
+const duplicateWeight = 4
 
-// heard notes that another daemon passes on the same news: the more often that
-// happens, the fewer are left who do not know it.
-func (b *broadcast) heard(update Update) {
+// countDuplicate notes that another daemon sends the same update: the more often
+// that happens, the fewer members are left that do not have it.
+func (b *broadcast) countDuplicate(update Update) {
 	for _, i := range b.items {
 		same := i.update.Address == update.Address && i.update.Run == update.Run
 		if same && i.update.Status == update.Status && i.update.Refutation == update.Refutation {
-			i.sends += heardWeight
+			i.sends += duplicateWeight
 			return
 		}
 	}
 }
 
-// directFleet is the size up to which news is pushed to every member.
+// directFleet is the size up to which updates are pushed to every member.
 const directFleet = 16
 
-// announce spreads news that starts at this daemon.
+// announce pushes an update that originates at this daemon.
 func (m *Membership) announce(update Update) {
 	m.broadcast.add(update, true)
 	m.flushSoon()
 }
 
-// spreadLearned passes on news that came from another. In a small fleet its
+// relayUpdate passes on an update that came from another. In a small fleet its
 // source has already pushed it to all.
-func (m *Membership) spreadLearned(update Update) {
+func (m *Membership) relayUpdate(update Update) {
 	urgent := update.Status != statusDead && m.fleet() > directFleet
 	m.broadcast.add(update, urgent)
 	if urgent {
@@ -84,25 +85,27 @@
 	messageSize = 120
 	updateSize  = 60
 	recordSize  = 110
-	pushLimit   = 8
 )
 
-// flush pushes urgent news. What the bucket does not cover still rides on
-// the probes; this daemon's word about itself is always pushed, since nobody
-// else can say it.
+// pushLimit bounds the updates of one push.
+const pushLimit = 8
+
+// flush pushes urgent updates. What the token bucket does not cover is still
+// piggybacked on probes; this daemon's update about itself is always pushed, since
+// no other daemon can make it.
 func (m *Membership) flush() {
 	m.broadcast.waiting = false
 	pending := m.broadcast.pending
 	m.broadcast.pending = nil
 	for batch := range slices.Chunk(pending, pushLimit) {
-		news := &News{Updates: slices.Clone(batch)}
+		push := &UpdatePush{Updates: slices.Clone(batch)}
 		size := messageSize + updateSize*len(batch)
 		own := mentions(batch, m.self.address)
 		for _, r := range m.pushTargets() {
 			if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
 				break
 			}
-			m.Transport.Send(r.daemon.ID, news)
+			m.Transport.Send(r.daemon.ID, push)
 		}
 	}
 }
@@ -115,15 +118,15 @@
 	return m.pickNeighbours(m.settings.PushFanout, nil)
 }
 
-// piggyback returns the updates to ride on one message: what the receiver
+// piggyback returns the updates that one message carries: what the receiver
 // should refute first, then those that were sent least.
 func (m *Membership) piggyback(receiver *record) []Update {
 	var updates []Update
 	if receiver != nil && receiver.status.rank() >= statusSuspect.rank() {
-		updates = append(updates, receiver.news())
+		updates = append(updates, receiver.shortUpdate())
 	}
 	b := &m.broadcast
-	slices.SortStableFunc(b.items, func(x, y *item) int { return cmp.Compare(x.sends, y.sends) })
+	slices.SortStableFunc(b.items, func(x, y *queuedUpdate) int { return cmp.Compare(x.sends, y.sends) })
 	limit := m.settings.retransmits(m.fleet())
 	room := m.settings.UpdatesPerMessage
 	if len(b.items) > m.settings.Backlog {
@@ -133,7 +136,7 @@
 		i.sends++
 		updates = append(updates, i.update)
 	}
-	b.items = slices.DeleteFunc(b.items, func(i *item) bool { return i.sends >= limit })
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.sends >= limit })
 	return updates
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -32,26 +32,26 @@
 	queue serial.Queue
 
 	// The table is written on the queue, under the mutex.
-	mutex   sync.Mutex
-	records map[string]*record
-	shown   []Member
+	mutex         sync.Mutex
+	records       map[string]*record
+	cachedMembers []Member
 
 	// All below belongs to the queue.
-	self      *record
-	stopped   bool
-	settings  Settings // scaled to the fleet
-	note      Note
-	listeners []func(Member)
-	onNote    func(structs.DaemonID, Note)
-	changes   []Member
-	ring      ring
-	buckets   [bucketCount]uint64
-	listed    []string
-	prober    prober
-	broadcast broadcast
-	syncer    syncer
-	health    int
-	startedAt time.Time
+	self          *record
+	stopped       bool
+	settings      Settings // scaled to the fleet
+	note          Note
+	listeners     []func(Member)
+	onNote        func(structs.DaemonID, Note)
+	changes       []Member
+	ring          ring
+	buckets       [bucketCount]uint64
+	listed        []string
+	prober        prober
+	broadcast     broadcast
+	syncer        syncer
+	healthPenalty int
+	startedAt     time.Time
 }
 
 // New returns a membership that knows of this daemon alone.
@@ -121,7 +121,7 @@
 // Receive takes a message that arrived; false means it is another part's.
 func (m *Membership) Receive(from structs.DaemonID, message peer.Message) bool {
 	switch message.(type) {
-	case *Ping, *Ack, *PingRequest, *News, *SyncRequest, *SyncReply:
+	case *Ping, *Ack, *PingRequest, *UpdatePush, *SyncRequest, *SyncReply:
 		m.do(func() { m.receive(from, message) })
 		return true
 	}
@@ -141,7 +141,7 @@
 	m.do(func() { m.listed = listed })
 }
 
-// SetNote sets the word that travels with this daemon's probes.
+// SetNote sets the note that this daemon's probes carry.
 func (m *Membership) SetNote(note Note) {
 	m.queue.Do(func() { m.note = note })
 }
@@ -161,17 +161,17 @@
 func (m *Membership) Members() []Member {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.shown == nil {
+	if m.cachedMembers == nil {
 		for _, r := range m.records {
 			if !r.gone() {
-				m.shown = append(m.shown, Member{Daemon: r.daemon, State: r.state()})
+				m.cachedMembers = append(m.cachedMembers, Member{Daemon: r.daemon, State: r.state()})
 			}
 		}
-		slices.SortFunc(m.shown, func(a, b Member) int {
+		slices.SortFunc(m.cachedMembers, func(a, b Member) int {
 			return strings.Compare(string(a.Daemon.ID), string(b.Daemon.ID))
 		})
 	}
-	return slices.Clone(m.shown)
+	return slices.Clone(m.cachedMembers)
 }
 
 // State implements View.
@@ -205,7 +205,7 @@
 	due := m.Clock.Now().Add(d)
 	return m.Clock.AfterFunc(d, func() {
 		m.do(func() {
-			m.noticePause(due)
+			m.detectPause(due)
 			task()
 		})
 	})
@@ -235,7 +235,7 @@
 	m.handle(from, message)
 	if m.self.refutation != refutation {
 		// The sender may not be among the members that the refutation went to.
-		m.Transport.Send(from, &News{Updates: []Update{m.self.update()}})
+		m.Transport.Send(from, &UpdatePush{Updates: []Update{m.self.update()}})
 	}
 }
 
@@ -247,7 +247,7 @@
 		m.receiveAck(from, message)
 	case *PingRequest:
 		m.receivePingRequest(from, message)
-	case *News:
+	case *UpdatePush:
 		m.applyAll(from, message.Updates)
 	case *SyncRequest:
 		m.receiveSyncRequest(from, message)
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -5,7 +5,7 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// Update is one piece of news about one run of one daemon. Keys are short
+// Update is the state of one run of one daemon, as far as its sender knows. Keys are short
 // because updates are most of what membership sends.
 type Update struct {
 	Address string `json:"a"`
@@ -13,7 +13,7 @@
 	Run uint64 `json:"i"`
 	// Status is absent for alive.
 	Status status `json:"s,omitempty"`
-	// Refutation counts how often the run has contradicted news about itself.
+	// Refutation counts how often the run has contradicted an update about itself.
 	Refutation uint64 `json:"r,omitempty"`
 	// Zone, Region and HTTPAddress are absent when the run is dead.
 	Zone        structs.ZoneName   `json:"z,omitempty"`
@@ -47,8 +47,8 @@
 	Updates  []Update         `json:"u,omitempty"`
 }
 
-// News pushes updates that should not wait for the next probe.
-type News struct {
+// UpdatePush pushes updates that should not wait for the next probe.
+type UpdatePush struct {
 	Updates []Update `json:"u"`
 }
 
@@ -70,7 +70,7 @@
 	KindPing        peer.Kind = "membership.ping"
 	KindAck         peer.Kind = "membership.ack"
 	KindPingRequest peer.Kind = "membership.ping_request"
-	KindNews        peer.Kind = "membership.news"
+	KindUpdatePush  peer.Kind = "membership.news" // the name on the wire stays
 	KindSyncRequest peer.Kind = "membership.sync_request"
 	KindSyncReply   peer.Kind = "membership.sync_reply"
 )
@@ -85,7 +85,7 @@
 func (*PingRequest) MessageKind() peer.Kind { return KindPingRequest }
 
 // MessageKind implements peer.Message.
-func (*News) MessageKind() peer.Kind { return KindNews }
+func (*UpdatePush) MessageKind() peer.Kind { return KindUpdatePush }
 
 // MessageKind implements peer.Message.
 func (*SyncRequest) MessageKind() peer.Kind { return KindSyncRequest }
@@ -97,7 +97,7 @@
 	peer.Register(peer.ClassControl, &Ping{})
 	peer.Register(peer.ClassControl, &Ack{})
 	peer.Register(peer.ClassControl, &PingRequest{})
-	peer.Register(peer.ClassControl, &News{})
+	peer.Register(peer.ClassControl, &UpdatePush{})
 	peer.Register(peer.ClassControl, &SyncRequest{})
 	peer.Register(peer.ClassControl, &SyncReply{})
 }
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -25,11 +25,11 @@
 	observer, subject, other := w.nodes[0], w.nodes[1], w.nodes[2]
 	update := subject.self.update()
 	update.Status = statusDead
-	observer.Receive(other.id, &News{Updates: []Update{update}})
+	observer.Receive(other.id, &UpdatePush{Updates: []Update{update}})
 	observer.wantState(t, subject, StateSuspect, "after another's verdict")
 	w.run(time.Second)
 	observer.wantState(t, subject, StateAlive, "after the refutation")
-	observer.Receive(other.id, &News{Updates: []Update{update}})
+	observer.Receive(other.id, &UpdatePush{Updates: []Update{update}})
 	observer.wantState(t, subject, StateAlive, "after stale news")
 }
 
--- a/internal/membership/pause.go
+++ b/internal/membership/pause.go
@@ -6,25 +6,25 @@
 	"time"
 )
 
-// pausedHealth is how far this daemon doubts itself after a pause.
-const pausedHealth = 2
+// pausedHealthPenalty is the health penalty that a pause sets.
+const pausedHealthPenalty = 2
 
-// noticePause compares when a timer ran with when it was due. A daemon whose
+// detectPause compares when a timer ran with when it was due. A daemon whose
 // timers run late was itself stopped, and the answers it misses may wait
-// unread: it gives everyone a fresh chance before it judges anyone.
-func (m *Membership) noticePause(due time.Time) {
+// unread: probes and suspicions start anew before any member is held dead.
+func (m *Membership) detectPause(due time.Time) {
 	late := m.Clock.Now().Sub(due)
 	if late < m.settings.PauseThreshold {
 		return
 	}
 	m.Logger.Warn().Dur("late", late).Msg("This daemon was paused. Probes start anew.")
-	m.health = pausedHealth
+	m.healthPenalty = pausedHealthPenalty
 	for _, p := range m.prober.probes {
 		p.indirect.Stop()
 		p.timeout.Stop()
 	}
 	clear(m.prober.probes)
-	clear(m.syncer.differs)
+	clear(m.syncer.differsSince)
 	for _, r := range m.suspected() {
 		m.stopSuspicion(r)
 		m.startSuspicion(r)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -60,8 +60,8 @@
 	p := &probe{target: r, sentAt: m.Clock.Now()}
 	m.prober.probes[sequence] = p
 	m.sendPing(r.daemon.ID, sequence, r)
-	p.indirect = m.after(m.stretched(m.settings.IndirectAfter), func() { m.probeIndirect(sequence) })
-	p.timeout = m.after(m.stretched(m.settings.AckTimeout), func() { m.probeFailed(sequence) })
+	p.indirect = m.after(m.scaledByHealth(m.settings.IndirectAfter), func() { m.probeIndirect(sequence) })
+	p.timeout = m.after(m.scaledByHealth(m.settings.AckTimeout), func() { m.probeFailed(sequence) })
 }
 
 // sendPing sends a ping that carries what is believed of the target, if that
@@ -75,10 +75,10 @@
 	})
 }
 
-// stretched lengthens a timeout while this daemon has reason to doubt its own
-// health.
-func (m *Membership) stretched(d time.Duration) time.Duration {
-	return d + d*time.Duration(m.health)/2
+// scaledByHealth lengthens a timeout while this daemon's own health is in doubt,
+// by half for each point of the penalty.
+func (m *Membership) scaledByHealth(d time.Duration) time.Duration {
+	return d + d*time.Duration(m.healthPenalty)/2
 }
 
 func (m *Membership) probeIndirect(sequence uint64) {
@@ -112,14 +112,14 @@
 	update := p.target.update()
 	update.Status = statusSuspect
 	m.replace(p.target, update)
-	m.announce(p.target.news())
+	m.announce(p.target.shortUpdate())
 	m.sendPing(p.target.daemon.ID, m.prober.next(), p.target)
 }
 
 func (m *Membership) receivePing(from structs.DaemonID, ping *Ping) {
 	sender := m.records[from.Address()]
 	m.applyAll(from, ping.Updates)
-	m.hear(from, ping.Digest, &ping.Note)
+	m.processHeartbeat(from, ping.Digest, &ping.Note)
 	note := m.note
 	ack := &Ack{Sequence: ping.Sequence, Digest: m.digest(), Note: &note, Updates: m.piggyback(sender)}
 	if mentions(ping.Updates, m.self.address) {
@@ -143,7 +143,7 @@
 func (m *Membership) receiveAck(from structs.DaemonID, ack *Ack) {
 	m.applyAll(from, ack.Updates)
 	if !ack.Relayed {
-		m.hear(from, ack.Digest, ack.Note)
+		m.processHeartbeat(from, ack.Digest, ack.Note)
 	}
 	if request, found := m.prober.relays[ack.Sequence]; found {
 		delete(m.prober.relays, ack.Sequence)
@@ -158,7 +158,7 @@
 	p.indirect.Stop()
 	p.timeout.Stop()
 	p.target.answeredAt = p.sentAt
-	m.health = max(0, m.health-1)
+	m.healthPenalty = max(0, m.healthPenalty-1)
 }
 
 // receivePingRequest probes a daemon for another, and forgets that when no
@@ -171,8 +171,8 @@
 	m.after(m.settings.AckTimeout, func() { delete(m.prober.relays, sequence) })
 }
 
-// hear takes what another daemon says of itself with each probe.
-func (m *Membership) hear(from structs.DaemonID, digest uint64, note *Note) {
+// processHeartbeat takes what another daemon says of itself with each probe.
+func (m *Membership) processHeartbeat(from structs.DaemonID, digest uint64, note *Note) {
 	m.compareTable(from, digest)
 	if note != nil && m.onNote != nil {
 		m.onNote(from, *note)
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -9,7 +9,7 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// status is what news says of a run. It tells more than State: a run that
+// status is what an update says of a run. It tells more than State: a run that
 // left is known never to come back.
 type status string
 
@@ -21,7 +21,7 @@
 	statusLeft    status = "x"
 )
 
-// rank orders statuses at the same refutation: the worse news wins, and only
+// rank orders statuses at the same refutation: the worse status wins, and only
 // the run itself can better it, by a higher refutation.
 func (s status) rank() int {
 	switch s {
@@ -110,7 +110,7 @@
 	}
 }
 
-// update returns the news of this record.
+// update returns the record as an update.
 func (r *record) update() Update {
 	update := Update{Address: r.address, Run: r.run, Status: r.status, Refutation: r.refutation}
 	if !r.gone() {
@@ -121,15 +121,15 @@
 	return update
 }
 
-// news returns the update as others who know the run need it: without its
+// shortUpdate returns the update as others who know the run need it: without its
 // place and addresses, which never change.
-func (r *record) news() Update {
+func (r *record) shortUpdate() Update {
 	return Update{Address: r.address, Run: r.run, Status: r.status, Refutation: r.refutation}
 }
 
-// introduces tells that an update says enough about a run that is not known.
+// isComplete tells that an update says enough about a run that is not known.
 // The announcement of a fresh run always does.
-func (u Update) introduces() bool {
+func (u Update) isComplete() bool {
 	announced := u.Status == statusAlive && u.Refutation == 0
 	return announced || u.Zone != "" || u.Region != "" || u.HTTPAddress != ""
 }
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -9,7 +9,7 @@
 // ring orders all members that are not gone by the hash of their address. A
 // daemon's neighbours are those at distances of 1, 2, 4, 8 and so on, both
 // ways, so that a daemon in a large fleet keeps connections to few others and
-// news still crosses the fleet in a logarithm of its size.
+// updates still cross the fleet in a logarithm of its size.
 type ring struct {
 	// members are in order of their position, this daemon included.
 	members []*record
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -19,7 +19,7 @@
 	// must exceed the longest round trip that counts as healthy.
 	AckTimeout time.Duration
 	// SuspicionTimeout is how long a suspected daemon has to refute. It must
-	// exceed the time for news to reach it and its answer to reach all.
+	// exceed the time for the update to reach it and its answer to reach all.
 	SuspicionTimeout time.Duration
 	// IndirectProbes is how many others are asked.
 	IndirectProbes int
@@ -27,7 +27,7 @@
 	// itself to have been paused.
 	PauseThreshold time.Duration
 
-	// UpdatesPerMessage bounds the updates that ride on one message.
+	// UpdatesPerMessage bounds the updates that one message carries.
 	UpdatesPerMessage int
 	// Backlog is the number of updates to pass on beyond which messages carry
 	// BacklogUpdates instead.
@@ -35,12 +35,12 @@
 	BacklogUpdates int
 	// RetransmitFactor times log2(fleet) is how often an update is sent.
 	RetransmitFactor int
-	// PushFanout is to how many neighbours urgent news is pushed at once in
+	// PushFanout is to how many neighbours urgent updates are pushed at once in
 	// fleets beyond SmallFleet; within it, all.
 	PushFanout int
-	// PushDelay gathers urgent news into one message.
+	// PushDelay batches urgent updates into one message.
 	PushDelay time.Duration
-	// PushBytesPerSecond and PushBurst bound the bytes of pushed news.
+	// PushBytesPerSecond and PushBurst bound the bytes of pushed updates.
 	PushBytesPerSecond int
 	PushBurst          int
 
@@ -114,7 +114,7 @@
 
 // Scaled returns the settings for a fleet of some size. Probes and waiting
 // grow with the logarithm of the size, which keeps bytes per daemon level
-// while news takes more hops; timeouts of single round trips grow with its
+// while updates take more hops; timeouts of single round trips grow with its
 // square root only.
 func (s Settings) Scaled(fleet int) Settings {
 	if fleet <= SmallFleet {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -8,68 +8,72 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// joinTime is how long after its start a daemon looks for others in haste.
+// joinTime is how long after its start a daemon looks for others at the shorter
+// JoinInterval.
 const joinTime = 5 * time.Second
 
-// A daemon reads others' tables more often, settleHaste times, for settleTime
+// A daemon reads others' tables settleSpeedup times as often for settleTime
 // after its start: a fleet that starts at once begins with tables of pieces.
 const (
-	settleTime  = 30 * time.Second
-	settleHaste = 4
+	settleTime    = 30 * time.Second
+	settleSpeedup = 4
 )
 
 // syncer compares this daemon's table with others', finds others in the first
 // place, and goes on looking for those that were lost.
 type syncer struct {
-	// differs tells since when a neighbour's table differs from this one.
-	differs  map[structs.DaemonID]time.Time
-	readAt   time.Time
-	replies  tokenBucket
-	verify   []doubt
-	checking bool
+	// differsSince tells since when a neighbour's table differs from this one.
+	differsSince map[structs.DaemonID]time.Time
+	readAt       time.Time
+	replies      tokenBucket
+	pending      []pendingVerification
+	verifying    bool
 }
 
-// doubt is a run about which tables disagree. It is settled when the run's
-// state here is no longer what it was.
-type doubt struct {
+// pendingVerification is a run about which tables disagree. It is settled when the
+// run's state here is no longer what it was.
+type pendingVerification struct {
 	address string
 	gone    bool
 }
 
+// leastSyncRecords are sent whatever the rate limit: this run and the sender's.
+const leastSyncRecords = 2
+
 // differsLimit bounds the daemons whose difference is timed.
 const differsLimit = 64
 
 func (s *syncer) init(settings Settings) {
-	s.differs = map[structs.DaemonID]time.Time{}
+	s.differsSince = map[structs.DaemonID]time.Time{}
 	s.replies = newTokenBucket(settings.SyncBytesPerSecond, settings.SyncBurst)
 }
 
 // compareTable reads a daemon's table when it has differed for a while, which
-// means that news was missed.
+// means that updates were missed.
 func (m *Membership) compareTable(from structs.DaemonID, digest uint64) {
 	s := &m.syncer
 	if digest == m.digest() {
-		delete(s.differs, from)
+		delete(s.differsSince, from)
 		return
 	}
 	now := m.Clock.Now()
-	since, known := s.differs[from]
+	since, known := s.differsSince[from]
 	if !known {
-		if len(s.differs) >= differsLimit {
-			clear(s.differs)
+		if len(s.differsSince) >= differsLimit {
+			clear(s.differsSince)
 		}
-		s.differs[from] = now
+		s.differsSince[from] = now
 		return
 	}
 	interval := m.settings.SyncInterval
 	if now.Sub(m.startedAt) < settleTime {
-		interval /= settleHaste
+		interval /= settleSpeedup
 	}
 	if now.Sub(since) < m.settings.SyncAfter || now.Sub(s.readAt) < interval {
 		return
 	}
 	s.readAt = now
-	clear(s.differs)
+	clear(s.differsSince)
 	m.requestSync(from)
 }
 
@@ -159,10 +163,14 @@
 		updates = updates[:min(len(updates), m.settings.SyncRecords)]
 	}
 	granted := m.syncer.replies.take(m.Clock.Now(), recordSize*len(updates)) / recordSize
-	m.Transport.Send(from, &SyncReply{Updates: updates[:min(len(updates), max(granted, 2))]})
+	m.Transport.Send(from, &SyncReply{Updates: updates[:min(len(updates), max(granted, leastSyncRecords))]})
 }
 
-// joins tells that the sender knows next to nobody, and needs a whole table.
+// joiningEmptyBuckets is the number of empty parts of a table above which its
+// sender is taken to be joining.
+const joiningEmptyBuckets = bucketCount * 3 / 4
+
+// joins tells that the sender knows next to no members, and needs a whole table.
 func (r *SyncRequest) joins() bool {
 	empty := 0
 	for _, bucket := range r.Buckets {
@@ -170,7 +178,7 @@
 			empty++
 		}
 	}
-	return empty > bucketCount*3/4
+	return empty > joiningEmptyBuckets
 }
 
 // differing lists the records in the parts of the table that differ, from a
@@ -195,7 +203,7 @@
 }
 
 // receiveSyncReply merges another's table. Neither its suspicions nor its
-// verdicts are taken over: it may have been cut off together with few others.
+// dead statuses are taken over: it may have been cut off together with few others.
 // Where the tables disagree about a run, that run is asked.
 func (m *Membership) receiveSyncReply(reply *SyncReply) {
 	for _, update := range reply.Updates {
@@ -218,7 +226,7 @@
 }
 
 // disagree tells that one side holds a run dead and the other does not, with
-// no later word of the run itself to settle it.
+// no later refutation of the run itself to settle it.
 func (m *Membership) disagree(r *record, update Update) bool {
 	if r.status == statusLeft || update.Status == statusLeft {
 		return false
@@ -233,25 +241,25 @@
 // verify queues a probe of a daemon, at a bounded rate.
 func (m *Membership) verify(r *record) {
 	s := &m.syncer
-	question := doubt{address: r.address, gone: r.gone()}
-	if slices.Contains(s.verify, question) {
+	entry := pendingVerification{address: r.address, gone: r.gone()}
+	if slices.Contains(s.pending, entry) {
 		return
 	}
-	s.verify = append(s.verify, question)
-	if !s.checking {
-		s.checking = true
+	s.pending = append(s.pending, entry)
+	if !s.verifying {
+		s.verifying = true
 		m.verifyNext()
 	}
 }
 
 func (m *Membership) verifyNext() {
 	s := &m.syncer
-	if len(s.verify) == 0 {
-		s.checking = false
+	if len(s.pending) == 0 {
+		s.verifying = false
 		return
 	}
-	next := s.verify[0]
-	s.verify = s.verify[1:]
+	next := s.pending[0]
+	s.pending = s.pending[1:]
 	r := m.records[next.address]
 	if r == nil || r.gone() != next.gone {
 		m.verifyNext()
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -5,7 +5,7 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// applyAll takes news that came from a daemon.
+// applyAll takes updates that came from a daemon.
 func (m *Membership) applyAll(from structs.DaemonID, updates []Update) {
 	var refuted []Update
 	for _, update := range updates {
@@ -14,39 +14,39 @@
 			continue
 		}
 		if m.apply(update) {
-			m.spreadLearned(update)
+			m.relayUpdate(update)
 		} else {
-			m.broadcast.heard(update)
+			m.broadcast.countDuplicate(update)
 			refuted = append(refuted, m.refutationOf(update)...)
 		}
 	}
-	m.correct(from, refuted)
+	m.sendRefutations(from, refuted)
 }
 
-// refutationOf returns the later word of a run that is known to have refuted
-// an update, if there is one.
+// refutationOf returns the later update by which a run is known to have refuted
+// this one, if there is any.
 func (m *Membership) refutationOf(update Update) []Update {
 	r := m.records[update.Address]
 	bad := update.Status == statusSuspect || update.Status == statusDead
 	if !bad || r == nil || r.gone() || r.run != update.Run || r.refutation <= update.Refutation {
 		return nil
 	}
-	return []Update{r.news()}
+	return []Update{r.shortUpdate()}
 }
 
-// correct tells a daemon that passes on what was refuted. It may wait for a
-// refutation that went past it.
-func (m *Membership) correct(from structs.DaemonID, refuted []Update) {
+// sendRefutations answers a daemon that passes on what was refuted: it may not
+// have received the refutation.
+func (m *Membership) sendRefutations(from structs.DaemonID, refuted []Update) {
 	if len(refuted) == 0 {
 		return
 	}
 	size := messageSize + updateSize*len(refuted)
 	if m.broadcast.pushes.take(m.Clock.Now(), size) == size {
-		m.Transport.Send(from, &News{Updates: refuted})
+		m.Transport.Send(from, &UpdatePush{Updates: refuted})
 	}
 }
 
-// apply takes one piece of news and returns whether it was new.
+// apply takes one update and returns whether it was new.
 func (m *Membership) apply(update Update) bool {
 	if update.Address == m.self.address {
 		m.applySelf(update)
@@ -58,14 +58,14 @@
 		return m.applyUnknown(update)
 	case r.stale(update):
 		return false
-	case update.Run > r.run && !update.introduces():
+	case update.Run > r.run && !update.isComplete():
 		return false
 	case update.Run > r.run:
 		m.supersede(r, update)
 		return true
 	}
 	if update.Status == statusDead && r.status.rank() < statusSuspect.rank() {
-		// Another's verdict is not taken over unheard: the daemon may still
+		// A death that another reports is taken for a suspicion: the daemon may still
 		// refute, since its refutation may be under way to this daemon.
 		update.Status = statusSuspect
 	}
@@ -74,7 +74,7 @@
 }
 
 func (m *Membership) applyUnknown(update Update) bool {
-	if update.Status == statusDead || update.Status == statusLeft || !update.introduces() {
+	if update.Status == statusDead || update.Status == statusLeft || !update.isComplete() {
 		return false
 	}
 	r := newRecord(update)
@@ -101,7 +101,7 @@
 	}
 }
 
-// applySelf refutes news about this run that is worse than the truth. News of
+// applySelf refutes an update about this run that is worse than the truth. One of
 // a later run at this address cannot be refuted: the clock went back between
 // two starts, and the fleet will not take this run in.
 func (m *Membership) applySelf(update Update) {
@@ -115,14 +115,14 @@
 	refuted := m.self.update()
 	refuted.Refutation = update.Refutation + 1
 	m.replace(m.self, refuted)
-	m.announce(m.self.news())
+	m.announce(m.self.shortUpdate())
 }
 
 // insert adds a record of an address that has none.
 func (m *Membership) insert(r *record) {
 	m.mutex.Lock()
 	m.records[r.address] = r
-	m.shown = nil
+	m.cachedMembers = nil
 	m.mutex.Unlock()
 	m.buckets[r.bucket()] ^= r.digest()
 	if r.gone() {
@@ -139,12 +139,12 @@
 	m.buckets[r.bucket()] ^= r.digest()
 	m.mutex.Lock()
 	delete(m.records, r.address)
-	m.shown = nil
+	m.cachedMembers = nil
 	m.mutex.Unlock()
 	m.ring.remove(r)
 }
 
-// replace applies newer news to the record of the same run.
+// replace applies a newer update to the record of the same run.
 func (m *Membership) replace(r *record, update Update) {
 	former := r.state()
 	m.buckets[r.bucket()] ^= r.digest()
@@ -153,7 +153,7 @@
 	r.status = update.Status
 	r.refutation = update.Refutation
 	r.leaving = r.leaving || update.Status == statusLeaving
-	m.shown = nil
+	m.cachedMembers = nil
 	m.mutex.Unlock()
 	m.buckets[r.bucket()] ^= r.digest()
 	switch {
@@ -172,7 +172,7 @@
 	}
 }
 
-// changed queues word of a change for the listeners.
+// changed queues a change for the listeners.
 func (m *Membership) changed(r *record) {
 	m.changes = append(m.changes, Member{Daemon: r.daemon, State: r.state()})
 	if r != m.self {
@@ -190,7 +190,7 @@
 		update := r.update()
 		update.Status = statusDead
 		m.replace(r, update)
-		m.broadcast.add(r.news(), false)
+		m.broadcast.add(r.shortUpdate(), false)
 	})
 	r.suspicion = timer
 }
--- a/internal/peer/tcp/transport_test.go
+++ b/internal/peer/tcp/transport_test.go
@@ -50,11 +50,11 @@
 	to := listen(t, receiver)
 	defer to.Close()
 	from := listen(t, &counting{})
-	from.Send(to.self, &membership.News{})
+	from.Send(to.self, &membership.UpdatePush{})
 	receiver.await(t, 1)
 	const messages = 500
 	for range messages {
-		from.Send(to.self, &membership.News{})
+		from.Send(to.self, &membership.UpdatePush{})
 	}
 	from.Close()
 	receiver.await(t, 1+messages)
@@ -72,6 +72,6 @@
 	}
 	former := structs.NewDaemonID(transport.self.Address(), 0xdead)
 	transport.Send(former, &dispatch.Answer{})
-	transport.Send(transport.self, &membership.News{})
+	transport.Send(transport.self, &membership.UpdatePush{})
 	receiver.await(t, 2)
 }
