Membership: neighbours that die together are found one right after the other

Cause: a suspected successor was followed by the next one only at the next tick, up to 150 ms later each time, though MEMBERSHIP says at once. And the third push of a suspicion within a second spent the push budget (4 KB) on suspects first, so that in small fleets, where no other daemon pushes on, a member that lives could learn of it 0.3 to 2.5 s late, by probes or tables. Change: the next successor is probed at once; pushes go to suspected members last; a push that was cut goes on as the bucket fills, in fleets up to 16 daemons. Both new tests fail without the change.

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -98,22 +99,58 @@
 	pending := m.broadcast.pending
 	m.broadcast.pending = nil
 	for batch := range slices.Chunk(pending, pushLimit) {
-		push := &UpdatePush{Updates: slices.Clone(batch)}
-		size := messageSize + updateSize*len(batch)
-		own := mentions(batch, m.self.address)
-		for _, r := range m.pushTargets() {
-			if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
-				break
-			}
-			m.Transport.Send(r.daemon.ID, push)
+		m.push(slices.Clone(batch), m.pushTargets())
+	}
+}
+
+// push sends updates to members as far as the rate limit allows.
+func (m *Membership) push(updates []Update, targets []*record) {
+	size := messageSize + updateSize*len(updates)
+	own := mentions(updates, m.self.address)
+	for i, r := range targets {
+		if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
+			m.pushLater(updates, targets[i:])
+			return
 		}
+		m.Transport.Send(r.daemon.ID, &UpdatePush{Updates: updates})
 	}
 }
 
+// pushLater goes on with a push that the rate limit cut, in a small fleet: there
+// the other members rely on the source of an update to push it to all. Updates that
+// were superseded meanwhile, and members that are gone, are left out.
+func (m *Membership) pushLater(updates []Update, targets []*record) {
+	if m.fleet() > directFleet {
+		return
+	}
+	size := messageSize + updateSize*len(updates)
+	refill := time.Duration(float64(size+1) / float64(m.settings.PushBytesPerSecond) * float64(time.Second))
+	m.after(refill, func() {
+		current := slices.DeleteFunc(slices.Clone(updates), m.isSuperseded)
+		targets := slices.DeleteFunc(slices.Clone(targets), (*record).gone)
+		if len(current) > 0 {
+			m.push(current, targets)
+		}
+	})
+}
+
+// isSuperseded tells whether this daemon knows something newer of a run.
+func (m *Membership) isSuperseded(update Update) bool {
+	r := m.records[update.Address]
+	return r == nil || r.run != update.Run || r.status != update.Status || r.refutation != update.Refutation
+}
+
+// pushTargets returns the members to push to: in a small fleet all, suspected ones
+// last, so that the rate limit cuts these first. Who may be dead needs the update
+// least, and a suspect is told of its own suspicion by a ping.
 func (m *Membership) pushTargets() []*record {
 	m.refreshRing()
 	if m.fleet() <= directFleet {
-		return m.ring.following
+		targets := slices.Clone(m.ring.following)
+		slices.SortStableFunc(targets, func(a, b *record) int {
+			return cmp.Compare(a.status.rank(), b.status.rank())
+		})
+		return targets
 	}
 	return m.pickNeighbours(m.settings.PushFanout, nil)
 }
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -1,8 +1,12 @@
 package membership
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // formed returns a fleet whose daemons know each other.
@@ -75,6 +79,92 @@
 	paused.wantState(t, subject, StateAlive, "after the pause")
 }
 
+const (
+	// deathSpread is by how much the daemons' views of one death may lie apart: an
+	// update is pushed after PushDelay and travels for some milliseconds.
+	deathSpread = 50 * time.Millisecond
+	// refillTime is more than the push budget takes to be full again after a fleet
+	// has formed: PushBurst over PushBytesPerSecond is 13.7 s.
+	refillTime = 20 * time.Second
+)
+
+// TestNeighboursThatDieTogetherAreSeenAtAnyMoment lets three daemons that follow
+// each other on the ring die at many moments of their probes. One daemon probes
+// all three, each as soon as the one before is suspected.
+func TestNeighboursThatDieTogetherAreSeenAtAnyMoment(t *testing.T) {
+	const neighbours = 3
+	settings := DefaultSettings()
+	bound := settings.ProbeInterval + neighbours*settings.AckTimeout + settings.SuspicionTimeout + deathSpread
+	for seed := range uint64(40) {
+		for moment := range 12 {
+			w := formed(t, 30+seed, 9)
+			w.run(refillTime + time.Duration(moment)*settings.ProbeInterval/3)
+			crashed := w.crashFollowers(neighbours)
+			w.run(5 * time.Second)
+			took := detectionTimes(w, crashed)
+			if want := neighbours * len(w.up()); len(took) != want {
+				t.Fatalf("seed %d, moment %d: %d deaths seen, want %d", seed, moment, len(took), want)
+			}
+			if last := took[len(took)-1]; last > bound {
+				t.Errorf("seed %d, moment %d: three neighbours were seen dead after %v, want at most %v", seed, moment, last, bound)
+			}
+		}
+	}
+}
+
+// crashFollowers lets the daemons die that follow the first one on the ring, and
+// returns when that was.
+func (w *testNetwork) crashFollowers(count int) time.Time {
+	following := w.nodes[0].ring.following[:count]
+	for _, node := range w.nodes {
+		if slices.ContainsFunc(following, func(r *record) bool { return r.daemon.ID == node.id }) {
+			node.down = true
+		}
+	}
+	return w.clock.Now()
+}
+
+// pushRecorder notes which members a daemon pushes updates to.
+type pushRecorder struct {
+	peer.Transport
+	pushedTo map[structs.DaemonID]bool
+}
+
+// Send implements peer.Transport.
+func (r *pushRecorder) Send(to structs.DaemonID, message peer.Message) {
+	if _, isPush := message.(*UpdatePush); isPush {
+		r.pushedTo[to] = true
+	}
+	r.Transport.Send(to, message)
+}
+
+// TestPushThatTheRateLimitCutGoesOn leaves a daemon the budget to push a suspicion
+// to all members but one that lives and the suspect.
+func TestPushThatTheRateLimitCutGoesOn(t *testing.T) {
+	w := formed(t, 25, 9)
+	w.run(refillTime)
+	observer, subject := w.nodes[0], w.nodes[1]
+	recorder := &pushRecorder{Transport: observer.Transport, pushedTo: map[structs.DaemonID]bool{}}
+	observer.Transport = recorder
+	live := len(w.nodes) - 2
+	pushSize := messageSize + updateSize
+	observer.broadcast.pushes.take(w.clock.Now(), observer.settings.PushBurst-(live-1)*pushSize-1)
+	subject.down = true
+	update := subject.self.update()
+	update.Status = statusSuspect
+	observer.replace(observer.records[update.Address], update)
+	observer.announce(update)
+	w.run(2 * observer.settings.PushDelay)
+	if pushed := len(recorder.pushedTo); pushed != live-1 || recorder.pushedTo[subject.id] {
+		t.Fatalf("pushed to %v at first, want %d members without the suspect", recorder.pushedTo, live-1)
+	}
+	w.run(observer.settings.SuspicionTimeout)
+	delete(recorder.pushedTo, subject.id)
+	if pushed := len(recorder.pushedTo); pushed != live {
+		t.Errorf("pushed to %d of %d members that live", pushed, live)
+	}
+}
+
 func TestNeighboursThatDieTogetherAreBothSeenInTime(t *testing.T) {
 	for seed := range uint64(10) {
 		w := formed(t, 30+seed, 9)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -41,10 +41,7 @@
 
 // probeTick probes the ring successor, and now and then a farther neighbour.
 func (m *Membership) probeTick() {
-	m.refreshRing()
-	if r := m.successor(); r != nil {
-		m.probe(r)
-	}
+	m.probeSuccessor()
 	m.prober.ticks++
 	if m.prober.ticks%m.settings.FarProbeEvery == 0 {
 		if r := m.farNeighbour(m.prober.ticks / m.settings.FarProbeEvery); r != nil {
@@ -54,6 +51,13 @@
 	m.after(m.settings.ProbeInterval, m.probeTick)
 }
 
+// probeSuccessor probes the next member on the ring that is not suspected.
+func (m *Membership) probeSuccessor() {
+	if r := m.successor(); r != nil {
+		m.probe(r)
+	}
+}
+
 // probe asks a daemon for an answer, and others to ask it if none comes.
 func (m *Membership) probe(r *record) {
 	sequence := m.prober.next()
@@ -98,7 +102,9 @@
 // answered tells that the target answered this probe or a later one.
 func (p *probe) answered() bool { return !p.target.answeredAt.Before(p.sentAt) }
 
-// probeFailed suspects a daemon that nobody could reach, and tells it so.
+// probeFailed suspects a daemon that nobody could reach, and tells it so. The next
+// member on the ring is probed at once, so that several crashes in a row are not
+// each found a ProbeInterval later.
 func (m *Membership) probeFailed(sequence uint64) {
 	p := m.prober.probes[sequence]
 	delete(m.prober.probes, sequence)
@@ -109,11 +115,15 @@
 	if !current || p.target.gone() || p.target.status == statusSuspect {
 		return
 	}
+	wasSuccessor := m.successor() == p.target
 	update := p.target.update()
 	update.Status = statusSuspect
 	m.replace(p.target, update)
 	m.announce(p.target.shortUpdate())
 	m.sendPing(p.target.daemon.ID, m.prober.next(), p.target)
+	if wasSuccessor {
+		m.probeSuccessor()
+	}
 }
 
 func (m *Membership) receivePing(from structs.DaemonID, ping *Ping) {
