Peer: connections are accepted on after an error, and refusals are logged

Cause: one failed accept, as of a process with too many files open, ended the loop without a log line: the daemon heard no new peer for the rest of its run. A message over the limit closed its connection as silently. Change: a warning, a pause of 50 ms, and on; a warning for a message too long.

--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	// shards: daemons that start together miss each other by some milliseconds.
 	firstRedialPause   = 50 * time.Millisecond
 	longestRedialPause = 200 * time.Millisecond
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 50 * time.Millisecond
 	// bufferSize is the size of read and write buffers in bytes at first; a
 	// longer line makes a read buffer grow. Each daemon has one of them for each
 	// other one and direction, so 64 KB took 8 MB of machines that have 112.
@@ -98,6 +101,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "peer: listen")
 	}
+	return serve(listener, self, handler, counter, logger), nil
+}
+
+// serve starts a transport that accepts connections from a listener.
+func serve(listener net.Listener, self structs.DaemonID, handler peer.Handler, counter Counter, logger zerolog.Logger) *Transport {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		self:     self,
@@ -112,7 +120,7 @@
 	}
 	t.workers.Add(1)
 	go t.acceptConnections()
-	return t, nil
+	return t
 }
 
 // Close ends all connections and waits for the goroutines.
@@ -281,13 +289,20 @@
 	_, _ = conn.Read(one[:])
 }
 
+// acceptConnections accepts until the transport closes. After an error, as when
+// the process has too many files open, it tries again.
 func (t *Transport) acceptConnections() {
 	defer t.workers.Done()
 	for {
 		conn, err := t.listener.Accept()
-		if err != nil {
+		if err != nil && t.context.Err() != nil {
 			return
 		}
+		if err != nil {
+			t.logger.Warn().Err(err).Msg("Connection not accepted.")
+			t.sleep(acceptPause)
+			continue
+		}
 		t.mutex.Lock()
 		if t.closed {
 			t.mutex.Unlock()
@@ -301,6 +316,16 @@
 	}
 }
 
+// sleep pauses for d, or until the transport closes.
+func (t *Transport) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-t.context.Done():
+	case <-timer.C:
+	}
+}
+
 func (t *Transport) readFrom(conn net.Conn) {
 	defer t.workers.Done()
 	defer func() {
@@ -317,6 +342,10 @@
 			return
 		}
 	}
+	// Other errors are those of connections that end.
+	if errors.Is(scanner.Err(), bufio.ErrTooLong) {
+		t.logger.Warn().Str("from", conn.RemoteAddr().String()).Int("limit", lineLimit).Msg("Message refused. It is too long.")
+	}
 }
 
 // receive handles one line. It returns false when the sender cannot be
--- a/internal/peer/tcp/transport_test.go
+++ b/internal/peer/tcp/transport_test.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -75,3 +76,34 @@
 	transport.Send(transport.self, &membership.UpdatePush{})
 	receiver.await(t, 2)
 }
+
+// failingListener fails to accept once, as when too many files are open.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+var errTooManyFiles = errors.New("too many open files")
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, errTooManyFiles
+	}
+	return l.Listener.Accept()
+}
+
+func TestConnectionsAreAcceptedAfterAnError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver := &counting{}
+	self := structs.NewDaemonID(listener.Addr().String(), 1)
+	to := serve(&failingListener{Listener: listener}, self, receiver, nil, zerolog.Nop())
+	defer to.Close()
+	from := listen(t, &counting{})
+	defer from.Close()
+	from.Send(to.self, &membership.UpdatePush{})
+	receiver.await(t, 1)
+}
