Errors that were dropped are logged, returned or explained

Change: log lines, errors returned, the reason where an error cannot come or does not matter; Baselines gone; the path mended.

--- a/internal/backends/applications.go
+++ b/internal/backends/applications.go
@@ -38,6 +38,8 @@
 	return ids
 }
 
+// probeApplication asks a back end which run it is in. After an error the next
+// probe asks again.
 func (d *Directory) probeApplication(id structs.EngineID) {
 	d.Drivers.Applications.Inspect(id, probeAttempt, 0, func(status framework.AttemptStatus, err error) {
 		d.mutex.Lock()
--- a/internal/configuration/snapshot_writer.go
+++ b/internal/configuration/snapshot_writer.go
@@ -69,14 +69,17 @@
 				return
 			}
 			notice.StoredAt = storedAt
-			s.tellSnapshot(operation, notice)
+			s.appendNotice(operation, notice)
 		})
 	})
 }
 
-func (s *Store) tellSnapshot(operation string, notice SnapshotNotice) {
+// appendNotice writes the entry that tells readers of a snapshot. After an error
+// the next plan writes a snapshot again.
+func (s *Store) appendNotice(operation string, notice SnapshotNotice) {
 	payload, err := EncodeEntry(Entry{Snapshot: &notice})
 	if err != nil {
+		s.Logger.Error().Err(err).Msg("Notice of a configuration snapshot not encoded.")
 		s.snapshotEnded()
 		return
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -86,12 +87,19 @@
 		server:    newServer(n, config, traffic, logger),
 		logger:    logger,
 	}
-	go func() { _ = d.server.Serve(listener) }()
+	go d.serveHTTP(listener)
 	n.Start()
 	logger.Info().Str("part", "daemon").Str("id", string(self.ID)).Str("zone", string(self.Zone)).Msg("Daemon started.")
 	return d, nil
 }
 
+// serveHTTP answers callers until the server is shut down or closed.
+func (d *Daemon) serveHTTP(listener net.Listener) {
+	if err := d.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.logger.Error().Str("part", "daemon").Err(err).Msg("Callers are not served any more.")
+	}
+}
+
 // nodeSettings lays what the file sets over the defaults of the parts.
 func nodeSettings(config settings.Settings) node.Settings {
 	result := node.DefaultSettings()
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	for _, d := range c.Daemons {
-		_ = d.Stop(ctx)
+		_ = d.Stop(ctx) // the process ends anyway; the daemon has logged why it was late
 	}
 	for _, server := range c.servers {
 		_ = server.Close()
--- a/internal/experiment/policies.go
+++ b/internal/experiment/policies.go
@@ -30,11 +30,6 @@
 	return []string{RoundRobin, LeastLoaded, SessionAffinity, PrefixAffinity, Mintpulley, LowerBound}
 }
 
-// Baselines returns the names of the policies to be beaten.
-func Baselines() []string {
-	return []string{RoundRobin, LeastLoaded, SessionAffinity, PrefixAffinity}
-}
-
 // CheckPolicies returns ErrPolicy for the first unknown name.
 func CheckPolicies(names []string) error {
 	for _, name := range names {
--- a/internal/gateway/application.go
+++ b/internal/gateway/application.go
@@ -46,5 +46,5 @@
 	e.setNames()
 	e.w.Header().Set("Content-Type", "application/json")
 	e.w.WriteHeader(status)
-	_, _ = e.w.Write(outcome.Body)
+	_, _ = e.w.Write(outcome.Body) // fails when the caller is gone
 }
--- a/internal/gateway/problem.go
+++ b/internal/gateway/problem.go
@@ -129,5 +129,5 @@
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(value)
+	_ = json.NewEncoder(w).Encode(value) // fails when the caller is gone
 }
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -224,6 +224,6 @@
 	if len(body) == 0 || json.Valid(body) {
 		return body
 	}
-	text, _ := json.Marshal(string(body))
+	text, _ := json.Marshal(string(body)) // a string can always be encoded
 	return text
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -187,7 +187,7 @@
 func (s *eventStream) appendEvent(value any) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
-		return
+		return // not reached: events hold strings and numbers alone
 	}
 	s.buffer = append(s.buffer, eventPrefix...)
 	s.buffer = append(s.buffer, encoded...)
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -57,8 +57,12 @@
 	lines := bufio.NewScanner(response.Body)
 	for lines.Scan() {
 		name, text, _ := strings.Cut(lines.Text(), " ")
-		if value := wanted[name]; value != nil {
-			*value, _ = strconv.ParseFloat(text, 64)
+		value := wanted[name]
+		if value == nil {
+			continue
+		}
+		if *value, err = strconv.ParseFloat(text, 64); err != nil {
+			return p, eris.Wrapf(err, "load: metric %s", name)
 		}
 	}
 	return p, eris.Wrap(lines.Err(), "load: metrics")
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -109,7 +109,7 @@
 		return nil, "", err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(listener) }() // ends when the caller closes the server
 	return server, listener.Addr().String(), nil
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -126,7 +126,7 @@
 func answer(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_ = json.NewEncoder(w).Encode(body) // fails when the operator's client is gone
 }
 
 func fail(w http.ResponseWriter, status int, detail ErrorDetail) {
--- a/internal/plugins/engine/openai/stream.go
+++ b/internal/plugins/engine/openai/stream.go
@@ -67,7 +67,7 @@
 
 // refused reads an answer that is not a stream.
 func refused(response *http.Response) framework.AttemptEnd {
-	body, _ := io.ReadAll(io.LimitReader(response.Body, errorLimit))
+	body, _ := io.ReadAll(io.LimitReader(response.Body, errorLimit)) // what came is the message
 	end := framework.AttemptEnd{Kind: framework.EndFailed, Reason: structs.ReasonBackEnd, Message: string(body)}
 	if rejected := response.Header.Get(HeaderRejected); rejected != "" {
 		end.Kind = framework.EndRejected
--- a/internal/program/segment.go
+++ b/internal/program/segment.go
@@ -30,7 +30,8 @@
 )
 
 // The codec is shared by all shards of the process: its working memory is
-// large beside most histories.
+// large beside most histories. Making it fails for options out of range alone,
+// and these are fixed.
 var codec = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
 	encoder, _ := zstd.NewWriter(nil,
 		zstd.WithEncoderConcurrency(codecConcurrency),
--- a/internal/replication/registry_writer.go
+++ b/internal/replication/registry_writer.go
@@ -24,6 +24,7 @@
 	payload, err := json.Marshal(entry)
 	if err != nil {
 		g.manager.Logger.Error().Err(err).Msg("Groups not encoded.")
+		g.appended(entry, err)
 		return
 	}
 	g.manager.Log.Append(framework.StreamGroups, operation, payload, func(_ structs.LogOffset, err error) {
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -15,7 +15,8 @@
 // errSnapshot: a snapshot could not be packed or read.
 var errSnapshot = eris.New("replication: malformed snapshot")
 
-// The codec is shared: its working memory is large beside most snapshots.
+// The codec is shared: its working memory is large beside most snapshots. Making
+// it fails for options out of range alone, and these are fixed.
 var codec = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
 	encoder, _ := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	decoder, _ := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(snapshotLimit))
