--- a/internal/configuration/exchange.go
+++ b/internal/configuration/exchange.go
@@ -1,6 +1,8 @@
 package configuration
 
 import (
+	"slices"
+
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/framework"
 	"github.com/mintpulley/mintpulley/internal/membership"
@@ -27,9 +29,9 @@
 
 // exchange is the store's dealing with its peers.
 type exchange struct {
-	// heard is set once any peer told its offset; highest is the highest told.
-	heard   bool
-	highest structs.LogOffset
+	// hasPeerOffset is set once any peer told its offset; highest is the highest told.
+	hasPeerOffset bool
+	highest       structs.LogOffset
 	// ahead are peers that can hand over entries, the latest told last.
 	ahead []ahead
 	// asked is the peer that a fetch is under way at, "" for none.
@@ -42,60 +44,46 @@
 	outgoing outgoingSnapshot
 }
 
-type incomingSnapshot struct {
-	offset structs.LogOffset
-	digest uint64
-	parts  int
-	next   int
-	data   []byte
-}
-
-type outgoingSnapshot struct {
-	offset structs.LogOffset
-	digest uint64
-	data   []byte
-}
-
 func newExchange() exchange { return exchange{} }
 
 // NoteHeard takes a peer's word about itself from a heartbeat.
 func (s *Store) NoteHeard(from structs.DaemonID, note membership.Note) {
-	s.queue.Do(func() { s.hear(from, note.ConfigurationOffset, note.ConfigurationDigest) })
+	s.queue.Do(func() { s.receiveOffset(from, note.ConfigurationOffset, note.ConfigurationDigest) })
 }
 
 // Receive handles the messages of this package; false for all others.
 func (s *Store) Receive(from structs.DaemonID, message peer.Message) bool {
 	switch m := message.(type) {
 	case *Offer:
-		s.queue.Do(func() { s.takeOffer(from, m) })
+		s.queue.Do(func() { s.receiveOffer(from, m) })
 	case *Fetch:
-		s.queue.Do(func() { s.handOver(from, m) })
+		s.queue.Do(func() { s.answerFetch(from, m) })
 	case *Entries:
-		s.queue.Do(func() { s.takeEntries(from, m) })
+		s.queue.Do(func() { s.receiveEntries(from, m) })
 	case *SnapshotPart:
-		s.queue.Do(func() { s.takePart(from, m) })
+		s.queue.Do(func() { s.receiveSnapshotPart(from, m) })
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *Store) takeOffer(from structs.DaemonID, offer *Offer) {
+func (s *Store) receiveOffer(from structs.DaemonID, offer *Offer) {
 	if offer.Ask && !s.stopped && !s.Guards.SkipDissemination {
 		s.Transport.Send(from, &Offer{Offset: s.state.Next, Digest: s.state.Digest()})
 	}
-	s.hear(from, offer.Offset, offer.Digest)
+	s.receiveOffset(from, offer.Offset, offer.Digest)
 }
 
-// hear notes how far a peer is and fetches what this store lacks.
-func (s *Store) hear(from structs.DaemonID, offset structs.LogOffset, digest uint64) {
+// receiveOffset notes how far a peer is and fetches what this store lacks.
+func (s *Store) receiveOffset(from structs.DaemonID, offset structs.LogOffset, digest uint64) {
 	if s.stopped || s.Guards.SkipDissemination || from == s.Self {
 		return
 	}
-	s.exchange.heard = true
+	s.exchange.hasPeerOffset = true
 	s.exchange.highest = max(s.exchange.highest, offset)
 	if offset > s.state.Next {
-		s.remember(from, offset)
+		s.rememberAhead(from, offset)
 		s.fetch()
 		return
 	}
@@ -114,14 +102,11 @@
 	s.publish()
 }
 
-// remember keeps a peer that is ahead.
-func (s *Store) remember(from structs.DaemonID, offset structs.LogOffset) {
-	kept := s.exchange.ahead[:0]
-	for _, entry := range s.exchange.ahead {
-		if entry.peer != from && entry.offset > s.state.Next {
-			kept = append(kept, entry)
-		}
-	}
+// rememberAhead keeps a peer that is ahead.
+func (s *Store) rememberAhead(from structs.DaemonID, offset structs.LogOffset) {
+	kept := slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool {
+		return entry.peer == from || entry.offset <= s.state.Next
+	})
 	if len(kept) == aheadLimit {
 		kept = kept[1:]
 	}
@@ -162,17 +147,11 @@
 }
 
 func (s *Store) dropAhead(daemon structs.DaemonID) {
-	kept := s.exchange.ahead[:0]
-	for _, entry := range s.exchange.ahead {
-		if entry.peer != daemon {
-			kept = append(kept, entry)
-		}
-	}
-	s.exchange.ahead = kept
+	s.exchange.ahead = slices.DeleteFunc(s.exchange.ahead, func(entry ahead) bool { return entry.peer == daemon })
 }
 
-// answered ends the fetch that is under way at a peer.
-func (s *Store) answered(from structs.DaemonID) {
+// endFetch ends the fetch that is under way at a peer.
+func (s *Store) endFetch(from structs.DaemonID) {
 	if s.exchange.asked != from {
 		return
 	}
@@ -181,8 +160,8 @@
 	s.exchange.timeout = nil
 }
 
-// handOver answers a peer's fetch.
-func (s *Store) handOver(to structs.DaemonID, request *Fetch) {
+// answerFetch answers a peer's fetch.
+func (s *Store) answerFetch(to structs.DaemonID, request *Fetch) {
 	if s.stopped || s.Guards.SkipDissemination {
 		return
 	}
@@ -199,45 +178,12 @@
 	s.Transport.Send(to, &Entries{Entries: entries, Offset: s.state.Next, Digest: s.state.Digest()})
 }
 
-// packOutgoing keeps a packed snapshot as long as the entries behind it are
-// at hand, so that handing one over survives the changes made meanwhile.
-func (s *Store) packOutgoing() {
-	out := &s.exchange.outgoing
-	if out.data != nil {
-		if _, kept := s.retained.from(out.offset, 0); kept || out.offset == s.state.Next {
-			return
-		}
-	}
-	data, err := EncodeSnapshot(s.state)
-	if err != nil {
-		s.Logger.Error().Err(err).Msg("Configuration snapshot not packed.")
-		return
-	}
-	*out = outgoingSnapshot{offset: s.state.Next, digest: s.state.Digest(), data: data}
-}
-
-func (s *Store) sendPart(to structs.DaemonID, part int) {
-	out := &s.exchange.outgoing
-	first := part * partBytes
-	if first >= len(out.data) {
-		return
-	}
-	end := min(first+partBytes, len(out.data))
-	s.Transport.Send(to, &SnapshotPart{
-		Offset: out.offset,
-		Digest: out.digest,
-		Part:   part,
-		Parts:  (len(out.data) + partBytes - 1) / partBytes,
-		Data:   out.data[first:end],
-	})
-}
-
-// takeEntries folds what a peer handed over and asks for more.
-func (s *Store) takeEntries(from structs.DaemonID, message *Entries) {
+// receiveEntries folds what a peer handed over and asks for more.
+func (s *Store) receiveEntries(from structs.DaemonID, message *Entries) {
 	if s.stopped || s.Guards.SkipDissemination {
 		return
 	}
-	s.answered(from)
+	s.endFetch(from)
 	entries := make([]framework.LogEntry, 0, len(message.Entries))
 	for _, entry := range message.Entries {
 		entries = append(entries, framework.LogEntry{Offset: entry.Offset, Payload: entry.Payload})
@@ -247,101 +193,6 @@
 		s.fetch()
 		return
 	}
-	s.hear(from, message.Offset, message.Digest)
+	s.receiveOffset(from, message.Offset, message.Digest)
 	s.fetch()
 }
-
-// takePart gathers a snapshot from a peer.
-func (s *Store) takePart(from structs.DaemonID, part *SnapshotPart) {
-	if s.stopped || s.exchange.asked != from {
-		return
-	}
-	s.answered(from)
-	incoming := &s.exchange.incoming
-	if part.Part == 0 {
-		*incoming = incomingSnapshot{offset: part.Offset, digest: part.Digest, parts: min(part.Parts, maximumParts)}
-	}
-	if part.Offset != incoming.offset || part.Digest != incoming.digest || part.Part != incoming.next || part.Offset <= s.state.Next {
-		*incoming = incomingSnapshot{}
-		s.dropAhead(from)
-		s.fetch()
-		return
-	}
-	incoming.data = append(incoming.data, part.Data...)
-	incoming.next++
-	if incoming.next < incoming.parts {
-		s.ask(from, &Fetch{From: s.state.Next, SnapshotOffset: incoming.offset, Part: incoming.next})
-		return
-	}
-	s.unpackIncoming(from)
-}
-
-func (s *Store) unpackIncoming(from structs.DaemonID) {
-	incoming := s.exchange.incoming
-	s.exchange.incoming = incomingSnapshot{}
-	state, err := DecodeSnapshot(incoming.data, incoming.digest)
-	if err != nil {
-		s.Logger.Error().Err(err).Str("peer", string(from)).Msg("Configuration snapshot refused.")
-		s.dropAhead(from)
-		s.fetch()
-		return
-	}
-	s.adopt(state)
-	s.fetch()
-}
-
-// tellPeers offers a new entry to a few peers at once, and to others a little
-// later: one round alone leaves out a few daemons of a large fleet. They ask
-// for what they lack, and tell others in turn; heartbeats reach whom the offers
-// missed.
-func (s *Store) tellPeers() {
-	if s.Guards.SkipDissemination {
-		return
-	}
-	s.offerToSome()
-	if s.exchange.secondRound {
-		return
-	}
-	s.exchange.secondRound = true
-	s.after(s.Settings.SecondRound, func() {
-		s.exchange.secondRound = false
-		s.offerToSome()
-	})
-}
-
-func (s *Store) offerToSome() {
-	for _, daemon := range s.somePeers() {
-		s.Transport.Send(daemon, &Offer{Offset: s.state.Next, Digest: s.state.Digest()})
-	}
-}
-
-// askPeers asks a few peers how far they are, without waiting for heartbeats,
-// and others again until the grace is over: at first the list may be empty.
-func (s *Store) askPeers() {
-	if s.Guards.SkipDissemination {
-		return
-	}
-	for _, daemon := range s.somePeers() {
-		s.Transport.Send(daemon, &Offer{Offset: s.state.Next, Digest: s.state.Digest(), Ask: true})
-	}
-	if !s.graceOver {
-		s.after(s.Settings.PeerGrace/askDivisor, s.askPeers)
-	}
-}
-
-// askDivisor is how many times within its grace a starting daemon asks.
-const askDivisor = 4
-
-// somePeers draws Fanout peers at random.
-func (s *Store) somePeers() []structs.DaemonID {
-	peers := s.Peers()
-	if s.Transport == nil {
-		return nil
-	}
-	count := min(s.Settings.Fanout, len(peers))
-	drawn := make([]structs.DaemonID, 0, count)
-	for _, i := range s.random.Perm(len(peers))[:count] {
-		drawn = append(drawn, peers[i])
-	}
-	return drawn
-}
--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -3,21 +3,22 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// broadcast keeps the news that this daemon passes on: each update rides on a
-// bounded number of messages, and urgent ones are pushed to neighbours too.
+// broadcast keeps the updates that this daemon passes on: each is piggybacked on
+// a bounded number of messages, and urgent ones are pushed to neighbours too.
 type broadcast struct {
-	items   []*item
+	items   []*queuedUpdate
 	pending []Update
 	waiting bool
 	pushes  tokenBucket
 }
 
-// item is an update with the number of messages that carried it.
-type item struct {
+// queuedUpdate is an update with the number of messages that carried it.
+type queuedUpdate struct {
 	update Update
 	sends  int
 }
@@ -26,10 +27,10 @@
 	b.pushes = newTokenBucket(settings.PushBytesPerSecond, settings.PushBurst)
 }
 
-// add queues an update in place of older news of the same address.
+// add queues an update in place of an older one of the same address.
 func (b *broadcast) add(update Update, urgent bool) {
-	b.items = slices.DeleteFunc(b.items, func(i *item) bool { return i.update.Address == update.Address })
-	b.items = append(b.items, &item{update: update})
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.update.Address == update.Address })
+	b.items = append(b.items, &queuedUpdate{update: update})
 	if !urgent {
 		return
 	}
@@ -37,33 +38,34 @@
 	b.pending = append(b.pending, update)
 }
 
-// heardWeight is how many sendings it saves to hear the same news from another.
-const heardWeight = 4
+// duplicateWeight is how many sendings are saved when another daemon sends the
+// same update.
+const duplicateWeight = 4
 
-// heard notes that another daemon passes on the same news: the more often that
-// happens, the fewer are left who do not know it.
-func (b *broadcast) heard(update Update) {
+// countDuplicate notes that another daemon sends the same update: the more often
+// that happens, the fewer members are left that do not have it.
+func (b *broadcast) countDuplicate(update Update) {
 	for _, i := range b.items {
 		same := i.update.Address == update.Address && i.update.Run == update.Run
 		if same && i.update.Status == update.Status && i.update.Refutation == update.Refutation {
-			i.sends += heardWeight
+			i.sends += duplicateWeight
 			return
 		}
 	}
 }
 
-// directFleet is the size up to which news is pushed to every member.
+// directFleet is the size up to which updates are pushed to every member.
 const directFleet = 16
 
-// announce spreads news that starts at this daemon.
+// announce pushes an update that originates at this daemon.
 func (m *Membership) announce(update Update) {
 	m.broadcast.add(update, true)
 	m.flushSoon()
 }
 
-// spreadLearned passes on news that came from another. In a small fleet its
+// relayUpdate passes on an update that came from another. In a small fleet its
 // source has already pushed it to all.
-func (m *Membership) spreadLearned(update Update) {
+func (m *Membership) relayUpdate(update Update) {
 	urgent := update.Status != statusDead && m.fleet() > directFleet
 	m.broadcast.add(update, urgent)
 	if urgent {
@@ -84,46 +86,84 @@
 	messageSize = 120
 	updateSize  = 60
 	recordSize  = 110
-	pushLimit   = 8
 )
 
-// flush pushes urgent news. What the bucket does not cover still rides on
-// the probes; this daemon's word about itself is always pushed, since nobody
-// else can say it.
+// pushLimit bounds the updates of one push.
+const pushLimit = 8
+
+// flush pushes urgent updates. What the token bucket does not cover is still
+// piggybacked on probes; this daemon's update about itself is always pushed, since
+// no other daemon can make it.
 func (m *Membership) flush() {
 	m.broadcast.waiting = false
 	pending := m.broadcast.pending
 	m.broadcast.pending = nil
 	for batch := range slices.Chunk(pending, pushLimit) {
-		news := &News{Updates: slices.Clone(batch)}
-		size := messageSize + updateSize*len(batch)
-		own := mentions(batch, m.self.address)
-		for _, r := range m.pushTargets() {
-			if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
-				break
-			}
-			m.Transport.Send(r.daemon.ID, news)
+		m.push(slices.Clone(batch), m.pushTargets())
+	}
+}
+
+// push sends updates to members as far as the rate limit allows.
+func (m *Membership) push(updates []Update, targets []*record) {
+	size := messageSize + updateSize*len(updates)
+	own := mentions(updates, m.self.address)
+	for i, r := range targets {
+		if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
+			m.pushLater(updates, targets[i:])
+			return
 		}
+		m.Transport.Send(r.daemon.ID, &UpdatePush{Updates: updates})
+	}
+}
+
+// pushLater goes on with a push that the rate limit cut, in a small fleet: there
+// the other members rely on the source of an update to push it to all. Updates that
+// were superseded meanwhile, and members that are gone, are left out.
+func (m *Membership) pushLater(updates []Update, targets []*record) {
+	if m.fleet() > directFleet {
+		return
 	}
+	size := messageSize + updateSize*len(updates)
+	refill := time.Duration(float64(size+1) / float64(m.settings.PushBytesPerSecond) * float64(time.Second))
+	m.after(refill, func() {
+		current := slices.DeleteFunc(slices.Clone(updates), m.isSuperseded)
+		targets := slices.DeleteFunc(slices.Clone(targets), (*record).gone)
+		if len(current) > 0 {
+			m.push(current, targets)
+		}
+	})
+}
+
+// isSuperseded tells whether this daemon knows something newer of a run.
+func (m *Membership) isSuperseded(update Update) bool {
+	r := m.records[update.Address]
+	return r == nil || r.run != update.Run || r.status != update.Status || r.refutation != update.Refutation
 }
 
+// pushTargets returns the members to push to: in a small fleet all, suspected ones
+// last, so that the rate limit cuts these first. Who may be dead needs the update
+// least, and a suspect is told of its own suspicion by a ping.
 func (m *Membership) pushTargets() []*record {
 	m.refreshRing()
 	if m.fleet() <= directFleet {
-		return m.ring.following
+		targets := slices.Clone(m.ring.following)
+		slices.SortStableFunc(targets, func(a, b *record) int {
+			return cmp.Compare(a.status.rank(), b.status.rank())
+		})
+		return targets
 	}
 	return m.pickNeighbours(m.settings.PushFanout, nil)
 }
 
-// piggyback returns the updates to ride on one message: what the receiver
+// piggyback returns the updates that one message carries: what the receiver
 // should refute first, then those that were sent least.
 func (m *Membership) piggyback(receiver *record) []Update {
 	var updates []Update
 	if receiver != nil && receiver.status.rank() >= statusSuspect.rank() {
-		updates = append(updates, receiver.news())
+		updates = append(updates, receiver.shortUpdate())
 	}
 	b := &m.broadcast
-	slices.SortStableFunc(b.items, func(x, y *item) int { return cmp.Compare(x.sends, y.sends) })
+	slices.SortStableFunc(b.items, func(x, y *queuedUpdate) int { return cmp.Compare(x.sends, y.sends) })
 	limit := m.settings.retransmits(m.fleet())
 	room := m.settings.UpdatesPerMessage
 	if len(b.items) > m.settings.Backlog {
@@ -133,7 +173,7 @@
 		i.sends++
 		updates = append(updates, i.update)
 	}
-	b.items = slices.DeleteFunc(b.items, func(i *item) bool { return i.sends >= limit })
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.sends >= limit })
 	return updates
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -41,10 +41,7 @@
 
 // probeTick probes the ring successor, and now and then a farther neighbour.
 func (m *Membership) probeTick() {
-	m.refreshRing()
-	if r := m.successor(); r != nil {
-		m.probe(r)
-	}
+	m.probeSuccessor()
 	m.prober.ticks++
 	if m.prober.ticks%m.settings.FarProbeEvery == 0 {
 		if r := m.farNeighbour(m.prober.ticks / m.settings.FarProbeEvery); r != nil {
@@ -54,14 +51,21 @@
 	m.after(m.settings.ProbeInterval, m.probeTick)
 }
 
+// probeSuccessor probes the next member on the ring that is not suspected.
+func (m *Membership) probeSuccessor() {
+	if r := m.successor(); r != nil {
+		m.probe(r)
+	}
+}
+
 // probe asks a daemon for an answer, and others to ask it if none comes.
 func (m *Membership) probe(r *record) {
 	sequence := m.prober.next()
 	p := &probe{target: r, sentAt: m.Clock.Now()}
 	m.prober.probes[sequence] = p
 	m.sendPing(r.daemon.ID, sequence, r)
-	p.indirect = m.after(m.stretched(m.settings.IndirectAfter), func() { m.probeIndirect(sequence) })
-	p.timeout = m.after(m.stretched(m.settings.AckTimeout), func() { m.probeFailed(sequence) })
+	p.indirect = m.after(m.scaledByHealth(m.settings.IndirectAfter), func() { m.probeIndirect(sequence) })
+	p.timeout = m.after(m.scaledByHealth(m.settings.AckTimeout), func() { m.probeFailed(sequence) })
 }
 
 // sendPing sends a ping that carries what is believed of the target, if that
@@ -75,10 +79,10 @@
 	})
 }
 
-// stretched lengthens a timeout while this daemon has reason to doubt its own
-// health.
-func (m *Membership) stretched(d time.Duration) time.Duration {
-	return d + d*time.Duration(m.health)/2
+// scaledByHealth lengthens a timeout while this daemon's own health is in doubt,
+// by half for each point of the penalty.
+func (m *Membership) scaledByHealth(d time.Duration) time.Duration {
+	return d + d*time.Duration(m.healthPenalty)/2
 }
 
 func (m *Membership) probeIndirect(sequence uint64) {
@@ -98,7 +102,9 @@
 // answered tells that the target answered this probe or a later one.
 func (p *probe) answered() bool { return !p.target.answeredAt.Before(p.sentAt) }
 
-// probeFailed suspects a daemon that nobody could reach, and tells it so.
+// probeFailed suspects a daemon that nobody could reach, and tells it so. The next
+// member on the ring is probed at once, so that several crashes in a row are not
+// each found a ProbeInterval later.
 func (m *Membership) probeFailed(sequence uint64) {
 	p := m.prober.probes[sequence]
 	delete(m.prober.probes, sequence)
@@ -109,17 +115,21 @@
 	if !current || p.target.gone() || p.target.status == statusSuspect {
 		return
 	}
+	wasSuccessor := m.successor() == p.target
 	update := p.target.update()
 	update.Status = statusSuspect
 	m.replace(p.target, update)
-	m.announce(p.target.news())
+	m.announce(p.target.shortUpdate())
 	m.sendPing(p.target.daemon.ID, m.prober.next(), p.target)
+	if wasSuccessor {
+		m.probeSuccessor()
+	}
 }
 
 func (m *Membership) receivePing(from structs.DaemonID, ping *Ping) {
 	sender := m.records[from.Address()]
 	m.applyAll(from, ping.Updates)
-	m.hear(from, ping.Digest, &ping.Note)
+	m.processHeartbeat(from, ping.Digest, &ping.Note)
 	note := m.note
 	ack := &Ack{Sequence: ping.Sequence, Digest: m.digest(), Note: &note, Updates: m.piggyback(sender)}
 	if mentions(ping.Updates, m.self.address) {
@@ -143,7 +153,7 @@
 func (m *Membership) receiveAck(from structs.DaemonID, ack *Ack) {
 	m.applyAll(from, ack.Updates)
 	if !ack.Relayed {
-		m.hear(from, ack.Digest, ack.Note)
+		m.processHeartbeat(from, ack.Digest, ack.Note)
 	}
 	if request, found := m.prober.relays[ack.Sequence]; found {
 		delete(m.prober.relays, ack.Sequence)
@@ -158,7 +168,7 @@
 	p.indirect.Stop()
 	p.timeout.Stop()
 	p.target.answeredAt = p.sentAt
-	m.health = max(0, m.health-1)
+	m.healthPenalty = max(0, m.healthPenalty-1)
 }
 
 // receivePingRequest probes a daemon for another, and forgets that when no
@@ -171,8 +181,8 @@
 	m.after(m.settings.AckTimeout, func() { delete(m.prober.relays, sequence) })
 }
 
-// hear takes what another daemon says of itself with each probe.
-func (m *Membership) hear(from structs.DaemonID, digest uint64, note *Note) {
+// processHeartbeat takes what another daemon says of itself with each probe.
+func (m *Membership) processHeartbeat(from structs.DaemonID, digest uint64, note *Note) {
 	m.compareTable(from, digest)
 	if note != nil && m.onNote != nil {
 		m.onNote(from, *note)
