--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
@@ -16,8 +17,9 @@
 	// answersKept bounds the answers to one request that were not taken yet: all
 	// but the last only say that it takes a while.
 	answersKept = 8
-	// candidateTries is how many daemons are asked for one request.
-	candidateTries = 4
+	// candidateTries is how many daemons are asked for one request: beside a planned
+	// handover the former holder and its successor, some of them twice.
+	candidateTries = 6
 	// holderTries is how often a holder that lives is asked that says nothing,
 	// until another daemon is asked to take the shard: one message may be lost,
 	// and a takeover forfeits headroom.
@@ -32,7 +34,9 @@
 func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
 	request.Shard = shard
 	last := Response{Result: resultMoved}
-	var asked []structs.DaemonID
+	// asked did not answer or could not; moved do not hold the shard by what is
+	// known so far.
+	var asked, moved []structs.DaemonID
 	select {
 	case <-s.settled:
 	case <-ctx.Done():
@@ -41,7 +45,7 @@
 	impaired := 0
 	silences := 0
 	for range candidateTries {
-		target, failed := s.choose(shard, asked, time.Now())
+		target, failed := s.choose(shard, slices.Concat(asked, moved), time.Now())
 		if target == "" {
 			break
 		}
@@ -57,11 +61,17 @@
 		if ctx.Err() == nil {
 			s.avoided.note(shard, target, response.Result)
 		}
-		s.noteHolder(shard, response)
+		if s.noteHolder(shard, response) {
+			moved = moved[:0] // what they said is older
+		}
 		if response.Result.isFinal() {
 			return response
 		}
-		asked = append(asked, target)
+		if response.Result == resultMoved {
+			moved = append(moved, target)
+		} else {
+			asked = append(asked, target)
+		}
 		last = response
 		if response.Result == resultImpaired {
 			impaired++
@@ -73,13 +83,13 @@
 	return last
 }
 
-// noteHolder takes what an answer tells of who holds the shard.
-func (s *Service) noteHolder(shard int, response Response) {
+// noteHolder takes what an answer tells of who holds the shard. It returns whether
+// that is news.
+func (s *Service) noteHolder(shard int, response Response) bool {
 	if response.Released {
-		s.known.noteReleased(shard, response.Epoch, response.Holder)
-		return
+		return s.known.noteReleased(shard, response.Epoch, response.Holder)
 	}
-	s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+	return s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
 }
 
 // askOne sends a request to one daemon and waits for its answer. A daemon that
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -51,6 +51,7 @@
 	case now.Before(h.retryAt) && !isClosed(h.returned), h.records.isDown(now):
 		return resultImpaired, true
 	}
+	h.noteProgress()
 	h.claiming.Store(true)
 	defer h.claiming.Store(false)
 	if err := h.claim(ctx, failed); err != nil {
@@ -109,7 +110,11 @@
 	if !errors.Is(err, store.ErrFenced) {
 		return err
 	}
-	records, _, err := h.records.newest(ctx, h.partition)
+	if later, err := h.readDirectory(ctx); err == nil && later.Epoch > known && h.mustLeaveTo(later, failed) {
+		h.known.note(h.shard, later)
+		return errHeld
+	}
+	records, _, err := h.records.newest(ctx, h.partition, h.noteProgress)
 	if err != nil {
 		return err
 	}
@@ -159,6 +164,7 @@
 // take makes what was read the state of the shard.
 func (h *holder) take(records []store.Record, now time.Time) {
 	h.state = newState(now)
+	h.holding.Store(true)
 	h.heldSince = now
 	h.stay = min(max(2*h.stay, shortestStay), longestStay)
 	h.known.note(h.shard, holderRecord{Epoch: h.epoch, Daemon: h.daemon})
@@ -175,7 +181,7 @@
 // readClaimed reads the shard, this daemon's claim included: only what came
 // since it was read ahead, if that was done lately.
 func (h *holder) readClaimed(ctx context.Context) ([]store.Record, error) {
-	if ahead := h.takeReadAhead(time.Now()); ahead != nil {
+	if ahead := h.takeReadAhead(ctx); ahead != nil {
 		loaded, err := h.readOn(ctx, ahead)
 		if err == nil {
 			return loaded, nil
@@ -183,7 +189,7 @@
 		h.logger.Info().Err(err).Uint64("epoch", h.epoch).Msg("What was read ahead is of no use. The shard is read anew.")
 	}
 	for range loadTries {
-		loaded, _, err := h.records.newest(ctx, h.partition)
+		loaded, _, err := h.records.newest(ctx, h.partition, h.noteProgress)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -36,6 +36,7 @@
 	deaf     map[structs.DaemonID]bool
 	dead     map[structs.DaemonID]bool
 	leaving  map[structs.DaemonID]bool
+	offers   int
 }
 
 func newTestFleet(t *testing.T, daemons int) *testFleet {
@@ -122,6 +123,13 @@
 	return ids
 }
 
+// offered returns how often a shard was offered to a successor.
+func (f *testFleet) offered() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.offers
+}
+
 func (f *testFleet) setDeaf(id structs.DaemonID, deaf bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -222,6 +230,9 @@
 func (t *testTransport) Send(to structs.DaemonID, message peer.Message) {
 	t.fleet.mutex.Lock()
 	target := t.fleet.services[to]
+	if request, isRequest := message.(*Request); isRequest && request.Prepare {
+		t.fleet.offers++
+	}
 	lost := target == nil || t.fleet.deaf[to] || t.fleet.deaf[t.self]
 	t.fleet.mutex.Unlock()
 	if !lost {
--- /dev/null
+++ b/internal/ledger/handover_test.go
@@ -0,0 +1,210 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// scriptedTransport answers the requests to each daemon with what its script says
+// next.
+type scriptedTransport struct {
+	service *Service
+	mutex   sync.Mutex
+	scripts map[structs.DaemonID][]Response
+	asked   []structs.DaemonID
+}
+
+// Send implements peer.Transport.
+func (s *scriptedTransport) Send(to structs.DaemonID, message peer.Message) {
+	request := message.(*Request)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.asked = append(s.asked, to)
+	script := s.scripts[to]
+	if len(script) == 0 {
+		return
+	}
+	s.scripts[to] = script[1:]
+	response := script[0]
+	response.Number = request.Number
+	go s.service.Receive(to, &response)
+}
+
+// TestDaemonThatClaimedSinceItSaidMovedIsAskedAgain: an asker that comes to the
+// successor before its claim must neither take the shard from it nor send another.
+func TestDaemonThatClaimedSinceItSaidMovedIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5)
+		former, successor := daemonID(1, 1), daemonID(2, 1)
+		transport := &scriptedTransport{scripts: map[structs.DaemonID][]Response{
+			successor: {{Result: resultMoved, Epoch: 100, Holder: string(former)}, {Result: resultOK, Epoch: 200, Holder: string(successor)}},
+			former:    {{Result: resultMoved, Epoch: 100, Holder: string(successor), Released: true}},
+		}}
+		s := NewService(Options{
+			Self: daemonID(0, 1), Store: f.store, Transport: transport, View: f,
+			Partitions: []store.Partition{{Space: "ledger"}}, Directory: store.Partition{Space: "holders"},
+			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		})
+		transport.service = s
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go s.Run(ctx)
+		s.known.note(0, holderRecord{Epoch: 50, Daemon: string(successor)})
+		if response := s.ask(testContext(t), 0, Request{Find: &Find{Turn: "a"}}); response.Result != resultOK {
+			t.Errorf("got %q, want %q", response.Result, resultOK)
+		}
+		if want := []structs.DaemonID{successor, former, successor}; !slices.Equal(transport.asked, want) {
+			t.Errorf("asked %v, want %v", transport.asked, want)
+		}
+	})
+}
+
+// TestLastDaemonsLeaveWithAnAppendUnderWay: where there is no successor, a leaving
+// daemon answers what it has and goes on to serve.
+func TestLastDaemonsLeaveWithAnAppendUnderWay(t *testing.T) {
+	for _, daemons := range []int{1, 3} {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, daemons)
+				begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p", Retention: time.Minute})
+				begin(t, f.service(daemonID(0, 1)), Turn{ID: "b", Program: "p", Retention: time.Minute})
+				f.store.SetDelay(100 * time.Millisecond)
+				holder := f.service(f.holderOf("p"))
+				ended := make(chan error, 1)
+				go func() { ended <- endInTime(holder, "a") }()
+				time.Sleep(50 * time.Millisecond)
+				for _, id := range f.ids() {
+					f.leave(id)
+				}
+				if err := <-ended; err != nil {
+					t.Errorf("the end whose append was under way: %v", err)
+				}
+				time.Sleep(300 * time.Millisecond)
+				if err := endInTime(holder, "b"); err != nil {
+					t.Errorf("an end while all daemons leave: %v", err)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// endInTime ends a kept turn of program p as long as its caller waits.
+func endInTime(s *Service, turn string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callersPatience)
+	defer cancel()
+	return s.End(ctx, Outcome{Turn: turn, Program: "p", Kept: &KeptTurn{ID: turn, Input: []byte("x")}})
+}
+
+// TestShardThatCannotBeReadAheadIsOfferedRarely: a holder that stays must not let
+// others read megabytes every second.
+func TestShardThatCannotBeReadAheadIsOfferedRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		holder := f.service(daemonID(0, 1))
+		program := ""
+		for i := 1; program == ""; i++ { // a program whose shard another daemon should hold
+			f.start(daemonID(i, 1))
+			if candidate := fmt.Sprint("p-", i); holder.preferred(holder.shardOf(candidate)) != string(holder.Self) {
+				program = candidate
+			}
+		}
+		holder.known.note(holder.shardOf(program), holderRecord{Epoch: 1, Daemon: string(holder.Self)})
+		begin(t, holder, Turn{ID: "first", Program: program})
+		for _, id := range f.ids() {
+			f.setDeaf(id, id != holder.Self)
+		}
+		for i := range 600 {
+			begin(t, holder, Turn{ID: fmt.Sprint("later-", i), Program: program})
+			time.Sleep(100 * time.Millisecond)
+		}
+		offers := f.offered()
+		if offers == 0 || offers > 18 {
+			t.Errorf("the shard was offered %d times in a minute, want some, and 18 at most (six times three daemons)", offers)
+		}
+	})
+}
+
+// TestRunThatEndedWhileItReadAheadFallsSilent: it must not tell askers for ever
+// that it is busy.
+func TestRunThatEndedWhileItReadAheadFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRollingFleet(t, 1)
+		f.fillHistory(t)
+		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
+		former := f.holderOf("p")
+		shard := f.service(former).shardOf("p")
+		f.readTime = rollingReadTime
+		f.leave(former)
+		time.Sleep(300 * time.Millisecond)
+		var reader *Service
+		for _, id := range f.ids() {
+			if f.service(id).holders[shard].preparing.Load() {
+				reader = f.service(id)
+			}
+		}
+		if reader == nil {
+			t.Fatal("nobody reads the shard ahead")
+		}
+		f.kill(reader.Self)
+		time.Sleep(time.Minute)
+		if reader.holders[shard].isBusy() {
+			t.Error("a run that ended a minute ago says that it is busy")
+		}
+	})
+}
+
+// TestStopWaitsUntilShardsArePassedOn: the process must not end before.
+func TestStopWaitsUntilShardsArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRollingFleet(t, 1)
+		f.fillHistory(t)
+		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
+		former := f.service(f.holderOf("p"))
+		f.readTime = rollingReadTime
+		f.leave(former.Self)
+		started := time.Now()
+		former.WaitForHandover(testContext(t))
+		if took := time.Since(started); took < rollingHistory*rollingReadTime || took > prepareTime {
+			t.Errorf("waited %s for a reading that takes %s", took, rollingHistory*rollingReadTime)
+		}
+		time.Sleep(takeTime) // the successor's claim may be under way
+		if f.holderOf("p") == former.Self {
+			t.Error("the shard was not passed on")
+		}
+	})
+}
+
+// TestFormerHolderNamesItsSuccessor: who asks between a release and the claim must
+// not choose a daemon by itself.
+func TestFormerHolderNamesItsSuccessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p"})
+		former := f.service(f.holderOf("p"))
+		shard := former.shardOf("p")
+		successor := former.preferred(shard, former.Self)
+		f.setDeaf(structs.DaemonID(successor), true) // it hears nothing of the release
+		h := former.holders[shard]
+		h.post(t.Context(), func(ctx context.Context) {
+			h.handover = &handover{to: successor, prepared: true}
+			h.relinquish(ctx)
+		})
+		got := former.askOne(testContext(t), former.Self, Request{Shard: shard, Find: &Find{Turn: "a"}})
+		if got.Result != resultMoved || !got.Released || got.Holder != successor {
+			t.Errorf("the former holder says %+v, want that %s is to claim the shard", got, successor)
+		}
+	})
+}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -57,6 +57,7 @@
 	fleet   fleet
 
 	state    *state // nil while the shard is not held
+	holding  atomic.Bool
 	epoch    uint64
 	sequence uint64
 	// waiting operations are answered once the next append is done.
@@ -80,11 +81,16 @@
 	// givenTo the daemon that is to claim the shard next, "" for none.
 	handover *handover
 	givenTo  string
-	// ahead is what was read of a shard that another daemon is to pass on.
+	// ahead is what was or is being read of a shard that another daemon is to pass
+	// on, nil if there is none.
 	ahead *readAhead
-	// claiming and preparing tell askers that the shard is being read.
-	claiming  atomic.Bool
-	preparing atomic.Bool
+	// readingAhead bounds this daemon's readings ahead at a time.
+	readingAhead chan struct{}
+	// claiming and preparing tell askers that the shard is being read, and
+	// progressAt when that got on last, in nanoseconds since 1970.
+	claiming   atomic.Bool
+	preparing  atomic.Bool
+	progressAt atomic.Int64
 
 	// heldSince is when the shard was claimed, and stay how long it is kept
 	// from then on even if another daemon should hold it.
@@ -135,16 +141,33 @@
 
 // isBusy tells whether the holder works on something that others wait for.
 func (h *holder) isBusy() bool {
-	return h.appending.Load() || h.claiming.Load() || h.preparing.Load()
+	return h.appending.Load() || h.preparing.Load() || h.claiming.Load() && h.isGettingOn(time.Now())
+}
+
+// noteProgress takes note that the reading of the shard gets on.
+func (h *holder) noteProgress() { h.progressAt.Store(time.Now().UnixNano()) }
+
+// isGettingOn tells whether the reading of the shard got on lately: a claimant
+// that is cut off from the store is not waited for.
+func (h *holder) isGettingOn(now time.Time) bool {
+	return now.Sub(time.Unix(0, h.progressAt.Load())) < answerWithin
 }
 
 func (h *holder) isLeaving() bool { return isClosed(h.leaving) }
 
-// leave passes the shard on, if this daemon holds it.
+// leave passes the shard on, if this daemon holds it. Without a successor it is
+// kept until there is one; its headroom goes back at once, as the process may end
+// before.
 func (h *holder) leave(ctx context.Context) {
-	if h.state != nil {
-		h.handOver(ctx, h.fleet.preferred(h.shard))
+	if h.state == nil {
+		return
+	}
+	if successor := h.fleet.preferred(h.shard); successor != "" {
+		h.handOver(ctx, successor)
+		return
 	}
+	h.state.returnHeadroom()
+	h.startAppend(ctx)
 }
 
 // handle takes one operation.
@@ -280,10 +303,15 @@
 
 // yield gives the shard up if another daemon should hold it for a while now.
 func (h *holder) yield(ctx context.Context, now time.Time) {
-	if h.state == nil || h.handover != nil || h.isLeaving() {
+	if h.state == nil || h.handover != nil || now.Sub(h.rankedAt) < yieldInterval {
+		return
+	}
+	if h.isLeaving() {
+		h.rankedAt = now
+		h.leave(ctx)
 		return
 	}
-	if now.Sub(h.heldSince) < h.stay || now.Sub(h.rankedAt) < yieldInterval {
+	if now.Sub(h.heldSince) < h.stay {
 		return
 	}
 	h.rankedAt = now
@@ -293,6 +321,13 @@
 	}
 }
 
+// prolongStay lets the holder keep the shard for twice as long before it offers it
+// again.
+func (h *holder) prolongStay(now time.Time) {
+	h.heldSince = now
+	h.stay = min(2*h.stay, longestStay)
+}
+
 // relinquish gives the shard up, with the changes that wait for an append, and
 // first back to the programs what was set aside for their next turns. If that
 // fails, the next holder counts it as spent.
@@ -326,6 +361,7 @@
 // drop forgets the shard's state.
 func (h *holder) drop() {
 	h.state = nil
+	h.holding.Store(false)
 	h.pending = nil
 	h.handover = nil
 	h.appending.Store(false)
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -19,8 +19,10 @@
 	// takes the smallest machines (30 Mbit/s) 0.3 s, and longer beside others.
 	giveUpPage = 4 * time.Second
 	// readingWait is how long the first try to read a page waits for its answer,
-	// and longestReadingWait a later one.
-	readingWait        = 900 * time.Millisecond
+	// and longestReadingWait a later one. A page whose answer is lost comes by way
+	// of another daemon sooner (store/proxy); one that takes long must not be read
+	// twice while askers wait for progress (answerWithin).
+	readingWait        = 1400 * time.Millisecond
 	longestReadingWait = 3 * time.Second
 	// shortReadingWait is how long the single try at a short reading waits.
 	shortReadingWait = 400 * time.Millisecond
@@ -155,13 +157,17 @@
 	return err
 }
 
-// newest reads the newest record of each key, and the offset to go on from.
-func (r *recordStore) newest(ctx context.Context, partition store.Partition) ([]store.Record, int64, error) {
+// newest reads the newest record of each key, and the offset to go on from. It
+// calls advanced after each page.
+func (r *recordStore) newest(ctx context.Context, partition store.Partition, advanced func()) ([]store.Record, int64, error) {
 	return store.ListNewest(func(after string) (page store.Page, err error) {
 		err = r.tryPage(ctx, func(ctx context.Context) error {
 			page, err = r.NewestPage(ctx, partition, after)
 			return err
 		})
+		if err == nil {
+			advanced()
+		}
 		return page, err
 	})
 }
--- a/internal/ledger/rolling_stop_test.go
+++ b/internal/ledger/rolling_stop_test.go
@@ -64,8 +64,8 @@
 	callers []structs.DaemonID
 }
 
-func newRollingFleet(t *testing.T) *rollingFleet {
-	f := &rollingFleet{testFleet: newTestFleet(t, rollingDaemons), random: rand.New(rand.NewPCG(22, 1))}
+func newRollingFleet(t *testing.T, seed uint64) *rollingFleet {
+	f := &rollingFleet{testFleet: newTestFleet(t, rollingDaemons), random: rand.New(rand.NewPCG(seed, 1))}
 	f.callers = f.ids()
 	f.store.SetDelay(4 * time.Millisecond)
 	return f
@@ -128,7 +128,7 @@
 func (f *rollingFleet) takeTurns(program string, waits *recordWaits, stop <-chan struct{}) {
 	for i := 0; !isClosed(stop); i++ {
 		id := fmt.Sprint(program, "-", i)
-		turn := Turn{ID: id, Program: program, Retention: time.Minute}
+		turn := Turn{ID: id, Program: program, Retention: time.Minute, MostTokens: 10, BudgetTokens: 1_000_000}
 		waits.time(func(ctx context.Context) error { return beginInTime(ctx, f.caller(), turn) })
 		kept := &KeptTurn{ID: id, Input: []byte("in")}
 		waits.time(func(ctx context.Context) error {
@@ -162,11 +162,11 @@
 // limits of its own nor overtaken by another daemon's, however long it takes.
 func TestLongHistoryIsReadToItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newRollingFleet(t)
+		f := newRollingFleet(t, 22)
 		f.fillHistory(t)
 		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
 		former := f.holderOf("p")
-		f.readTime = 2500 * time.Microsecond // a page of 500 takes longer than the first try waits
+		f.readTime = 2500 * time.Microsecond // 1.25 s a page, 5 s in all
 		f.setCalled(former, false)
 		f.kill(former)
 		directory := store.Partition{Space: "holders"}
@@ -189,29 +189,49 @@
 	})
 }
 
+// playRollingStop lets daemons stop one after the other while programs take turns
+// at all shards, and returns what callers saw.
+func playRollingStop(t *testing.T, seed uint64, daemons int) *recordWaits {
+	f := newRollingFleet(t, seed)
+	f.fillHistory(t)
+	for i := range rollingPrograms { // each shard has its holder before
+		begin(t, f.caller(), Turn{ID: fmt.Sprint("first-", i), Program: fmt.Sprint("program-", i)})
+	}
+	f.readTime = rollingReadTime
+	waits := &recordWaits{}
+	stop := make(chan struct{})
+	var callers, stops sync.WaitGroup
+	for i := range rollingPrograms {
+		callers.Go(func() { f.takeTurns(fmt.Sprint("program-", i), waits, stop) })
+	}
+	for number := range daemons {
+		stops.Go(func() { f.stopAndRestart(number) })
+		time.Sleep(rollingPause)
+	}
+	stops.Wait()
+	close(stop)
+	callers.Wait()
+	return waits
+}
+
+// TestRollingStopOfMostDaemonsCutsNoAnswer: four fifths of the daemons, so that
+// shards meet successors that stop, too, and askers that know no holder.
+func TestRollingStopOfMostDaemonsCutsNoAnswer(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			waits := playRollingStop(t, seed, 2*rollingStops)
+			if waits.cut > 0 {
+				t.Errorf("seed %d: %d of %d calls were cut, the longest took %s", seed, waits.cut, waits.calls, waits.longest)
+			}
+		})
+	}
+}
+
 // TestRollingStopLeavesNoShardWithoutHolder: the incident. No answer may be cut,
 // and no record be out of reach for long, while daemons stop as planned.
 func TestRollingStopLeavesNoShardWithoutHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newRollingFleet(t)
-		f.fillHistory(t)
-		for i := range rollingPrograms { // each shard has its holder before
-			begin(t, f.caller(), Turn{ID: fmt.Sprint("first-", i), Program: fmt.Sprint("program-", i)})
-		}
-		f.readTime = rollingReadTime
-		var waits recordWaits
-		stop := make(chan struct{})
-		var callers, stops sync.WaitGroup
-		for i := range rollingPrograms {
-			callers.Go(func() { f.takeTurns(fmt.Sprint("program-", i), &waits, stop) })
-		}
-		for number := range rollingStops {
-			stops.Go(func() { f.stopAndRestart(number) })
-			time.Sleep(rollingPause)
-		}
-		stops.Wait()
-		close(stop)
-		callers.Wait()
+		waits := playRollingStop(t, 22, rollingStops)
 		t.Logf("%d calls, the longest took %s, %d were cut", waits.calls, waits.longest, waits.cut)
 		if waits.cut > 0 || waits.longest > longestWithoutHolder {
 			t.Errorf("%d of %d calls were cut, the longest took %s; want none, and at most %s",
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	settledQuiet = 60 * time.Millisecond
 	// settledLook separates looks at that.
 	settledLook = 10 * time.Millisecond
+	// handoverLook separates looks at whether all shards were passed on.
+	handoverLook = 20 * time.Millisecond
 )
 
 // Options give a Service what it works with.
@@ -91,6 +94,7 @@
 		contact = store.NoContact{}
 	}
 	records := &recordStore{Store: options.Store, contact: contact}
+	readingAhead := make(chan struct{}, 1)
 	for i, partition := range options.Partitions {
 		s.holders = append(s.holders, &holder{
 			shard:      i,
@@ -104,6 +108,8 @@
 			leaving:    s.leaving,
 			known:      s.known,
 			fleet:      s,
+
+			readingAhead: readingAhead,
 		})
 	}
 	return s
@@ -151,6 +157,18 @@
 // Leave stops holding shards: others take them over.
 func (s *Service) Leave() { s.left.Do(func() { close(s.leaving) }) }
 
+// WaitForHandover waits, after Leave, until this daemon holds no shard any more,
+// no other daemon could take one, or ctx ends.
+func (s *Service) WaitForHandover(ctx context.Context) {
+	for s.isHolding() && s.successor(0, []structs.DaemonID{s.Self}, time.Now()) != "" && ctx.Err() == nil {
+		clock.Sleep(ctx, handoverLook)
+	}
+}
+
+func (s *Service) isHolding() bool {
+	return slices.ContainsFunc(s.holders, func(h *holder) bool { return h.holding.Load() })
+}
+
 func (s *Service) isLeaving() bool { return isClosed(s.leaving) }
 
 // shardOf returns the shard of a program.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strings"
 	"time"
 
@@ -119,10 +120,13 @@
 	if !underway {
 		entry = &accountEntry{}
 	}
+	entry.usedAt = now
 	if !entry.reserve(turn) {
+		if underway {
+			s.touch(accountPrefix + turn.Program)
+		}
 		return Grant{}, resultBudgetSpent
 	}
-	entry.usedAt = now
 	s.accounts[turn.Program] = entry
 	s.touch(accountPrefix + turn.Program)
 	return Grant{History: history, Underway: underway, Instance: entry.instanceOf(turn.Session)}, resultOK
@@ -133,11 +137,12 @@
 // former holder that died with its copy of the chain.
 func (s *state) end(outcome Outcome, now time.Time) result {
 	entry := s.accounts[outcome.Program]
+	if entry != nil {
+		entry.usedAt = now // also if the turn was granted by a holder that died with its reservation
+		s.touch(accountPrefix + outcome.Program)
+	}
 	if entry == nil || !entry.settle(outcome.Turn, outcome.UsedTokens) {
 		s.ended[outcome.Turn] = now
-	} else {
-		entry.usedAt = now
-		s.touch(accountPrefix + outcome.Program)
 	}
 	if entry != nil && outcome.Instance != "" {
 		entry.noteInstance(outcome.Session, outcome.Instance)
@@ -236,6 +241,7 @@
 
 // expire drops up to limit records that nobody used for their retention.
 func (s *state) expire(now time.Time, limit int) {
+	maps.DeleteFunc(s.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedLife })
 	for id, entry := range s.accounts {
 		if len(s.dirty) >= limit {
 			return
@@ -254,11 +260,6 @@
 			s.touch(turnPrefix + id)
 		}
 	}
-	for id, at := range s.ended {
-		if now.Sub(at) > endedLife {
-			delete(s.ended, id)
-		}
-	}
 }
 
 func isOver(usedAt time.Time, retentionMS int64, now time.Time) bool {
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -90,3 +90,48 @@
 		}
 	})
 }
+
+// TestAccountIsKeptFromTheEndOfATurnThatIsNotReservedThere: its holder may have died
+// with the reservation. The program's budget must not begin anew.
+func TestAccountIsKeptFromTheEndOfATurnThatIsNotReservedThere(t *testing.T) {
+	s := newState(time.Now())
+	start := time.Now()
+	s.begin(Turn{ID: "a", Program: "p", Retention: time.Minute, BudgetTokens: 100, MostTokens: 75}, start)
+	late := start.Add(time.Minute)
+	s.end(Outcome{Turn: "b", Program: "p", UsedTokens: 5}, late)
+	s.expire(late.Add(time.Minute), 100)
+	if s.accounts["p"] == nil {
+		t.Error("an account was dropped within the retention of its last use")
+	}
+}
+
+// TestChainIsKeptAsLongAsItsLastTurn: the records of earlier turns do not tell that
+// a later one goes on from them.
+func TestChainIsKeptAsLongAsItsLastTurn(t *testing.T) {
+	start := time.Now()
+	first := newState(start)
+	first.begin(Turn{ID: "a", Program: "p", Retention: time.Minute}, start)
+	first.end(Outcome{Turn: "a", Program: "p", Kept: &KeptTurn{ID: "a", Input: []byte("x")}}, start)
+	before, err := first.takeDirty()
+	if err != nil {
+		t.Fatal(err)
+	}
+	late := start.Add(50 * time.Second)
+	first.begin(Turn{ID: "b", Program: "p", Previous: "a", Retention: time.Minute}, late)
+	first.end(Outcome{Turn: "b", Program: "p", Kept: &KeptTurn{ID: "b", Previous: "a", Input: []byte("y")}}, late)
+	after, err := first.takeDirty()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newState(late)
+	for _, record := range append(before, after...) {
+		if err := next.load(record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next.restoreAges(late)
+	next.expire(late.Add(time.Minute), 100)
+	if found := next.find("b", late.Add(time.Minute)); found == nil || string(found.Input) != "xy" {
+		t.Errorf("a turn's chain is %v, want xy", found)
+	}
+}
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -13,6 +13,9 @@
 	// noticeTime is how long the platform takes to see that a daemon is not
 	// ready any more; requests go on to arrive until then.
 	noticeTime = 2500 * time.Millisecond
+	// handoverWait bounds how long a daemon that has answered everything waits for
+	// its shards to be passed on: a small successor reads some for seconds.
+	handoverWait = 2 * time.Second
 	// exitMargin is kept between the last answers of a planned stop and its
 	// bound, at which the platform kills the process.
 	exitMargin = 700 * time.Millisecond
@@ -41,6 +44,7 @@
 	clock.Sleep(ctx, noticeTime)
 	d.relay.Drain()
 	d.drainFront(ctx)
+	d.waitForHandover(ctx)
 	d.settleAndWithdraw(started.Add(d.settings.stopTime() - killMargin))
 	d.membership.Stop()
 	d.cancel()
@@ -68,6 +72,13 @@
 	}
 }
 
+// waitForHandover lets successors read the shards that this daemon still holds.
+func (d *Daemon) waitForHandover(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	d.ledger.WaitForHandover(ctx)
+}
+
 // settleAndWithdraw settles turns and withdraws this daemon's entry, both until
 // end: also after requests took all of the time that is for them.
 func (d *Daemon) settleAndWithdraw(end time.Time) {
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -18,6 +18,10 @@
 	// the call asks for, until another is asked: some ways between zones and
 	// one answer of a store that is slow.
 	helperSilence = 600 * time.Millisecond
+	// pageShare is the part of the asker's time that a helper may take for a page of
+	// newest records, which may be a megabyte, if that is more: a second helper can
+	// be asked after it.
+	pageShare = 0.5
 	// avoidSilent is how long a helper that said nothing is not asked.
 	avoidSilent = 3 * time.Second
 	// outPause is how long no helper is asked after one said that it cannot
@@ -140,9 +144,19 @@
 	return got
 }
 
+// helperPatience is how long a helper may say nothing.
+func helperPatience(ctx context.Context, request *Request) time.Duration {
+	patience := request.wait() + helperSilence
+	deadline, bounded := ctx.Deadline()
+	if request.Call != callNewest || !bounded {
+		return patience
+	}
+	return max(patience, time.Duration(pageShare*float64(time.Until(deadline))))
+}
+
 // ask sends a call to a helper and waits for its answer; nil means none came.
 func (s *Service) ask(ctx context.Context, helper structs.DaemonID, request *Request) *Response {
-	patience := request.wait() + helperSilence
+	patience := helperPatience(ctx, request)
 	sent := *request
 	number, answers, forget := s.replies.Expect(1)
 	defer forget()
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -30,10 +30,13 @@
 	// takes some milliseconds; one of a store that is slow for all takes as long
 	// for a helper, so little is gained by asking sooner.
 	overdueAfter = 150 * time.Millisecond
-	// overdueFactor times what the latest page of newest records of a space took
-	// is how long the next may take: a page is up to a megabyte, and made twice it
-	// costs two machines what one of them is short of.
+	// overdueFactor times what pages of newest records of a space took lately is
+	// how long the next may take: a page is up to a megabyte, and made twice it costs
+	// two machines what one of them is short of.
 	overdueFactor = 3
+	// pageTimeFall is how fast the longest time of a page is forgotten, with each
+	// shorter one: the last page of a listing is a short one.
+	pageTimeFall = 0.9
 	// noticeAfter is how long the store must have been out for its return to be
 	// told to the other daemons, and noticePause separates such notices.
 	noticeAfter = 300 * time.Millisecond
@@ -61,8 +64,8 @@
 	serving chan struct{}
 	served  served
 	replies peer.Replies[*Response]
-	// mutex guards Options.Random and pageTimes, which tells by space how long the
-	// latest page of newest records took.
+	// mutex guards Options.Random and pageTimes, which tells by space how long pages
+	// of newest records took lately.
 	mutex     sync.Mutex
 	pageTimes map[string]time.Duration
 }
@@ -171,7 +174,8 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.pageTimes[request.Partition.Space] = took
+	fallen := time.Duration(pageTimeFall * float64(s.pageTimes[request.Partition.Space]))
+	s.pageTimes[request.Partition.Space] = max(took, fallen)
 }
 
 // worse joins the errors of a call that was made in two ways: it may have been
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -375,8 +375,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2)
 		s := f.services[0]
-		f.store.SetDelay(400 * time.Millisecond)
-		for range 2 { // the first tells how long pages take
+		for _, took := range []time.Duration{400, 400, 20, 400} { // a listing's last page is short
+			f.store.SetDelay(took * time.Millisecond)
 			if _, err := s.NewestPage(within(t, 2*time.Second), partition, ""); err != nil {
 				t.Fatal(err)
 			}
@@ -386,3 +386,15 @@
 		}
 	})
 }
+
+// TestLongPageComesByWayOfAHelper: to a daemon that the store does not serve.
+func TestLongPageComesByWayOfAHelper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.store.SetDelay(900 * time.Millisecond)
+		f.ways[0].set(refused)
+		if _, err := f.services[0].NewestPage(within(t, 3*time.Second), partition, ""); err != nil {
+			t.Errorf("a page that takes 0.9 s: %v", err)
+		}
+	})
+}
