--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// troubleAfter is how long an append may take until its shard's holder
-	// counts as storeSilent, and troublePause separates looks at what it still
-	// can do.
+	// troubleAfter is how long an append may take until the store counts as silent
+	// for its shard's holder, and troublePause separates looks at what the holder
+	// still can do.
 	troubleAfter = 700 * time.Millisecond
 	troublePause = 500 * time.Millisecond
 	// waitingLimit bounds the operations that wait for the store at one shard.
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -56,7 +56,8 @@
 	known   *holderTable
 	fleet   fleet
 
-	state    *state // nil while the shard is not held
+	state *state // nil while the shard is not held
+	// holding tells other goroutines whether the shard is held.
 	holding  atomic.Bool
 	epoch    uint64
 	sequence uint64
