--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -46,7 +46,7 @@
 	server.ConnState = s.noteState
 	go func() {
 		defer close(s.served)
-		_ = server.Serve(frontListener{listener})
+		_ = server.Serve(frontListener{listener}) // ends when the listener is closed
 	}()
 	return s
 }
@@ -176,7 +176,7 @@
 	c.restsFrom = time.Time{}
 	if c.expired {
 		c.expired = false
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout))
+		_ = c.SetReadDeadline(time.Now().Add(headerTimeout)) // fails on a connection that is closed
 	}
 }
 
@@ -189,5 +189,5 @@
 		return
 	}
 	c.expired = true
-	_ = c.SetReadDeadline(now)
+	_ = c.SetReadDeadline(now) // the same
 }
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -58,7 +58,7 @@
 	}
 	server := newServer(handler, part(d.logger, "http"))
 	d.servers = append(d.servers, server)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(listener) }() // ends when the server is closed
 	return nil
 }
 
