--- a/cmd/mintpulley-relay/main_test.go
+++ b/cmd/mintpulley-relay/main_test.go
@@ -3,18 +3,17 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/mintpulley/mintpulley/internal/loopback"
+	"github.com/mintpulley/mintpulley/internal/loopback/loopbacktest"
+	"github.com/mintpulley/mintpulley/internal/outputtest"
 )
 
 // asDaemon is the variable that makes the test's program run as the daemon.
@@ -28,30 +27,12 @@
 	os.Exit(m.Run())
 }
 
-// output collects what a process writes.
-type output struct {
-	mutex sync.Mutex
-	bytes bytes.Buffer
-}
-
-func (o *output) Write(data []byte) (int, error) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.bytes.Write(data)
-}
-
-func (o *output) text() string {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	return o.bytes.String()
-}
-
 // startProcess starts the daemon's program.
-func startProcess(t *testing.T, arguments ...string) (*exec.Cmd, *output) {
+func startProcess(t *testing.T, arguments ...string) (*exec.Cmd, *outputtest.Buffer) {
 	t.Helper()
 	command := exec.Command(os.Args[0], arguments...)
 	command.Env = append(os.Environ(), asDaemon+"=1")
-	out := &output{}
+	out := &outputtest.Buffer{}
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		t.Fatal(err)
@@ -65,11 +46,7 @@
 	t.Helper()
 	text := "adapter: platform\nzone: z\nregion: r\nstop_seconds: 1\n"
 	for _, name := range []string{"front", "ready", "peer", "store"} {
-		address, err := loopback.FreeAddress()
-		if err != nil {
-			t.Fatal(err)
-		}
-		text += fmt.Sprintf("%s_address: %s\n", name, address)
+		text += fmt.Sprintf("%s_address: %s\n", name, loopbacktest.FreeAddress(t))
 	}
 	return text
 }
@@ -101,7 +78,7 @@
 	}
 	_ = pipe.Close()
 	if err := command.Wait(); err != nil {
-		t.Errorf("the process ended with %v:\n%s", err, out.text())
+		t.Errorf("the process ended with %v:\n%s", err, out.String())
 	}
 }
 
@@ -124,18 +101,18 @@
 		t.Errorf("the process ended with %v", err)
 	}
 	for _, line := range []string{"Daemon stops.", "Daemon stopped."} {
-		if count := strings.Count(out.text(), line); count != 1 {
-			t.Errorf("%q stands %d times in:\n%s", line, count, out.text())
+		if count := strings.Count(out.String(), line); count != 1 {
+			t.Errorf("%q stands %d times in:\n%s", line, count, out.String())
 		}
 	}
 }
 
-func waitFor(t *testing.T, out *output, line string) {
+func waitFor(t *testing.T, out *outputtest.Buffer, line string) {
 	t.Helper()
 	deadline := time.Now().Add(20 * time.Second)
-	for !strings.Contains(out.text(), line) {
+	for !strings.Contains(out.String(), line) {
 		if time.Now().After(deadline) {
-			t.Fatalf("no %q in:\n%s", line, out.text())
+			t.Fatalf("no %q in:\n%s", line, out.String())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/internal/gateway/cluster_test.go
+++ b/internal/gateway/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/demo"
 	"github.com/mintpulley/mintpulley/internal/gateway"
+	"github.com/mintpulley/mintpulley/internal/outputtest"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -34,27 +35,9 @@
 	running   *demo.Cluster
 	startErr  error
 	// logs holds what all daemons logged.
-	logs lockedBuffer
+	logs outputtest.Buffer
 )
 
-// lockedBuffer may be read while others write.
-type lockedBuffer struct {
-	mutex sync.Mutex
-	text  strings.Builder
-}
-
-func (b *lockedBuffer) Write(line []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.text.Write(line)
-}
-
-func (b *lockedBuffer) lines() []string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return strings.Split(b.text.String(), "\n")
-}
-
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if running != nil {
--- a/internal/gateway/program_test.go
+++ b/internal/gateway/program_test.go
@@ -171,7 +171,7 @@
 	}
 	eventually(t, "a line of the gateway and lines of the leader", func() bool {
 		steps := map[string]bool{}
-		for _, line := range logs.lines() {
+		for _, line := range strings.Split(logs.String(), "\n") {
 			var entry struct{ Part, Step, Trace string }
 			if strings.Contains(line, trace) && json.Unmarshal([]byte(line), &entry) == nil && entry.Trace == trace {
 				steps[entry.Part+" "+entry.Step] = true
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -3,7 +3,6 @@
 package integration
 
 import (
-	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,10 +10,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/outputtest"
 )
 
 // programs are the paths of the built programs.
@@ -44,28 +44,10 @@
 	t       *testing.T
 	name    string
 	command *exec.Cmd
-	output  syncBuffer
+	output  outputtest.Buffer
 	ended   chan struct{}
 }
 
-// syncBuffer collects a process's output.
-type syncBuffer struct {
-	mutex  sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (b *syncBuffer) Write(data []byte) (int, error) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.buffer.Write(data)
-}
-
-func (b *syncBuffer) String() string {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.buffer.String()
-}
-
 // start runs a program until the test ends.
 func start(t *testing.T, name, path string, arguments ...string) *process {
 	t.Helper()
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -165,8 +165,7 @@
 func (h *holder) take(records []store.Record, now time.Time) {
 	h.state = newState(now)
 	h.holding.Store(true)
-	h.heldSince = now
-	h.stay = min(max(2*h.stay, shortestStay), longestStay)
+	h.prolongStay(now)
 	h.known.note(h.shard, holderRecord{Epoch: h.epoch, Daemon: h.daemon})
 	for _, record := range records {
 		if err := h.state.load(record); err != nil {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -322,11 +322,11 @@
 	}
 }
 
-// prolongStay lets the holder keep the shard for twice as long before it offers it
-// again.
+// prolongStay lets the holder keep the shard from now on, for twice as long as
+// before, until it offers it to another daemon.
 func (h *holder) prolongStay(now time.Time) {
 	h.heldSince = now
-	h.stay = min(2*h.stay, longestStay)
+	h.stay = min(max(2*h.stay, shortestStay), longestStay)
 }
 
 // relinquish gives the shard up, with the changes that wait for an append, and
--- a/internal/ledger/read_ahead.go
+++ b/internal/ledger/read_ahead.go
@@ -35,13 +35,7 @@
 
 // apply takes records that follow those before, and where to go on from.
 func (a *readAhead) apply(records []store.Record, next int64) {
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			delete(a.newest, record.Key)
-			continue
-		}
-		a.newest[record.Key] = record
-	}
+	store.ApplyNewest(a.newest, records)
 	a.next = next
 }
 
--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -87,17 +87,24 @@
 	}
 }
 
+// serveInBackground serves a call, and tells what its caller heard at its end.
+func serveInBackground(t *testing.T, h *harness, call *Call) <-chan *recorder {
+	t.Helper()
+	ended := make(chan *recorder, 1)
+	go func() {
+		got := &recorder{}
+		h.relay.Serve(t.Context(), call, got)
+		ended <- got
+	}()
+	return ended
+}
+
 func TestTextThatWaitsForItsRecordIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h, _, first := newRecording(t, 2*time.Second)
 		h.relay.RecordBytes = 200
 		first.Body = []byte(strings.Repeat("x", 90))
-		ended := make(chan *recorder, 1)
-		go func() {
-			got := &recorder{}
-			h.relay.Serve(t.Context(), first, got)
-			ended <- got
-		}()
+		ended := serveInBackground(t, h, first)
 		time.Sleep(time.Second)
 		second := newTurn(first.Route)
 		second.Body = []byte(strings.Repeat("y", 150))
@@ -124,12 +131,7 @@
 		h, slow, first := newRecording(t, 2*time.Second)
 		h.relay.RecordBytes = 200
 		first.Body = []byte(strings.Repeat("x", 110))
-		ended := make(chan *recorder, 1)
-		go func() {
-			got := &recorder{}
-			h.relay.Serve(t.Context(), first, got)
-			ended <- got
-		}()
+		ended := serveInBackground(t, h, first)
 		time.Sleep(time.Second)
 		got := &recorder{}
 		h.relay.Serve(t.Context(), newTurn(first.Route), got)
@@ -184,12 +186,7 @@
 		h, _, call := newRecording(t, 2*time.Second)
 		driver := &closingDriver{scriptedDriver: h.driver}
 		h.relay.Driver = driver
-		ended := make(chan *recorder, 1)
-		go func() {
-			got := &recorder{}
-			h.relay.Serve(t.Context(), call, got)
-			ended <- got
-		}()
+		ended := serveInBackground(t, h, call)
 		time.Sleep(time.Second)
 		if driver.closed.Load() != 1 {
 			t.Error("the answer was read whole, and its connection is held")
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,11 +58,11 @@
 
 // presentAddresses returns the addresses under which daemons are on record that
 // have not withdrawn.
-func presentAddresses(records map[string]store.Record) []string {
+func presentAddresses(records iter.Seq[store.Record]) []string {
 	var addresses []string
-	for address, record := range records {
+	for record := range records {
 		if present(record.Value) {
-			addresses = append(addresses, address)
+			addresses = append(addresses, record.Key)
 		}
 	}
 	return addresses
@@ -86,17 +89,13 @@
 		r.logger.Warn().Err(err).Msg("Registry not read. The time of day numbers this run.")
 		return r.own.Incarnation
 	}
-	known := int64(0)
+	r.known.Store(int64(len(presentAddresses(slices.Values(records)))))
 	for _, record := range records {
-		if present(record.Value) {
-			known++
-		}
 		var former memberRecord
 		if record.Key == r.settings.PeerAddress && json.Unmarshal(record.Value, &former) == nil {
 			r.own.Incarnation = max(r.own.Incarnation, former.Incarnation+1)
 		}
 	}
-	r.known.Store(known)
 	return r.own.Incarnation
 }
 
@@ -110,7 +109,7 @@
 		Partition: registryPartition(),
 		Settings:  registryWatch,
 		OnChange: func(records map[string]store.Record) {
-			addresses := presentAddresses(records)
+			addresses := presentAddresses(maps.Values(records))
 			r.known.Store(int64(len(addresses)))
 			listed(r.machines(addresses))
 		},
--- a/internal/store/listing.go
+++ b/internal/store/listing.go
@@ -35,3 +35,15 @@
 	}
 	return nil, 0, eris.Wrap(ErrMalformed, "the list of newest records does not end")
 }
+
+// ApplyNewest takes records that follow those known into the newest record of each
+// key: a record without a value drops its key.
+func ApplyNewest(known map[string]Record, records []Record) {
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(known, record.Key)
+			continue
+		}
+		known[record.Key] = record
+	}
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -99,7 +99,7 @@
 			return false, -1, brokenOff(ctx, err)
 		}
 		clear(known)
-		apply(known, records)
+		ApplyNewest(known, records)
 		return true, end, nil
 	}
 	records, end, err := w.Store.Read(ctx, w.Partition, next, w.Settings.Wait)
@@ -109,16 +109,6 @@
 	if err != nil {
 		return false, next, brokenOff(ctx, err)
 	}
-	apply(known, records)
+	ApplyNewest(known, records)
 	return len(records) > 0, end, nil
 }
-
-func apply(known map[string]Record, records []Record) {
-	for _, record := range records {
-		if len(record.Value) == 0 {
-			delete(known, record.Key)
-			continue
-		}
-		known[record.Key] = record
-	}
-}
