Ledger: programs begin from a shard's allowance, also while the store is out

The turns of programs that had an account soon stopped, too: headroom lost the most of each turn, used or not, until the next record.

Change: the shard's record names the holder that may grant a program without an account half of its budget, or one turn. Whoever takes the shard over without that holder's word counts it as spent by programs that it does not know, until they are past their retention, but for half of one turn's most: a program that began there may pass its budget by that much, and no other may at all. A planned handover gives it back. It is granted from for 30 s after the store's last confirmation. Turns that end give back what they did not use of headroom, while no record has their reservation. An outcome carries its route's retention, as its account may have died: the simulation found a kept turn dropped after ten seconds.

--- a/internal/ledger/age.go
+++ b/internal/ledger/age.go
@@ -38,7 +38,7 @@
 // restoreAges sets the clock, and when each record was last used, after all
 // records were loaded.
 func (s *state) restoreAges(now time.Time) {
-	latest := clockStart.Milliseconds()
+	latest := max(clockStart.Milliseconds(), s.allowance.LostAtMS)
 	for _, entry := range s.accounts {
 		latest = max(latest, entry.UsedAtMS)
 	}
--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -22,6 +22,8 @@
 	writer  store.Writer
 	records []store.Record
 	waiting []answered
+	// sentAt is when the first try began.
+	sentAt time.Time
 }
 
 // appendNews tells of an append: how it ended, or that it is still under way.
@@ -59,7 +61,7 @@
 		return
 	}
 	h.sequence++
-	h.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting}
+	h.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting, sentAt: time.Now()}
 	h.appending.Store(true)
 	go h.runAppend(ctx, h.pending)
 }
@@ -113,6 +115,7 @@
 		h.appending.Store(false)
 		h.noteAnswered()
 		h.state.confirmHeadroom()
+		h.state.confirmAllowance(current.sentAt)
 		h.answerAll(current.waiting)
 		switch {
 		case h.handover != nil && h.handover.prepared:
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -175,6 +175,7 @@
 	}
 	h.state.restoreAges(now)
 	h.state.forfeitHeadroom()
+	h.state.openAllowance(h.epoch, now)
 }
 
 // readClaimed reads the shard, this daemon's claim included: only what came
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -200,7 +200,7 @@
 // else with an append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
-	if h.isIsolated() && !h.state.canGrant(turn) {
+	if h.isIsolated() && !h.state.canGrant(turn, now) {
 		h.refuse(o, resultImpaired)
 		return
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -68,6 +68,8 @@
 	// Session is the turn's, and Instance ran it to its end, "" if none did.
 	Session  string `json:"session,omitempty"`
 	Instance string `json:"instance,omitempty"`
+	// Retention is the turn's own: its holder may have died with the account.
+	Retention time.Duration `json:"retention,omitempty"`
 	// UsedTokens is what the caller got.
 	UsedTokens int64 `json:"used,omitempty"`
 	// Kept is the turn, if later ones may go on from it.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -50,6 +50,7 @@
 	inAppend []*accountEntry
 	// returning: no headroom is set aside any more.
 	returning bool
+	allowance allowance
 	clock     shardClock
 }
 
@@ -61,6 +62,9 @@
 	headroom   int64
 	appending  int64
 	isInAppend bool
+	// unrecorded turns were granted from headroom, and no record that was sent has
+	// their reservation.
+	unrecorded map[string]struct{}
 }
 
 type turnEntry struct {
@@ -99,6 +103,8 @@
 			return eris.Wrapf(err, "ledger: record %q", record.Key)
 		}
 		s.turns[id] = entry
+	case record.Key == allowanceKey:
+		return s.loadAllowance(record.Value)
 	}
 	return nil
 }
@@ -118,7 +124,8 @@
 	entry := s.accounts[turn.Program]
 	underway := entry != nil
 	if !underway {
-		entry = &accountEntry{}
+		s.coverRetention(turn.Retention)
+		entry = s.newAccount(turn, now)
 	}
 	entry.usedAt = now
 	if !entry.reserve(turn) {
@@ -141,7 +148,7 @@
 		entry.usedAt = now // also if the turn was granted by a holder that died with its reservation
 		s.touch(accountPrefix + outcome.Program)
 	}
-	if entry == nil || !entry.settle(outcome.Turn, outcome.UsedTokens) {
+	if entry == nil || !entry.settleTurn(outcome) {
 		s.ended[outcome.Turn] = now
 	}
 	if entry != nil && outcome.Instance != "" {
@@ -150,9 +157,9 @@
 	if outcome.Kept == nil {
 		return resultOK
 	}
-	retention := int64(0)
+	retention := outcome.Retention.Milliseconds()
 	if entry != nil {
-		retention = entry.RetentionMS
+		retention = max(retention, entry.RetentionMS)
 	}
 	if outcome.Imported != nil {
 		s.keep(outcome.Imported, retention, now)
@@ -164,6 +171,16 @@
 	return resultOK
 }
 
+// settleTurn settles a turn; false if it is not reserved.
+func (e *accountEntry) settleTurn(outcome Outcome) bool {
+	most := e.Reserved[outcome.Turn]
+	if !e.settle(outcome.Turn, outcome.UsedTokens) {
+		return false
+	}
+	e.creditHeadroom(outcome.Turn, most-outcome.UsedTokens)
+	return true
+}
+
 func (s *state) keep(turn *KeptTurn, retentionMS int64, now time.Time) {
 	if s.turns[turn.ID] != nil {
 		return
@@ -222,6 +239,9 @@
 
 // value encodes what stands under a key now; nil drops the key.
 func (s *state) value(key string) ([]byte, error) {
+	if key == allowanceKey {
+		return s.encodeAllowance()
+	}
 	if id, isAccount := strings.CutPrefix(key, accountPrefix); isAccount {
 		if entry := s.accounts[id]; entry != nil {
 			s.setHeadroom(entry)
@@ -246,7 +266,7 @@
 		if len(s.dirty) >= limit {
 			return
 		}
-		if isOver(entry.usedAt, entry.RetentionMS, now) {
+		if isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
 			delete(s.accounts, id)
 			s.touch(accountPrefix + id)
 		}
@@ -255,13 +275,14 @@
 		if len(s.dirty) >= limit {
 			return
 		}
-		if isOver(entry.usedAt, entry.RetentionMS, now) {
+		if isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
 			delete(s.turns, id)
 			s.touch(turnPrefix + id)
 		}
 	}
 }
 
-func isOver(usedAt time.Time, retentionMS int64, now time.Time) bool {
-	return now.Sub(usedAt) > time.Duration(retentionMS)*time.Millisecond+keepMargin
+// isOver tells whether what was not used for so long is past its retention.
+func isOver(unusedFor time.Duration, retentionMS int64) bool {
+	return unusedFor > time.Duration(retentionMS)*time.Millisecond+keepMargin
 }
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -135,6 +135,7 @@
 		Program:    c.call.Program.ID,
 		Session:    c.call.Program.Session,
 		Instance:   state.instance,
+		Retention:  c.call.Route.Retention,
 		UsedTokens: state.events * turn.perEvent,
 	}
 	if whole && turn.retain && c.call.ResumeAfter == "" {
