Admission: a request waits for as long as it is likely served, by forecast

Cause: relay and daemon decided by shares of the caller's time (offers for 0.45 of it, a reservation for 0.4, back after 0.32 in an outage) and by fixed pauses, blind to what held the request up: a turn that came five seconds into an outage was held as long as one that came at its start, and both were told to come back at the same time.

Change: internal/admission, pure: how long a condition (a shard that moves, the store out, a service full or gone, routes not known) lasts on is a Pareto distribution of its age, whose shape is learned from those that ended. A request waits while it is more likely than not that it is served by the time at which that stops to count for its caller (deadline and patience, less what serving takes on its route as measured), and is refused at the moment at which that ends; Retry-After is the forecast, the urgent first. Used by offers, the ledger's waiting, and the first routes. A holder that waits for the store tells for how long it has been out; refusals log what they rest on. The shares and pauses are gone, but for that of a daemon that stops. Also: a holder's progress and silence are kept on the steady clock.

Tests: internal/admission, internal/relay/admission_test.go; all of the latter but the one on little time fail on the shares.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -133,8 +133,8 @@
 // to wait: it is answered as soon as the store does. Only a daemon that is cut
 // off from the store and from all that could help sends its callers elsewhere.
 func (h *holder) noteSlowAppend(current *pendingAppend) {
-	if !h.storeSilent.Swap(true) {
-		h.silentSince = time.Now()
+	if _, known := h.silentSince.since(current.sentAt); !known {
+		h.silentSince.set(current.sentAt)
 		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.waiting)).
 			Msg("Shard's partition does not answer. Turns are granted from headroom alone.")
 		h.metrics.lost(store.ErrUnavailable)
@@ -149,11 +149,24 @@
 
 // noteAnswered takes note that the store answered.
 func (h *holder) noteAnswered() {
-	if h.storeSilent.Swap(false) {
-		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", time.Since(h.silentSince)).Int("waiting", len(h.waiting)).
+	if out := h.storeOutFor(time.Now()); out > 0 {
+		h.silentSince.clear()
+		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", out).Int("waiting", len(h.waiting)).
 			Msg("Shard's partition answers again.")
 	}
 }
 
 // isIsolated tells whether another daemon had better hold the shard.
-func (h *holder) isIsolated() bool { return h.storeSilent.Load() && h.records.contact.IsIsolated() }
+func (h *holder) isIsolated() bool {
+	return h.storeOutFor(time.Now()) > 0 && h.records.contact.IsIsolated()
+}
+
+// storeOutFor tells for how long the store has not answered an append; 0 if none
+// has been under way for long.
+func (h *holder) storeOutFor(now time.Time) time.Duration {
+	out, silent := h.silentSince.since(now)
+	if !silent {
+		return 0
+	}
+	return max(out, time.Millisecond)
+}
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -64,7 +64,8 @@
 		if s.noteHolder(shard, response) {
 			moved = moved[:0] // what they said is older
 		}
-		if response.Result.isFinal() {
+		s.noteAnswer(shard, response.Result, time.Now())
+		if response.Result.isFinal() || response.gaveUp {
 			return response
 		}
 		if response.Result == resultMoved {
@@ -106,17 +107,23 @@
 	timer := time.NewTimer(request.patience())
 	defer timer.Stop()
 	storeOut := false
+	var hopeless <-chan time.Time
 	for {
 		select {
 		case response := <-answers:
 			if response.Result != resultPending {
 				return response
 			}
-			storeOut = response.StoreOut
 			timer.Reset(answerWithin)
+			storeOut = response.StoreOutMS > 0
+			if until, bounded := s.boundOf(ctx, request, response); storeOut && bounded {
+				hopeless = time.After(time.Until(until))
+			}
 		case <-timer.C:
 			s.Metrics.silent()
 			return Response{Result: resultSilent}
+		case <-hopeless:
+			return Response{Result: resultImpaired, gaveUp: true}
 		case <-ctx.Done():
 			if storeOut {
 				return Response{Result: resultImpaired}
@@ -126,6 +133,17 @@
 	}
 }
 
+// boundOf is until when an asker waits for a holder that waits for the store. Only a
+// turn that is to begin is given up early: the end of one is an answer that is ready.
+func (s *Service) boundOf(ctx context.Context, request Request, pending Response) (until time.Time, bounded bool) {
+	worthless, hasDeadline := ctx.Deadline()
+	if request.Begin == nil || !hasDeadline {
+		return time.Time{}, false
+	}
+	outFor := time.Duration(pending.StoreOutMS) * time.Millisecond
+	return s.hopeUntil(request.Shard, outFor, worthless, time.Now()), true
+}
+
 func (s *Service) deliver(response Response) { s.replies.Deliver(response.Number, response) }
 
 // patience is how long the holder may say nothing to a request. One that
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -70,10 +70,9 @@
 	pending    *pendingAppend
 	appending  atomic.Bool
 	appendNews chan appendNews
-	// storeSilent: the append under way was not answered for long, since
-	// silentSince.
-	storeSilent atomic.Bool
-	silentSince time.Time
+	// silentSince is when the append under way was first sent, if it has not been
+	// answered for long.
+	silentSince instant
 	flush       *time.Timer
 	// tasks are done by run, one after the other.
 	tasks chan func(context.Context)
@@ -88,10 +87,10 @@
 	// readingAhead bounds this daemon's readings ahead at a time.
 	readingAhead chan struct{}
 	// claiming and preparing tell askers that the shard is being read, and
-	// progressAt when that got on last, in nanoseconds since 1970.
+	// progressAt when that got on last.
 	claiming   atomic.Bool
 	preparing  atomic.Bool
-	progressAt atomic.Int64
+	progressAt instant
 
 	// heldSince is when the shard was claimed, and stay how long it is kept
 	// from then on even if another daemon should hold it.
@@ -146,12 +145,13 @@
 }
 
 // noteProgress takes note that the reading of the shard gets on.
-func (h *holder) noteProgress() { h.progressAt.Store(time.Now().UnixNano()) }
+func (h *holder) noteProgress() { h.progressAt.set(time.Now()) }
 
 // isGettingOn tells whether the reading of the shard got on lately: a claimant
 // that is cut off from the store is not waited for.
 func (h *holder) isGettingOn(now time.Time) bool {
-	return now.Sub(time.Unix(0, h.progressAt.Load())) < answerWithin
+	idle, begun := h.progressAt.since(now)
+	return begun && idle < answerWithin
 }
 
 func (h *holder) isLeaving() bool { return isClosed(h.leaving) }
@@ -366,7 +366,7 @@
 	h.pending = nil
 	h.handover = nil
 	h.appending.Store(false)
-	h.storeSilent.Store(false)
+	h.silentSince.clear()
 	h.barrier = false
 	h.refuseAll(h.waiting, resultMoved)
 	h.waiting = nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -10,9 +10,12 @@
 package ledger
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
 )
 
 // Errors of the service.
@@ -28,6 +31,30 @@
 	ErrStoreUnreachable = eris.Wrap(ErrUnavailable, "ledger: the store can not be reached")
 )
 
+// HeldUpError is an ErrUnavailable that tells what keeps a record from being
+// reached, and since when.
+type HeldUpError struct {
+	Shard int
+	// Kind is ShardMoving, or StoreOut: then the error is ErrStoreUnreachable, too.
+	Kind  admission.Kind
+	Since time.Time
+	// last is the last answer.
+	last result
+}
+
+// Error implements error.
+func (e *HeldUpError) Error() string {
+	return fmt.Sprintf("%v: shard %d, last answer: %s", e.Unwrap(), e.Shard, e.last)
+}
+
+// Unwrap returns ErrStoreUnreachable or ErrUnavailable.
+func (e *HeldUpError) Unwrap() error {
+	if e.Kind == admission.StoreOut {
+		return ErrStoreUnreachable
+	}
+	return ErrUnavailable
+}
+
 // Turn is a turn that is about to run.
 type Turn struct {
 	// ID names the caller's try; every try has its own.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -61,15 +61,17 @@
 type Response struct {
 	Number uint64 `json:"n"`
 	Result result `json:"r"`
-	// StoreOut tells, with resultPending, that the holder waits for a store that
-	// does not answer.
-	StoreOut bool `json:"out,omitempty"`
+	// StoreOutMS tells, with resultPending, for how many milliseconds the store has
+	// not answered the holder that waits for it; 0 if it does.
+	StoreOutMS int64 `json:"out_ms,omitempty"`
 	// Epoch and Holder tell who holds the shard, as far as the answerer knows.
 	Epoch  uint64 `json:"e,omitempty"`
 	Holder string `json:"d,omitempty"`
 	// Released tells that the holder of Epoch gave the shard up, and that Holder
 	// is to claim it.
 	Released bool `json:"rel,omitempty"`
+	// gaveUp: the asker did not wait for the answer. It is never sent.
+	gaveUp bool
 	// Grant answers Begin, Found answers Find.
 	Grant Grant     `json:"g,omitzero"`
 	Found *KeptTurn `json:"f,omitempty"`
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
@@ -61,6 +62,8 @@
 	// SettleTime is how long a daemon that started waits for news of the
 	// others before it asks for, or takes, any shard: it would take them all.
 	SettleTime time.Duration
+	// Admission decides how long a turn waits to begin; nil for one of its own.
+	Admission *admission.Admission
 	// Expected returns how many daemons are on record, this one included, 0 if
 	// that is not known: one that heard of most of them settles early.
 	Expected func() int
@@ -75,10 +78,12 @@
 	holders []*holder
 	known   *holderTable
 	avoided avoided
-	leaving chan struct{}
-	left    sync.Once
-	replies peer.Replies[Response]
-	settled chan struct{}
+	// troubles are those of shards that this daemon asked for.
+	troubles troubles
+	leaving  chan struct{}
+	left     sync.Once
+	replies  peer.Replies[Response]
+	settled  chan struct{}
 }
 
 // NewService returns a service; Run makes it work.
@@ -89,6 +94,9 @@
 		settled: make(chan struct{}),
 		leaving: make(chan struct{}),
 	}
+	if s.Admission == nil {
+		s.Admission = &admission.Admission{}
+	}
 	contact := options.Contact
 	if contact == nil {
 		contact = store.NoContact{}
@@ -176,9 +184,11 @@
 	return int(xxhash.Sum64String(program) % uint64(len(s.holders)))
 }
 
-// Begin reserves a turn's tokens and returns the history before it. After
-// ErrUnavailable it is not known whether they are reserved: the same turn may be
-// tried again, which reserves them once, or must be abandoned.
+// Begin reserves a turn's tokens and returns the history before it. The deadline
+// of ctx is when that stops to be of use: a turn that waits for a store which will
+// hardly be back by then is given up. After ErrUnavailable, a HeldUpError, it is not
+// known whether they are reserved: the same turn may be tried again, which reserves
+// them once, or must be abandoned.
 func (s *Service) Begin(ctx context.Context, turn Turn) (Grant, error) {
 	shard := s.shardOf(turn.Program)
 	response := s.ask(ctx, shard, Request{Begin: &turn})
@@ -198,15 +208,7 @@
 	case resultUnknownTurn:
 		return Grant{}, ErrUnknownTurn
 	}
-	return Grant{}, unavailable(shard, response)
-}
-
-// unavailable is the error for an answer that was none.
-func unavailable(shard int, last Response) error {
-	if last.Result == resultImpaired {
-		return eris.Wrapf(ErrStoreUnreachable, "shard %d", shard)
-	}
-	return eris.Wrapf(ErrUnavailable, "shard %d: %s", shard, last.Result)
+	return Grant{}, s.heldUp(shard, response.Result)
 }
 
 // Abandon ends a turn of which it is not known whether it was reserved: it
@@ -331,7 +333,7 @@
 		if stopped {
 			return
 		}
-		reply(Response{Number: request.Number, Result: resultPending, StoreOut: holder.storeSilent.Load()})
+		reply(Response{Number: request.Number, Result: resultPending, StoreOutMS: holder.storeOutFor(time.Now()).Milliseconds()})
 		if holder.isBusy() {
 			timer.Reset(pendingPause)
 		}
--- /dev/null
+++ b/internal/ledger/trouble.go
@@ -0,0 +1,90 @@
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+)
+
+// troubleGap is how long ago a shard's trouble must have been seen last to be the
+// same as one seen now: askers that wait ask again several times in that time.
+const troubleGap = 500 * time.Millisecond
+
+// troubles remembers what keeps each shard's record from being reached, and since
+// when, and lets the forecasts learn from those that end. The zero value is ready.
+type troubles struct {
+	mutex  sync.Mutex
+	shards map[int]trouble
+}
+
+type trouble struct {
+	kind   admission.Kind
+	since  time.Time
+	seenAt time.Time
+}
+
+// note takes note of a shard's trouble, which may have begun before it was seen, and
+// returns since when it lasts.
+func (t *troubles) note(shard int, kind admission.Kind, since, now time.Time) trouble {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, isKnown := t.shards[shard]
+	if !isKnown || now.Sub(known.seenAt) > troubleGap {
+		known = trouble{kind: kind, since: since}
+	}
+	if since.Before(known.since) {
+		known.since = since
+	}
+	if known.kind != kind && kind == admission.StoreOut {
+		known.kind = kind // what moves the shard is the outage
+	}
+	known.seenAt = now
+	if t.shards == nil {
+		t.shards = map[int]trouble{}
+	}
+	t.shards[shard] = known
+	return known
+}
+
+// end takes note that a shard's record was reached. It returns the trouble that
+// ended, false if none was seen until lately.
+func (t *troubles) end(shard int, now time.Time) (trouble, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, isKnown := t.shards[shard]
+	delete(t.shards, shard)
+	return known, isKnown && now.Sub(known.seenAt) <= troubleGap
+}
+
+// noteAnswer takes note of whether a shard's record was reached.
+func (s *Service) noteAnswer(shard int, answer result, now time.Time) {
+	switch {
+	case answer.isFinal():
+		if ended, seen := s.troubles.end(shard, now); seen {
+			s.Admission.Ended(ended.kind, now.Sub(ended.since))
+		}
+	case answer == resultImpaired:
+		s.troubles.note(shard, admission.StoreOut, now, now)
+	default:
+		s.troubles.note(shard, admission.ShardMoving, now, now)
+	}
+}
+
+// heldUp is the error for an answer that was none.
+func (s *Service) heldUp(shard int, last result) error {
+	kind := admission.ShardMoving
+	if last == resultImpaired {
+		kind = admission.StoreOut
+	}
+	now := time.Now()
+	return &HeldUpError{Shard: shard, Kind: kind, Since: s.troubles.note(shard, kind, now, now).since, last: last}
+}
+
+// hopeUntil is how long an asker waits on for a holder that waits for the store: an
+// answer after worthless is of no use to it.
+func (s *Service) hopeUntil(shard int, outFor time.Duration, worthless, now time.Time) time.Time {
+	seen := s.troubles.note(shard, admission.StoreOut, now.Add(-outFor), now)
+	wait := admission.Wait{Kind: admission.StoreOut, Since: seen.since, Worthless: worthless}
+	return s.Admission.Decide(wait, now).Until
+}
--- /dev/null
+++ b/internal/relay/admission_test.go
@@ -0,0 +1,150 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+// heldUp is the ledger's error for a shard that has been held up for a while.
+func heldUp(kind admission.Kind, lasted time.Duration) error {
+	return &ledger.HeldUpError{Kind: kind, Since: time.Now().Add(-lasted)}
+}
+
+func TestTurnIsRefusedAtOnceIfItsOutageOutlastsItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = heldUp(admission.StoreOut, 5*time.Second)
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(3 * time.Second)
+		got := h.serve(call)
+		if held := time.Since(call.Received); held > 0 {
+			t.Errorf("held for %s", held)
+		}
+		if got.refusal == nil || got.refusal.Reason != ReasonLedger || got.refusal.RetryAfter < 5*time.Second {
+			t.Errorf("refused with %+v: an outage of five seconds lasts on for as long, with even odds", got.refusal)
+		}
+		if len(h.ledger.abandoned) != 1 {
+			t.Errorf("abandoned %v", h.ledger.abandoned)
+		}
+	})
+}
+
+func TestTurnIsRefusedOnceItsHopeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		began := time.Now()
+		h.ledger.err = &ledger.HeldUpError{Kind: admission.StoreOut, Since: began}
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(6 * time.Second)
+		decision := h.relay.Admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: began, Worthless: call.Deadline}, began)
+		got := h.serve(call)
+		if got.refusal == nil || !time.Now().Equal(decision.Until) {
+			t.Errorf("refused with %+v after %s, want %s", got.refusal, time.Since(began), decision.Until.Sub(began))
+		}
+	})
+}
+
+func TestShardThatMovesIsWaitedForAndLearnedFrom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = heldUp(admission.ShardMoving, 0)
+		time.AfterFunc(400*time.Millisecond, func() { h.ledger.setError(nil) })
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(3 * time.Second)
+		if got := h.serve(call); !got.ended {
+			t.Errorf("refused with %+v", got.refusal)
+		}
+	})
+}
+
+func TestCallerThatLeavesSoonIsNotHeldUntilThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = heldUp(admission.StoreOut, 2*time.Second)
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(time.Minute)
+		call.Patience = 2 * time.Second
+		h.serve(call)
+		if held := time.Since(call.Received); held > 0 {
+			t.Errorf("held for %s, and the caller leaves after %s", held, call.Patience)
+		}
+	})
+}
+
+func TestUrgentCallersComeBackFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		returns := func(priority int) time.Duration {
+			h := newHarness(t, step{body: eventOne})
+			h.ledger.err = heldUp(admission.StoreOut, 4*time.Second)
+			call := newTurn(newRoute(route.KindStream))
+			call.Route.Priority = priority
+			call.Deadline = call.Received.Add(time.Second)
+			return h.serve(call).refusal.RetryAfter
+		}
+		if first, last := returns(0), returns(5); first >= last {
+			t.Errorf("the urgent comes back after %s, the other after %s", first, last)
+		}
+	})
+}
+
+func TestFullServiceIsWaitedForByWhatIsKnownOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{status: 503, notRun: true})
+		call := func(left time.Duration) *Call {
+			call := newCall(newRoute(route.KindOnce))
+			call.Deadline = call.Received.Add(left)
+			return call
+		}
+		first := call(time.Second)
+		h.serve(first)
+		held := time.Since(first.Received)
+		second := call(held)
+		got := h.serve(second)
+		if held == 0 || time.Since(second.Received) > 0 {
+			t.Errorf("held for %s, and then %s though it had been full for as long as there was time", held, time.Since(second.Received))
+		}
+		if got.refusal == nil || got.refusal.Reason != ReasonFull || got.refusal.RetryAfter < held {
+			t.Errorf("refused with %+v", got.refusal)
+		}
+		time.Sleep(2 * fullGap) // nobody knows any more
+		third := call(time.Second)
+		h.serve(third)
+		if time.Since(third.Received) < held/2 {
+			t.Errorf("held for %s by what was long ago", time.Since(third.Received))
+		}
+	})
+}
+
+func TestRequestIsOfferedThoughItHasLessTimeThanUsual(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(time.Second)
+		h.relay.serving.note(call.Route.Name, servingTime{first: 2 * time.Second, whole: 5 * time.Second})
+		if got := h.serve(call); !got.ended {
+			t.Errorf("refused with %+v", got.refusal)
+		}
+	})
+}
+
+func TestRefusalTellsWhatItRestsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		lines := &bytes.Buffer{}
+		h.relay.Logger = zerolog.New(lines)
+		h.ledger.err = heldUp(admission.StoreOut, 4*time.Second)
+		call := newTurn(newRoute(route.KindStream))
+		call.Deadline = call.Received.Add(time.Second)
+		h.relay.Serve(context.Background(), call, &recorder{})
+		expectParts(t, lines.String(), `"held_up_by":"store_out"`, `"since":4000`, `"left":1000`, `"chance":`, `"expected":`)
+	})
+}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/route"
@@ -38,24 +39,19 @@
 	preferred string
 	// runs counts instances that may have run the call.
 	runs int
-	// offers counts all tries, and heardAt is when the latest began, or when its
-	// instance last sent something.
-	offers  int
-	heardAt time.Time
+	// offers counts all tries. The latest began at offeredAt, and heardAt is when its
+	// instance last sent something, or the same.
+	offers    int
+	offeredAt time.Time
+	heardAt   time.Time
+	// heldUp is what held the call up last, and forecast what was expected of it.
+	heldUp   admission.Wait
+	forecast admission.Decision
 }
 
 // mayHaveRun tells whether some instance may have run the call.
 func (c *carrier) mayHaveRun() bool { return c.runs > 0 }
 
-// offerUntil is when the call stops being offered to full instances.
-func (c *carrier) offerUntil() time.Time {
-	if c.call.Deadline.IsZero() {
-		return c.call.Received.Add(time.Second)
-	}
-	whole := c.call.Deadline.Sub(c.call.Received)
-	return c.call.Received.Add(time.Duration(float64(whole) * offerShare))
-}
-
 // offer sends the call to one instance after another until one takes it. A nil
 // answer means that the call is over: refused, or its caller left.
 func (c *carrier) offer(ctx context.Context, outgoing Outgoing) (*Answer, instance.Instance) {
@@ -78,6 +74,7 @@
 		answer, err := c.send(ctx, target, outgoing)
 		if err == nil && !answer.NotRun && !answer.OtherInstance {
 			c.noteRun(target)
+			c.noteTaken()
 			return answer, target
 		}
 		if !c.goOn(ctx, target, answer, err) {
@@ -109,7 +106,8 @@
 
 func (c *carrier) send(ctx context.Context, target instance.Instance, outgoing Outgoing) (*Answer, error) {
 	c.offers++
-	c.heardAt = time.Now()
+	c.offeredAt = time.Now()
+	c.heardAt = c.offeredAt
 	outgoing.ConnectionLimit = c.connectionLimit()
 	return c.relay.Driver.Send(ctx, target, &outgoing)
 }
@@ -218,16 +216,24 @@
 	return false
 }
 
+// noteTaken takes note that the call's service takes requests.
+func (c *carrier) noteTaken() {
+	if lasted, ended := c.relay.full.end(c.service, c.offeredAt); ended {
+		c.relay.Admission.Ended(admission.ServiceFull, lasted)
+	}
+}
+
 // nextRound waits before all instances are offered the call again. False
 // means that the call was refused.
 func (c *carrier) nextRound(ctx context.Context) bool {
 	now := time.Now()
 	if c.relay.Pool.Count(c.service) == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
-		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.outagePause(), Detail: "No back end of this service is known."})
+		c.decide(admission.ServiceGone, now, now)
+		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.returnAfter(), Detail: "No back end of this service is known."})
 		return false
 	}
-	if now.After(c.offerUntil()) {
-		c.refuse(Refusal{Reason: ReasonFull, RetryAfter: refusalPause, Detail: "All back ends of this service are full."})
+	if decision := c.decide(admission.ServiceFull, c.relay.full.note(c.service, now), now); !decision.Waits(now) {
+		c.refuse(Refusal{Reason: ReasonFull, RetryAfter: c.returnAfter(), Detail: "All back ends of this service are full."})
 		return false
 	}
 	c.excluded = c.excluded[:0]
@@ -240,16 +246,6 @@
 	}
 }
 
-// outagePause is after when a caller should come back while something is out
-// that may last: as late as its time allows, so that its tries last through it.
-func (c *carrier) outagePause() time.Duration {
-	if c.call.Deadline.IsZero() {
-		return takeoverPause
-	}
-	left := time.Until(c.call.Deadline)
-	return min(max(time.Duration(outageShare*float64(left)), takeoverPause), outagePause)
-}
-
 // refuseLate ends a call whose time is over, whose caller left, or whose daemon
 // leaves.
 func (c *carrier) refuseLate(ctx context.Context) {
@@ -283,6 +279,9 @@
 	if cause != refusal.Reason {
 		line = line.Str("cause", string(cause))
 	}
+	if !c.heldUp.Since.IsZero() {
+		line = c.logForecast(line)
+	}
 	line.Msg("Request refused.")
 	c.responder.Refuse(refusal)
 }
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -62,6 +62,9 @@
 	}
 	event = event.Str("instance", target.ID).Int("status", status).Int("offers", c.offers).Int("runs", c.runs).
 		Dur("held", time.Since(c.call.Received)).Dur("instances_age", c.relay.Pool.Age()).Int64("routes_version", c.routesVersion())
+	if !c.heldUp.Since.IsZero() {
+		event = c.logForecast(event)
+	}
 	if state != nil {
 		event = event.Int64("events", state.events).Dur("first_event", state.firstAfter)
 		if state.turn != nil {
@@ -87,3 +90,10 @@
 	logger := callLogger(c.relay.ordinary, c.call)
 	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Msg("Offer not taken.")
 }
+
+// logForecast adds what held the call up, and what was expected of it when that was
+// last looked at.
+func (c *carrier) logForecast(line *zerolog.Event) *zerolog.Event {
+	return line.Stringer("held_up_by", c.heldUp.Kind).Dur("since", time.Since(c.heldUp.Since)).
+		Dur("left", time.Until(c.heldUp.Worthless)).Float64("chance", c.forecast.Chance).Dur("expected", c.forecast.Remaining)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -28,7 +28,9 @@
 		}
 		body, err := readWhole(answer.Body)
 		if err == nil {
-			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, time.Since(c.heardAt))
+			took := time.Since(c.offeredAt)
+			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, took)
+			c.relay.serving.note(c.call.Route.Name, servingTime{first: took, whole: took})
 			c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
 			c.answer(answer, body, target)
 			return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,28 +9,18 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
 const (
-	// offerShare is the part of a call's time during which it is offered to
-	// instances that are full, before it is refused.
-	offerShare = 0.45
 	// offerPause separates rounds of offers to all instances of a service.
 	offerPause = 15 * time.Millisecond
-	// refusalPause is after when a caller should come back that was refused
-	// because all instances are full or none is there.
-	refusalPause = 120 * time.Millisecond
-	// takeoverPause is the same when a program's record is being taken over.
-	takeoverPause = 250 * time.Millisecond
-	// stoppingPause is the same when the daemon stops: others serve already.
+	// stoppingPause is after when a caller should come back to whom a daemon that
+	// stops gave no answer: others serve already, it only has to reach one.
 	stoppingPause = 50 * time.Millisecond
-	// outageShare is the part of a caller's time after which it should come
-	// back while the store cannot be reached, and outagePause the longest.
-	outageShare = 0.32
-	outagePause = 1500 * time.Millisecond
 	// silentAfter is how long an instance must have sent nothing when a request
 	// is given up for that to speak against it.
 	silentAfter = 900 * time.Millisecond
@@ -42,15 +32,6 @@
 	bodyLimit = 16 << 20
 	// eventLimit is the longest event of a stream, in bytes.
 	eventLimit = 4 << 20
-	// beginTimeout bounds how long a turn waits for its reservation where the
-	// caller's patience is not known, and beginShare is the part of the caller's
-	// time that it may take: less than half, so that a second try fits in that
-	// waits as long.
-	beginTimeout = 1200 * time.Millisecond
-	beginShare   = 0.4
-	// patienceMargin is kept between that and the end of the caller's patience:
-	// the instance must answer within it.
-	patienceMargin = 500 * time.Millisecond
 	// beginPause separates tries to reserve a turn.
 	beginPause = 120 * time.Millisecond
 	// settleTimeout bounds how long a finished turn is tried to be settled.
@@ -80,6 +61,8 @@
 	Pool   *instance.Pool
 	Driver Driver
 	Ledger Ledger
+	// Admission decides how long requests wait; nil for one of its own.
+	Admission *admission.Admission
 	// Table returns the routes in force, nil while none are known.
 	Table func() *route.Table
 	// Daemons returns how many daemons share the instances' connections.
@@ -96,6 +79,10 @@
 	Options
 	sessions *sessions
 	splits   splits
+	// full are the services whose instances refuse all requests, and serving is
+	// what serving takes on each route.
+	full    fullServices
+	serving servingTimes
 	// ordinary is for lines of requests that went the ordinary way.
 	ordinary zerolog.Logger
 	// recording counts the text of turns that wait for their record.
@@ -108,6 +95,9 @@
 
 // New returns a relay.
 func New(options Options) *Relay {
+	if options.Admission == nil {
+		options.Admission = &admission.Admission{}
+	}
 	return &Relay{
 		Options:  options,
 		sessions: newSessions(),
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -21,6 +21,8 @@
 	hasHead bool
 	// firstAfter is how long the caller waited for the first event.
 	firstAfter time.Duration
+	// servedAfter is how long after the latest offer its first event came.
+	servedAfter time.Duration
 	// lastID is the last event that the caller has.
 	lastID string
 	events int64
@@ -79,6 +81,7 @@
 		_ = answer.Body.Close() // the connection serves others while the record is waited for
 		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
+		c.relay.serving.note(c.call.Route.Name, servingTime{first: state.servedAfter, whole: time.Since(c.offeredAt)})
 		state.instance = target.ID
 		c.endStream(ctx, answer, target, state)
 		return false
@@ -138,6 +141,8 @@
 		}
 		if passed > 0 {
 			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, time.Since(c.heardAt))
+		} else {
+			state.servedAfter = time.Since(c.offeredAt)
 		}
 		c.heardAt = time.Now()
 		if !state.hasHead {
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -31,7 +31,7 @@
 // beginTurn reserves the turn's tokens. False means that the call was ended.
 func (c *carrier) beginTurn(ctx context.Context) (turn *turnState, ok bool) {
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, c.beginTime())
+	ctx, cancel := context.WithDeadline(ctx, c.beginUntil(started))
 	defer cancel()
 	grant, err := c.tryBegin(ctx)
 	took := time.Since(started)
@@ -48,28 +48,14 @@
 		c.refuse(stopping)
 	default:
 		c.logger.Warn().Err(err).Dur("took", took).Msg("Program's record not reached.")
-		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.ledgerPause(err), Detail: "The program's record can not be reached."})
+		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.returnAfter(), Detail: "The program's record can not be reached."})
 	}
 	return nil, false
 }
 
-// beginTime is how long the turn's reservation is tried for: as long as the
-// caller goes on to listen, and a part of its time at most, so that it can still
-// come back after a refusal. Who waits here is served the moment the store
-// answers again; who was sent away comes when its pause is over.
-func (c *carrier) beginTime() time.Duration {
-	most := beginTimeout
-	if c.call.Patience > 0 {
-		most = max(c.call.Patience-patienceMargin, beginTimeout)
-	}
-	if c.call.Deadline.IsZero() {
-		return most
-	}
-	return min(time.Duration(beginShare*float64(time.Until(c.call.Deadline))), most)
-}
-
 // tryBegin asks for the reservation until it is granted, refused for good, or
-// its time is over: an outage of the store or a takeover may end any moment.
+// hardly granted in time: an outage of the store or a takeover may end any moment,
+// and who waits is served the moment it does.
 func (c *carrier) tryBegin(ctx context.Context) (ledger.Grant, error) {
 	turn := ledger.Turn{
 		ID:           c.call.ID,
@@ -80,7 +66,9 @@
 		Previous:     c.call.Program.Previous,
 		Retention:    c.call.Route.Retention,
 	}
+	started := time.Now()
 	if c.call.Route.RetainContext && c.relay.recording.isCrowded(c.relay.RecordBytes) {
+		c.decideTurn(errTooMuchWaits, started, started)
 		return ledger.Grant{}, errTooMuchWaits
 	}
 	for {
@@ -88,24 +76,13 @@
 		if !errors.Is(err, ledger.ErrUnavailable) {
 			return grant, err
 		}
-		select {
-		case <-ctx.Done():
+		if !c.waitForTurn(ctx, err, started) {
 			c.relay.Ledger.Abandon(turn)
 			return grant, err
-		case <-time.After(beginPause):
 		}
 	}
 }
 
-// ledgerPause is after when a caller should come back whose program's record
-// could not be reached: soon after a takeover, late while the store is out.
-func (c *carrier) ledgerPause(err error) time.Duration {
-	if errors.Is(err, ledger.ErrStoreUnreachable) || errors.Is(err, errTooMuchWaits) {
-		return c.outagePause()
-	}
-	return takeoverPause
-}
-
 func (c *carrier) tokensPerEvent() int64 {
 	service := c.serviceInForce()
 	if service == nil || service.Model == nil {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
@@ -36,10 +37,6 @@
 	// recordShare is the part of the memory that the text of turns may take
 	// which wait for their record: some hundred turns on the smallest machines.
 	recordShare = 0.1
-	// routesShare is the part of a caller's time that a request waits for the
-	// first routes, and longestRoutesWait the most: both leave it a second try.
-	routesShare       = 0.4
-	longestRoutesWait = 2 * time.Second
 	// heapGrowth is by how many percent the heap may grow until it is collected.
 	// Memory costs operators more than the processor time of collecting: at 30
 	// in place of the runtime's 100 a daemon takes 13 MB at its peak in place of
@@ -54,6 +51,8 @@
 	logger   zerolog.Logger
 	adapter  Adapter
 
+	// admission decides how long requests wait.
+	admission  *admission.Admission
 	relay      *relay.Relay
 	ledger     *ledger.Service
 	membership *membership.Membership
@@ -69,11 +68,12 @@
 
 	table atomic.Pointer[route.Table]
 	// hasTable is closed once routes are known.
-	hasTable chan struct{}
-	stopping atomic.Bool
-	stopOnce sync.Once
-	cancel   context.CancelFunc
-	workers  sync.WaitGroup
+	hasTable  chan struct{}
+	startedAt time.Time
+	stopping  atomic.Bool
+	stopOnce  sync.Once
+	cancel    context.CancelFunc
+	workers   sync.WaitGroup
 }
 
 // Start opens the listeners and sets the daemon going.
@@ -95,7 +95,10 @@
 		logger:   logger,
 		figures:  figures,
 		hasTable: make(chan struct{}),
-		pool:     instance.NewPool(settings.Zone, newRandom()),
+
+		startedAt: time.Now(),
+		admission: &admission.Admission{},
+		pool:      instance.NewPool(settings.Zone, newRandom()),
 		adapter: newAdapter(AdapterOptions{
 			StoreAddress: settings.StoreAddress,
 			Logger:       part(logger, "adapter"),
@@ -163,6 +166,7 @@
 		Partitions: ledgerPartitions(d.settings),
 		Directory:  store.Partition{Space: ledgerDirectory},
 		SettleTime: ledger.DefaultSettleTime,
+		Admission:  d.admission,
 		Expected:   d.registry.count,
 		Logger:     part(d.logger, "ledger"),
 		Metrics:    ledger.NewMetrics(figures),
@@ -174,6 +178,7 @@
 		Table:   d.table.Load,
 		Daemons: func() int { return len(d.membership.Members()) },
 
+		Admission:   d.admission,
 		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
 		Logger:      part(d.logger, "relay"),
 		Metrics:     relay.NewMetrics(figures),
@@ -228,12 +233,15 @@
 	d.workers.Go(func() { d.watchInstances(ctx) })
 }
 
-// Table implements Gateway.
+// Table implements Gateway. The first routes are waited for while it is likely that
+// they come within the time that the caller has left.
 func (d *Daemon) Table(ctx context.Context, left time.Duration) *route.Table {
 	if table := d.table.Load(); table != nil || left <= 0 {
 		return table
 	}
-	timer := time.NewTimer(min(time.Duration(routesShare*float64(left)), longestRoutesWait))
+	now := time.Now()
+	wait := admission.Wait{Kind: admission.RoutesUnknown, Since: d.startedAt, Worthless: now.Add(left)}
+	timer := time.NewTimer(d.admission.Decide(wait, now).Until.Sub(now))
 	defer timer.Stop()
 	select {
 	case <-d.hasTable:
