Ledger: a daemon that was started again takes its shards back

Ruled out: the readings (0.02 to 0.1 s each) and the store, which answered.

Change: a daemon that starts reads the directory of holders; whoever looks for a shard asks the daemon at its holder's address, whichever run it is of, which claims it if the run before held it. A holder is dead only if its address was heard of and says so. A daemon settles as soon as the directory names a holder of each shard.

--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -28,18 +28,37 @@
 // failed is its epoch, and another daemon is asked to take the shard.
 func (s *Service) choose(shard int, asked []structs.DaemonID, now time.Time) (target structs.DaemonID, failed uint64) {
 	holder := s.known.get(shard)
-	id := structs.DaemonID(holder.Daemon)
-	if holder.Daemon != "" {
-		isUsable := s.isAlive(holder.Daemon) && !slices.Contains(asked, id) && !s.avoided.isSilent(id, holder.learnedAt, now)
-		if isUsable && !holder.released {
-			return id, 0
-		}
-		failed = holder.Epoch
-		if isUsable {
-			return id, failed // it is to claim the shard
-		}
+	if holder.Daemon == "" {
+		return s.successor(shard, asked, now), 0
+	}
+	id, mayLive := s.runAt(structs.DaemonID(holder.Daemon))
+	isUsable := mayLive && !slices.Contains(asked, id) && !s.avoided.isSilent(id, holder.learnedAt, now)
+	switch {
+	case isUsable && holder.released:
+		return id, holder.Epoch // it is to claim the shard
+	case isUsable:
+		return id, 0
+	}
+	return s.successor(shard, append(slices.Clone(asked), id, structs.DaemonID(holder.Daemon)), now), holder.Epoch
+}
+
+// runAt returns the run to ask in place of a shard's holder, false if its daemon is
+// dead. That is the one at the holder's address: a daemon that was started again
+// takes its shards back, so that after the loss of all daemons all agree on who
+// takes what before they have heard of each other.
+func (s *Service) runAt(holder structs.DaemonID) (run structs.DaemonID, mayLive bool) {
+	address := holder.Address()
+	if address == s.Self.Address() {
+		return s.Self, true
+	}
+	member, heardOf := s.View.Lookup(address)
+	switch {
+	case !heardOf:
+		return structs.NewDaemonID(address, structs.AnyIncarnation), true
+	case member.Daemon.ID.Incarnation() < holder.Incarnation():
+		return holder, true
 	}
-	return s.successor(shard, append(slices.Clone(asked), id), now), failed
+	return member.Daemon.ID, member.State != membership.StateDead
 }
 
 // successor returns the daemon that should hold a shard if some cannot: the
@@ -81,11 +100,13 @@
 	return member.State == membership.StateAlive || member.State == membership.StateSuspect
 }
 
-// isAlive implements fleet. A daemon that is leaving holds its shards until it
-// has passed them on.
-func (s *Service) isAlive(daemon string) bool {
+// mayLive implements fleet. A daemon that is leaving holds its shards until it
+// has passed them on, and one that was not heard of yet may hold one, too: daemons
+// that start together hear of each other little by little.
+func (s *Service) mayLive(daemon string) bool {
 	id := structs.DaemonID(daemon)
-	return id == s.Self || s.View.State(id) != membership.StateDead
+	run, lives := s.runAt(id)
+	return lives && (run == id || run.Incarnation() == structs.AnyIncarnation)
 }
 
 // preferred implements fleet.
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -61,10 +61,10 @@
 	return "", false
 }
 
-// mustLeaveTo tells whether a shard must be left to its holder: one that lives
+// mustLeaveTo tells whether a shard must be left to its holder: one that may live
 // and of which there is no bad news.
 func (h *holder) mustLeaveTo(holder holderRecord, failed uint64) bool {
-	return holder.Daemon != "" && holder.Daemon != h.daemon && holder.Epoch > failed && h.fleet.isAlive(holder.Daemon)
+	return holder.Daemon != "" && holder.Daemon != h.daemon && holder.Epoch > failed && h.fleet.mayLive(holder.Daemon)
 }
 
 // claim takes the shard over: first the new epoch, which shuts the former
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -29,6 +29,10 @@
 
 	// readTime is how long a reading takes a record.
 	readTime time.Duration
+	// settleTime is that of daemons that start.
+	settleTime time.Duration
+	// blind: daemons that start have heard of no other.
+	blind bool
 
 	mutex    sync.Mutex
 	services map[structs.DaemonID]*Service
@@ -70,9 +74,10 @@
 		Self:       id,
 		Store:      &testStore{Store: f.store, fleet: f},
 		Transport:  &testTransport{fleet: f, self: id},
-		View:       f,
+		View:       f.view(id),
 		Partitions: partitions,
 		Directory:  store.Partition{Space: "holders"},
+		SettleTime: f.settleTime,
 		Logger:     zerolog.Nop(),
 		Metrics:    NewMetrics(prometheus.NewRegistry()),
 	})
@@ -184,6 +189,50 @@
 	return membership.StateAlive
 }
 
+// Lookup implements View.
+func (f *testFleet) Lookup(address string) (membership.Member, bool) {
+	f.mutex.Lock()
+	var latest structs.DaemonID
+	for id := range f.stops { // all that ever ran
+		if id.Address() == address && (latest == "" || id.Incarnation() > latest.Incarnation()) {
+			latest = id
+		}
+	}
+	f.mutex.Unlock()
+	return membership.Member{Daemon: structs.Daemon{ID: latest}, State: f.State(latest)}, latest != ""
+}
+
+// blindView is the view of a daemon that has heard of no other yet.
+type blindView struct {
+	*testFleet
+	self structs.DaemonID
+}
+
+// Members implements membership.View.
+func (v blindView) Members() []membership.Member {
+	return []membership.Member{{Daemon: structs.Daemon{ID: v.self}, State: membership.StateAlive}}
+}
+
+// Lookup implements View.
+func (v blindView) Lookup(string) (membership.Member, bool) { return membership.Member{}, false }
+
+// view returns a daemon's view of the fleet.
+func (f *testFleet) view(id structs.DaemonID) View {
+	if f.blind {
+		return blindView{testFleet: f, self: id}
+	}
+	return f
+}
+
+// claims returns how often shards were claimed so far.
+func (f *testFleet) claims() int {
+	records, _, err := f.store.Read(context.Background(), store.Partition{Space: "holders"}, 0, 0)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return len(records)
+}
+
 // Subscribe implements membership.View.
 func (f *testFleet) Subscribe(func(membership.Member)) {}
 
@@ -229,7 +278,7 @@
 // Send implements peer.Transport.
 func (t *testTransport) Send(to structs.DaemonID, message peer.Message) {
 	t.fleet.mutex.Lock()
-	target := t.fleet.services[to]
+	target := t.fleet.serviceAt(to)
 	if request, isRequest := message.(*Request); isRequest && request.Prepare {
 		t.fleet.offers++
 	}
@@ -240,6 +289,19 @@
 	}
 }
 
+// serviceAt returns the service that gets what is sent to a daemon.
+func (f *testFleet) serviceAt(to structs.DaemonID) *Service {
+	if to.Incarnation() != structs.AnyIncarnation {
+		return f.services[to]
+	}
+	for id, service := range f.services {
+		if id.Address() == to.Address() {
+			return service
+		}
+	}
+	return nil
+}
+
 func testContext(t *testing.T) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +69,13 @@
 	return true
 }
 
+// isComplete tells whether a holder of each shard is known.
+func (t *holderTable) isComplete() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return !slices.ContainsFunc(t.holders, func(h knownHolder) bool { return h.Daemon == "" })
+}
+
 // forget drops who holds a shard; the epoch stays, so that older news is not
 // taken up again.
 func (t *holderTable) forget(shard int) {
@@ -79,8 +87,8 @@
 
 // fleet is what a holder asks of membership.
 type fleet interface {
-	// isAlive tells whether a daemon lives, as far as is known.
-	isAlive(daemon string) bool
+	// mayLive tells whether a daemon lives, as far as is known.
+	mayLive(daemon string) bool
 	// preferred returns the daemon that should hold a shard if some cannot.
 	preferred(shard int, except ...structs.DaemonID) string
 	// askOne sends a request to one daemon and waits for its answer.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -47,12 +48,20 @@
 	handoverLook = 20 * time.Millisecond
 )
 
+// View is what the ledger sees of membership.
+type View interface {
+	membership.View
+	// Lookup returns the latest run that was heard of at an address; false if none
+	// was.
+	Lookup(address string) (membership.Member, bool)
+}
+
 // Options give a Service what it works with.
 type Options struct {
 	Self      structs.DaemonID
 	Store     store.Store
 	Transport peer.Transport
-	View      membership.View
+	View      View
 	// Contact tells when the store answers again; nil if nothing does.
 	Contact store.Contact
 	// Partitions names every shard's partition, the same in the whole fleet.
@@ -60,7 +69,8 @@
 	// Directory is the partition that tells who holds each shard.
 	Directory store.Partition
 	// SettleTime is how long a daemon that started waits for news of the
-	// others before it asks for, or takes, any shard: it would take them all.
+	// others before it asks for, or takes, any shard, unless the directory names a
+	// holder of each: it would take them all.
 	SettleTime time.Duration
 	// Admission decides how long a turn waits to begin; nil for one of its own.
 	Admission *admission.Admission
@@ -76,6 +86,7 @@
 type Service struct {
 	Options
 	holders []*holder
+	records *recordStore
 	known   *holderTable
 	avoided avoided
 	// troubles are those of shards that this daemon asked for.
@@ -101,14 +112,14 @@
 	if contact == nil {
 		contact = store.NoContact{}
 	}
-	records := &recordStore{Store: options.Store, contact: contact}
+	s.records = &recordStore{Store: options.Store, contact: contact}
 	readingAhead := make(chan struct{}, 1)
 	for i, partition := range options.Partitions {
 		s.holders = append(s.holders, &holder{
 			shard:      i,
 			partition:  partition,
 			daemon:     string(options.Self),
-			records:    records,
+			records:    s.records,
 			logger:     options.Logger.With().Int("shard", i).Logger(),
 			metrics:    options.Metrics,
 			operations: make(chan operation, operationQueue),
@@ -133,11 +144,15 @@
 	workers.Wait()
 }
 
-// settle waits until the daemon had time to hear of the others.
+// settle waits until the daemon knows who holds the shards, or had time to hear of
+// the others: it would take all shards.
 func (s *Service) settle(ctx context.Context) {
 	started := time.Now()
+	reading, cancel := context.WithTimeout(ctx, s.SettleTime)
+	defer cancel()
+	go s.readHolders(reading)
 	heard, heardAt := 0, started
-	for time.Since(started) < s.SettleTime && ctx.Err() == nil {
+	for time.Since(started) < s.SettleTime && ctx.Err() == nil && !s.known.isComplete() {
 		if members := len(s.View.Members()); members != heard {
 			heard, heardAt = members, time.Now()
 		}
@@ -146,10 +161,23 @@
 		}
 		clock.Sleep(ctx, min(settledLook, s.SettleTime-time.Since(started)))
 	}
-	s.Logger.Info().Int("members", heard).Dur("took", time.Since(started)).Msg("Settled.")
+	s.Logger.Info().Int("members", heard).Bool("holders_known", s.known.isComplete()).
+		Dur("took", time.Since(started)).Msg("Settled.")
 	close(s.settled)
 }
 
+// readHolders reads who holds the shards by the directory.
+func (s *Service) readHolders(ctx context.Context) {
+	records, _, err := s.records.newest(ctx, s.Directory, func() {})
+	if err != nil {
+		s.Logger.Info().Err(err).Msg("Directory not read. Holders are asked for.")
+		return
+	}
+	for shard := range s.holders {
+		s.known.note(shard, holderUnder(strconv.Itoa(shard), records))
+	}
+}
+
 // hasHeardMost tells whether most daemons on record were heard of.
 func (s *Service) hasHeardMost(heard int) bool {
 	if s.Expected == nil {
--- a/internal/ledger/simulation_world_test.go
+++ b/internal/ledger/simulation_world_test.go
@@ -238,6 +238,18 @@
 	return membership.StateAlive
 }
 
+// Lookup implements ledger.View.
+func (w *world) Lookup(address string) (membership.Member, bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, d := range w.daemons {
+		if d.id.Address() == address {
+			return membership.Member{Daemon: structs.Daemon{ID: d.id}, State: d.state()}, true
+		}
+	}
+	return membership.Member{}, false
+}
+
 // Subscribe implements membership.View.
 func (w *world) Subscribe(func(membership.Member)) {}
 
@@ -272,7 +284,8 @@
 func (d *simulatedDaemon) receive(w *world, to structs.DaemonID, line []byte) {
 	w.mutex.Lock()
 	service, way := d.service, d.proxy
-	isMeant := d.id == to && d.diedAt.IsZero()
+	anyRun := to.Incarnation() == structs.AnyIncarnation && to.Address() == d.id.Address()
+	isMeant := (d.id == to || anyRun) && d.diedAt.IsZero()
 	w.mutex.Unlock()
 	if !isMeant {
 		return
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -186,6 +186,17 @@
 	return r.state()
 }
 
+// Lookup returns the latest run that was heard of at an address; false if none was.
+func (m *Membership) Lookup(address string) (Member, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	r := m.records[address]
+	if r == nil {
+		return Member{}, false
+	}
+	return Member{Daemon: r.daemon, State: r.state()}, true
+}
+
 // Alive tells that a run is not dead: it may be suspected or leaving.
 func (m *Membership) Alive(daemon structs.DaemonID) bool { return m.State(daemon) != StateDead }
 
