--- a/internal/ledger/trouble.go
+++ b/internal/ledger/trouble.go
@@ -36,7 +36,7 @@
 	if since.Before(known.since) {
 		known.since = since
 	}
-	if known.kind != kind && kind == admission.StoreOut {
+	if kind == admission.StoreOut {
 		known.kind = kind // what moves the shard is the outage
 	}
 	known.seenAt = now
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
@@ -148,3 +149,28 @@
 		expectParts(t, lines.String(), `"held_up_by":"store_out"`, `"since":4000`, `"left":1000`, `"chance":`, `"expected":`)
 	})
 }
+
+func TestHeldUpRequestsAreCountedByWhatBecameOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = heldUp(admission.ShardMoving, 0)
+		time.AfterFunc(400*time.Millisecond, func() { h.ledger.setError(nil) })
+		h.serve(newTurn(newRoute(route.KindStream)))
+		h.serve(newTurn(newRoute(route.KindStream))) // not held up
+		h.ledger.setError(heldUp(admission.StoreOut, time.Hour))
+		h.serve(newTurn(newRoute(route.KindStream)))
+		count := func(by admission.Kind, outcome string) float64 {
+			written := &dto.Metric{}
+			if err := h.relay.Metrics.waits.WithLabelValues(by.String(), outcome).Write(written); err != nil {
+				t.Fatal(err)
+			}
+			return written.GetCounter().GetValue()
+		}
+		if served, refused := count(admission.ShardMoving, heldUpServed), count(admission.StoreOut, heldUpRefused); served != 1 || refused != 1 {
+			t.Errorf("%v served, %v refused", served, refused)
+		}
+		if others := count(admission.ShardMoving, heldUpRefused) + count(admission.StoreOut, heldUpServed); others != 0 {
+			t.Errorf("%v counted as what they were not", others)
+		}
+	})
+}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -274,6 +274,7 @@
 		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
 	}
 	c.relay.Metrics.refused(refusal.Reason)
+	c.noteForecast(heldUpRefused)
 	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
 		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
 	if cause != refusal.Reason {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 )
 
@@ -26,6 +27,9 @@
 	begins      *prometheus.HistogramVec
 	records     *prometheus.HistogramVec
 	leftOut     prometheus.Counter
+	// waits are requests that were held up, by what held them up last and by what
+	// became of them.
+	waits *prometheus.CounterVec
 }
 
 // NewMetrics registers the relay's metrics.
@@ -40,8 +44,9 @@
 		records:     histograms("turn_record_seconds", "Time until the end of a kept turn was on record, by outcome.", "outcome"),
 		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
 	}
+	m.waits = counters("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome")
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
-	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut)
+	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits)
 	return m
 }
 
@@ -67,6 +72,16 @@
 
 func (m *Metrics) refused(reason Reason) { m.refusals.WithLabelValues(string(reason)).Inc() }
 
+// Outcomes of requests that were held up.
+const (
+	heldUpServed  = "served"
+	heldUpRefused = "refused"
+)
+
+func (m *Metrics) heldUp(by admission.Kind, outcome string) {
+	m.waits.WithLabelValues(by.String(), outcome).Inc()
+}
+
 func (m *Metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *Metrics) retry() { m.runs.WithLabelValues("retry").Inc() }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -43,6 +43,7 @@
 
 func (c *carrier) answer(answer *Answer, body []byte, target instance.Instance) {
 	c.relay.Metrics.answered(c.call, answer.Status)
+	c.noteForecast(heldUpServed)
 	c.logAnswered("Request answered.", target, answer.Status, nil)
 	c.responder.Answer(answer.Status, answer.Header, body)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -209,6 +209,7 @@
 		return
 	}
 	c.relay.Metrics.answered(c.call, answer.Status)
+	c.noteForecast(heldUpServed)
 	c.logAnswered("Stream ended.", target, answer.Status, state)
 	c.responder.End()
 }
