Ledger: a takeover is not noted as an outage; one mapping from answers to conditions

Each "pending" of a holder was noted as an outage before it was looked at whether the store is out, so takeovers shortened the forecasts of outages. Also: what an answer tells of its shard was decided in two places, and allowance_test.go set its fleet up eight times.

Change: the bound is asked for only if the holder waits for the store; result.trouble; newWarmFleet; a duration is no longer taken apart and put together. But for the first behaviour is as before, and the tests keep their assertions.

Test: TestTakeoverIsNotTakenForAnOutage, which failed before (700 ms expected, and 668 after a takeover).

--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -25,6 +25,17 @@
 	return Turn{ID: id, Program: program, BudgetTokens: 1000, MostTokens: most, Retention: time.Minute}
 }
 
+// newWarmFleet returns a fleet, one of its services, and programs of one shard. The
+// first of them has begun, so that the shard's holder has an allowance.
+func newWarmFleet(t *testing.T, daemons, programs int) (*testFleet, *Service, []string) {
+	t.Helper()
+	f := newTestFleet(t, daemons)
+	s := f.service(daemonID(0, 1))
+	names := programsOfOneShard(s, programs)
+	warmUp(t, s, names[0])
+	return f, s, names
+}
+
 // warmUp lets a program begin in a shard, so that its holder has an allowance.
 func warmUp(t *testing.T, s *Service, program string) {
 	t.Helper()
@@ -33,10 +44,7 @@
 
 func TestProgramBeginsWhileTheStoreIsOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 2)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 2, 2)
 		f.store.SetDown(true)
 		started := time.Now()
 		for i := range 5 {
@@ -63,10 +71,7 @@
 
 func TestAllowanceOfAHolderThatDiedCountsAsSpent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 4)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 2, 4)
 		f.store.SetDown(true)
 		if _, err := s.Begin(testContext(t), allowanceTurn(names[1], "out", 500)); err != nil {
 			t.Fatal(err)
@@ -93,12 +98,9 @@
 
 func TestLostAllowanceCountsUntilItsProgramsAreOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 3)
-		warmUp(t, s, names[0])
+		f, _, names := newWarmFleet(t, 2, 3)
 		f.killAll()
-		s = f.start(daemonID(0, 2))
+		s := f.start(daemonID(0, 2))
 		refusedWith(t, s, allowanceTurn(names[1], "early", 1000), ErrBudgetSpent)
 		time.Sleep(allowanceLife + time.Minute + keepMargin + time.Second)
 		begin(t, s, allowanceTurn(names[2], "late", 1000))
@@ -107,10 +109,7 @@
 
 func TestAllowanceIsGivenBackByAPlannedStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 2)
-		warmUp(t, s, names[0])
+		f, _, names := newWarmFleet(t, 2, 2)
 		holder := f.holderOf(names[0])
 		f.leave(holder)
 		time.Sleep(2 * time.Second)
@@ -123,10 +122,7 @@
 
 func TestHolderThatTheStoreDoesNotConfirmStopsGranting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 1)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 3)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 1, 3)
 		f.store.SetDown(true)
 		time.Sleep(allowanceLife - time.Second)
 		if _, err := s.Begin(testContext(t), allowanceTurn(names[1], "in-time", 10)); err != nil {
@@ -141,10 +137,7 @@
 
 func TestAllowanceCoversTheRetentionOnRecordOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 1)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 2)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 1, 2)
 		f.store.SetDown(true)
 		turn := allowanceTurn(names[1], "longer", 10)
 		turn.Retention = 2 * time.Minute
@@ -156,10 +149,7 @@
 
 func TestTurnWhoseAccountDiedWithItsHolderIsKeptForItsRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 2)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 2, 2)
 		begin(t, s, allowanceTurn(names[1], "a", 10))
 		f.killAll()
 		s = f.start(daemonID(0, 2))
@@ -178,10 +168,7 @@
 
 func TestTurnsGoOnWithWhatOthersDidNotUseWhileTheStoreIsOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 2)
-		s := f.service(daemonID(0, 1))
-		names := programsOfOneShard(s, 2)
-		warmUp(t, s, names[0])
+		f, s, names := newWarmFleet(t, 2, 2)
 		f.store.SetDown(true)
 		for i := range 9 { // of 500 tokens, each wants 100 and uses 50
 			turn := allowanceTurn(names[1], fmt.Sprint("turn-", i), 100)
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -116,7 +116,10 @@
 			}
 			timer.Reset(answerWithin)
 			storeOut = response.StoreOutMS > 0
-			if until, bounded := s.boundOf(ctx, request, response); storeOut && bounded {
+			if !storeOut {
+				continue
+			}
+			if until, bounded := s.boundOf(ctx, request, response); bounded {
 				hopeless = time.After(time.Until(until))
 			}
 		case <-timer.C:
--- a/internal/ledger/trouble.go
+++ b/internal/ledger/trouble.go
@@ -26,7 +26,7 @@
 
 // note takes note of a shard's trouble, which may have begun before it was seen, and
 // returns since when it lasts.
-func (t *troubles) note(shard int, kind admission.Kind, since, now time.Time) trouble {
+func (t *troubles) note(shard int, kind admission.Kind, since, now time.Time) time.Time {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known, isKnown := t.shards[shard]
@@ -44,7 +44,7 @@
 		t.shards = map[int]trouble{}
 	}
 	t.shards[shard] = known
-	return known
+	return known.since
 }
 
 // end takes note that a shard's record was reached. It returns the trouble that
@@ -59,32 +59,34 @@
 
 // noteAnswer takes note of whether a shard's record was reached.
 func (s *Service) noteAnswer(shard int, answer result, now time.Time) {
-	switch {
-	case answer.isFinal():
-		if ended, seen := s.troubles.end(shard, now); seen {
-			s.Admission.Ended(ended.kind, now.Sub(ended.since))
-		}
-	case answer == resultImpaired:
-		s.troubles.note(shard, admission.StoreOut, now, now)
-	default:
-		s.troubles.note(shard, admission.ShardMoving, now, now)
+	if !answer.isFinal() {
+		s.troubles.note(shard, answer.trouble(), now, now)
+		return
+	}
+	if ended, seen := s.troubles.end(shard, now); seen {
+		s.Admission.Ended(ended.kind, now.Sub(ended.since))
 	}
 }
 
+// trouble is what an answer that is not final tells of its shard.
+func (r result) trouble() admission.Kind {
+	if r == resultImpaired {
+		return admission.StoreOut
+	}
+	return admission.ShardMoving
+}
+
 // heldUp is the error for an answer that was none.
 func (s *Service) heldUp(shard int, last result) error {
-	kind := admission.ShardMoving
-	if last == resultImpaired {
-		kind = admission.StoreOut
-	}
 	now := time.Now()
-	return &HeldUpError{Shard: shard, Kind: kind, Since: s.troubles.note(shard, kind, now, now).since, last: last}
+	kind := last.trouble()
+	return &HeldUpError{Shard: shard, Kind: kind, Since: s.troubles.note(shard, kind, now, now), last: last}
 }
 
 // hopeUntil is how long an asker waits on for a holder that waits for the store: an
 // answer after worthless is of no use to it.
 func (s *Service) hopeUntil(shard int, outFor time.Duration, worthless, now time.Time) time.Time {
-	seen := s.troubles.note(shard, admission.StoreOut, now.Add(-outFor), now)
-	wait := admission.Wait{Kind: admission.StoreOut, Since: seen.since, Worthless: worthless}
+	since := s.troubles.note(shard, admission.StoreOut, now.Add(-outFor), now)
+	wait := admission.Wait{Kind: admission.StoreOut, Since: since, Worthless: worthless}
 	return s.Admission.Decide(wait, now).Until
 }
--- /dev/null
+++ b/internal/ledger/trouble_test.go
@@ -0,0 +1,31 @@
+package ledger
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+)
+
+// A turn that waits for a shard's reading meets a takeover: its length says nothing
+// of outages of the store.
+func TestTakeoverIsNotTakenForAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRollingFleet(t, 1)
+		f.fillHistory(t)
+		f.readTime = rollingReadTime
+		s := f.service(daemonID(0, 1))
+		before := outageForecast(s)
+		begin(t, s, Turn{ID: "a", Program: "p"})
+		if after := outageForecast(s); after != before {
+			t.Errorf("an outage was expected to last %s, and after a takeover %s", before, after)
+		}
+	})
+}
+
+// outageForecast is how long an outage that begins now is expected to last.
+func outageForecast(s *Service) time.Duration {
+	now := time.Now()
+	return s.Admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: now, Worthless: now}, now).Remaining
+}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -72,9 +72,8 @@
 // returnAfter is when a caller should come back that is refused now: when what held
 // it up is over with even odds, the urgent first.
 func (c *carrier) returnAfter() time.Duration {
-	remaining := c.forecast.Remaining.Seconds()
 	rank := (float64(c.urgency(nil)) + rand.Float64()) / (leastUrgency + 1)
-	return time.Duration(remaining * (1 + returnSpread*rank) * float64(time.Second))
+	return time.Duration(float64(c.forecast.Remaining) * (1 + returnSpread*rank))
 }
 
 // noteForecast counts what became of a call that was held up.
