Ledger: a successor's word from before the release sends nobody else for the shard

Cause: two requests of one daemon come to a shard's successor before its claim ("moved"), then to the former holder, which names the successor. Only the first of them hears that as news, so the other keeps the successor's older word, passes it over and takes the shard itself: two claims at once, a reading from the start (1.3 s), the shard lost twice, and a call cut after two seconds.

Change: a daemon's word that it does not hold a shard counts with what it knew of the holder, and no longer once more is known here, whoever heard it.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -34,9 +34,9 @@
 func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
 	request.Shard = shard
 	last := Response{Result: resultMoved}
-	// asked did not answer or could not; moved do not hold the shard by what is
-	// known so far.
-	var asked, moved []structs.DaemonID
+	// asked did not answer or could not.
+	var asked []structs.DaemonID
+	var moved movedAnswers
 	select {
 	case <-s.settled:
 	case <-ctx.Done():
@@ -45,7 +45,8 @@
 	impaired := 0
 	silences := 0
 	for range candidateTries {
-		target, failed := s.choose(shard, slices.Concat(asked, moved), time.Now())
+		known := s.known.get(shard)
+		target, failed := s.choose(shard, slices.Concat(asked, moved.about(known)), time.Now())
 		if target == "" {
 			break
 		}
@@ -61,15 +62,13 @@
 		if ctx.Err() == nil {
 			s.avoided.note(shard, target, response.Result)
 		}
-		if s.noteHolder(shard, response) {
-			moved = moved[:0] // what they said is older
-		}
+		s.noteHolder(shard, response)
 		s.noteAnswer(shard, response.Result, time.Now())
 		if response.Result.isFinal() || response.gaveUp {
 			return response
 		}
 		if response.Result == resultMoved {
-			moved = append(moved, target)
+			moved = append(moved, movedAnswer{target, s.knownTo(shard, response, known)})
 		} else {
 			asked = append(asked, target)
 		}
@@ -84,13 +83,45 @@
 	return last
 }
 
-// noteHolder takes what an answer tells of who holds the shard. It returns whether
-// that is news.
-func (s *Service) noteHolder(shard int, response Response) bool {
+// noteHolder takes what an answer tells of who holds the shard.
+func (s *Service) noteHolder(shard int, response Response) {
 	if response.Released {
-		return s.known.noteReleased(shard, response.Epoch, response.Holder)
+		s.known.noteReleased(shard, response.Epoch, response.Holder)
+		return
+	}
+	s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+}
+
+// knownTo returns what a daemon that answered knew of the holder: what is known here
+// by now, if it says the same, or else at most what was known when it was asked.
+func (s *Service) knownTo(shard int, response Response, whenAsked knownHolder) knownHolder {
+	told := knownHolder{holderRecord: holderRecord{Epoch: response.Epoch, Daemon: response.Holder}, released: response.Released}
+	if now := s.known.get(shard); now.isSameClaim(told) {
+		return now
+	}
+	return whenAsked
+}
+
+// movedAnswer is a daemon's word that it does not hold a shard, and what it knew of
+// the shard's holder.
+type movedAnswer struct {
+	daemon structs.DaemonID
+	known  knownHolder
+}
+
+type movedAnswers []movedAnswer
+
+// about returns the daemons whose word came while no more was known than now. What
+// is known may have come by another request: the word of a successor from before the
+// release must not send a third daemon to take the shard.
+func (m movedAnswers) about(known knownHolder) []structs.DaemonID {
+	var daemons []structs.DaemonID
+	for _, answer := range m {
+		if answer.known.isSameClaim(known) {
+			daemons = append(daemons, answer.daemon)
+		}
 	}
-	return s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+	return daemons
 }
 
 // askOne sends a request to one daemon and waits for its answer. A daemon that
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -44,7 +44,7 @@
 	switch {
 	case h.state != nil:
 		return "", false
-	case h.isLeaving(), h.givenTo != "":
+	case h.isLeaving() && !h.isPromised(now), h.givenTo != "":
 		return resultMoved, true
 	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
@@ -58,6 +58,10 @@
 		return h.lose(ctx, err), true
 	}
 	h.pause = 0
+	h.promisedAt.clear()
+	if h.isLeaving() {
+		h.leave(ctx) // it was promised; the next one reads it ahead meanwhile
+	}
 	return "", false
 }
 
--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -24,6 +24,8 @@
 	mutex   sync.Mutex
 	scripts map[structs.DaemonID][]Response
 	asked   []structs.DaemonID
+	// delay is how long an answer takes.
+	delay time.Duration
 }
 
 // Send implements peer.Transport.
@@ -39,7 +41,22 @@
 	s.scripts[to] = script[1:]
 	response := script[0]
 	response.Number = request.Number
-	go s.service.Receive(to, &response)
+	time.AfterFunc(s.delay, func() { s.service.Receive(to, &response) })
+}
+
+// newScriptedService returns the service of a fleet's first daemon whose requests
+// go by a script.
+func newScriptedService(t *testing.T, f *testFleet, transport *scriptedTransport) *Service {
+	s := NewService(Options{
+		Self: daemonID(0, 1), Store: f.store, Transport: transport, View: f,
+		Partitions: []store.Partition{{Space: "ledger"}}, Directory: store.Partition{Space: "holders"},
+		Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	transport.service = s
+	ctx, stop := context.WithCancel(t.Context())
+	t.Cleanup(stop)
+	go s.Run(ctx)
+	return s
 }
 
 // TestDaemonThatClaimedSinceItSaidMovedIsAskedAgain: an asker that comes to the
@@ -52,15 +69,7 @@
 			successor: {{Result: resultMoved, Epoch: 100, Holder: string(former)}, {Result: resultOK, Epoch: 200, Holder: string(successor)}},
 			former:    {{Result: resultMoved, Epoch: 100, Holder: string(successor), Released: true}},
 		}}
-		s := NewService(Options{
-			Self: daemonID(0, 1), Store: f.store, Transport: transport, View: f,
-			Partitions: []store.Partition{{Space: "ledger"}}, Directory: store.Partition{Space: "holders"},
-			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
-		})
-		transport.service = s
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		go s.Run(ctx)
+		s := newScriptedService(t, f, transport)
 		s.known.note(0, holderRecord{Epoch: 50, Daemon: string(successor)})
 		if response := s.ask(testContext(t), 0, Request{Find: &Find{Turn: "a"}}); response.Result != resultOK {
 			t.Errorf("got %q, want %q", response.Result, resultOK)
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -84,6 +84,9 @@
 	// ahead is what was or is being read of a shard that another daemon is to pass
 	// on, nil if there is none.
 	ahead *readAhead
+	// promisedAt is when a holder was last told that the shard was read ahead here,
+	// until it was claimed.
+	promisedAt instant
 	// readingAhead bounds this daemon's readings ahead at a time.
 	readingAhead chan struct{}
 	// claiming and preparing tell askers that the shard is being read, and
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -24,6 +24,12 @@
 	released bool
 }
 
+// isSameClaim tells whether two states of knowledge are of the same claim, given up
+// in both or in neither.
+func (k knownHolder) isSameClaim(other knownHolder) bool {
+	return k.holderRecord == other.holderRecord && k.released == other.released
+}
+
 func newHolderTable(shards int) *holderTable {
 	return &holderTable{holders: make([]knownHolder, shards)}
 }
--- a/internal/ledger/read_ahead.go
+++ b/internal/ledger/read_ahead.go
@@ -16,6 +16,11 @@
 	// catchUpReadings follow the first reading of a shard: the first brings what
 	// came in a second or so, the second what came during that.
 	catchUpReadings = 2
+	// promiseLife is how long a daemon that has read a shard ahead takes it although
+	// it began to leave meanwhile: the holder has then given it up for this daemon,
+	// and any other would read it from its start. Until then its stop waits. It is
+	// the time that a former holder waits for the claim.
+	promiseLife = takeTime
 	// readOnLimit bounds the readings of what came since, each of a megabyte.
 	readOnLimit = 100
 )
@@ -44,6 +49,13 @@
 	return a.err == nil && now.Sub(a.at) <= readAheadLife
 }
 
+// isPromised tells whether a holder may count on this daemon to take the shard,
+// whether it leaves or not.
+func (h *holder) isPromised(now time.Time) bool {
+	since, promised := h.promisedAt.since(now)
+	return promised && since <= promiseLife
+}
+
 // prepare reads the shard ahead, for a holder that wants to pass it on.
 func (h *holder) prepare(ctx context.Context, o operation) {
 	if h.state != nil || h.isLeaving() {
@@ -74,6 +86,9 @@
 		answer = resultImpaired
 		h.logger.Warn().Err(ahead.err).Msg("Shard not read ahead.")
 	}
+	if ahead.err == nil && len(ahead.waiting) > 0 {
+		h.promisedAt.set(ahead.at)
+	}
 	for _, o := range ahead.waiting {
 		o.reply(Response{Number: o.request.Number, Result: answer})
 	}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -193,16 +193,16 @@
 // Leave stops holding shards: others take them over.
 func (s *Service) Leave() { s.left.Do(func() { close(s.leaving) }) }
 
-// WaitForHandover waits, after Leave, until this daemon holds no shard any more,
-// no other daemon could take one, or ctx ends.
+// WaitForHandover waits, after Leave, until this daemon holds no shard any more and
+// is to take none that it read ahead, no other daemon could take one, or ctx ends.
 func (s *Service) WaitForHandover(ctx context.Context) {
-	for s.isHolding() && s.successor(0, []structs.DaemonID{s.Self}, time.Now()) != "" && ctx.Err() == nil {
+	for s.isNeeded(time.Now()) && s.successor(0, []structs.DaemonID{s.Self}, time.Now()) != "" && ctx.Err() == nil {
 		clock.Sleep(ctx, handoverLook)
 	}
 }
 
-func (s *Service) isHolding() bool {
-	return slices.ContainsFunc(s.holders, func(h *holder) bool { return h.holding.Load() })
+func (s *Service) isNeeded(now time.Time) bool {
+	return slices.ContainsFunc(s.holders, func(h *holder) bool { return h.holding.Load() || h.isPromised(now) })
 }
 
 func (s *Service) isLeaving() bool { return isClosed(s.leaving) }
