Quota: an owner's bucket for each tenant, with room kept for whole programs

A tenant's owner decides by a bucket of tokens whose rate, capacity and what each new owner begins with add up to what the operators' terms allow in any window, so an owner that is lost with all it knew lets no window pass its limit, also when all daemons are killed at once. A request of a program under way waits for a token; a program begins only if those under way and it find room at 0.5, 1, 2.5 and 5 s ahead, by what programs of each route needed.

--- /dev/null
+++ b/internal/quota/limiter.go
@@ -0,0 +1,191 @@
+package quota
+
+import "time"
+
+const (
+	// lookInterval separates looks for programs that have ended.
+	lookInterval = 500 * time.Millisecond
+	// programLimit bounds the programs that are remembered of a tenant: more can not
+	// be under way within any limit met so far (some 100 a second).
+	programLimit = 4096
+	// longestAfter bounds what a caller is told to wait.
+	longestAfter = 5 * time.Second
+)
+
+// horizons are the times ahead at which programs under way must find room for a
+// further one to begin: the next request, a turn with its tools, and a window.
+var horizons = [...]time.Duration{500 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second}
+
+// Limiter decides for the tenants that one shard owns. It has no clock, and is not
+// safe for concurrent use.
+type Limiter struct {
+	terms Terms
+	// first: there was no owner before this one, which has decided since a time.
+	first    bool
+	since    time.Time
+	tenants  map[string]*bucket
+	forecast forecast
+}
+
+// NewLimiter returns the limiter of an owner that decides from now on. first tells
+// that there was no owner before: then buckets are full from the start.
+func NewLimiter(terms Terms, first bool, now time.Time) *Limiter {
+	return &Limiter{terms: terms, first: first, since: now, tenants: map[string]*bucket{}}
+}
+
+// bucket is what is left to one tenant.
+type bucket struct {
+	bounds
+	limit   Limit
+	version int64
+	tokens  float64
+	at      time.Time
+	// programs are those under way, and byRoute counts them by route.
+	programs map[string]*program
+	byRoute  map[string]int
+	lookedAt time.Time
+}
+
+// program is one that made requests lately.
+type program struct {
+	route   string
+	made    int
+	firstAt time.Time
+	lastAt  time.Time
+}
+
+// Decide admits a request or tells when one like it is admitted.
+func (l *Limiter) Decide(ask Ask, now time.Time) Verdict {
+	b := l.bucketOf(ask, now)
+	b.refill(now)
+	if now.Sub(b.lookedAt) >= lookInterval {
+		b.lookedAt = now
+		l.endIdle(b, now)
+	}
+	known := b.programs[ask.Program]
+	if ask.Returned {
+		b.giveBack(known)
+		return Verdict{Tokens: b.tokens, Programs: len(b.programs)}
+	}
+	verdict := Verdict{Tokens: b.tokens, Programs: len(b.programs)}
+	switch {
+	case b.tokens < 1:
+		verdict.Reason = ReasonSpent
+		verdict.AfterMS = b.timeUntil(1).Milliseconds() + 1
+		return verdict
+	case known == nil && ask.Begins && l.knowsPrograms(now):
+		if room := l.roomFor(b, ask.Route); room > 0 {
+			verdict.Reason = ReasonPrograms
+			verdict.AfterMS = room.Milliseconds() + 1
+			return verdict
+		}
+	}
+	b.tokens--
+	b.note(ask, known, now)
+	verdict.Admitted, verdict.Reason = true, ReasonRoom
+	return verdict
+}
+
+// bucketOf returns a tenant's bucket, with the newest limit that was told.
+func (l *Limiter) bucketOf(ask Ask, now time.Time) *bucket {
+	b := l.tenants[ask.Tenant]
+	if b == nil {
+		b = &bucket{at: l.since, lookedAt: now, programs: map[string]*program{}, byRoute: map[string]int{}}
+		b.set(ask, l.terms)
+		b.tokens = b.start
+		if l.first {
+			b.tokens = b.capacity
+		}
+		b.refill(now)
+		l.tenants[ask.Tenant] = b
+	}
+	if ask.Version > b.version && ask.Limit != b.limit {
+		b.refill(now)
+		b.set(ask, l.terms)
+	}
+	b.version = max(b.version, ask.Version)
+	return b
+}
+
+func (b *bucket) set(ask Ask, terms Terms) {
+	b.limit, b.version = ask.Limit, ask.Version
+	b.bounds = terms.boundsOf(ask.Limit)
+	b.tokens = min(b.tokens, b.capacity)
+}
+
+func (b *bucket) refill(now time.Time) {
+	if passed := now.Sub(b.at).Seconds(); passed > 0 {
+		b.tokens = min(b.tokens+b.rate*passed, b.capacity)
+		b.at = now
+	}
+}
+
+// giveBack takes back what a request was admitted on that did not run.
+func (b *bucket) giveBack(known *program) {
+	b.tokens = min(b.tokens+1, b.capacity)
+	if known != nil && known.made > 0 {
+		known.made--
+	}
+}
+
+// timeUntil is when the bucket holds so much.
+func (b *bucket) timeUntil(tokens float64) time.Duration {
+	missing := max(tokens-b.tokens, 0)
+	return min(time.Duration(missing/b.rate*float64(time.Second)), longestAfter)
+}
+
+// knowsPrograms tells whether every program under way was seen here: for some seconds
+// after a takeover those that are not known may have begun at the owner before.
+func (l *Limiter) knowsPrograms(now time.Time) bool {
+	return l.first || now.Sub(l.since) >= idleAfter
+}
+
+// roomFor returns after which time a program of a route finds room beside those
+// under way; 0 if it does now. A program that is stopped half-way has cost all that
+// it used, and the limit ends none if no more are begun than it carries.
+func (l *Limiter) roomFor(b *bucket, route string) time.Duration {
+	if len(b.programs) == 0 {
+		return 0 // or else a program that needs more than there ever is would never begin
+	}
+	var longest time.Duration
+	for _, horizon := range horizons {
+		wanted := l.forecast.of(route).within(horizon)
+		for underway, count := range b.byRoute {
+			wanted += float64(count) * l.forecast.of(underway).left(horizon)
+		}
+		if got := b.tokens + b.rate*horizon.Seconds(); wanted > got {
+			longest = max(longest, time.Duration((wanted-got)/b.rate*float64(time.Second)))
+		}
+	}
+	return min(longest, longestAfter)
+}
+
+// note takes a request that was admitted.
+func (b *bucket) note(ask Ask, known *program, now time.Time) {
+	if ask.Program == "" {
+		return
+	}
+	if known == nil {
+		if len(b.programs) >= programLimit {
+			return
+		}
+		known = &program{route: ask.Route, firstAt: now}
+		b.programs[ask.Program] = known
+		b.byRoute[known.route]++
+	}
+	known.made++
+	known.lastAt = now
+}
+
+// endIdle learns from the programs that have ended, and forgets them.
+func (l *Limiter) endIdle(b *bucket, now time.Time) {
+	for id, p := range b.programs {
+		if now.Sub(p.lastAt) >= idleAfter {
+			l.forecast.note(p)
+			delete(b.programs, id)
+			if b.byRoute[p.route]--; b.byRoute[p.route] == 0 {
+				delete(b.byRoute, p.route)
+			}
+		}
+	}
+}
