--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -98,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	h.take(loaded, time.Now())
+	h.take(loaded, before.Daemon == "", time.Now())
 	h.metrics.claimed(time.Since(started))
 	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).
 		Int("records", len(loaded)).Int("bytes", sizeOf(loaded)).
@@ -165,9 +166,11 @@
 	return size
 }
 
-// take makes what was read the state of the shard.
-func (h *holder) take(records []store.Record, now time.Time) {
+// take makes what was read the state of the shard. first tells that nobody held it
+// before.
+func (h *holder) take(records []store.Record, first bool, now time.Time) {
 	h.state = newState(now)
+	h.limiter = quota.NewLimiter(h.quotaTerms, first, now)
 	h.holding.Store(true)
 	h.prolongStay(now)
 	h.known.note(h.shard, holderRecord{Epoch: h.epoch, Daemon: h.daemon})
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -57,6 +58,10 @@
 	fleet   fleet
 
 	state *state // nil while the shard is not held
+	// limiter decides for the tenants whose shard this is, by quotaTerms; nil while
+	// the shard is not held.
+	limiter    *quota.Limiter
+	quotaTerms quota.Terms
 	// holding tells other goroutines whether the shard is held.
 	holding  atomic.Bool
 	epoch    uint64
@@ -193,6 +198,8 @@
 		h.end(ctx, o, now)
 	case o.request.Find != nil:
 		h.find(ctx, o, now)
+	case o.request.Quota != nil:
+		h.decideQuota(o, now)
 	default: // the shard is held now, and that is what was asked for
 		h.answer(o, Response{Result: resultOK})
 	}
@@ -365,6 +372,7 @@
 // drop forgets the shard's state.
 func (h *holder) drop() {
 	h.state = nil
+	h.limiter = nil
 	h.holding.Store(false)
 	h.pending = nil
 	h.handover = nil
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/quota"
 )
 
 // result tells what became of a request to a shard's holder.
@@ -33,7 +34,7 @@
 }
 
 // Request asks the holder of a shard, or the daemon that is to hold it. One of
-// Begin, End, Find, Prepare and Take is set.
+// Begin, End, Find, Quota, Prepare and Take is set.
 type Request struct {
 	Number uint64 `json:"n"`
 	Shard  int    `json:"s"`
@@ -43,6 +44,8 @@
 	Begin  *Turn    `json:"begin,omitempty"`
 	End    *Outcome `json:"end,omitempty"`
 	Find   *Find    `json:"find,omitempty"`
+	// Quota asks for a request of a tenant whose limit the shard's holder owns.
+	Quota *quota.Ask `json:"quota,omitempty"`
 	// Prepare: the daemon shall read the shard ahead, as it is to take it.
 	Prepare bool `json:"prepare,omitempty"`
 	// Take: the daemon shall hold the shard from now on.
@@ -72,9 +75,10 @@
 	Released bool `json:"rel,omitempty"`
 	// gaveUp: the asker did not wait for the answer. It is never sent.
 	gaveUp bool
-	// Grant answers Begin, Found answers Find.
-	Grant Grant     `json:"g,omitzero"`
-	Found *KeptTurn `json:"f,omitempty"`
+	// Grant answers Begin, Found answers Find, Verdict answers Quota.
+	Grant   Grant          `json:"g,omitzero"`
+	Found   *KeptTurn      `json:"f,omitempty"`
+	Verdict *quota.Verdict `json:"q,omitempty"`
 }
 
 // MessageKind implements peer.Message.
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mintpulley/mintpulley/internal/quota"
 )
 
 // Metrics counts what the ledger does.
@@ -15,6 +17,8 @@
 	grants   *prometheus.CounterVec
 	// handovers are planned ones, by the successor's last word.
 	handovers *prometheus.CounterVec
+	// verdicts are those on requests of limited tenants, by reason.
+	verdicts *prometheus.CounterVec
 }
 
 // NewMetrics registers the ledger's metrics.
@@ -45,7 +49,11 @@
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "handovers_total",
 		Help: "Shards that were to be passed on as planned, by what the successor said last.",
 	}, []string{"result"})
-	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.grants, m.handovers)
+	m.verdicts = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "quota", Name: "verdicts_total",
+		Help: "Requests of limited tenants that this daemon decided as the limit's owner, by reason.",
+	}, []string{"reason"})
+	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.grants, m.handovers, m.verdicts)
 	return m
 }
 
@@ -55,6 +63,10 @@
 
 func (m *Metrics) handedOver(with result) { m.handovers.WithLabelValues(string(with)).Inc() }
 
+func (m *Metrics) decidedQuota(verdict quota.Verdict) {
+	m.verdicts.WithLabelValues(string(verdict.Reason)).Inc()
+}
+
 func (m *Metrics) malformed() { m.skipped.Inc() }
 
 func (m *Metrics) silent() { m.silences.Inc() }
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -16,6 +16,7 @@
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -77,8 +78,10 @@
 	// Expected returns how many daemons are on record, this one included, 0 if
 	// that is not known: one that heard of most of them settles early.
 	Expected func() int
-	Logger   zerolog.Logger
-	Metrics  *Metrics
+	// Quota are the terms on which the holder of a tenant's shard owns its limit.
+	Quota   quota.Terms
+	Logger  zerolog.Logger
+	Metrics *Metrics
 }
 
 // Service is a daemon's way to the ledger: it asks the holders of shards, and
@@ -127,6 +130,7 @@
 			leaving:    s.leaving,
 			known:      s.known,
 			fleet:      s,
+			quotaTerms: options.Quota,
 
 			readingAhead: readingAhead,
 		})
@@ -379,7 +383,7 @@
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
-	return r.Begin != nil || r.End != nil || r.Find != nil || r.Prepare || r.Take
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take
 }
 
 // isClosed tells whether a channel that carries nothing was closed.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/tenant"
 )
 
 // Call is one request of a caller.
@@ -41,6 +42,8 @@
 	ResumeAfter string
 	// MostTokens is the most that an answer generates, 0 if not told.
 	MostTokens int64
+	// Tenant is whose request it is, nil where there are no tenants.
+	Tenant *tenant.Tenant
 	// Program tells of the program that the request is a turn or a tool call
 	// of; nil if of none.
 	Program *Program
@@ -60,6 +63,33 @@
 	FinishBy time.Time
 }
 
+// scopedTo returns the program under names that no other tenant's program has.
+func (p *Program) scopedTo(name string) *Program {
+	if p == nil {
+		return nil
+	}
+	scoped := *p
+	scoped.ID = tenant.Scoped(name, p.ID)
+	scoped.Previous = tenant.Scoped(name, p.Previous)
+	return &scoped
+}
+
+// tenantName is the name of the call's tenant, "" for none.
+func (c *Call) tenantName() string {
+	if c.Tenant == nil {
+		return ""
+	}
+	return c.Tenant.Name
+}
+
+// priority is the rank of the call's requests: its tenant's, or else its route's.
+func (c *Call) priority() int {
+	if c.Tenant != nil && c.Tenant.Priority != nil {
+		return *c.Tenant.Priority
+	}
+	return c.Route.Priority
+}
+
 // Refusal is a final answer of the system's own.
 type Refusal struct {
 	Reason Reason
@@ -83,12 +113,20 @@
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
-	ReasonBroken      Reason = "broken"
-	ReasonTimeout     Reason = "timeout"
-	ReasonNoRoute     Reason = "no_route"
-	ReasonTooLarge    Reason = "too_large"
-	ReasonMalformed   Reason = "malformed"
-	ReasonCallerLeft  Reason = "caller_left"
+	// ReasonQuota: the tenant's limit has no room; ReasonQuotaUnknown: its owner can
+	// not be asked.
+	ReasonQuota        Reason = "quota"
+	ReasonQuotaUnknown Reason = "quota_unknown"
+	// ReasonUnknownKey: no tenant has the key; ReasonKeysUnconfirmed: it was not
+	// confirmed lately which keys there are.
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonKeysUnconfirmed Reason = "keys_unconfirmed"
+	ReasonBroken          Reason = "broken"
+	ReasonTimeout         Reason = "timeout"
+	ReasonNoRoute         Reason = "no_route"
+	ReasonTooLarge        Reason = "too_large"
+	ReasonMalformed       Reason = "malformed"
+	ReasonCallerLeft      Reason = "caller_left"
 )
 
 // Responder is the caller's side of a call. Exactly one of Answer, Refuse, End
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -11,6 +11,7 @@
 	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
@@ -23,8 +24,10 @@
 
 // carrier carries one call.
 type carrier struct {
-	relay     *Relay
-	call      *Call
+	relay *Relay
+	call  *Call
+	// turnID names the call's turn apart from those of other tenants.
+	turnID    string
 	responder Responder
 	service   string
 	logger    zerolog.Logger
@@ -47,6 +50,11 @@
 	// heldUp is what held the call up last, and forecast what was expected of it.
 	heldUp   admission.Wait
 	forecast admission.Decision
+	// verdict is that on the tenant's limit, which was asked and came after
+	// admittedAfter.
+	asked         quota.Ask
+	verdict       quota.Verdict
+	admittedAfter time.Duration
 }
 
 // mayHaveRun tells whether some instance may have run the call.
@@ -277,6 +285,9 @@
 	c.noteForecast(heldUpRefused)
 	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
 		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
+	if c.verdict.Reason != "" {
+		line = c.logVerdict(line)
+	}
 	if cause != refusal.Reason {
 		line = line.Str("cause", string(cause))
 	}
@@ -284,6 +295,7 @@
 		line = c.logForecast(line)
 	}
 	line.Msg("Request refused.")
+	c.returnQuota()
 	c.responder.Refuse(refusal)
 }
 
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -46,6 +46,9 @@
 // callLogger returns a logger whose lines name the call.
 func callLogger(logger zerolog.Logger, call *Call) zerolog.Logger {
 	fields := logger.With().Str("request", call.ID).Str("route", call.Route.Name)
+	if call.Tenant != nil {
+		fields = fields.Str("tenant", call.Tenant.Name)
+	}
 	if call.Program != nil {
 		fields = fields.Str("program", call.Program.ID)
 	}
@@ -65,6 +68,9 @@
 	if !c.heldUp.Since.IsZero() {
 		event = c.logForecast(event)
 	}
+	if c.verdict.Reason != "" {
+		event = c.logVerdict(event).Dur("admitted_after", c.admittedAfter)
+	}
 	if state != nil {
 		event = event.Int64("events", state.events).Dur("first_event", state.firstAfter)
 		if state.turn != nil {
@@ -91,6 +97,11 @@
 	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Msg("Offer not taken.")
 }
 
+// logVerdict adds what the owner of the tenant's limit decided, and on what.
+func (c *carrier) logVerdict(line *zerolog.Event) *zerolog.Event {
+	return line.Str("quota", string(c.verdict.Reason)).Float64("tokens", c.verdict.Tokens).Int("programs", c.verdict.Programs)
+}
+
 // logForecast adds what held the call up, and what was expected of it when that was
 // last looked at.
 func (c *carrier) logForecast(line *zerolog.Event) *zerolog.Event {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/tenant"
 )
 
 const (
@@ -61,6 +62,8 @@
 	Pool   *instance.Pool
 	Driver Driver
 	Ledger Ledger
+	// Quota admits requests of tenants that have a limit; nil where none has.
+	Quota Quota
 	// Admission decides how long requests wait; nil for one of its own.
 	Admission *admission.Admission
 	// Table returns the routes in force, nil while none are known.
@@ -112,9 +115,11 @@
 		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
 		defer cancel()
 	}
+	call.Program = call.Program.scopedTo(call.tenantName())
 	c := &carrier{
 		relay:     r,
 		call:      call,
+		turnID:    tenant.Scoped(call.tenantName(), call.ID),
 		responder: responder,
 		service:   r.splits.choose(call.Route),
 		logger:    callLogger(r.Logger, call),
@@ -123,6 +128,9 @@
 		c.refuse(stopping)
 		return
 	}
+	if !c.admitByQuota(ctx) {
+		return
+	}
 	if call.Route.Kind == route.KindStream {
 		c.carryStream(ctx)
 		return
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -58,7 +58,7 @@
 // and who waits is served the moment it does.
 func (c *carrier) tryBegin(ctx context.Context) (ledger.Grant, error) {
 	turn := ledger.Turn{
-		ID:           c.call.ID,
+		ID:           c.turnID,
 		Program:      c.call.Program.ID,
 		Session:      c.call.Program.Session,
 		BudgetTokens: c.call.Program.BudgetTokens,
@@ -108,7 +108,7 @@
 	}
 	turn.settled = true
 	outcome := ledger.Outcome{
-		Turn:       c.call.ID,
+		Turn:       c.turnID,
 		Program:    c.call.Program.ID,
 		Session:    c.call.Program.Session,
 		Instance:   state.instance,
@@ -117,7 +117,7 @@
 	}
 	if whole && turn.retain && c.call.ResumeAfter == "" {
 		outcome.Kept = &ledger.KeptTurn{
-			ID:       c.call.ID,
+			ID:       c.turnID,
 			Previous: c.call.Program.Previous,
 			Input:    c.call.Body,
 			Output:   state.output,
--- a/internal/relay/urgency.go
+++ b/internal/relay/urgency.go
@@ -22,14 +22,14 @@
 
 // urgency ranks a turn at its instance: programs underway by the time that they
 // have left, then those that begin, then those whose time is over. Within the
-// last two the route's priority decides.
+// last two the priority of the tenant or the route decides.
 func (c *carrier) urgency(turn *turnState) int {
 	program := c.call.Program
 	if program == nil || program.FinishBy.IsZero() || turn == nil {
-		return min(c.call.Route.Priority+defaultUrgency-1, leastUrgency)
+		return min(c.call.priority()+defaultUrgency-1, leastUrgency)
 	}
 	left := time.Until(program.FinishBy)
-	lower := min(c.call.Route.Priority, 1)
+	lower := min(c.call.priority(), 1)
 	switch {
 	case left <= 0:
 		return overdueUrgency + lower
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -13,6 +13,7 @@
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/tenant"
 )
 
 // Adapters holds the adapters that registered themselves.
@@ -31,6 +32,10 @@
 	// for a part of the time that the caller has left (0: not told), and returns
 	// nil if none came.
 	Table(ctx context.Context, left time.Duration) *route.Table
+	// Identify returns the tenant that a request on a route acts for, nil for none,
+	// or why it is refused. key is "" if the caller gave none, and left the time that
+	// the caller has (0: not told). It must be called once the request has arrived.
+	Identify(ctx context.Context, found *route.Route, key string, left time.Duration) (*tenant.Tenant, *relay.Refusal)
 	// Stopping tells whether the daemon is about to stop.
 	Stopping() bool
 	// Serve carries a call to its end.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/peer/tcp"
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -67,6 +68,10 @@
 	front   *frontServer
 
 	table atomic.Pointer[route.Table]
+	// refused: newer routes than those in force could not be understood.
+	refused atomic.Bool
+	// keys tells when the routes in force, keys included, were last confirmed.
+	keys *confirmation
 	// hasTable is closed once routes are known.
 	hasTable  chan struct{}
 	startedAt time.Time
@@ -95,6 +100,7 @@
 		logger:   logger,
 		figures:  figures,
 		hasTable: make(chan struct{}),
+		keys:     newConfirmation(),
 
 		startedAt: time.Now(),
 		admission: &admission.Admission{},
@@ -168,6 +174,7 @@
 		SettleTime: ledger.DefaultSettleTime,
 		Admission:  d.admission,
 		Expected:   d.registry.count,
+		Quota:      d.settings.quotaTerms(),
 		Logger:     part(d.logger, "ledger"),
 		Metrics:    ledger.NewMetrics(figures),
 	})
@@ -175,6 +182,7 @@
 		Pool:    d.pool,
 		Driver:  d.adapter.Driver(),
 		Ledger:  d.ledger,
+		Quota:   quota.NewGate(d.ledger, d.settings.quotaTerms()),
 		Table:   d.table.Load,
 		Daemons: func() int { return len(d.membership.Members()) },
 
@@ -270,10 +278,11 @@
 // that hangs since its machine was cut off must end within the three seconds
 // after which a machine that reaches the store again is held to what stands
 // there: Wait and Answer stay below. Back ends write often: their changes are
-// read together.
+// read together. Routes are confirmed by each reading: one that hangs must leave time
+// for another before keys count as unconfirmed, 2 x Wait + Answer + Retry.
 var (
 	routesWatch = store.WatchSettings{
-		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Wait: 1500 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
 	}
 	instancesWatch = store.WatchSettings{
 		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
--- /dev/null
+++ b/internal/relaydaemon/keys.go
@@ -0,0 +1,178 @@
+package relaydaemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/relay"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/tenant"
+)
+
+const (
+	// revocationMargin is kept below the time within which a key that was taken away
+	// must be refused: steady clocks of machines differ by less than one in 50.
+	revocationMargin = 100 * time.Millisecond
+	// unknownKeyAge is how old the confirmation of the keys may be for one to be
+	// refused that is not among them: operators expect a new key to be taken within
+	// the time that routes take, three seconds at least. A reading takes
+	// routesWatch.Wait, so that an idle fleet confirms its keys within this time.
+	unknownKeyAge = 2 * time.Second
+	// hurryPause separates readings that are made before their time: callers without
+	// a key must not make the daemon call the store for each request.
+	hurryPause = 100 * time.Millisecond
+	// unknownPatience is how long a caller is taken to wait that does not tell.
+	unknownPatience = 2 * time.Second
+)
+
+// confirmation is when the routes in force, tenants' keys included, were last known
+// to be the newest: the moment at which the store was asked, as what it answers is
+// at least as new.
+type confirmation struct {
+	mutex sync.Mutex
+	at    time.Time
+	// renewed is closed at the next confirmation.
+	renewed chan struct{}
+	// lostAt is when the store stopped to answer, zero while it does.
+	lostAt time.Time
+	// hurry makes the watch of the routes read at once.
+	hurry     chan struct{}
+	hurriedAt time.Time
+}
+
+func newConfirmation() *confirmation {
+	return &confirmation{renewed: make(chan struct{}), hurry: make(chan struct{}, 1)}
+}
+
+// note takes a confirmation that was asked for at a time. What the store answered
+// must be in force by now.
+func (c *confirmation) note(askedAt time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if askedAt.After(c.at) {
+		c.at = askedAt
+	}
+	close(c.renewed)
+	c.renewed = make(chan struct{})
+}
+
+// noteContact takes note that the store is lost, or with nil that it answers.
+func (c *confirmation) noteContact(err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lostAt = time.Time{}
+	if err != nil {
+		c.lostAt = time.Now()
+	}
+}
+
+// troubledSince is when what keeps the keys from being confirmed began: a daemon to
+// which the store answers reads them in some milliseconds.
+func (c *confirmation) troubledSince(now time.Time) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.lostAt.IsZero() {
+		return now
+	}
+	return c.lostAt
+}
+
+// last returns the last confirmation, and a channel that is closed at the next.
+func (c *confirmation) last() (at time.Time, renewed <-chan struct{}) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.at, c.renewed
+}
+
+// ask makes the watch read at once, unless it did so just now.
+func (c *confirmation) ask(now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if now.Sub(c.hurriedAt) < hurryPause {
+		return
+	}
+	c.hurriedAt = now
+	select {
+	case c.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for a confirmation that is no older than a time, until a moment or
+// until ctx ends, and tells whether there is one.
+func (c *confirmation) await(ctx context.Context, atMost time.Duration, until time.Time) bool {
+	for {
+		now := time.Now()
+		at, renewed := c.last()
+		if !at.IsZero() && now.Sub(at) <= atMost {
+			return true
+		}
+		if !now.Before(until) {
+			return false
+		}
+		c.ask(now)
+		timer := time.NewTimer(min(until.Sub(now), hurryPause))
+		select {
+		case <-renewed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// Identify implements Gateway. What a daemon knows of the keys has an age: one that
+// is cut off, or was frozen, must not take a key that was taken away. The age is
+// looked at when the request has arrived, so it is at least that of when it was sent;
+// whatever holds the request up afterwards, it does not count against the key.
+func (d *Daemon) Identify(ctx context.Context, found *route.Route, key string, left time.Duration) (*tenant.Tenant, *relay.Refusal) {
+	table := d.table.Load()
+	switch {
+	case table.Tenants == nil:
+		return nil, nil
+	case found.Public:
+		return table.Tenants.Find(key), nil
+	case key == "":
+		return nil, &relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "The request bears no key."}
+	}
+	if !d.awaitKeys(ctx, d.settings.revocationTime()-revocationMargin, left) {
+		return nil, d.refuseUnconfirmed()
+	}
+	if known := d.table.Load().Tenants.Find(key); known != nil {
+		return known, nil
+	}
+	if !d.awaitKeys(ctx, unknownKeyAge, left) {
+		return nil, d.refuseUnconfirmed()
+	}
+	if known := d.table.Load().Tenants.Find(key); known != nil {
+		return known, nil
+	}
+	return nil, &relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "No tenant has the key."}
+}
+
+// awaitKeys waits for a confirmation of the keys while it is likely to come within
+// the time that the caller has left.
+func (d *Daemon) awaitKeys(ctx context.Context, atMost, left time.Duration) bool {
+	if left <= 0 {
+		left = unknownPatience
+	}
+	now := time.Now()
+	wait := admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now), Worthless: now.Add(left)}
+	return d.keys.await(ctx, atMost, d.admission.Decide(wait, now).Until)
+}
+
+func (d *Daemon) refuseUnconfirmed() *relay.Refusal {
+	now := time.Now()
+	at, _ := d.keys.last()
+	forecast := d.admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now)}, now)
+	d.logger.Info().Dur("keys_age", now.Sub(at)).Dur("expected", forecast.Remaining).Msg("Keys not confirmed.")
+	return &relay.Refusal{
+		Reason: relay.ReasonKeysUnconfirmed, RetryAfter: forecast.Remaining,
+		Detail: "It was not confirmed lately which keys there are.",
+	}
+}
--- /dev/null
+++ b/internal/relaydaemon/keys_test.go
@@ -0,0 +1,154 @@
+package relaydaemon
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+	"github.com/mintpulley/mintpulley/internal/tenant"
+)
+
+// keyDaemon is a daemon that knows routes and keys, and nothing else.
+func keyDaemon(t *testing.T, keys ...string) *Daemon {
+	t.Helper()
+	d := &Daemon{settings: DefaultSettings(), keys: newConfirmation(), admission: &admission.Admission{}}
+	d.setKeys(t, 1, keys...)
+	return d
+}
+
+func (d *Daemon) setKeys(t *testing.T, version int64, keys ...string) {
+	t.Helper()
+	table := route.NewTable(version, nil, nil)
+	table.Tenants = tenant.NewDirectory()
+	if err := table.Tenants.Add(&tenant.Tenant{Name: "north"}, keys); err != nil {
+		t.Fatal(err)
+	}
+	d.table.Store(table)
+}
+
+// honours tells whether a request with a key is let through at once.
+func (d *Daemon) honours(t *testing.T, key string) bool {
+	t.Helper()
+	known, refusal := d.Identify(t.Context(), &route.Route{}, key, time.Millisecond)
+	return known != nil && refusal == nil
+}
+
+// TestKeysCountForAsLongAsTheyWereConfirmed: a daemon that was cut off, or stood
+// still, honours no key past the time within which one that was taken away must be
+// refused, counted from when the store was asked.
+func TestKeysCountForAsLongAsTheyWereConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		askedAt := time.Now()
+		time.Sleep(time.Second) // the answer takes long
+		d.confirmRoutes(askedAt)
+		time.Sleep(d.settings.revocationTime() - revocationMargin - time.Second)
+		if !d.honours(t, "key") {
+			t.Error("a key is not honoured within the time")
+		}
+		time.Sleep(2 * time.Millisecond)
+		if d.honours(t, "key") {
+			t.Error("a key is honoured that nobody confirmed in time")
+		}
+		d.confirmRoutes(time.Now())
+		if !d.honours(t, "key") {
+			t.Error("a key is not honoured that was confirmed")
+		}
+	})
+}
+
+// TestRoutesThatCannotBeUnderstoodConfirmNothing: they may take keys away.
+func TestRoutesThatCannotBeUnderstoodConfirmNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		d.confirmRoutes(time.Now())
+		d.refused.Store(true)
+		time.Sleep(d.settings.revocationTime())
+		d.confirmRoutes(time.Now())
+		if d.honours(t, "key") {
+			t.Error("a key is honoured although the newest routes are not known")
+		}
+	})
+}
+
+// TestRequestWaitsForTheConfirmation: it comes some milliseconds after a daemon that
+// stood still goes on, or after the store is back.
+func TestRequestWaitsForTheConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		d.confirmRoutes(time.Now())
+		time.Sleep(time.Minute)
+		time.AfterFunc(10*time.Millisecond, func() { d.confirmRoutes(time.Now()) })
+		known, refusal := d.Identify(t.Context(), &route.Route{}, "key", 3*time.Second)
+		if known == nil || refusal != nil {
+			t.Errorf("got %v, %+v", known, refusal)
+		}
+		if len(d.keys.hurry) == 0 {
+			t.Error("nobody asked for the confirmation")
+		}
+	})
+}
+
+// TestKeyThatIsNotKnownIsLookedForOnce: what is known may be older than the key, and
+// callers without one must not make the daemon read for each request.
+func TestKeyThatIsNotKnownIsLookedForOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		d.confirmRoutes(time.Now())
+		time.Sleep(unknownKeyAge + time.Millisecond)
+		reads := 0
+		go func() {
+			for range d.keys.hurry {
+				reads++
+				time.Sleep(4 * time.Millisecond)
+				d.setKeys(t, 2, "key", "new")
+				d.confirmRoutes(time.Now())
+			}
+		}()
+		if known, refusal := d.Identify(t.Context(), &route.Route{}, "new", 3*time.Second); known == nil {
+			t.Errorf("a new key: got %+v", refusal)
+		}
+		for range 100 {
+			if known, _ := d.Identify(t.Context(), &route.Route{}, "none", 3*time.Second); known != nil {
+				t.Error("a key of nobody's was honoured")
+			}
+		}
+		if reads != 1 {
+			t.Errorf("the store was read %d times, want once", reads)
+		}
+		close(d.keys.hurry)
+	})
+}
+
+// TestHurriedWatchReadsAtOnce: it tells when the reading was asked for, not when the
+// answer came.
+func TestHurriedWatchReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		keys := newConfirmation()
+		watcher := store.Watcher{
+			Store: memory.New(), Partition: store.Partition{Space: "x"}, Settings: store.WatchSettings{Wait: time.Hour, Answer: time.Minute},
+			OnChange: func(map[string]store.Record) {}, OnContact: func(error) {}, OnRead: keys.note, Hurry: keys.hurry,
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			watcher.Run(ctx)
+			close(done)
+		}()
+		time.Sleep(time.Minute)
+		began := time.Now()
+		if !keys.await(t.Context(), time.Second, began.Add(time.Second)) {
+			t.Error("no confirmation came")
+		}
+		if at, _ := keys.last(); at.Before(began) || time.Since(began) > hurryPause {
+			t.Errorf("confirmed as of %s after the question, %s later", at.Sub(began), time.Since(began))
+		}
+		stop()
+		<-done
+	})
+}
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/yamlfile"
 )
 
@@ -50,6 +51,14 @@
 	LinkMegabits   float64 `yaml:"link_megabits"`
 	// StopSeconds bounds a planned stop.
 	StopSeconds float64 `yaml:"stop_seconds"`
+	// RevocationMS is within how many milliseconds after the operators took a key
+	// away no request may run that is sent with it.
+	RevocationMS float64 `yaml:"revocation_milliseconds"`
+	// A tenant's requests may be in each span of QuotaWindowSeconds its rate times the
+	// span and its burst, QuotaOverage of that more, and QuotaSlack more.
+	QuotaWindowSeconds float64 `yaml:"quota_window_seconds"`
+	QuotaOverage       float64 `yaml:"quota_overage"`
+	QuotaSlack         float64 `yaml:"quota_slack"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
 }
@@ -60,7 +69,10 @@
 		LedgerSpaces:     2,
 		LedgerPartitions: 12,
 		StopSeconds:      8,
-		LogLevel:         "info",
+		RevocationMS:     5000,
+
+		QuotaWindowSeconds: quota.DefaultTerms().Window.Seconds(),
+		LogLevel:           "info",
 	}
 }
 
@@ -126,6 +138,15 @@
 	if s.StopSeconds <= 0 {
 		add("stop_seconds", "must be above 0")
 	}
+	if s.RevocationMS <= milliseconds(revocationMargin) {
+		add("revocation_milliseconds", "must be above 100")
+	}
+	if s.QuotaWindowSeconds <= 0 {
+		add("quota_window_seconds", "must be above 0")
+	}
+	if s.QuotaOverage < 0 || s.QuotaSlack < 0 {
+		add("quota_overage, quota_slack", "must not be negative")
+	}
 	return problems
 }
 
@@ -140,6 +161,20 @@
 	return addresses
 }
 
+func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
+
+func (s *Settings) revocationTime() time.Duration {
+	return time.Duration(s.RevocationMS * float64(time.Millisecond))
+}
+
+func (s *Settings) quotaTerms() quota.Terms {
+	return quota.Terms{
+		Window:  time.Duration(s.QuotaWindowSeconds * float64(time.Second)),
+		Overage: s.QuotaOverage,
+		Slack:   s.QuotaSlack,
+	}
+}
+
 func (s *Settings) stopTime() time.Duration {
 	return time.Duration(s.StopSeconds * float64(time.Second))
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
 )
@@ -14,15 +15,29 @@
 		Partition: d.adapter.RoutesPartition(),
 		Settings:  routesWatch,
 		OnChange:  d.takeRoutes,
-		OnContact: d.contact("routes"),
+		OnRead:    d.confirmRoutes,
+		Hurry:     d.keys.hurry,
+		OnContact: func(err error) {
+			d.keys.noteContact(err)
+			d.contact("routes")(err)
+		},
 	}
 	watcher.Run(ctx)
 }
 
+// confirmRoutes takes note that the routes in force are the newest. They are not
+// while newer ones could not be understood, which may take keys away.
+func (d *Daemon) confirmRoutes(askedAt time.Time) {
+	if !d.refused.Load() && d.table.Load() != nil {
+		d.keys.note(askedAt)
+	}
+}
+
 // takeRoutes puts the newest routes in force. Routes that cannot be understood
 // or that are older change nothing.
 func (d *Daemon) takeRoutes(records map[string]store.Record) {
 	table, err := d.adapter.Routes(records)
+	d.refused.Store(err != nil)
 	if err != nil {
 		d.logger.Error().Err(err).Msg("Routes refused. Those before stay in force.")
 		return
@@ -51,7 +66,7 @@
 		OnChange: func(records map[string]store.Record) {
 			d.adapter.Forget(d.pool.Replace(d.adapter.Instances(records)))
 		},
-		OnRead: d.pool.Confirm,
+		OnRead: func(time.Time) { d.pool.Confirm() },
 		OnContact: func(err error) {
 			if err != nil {
 				d.pool.NoteLost()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/tenant"
 )
 
 // Kind tells what may be done again for a request.
@@ -54,6 +56,8 @@
 	RetainContext bool
 	// Retention is how long turns and programs are kept after their last use.
 	Retention time.Duration
+	// Public: requests need no key.
+	Public bool
 	// Services answer the route, each with its weight.
 	Services []Weighted
 }
@@ -82,11 +86,25 @@
 	TokensPerEvent int64
 }
 
-// Table is one version of all routes and services.
+// Limits bound what callers may send, and how long they may take; 0 sets no bound.
+type Limits struct {
+	// HeadBytes and BodyBytes are the longest head and body of a request.
+	HeadBytes int
+	BodyBytes int64
+	// HeadTime is what a request's head may take, and IdleTime how long a connection
+	// may rest.
+	HeadTime time.Duration
+	IdleTime time.Duration
+}
+
+// Table is one version of all routes, services and tenants.
 type Table struct {
 	Version  int64
 	Services map[string]*Service
-	hosts    map[string][]*Route
+	// Tenants are those whose keys callers bear, nil where there are none.
+	Tenants *tenant.Directory
+	Limits  Limits
+	hosts   map[string][]*Route
 }
 
 // NewTable returns a table of routes and services.
--- a/internal/store/contact.go
+++ b/internal/store/contact.go
@@ -7,8 +7,9 @@
 	"github.com/rotisserie/eris"
 )
 
-// errReturned: a call was broken off because the store answers again.
-var errReturned = eris.New("store: the call was broken off, as the store answers again")
+// errReturned: a call was broken off to be made anew, because the store answers
+// again or somebody asked for it.
+var errReturned = eris.New("store: the call was broken off to be made anew")
 
 // Contact tells a store's users when it is worth trying again. It is safe for
 // concurrent use.
@@ -33,17 +34,24 @@
 // UntilReturned returns a context that also ends when the store answers again:
 // a call that hangs since before is then made anew. The caller must call stop.
 func UntilReturned(ctx context.Context, contact Contact) (until context.Context, stop context.CancelFunc) {
-	returned := contact.Returned()
-	if returned == nil {
+	return untilSignal(ctx, contact.Returned(), nil)
+}
+
+// untilSignal returns a context that also ends with one of two signals, of which
+// either may be nil.
+func untilSignal(ctx context.Context, first, second <-chan struct{}) (until context.Context, stop context.CancelFunc) {
+	if first == nil && second == nil {
 		return ctx, func() {}
 	}
 	until, cancel := context.WithCancelCause(ctx)
 	go func() {
 		select {
-		case <-returned:
-			cancel(errReturned)
+		case <-first:
+		case <-second:
 		case <-until.Done():
+			return
 		}
+		cancel(errReturned)
 	}()
 	return until, func() { cancel(nil) }
 }
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -223,7 +223,7 @@
 }
 
 // Read implements store.Store.
-func (s *Store) Read(_ context.Context, name store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+func (s *Store) Read(ctx context.Context, name store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.down {
@@ -231,16 +231,21 @@
 	}
 	p := s.partition(name)
 	expired := false
-	timer := time.AfterFunc(wait, func() {
+	expire := func() {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		expired = true
 		s.changed.Broadcast()
-	})
+	}
+	timer := time.AfterFunc(wait, expire)
 	defer timer.Stop()
+	defer context.AfterFunc(ctx, expire)()
 	for int64(len(p.records)) <= from && !expired {
 		s.changed.Wait()
 	}
+	if ctx.Err() != nil {
+		return nil, from, store.ErrOutcomeUnknown
+	}
 	if int64(len(p.records)) <= from {
 		return nil, from, nil
 	}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -29,25 +29,35 @@
 	// after the first reading. The map must not be kept.
 	OnChange func(records map[string]Record)
 	// OnRead, if given, is called after each reading that the store answered,
-	// with or without a change: what was heard is as fresh as that.
-	OnRead func()
+	// with or without a change, and after OnChange: what was heard is as fresh as
+	// when the reading was asked for.
+	OnRead func(askedAt time.Time)
 	// OnContact is called when the store is lost, with the cause, and with nil
 	// when it answers again.
 	OnContact func(err error)
 	// Contact, if given, tells when the store answers again: then a reading that
 	// hangs is broken off and made anew.
 	Contact Contact
+	// Hurry, if given, makes a reading that waits for a change be broken off, and
+	// made anew at once.
+	Hurry <-chan struct{}
 }
 
 // Run follows the partition until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	known := map[string]Record{}
 	next := int64(-1)
-	lost := false
+	lost, hurried := false, false
 	for ctx.Err() == nil {
-		changed, from, err := w.advance(ctx, known, next)
+		wait := w.Settings.Wait
+		if lost || hurried {
+			wait = 0 // what counts is whether, and how fresh, the store answers
+		}
+		askedAt := time.Now()
+		changed, from, err := w.advance(ctx, known, next, wait)
 		next = from
-		if errors.Is(err, errReturned) {
+		hurried = errors.Is(err, errReturned)
+		if hurried {
 			continue
 		}
 		if err != nil {
@@ -66,7 +76,7 @@
 			w.OnChange(known)
 		}
 		if w.OnRead != nil {
-			w.OnRead()
+			w.OnRead(askedAt)
 		}
 		clock.Sleep(ctx, w.Settings.Pause)
 	}
@@ -88,10 +98,10 @@
 
 // advance reads what follows next, or everything if next is negative. It
 // returns where to go on.
-func (w *Watcher) advance(ctx context.Context, known map[string]Record, next int64) (changed bool, from int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, w.Settings.Wait+w.Settings.Answer)
+func (w *Watcher) advance(ctx context.Context, known map[string]Record, next int64, wait time.Duration) (changed bool, from int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+w.Settings.Answer)
 	defer cancel()
-	ctx, stop := UntilReturned(ctx, w.contact())
+	ctx, stop := untilSignal(ctx, w.contact().Returned(), w.Hurry)
 	defer stop()
 	if next < 0 {
 		records, end, err := Newest(ctx, w.Store, w.Partition)
@@ -102,7 +112,7 @@
 		ApplyNewest(known, records)
 		return true, end, nil
 	}
-	records, end, err := w.Store.Read(ctx, w.Partition, next, w.Settings.Wait)
+	records, end, err := w.Store.Read(ctx, w.Partition, next, wait)
 	if errors.Is(err, ErrTrimmed) {
 		return false, -1, nil
 	}
--- a/internal/store/watch_test.go
+++ b/internal/store/watch_test.go
@@ -23,7 +23,7 @@
 				changes++
 				value = string(records["a"].Value)
 			},
-			OnRead: func() { reads++ },
+			OnRead: func(time.Time) { reads++ },
 			OnContact: func(err error) {
 				if err != nil {
 					losses++
