Relay: a request that all instances turn down is refused for that, not offered until its caller leaves

Change: a call that was turned down so often that one like the others would have been taken (1 in 1,000), by what was taken since its first offer, is refused as turned down, and logged once. A round offers it to twelve instances at most, pauses between rounds double up to 60 ms, and refusals are read to their end so that connections stay.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -113,6 +113,8 @@
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
+	// ReasonTurnedDown: instances turn the request down and take others.
+	ReasonTurnedDown Reason = "turned_down"
 	// ReasonQuota: the tenant's limit has no room; ReasonQuotaUnknown: its owner can
 	// not be asked.
 	ReasonQuota        Reason = "quota"
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -47,6 +47,11 @@
 	offers    int
 	offeredAt time.Time
 	heardAt   time.Time
+	// refusals counts the offers that were turned down, rounds how often all instances
+	// did, and offeredBefore the offers to the service before the call's first.
+	refusals      int
+	rounds        int
+	offeredBefore offerCounts
 	// heldUp is what held the call up last, and forecast what was expected of it.
 	heldUp   admission.Wait
 	forecast admission.Decision
@@ -63,6 +68,9 @@
 // offer sends the call to one instance after another until one takes it. A nil
 // answer means that the call is over: refused, or its caller left.
 func (c *carrier) offer(ctx context.Context, outgoing Outgoing) (*Answer, instance.Instance) {
+	if c.offers == 0 {
+		c.offeredBefore = c.relay.offered.of(c.service)
+	}
 	for {
 		if !c.hasTime() {
 			c.refuseLate(ctx)
@@ -80,6 +88,7 @@
 			continue
 		}
 		answer, err := c.send(ctx, target, outgoing)
+		c.relay.offered.note(c.service, err == nil && !answer.NotRun)
 		if err == nil && !answer.NotRun && !answer.OtherInstance {
 			c.noteRun(target)
 			c.noteTaken()
@@ -96,6 +105,9 @@
 }
 
 func (c *carrier) take() (instance.Instance, bool) {
+	if len(c.excluded) >= roundOffers {
+		return instance.Instance{}, false
+	}
 	return c.relay.Pool.Take(instance.Query{
 		Service:   c.service,
 		Preferred: c.preferred,
@@ -144,8 +156,12 @@
 func (c *carrier) goOn(ctx context.Context, target instance.Instance, answer *Answer, err error) bool {
 	c.excluded = append(c.excluded, target.ID)
 	if err == nil {
-		_ = answer.Body.Close()
+		drainAndClose(answer.Body)
 		c.noteNotRun(target, answer)
+		if belongsToCall(c.refusals, c.others()) {
+			c.refuseTurnedDown()
+			return false
+		}
 		return true
 	}
 	if ctx.Err() != nil {
@@ -202,6 +218,8 @@
 	if answer.OtherInstance {
 		outcome = instance.OutcomeGone
 		c.only = ""
+	} else {
+		c.refusals++
 	}
 	c.relay.Pool.Release(target.ID, outcome)
 	c.relay.Metrics.notRun(answer.OtherInstance)
@@ -245,11 +263,13 @@
 		return false
 	}
 	c.excluded = c.excluded[:0]
+	pause := min(offerPause<<min(c.rounds, 2), longestOfferPause)
+	c.rounds++
 	select {
 	case <-ctx.Done():
 		c.refuseLate(ctx)
 		return false
-	case <-time.After(offerPause):
+	case <-time.After(pause):
 		return true
 	}
 }
--- /dev/null
+++ b/internal/relay/quota_test.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/tenant"
+)
+
+// scriptedQuota gives verdicts in turn; the last one is repeated.
+type scriptedQuota struct {
+	verdicts []quota.Verdict
+	err      error
+	asked    []quota.Ask
+	returned []quota.Ask
+}
+
+// Admit implements Quota.
+func (q *scriptedQuota) Admit(_ context.Context, ask quota.Ask) (quota.Verdict, error) {
+	q.asked = append(q.asked, ask)
+	if q.err != nil {
+		return quota.Verdict{}, q.err
+	}
+	return q.verdicts[min(len(q.asked), len(q.verdicts))-1], nil
+}
+
+// Return implements Quota.
+func (q *scriptedQuota) Return(ask quota.Ask) { q.returned = append(q.returned, ask) }
+
+var (
+	room   = quota.Verdict{Admitted: true, Reason: quota.ReasonRoom}
+	noRoom = quota.Verdict{Reason: quota.ReasonSpent, AfterMS: 100}
+)
+
+// tenantTurn is a turn of a tenant that has a limit.
+func tenantTurn(previous string) *Call {
+	call := newTurn(newRoute(kindStream))
+	call.Tenant = &tenant.Tenant{Name: "north", PerSecond: 10, Burst: 10}
+	call.Program.Previous = previous
+	return call
+}
+
+// TestProgramUnderWayWaitsForRoom: the limit has room again in time. A program that
+// has not begun is refused at once, with the time.
+func TestProgramUnderWayWaitsForRoom(t *testing.T) {
+	for name, test := range map[string]struct {
+		previous string
+		served   bool
+	}{"under way": {"t0", true}, "first turn": {"", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newHarness(t, step{body: "id: 1\ndata: x\n\n"})
+			q := &scriptedQuota{verdicts: []quota.Verdict{noRoom, noRoom, room}}
+			h.relay.Quota = q
+			started := time.Now()
+			r := h.serve(tenantTurn(test.previous))
+			waited := time.Since(started)
+			if r.ended != test.served || test.served != (waited == 200*time.Millisecond) {
+				t.Errorf("%s: served %v after %s", name, r.ended, waited)
+			}
+			if !test.served && (r.refusal == nil || r.refusal.Reason != ReasonQuota || r.refusal.RetryAfter != 100*time.Millisecond) {
+				t.Errorf("%s: refused with %+v", name, r.refusal)
+			}
+		})
+	}
+}
+
+// TestCallThatNeverRanCostsTheTenantNothing: a program whose budget is spent asks
+// again and again.
+func TestCallThatNeverRanCostsTheTenantNothing(t *testing.T) {
+	h := newHarness(t, step{body: "id: 1\ndata: x\n\n"})
+	q := &scriptedQuota{verdicts: []quota.Verdict{room}}
+	h.relay.Quota = q
+	h.serve(tenantTurn("t0"))
+	if len(q.returned) != 0 {
+		t.Errorf("a call that ran was given back")
+	}
+	h.ledger.setError(ledger.ErrBudgetSpent)
+	h.serve(tenantTurn("t0"))
+	if len(q.returned) != 1 || q.returned[0].Program != "north|p" {
+		t.Errorf("given back: %+v", q.returned)
+	}
+}
+
+// TestUnaskedLimitPromisesThatNothingRan.
+func TestUnaskedLimitPromisesThatNothingRan(t *testing.T) {
+	h := newHarness(t, step{body: "id: 1\ndata: x\n\n"})
+	h.relay.Quota = &scriptedQuota{err: quota.ErrUnasked}
+	r := h.serve(tenantTurn("t0"))
+	if r.refusal == nil || r.refusal.Reason != ReasonQuotaUnknown || !r.refusal.Reason.PromisesNotRun() || r.refusal.RetryAfter == 0 {
+		t.Errorf("refused with %+v", r.refusal)
+	}
+	if len(h.driver.sent) != 0 {
+		t.Error("the call was sent")
+	}
+}
+
+// TestNamesAreTheTenants: the ledger knows programs and turns by names of their own.
+func TestNamesAreTheTenants(t *testing.T) {
+	h := newHarness(t, step{body: "id: 1\ndata: x\n\n"})
+	h.relay.Quota = &scriptedQuota{verdicts: []quota.Verdict{room}}
+	h.serve(tenantTurn("t0"))
+	got := h.ledger.turns[0]
+	if got.Program != "north|p" || got.Previous != "north|t0" || got.ID != "north|q" || h.ledger.outcomes[0].Turn != "north|q" {
+		t.Errorf("the ledger heard of %+v and %+v", got, h.ledger.outcomes[0])
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// offerPause separates rounds of offers to all instances of a service.
-	offerPause = 15 * time.Millisecond
+	// offerPause separates the first rounds of offers to the instances of a service.
+	// It doubles up to longestOfferPause, some requests' time: a place that came free
+	// is found as soon as that by one of the daemons that look for one.
+	offerPause        = 15 * time.Millisecond
+	longestOfferPause = 60 * time.Millisecond
 	// stoppingPause is after when a caller should come back to whom a daemon that
 	// stops gave no answer: others serve already, it only has to reach one.
 	stoppingPause = 50 * time.Millisecond
@@ -86,6 +89,8 @@
 	// what serving takes on each route.
 	full    fullServices
 	serving servingTimes
+	// offered counts the offers to each service.
+	offered offerTally
 	// ordinary is for lines of requests that went the ordinary way.
 	ordinary zerolog.Logger
 	// recording counts the text of turns that wait for their record.
