Keys: daemons confirm each other's with what they say of tenants' limits

Cause: keys were confirmed by each daemon's own reading alone, up to three seconds old, so of an outage of the store of five seconds the last two were refused where the operators' bound allows nearly all.

Change: an owner's verdict carries its routes' version and how long ago they were known to be the newest; the asker counts that from before it asked. No call to the store, no message more.

--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -62,6 +62,8 @@
 	// the shard is not held.
 	limiter    *quota.Limiter
 	quotaTerms quota.Terms
+	// confirmations are told to those that ask for a limit.
+	confirmations Confirmations
 	// holding tells other goroutines whether the shard is held.
 	holding  atomic.Bool
 	epoch    uint64
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -75,6 +75,10 @@
 	Released bool `json:"rel,omitempty"`
 	// gaveUp: the asker did not wait for the answer. It is never sent.
 	gaveUp bool
+	// RoutesVersion and RoutesAgeMS tell, with Verdict, which routes the owner has in
+	// force and how many milliseconds ago they were known to be the newest at least.
+	RoutesVersion int64 `json:"rv,omitempty"`
+	RoutesAgeMS   int64 `json:"ra,omitempty"`
 	// Grant answers Begin, Found answers Find, Verdict answers Quota.
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
--- a/internal/ledger/quota.go
+++ b/internal/ledger/quota.go
@@ -11,12 +11,27 @@
 // are hashed to shards.
 const tenantPrefix = "tenant/"
 
+// Confirmations tell how lately routes, with tenants' keys, were known to be the
+// newest. They are safe for concurrent use.
+type Confirmations interface {
+	// Confirmed returns the version in force, and a time as of which it is the newest;
+	// zero if none is known.
+	Confirmed() (version int64, asOf time.Time)
+	// Hear takes another daemon's word that a version was the newest as of a time.
+	Hear(version int64, asOf time.Time)
+}
+
 // AskQuota asks the owner of a tenant's limit, the holder of the tenant's shard, for
 // a request. The error wraps ErrUnavailable. Nothing of a limit is kept in the store:
 // the store fences holders, and a holder begins with what is set aside for it.
 func (s *Service) AskQuota(ctx context.Context, ask quota.Ask) (quota.Verdict, error) {
 	shard := s.shardOf(tenantPrefix + ask.Tenant)
+	asked := time.Now()
 	response := s.ask(ctx, shard, Request{Quota: &ask})
+	if s.Confirmations != nil && response.RoutesVersion > 0 {
+		// The owner told an age after the question was asked.
+		s.Confirmations.Hear(response.RoutesVersion, asked.Add(-time.Duration(response.RoutesAgeMS)*time.Millisecond))
+	}
 	if response.Result != resultOK || response.Verdict == nil {
 		return quota.Verdict{}, s.heldUp(shard, response.Result)
 	}
@@ -39,5 +54,12 @@
 			Str("reason", string(verdict.Reason)).Float64("tokens", verdict.Tokens).Int("programs", verdict.Programs).
 			Float64("per_second", o.request.Quota.Limit.PerSecond).Int64("after_ms", verdict.AfterMS).Msg("Request beyond a tenant's limit.")
 	}
-	h.answer(o, Response{Result: resultOK, Verdict: &verdict})
+	response := Response{Result: resultOK, Verdict: &verdict}
+	if h.confirmations != nil {
+		if version, asOf := h.confirmations.Confirmed(); !asOf.IsZero() {
+			response.RoutesVersion = version
+			response.RoutesAgeMS = now.Sub(asOf).Milliseconds() + 1
+		}
+	}
+	h.answer(o, response)
 }
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -78,6 +78,9 @@
 	// Expected returns how many daemons are on record, this one included, 0 if
 	// that is not known: one that heard of most of them settles early.
 	Expected func() int
+	// Confirmations are of the routes, which daemons tell each other along with what
+	// they say of tenants' limits; nil if there are none.
+	Confirmations Confirmations
 	// Quota are the terms on which the holder of a tenant's shard owns its limit.
 	Quota   quota.Terms
 	Logger  zerolog.Logger
@@ -132,6 +135,8 @@
 			fleet:      s,
 			quotaTerms: options.Quota,
 
+			confirmations: options.Confirmations,
+
 			readingAhead: readingAhead,
 		})
 	}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -175,8 +175,10 @@
 		Admission:  d.admission,
 		Expected:   d.registry.count,
 		Quota:      d.settings.quotaTerms(),
-		Logger:     part(d.logger, "ledger"),
-		Metrics:    ledger.NewMetrics(figures),
+
+		Confirmations: d,
+		Logger:        part(d.logger, "ledger"),
+		Metrics:       ledger.NewMetrics(figures),
 	})
 	d.relay = relay.New(relay.Options{
 		Pool:    d.pool,
@@ -272,7 +274,10 @@
 	return !d.stopping.Load() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
 }
 
-var _ Gateway = (*Daemon)(nil)
+var (
+	_ Gateway              = (*Daemon)(nil)
+	_ ledger.Confirmations = (*Daemon)(nil)
+)
 
 // Pauses with which operators' and back ends' records are followed. A reading
 // that hangs since its machine was cut off must end within the three seconds
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -51,9 +51,10 @@
 func (c *confirmation) note(askedAt time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if askedAt.After(c.at) {
-		c.at = askedAt
+	if !askedAt.After(c.at) {
+		return
 	}
+	c.at = askedAt
 	close(c.renewed)
 	c.renewed = make(chan struct{})
 }
@@ -126,6 +127,31 @@
 	}
 }
 
+// Confirmed implements ledger.Confirmations. The routes are looked at after the
+// confirmation: they are at least as new.
+func (d *Daemon) Confirmed() (version int64, asOf time.Time) {
+	asOf, _ = d.keys.last()
+	table := d.table.Load()
+	if table == nil {
+		return 0, time.Time{}
+	}
+	return table.Version, asOf
+}
+
+// Hear implements ledger.Confirmations: what each daemon hears of some others keeps
+// its keys confirmed for longer into an outage, with no call to the store. A word of
+// newer routes makes this daemon read them.
+func (d *Daemon) Hear(version int64, asOf time.Time) {
+	table := d.table.Load()
+	switch {
+	case table == nil:
+	case table.Version >= version:
+		d.keys.note(asOf)
+	default:
+		d.keys.ask(time.Now())
+	}
+}
+
 // Identify implements Gateway. What a daemon knows of the keys has an age: one that
 // is cut off, or was frozen, must not take a key that was taken away. The age is
 // looked at when the request has arrived, so it is at least that of when it was sent;
--- a/internal/relaydaemon/keys_test.go
+++ b/internal/relaydaemon/keys_test.go
@@ -152,3 +152,32 @@
 		<-done
 	})
 }
+
+// TestOtherDaemonsWordConfirmsKeys: one that has the same routes, or older ones, by
+// its age; a word of newer routes confirms nothing, and makes the daemon read them.
+func TestOtherDaemonsWordConfirmsKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		d.setKeys(t, 5, "key")
+		d.confirmRoutes(time.Now())
+		time.Sleep(time.Minute)
+		d.Hear(6, time.Now())
+		if d.honours(t, "key") {
+			t.Error("a word of newer routes confirms older ones")
+		}
+		if len(d.keys.hurry) == 0 {
+			t.Error("newer routes are not read")
+		}
+		d.Hear(5, time.Now().Add(-d.settings.revocationTime()))
+		if d.honours(t, "key") {
+			t.Error("a word that is too old confirms")
+		}
+		d.Hear(4, time.Now().Add(-time.Second))
+		if !d.honours(t, "key") {
+			t.Error("a word in time does not confirm")
+		}
+		if version, asOf := d.Confirmed(); version != 5 || time.Since(asOf) != time.Second {
+			t.Errorf("tells others of version %d as of %s ago", version, time.Since(asOf))
+		}
+	})
+}
