Keys: a refusal names its request and the keys' age; limits that nothing applied are not read

Behaviour is unchanged but for the log line: request, route, reason, age of the keys, version, time to come back.

--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -26,16 +26,26 @@
 	Registry     prometheus.Registerer
 }
 
+// KeyQuestion asks whom a request acts for.
+type KeyQuestion struct {
+	// Request is the request's ID, for the log.
+	Request string
+	Route   *route.Route
+	// Key is what the caller bears, "" for none. It is never logged.
+	Key string
+	// Left is the time that the caller has, 0 if it does not tell.
+	Left time.Duration
+}
+
 // Gateway is what an adapter's front may ask of the daemon.
 type Gateway interface {
 	// Table returns the routes in force. While none are known it waits for them,
 	// for a part of the time that the caller has left (0: not told), and returns
 	// nil if none came.
 	Table(ctx context.Context, left time.Duration) *route.Table
-	// Identify returns the tenant that a request on a route acts for, nil for none,
-	// or why it is refused. key is "" if the caller gave none, and left the time that
-	// the caller has (0: not told). It must be called once the request has arrived.
-	Identify(ctx context.Context, found *route.Route, key string, left time.Duration) (*tenant.Tenant, *relay.Refusal)
+	// Identify returns the tenant that a request acts for, nil for none, or why it is
+	// refused. It must be called once the request has arrived.
+	Identify(ctx context.Context, asked KeyQuestion) (*tenant.Tenant, *relay.Refusal)
 	// Stopping tells whether the daemon is about to stop.
 	Stopping() bool
 	// Serve carries a call to its end.
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -7,7 +7,6 @@
 
 	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/relay"
-	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/tenant"
 )
 
@@ -155,29 +154,27 @@
 // is cut off, or was frozen, must not take a key that was taken away. The age is
 // looked at when the request has arrived, so it is at least that of when it was sent;
 // whatever holds the request up afterwards, it does not count against the key.
-func (d *Daemon) Identify(ctx context.Context, found *route.Route, key string, left time.Duration) (*tenant.Tenant, *relay.Refusal) {
+func (d *Daemon) Identify(ctx context.Context, asked KeyQuestion) (*tenant.Tenant, *relay.Refusal) {
 	table := d.table.Load()
 	switch {
 	case table.Tenants == nil:
 		return nil, nil
-	case found.Public:
-		return table.Tenants.Find(key), nil
-	case key == "":
-		return nil, &relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "The request bears no key."}
+	case asked.Route.Public:
+		return table.Tenants.Find(asked.Key), nil
+	case asked.Key == "":
+		return nil, d.refuseKey(asked, relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "The request bears no key."})
 	}
-	if !d.awaitKeys(ctx, d.settings.revocationTime()-revocationMargin, left) {
-		return nil, d.refuseUnconfirmed()
-	}
-	if known := d.table.Load().Tenants.Find(key); known != nil {
-		return known, nil
-	}
-	if !d.awaitKeys(ctx, unknownKeyAge, left) {
-		return nil, d.refuseUnconfirmed()
-	}
-	if known := d.table.Load().Tenants.Find(key); known != nil {
-		return known, nil
+	// A key that is known must be confirmed within the operators' bound, and one that
+	// is not is looked for in newer routes.
+	for _, atMost := range [...]time.Duration{d.settings.revocationTime() - revocationMargin, unknownKeyAge} {
+		if !d.awaitKeys(ctx, atMost, asked.Left) {
+			return nil, d.refuseUnconfirmed(asked)
+		}
+		if known := d.table.Load().Tenants.Find(asked.Key); known != nil {
+			return known, nil
+		}
 	}
-	return nil, &relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "No tenant has the key."}
+	return nil, d.refuseKey(asked, relay.Refusal{Reason: relay.ReasonUnknownKey, Detail: "No tenant has the key."})
 }
 
 // awaitKeys waits for a confirmation of the keys while it is likely to come within
@@ -191,13 +188,20 @@
 	return d.keys.await(ctx, atMost, d.admission.Decide(wait, now).Until)
 }
 
-func (d *Daemon) refuseUnconfirmed() *relay.Refusal {
+func (d *Daemon) refuseUnconfirmed(asked KeyQuestion) *relay.Refusal {
 	now := time.Now()
-	at, _ := d.keys.last()
 	forecast := d.admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now)}, now)
-	d.logger.Info().Dur("keys_age", now.Sub(at)).Dur("expected", forecast.Remaining).Msg("Keys not confirmed.")
-	return &relay.Refusal{
+	return d.refuseKey(asked, relay.Refusal{
 		Reason: relay.ReasonKeysUnconfirmed, RetryAfter: forecast.Remaining,
 		Detail: "It was not confirmed lately which keys there are.",
-	}
+	})
+}
+
+// refuseKey logs why a request is refused for its key.
+func (d *Daemon) refuseKey(asked KeyQuestion, refusal relay.Refusal) *relay.Refusal {
+	asOf, _ := d.keys.last()
+	d.logger.Info().Str("part", "keys").Str("request", asked.Request).Str("route", asked.Route.Name).
+		Str("reason", string(refusal.Reason)).Dur("keys_age", time.Since(asOf)).Int64("routes_version", d.table.Load().Version).
+		Dur("retry_after", refusal.RetryAfter).Msg("Request refused.")
+	return &refusal
 }
--- a/internal/relaydaemon/keys_test.go
+++ b/internal/relaydaemon/keys_test.go
@@ -34,7 +34,7 @@
 // honours tells whether a request with a key is let through at once.
 func (d *Daemon) honours(t *testing.T, key string) bool {
 	t.Helper()
-	known, refusal := d.Identify(t.Context(), &route.Route{}, key, time.Millisecond)
+	known, refusal := d.Identify(t.Context(), KeyQuestion{Route: &route.Route{}, Key: key, Left: time.Millisecond})
 	return known != nil && refusal == nil
 }
 
@@ -84,7 +84,7 @@
 		d.confirmRoutes(time.Now())
 		time.Sleep(time.Minute)
 		time.AfterFunc(10*time.Millisecond, func() { d.confirmRoutes(time.Now()) })
-		known, refusal := d.Identify(t.Context(), &route.Route{}, "key", 3*time.Second)
+		known, refusal := d.Identify(t.Context(), KeyQuestion{Route: &route.Route{}, Key: "key", Left: 3 * time.Second})
 		if known == nil || refusal != nil {
 			t.Errorf("got %v, %+v", known, refusal)
 		}
@@ -110,11 +110,11 @@
 				d.confirmRoutes(time.Now())
 			}
 		}()
-		if known, refusal := d.Identify(t.Context(), &route.Route{}, "new", 3*time.Second); known == nil {
+		if known, refusal := d.Identify(t.Context(), KeyQuestion{Route: &route.Route{}, Key: "new", Left: 3 * time.Second}); known == nil {
 			t.Errorf("a new key: got %+v", refusal)
 		}
 		for range 100 {
-			if known, _ := d.Identify(t.Context(), &route.Route{}, "none", 3*time.Second); known != nil {
+			if known, _ := d.Identify(t.Context(), KeyQuestion{Route: &route.Route{}, Key: "none", Left: 3 * time.Second}); known != nil {
 				t.Error("a key of nobody's was honoured")
 			}
 		}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -86,15 +86,10 @@
 	TokensPerEvent int64
 }
 
-// Limits bound what callers may send, and how long they may take; 0 sets no bound.
+// Limits bound what callers may send; 0 sets no bound.
 type Limits struct {
-	// HeadBytes and BodyBytes are the longest head and body of a request.
-	HeadBytes int
+	// BodyBytes is the longest body of a request.
 	BodyBytes int64
-	// HeadTime is what a request's head may take, and IdleTime how long a connection
-	// may rest.
-	HeadTime time.Duration
-	IdleTime time.Duration
 }
 
 // Table is one version of all routes, services and tenants.
