--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -81,16 +81,6 @@
 // areBorne tells whether another allowance may be opened beside them.
 func (l losses) areBorne() bool { return l.OfAll == 0 && l.OfOneTurn < turnLossesBorne }
 
-// MachineClock is the steady clock of a machine. It outlasts processes.
-type MachineClock struct {
-	// Boot names the machine's run, "" if it is not known.
-	Boot string
-	// Now is the clock's time; nil where there is none.
-	Now func() time.Duration
-	// Started is what it showed when this process began: the one before had ended.
-	Started time.Duration
-}
-
 // allowance is a shard's allowance as its holder keeps it.
 type allowance struct {
 	// allowanceRecord is what is to stand in the store.
@@ -111,31 +101,6 @@
 	return eris.Wrap(json.Unmarshal(value, &s.allowance.allowanceRecord), "ledger: the allowance")
 }
 
-// formerLife is how long a daemon remembers what it knew of a shard that it lost: a
-// store that is out is back by then, or the shard is another's.
-const formerLife = 30 * time.Second
-
-// formerState is what a daemon knew of a shard when it lost it, most often because an
-// append's answer did: all that was granted, whether on record or not.
-type formerState struct {
-	epoch    uint64
-	lostAt   time.Time
-	accounts map[string]*accountEntry
-}
-
-// takeUp puts what this daemon granted before it lost the shard in the place of what
-// the records tell, if nobody else held the shard since, and returns whether it did.
-func (s *state) takeUp(former *formerState, now time.Time) bool {
-	if former == nil || former.epoch != s.allowance.Epoch || now.Sub(former.lostAt) > formerLife {
-		return false
-	}
-	for id, entry := range former.accounts {
-		s.accounts[id] = &accountEntry{account: entry.account, usedAt: entry.usedAt, allowed: unboundedHeadroom}
-		s.touch(accountPrefix + id)
-	}
-	return true
-}
-
 // openAllowance counts the former holder's allowance as lost, if it did not give
 // it back, and opens one for the holder of an epoch unless too many count. It counts
 // from its record on, which goes along with the next append. former is what this
@@ -171,16 +136,6 @@
 	s.touch(allowanceKey)
 }
 
-// isSoonAfter tells whether the process before this one on the machine wrote a record
-// and ended within firstTurnTime of that.
-func (m MachineClock) isSoonAfter(record allowanceRecord) bool {
-	if m.Boot == "" || m.Boot != record.Boot {
-		return false
-	}
-	passed := m.Started - record.Uptime
-	return passed >= 0 && passed < firstTurnTime
-}
-
 // isAllowanceLost tells whether a program that is not known may have begun from an
 // allowance that was lost.
 func (s *state) isAllowanceLost(now time.Time) bool {
