--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -79,6 +79,7 @@
 		Directory:  store.Partition{Space: "holders"},
 		SettleTime: f.settleTime,
 		Machine:    testMachine(id),
+		Quota:      testTerms,
 		Logger:     zerolog.Nop(),
 		Metrics:    NewMetrics(prometheus.NewRegistry()),
 	})
