--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -40,39 +40,35 @@
 	return t.holders[shard]
 }
 
-// note takes news of a holder, if it is not older than what is known. It returns
-// whether another claim is known now.
-func (t *holderTable) note(shard int, holder holderRecord) bool {
+// note takes news of a holder, if it is not older than what is known.
+func (t *holderTable) note(shard int, holder holderRecord) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := &t.holders[shard]
 	if holder.Daemon == "" || holder.Epoch < known.Epoch || known.released && holder.Epoch == known.Epoch {
-		return false
+		return
 	}
-	isNews := holder.Epoch > known.Epoch
-	if isNews {
+	if holder.Epoch > known.Epoch {
 		known.learnedAt = time.Now()
 		known.released = false
 	}
 	known.holderRecord = holder
-	return isNews
 }
 
 // noteReleased takes news that the holder of an epoch gave the shard up for
-// another daemon to claim. It returns whether that was not known.
-func (t *holderTable) noteReleased(shard int, epoch uint64, successor string) bool {
+// another daemon to claim.
+func (t *holderTable) noteReleased(shard int, epoch uint64, successor string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := &t.holders[shard]
 	if epoch < known.Epoch || known.released && epoch == known.Epoch {
-		return false
+		return
 	}
 	*known = knownHolder{
 		holderRecord: holderRecord{Epoch: epoch, Daemon: successor},
 		learnedAt:    time.Now(),
 		released:     true,
 	}
-	return true
 }
 
 // isComplete tells whether a holder of each shard is known.
