Quota: one token bucket for owners and for daemons that hear of none

Cause: the refilling of a bucket and the time until it holds a token stood twice, in the owner's limiter and in the gate; the owner's kept what a new owner begins with beside its state, which nothing needs later; a returned request had a verdict of its own that was built alike.

Change: tokenBucket, used by both; one verdict. Two errors that are dropped on purpose say why. Behaviour is unchanged. membership's bucket is not joined: it gives out parts of what is wanted, and its time only bounds bytes.

--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -66,10 +66,8 @@
 	// lostAt when it was first.
 	troubledAt time.Time
 	lostAt     time.Time
-	// rate and tokens are of the bucket that requests pass on meanwhile.
-	rate   float64
-	tokens float64
-	at     time.Time
+	// unasked is what requests pass on meanwhile.
+	unasked tokenBucket
 }
 
 type answer struct {
@@ -113,7 +111,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), askTime)
 		defer cancel()
-		_, _ = g.owner.AskQuota(ctx, ask)
+		_, _ = g.owner.AskQuota(ctx, ask) // nobody waits for it; see above
 	}()
 }
 
@@ -155,19 +153,19 @@
 	u := g.usageOf(tenant)
 	u.troubledAt = now
 	if u.lostAt.IsZero() {
-		u.lostAt, u.at = now, now
-		u.rate = float64(u.used(g.slot(now))) / g.window.Seconds()
-		u.tokens = unaskedCapacity
+		u.lostAt = now
+		rate := float64(u.used(g.slot(now))) / g.window.Seconds()
+		u.unasked = tokenBucket{rate: rate, capacity: unaskedCapacity, tokens: unaskedCapacity, at: now}
 	}
-	u.tokens = min(u.tokens+u.rate*now.Sub(u.at).Seconds(), unaskedCapacity)
-	u.at = now
+	bucket := &u.unasked
+	bucket.refill(now)
 	switch {
-	case u.rate == 0 && u.tokens < 1, now.Sub(u.lostAt) > unaskedFor:
+	case bucket.rate == 0 && bucket.tokens < 1, now.Sub(u.lostAt) > unaskedFor:
 		return askTime
-	case u.tokens < 1:
-		return time.Duration((1-u.tokens)/u.rate*float64(time.Second)) + 1
+	case bucket.tokens < 1:
+		return bucket.timeToFill(1-bucket.tokens) + 1
 	}
-	u.tokens--
+	bucket.tokens--
 	return 0
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -35,11 +35,9 @@
 
 // bucket is what is left to one tenant.
 type bucket struct {
-	bounds
+	tokenBucket
 	limit   Limit
 	version int64
-	tokens  float64
-	at      time.Time
 	// programs are those under way, and byRoute counts them by route.
 	programs map[string]*program
 	byRoute  map[string]int
@@ -65,10 +63,11 @@
 	known := b.programs[ask.Program]
 	if ask.Returned {
 		b.giveBack(known)
-		return Verdict{Tokens: b.tokens, Programs: len(b.programs)}
 	}
 	verdict := Verdict{Tokens: b.tokens, Programs: len(b.programs)}
 	switch {
+	case ask.Returned:
+		return verdict
 	case b.tokens < 1:
 		verdict.Reason = ReasonSpent
 		verdict.AfterMS = b.timeUntil(1).Milliseconds() + 1
@@ -90,9 +89,9 @@
 func (l *Limiter) bucketOf(ask Ask, now time.Time) *bucket {
 	b := l.tenants[ask.Tenant]
 	if b == nil {
-		b = &bucket{at: l.since, lookedAt: now, programs: map[string]*program{}, byRoute: map[string]int{}}
-		b.set(ask, l.terms)
-		b.tokens = b.start
+		b = &bucket{lookedAt: now, programs: map[string]*program{}, byRoute: map[string]int{}}
+		b.at = l.since
+		b.tokens = b.set(ask, l.terms).start
 		if l.first {
 			b.tokens = b.capacity
 		}
@@ -107,17 +106,13 @@
 	return b
 }
 
-func (b *bucket) set(ask Ask, terms Terms) {
+// set puts a limit in force, and returns what it makes of the bucket.
+func (b *bucket) set(ask Ask, terms Terms) bounds {
 	b.limit, b.version = ask.Limit, ask.Version
-	b.bounds = terms.boundsOf(ask.Limit)
+	made := terms.boundsOf(ask.Limit)
+	b.rate, b.capacity = made.rate, made.capacity
 	b.tokens = min(b.tokens, b.capacity)
-}
-
-func (b *bucket) refill(now time.Time) {
-	if passed := now.Sub(b.at).Seconds(); passed > 0 {
-		b.tokens = min(b.tokens+b.rate*passed, b.capacity)
-		b.at = now
-	}
+	return made
 }
 
 // giveBack takes back what a request was admitted on that did not run.
@@ -130,8 +125,7 @@
 
 // timeUntil is when the bucket holds so much.
 func (b *bucket) timeUntil(tokens float64) time.Duration {
-	missing := max(tokens-b.tokens, 0)
-	return min(time.Duration(missing/b.rate*float64(time.Second)), longestAfter)
+	return min(b.timeToFill(max(tokens-b.tokens, 0)), longestAfter)
 }
 
 // knowsPrograms tells whether every program under way was seen here: for some seconds
@@ -154,7 +148,7 @@
 			wanted += float64(count) * l.forecast.of(underway).left(horizon)
 		}
 		if got := b.tokens + b.rate*horizon.Seconds(); wanted > got {
-			longest = max(longest, time.Duration((wanted-got)/b.rate*float64(time.Second)))
+			longest = max(longest, b.timeToFill(wanted-got))
 		}
 	}
 	return min(longest, longestAfter)
--- a/internal/relay/turned_down.go
+++ b/internal/relay/turned_down.go
@@ -85,5 +85,5 @@
 // drainAndClose reads a short answer to its end, so that its connection is kept.
 func drainAndClose(body io.ReadCloser) {
 	_, _ = io.CopyN(io.Discard, body, drainLimit) // what fails here only costs the connection
-	_ = body.Close()
+	_ = body.Close()                              // the refusal was understood by its head
 }
