Zones: topology from the settings; placing gets extension points

Cause: regions were written to the registry and read by nothing, and every part of the two newcomers' work needs a say in which instance a request goes to. Change: internal/zone holds the topology; instance.Plugins are filters, scorers and reservers of the choice; settings for evacuation, cold instances, zones that must be borne and the store's rates, from the template.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -49,7 +49,7 @@
 	if q.Only != "" && e.ID != q.Only {
 		return false
 	}
-	return p.mayServe(e, now) && !slices.Contains(q.Excluded, e.ID)
+	return p.mayServe(e, now) && !slices.Contains(q.Excluded, e.ID) && p.plugins.filteredBy(q, &e.Instance, now) == nil
 }
 
 // Take picks the instance with the lowest cost and counts the request there;
@@ -60,12 +60,27 @@
 	defer p.mutex.Unlock()
 	now := time.Now()
 	if query.Preferred == "" && query.Object != "" {
-		query.Preferred = p.homeOf(query, now)
+		query.Preferred = p.homeOf(&query, now)
 	}
+	for {
+		best := p.cheapest(&query, now)
+		if best == nil {
+			return Instance{}, false
+		}
+		if p.plugins.reserve(&best.Instance, now) {
+			best.inFlight++
+			return best.Instance, true
+		}
+		query.Excluded = append(slices.Clip(query.Excluded), best.ID)
+	}
+}
+
+// cheapest returns the instance with the lowest cost, nil if none is admitted.
+func (p *Pool) cheapest(query *Query, now time.Time) *entry {
 	var best *entry
 	bestCost := 0.0
 	for _, e := range p.byService[query.Service] {
-		if !p.admits(&query, e, now) {
+		if !p.admits(query, e, now) {
 			continue
 		}
 		cost := p.cost(e, query, now)
@@ -73,19 +88,15 @@
 			best, bestCost = e, cost
 		}
 	}
-	if best == nil {
-		return Instance{}, false
-	}
-	best.inFlight++
-	return best.Instance, true
+	return best
 }
 
 // homeOf returns the instance with the highest hash of itself and the object,
 // so that only the objects of instances that come or go move.
-func (p *Pool) homeOf(query Query, now time.Time) string {
+func (p *Pool) homeOf(query *Query, now time.Time) string {
 	home, highest := "", uint64(0)
 	for _, e := range p.byService[query.Service] {
-		if !p.mayServe(e, now) {
+		if !p.mayServe(e, now) || p.plugins.filteredBy(query, &e.Instance, now) != nil {
 			continue
 		}
 		if hash := xxhash.Sum64String(e.ID + "/" + query.Object); home == "" || hash > highest {
@@ -97,7 +108,7 @@
 
 // cost is an instance's load per slot, corrected by what speaks for and
 // against it, in shares of its slots.
-func (p *Pool) cost(e *entry, query Query, now time.Time) float64 {
+func (p *Pool) cost(e *entry, query *Query, now time.Time) float64 {
 	slots := float64(max(e.Slots, 1))
 	cost := float64(e.inFlight) / slots
 	cost += randomCost * p.random.Float64() / slots
@@ -115,7 +126,7 @@
 	if e.ColdFor > 0 {
 		cost += coldCost / slots
 	}
-	return cost
+	return cost + p.plugins.cost(query, &e.Instance, now)
 }
 
 // unlistedCost is what counts against an instance that is missing on the list.
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -10,10 +10,11 @@
 
 // Pool keeps the instances of all services. It is safe for concurrent use.
 type Pool struct {
-	zone   string
-	mutex  sync.Mutex
-	random *rand.Rand
-	byID   map[string]*entry
+	zone    string
+	plugins Plugins
+	mutex   sync.Mutex
+	random  *rand.Rand
+	byID    map[string]*entry
 	// byService holds the instances of each service, in order of ID.
 	byService map[string][]*entry
 	paces     paces
@@ -43,9 +44,10 @@
 }
 
 // NewPool returns an empty pool for a daemon in a zone.
-func NewPool(zone string, random *rand.Rand) *Pool {
+func NewPool(zone string, random *rand.Rand, plugins Plugins) *Pool {
 	return &Pool{
 		zone:      zone,
+		plugins:   plugins,
 		random:    random,
 		byID:      map[string]*entry{},
 		byService: map[string][]*entry{},
@@ -135,16 +137,30 @@
 	return loads
 }
 
-// Count returns how many instances of a service may get requests.
-func (p *Pool) Count(service string) int {
+// Census tells how many instances of a service there are for a request.
+type Census struct {
+	// Admitted instances may get the request.
+	Admitted int
+	// Filtered counts those that could serve, by why a filter turns them down.
+	Filtered map[string]int
+}
+
+// Count returns how many instances of a request's service may get it, those that are
+// excluded included.
+func (p *Pool) Count(query Query) Census {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	count := 0
+	census := Census{Filtered: map[string]int{}}
 	now := time.Now()
-	for _, e := range p.byService[service] {
-		if p.mayServe(e, now) {
-			count++
+	for _, e := range p.byService[query.Service] {
+		if !p.mayServe(e, now) {
+			continue
+		}
+		if filter := p.plugins.filteredBy(&query, &e.Instance, now); filter != nil {
+			census.Filtered[filter.Reason()]++
+			continue
 		}
+		census.Admitted++
 	}
-	return count
+	return census
 }
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -11,7 +11,7 @@
 )
 
 func newTestPool(ready ...string) *Pool {
-	p := NewPool("z", rand.New(rand.NewPCG(1, 2)))
+	p := NewPool("z", rand.New(rand.NewPCG(1, 2)), Plugins{})
 	p.Replace(listOf(StateReady, ready...))
 	return p
 }
@@ -58,11 +58,11 @@
 	homes := map[string]string{}
 	for i := range 50 {
 		object := fmt.Sprint("object-", i)
-		homes[object] = p.homeOf(Query{Service: "s", Object: object}, time.Now())
+		homes[object] = p.homeOf(&Query{Service: "s", Object: object}, time.Now())
 	}
 	p.Replace(listOf(StateReady, "a", "b", "c"))
 	for object, home := range homes {
-		if got := p.homeOf(Query{Service: "s", Object: object}, time.Now()); home != "d" && got != home {
+		if got := p.homeOf(&Query{Service: "s", Object: object}, time.Now()); home != "d" && got != home {
 			t.Errorf("%s moved from %s to %s", object, home, got)
 		}
 	}
@@ -77,8 +77,8 @@
 	if got, found := p.Take(Query{Service: "s", Excluded: []string{"a"}}); found {
 		t.Errorf("got %s", got.ID)
 	}
-	if p.Count("s") != 1 {
-		t.Errorf("%d ready", p.Count("s"))
+	if p.Count(Query{Service: "s"}).Admitted != 1 {
+		t.Errorf("%d ready", p.Count(Query{Service: "s"}).Admitted)
 	}
 }
 
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -108,13 +108,18 @@
 	if len(c.excluded) >= roundOffers {
 		return instance.Instance{}, false
 	}
-	return c.relay.Pool.Take(instance.Query{
+	return c.relay.Pool.Take(c.query())
+}
+
+// query is what the call needs of an instance.
+func (c *carrier) query() instance.Query {
+	return instance.Query{
 		Service:   c.service,
 		Preferred: c.preferred,
 		Object:    c.object(),
 		Only:      c.only,
 		Excluded:  c.excluded,
-	})
+	}
 }
 
 func (c *carrier) object() string {
@@ -253,7 +258,7 @@
 // means that the call was refused.
 func (c *carrier) nextRound(ctx context.Context) bool {
 	now := time.Now()
-	if c.relay.Pool.Count(c.service) == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
+	if c.relay.Pool.Count(c.query()).Admitted == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
 		c.decide(admission.ServiceGone, now, now)
 		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.returnAfter(), Detail: "No back end of this service is known."})
 		return false
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
 const (
@@ -59,7 +60,9 @@
 	membership *membership.Membership
 	transport  *tcp.Transport
 	pool       *instance.Pool
-	registry   *memberRegistry
+	// topology is which zones there are, and how far.
+	topology zone.Topology
+	registry *memberRegistry
 	// store is reached by way of other daemons where this one does not reach it.
 	store   *proxy.Service
 	figures *prometheus.Registry
@@ -104,13 +107,14 @@
 
 		startedAt: time.Now(),
 		admission: &admission.Admission{},
-		pool:      instance.NewPool(settings.Zone, newRandom()),
+		topology:  settings.topology(),
 		adapter: newAdapter(AdapterOptions{
 			StoreAddress: settings.StoreAddress,
 			Logger:       part(logger, "adapter"),
 			Registry:     figures,
 		}),
 	}
+	d.pool = instance.NewPool(settings.Zone, newRandom(), d.placementPlugins())
 	if err := d.join(figures); err != nil {
 		return nil, err
 	}
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -12,6 +12,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/yamlfile"
+	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
 // ErrUnreadable: the settings file cannot be read.
@@ -25,6 +26,11 @@
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
+	// Zones names the region of each zone of the fleet; those that it does not name
+	// count as near.
+	Zones map[string]string `yaml:"zones"`
+	// ZonesBorne is how many zones may be lost at once with every promise kept.
+	ZonesBorne int `yaml:"zones_borne"`
 	// FrontAddress is where callers reach it, ReadyAddress where it tells
 	// whether it takes requests, PeerAddress where other daemons reach it;
 	// each "IP:PORT".
@@ -59,6 +65,19 @@
 	QuotaWindowSeconds float64 `yaml:"quota_window_seconds"`
 	QuotaOverage       float64 `yaml:"quota_overage"`
 	QuotaSlack         float64 `yaml:"quota_slack"`
+	// EvacuationMS is within how many milliseconds after the operators emptied a zone
+	// no request may reach a back end there.
+	EvacuationMS float64 `yaml:"evacuation_milliseconds"`
+	// A cold back end may get in each second its own rate times ColdOverage, and
+	// ColdSlack more, from the whole fleet.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
+	// StoreReads and StoreWrites are how many calls a second the store takes of the
+	// whole fleet, and StoreReadMegabytes what it reads a second for all of them; 0 if
+	// that is not known.
+	StoreReads         float64 `yaml:"store_reads"`
+	StoreWrites        float64 `yaml:"store_writes"`
+	StoreReadMegabytes float64 `yaml:"store_read_megabytes"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
 }
@@ -72,6 +91,8 @@
 		RevocationMS:     5000,
 
 		QuotaWindowSeconds: quota.DefaultTerms().Window.Seconds(),
+		EvacuationMS:       5000,
+		ColdOverage:        1,
 		LogLevel:           "info",
 	}
 }
@@ -147,9 +168,27 @@
 	if s.QuotaOverage < 0 || s.QuotaSlack < 0 {
 		add("quota_overage, quota_slack", "must not be negative")
 	}
+	if s.EvacuationMS <= 0 {
+		add("evacuation_milliseconds", "must be above 0")
+	}
+	if s.ColdOverage < 1 || s.ColdSlack < 0 {
+		add("cold_overage, cold_slack", "must be at least 1 and not negative")
+	}
+	if s.StoreReads < 0 || s.StoreWrites < 0 || s.StoreReadMegabytes < 0 {
+		add("store_reads, store_writes, store_read_megabytes", "must not be negative")
+	}
+	if s.ZonesBorne < 0 {
+		add("zones_borne", "must not be negative")
+	}
+	if region, named := s.Zones[s.Zone]; named && region != s.Region {
+		add("zones", "names another region for the daemon's own zone than region does")
+	}
 	return problems
 }
 
+// topology is the fleet's zones as seen from this daemon's.
+func (s *Settings) topology() zone.Topology { return zone.NewTopology(s.Zone, s.Region, s.Zones) }
+
 // seedAddresses splits the seeds.
 func (s *Settings) seedAddresses() []string {
 	var addresses []string
