Front: the operators' limits on heads and idle connections are in force

Cause: of the operators' limits only the bound on bodies was read; header bytes, header and idle times were constants, and net/http's own bounds can not change while it runs. The connection has a file of its own.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -127,6 +127,7 @@
 	ReasonTimeout         Reason = "timeout"
 	ReasonNoRoute         Reason = "no_route"
 	ReasonTooLarge        Reason = "too_large"
+	ReasonHeadTooLarge    Reason = "head_too_large"
 	ReasonMalformed       Reason = "malformed"
 	ReasonCallerLeft      Reason = "caller_left"
 )
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/route"
 )
 
 const (
@@ -28,11 +29,16 @@
 	// giveUp ends the contexts of all requests, with their cause.
 	giveUp context.CancelCauseFunc
 
-	mutex sync.Mutex
-	open  map[*frontConnection]struct{}
+	mutex  sync.Mutex
+	limits route.Limits
+	open   map[*frontConnection]struct{}
 }
 
-// newFrontServer starts to serve on a listener.
+// connectionKey is under which a request's context has its frontConnection.
+type connectionKey struct{}
+
+// newFrontServer starts to serve on a listener. Times that callers may take are the
+// front server's: server must set none.
 func newFrontServer(server *http.Server, listener net.Listener) *frontServer {
 	base, giveUp := context.WithCancelCause(context.Background())
 	s := &frontServer{
@@ -40,8 +46,13 @@
 		server:   server,
 		listener: listener,
 		served:   make(chan struct{}),
+		limits:   route.Limits{HeadTime: headerTimeout, IdleTime: idleTimeout},
 		open:     map[*frontConnection]struct{}{},
 	}
+	server.Handler = serving(server.Handler)
+	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, connection)
+	}
 	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.ConnState = s.noteState
 	go func() {
@@ -51,6 +62,27 @@
 	return s
 }
 
+// serving takes note of each request whose head was read.
+func serving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if connection, known := r.Context().Value(connectionKey{}).(*frontConnection); known {
+			connection.enter(phaseServing, time.Now())
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// setLimits puts the operators' limits on callers' time in force, for connections that
+// are open, too. A limit of 0 sets no bound.
+func (s *frontServer) setLimits(limits route.Limits) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limits = limits
+	for connection := range s.open {
+		connection.setLimits(limits)
+	}
+}
+
 // drain accepts no connection any more, answers every request that has begun to
 // arrive, and closes connections that rest. It returns once none is open, or
 // with an error when ctx ends.
@@ -96,12 +128,14 @@
 	if !known {
 		return
 	}
+	now := time.Now()
 	switch state {
 	case http.StateNew:
-		c.rest(time.Now().Add(firstRequestTime))
 		s.add(c)
+		c.enter(phaseResting, now)
+		c.spareUntil(now.Add(firstRequestTime))
 	case http.StateIdle:
-		c.rest(time.Now())
+		c.enter(phaseResting, now)
 	case http.StateClosed, http.StateHijacked:
 		s.remove(c)
 	}
@@ -110,6 +144,7 @@
 func (s *frontServer) add(c *frontConnection) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	c.setLimits(s.limits)
 	s.open[c] = struct{}{}
 }
 
@@ -118,76 +153,3 @@
 	defer s.mutex.Unlock()
 	delete(s.open, c)
 }
-
-// frontListener hands out connections that know whether they rest.
-type frontListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l frontListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &frontConnection{Conn: connection}, nil
-}
-
-// frontConnection is a caller's connection. It rests from its last answer until
-// the first byte of the next request was read.
-type frontConnection struct {
-	net.Conn
-
-	mutex sync.Mutex
-	// restsFrom is when it rests from; zero while a request is under way.
-	restsFrom time.Time
-	// expired: the wait for the next request was ended.
-	expired bool
-}
-
-// Read implements net.Conn.
-func (c *frontConnection) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	if n > 0 {
-		c.noteArrived()
-	}
-	return n, err
-}
-
-// CloseWrite lets the server tell the caller that nothing follows while it still
-// reads: net/http does so where closing at once would reset the connection.
-func (c *frontConnection) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return nil
-	}
-	return half.CloseWrite()
-}
-
-func (c *frontConnection) rest(from time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.restsFrom = from
-}
-
-// noteArrived notes that a request is under way. Where its first bytes crossed
-// the end of the wait for them, the rest gets its time.
-func (c *frontConnection) noteArrived() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.restsFrom = time.Time{}
-	if c.expired {
-		c.expired = false
-		_ = c.SetReadDeadline(time.Now().Add(headerTimeout)) // fails on a connection that is closed
-	}
-}
-
-// expire makes the server close the connection if it rests. The server closes it
-// itself when its reading fails: it then has no byte of a request.
-func (c *frontConnection) expire(now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.restsFrom.IsZero() || now.Before(c.restsFrom) {
-		return
-	}
-	c.expired = true
-	_ = c.SetReadDeadline(now) // the same
-}
--- a/internal/relaydaemon/front_test.go
+++ b/internal/relaydaemon/front_test.go
@@ -101,11 +101,7 @@
 		body, _ := io.ReadAll(r.Body)
 		_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 	}
-	d.server = newFrontServer(&http.Server{
-		Handler:           http.HandlerFunc(handler),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}, d.pipeListener)
+	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(handler)}, d.pipeListener)
 	t.Cleanup(d.server.close)
 	return d
 }
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -13,11 +13,13 @@
 
 const (
 	// headerTimeout and idleTimeout are what callers may take for a request's
-	// head, and how long their connections may rest.
+	// head, and how long their connections may rest, until the operators' limits are
+	// known.
 	headerTimeout = 15 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// headerLimit is the longest head of a request, in bytes.
-	headerLimit = 64 << 10
+	// headerLimit is the longest head of a request that is read, in bytes, whatever
+	// operators allow: it is held in memory.
+	headerLimit = 256 << 10
 	// metricsPath is where figures are read.
 	metricsPath = "/metrics"
 )
@@ -47,7 +49,9 @@
 	if err != nil {
 		return eris.Wrap(err, "relaydaemon: listen")
 	}
-	d.front = newFrontServer(newServer(d.adapter.Front(d), part(d.logger, "http")), listener)
+	server := newServer(d.adapter.Front(d), part(d.logger, "http"))
+	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // the front server's own bounds hold
+	d.front = newFrontServer(server, listener)
 	return nil
 }
 
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -50,10 +50,12 @@
 		return
 	}
 	d.table.Store(table)
+	d.front.setLimits(table.Limits)
 	if before == nil {
 		close(d.hasTable)
 	}
-	d.logger.Info().Int64("version", table.Version).Msg("Routes in force.")
+	d.logger.Info().Int64("version", table.Version).Dur("head_time", table.Limits.HeadTime).
+		Dur("idle_time", table.Limits.IdleTime).Msg("Routes in force.")
 }
 
 // watchInstances follows the list of back ends until ctx ends.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -88,8 +88,13 @@
 
 // Limits bound what callers may send; 0 sets no bound.
 type Limits struct {
-	// BodyBytes is the longest body of a request.
+	// HeadBytes is the longest head of a request, and BodyBytes its longest body.
+	HeadBytes int64
 	BodyBytes int64
+	// HeadTime is how long a request's head may take from its first byte on, and
+	// IdleTime how long a connection may rest between requests.
+	HeadTime time.Duration
+	IdleTime time.Duration
 }
 
 // Table is one version of all routes, services and tenants.
