--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -306,7 +306,7 @@
 	if c.mayHaveRun() && refusal.Reason.PromisesNotRun() {
 		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
 	}
-	c.relay.Metrics.refused(refusal.Reason)
+	c.relay.Metrics.refused(c.call, refusal.Reason)
 	c.noteForecast(heldUpRefused)
 	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
 		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -29,7 +29,8 @@
 	leftOut     prometheus.Counter
 	// waits are requests that were held up, by what held them up last and by what
 	// became of them.
-	waits *prometheus.CounterVec
+	waits   *prometheus.CounterVec
+	tenants tenantMetrics
 }
 
 // NewMetrics registers the relay's metrics.
@@ -45,8 +46,9 @@
 		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
 	}
 	m.waits = counters("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome")
+	m.tenants = newTenantMetrics()
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
-	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits)
+	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits, m.tenants.requests)
 	return m
 }
 
@@ -63,6 +65,7 @@
 func (m *Metrics) answered(call *Call, status int) {
 	kind := string(call.Route.Kind)
 	m.answers.WithLabelValues(kind, strconv.Itoa(status)).Inc()
+	m.tenants.count(call, tenantAnswered)
 	m.latency.WithLabelValues(kind).Observe(time.Since(call.Received).Seconds())
 }
 
@@ -70,7 +73,10 @@
 	m.firstEvents.Observe(time.Since(call.Received).Seconds())
 }
 
-func (m *Metrics) refused(reason Reason) { m.refusals.WithLabelValues(string(reason)).Inc() }
+func (m *Metrics) refused(call *Call, reason Reason) {
+	m.refusals.WithLabelValues(string(reason)).Inc()
+	m.tenants.count(call, outcomeOf(reason))
+}
 
 // Outcomes of requests that were held up.
 const (
