Cold instances: one fleet-wide limit by shares of daemons on record

Cause: nothing bounded what all daemons together send an instance that is cold; each held a cost of one request against it, which in a fleet of 74 either keeps every request away or, under load, none.

Change: internal/warmup. For each cold instance the requests of a window are dealt out in turns to the daemons on record in the store, by rendezvous; a daemon counts itself only on a reading that is at most 3 s old and after 5 s on record, counts its share over 1.5 s without saving up, and a request that is not sent within 0.5 s of its choice is chosen anew (httpconn.Bounds.SendBy). What is cold: by the instance's word since it was heard, a new one that tells nothing, one in a zone that was given back until its word is newer (warmup.Returns, not yet wired). Services whose instances are all cold are full, not gone. The cost of being cold stays only where the service tells no rate.

Tests fail without: settling, freshness, the window's surplus, the end of a permit, the shares, the hold on daemons that left, the hurried reading, its confirmation, the census' distinction, the removed cost, the late offer (each tried by taking it out).

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -89,15 +89,27 @@
 	}
 }
 
+// Bounds are what an exchange is held to. The zero value sets none.
+type Bounds struct {
+	// Connections bounds those of all exchanges to the address; 0 sets no bound.
+	Connections int
+	// SendBy is when the request must have begun to be sent; zero sets no bound.
+	SendBy time.Time
+}
+
 // Do sends a request to an address and reads the head of the answer. The body
-// of the answer must be closed; read to its end, the connection is kept. limit
-// bounds the connections to the address, 0 for none. The error wraps
-// ErrNotSent or ErrBroken. When ctx ends, the connection is closed.
-func (p *Pool) Do(ctx context.Context, name string, limit int, request *http.Request) (*http.Response, error) {
-	c, err := p.take(ctx, name, limit)
+// of the answer must be closed; read to its end, the connection is kept. The error
+// wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed.
+func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
+	c, err := p.take(ctx, name, bounds.Connections)
 	if err != nil {
 		return nil, err
 	}
+	if !bounds.SendBy.IsZero() && time.Now().After(bounds.SendBy) {
+		_ = c.Close() // nothing was sent on it
+		p.release(name)
+		return nil, ErrLate
+	}
 	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	response, err := e.start(request)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -91,7 +91,7 @@
 
 func exchangeBody(t *testing.T, p *Pool, address string, body string) (string, error) {
 	t.Helper()
-	response, err := p.Do(context.Background(), address, 0, get(body))
+	response, err := p.Do(context.Background(), address, Bounds{}, get(body))
 	if err != nil {
 		return "", err
 	}
@@ -126,7 +126,7 @@
 				s.answers = s.answers[:1]
 				s.answers = append(s.answers, "")
 			}
-			response, err := p.Do(context.Background(), s.address, 0, get(""))
+			response, err := p.Do(context.Background(), s.address, Bounds{}, get(""))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -173,15 +173,15 @@
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newRawServer(t, okAnswer, okAnswer)
 	p := NewPool(time.Second)
-	first, err := p.Do(context.Background(), s.address, 1, get(""))
+	first, err := p.Do(context.Background(), s.address, Bounds{Connections: 1}, get(""))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := p.Do(context.Background(), s.address, 1, get("")); !errors.Is(err, ErrNoConnection) || !IsNotSent(err) {
+	if _, err := p.Do(context.Background(), s.address, Bounds{Connections: 1}, get("")); !errors.Is(err, ErrNoConnection) || !IsNotSent(err) {
 		t.Errorf("got %v, want %v", err, ErrNoConnection)
 	}
 	_ = first.Body.Close()
-	second, err := p.Do(context.Background(), s.address, 1, get(""))
+	second, err := p.Do(context.Background(), s.address, Bounds{Connections: 1}, get(""))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -209,7 +209,7 @@
 	defer func() { _ = listener.Close() }()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(20*time.Millisecond, cancel)
-	if _, err := NewPool(time.Second).Do(ctx, listener.Addr().String(), 0, get("")); !errors.Is(err, ErrBroken) {
+	if _, err := NewPool(time.Second).Do(ctx, listener.Addr().String(), Bounds{}, get("")); !errors.Is(err, ErrBroken) {
 		t.Errorf("got %v, want %v", err, ErrBroken)
 	}
 }
@@ -228,3 +228,18 @@
 		}
 	}
 }
+
+// TestRequestThatIsLateIsNotSent: it was meant to be sent before a time.
+func TestRequestThatIsLateIsNotSent(t *testing.T) {
+	s := newRawServer(t, okAnswer)
+	p := NewPool(time.Second)
+	late := Bounds{SendBy: time.Now().Add(-time.Millisecond)}
+	if _, err := p.Do(context.Background(), s.address, late, get("")); !errors.Is(err, ErrLate) || !IsNotSent(err) {
+		t.Errorf("got %v, want %v", err, ErrLate)
+	}
+	response, err := p.Do(context.Background(), s.address, Bounds{Connections: 1, SendBy: time.Now().Add(time.Minute)}, get(""))
+	if err != nil {
+		t.Fatalf("the connection still counts: %v", err)
+	}
+	_ = response.Body.Close()
+}
--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -12,8 +12,6 @@
 	// otherZoneCost is what another zone counts against an instance, in
 	// requests of its load.
 	otherZoneCost = 0.3
-	// coldCost is the same for an instance that has yet to warm up.
-	coldCost = 1.0
 	// randomCost bounds the random share that spreads equal loads, in requests.
 	randomCost = 0.25
 	// affinityGain is what having seen the request's object counts for an
@@ -55,21 +53,25 @@
 // Take picks the instance with the lowest cost and counts the request there;
 // Release ends that. It returns false when the service has none that may take
 // the request.
-func (p *Pool) Take(query Query) (Instance, bool) {
+func (p *Pool) Take(asked Query) (Instance, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
+	p.asked = asked
+	query := &p.asked
 	if query.Preferred == "" && query.Object != "" {
-		query.Preferred = p.homeOf(&query, now)
+		query.Preferred = p.homeOf(query, now)
 	}
 	for {
-		best := p.cheapest(&query, now)
+		best := p.cheapest(query, now)
 		if best == nil {
 			return Instance{}, false
 		}
-		if p.plugins.reserve(&best.Instance, now) {
+		if sendBy, reserved := p.plugins.reserve(&best.Instance, now); reserved {
 			best.inFlight++
-			return best.Instance, true
+			taken := best.Instance
+			taken.SendBy = sendBy
+			return taken, true
 		}
 		query.Excluded = append(slices.Clip(query.Excluded), best.ID)
 	}
@@ -123,9 +125,6 @@
 		cost += pausedCost
 	}
 	cost += p.unlistedCost(e, now)
-	if e.ColdFor > 0 {
-		cost += coldCost / slots
-	}
 	return cost + p.plugins.cost(query, &e.Instance, now)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -31,6 +31,19 @@
 	State State
 	// Sequence rises with every change of what it says of itself.
 	Sequence int64
-	// ColdFor is how much longer it stays slow from its start.
-	ColdFor time.Duration
+	// ColdFor is how much longer it said that it stays cold, if TellsCold: slow, or
+	// able to take few requests.
+	ColdFor   time.Duration
+	TellsCold bool
+	// HeardAt is when what it says of itself was first heard, which is some time after
+	// it was said. NewAt is when it was first heard of at all, zero if it was there
+	// before this daemon.
+	HeardAt time.Time
+	NewAt   time.Time
+	// SendBy is until when the request may be sent that it was chosen for; zero sets
+	// no bound. It is set in what Pool.Take returns alone.
+	SendBy time.Time
 }
+
+// ColdUntil is until when it stays cold at most by what it said.
+func (i *Instance) ColdUntil() time.Time { return i.HeardAt.Add(i.ColdFor) }
--- a/internal/instance/plugin.go
+++ b/internal/instance/plugin.go
@@ -12,6 +12,13 @@
 	Admits(query *Query, candidate *Instance, now time.Time) bool
 }
 
+// PassingFilter is a Filter that turns instances down for some seconds at most: a
+// service with none but these is full, not gone.
+type PassingFilter interface {
+	Filter
+	IsPassing()
+}
+
 // Scorer weighs instances that may get a request. It is asked like a Filter.
 type Scorer interface {
 	// Cost is what counts against an instance, or for it if it is negative, as a share
@@ -23,8 +30,9 @@
 // Filter, once for each choice.
 type Reserver interface {
 	// Reserve takes what sending a request to the instance needs, or returns false:
-	// then the instance is passed over and another is chosen.
-	Reserve(candidate *Instance, now time.Time) bool
+	// then the instance is passed over and another is chosen. The request must have
+	// begun to be sent by sendBy, unless that is zero.
+	Reserve(candidate *Instance, now time.Time) (sendBy time.Time, reserved bool)
 }
 
 // Plugins are the parts that take part in the choice of instances. Any may be empty.
@@ -53,12 +61,17 @@
 	return sum
 }
 
-// reserve asks all reservers; the first that says no ends it.
-func (p *Plugins) reserve(candidate *Instance, now time.Time) bool {
+// reserve asks all reservers; the first that says no ends it. sendBy is the earliest of
+// theirs.
+func (p *Plugins) reserve(candidate *Instance, now time.Time) (sendBy time.Time, reserved bool) {
 	for _, reserver := range p.Reservers {
-		if !reserver.Reserve(candidate, now) {
-			return false
+		bound, reserved := reserver.Reserve(candidate, now)
+		if !reserved {
+			return time.Time{}, false
+		}
+		if sendBy.IsZero() || (!bound.IsZero() && bound.Before(sendBy)) {
+			sendBy = bound
 		}
 	}
-	return true
+	return sendBy, true
 }
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -18,6 +18,9 @@
 	// byService holds the instances of each service, in order of ID.
 	byService map[string][]*entry
 	paces     paces
+	// asked is what an instance is taken for just now; it stands here to be allocated
+	// once.
+	asked Query
 	// listedAt is when the list was last known to be the newest; zero if there
 	// was none.
 	listedAt time.Time
@@ -62,8 +65,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
+	newAt := now
 	if p.firstListedAt.IsZero() {
 		p.firstListedAt = now
+		newAt = time.Time{}
 	}
 	p.listedAt = now
 	seen := map[string]bool{}
@@ -71,6 +76,7 @@
 	for _, instance := range list {
 		seen[instance.ID] = true
 		addresses[instance.Address] = true
+		instance.HeardAt, instance.NewAt = now, newAt
 		p.update(instance)
 	}
 	for _, address := range p.dropUnlisted(seen, now) {
@@ -90,9 +96,16 @@
 		p.byID[instance.ID] = known
 	}
 	known.vanished = time.Time{}
-	if instance.Sequence >= known.Sequence {
-		known.Instance = instance
+	if instance.Sequence < known.Sequence {
+		return
 	}
+	if known.ID != "" {
+		instance.NewAt = known.NewAt
+		if instance.Sequence == known.Sequence {
+			instance.HeardAt = known.HeardAt
+		}
+	}
+	known.Instance = instance
 }
 
 // dropUnlisted forgets the instances that are missing on the list and may not
@@ -143,21 +156,26 @@
 	Admitted int
 	// Filtered counts those that could serve, by why a filter turns them down.
 	Filtered map[string]int
+	// Passing counts those of them that are turned down for some seconds at most.
+	Passing int
 }
 
 // Count returns how many instances of a request's service may get it, those that are
-// excluded included.
+// excluded included. A request that is kept to one instance has that one alone.
 func (p *Pool) Count(query Query) Census {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	census := Census{Filtered: map[string]int{}}
 	now := time.Now()
 	for _, e := range p.byService[query.Service] {
-		if !p.mayServe(e, now) {
+		if !p.mayServe(e, now) || (query.Only != "" && e.ID != query.Only) {
 			continue
 		}
 		if filter := p.plugins.filteredBy(&query, &e.Instance, now); filter != nil {
 			census.Filtered[filter.Reason()]++
+			if _, passing := filter.(PassingFilter); passing {
+				census.Passing++
+			}
 			continue
 		}
 		census.Admitted++
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -77,7 +77,7 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.take()
-		if !found && c.only != "" && len(c.excluded) == 0 {
+		if !found && c.only != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).Passing == 0 {
 			c.refuse(brokenOff) // it left the list, and may run the call to its end
 			return nil, instance.Instance{}
 		}
@@ -177,7 +177,7 @@
 		c.refuseLate(ctx)
 		return false
 	}
-	if errors.Is(err, httpconn.ErrNoConnection) {
+	if errors.Is(err, httpconn.ErrNoConnection) || errors.Is(err, httpconn.ErrLate) {
 		c.relay.Pool.Release(target.ID, instance.OutcomeFull)
 		return true
 	}
@@ -258,7 +258,8 @@
 // means that the call was refused.
 func (c *carrier) nextRound(ctx context.Context) bool {
 	now := time.Now()
-	if c.relay.Pool.Count(c.query()).Admitted == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
+	census := c.relay.Pool.Count(c.query())
+	if census.Admitted+census.Passing == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
 		c.decide(admission.ServiceGone, now, now)
 		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.returnAfter(), Detail: "No back end of this service is known."})
 		return false
--- /dev/null
+++ b/internal/relaydaemon/cold_test.go
@@ -0,0 +1,60 @@
+package relaydaemon
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// TestColdBackEndsAreSharedAmongDaemonsOnRecord: the record is read again when a request
+// asks for it, and while it can't be read a cold back end gets nothing.
+func TestColdBackEndsAreSharedAmongDaemonsOnRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memory.New()
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var registries []*memberRegistry
+		for _, address := range []string{"a:1", "a:2"} {
+			registry := newTestRegistry(s, address)
+			registry.cold.TakeServices(map[string]*route.Service{"s": {Name: "s", ColdPerSecond: 10}})
+			registry.incarnation()
+			running.Go(func() { registry.run(ctx, func([]structs.Machine) {}) })
+			registries = append(registries, registry)
+		}
+		cold := &instance.Instance{ID: "i", Service: "s", TellsCold: true, ColdFor: time.Hour, HeardAt: time.Now()}
+		sent := func() (count int) {
+			for range 60 {
+				for _, registry := range registries {
+					if _, reserved := registry.cold.Reserve(cold, time.Now()); reserved {
+						count++
+					}
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			return count
+		}
+		time.Sleep(20 * time.Second)
+		if got := sent(); got < 8 || got > 22 {
+			t.Errorf("%d requests in three seconds, want some 20", got)
+		}
+		s.SetDown(true)
+		time.Sleep(4 * time.Second)
+		if got := sent(); got != 0 {
+			t.Errorf("%d requests though who else sends is unknown", got)
+		}
+		s.SetDown(false)
+		time.Sleep(2 * time.Second)
+		if got := sent(); got < 8 || got > 22 {
+			t.Errorf("%d requests in three seconds after the store's return, want some 20", got)
+		}
+		stop()
+		running.Wait()
+	})
+}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
@@ -63,6 +64,8 @@
 	// topology is which zones there are, and how far.
 	topology zone.Topology
 	registry *memberRegistry
+	// cold bounds what cold instances get.
+	cold *warmup.Limiter
 	// store is reached by way of other daemons where this one does not reach it.
 	store   *proxy.Service
 	figures *prometheus.Registry
@@ -114,6 +117,12 @@
 			Registry:     figures,
 		}),
 	}
+	d.cold = warmup.NewLimiter(warmup.Options{
+		Terms:   settings.coldTerms(),
+		Own:     settings.PeerAddress,
+		Logger:  part(logger, "warmup"),
+		Metrics: warmup.NewMetrics(figures),
+	})
 	d.pool = instance.NewPool(settings.Zone, newRandom(), d.placementPlugins())
 	if err := d.join(figures); err != nil {
 		return nil, err
@@ -135,7 +144,7 @@
 
 // join makes the daemon one of the fleet, with its share of the ledger.
 func (d *Daemon) join(figures prometheus.Registerer) error {
-	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, part(d.logger, "members"))
+	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, d.cold, part(d.logger, "members"))
 	self := structs.Daemon{
 		ID:     structs.NewDaemonID(d.settings.PeerAddress, d.registry.incarnation()),
 		Zone:   structs.ZoneName(d.settings.Zone),
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/warmup"
 )
 
 const (
@@ -37,6 +38,8 @@
 	settings Settings
 	logger   zerolog.Logger
 	own      memberRecord
+	// cold is told who is on record: cold back ends are shared among these.
+	cold *warmup.Limiter
 	// known is how many daemons were on record when that was last read.
 	known atomic.Int64
 }
@@ -68,8 +71,8 @@
 	return addresses
 }
 
-func newMemberRegistry(s store.Store, settings Settings, logger zerolog.Logger) *memberRegistry {
-	return &memberRegistry{store: s, settings: settings, logger: logger}
+func newMemberRegistry(s store.Store, settings Settings, cold *warmup.Limiter, logger zerolog.Logger) *memberRegistry {
+	return &memberRegistry{store: s, settings: settings, cold: cold, logger: logger}
 }
 
 func registryPartition() store.Partition { return store.Partition{Space: daemonsSpace} }
@@ -111,8 +114,11 @@
 		OnChange: func(records map[string]store.Record) {
 			addresses := presentAddresses(maps.Values(records))
 			r.known.Store(int64(len(addresses)))
+			r.cold.TakeRecord(addresses, time.Now())
 			listed(r.machines(addresses))
 		},
+		OnRead:    func(asOf time.Time) { r.cold.ConfirmRecord(asOf, time.Now()) },
+		Hurry:     r.cold.Hurry(),
 		OnContact: func(err error) { r.logger.Debug().Err(err).Msg("Registry's contact changed.") },
 	}
 	watcher.Run(ctx)
--- a/internal/relaydaemon/members_test.go
+++ b/internal/relaydaemon/members_test.go
@@ -12,10 +12,12 @@
 
 	"github.com/mintpulley/mintpulley/internal/store/memory"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/warmup"
 )
 
 func newTestRegistry(s *memory.Store, address string) *memberRegistry {
-	return newMemberRegistry(s, Settings{PeerAddress: address, Zone: "z", Region: "r"}, zerolog.Nop())
+	cold := warmup.NewLimiter(warmup.Options{Terms: warmup.Terms{Overage: 1}, Own: address, Logger: zerolog.Nop()})
+	return newMemberRegistry(s, Settings{PeerAddress: address, Zone: "z", Region: "r"}, cold, zerolog.Nop())
 }
 
 // TestRunAfterAPlannedStopIsNumberedAboveIt: the time of day may go back between
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/yamlfile"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
@@ -214,6 +215,10 @@
 	}
 }
 
+func (s *Settings) coldTerms() warmup.Terms {
+	return warmup.Terms{Overage: s.ColdOverage, Slack: s.ColdSlack}
+}
+
 func (s *Settings) stopTime() time.Duration {
 	return time.Duration(s.StopSeconds * float64(time.Second))
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -49,6 +49,7 @@
 	if before != nil && table.Version <= before.Version {
 		return
 	}
+	d.cold.TakeServices(table.Services)
 	d.table.Store(table)
 	d.front.setLimits(table.Limits)
 	if before == nil {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -72,6 +72,11 @@
 	Name string
 	// MaxConnections bounds the connections of all callers to one back end.
 	MaxConnections int
+	// ColdStart is how long a back end is cold that starts while it has callers.
+	ColdStart time.Duration
+	// ColdPerSecond is how many requests a second a cold back end bears; 0 sets no
+	// bound.
+	ColdPerSecond float64
 	// Model describes the model engines of the service, nil for plain ones.
 	Model *Model
 }
