--- a/internal/warmup/fleet_test.go
+++ b/internal/warmup/fleet_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	testBudget = 42 // 28 x 1.5
+	testRate = 42 // 28 x 1.5
 	testStep   = 25 * time.Millisecond
 )
 
@@ -194,8 +194,8 @@
 				}
 			}
 		})
-		if most := f.most(); most > testBudget {
-			t.Fatalf("%d requests in a second, want %d at most", most, testBudget)
+		if most := f.most(); most > testRate {
+			t.Fatalf("%d requests in a second, want %d at most", most, testRate)
 		}
 	})
 }
@@ -216,7 +216,7 @@
 			}
 		}
 		windows := float64(20*time.Second) / float64(window)
-		if share := float64(got) / (windows * testBudget); share < 0.7 {
+		if share := float64(got) / (windows * testRate); share < 0.7 {
 			t.Errorf("%d daemons send %.2f of what a cold instance bears", size, share)
 		}
 	}
@@ -240,8 +240,8 @@
 		t.Errorf("%d requests were sent as it woke", len(f.sent))
 	}
 	f.run(15*time.Second+testStep, 20*time.Second, cold, nil)
-	if most := f.most(); most == 0 || most > testBudget {
-		t.Errorf("%d requests in a second after it woke, want some, and %d at most", most, testBudget)
+	if most := f.most(); most == 0 || most > testRate {
+		t.Errorf("%d requests in a second after it woke, want some, and %d at most", most, testRate)
 	}
 }
 
@@ -253,8 +253,8 @@
 		f.start(m, testStart)
 	}
 	f.run(0, 12*time.Second, coldInstance("i"), nil)
-	if most := f.most(); most == 0 || most > testBudget {
-		t.Errorf("%d requests in a second, want some, and %d at most", most, testBudget)
+	if most := f.most(); most == 0 || most > testRate {
+		t.Errorf("%d requests in a second, want some, and %d at most", most, testRate)
 	}
 }
 
@@ -277,8 +277,8 @@
 			f.start(m, now)
 		}
 	})
-	if most := f.most(); most == 0 || most > testBudget {
-		t.Errorf("%d requests in a second, want some, and %d at most", most, testBudget)
+	if most := f.most(); most == 0 || most > testRate {
+		t.Errorf("%d requests in a second, want some, and %d at most", most, testRate)
 	}
 }
 
@@ -293,7 +293,7 @@
 		}
 	}
 	tell("a", "b")
-	now = now.Add(settleTime)
+	now = now.Add(countedAfter)
 	tell("a", "b")
 	spend := func(l *Limiter) (count int) {
 		for _, reserved := l.Reserve(coldInstance("i"), now); reserved; _, reserved = l.Reserve(coldInstance("i"), now) {
@@ -304,12 +304,12 @@
 	before := spend(first)
 	now = now.Add(100 * time.Millisecond)
 	tell("b")
-	if after := spend(second); before == 0 || before+after > testBudget {
-		t.Errorf("one sent %d and left, the other sent %d, want %d at most", before, after, testBudget)
+	if after := spend(second); before == 0 || before+after > testRate {
+		t.Errorf("one sent %d and left, the other sent %d, want %d at most", before, after, testRate)
 	}
-	now = now.Add(settleTime + time.Second)
+	now = now.Add(countedAfter + time.Second)
 	tell("b")
-	if later := spend(second); later != testBudget {
-		t.Errorf("the last one sends %d, want %d", later, testBudget)
+	if later := spend(second); later != testRate {
+		t.Errorf("the last one sends %d, want %d", later, testRate)
 	}
 }
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -8,7 +8,7 @@
 // rules, for daemons that are cut off, frozen, killed or just started alike:
 //
 //   - A daemon sends only on a reading of the record that is at most freshFor old, and
-//     only if it has found itself there for settleTime. So all who send within one second
+//     only if it has found itself there for countedAfter. So all who send within one second
 //     have read of each other, and rank each other alike: no more than there are seats
 //     count themselves in, and those that know more daemons take smaller shares.
 //   - A share is counted in the times of the last requests, over a window that is longer
@@ -77,7 +77,7 @@
 	hurry  chan struct{}
 
 	mutex     sync.Mutex
-	roster    *Roster
+	roster    *roster
 	shares    map[string]*share
 	hurriedAt time.Time
 }
@@ -86,10 +86,10 @@
 type share struct {
 	hash uint64
 	// size is how many requests it is in each window, as of the roster's revision and
-	// the service's budget.
+	// the service's rate.
 	size     int
 	revision uint64
-	budget   int
+	rate   int
 	// sentAt are the times of the requests of the last window, the oldest first.
 	sentAt []time.Time
 	// coldUntil is the latest end of its being cold that was logged.
@@ -228,7 +228,7 @@
 	switch {
 	case s.size == 0:
 		return outcomeOthers
-	case !l.roster.isSettled(now):
+	case !l.roster.isCounted(now):
 		return outcomeNew
 	case s.used(now) >= s.size:
 		return outcomeSpent
@@ -262,9 +262,9 @@
 		s = &share{hash: hashOf(candidate.ID)}
 		l.shares[candidate.ID] = s
 	}
-	if s.revision != l.roster.revision || s.budget != bound.budget {
-		s.revision, s.budget = l.roster.revision, bound.budget
-		s.size = l.roster.share(s.hash, bound.budget)
+	if s.revision != l.roster.revision || s.rate != bound.rate {
+		s.revision, s.rate = l.roster.revision, bound.rate
+		s.size = l.roster.share(s.hash, bound.rate)
 	}
 	if now.After(s.coldUntil) {
 		l.logCold(candidate, s, until, now)
@@ -288,8 +288,8 @@
 func (l *Limiter) logCold(candidate *instance.Instance, s *share, until, now time.Time) {
 	l.options.Logger.Info().Str("instance", candidate.ID).Str("zone", candidate.Zone).
 		Dur("for", until.Sub(now)).Dur("entry_age", now.Sub(candidate.HeardAt)).
-		Int("budget", s.budget).Int("share", s.size).Int("daemons", len(l.roster.others)+1).
-		Dur("record_age", min(l.roster.age(now), time.Hour)).Bool("settled", l.roster.isSettled(now)).
+		Int("per_second", s.rate).Int("share", s.size).Int("daemons", len(l.roster.others)+1).
+		Dur("record_age", min(l.roster.age(now), time.Hour)).Bool("counted", l.roster.isCounted(now)).
 		Msg("Back end is cold. It is sent this daemon's share alone.")
 }
 
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -84,7 +84,7 @@
 	for _, limiter := range limiters {
 		limiter.TakeRecord(addresses, time.Now())
 	}
-	time.Sleep(settleTime)
+	time.Sleep(countedAfter)
 	for _, limiter := range limiters {
 		limiter.ConfirmRecord(time.Now(), time.Now())
 	}
@@ -144,15 +144,15 @@
 func TestZoneThatReturnsColdIsFilledEvenly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		counts, most, unserved := playReturn(true, 11, 10*time.Millisecond)
-		if most > testBudget {
-			t.Errorf("%d requests in a second for one cold instance, want %d at most", most, testBudget)
+		if most > testRate {
+			t.Errorf("%d requests in a second for one cold instance, want %d at most", most, testRate)
 		}
 		if unserved > 0 {
 			t.Errorf("%d requests found no instance while others were warm", unserved)
 		}
 		for _, count := range counts {
-			if count < testBudget*9/10 {
-				t.Errorf("cold instances got %v, want nearly %d each", counts, testBudget)
+			if count < testRate*9/10 {
+				t.Errorf("cold instances got %v, want nearly %d each", counts, testRate)
 				break
 			}
 		}
@@ -168,7 +168,7 @@
 		for _, count := range counts {
 			total += count
 		}
-		if most > testBudget || total < 44*testBudget*9/10 || unserved == 0 {
+		if most > testRate || total < 44*testRate*9/10 || unserved == 0 {
 			t.Errorf("%d in a second at one, %d in all, %d found none", most, total, unserved)
 		}
 	})
@@ -194,7 +194,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		pool := limitedPools(100, true)[0]
 		takesAll := func() bool {
-			for range 2 * testBudget {
+			for range 2 * testRate {
 				if _, found := pool.Take(instance.Query{Service: "s"}); !found {
 					return false
 				}
@@ -227,7 +227,7 @@
 	}
 	limiter := newTestLimiter(addresses[0])
 	limiter.TakeServices(services)
-	limiter.TakeRecord(addresses, time.Now().Add(-settleTime))
+	limiter.TakeRecord(addresses, time.Now().Add(-countedAfter))
 	limiter.ConfirmRecord(time.Now().Add(time.Hour), time.Now())
 	var plugins instance.Plugins
 	if plugIn {
@@ -263,6 +263,6 @@
 	instances := uint64(0)
 	for b.Loop() {
 		instances++
-		r.share(mix(instances), testBudget)
+		r.share(mix(instances), testRate)
 	}
 }
--- a/internal/warmup/roster.go
+++ b/internal/warmup/roster.go
@@ -19,14 +19,14 @@
 	freshFor = 3 * time.Second
 	// renewAfter is the age at which it is read again, if a request asks for it.
 	renewAfter = freshFor / 2
-	// settleTime is how long a daemon must have been on record until it counts itself,
+	// countedAfter is how long a daemon must have been on record until it counts itself,
 	// and for how long the others count one that is not any more. It is above freshFor
 	// + permitLife + 1 s, so that whoever sends in a second is counted by all who do.
-	settleTime = 5 * time.Second
+	countedAfter = 5 * time.Second
 )
 
-// Roster is which daemons are on record in the store, as one of them has read.
-type Roster struct {
+// roster is which daemons are on record in the store, as one of them has read.
+type roster struct {
 	own uint64
 	// others are the hashes of the other daemons' addresses, those included that are
 	// not on record any more and still count.
@@ -44,14 +44,14 @@
 }
 
 // newRoster returns the roster of a daemon that has read nothing yet.
-func newRoster(ownAddress string) *Roster {
-	return &Roster{ownAddress: ownAddress, own: hashOf(ownAddress), gone: map[string]time.Time{}}
+func newRoster(ownAddress string) *roster {
+	return &roster{ownAddress: ownAddress, own: hashOf(ownAddress), gone: map[string]time.Time{}}
 }
 
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
 
 // take takes the addresses on record.
-func (r *Roster) take(onRecord []string, now time.Time) {
+func (r *roster) take(onRecord []string, now time.Time) {
 	listed := make(map[string]bool, len(onRecord))
 	for _, address := range onRecord {
 		listed[address] = true
@@ -72,12 +72,12 @@
 }
 
 // confirm takes note that what was taken last is the newest as of a time.
-func (r *Roster) confirm(asOf, now time.Time) {
+func (r *roster) confirm(asOf, now time.Time) {
 	if asOf.After(r.asOf) {
 		r.asOf = asOf
 	}
 	for _, since := range r.gone {
-		if !since.IsZero() && now.Sub(since) > settleTime {
+		if !since.IsZero() && now.Sub(since) > countedAfter {
 			r.count(now)
 			return
 		}
@@ -85,11 +85,11 @@
 }
 
 // count forgets daemons that are gone for long, and lists the others anew.
-func (r *Roster) count(now time.Time) {
+func (r *roster) count(now time.Time) {
 	r.revision++
 	r.others = r.others[:0]
 	for address, since := range r.gone {
-		if !since.IsZero() && now.Sub(since) > settleTime {
+		if !since.IsZero() && now.Sub(since) > countedAfter {
 			delete(r.gone, address)
 			continue
 		}
@@ -99,31 +99,31 @@
 	}
 }
 
-// isSettled tells whether the other daemons count this one.
-func (r *Roster) isSettled(now time.Time) bool {
-	return !r.since.IsZero() && now.Sub(r.since) >= settleTime
+// isCounted tells whether the other daemons count this one.
+func (r *roster) isCounted(now time.Time) bool {
+	return !r.since.IsZero() && now.Sub(r.since) >= countedAfter
 }
 
-func (r *Roster) age(now time.Time) time.Duration { return now.Sub(r.asOf) }
+func (r *roster) age(now time.Time) time.Duration { return now.Sub(r.asOf) }
 
 // share returns how many requests this daemon may send a cold instance in each window,
-// so that all daemons together send no more than budget. 0: others do.
+// so that all daemons together send no more than rate. 0: others do.
 //
-// The requests of a window, 0 to budget-1, are dealt out to the daemons in the order of
+// The requests of a window, 0 to rate-1, are dealt out to the daemons in the order of
 // their rank, in turns. A daemon that knows others which do not send ranks itself no
 // higher among more, and counts on fewer than are dealt to it.
-func (r *Roster) share(instance uint64, budget int) int {
+func (r *roster) share(instance uint64, rate int) int {
 	rank, daemons := 0, len(r.others)+1
 	own := mix(r.own ^ instance)
 	for _, other := range r.others {
 		if mix(other^instance) < own {
 			continue
 		}
-		if rank++; rank >= budget {
+		if rank++; rank >= rate {
 			return 0
 		}
 	}
-	return max(budget-rank+daemons-1, 0) / daemons
+	return max(rate-rank+daemons-1, 0) / daemons
 }
 
 // mix spreads a hash over all bits; it is the last step of SplitMix64.
--- a/internal/warmup/terms.go
+++ b/internal/warmup/terms.go
@@ -7,8 +7,8 @@
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// mostBudget bounds a budget, so that it can be counted: no instance bears more.
-const mostBudget = 1e6
+// mostRate bounds a rate, so that it can be counted: no instance bears more.
+const mostRate = 1e6
 
 // Terms are the operators' for all cold instances: one gets in each second at most
 // the rate of its service times Overage, and Slack more.
@@ -22,10 +22,10 @@
 type limit struct {
 	// lasts is how long one stays cold from its start.
 	lasts time.Duration
-	// budget is how many requests the daemons together send one in a second. What
+	// rate is how many requests the daemons together send one in a second. What
 	// daemons sent that had yet to hear that it is cold comes on top: that is what
 	// the slack is left for, unless nothing could be sent without it.
-	budget int
+	rate int
 }
 
 // limitsOf returns the limits of the services that have one, nil if none has.
@@ -38,14 +38,14 @@
 		if limits == nil {
 			limits = map[string]limit{}
 		}
-		limits[name] = limit{lasts: service.ColdStart, budget: t.budget(service.ColdPerSecond)}
+		limits[name] = limit{lasts: service.ColdStart, rate: t.rate(service.ColdPerSecond)}
 	}
 	return limits
 }
 
-func (t Terms) budget(perSecond float64) int {
+func (t Terms) rate(perSecond float64) int {
 	if usual := math.Floor(perSecond * t.Overage); usual >= 1 {
-		return int(min(usual, mostBudget))
+		return int(min(usual, mostRate))
 	}
 	return int(min(math.Floor(perSecond*t.Overage+t.Slack), 1))
 }
