--- a/internal/warmup/fleet_test.go
+++ b/internal/warmup/fleet_test.go
@@ -25,7 +25,7 @@
 
 const (
 	testRate = 42 // 28 x 1.5
-	testStep   = 25 * time.Millisecond
+	testStep = 25 * time.Millisecond
 )
 
 func newTestLimiter(address string) *Limiter {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -89,7 +89,7 @@
 	// the service's rate.
 	size     int
 	revision uint64
-	rate   int
+	rate     int
 	// sentAt are the times of the requests of the last window, the oldest first.
 	sentAt []time.Time
 	// coldUntil is the latest end of its being cold that was logged.
