Store: calls and bytes counted by purpose; claims tell what they are for

What a fleet asks of its store could not be told apart: calls were counted by path and outcome alone. Calls carry a purpose now (claim, shard, read_ahead, directory, changes, a watch or listing by space; helped_ for those made for another daemon). A claim's line tells for what, and whether the former holder lived in the claimant's view; a reading ahead has a line with its bytes. Cost not measured.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -79,6 +79,7 @@
 // so it is done once. Now and then it tells that it is still under way.
 func (h *holder) runAppend(ctx context.Context, current *pendingAppend) {
 	done := make(chan error, 1)
+	ctx = store.WithPurpose(ctx, store.PurposeChanges)
 	go func() { done <- h.records.append(ctx, h.partition, current.writer, current.records) }()
 	trouble := time.NewTimer(troubleAfter)
 	defer trouble.Stop()
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -39,8 +39,8 @@
 var errStale = eris.New("ledger: the store's answer is older than the claim")
 
 // hold makes sure that this daemon holds the shard, or tells why not. failed
-// is the epoch of a holder that does not answer.
-func (h *holder) hold(ctx context.Context, failed uint64) (result, bool) {
+// is the epoch of a holder that does not answer, and cause what the shard is for.
+func (h *holder) hold(ctx context.Context, failed uint64, cause string) (result, bool) {
 	now := time.Now()
 	switch {
 	case h.state != nil:
@@ -55,7 +55,7 @@
 	h.noteProgress()
 	h.claiming.Store(true)
 	defer h.claiming.Store(false)
-	if err := h.claim(ctx, failed); err != nil {
+	if err := h.claim(ctx, failed, cause); err != nil {
 		return h.lose(ctx, err), true
 	}
 	h.pause = 0
@@ -76,7 +76,7 @@
 // holder out, then the reading, which therefore misses nothing. The directory
 // only points the way; a claim that dies between the two leaves it behind, and
 // the next claim is told by the store that its epoch is too low.
-func (h *holder) claim(ctx context.Context, failed uint64) error {
+func (h *holder) claim(ctx context.Context, failed uint64, cause string) error {
 	started := time.Now()
 	// One try: who cannot reach the store either must not take the shard the
 	// moment it can, from a holder that was in the same trouble.
@@ -101,8 +101,9 @@
 	}
 	h.take(loaded, before.Daemon == "", time.Now())
 	h.metrics.claimed(time.Since(started))
-	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).
-		Int("records", len(loaded)).Int("bytes", sizeOf(loaded)).
+	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).Str("for", cause).
+		Bool("lives", before.Daemon != "" && h.fleet.mayLive(before.Daemon)).
+		Int("records", len(loaded)).Int("bytes", store.SizeOf(loaded)).
 		Int("turn_losses", h.state.allowance.OfOneTurn).Int("losses", h.state.allowance.OfAll).
 		Dur("seized_after", seizedAfter).Dur("took", time.Since(started)).Msg("Shard taken over.")
 	return nil
@@ -120,7 +121,7 @@
 		h.known.note(h.shard, later)
 		return errHeld
 	}
-	records, _, err := h.records.newest(ctx, h.partition, h.noteProgress)
+	records, _, err := h.records.newest(store.WithPurpose(ctx, store.PurposeShard), h.partition, h.noteProgress)
 	if err != nil {
 		return err
 	}
@@ -135,12 +136,13 @@
 func (h *holder) appendClaim(ctx context.Context, epoch uint64) error {
 	h.epoch = epoch
 	h.sequence = 1
+	ctx = store.WithPurpose(ctx, store.PurposeClaim)
 	return h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), []store.Record{h.holderRecord(holderKey)})
 }
 
 // readDirectory reads who holds the shard.
 func (h *holder) readDirectory(ctx context.Context) (holderRecord, error) {
-	records, err := h.records.newestOnce(ctx, h.directory)
+	records, err := h.records.newestOnce(store.WithPurpose(ctx, store.PurposeDirectory), h.directory)
 	if err != nil {
 		return holderRecord{}, err
 	}
@@ -152,21 +154,13 @@
 func (h *holder) writeDirectory(ctx context.Context, epoch uint64) {
 	key := strconv.Itoa(h.shard)
 	writer := store.Writer{Name: writerName + "-" + key, Epoch: epoch, Sequence: 1}
+	ctx = store.WithPurpose(ctx, store.PurposeClaim)
 	err := h.records.appendWithin(ctx, giveUpAfter, h.directory, writer, []store.Record{h.recordOf(key, epoch)})
 	if err != nil {
 		h.logger.Warn().Err(err).Uint64("epoch", epoch).Msg("Directory not written.")
 	}
 }
 
-// sizeOf returns the bytes of records' keys and values.
-func sizeOf(records []store.Record) int {
-	size := 0
-	for _, record := range records {
-		size += len(record.Key) + len(record.Value)
-	}
-	return size
-}
-
 // take makes what was read the state of the shard. first tells that nobody held it
 // before.
 func (h *holder) take(records []store.Record, first bool, now time.Time) {
@@ -191,6 +185,7 @@
 // readClaimed reads the shard, this daemon's claim included: only what came
 // since it was read ahead, if that was done lately.
 func (h *holder) readClaimed(ctx context.Context) ([]store.Record, error) {
+	ctx = store.WithPurpose(ctx, store.PurposeShard)
 	if ahead := h.takeReadAhead(ctx); ahead != nil {
 		loaded, err := h.readOn(ctx, ahead)
 		if err == nil {
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -193,7 +193,7 @@
 		h.prepare(ctx, o)
 		return
 	}
-	if refusal, refused := h.hold(ctx, o.request.Failed); refused {
+	if refusal, refused := h.hold(ctx, o.request.Failed, o.request.kind()); refused {
 		h.refuse(o, refusal)
 		return
 	}
--- a/internal/ledger/read_ahead.go
+++ b/internal/ledger/read_ahead.go
@@ -33,7 +33,9 @@
 	newest map[string]store.Record
 	// next is the offset to go on from.
 	next int64
-	at   time.Time
+	// bytes were read so far.
+	bytes int
+	at    time.Time
 	// waiting operations hear when the reading has ended. They belong to run.
 	waiting []operation
 }
@@ -41,6 +43,7 @@
 // apply takes records that follow those before, and where to go on from.
 func (a *readAhead) apply(records []store.Record, next int64) {
 	store.ApplyNewest(a.newest, records)
+	a.bytes += store.SizeOf(records)
 	a.next = next
 }
 
@@ -69,9 +72,12 @@
 	ahead := &readAhead{done: make(chan struct{}), newest: map[string]store.Record{}, waiting: []operation{o}}
 	h.ahead = ahead
 	h.preparing.Store(true)
+	started := time.Now()
 	go func() {
 		ahead.err = h.readAheadOfClaim(ctx, ahead)
 		ahead.at = time.Now()
+		h.logger.Info().Int("records", len(ahead.newest)).Int("bytes", ahead.bytes).Dur("took", time.Since(started)).
+			AnErr("error", ahead.err).Msg("Shard read ahead.")
 		h.preparing.Store(false)
 		close(ahead.done)
 		h.post(ctx, func(context.Context) { h.noteReadAhead(ctx, ahead) })
@@ -112,6 +118,7 @@
 		return ctx.Err()
 	}
 	defer func() { <-h.readingAhead }()
+	ctx = store.WithPurpose(ctx, store.PurposeReadAhead)
 	records, next, err := h.records.newest(ctx, h.partition, h.noteProgress)
 	if err != nil {
 		return err
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -180,7 +180,7 @@
 
 // readHolders reads who holds the shards by the directory.
 func (s *Service) readHolders(ctx context.Context) {
-	records, _, err := s.records.newest(ctx, s.Directory, func() {})
+	records, _, err := s.records.newest(store.WithPurpose(ctx, store.PurposeDirectory), s.Directory, func() {})
 	if err != nil {
 		s.Logger.Info().Err(err).Msg("Directory not read. Holders are asked for.")
 		return
@@ -394,6 +394,23 @@
 	}
 }
 
+// kind names what a request asks for, for the log.
+func (r *Request) kind() string {
+	switch {
+	case r.Begin != nil:
+		return "begin"
+	case r.End != nil:
+		return "end"
+	case r.Find != nil:
+		return "find"
+	case r.Quota != nil:
+		return "quota"
+	case r.Prepare:
+		return "prepare"
+	}
+	return "take"
+}
+
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
 	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -159,7 +159,7 @@
 	})
 	d.store = proxy.New(proxy.Options{
 		Self:      self.ID,
-		Direct:    d.adapter.Store(),
+		Direct:    store.NewMeter(d.adapter.Store(), figures, part(d.logger, "store")),
 		Transport: transport,
 		View:      d.membership,
 		Random:    newRandom(),
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -29,6 +29,9 @@
 	outPause = 250 * time.Millisecond
 )
 
+// helpedPrefix marks the purpose of calls that are made for another daemon.
+const helpedPrefix = "helped_"
+
 // errNoHelper: no daemon can be asked to pass a call on.
 var errNoHelper = eris.Wrap(store.ErrUnavailable, "proxy: no other daemon to pass the call on")
 
@@ -161,6 +164,7 @@
 	number, answers, forget := s.replies.Expect(1)
 	defer forget()
 	sent.Number = number
+	sent.Purpose = helpedPrefix + request.Purpose
 	sent.WithinMS = patience.Milliseconds()
 	s.Transport.Send(helper, &sent)
 	timer := time.NewTimer(patience)
--- a/internal/store/proxy/messages.go
+++ b/internal/store/proxy/messages.go
@@ -22,8 +22,10 @@
 
 // Request asks another daemon to make a call to the store.
 type Request struct {
-	Number    uint64          `json:"n"`
-	Call      call            `json:"c"`
+	Number uint64 `json:"n"`
+	Call   call   `json:"c"`
+	// Purpose is what the call is for, for figures and logs.
+	Purpose   store.Purpose   `json:"u,omitempty"`
 	Partition store.Partition `json:"p"`
 	Writer    store.Writer    `json:"w,omitzero"`
 	Records   []store.Record  `json:"r,omitempty"`
@@ -75,6 +77,7 @@
 
 // perform makes the call.
 func (r *Request) perform(ctx context.Context, s store.Store) outcome {
+	ctx = store.WithPurpose(ctx, r.Purpose)
 	var got outcome
 	switch r.Call {
 	case callAppend:
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -113,6 +113,7 @@
 
 // do makes a call directly, by way of a helper, or both.
 func (s *Service) do(ctx context.Context, request *Request) outcome {
+	request.Purpose = store.PurposeOf(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan outcome, 2)
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -110,6 +110,7 @@
 	ctx, stop := untilSignal(ctx, w.contact().Returned(), w.Hurry)
 	defer stop()
 	if next < 0 {
+		ctx = WithPurpose(ctx, Purpose("list_"+w.Partition.Space))
 		records, end, err := Newest(ctx, w.Store, w.Partition)
 		if err != nil {
 			return false, -1, brokenOff(ctx, err)
@@ -118,6 +119,7 @@
 		ApplyNewest(known, records)
 		return true, end, nil
 	}
+	ctx = WithPurpose(ctx, Purpose("watch_"+w.Partition.Space))
 	records, end, err := w.Store.Read(ctx, w.Partition, next, wait)
 	if errors.Is(err, ErrTrimmed) {
 		return false, -1, nil
