Zones: operators can evacuate a zone and take it back

Change: zone.Evacuations, a last writer wins register of the orders in force; a filter of instances, so that no offer, retry, resumed stream, bound call or preferred session goes there; daemons tell each other with answers of the ledger; a daemon knows the orders before it has routes; a service whose zones are all evacuated refuses at once with reason evacuated; a scorer opens a zone that was taken back within two seconds.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -38,6 +38,9 @@
 	ServiceFull
 	// ServiceGone: no instance of a service is known.
 	ServiceGone
+	// ServiceEvacuated: all instances of a service are in zones that the operators
+	// evacuated.
+	ServiceEvacuated
 	// RoutesUnknown: the daemon has just started and knows no routes yet.
 	RoutesUnknown
 	kinds
@@ -54,6 +57,8 @@
 		return "service_full"
 	case ServiceGone:
 		return "service_gone"
+	case ServiceEvacuated:
+		return "service_evacuated"
 	case RoutesUnknown:
 		return "routes_unknown"
 	}
@@ -71,6 +76,8 @@
 	ServiceFull: 50 * time.Millisecond,
 	// A heartbeat of an instance that is starting.
 	ServiceGone: time.Second,
+	// What it takes to empty a zone: the operators' usual bound on that.
+	ServiceEvacuated: 5 * time.Second,
 	// One reading of the routes on a small machine that starts beside others.
 	RoutesUnknown: 200 * time.Millisecond,
 }
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -150,6 +150,19 @@
 	return loads
 }
 
+// InFlight counts this daemon's requests at the instances of a zone.
+func (p *Pool) InFlight(zone string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	count := 0
+	for _, e := range p.byID {
+		if e.Zone == zone {
+			count += e.inFlight
+		}
+	}
+	return count
+}
+
 // Census tells how many instances of a service there are for a request.
 type Census struct {
 	// Admitted instances may get the request.
--- /dev/null
+++ b/internal/ledger/evacuations_test.go
@@ -0,0 +1,73 @@
+package ledger
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+// testEvacuations are a daemon's news, and what it heard of others.
+type testEvacuations struct {
+	zone.Evacuations
+	mutex sync.Mutex
+	heard []zone.Change
+}
+
+func (e *testEvacuations) AskEvacuations() int64 { return e.Asking() }
+
+func (e *testEvacuations) TellEvacuations(asked int64, now time.Time) *zone.News {
+	return e.Tell(asked, now)
+}
+
+func (e *testEvacuations) HearEvacuations(news *zone.News, now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.heard = append(e.heard, e.Hear(news, now)...)
+}
+
+// TestDaemonThatDoesNotReachTheStoreHearsOfEvacuations: from the holders that it asks for
+// its callers' turns, with the age, and just as well that the zone was taken back.
+func TestDaemonThatDoesNotReachTheStoreHearsOfEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		cut := f.ids()[0]
+		news := map[string]*testEvacuations{}
+		for _, id := range f.ids() {
+			news[string(id)] = &testEvacuations{}
+			f.service(id).Evacuations = news[string(id)]
+		}
+		synctest.Wait()
+		tell := func(reading zone.Reading) { // what the store tells all others
+			for id, e := range news {
+				if id != string(cut) {
+					e.Take(reading, time.Now())
+				}
+			}
+		}
+		ask := func(name string) {
+			for i := range 20 {
+				turn := Turn{ID: fmt.Sprint(name, i), Program: fmt.Sprint(name, i), BudgetTokens: 100, MostTokens: 1, Retention: time.Minute}
+				if _, err := f.service(cut).Begin(testContext(t), turn); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		tell(zone.Reading{End: 8, Orders: []zone.Order{{Zone: "c", Offset: 7}}})
+		orderedAt := time.Now()
+		time.Sleep(10 * time.Second)
+		ask("first")
+		own := news[string(cut)]
+		if since, evacuated := own.Since("c"); !evacuated || since.Sub(orderedAt).Abs() > 100*time.Millisecond {
+			t.Fatalf("evacuated: %v, since %s after the order", evacuated, since.Sub(orderedAt))
+		}
+		tell(zone.Reading{End: 9})
+		ask("second")
+		if _, evacuated := own.Since("c"); evacuated || len(own.heard) != 2 {
+			t.Errorf("evacuated: %v, after it was taken back; heard %+v", evacuated, own.heard)
+		}
+	})
+}
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
 // result tells what became of a request to a shard's holder.
@@ -50,6 +51,8 @@
 	Prepare bool `json:"prepare,omitempty"`
 	// Take: the daemon shall hold the shard from now on.
 	Take bool `json:"take,omitempty"`
+	// OrdersEnd tells how new the asker's news of evacuations is; 0 if it knows none.
+	OrdersEnd int64 `json:"oe,omitempty"`
 }
 
 // Find asks for a turn with its whole chain.
@@ -83,6 +86,9 @@
 	// force and how many milliseconds ago they were known to be the newest at least.
 	RoutesVersion int64 `json:"rv,omitempty"`
 	RoutesAgeMS   int64 `json:"ra,omitempty"`
+	// Evacuations are the answerer's news of evacuations, if they are newer than the
+	// asker's.
+	Evacuations *zone.News `json:"ev,omitempty"`
 	// Grant answers Begin, Found answers Find, Verdict answers Quota.
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -81,6 +81,9 @@
 	// Confirmations are of the routes, which daemons tell each other along with what
 	// they say of tenants' limits; nil if there are none.
 	Confirmations Confirmations
+	// Evacuations are which zones the operators evacuated, which daemons tell each
+	// other along with all answers; nil if that is no matter.
+	Evacuations Evacuations
 	// Machine is the steady clock of the machine that the daemon runs on.
 	Machine MachineClock
 	// Quota are the terms on which the holder of a tenant's shard owns its limit.
@@ -329,8 +332,12 @@
 func (s *Service) Receive(from structs.DaemonID, message peer.Message) bool {
 	switch message := message.(type) {
 	case *Request:
-		s.operate(message, func(response Response) { s.Transport.Send(from, &response) })
+		s.operate(message, func(response Response) {
+			response.Evacuations = s.tellEvacuations(message.OrdersEnd)
+			s.Transport.Send(from, &response)
+		})
 	case *Response:
+		s.hearEvacuations(message.Evacuations)
 		s.deliver(*message)
 	default:
 		return false
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -105,7 +105,9 @@
 // Reasons. Those of the first group promise that the request has not run and
 // never will.
 const (
-	ReasonNoInstance  Reason = "no_instance"
+	ReasonNoInstance Reason = "no_instance"
+	// ReasonEvacuated: operators evacuated the zones of all instances that could serve.
+	ReasonEvacuated   Reason = "evacuated"
 	ReasonFull        Reason = "full"
 	ReasonLedger      Reason = "ledger_unavailable"
 	ReasonStarting    Reason = "starting"
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -78,7 +78,7 @@
 		}
 		target, found := c.take()
 		if !found && c.only != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).Passing == 0 {
-			c.refuse(brokenOff) // it left the list, and may run the call to its end
+			c.refuseBound()
 			return nil, instance.Instance{}
 		}
 		if !found {
@@ -259,6 +259,10 @@
 func (c *carrier) nextRound(ctx context.Context) bool {
 	now := time.Now()
 	census := c.relay.Pool.Count(c.query())
+	if isEvacuated(census) {
+		c.refuseEvacuated(now)
+		return false
+	}
 	if census.Admitted+census.Passing == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
 		c.decide(admission.ServiceGone, now, now)
 		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.returnAfter(), Detail: "No back end of this service is known."})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/tenant"
+	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
 const (
@@ -73,6 +74,8 @@
 	Table func() *route.Table
 	// Daemons returns how many daemons share the instances' connections.
 	Daemons func() int
+	// Evacuations are which zones the operators evacuated; nil if that is no matter.
+	Evacuations *zone.Evacuations
 	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
 	// bound. From half of it on no further turns are begun.
 	RecordBytes int64
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -14,6 +14,7 @@
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/tenant"
+	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
 // Adapters holds the adapters that registered themselves.
@@ -68,5 +69,8 @@
 	RoutesPartition() store.Partition
 	InstancesPartition() store.Partition
 	Routes(records map[string]store.Record) (*route.Table, error)
+	// Evacuations reads which zones the operators evacuated from the same records as
+	// Routes. The reading is partial if they are not all of the operators' records.
+	Evacuations(records map[string]store.Record, end int64) zone.Reading
 	Instances(records map[string]store.Record) []instance.Instance
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -63,7 +63,9 @@
 	pool       *instance.Pool
 	// topology is which zones there are, and how far.
 	topology zone.Topology
-	registry *memberRegistry
+	// evacuations are which zones the operators evacuated.
+	evacuations zone.Evacuations
+	registry    *memberRegistry
 	// cold bounds what cold instances get.
 	cold *warmup.Limiter
 	// store is reached by way of other daemons where this one does not reach it.
@@ -120,10 +122,12 @@
 	d.cold = warmup.NewLimiter(warmup.Options{
 		Terms:   settings.coldTerms(),
 		Own:     settings.PeerAddress,
+		Returns: &d.evacuations,
 		Logger:  part(logger, "warmup"),
 		Metrics: warmup.NewMetrics(figures),
 	})
 	d.pool = instance.NewPool(settings.Zone, newRandom(), d.placementPlugins())
+	d.registerZones(figures)
 	if err := d.join(figures); err != nil {
 		return nil, err
 	}
@@ -191,6 +195,7 @@
 		Machine:    machineClock(d.settings.PeerAddress),
 
 		Confirmations: d,
+		Evacuations:   d,
 		Logger:        part(d.logger, "ledger"),
 		Metrics:       ledger.NewMetrics(figures),
 	})
@@ -202,6 +207,8 @@
 		Table:   d.table.Load,
 		Daemons: func() int { return len(d.membership.Members()) },
 
+		Evacuations: &d.evacuations,
+
 		Admission:   d.admission,
 		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
 		Logger:      part(d.logger, "relay"),
@@ -291,6 +298,7 @@
 var (
 	_ Gateway              = (*Daemon)(nil)
 	_ ledger.Confirmations = (*Daemon)(nil)
+	_ ledger.Evacuations   = (*Daemon)(nil)
 )
 
 // Pauses with which operators' and back ends' records are followed. A reading
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -1,13 +1,18 @@
 package relaydaemon
 
-import "github.com/mintpulley/mintpulley/internal/instance"
+import (
+	"math/rand/v2"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
 
 // placementPlugins are the parts that take part in the choice of instances, by what
 // the settings ask for.
 func (d *Daemon) placementPlugins() instance.Plugins {
 	return instance.Plugins{
-		Filters:   []instance.Filter{d.cold},
-		Scorers:   []instance.Scorer{d.cold},
+		Filters:   []instance.Filter{zone.EvacuationFilter{Evacuations: &d.evacuations}, d.cold},
+		Scorers:   []instance.Scorer{zone.ReturnScorer{Evacuations: &d.evacuations, Seed: rand.Uint64()}, d.cold},
 		Reservers: []instance.Reserver{d.cold},
 	}
 }
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -207,6 +207,10 @@
 	return time.Duration(s.RevocationMS * float64(time.Millisecond))
 }
 
+func (s *Settings) evacuationTime() time.Duration {
+	return time.Duration(s.EvacuationMS * float64(time.Millisecond))
+}
+
 func (s *Settings) quotaTerms() quota.Terms {
 	return quota.Terms{
 		Window:  time.Duration(s.QuotaWindowSeconds * float64(time.Second)),
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -14,7 +14,7 @@
 		Contact:   d.store,
 		Partition: d.adapter.RoutesPartition(),
 		Settings:  routesWatch,
-		OnChange:  d.takeRoutes,
+		OnAdvance: d.takeOperators,
 		OnRead:    d.confirmRoutes,
 		Hurry:     d.keys.hurry,
 		OnContact: func(err error) {
@@ -25,6 +25,13 @@
 	watcher.Run(ctx)
 }
 
+// takeOperators puts what the operators wrote in force. Evacuations come first: a
+// daemon that starts sends nothing before it has routes.
+func (d *Daemon) takeOperators(records map[string]store.Record, end int64) {
+	d.takeEvacuations(d.adapter.Evacuations(records, end))
+	d.takeRoutes(records)
+}
+
 // confirmRoutes takes note that the routes in force are the newest. They are not
 // while newer ones could not be understood, which may take keys away.
 func (d *Daemon) confirmRoutes(asOf time.Time) {
--- /dev/null
+++ b/internal/relaydaemon/zones.go
@@ -0,0 +1,93 @@
+package relaydaemon
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+// Where news of evacuations came from, as logs tell it.
+const (
+	newsFromStore  = "store"
+	newsFromDaemon = "daemon"
+)
+
+// takeEvacuations puts the operators' orders in force, or takes zones back, as the
+// store tells.
+func (d *Daemon) takeEvacuations(reading zone.Reading) {
+	now := time.Now()
+	d.noteEvacuations(d.evacuations.Take(reading, now), reading.End, newsFromStore, now)
+}
+
+// AskEvacuations implements ledger.Evacuations.
+func (d *Daemon) AskEvacuations() int64 { return d.evacuations.Asking() }
+
+// TellEvacuations implements ledger.Evacuations.
+func (d *Daemon) TellEvacuations(asked int64, now time.Time) *zone.News {
+	return d.evacuations.Tell(asked, now)
+}
+
+// HearEvacuations implements ledger.Evacuations.
+func (d *Daemon) HearEvacuations(news *zone.News, now time.Time) {
+	d.noteEvacuations(d.evacuations.Hear(news, now), news.End, newsFromDaemon, now)
+}
+
+// noteEvacuations logs what changed, and learns for how long zones are evacuated.
+func (d *Daemon) noteEvacuations(changes []zone.Change, end int64, from string, now time.Time) {
+	for _, change := range changes {
+		logger := part(d.logger, "zones").With().Str("zone", change.Zone).Int64("order", change.Offset).
+			Int64("as_of", end).Str("heard_from", from).Int("in_flight", d.pool.InFlight(change.Zone)).Logger()
+		if !change.Evacuated {
+			d.admission.Ended(admission.ServiceEvacuated, change.Lasted)
+			logger.Info().Dur("lasted", change.Lasted).Msg("Zone taken back.")
+			continue
+		}
+		since, _ := d.evacuations.Since(change.Zone)
+		level := zerolog.InfoLevel
+		if now.Sub(since) > d.settings.evacuationTime() {
+			level = zerolog.WarnLevel // requests went there past the operators' bound
+		}
+		logger.WithLevel(level).Dur("known_for", now.Sub(since)).Msg("Zone evacuated.")
+	}
+}
+
+// registerZones makes figures of the zones that the settings name. Orders for other
+// zones are counted together: operators may name any.
+func (d *Daemon) registerZones(registry prometheus.Registerer) {
+	for _, name := range d.topology.Zones() {
+		registry.MustRegister(
+			zoneGauge("evacuated", "1 while the operators' order to send nothing to the zone is in force.", name, func() float64 {
+				if _, evacuated := d.evacuations.Since(name); evacuated {
+					return 1
+				}
+				return 0
+			}),
+			zoneGauge("requests_in_flight", "This daemon's requests at back ends of the zone.", name, func() float64 {
+				return float64(d.pool.InFlight(name))
+			}),
+		)
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "mintpulley", Subsystem: "zone", Name: "unknown_evacuated", Help: "Evacuated zones that the settings do not name.",
+	}, func() float64 { return float64(d.unknownEvacuated()) }))
+}
+
+func zoneGauge(name, help, zoneName string, value func() float64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "mintpulley", Subsystem: "zone", Name: name, Help: help, ConstLabels: prometheus.Labels{"zone": zoneName},
+	}, value)
+}
+
+func (d *Daemon) unknownEvacuated() int {
+	count := 0
+	for _, order := range d.evacuations.InForce() {
+		if _, known := d.topology.RegionOf(order.Zone); !known {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/relaydaemon/zones_test.go
@@ -0,0 +1,207 @@
+package relaydaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/outputtest"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+	"github.com/mintpulley/mintpulley/internal/warmup"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+// testAdapter reads records whose keys are "routes" and names of zones.
+type testAdapter struct {
+	Adapter
+	onRoutes func()
+}
+
+func (a *testAdapter) RoutesPartition() store.Partition { return store.Partition{Space: "operators"} }
+
+func (a *testAdapter) Routes(records map[string]store.Record) (*route.Table, error) {
+	record, known := records["routes"]
+	if !known {
+		return nil, nil
+	}
+	if a.onRoutes != nil {
+		a.onRoutes()
+	}
+	return route.NewTable(record.Offset, nil, nil), nil
+}
+
+func (a *testAdapter) Evacuations(records map[string]store.Record, end int64) zone.Reading {
+	reading := zone.Reading{End: end}
+	for key, record := range records {
+		if key != "routes" {
+			reading.Orders = append(reading.Orders, zone.Order{Zone: key, Offset: record.Offset})
+		}
+	}
+	return reading
+}
+
+// trimmingStore can be told that all records are gone that were read so far: then the
+// newest are listed anew.
+type trimmingStore struct {
+	*memory.Store
+	trimmed chan struct{}
+}
+
+func (s *trimmingStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	select {
+	case <-s.trimmed:
+		return nil, from, store.ErrTrimmed
+	default:
+		return s.Store.Read(ctx, p, from, wait)
+	}
+}
+
+// operatorsTest is a daemon that follows the operators' records, and nothing else.
+type operatorsTest struct {
+	*Daemon
+	t     *testing.T
+	store *trimmingStore
+	lines *outputtest.Buffer
+}
+
+func newOperatorsTest(t *testing.T) *operatorsTest {
+	o := &operatorsTest{t: t, store: &trimmingStore{Store: memory.New(), trimmed: make(chan struct{}, 1)}, lines: &outputtest.Buffer{}}
+	o.Daemon = &Daemon{
+		settings: DefaultSettings(), keys: newConfirmation(), admission: &admission.Admission{}, logger: zerolog.New(o.lines),
+		adapter: &testAdapter{}, hasTable: make(chan struct{}), front: &frontServer{server: &http.Server{}},
+	}
+	o.cold = warmup.NewLimiter(warmup.Options{Returns: &o.evacuations, Logger: zerolog.Nop()})
+	o.pool = instance.NewPool("a", rand.New(rand.NewPCG(1, 1)), o.placementPlugins())
+	o.pool.Replace([]instance.Instance{
+		{ID: "a1", Service: "s", Zone: "a", State: instance.StateReady}, {ID: "c1", Service: "s", Zone: "c", State: instance.StateReady},
+	})
+	return o
+}
+
+func (o *operatorsTest) write(key, value string) {
+	o.t.Helper()
+	err := o.store.Append(o.t.Context(), o.adapter.RoutesPartition(), store.Writer{}, []store.Record{{Key: key, Value: []byte(value)}})
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	synctest.Wait()
+}
+
+// follow follows the records until the test is over.
+func (o *operatorsTest) follow() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watcher := store.Watcher{
+			Store: o.store, Partition: o.adapter.RoutesPartition(), Settings: routesWatch,
+			OnAdvance: o.takeOperators, OnContact: func(error) {},
+		}
+		watcher.Run(ctx)
+	}()
+	synctest.Wait()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// admitted returns the instances that requests may go to.
+func (o *operatorsTest) admitted() string {
+	var ids []string
+	for {
+		taken, found := o.pool.Take(instance.Query{Service: "s", Excluded: ids})
+		if !found {
+			slices.Sort(ids)
+			return strings.Join(ids, " ")
+		}
+		o.pool.Release(taken.ID, instance.OutcomeAnswered)
+		ids = append(ids, taken.ID)
+	}
+}
+
+// TestStartingDaemonKnowsEvacuationsBeforeItHasRoutes: it sends nothing before.
+func TestStartingDaemonKnowsEvacuationsBeforeItHasRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperatorsTest(t)
+		o.write("routes", "1")
+		o.write("c", "{}")
+		known := false
+		o.adapter.(*testAdapter).onRoutes = func() { _, known = o.evacuations.Since("c") }
+		defer o.follow()()
+		if o.table.Load() == nil || !known {
+			t.Errorf("routes: %v; the evacuated zone was known before them: %v", o.table.Load() != nil, known)
+		}
+	})
+}
+
+// TestEvacuationThroughTheOperatorsRecords: an order, a history that is dropped, the
+// order's end, late news, another order whose end nobody listened to, and one that
+// comes past the operators' bound.
+func TestEvacuationThroughTheOperatorsRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperatorsTest(t)
+		o.write("routes", "1")
+		stop := o.follow()
+		expect := func(when, want string) {
+			t.Helper()
+			if got := o.admitted(); got != want {
+				t.Errorf("%s: sends to %q, want %q", when, got, want)
+			}
+		}
+		expect("at first", "a1 c1")
+		o.write("c", "{}")
+		expect("evacuated", "a1")
+		o.store.trimmed <- struct{}{}
+		time.Sleep(2 * routesWatch.Wait)
+		expect("after the history was dropped", "a1")
+		o.write("c", "")
+		expect("taken back", "a1 c1")
+		o.HearEvacuations(&zone.News{End: 2, Orders: []zone.ToldOrder{{Zone: "c", Offset: 1}}}, time.Now())
+		expect("after late news of the first order", "a1 c1")
+		o.write("c", "{}")
+		stop()
+		o.write("c", "") // not heard of but by what a new listing lacks
+		expect("evacuated anew", "a1")
+		stop = o.follow()
+		defer func() { stop() }()
+		expect("taken back while nobody listened", "a1 c1")
+		o.HearEvacuations(&zone.News{End: 100, Orders: []zone.ToldOrder{{Zone: "late", Offset: 99, AgeMS: 5001}}}, time.Now())
+		if lines := o.lines.String(); !strings.Contains(lines, `"level":"warn"`) || !strings.Contains(lines, `"heard_from":"daemon"`) {
+			t.Errorf("nothing warns of an order that came late:\n%s", lines)
+		}
+	})
+}
+
+// TestSeveralZones: also ones that nobody knows.
+func TestSeveralZones(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperatorsTest(t)
+		o.write("routes", "1")
+		defer o.follow()()
+		o.write("nowhere", "{}")
+		o.write("a", "{}")
+		if got := o.admitted(); got != "c1" {
+			t.Errorf("sends to %q", got)
+		}
+		for _, want := range []string{`"zone":"nowhere"`, `"message":"Zone evacuated."`, `"order":1`, `"heard_from":"store"`} {
+			if !strings.Contains(o.lines.String(), want) {
+				t.Errorf("no %s in:\n%s", want, o.lines.String())
+			}
+		}
+		if o.unknownEvacuated() != 2 { // these settings name no zones
+			t.Errorf("%d evacuated zones that the settings do not name", o.unknownEvacuated())
+		}
+	})
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -28,6 +28,9 @@
 	// OnChange is called with the newest records by key after each change, and
 	// after the first reading. The map must not be kept.
 	OnChange func(records map[string]Record)
+	// OnAdvance, if given, is called in place of OnChange, and told the place behind
+	// the last record that was read too: the higher it is, the newer are the records.
+	OnAdvance func(records map[string]Record, end int64)
 	// OnRead, if given, is called after each reading that the store answered,
 	// with or without a change, and after OnChange: what was heard is the newest as of
 	// a time, which is when the reading was asked for, or when the store had waited for
@@ -77,7 +80,7 @@
 			continue // the records that follow are gone: nothing is known of what they told
 		}
 		if changed {
-			w.OnChange(known)
+			w.tell(known, next)
 		} else if time.Since(asOf) >= wait {
 			asOf = asOf.Add(wait) // a record that came before would have been the answer
 		}
@@ -88,6 +91,14 @@
 	}
 }
 
+func (w *Watcher) tell(known map[string]Record, end int64) {
+	if w.OnAdvance != nil {
+		w.OnAdvance(known, end)
+		return
+	}
+	w.OnChange(known)
+}
+
 // pause waits before the next try, until the store answers again at most.
 func (w *Watcher) pause(ctx context.Context) {
 	ctx, stop := UntilReturned(ctx, w.contact())
--- /dev/null
+++ b/internal/zone/evacuation.go
@@ -0,0 +1,222 @@
+package zone
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// mostTold bounds the orders in one message, to some 4 KB. A fleet in which more
+	// zones are evacuated at once tells nothing, and its daemons read the store.
+	mostTold = 64
+	// returnMemory is for how long it is remembered that a zone was taken back: longer
+	// than back ends take to warm up.
+	returnMemory = 10 * time.Minute
+)
+
+// Order is the operators' order to send nothing to the back ends of a zone. It is in
+// force until they take the zone back.
+type Order struct {
+	Zone string
+	// Offset is the place of the order's record among the operators' records: that of
+	// an order which was given anew is higher.
+	Offset int64
+}
+
+// Reading is what a reading of the operators' records told.
+type Reading struct {
+	// End is the place behind the last record that was read. Of two readings the one
+	// with the higher End is the newer.
+	End int64
+	// Orders are those in force.
+	Orders []Order
+	// Partial: the reading may lack orders that nobody took back.
+	Partial bool
+}
+
+// Change is a zone that was evacuated or taken back.
+type Change struct {
+	Order
+	// Evacuated tells which of both.
+	Evacuated bool
+	// Lasted is for how long the order was in force that was taken back.
+	Lasted time.Duration
+}
+
+// Evacuations keeps which zones the operators evacuated, as of the newest that this
+// daemon read itself or heard of others. It is a last writer wins register: the whole
+// set of orders, with the End of the reading that it comes from as its version. So an
+// older reading, or older news, changes nothing, and all daemons agree once each has
+// the newest. The zero value is ready, and safe for concurrent use.
+type Evacuations struct {
+	// writing is held while the state is replaced; it is read without a lock, as
+	// instances are chosen by it.
+	writing sync.Mutex
+	state   atomic.Pointer[evacuationState]
+}
+
+// evacuationState is never changed once it is in place.
+type evacuationState struct {
+	end int64
+	// evacuated are the orders in force, and returned is when zones were last taken
+	// back.
+	evacuated map[string]timedOrder
+	returned  map[string]time.Time
+}
+
+type timedOrder struct {
+	Order
+	since time.Time
+}
+
+var noEvacuations = &evacuationState{}
+
+func (e *Evacuations) load() *evacuationState {
+	if state := e.state.Load(); state != nil {
+		return state
+	}
+	return noEvacuations
+}
+
+// Since tells whether a zone is evacuated, and since when as far as is known here.
+func (e *Evacuations) Since(zone string) (since time.Time, evacuated bool) {
+	order, evacuated := e.load().evacuated[zone]
+	return order.since, evacuated
+}
+
+// ReturnedAt returns when this daemon heard that a zone was last taken back, false if it
+// is evacuated or was not for long.
+func (e *Evacuations) ReturnedAt(zone string) (at time.Time, returned bool) {
+	at, returned = e.load().returned[zone]
+	return at, returned
+}
+
+// LastOrderedAt returns when the latest order came into force that is, as far as is
+// known here; false if none is.
+func (e *Evacuations) LastOrderedAt() (at time.Time, any bool) {
+	for _, order := range e.load().evacuated {
+		if order.since.After(at) {
+			at = order.since
+		}
+		any = true
+	}
+	return at, any
+}
+
+// InForce returns the orders in force, by zone.
+func (e *Evacuations) InForce() []Order {
+	var orders []Order
+	for _, order := range e.load().evacuated {
+		orders = append(orders, order.Order)
+	}
+	slices.SortFunc(orders, func(a, b Order) int { return cmp.Compare(a.Zone, b.Zone) })
+	return orders
+}
+
+// Take takes a reading of this daemon's own, and returns what it changed. One that is
+// not newer than what is known changes nothing.
+func (e *Evacuations) Take(reading Reading, now time.Time) []Change {
+	orders := map[string]timedOrder{}
+	for _, order := range reading.Orders {
+		orders[order.Zone] = timedOrder{Order: order, since: now}
+	}
+	return e.replace(reading.End, orders, reading.Partial, now)
+}
+
+// replace puts a newer set of orders in place. An order that was in force before
+// stays so since then.
+func (e *Evacuations) replace(end int64, orders map[string]timedOrder, partial bool, now time.Time) []Change {
+	e.writing.Lock()
+	defer e.writing.Unlock()
+	before := e.load()
+	if end <= before.end {
+		return nil
+	}
+	after := &evacuationState{end: end, evacuated: orders, returned: map[string]time.Time{}}
+	for zone, at := range before.returned {
+		if now.Sub(at) < returnMemory {
+			after.returned[zone] = at
+		}
+	}
+	var changes []Change
+	for zone, order := range orders {
+		if known, isKnown := before.evacuated[zone]; isKnown {
+			order.since = known.since
+			orders[zone] = order
+			continue
+		}
+		delete(after.returned, zone)
+		changes = append(changes, Change{Order: order.Order, Evacuated: true})
+	}
+	for zone, order := range before.evacuated {
+		if _, still := orders[zone]; still {
+			continue
+		}
+		if partial {
+			orders[zone] = order
+			continue
+		}
+		after.returned[zone] = now
+		changes = append(changes, Change{Order: order.Order, Lasted: now.Sub(order.since)})
+	}
+	e.state.Store(after)
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Zone, b.Zone) })
+	return changes
+}
+
+// News is what daemons tell each other of evacuations, along with messages that go
+// anyway.
+type News struct {
+	// End is that of the reading which the orders come from.
+	End    int64       `json:"end"`
+	Orders []ToldOrder `json:"orders,omitempty"`
+}
+
+// ToldOrder is one order in force.
+type ToldOrder struct {
+	Zone   string `json:"zone"`
+	Offset int64  `json:"offset"`
+	// AgeMS is for how many milliseconds the order has been known to the teller.
+	AgeMS int64 `json:"age_ms"`
+}
+
+// Asking returns the End that goes along with a question to another daemon, so that
+// only newer news comes back: 0 while no zone is evacuated or was lately.
+func (e *Evacuations) Asking() int64 {
+	if state := e.load(); len(state.evacuated)+len(state.returned) > 0 {
+		return state.end
+	}
+	return 0
+}
+
+// Tell returns the news for a daemon that asked with an End; nil if there is none, as
+// always while no zone was evacuated.
+func (e *Evacuations) Tell(asked int64, now time.Time) *News {
+	state := e.load()
+	if asked >= state.end || (asked == 0 && e.Asking() == 0) || len(state.evacuated) > mostTold {
+		return nil
+	}
+	news := &News{End: state.end}
+	for _, zone := range slices.Sorted(maps.Keys(state.evacuated)) {
+		order := state.evacuated[zone]
+		news.Orders = append(news.Orders, ToldOrder{Zone: zone, Offset: order.Offset, AgeMS: now.Sub(order.since).Milliseconds()})
+	}
+	return news
+}
+
+// Hear takes another daemon's news, and returns what it changed.
+func (e *Evacuations) Hear(news *News, now time.Time) []Change {
+	if news == nil || news.End <= e.load().end {
+		return nil
+	}
+	orders := map[string]timedOrder{}
+	for _, told := range news.Orders {
+		age := time.Duration(max(told.AgeMS, 0)) * time.Millisecond
+		orders[told.Zone] = timedOrder{Order: Order{Zone: told.Zone, Offset: told.Offset}, since: now.Add(-age)}
+	}
+	return e.replace(news.End, orders, false, now)
+}
--- /dev/null
+++ b/internal/zone/placement_test.go
@@ -0,0 +1,64 @@
+package zone
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+)
+
+// TestZoneThatIsTakenBackFillsEvenly: 74 daemons and eleven empty back ends. Without the
+// scorer all send there from the first moment; with it the share of daemons that do rises
+// in a line, at each back end alike.
+func TestZoneThatIsTakenBackFillsEvenly(t *testing.T) {
+	const daemons, engines = 74, 11
+	var scorers []ReturnScorer
+	random := rand.New(rand.NewPCG(1, 2))
+	for range daemons {
+		e := &Evacuations{}
+		e.Take(Reading{End: 1, Orders: []Order{{Zone: "c"}}}, start)
+		e.Take(Reading{End: 2}, start)
+		scorers = append(scorers, ReturnScorer{Evacuations: e, Seed: random.Uint64()})
+	}
+	for _, after := range []time.Duration{0, returnTime / 4, returnTime / 2, returnTime} {
+		want := float64(daemons) * float64(after) / float64(returnTime)
+		for i := range engines {
+			candidate := &instance.Instance{ID: fmt.Sprintf("i-%08x", i*7919), Zone: "c"}
+			open := 0
+			for _, s := range scorers {
+				if s.Cost(nil, candidate, start.Add(after)) == 0 {
+					open++
+				}
+			}
+			if diff := float64(open) - want; diff < -16 || diff > 16 { // four standard deviations
+				t.Errorf("%s after: %d of %d daemons send to %s, want about %.0f", after, open, daemons, candidate.ID, want)
+			}
+		}
+	}
+	if cost := scorers[0].Cost(nil, &instance.Instance{ID: "i", Zone: "a"}, start); cost != 0 {
+		t.Errorf("a back end of another zone costs %v", cost)
+	}
+}
+
+// BenchmarkPlacement: 50 back ends of eight zones, of which one is evacuated and one
+// was taken back.
+func BenchmarkPlacement(b *testing.B) {
+	var e Evacuations
+	e.Take(Reading{End: 1, Orders: []Order{{Zone: "z1"}, {Zone: "z2"}}}, start)
+	e.Take(Reading{End: 2, Orders: []Order{{Zone: "z1"}}}, start)
+	filter, scorer := EvacuationFilter{&e}, ReturnScorer{Evacuations: &e, Seed: 7}
+	var candidates []*instance.Instance
+	for i := range 50 {
+		candidates = append(candidates, &instance.Instance{ID: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%8)})
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, candidate := range candidates {
+			if filter.Admits(nil, candidate, start) {
+				scorer.Cost(nil, candidate, start)
+			}
+		}
+	}
+}
