Ledger: a holder that is superseded tells its successor what it granted

Change: at a claim the former holder, if it may live, is asked beside the reading (80 ms at most); it drops the shard and answers with its accounts, which the successor takes as it takes up its own after a short loss. Nothing is forfeited then.

--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -92,17 +92,22 @@
 		return err
 	}
 	seizedAfter := time.Since(started)
-	var writing sync.WaitGroup
-	writing.Go(func() { h.writeDirectory(ctx, h.epoch) })
+	var beside sync.WaitGroup
+	beside.Go(func() { h.writeDirectory(ctx, h.epoch) })
+	var told *formerState
+	beside.Go(func() { told = h.askFormer(ctx, before) })
 	loaded, err := h.readClaimed(ctx)
-	writing.Wait()
+	beside.Wait()
 	if err != nil {
 		return err
 	}
+	if told != nil {
+		h.former = told
+	}
 	h.take(loaded, before.Daemon == "", time.Now())
 	h.metrics.claimed(time.Since(started))
 	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).
-		Int("records", len(loaded)).Int("bytes", sizeOf(loaded)).
+		Int("records", len(loaded)).Int("bytes", sizeOf(loaded)).Bool("told", told != nil).
 		Int("turn_losses", h.state.allowance.OfOneTurn).Int("losses", h.state.allowance.OfAll).
 		Dur("seized_after", seizedAfter).Dur("took", time.Since(started)).Msg("Shard taken over.")
 	return nil
--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -1,6 +1,12 @@
 package ledger
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
 
 // formerLife is how long a daemon remembers what it knew of a shard that it lost: a
 // store that is out is back by then, or the shard is another's.
@@ -26,3 +32,74 @@
 	}
 	return true
 }
+
+// A holder that lives may lose its shard: callers could not reach it, or it the store.
+// Its successor asks it what it granted, and then nothing counts as lost:
+//
+//	successor                        former holder
+//	  claims the shard
+//	  superseded, with its epoch -->   drops the shard, grants nothing more
+//	  accounts                   <--
+//	  takes them in place of those on record
+//
+// Without an answer what was set aside counts as spent, as after a crash.
+
+const (
+	// formerAnswerTime bounds how long a claim waits for the former holder: two ways
+	// between regions (16 ms) and a busy machine.
+	formerAnswerTime = 80 * time.Millisecond
+	// formerAccountsLimit bounds the accounts that are told, each of some 200 bytes: an
+	// answer of half a megabyte.
+	formerAccountsLimit = 2500
+)
+
+// FormerAccounts is what a holder knew of its shard's programs when it lost the shard.
+type FormerAccounts struct {
+	Epoch    uint64             `json:"epoch"`
+	Accounts map[string]account `json:"accounts"`
+}
+
+// askFormer asks the holder before this one what it granted; nil if it does not tell.
+func (h *holder) askFormer(ctx context.Context, before holderRecord) *formerState {
+	if before.Daemon == "" || before.Daemon == h.daemon || !h.fleet.mayLive(before.Daemon) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, formerAnswerTime)
+	defer cancel()
+	request := Request{Shard: h.shard, Superseded: &holderRecord{Epoch: h.epoch, Daemon: h.daemon}}
+	told := h.fleet.askOne(ctx, structs.DaemonID(before.Daemon), request).Former
+	if told == nil {
+		return nil
+	}
+	now := time.Now()
+	former := &formerState{epoch: told.Epoch, lostAt: now, accounts: map[string]*accountEntry{}}
+	for id, known := range told.Accounts {
+		former.accounts[id] = &accountEntry{account: known, usedAt: now}
+	}
+	return former
+}
+
+// tellFormer gives the shard up to the daemon that claimed it, and tells what was granted.
+func (h *holder) tellFormer(o operation) {
+	successor := *o.request.Superseded
+	if h.state != nil && h.epoch < successor.Epoch {
+		h.known.note(h.shard, successor)
+		h.metrics.lost(store.ErrFenced)
+		h.logger.Info().Uint64("epoch", h.epoch).Str("to", successor.Daemon).Uint64("claimed", successor.Epoch).
+			Msg("Shard lost to another holder, which asks what was granted.")
+		pending := h.pending
+		h.drop()
+		if pending != nil {
+			h.refuseAll(pending.waiting, resultMoved)
+		}
+	}
+	answer := Response{Number: o.request.Number, Result: resultMoved}
+	if h.former != nil && len(h.former.accounts) <= formerAccountsLimit {
+		answer.Result = resultOK
+		answer.Former = &FormerAccounts{Epoch: h.former.epoch, Accounts: map[string]account{}}
+		for id, entry := range h.former.accounts {
+			answer.Former.Accounts[id] = entry.account
+		}
+	}
+	o.reply(answer)
+}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -193,6 +193,10 @@
 		h.prepare(ctx, o)
 		return
 	}
+	if o.request.Superseded != nil {
+		h.tellFormer(o)
+		return
+	}
 	if refusal, refused := h.hold(ctx, o.request.Failed); refused {
 		h.refuse(o, refusal)
 		return
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -34,7 +34,7 @@
 }
 
 // Request asks the holder of a shard, or the daemon that is to hold it. One of
-// Begin, End, Find, Quota, Prepare and Take is set.
+// Begin, End, Find, Quota, Prepare, Take and Superseded is set.
 type Request struct {
 	Number uint64 `json:"n"`
 	Shard  int    `json:"s"`
@@ -50,6 +50,9 @@
 	Prepare bool `json:"prepare,omitempty"`
 	// Take: the daemon shall hold the shard from now on.
 	Take bool `json:"take,omitempty"`
+	// Superseded names the asker's claim: the daemon shall give the shard up and tell
+	// what it granted.
+	Superseded *holderRecord `json:"superseded,omitempty"`
 }
 
 // Find asks for a turn with its whole chain.
@@ -87,6 +90,8 @@
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
 	Verdict *quota.Verdict `json:"q,omitempty"`
+	// Former answers Superseded, nil if the daemon did not hold the shard lately.
+	Former *FormerAccounts `json:"former,omitempty"`
 }
 
 // MessageKind implements peer.Message.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -396,7 +396,7 @@
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
-	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take || r.Superseded != nil
 }
 
 // isClosed tells whether a channel that carries nothing was closed.
