--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -35,7 +35,7 @@
 }
 
 // Request asks the holder of a shard, or the daemon that is to hold it. One of
-// Begin, End, Find, Quota, Prepare and Take is set.
+// Begin, End, Find, Quota, Prepare, Take and Superseded is set.
 type Request struct {
 	Number uint64 `json:"n"`
 	Shard  int    `json:"s"`
@@ -53,6 +53,9 @@
 	Take bool `json:"take,omitempty"`
 	// OrdersEnd tells how new the asker's news of evacuations is; 0 if it knows none.
 	OrdersEnd int64 `json:"oe,omitempty"`
+	// Superseded names the asker's claim: the daemon shall give the shard up and tell
+	// what it granted.
+	Superseded *holderRecord `json:"superseded,omitempty"`
 }
 
 // Find asks for a turn with its whole chain.
@@ -93,6 +96,8 @@
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
 	Verdict *quota.Verdict `json:"q,omitempty"`
+	// Former answers Superseded, nil if the daemon did not hold the shard lately.
+	Former *FormerAccounts `json:"former,omitempty"`
 }
 
 // MessageKind implements peer.Message.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -420,7 +420,7 @@
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
-	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take || r.Superseded != nil
 }
 
 // isClosed tells whether a channel that carries nothing was closed.
