Ledger: a holder that answers keeps its shard, whoever's view is old

Cause: a daemon that was cut off believes all others dead, reaches the store first, and claims what it is asked for with the dead holder's epoch.

Change: before the epoch is raised the daemon at the holder's address is asked whether it holds the shard, while the directory is read. One that answers keeps it, and the request is passed on to it, for asker and claimant may be wrong for a while. A dead holder is waited for no longer than the reading takes, unless the claimant was cut off until lately (most of other zones lost, and few of its own: 2 s), could not reach the store until lately (0.5 s) or has the holder as alive (0.1 s). A claim under way answers, too, so it is not made by two.

Without the question TestHolderThatAnswersKeepsItsShard fails.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -50,7 +50,10 @@
 		if target == "" {
 			break
 		}
-		request.Failed = failed
+		request.Failed, request.Holder = failed, ""
+		if failed != 0 && failed == known.Epoch && !known.released {
+			request.Holder = known.Daemon
+		}
 		response := s.askOne(ctx, target, request)
 		if response.Result == resultSilent && failed == 0 && ctx.Err() == nil {
 			silences++
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -49,6 +49,8 @@
 		return resultMoved, true
 	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
+	case failed != 0 && h.isConfirmed(now):
+		return resultMoved, true
 	case now.Before(h.retryAt) && !isClosed(h.returned), h.records.isDown(now):
 		return resultImpaired, true
 	}
@@ -56,6 +58,7 @@
 	h.claiming.Store(true)
 	defer h.claiming.Store(false)
 	if err := h.claim(ctx, failed, cause); err != nil {
+		h.heldEpoch.Store(0)
 		return h.lose(ctx, err), true
 	}
 	h.pause = 0
@@ -78,6 +81,14 @@
 // the next claim is told by the store that its epoch is too low.
 func (h *holder) claim(ctx context.Context, failed uint64, cause string) error {
 	started := time.Now()
+	known := h.known.get(h.shard)
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	var asked <-chan bool
+	givenUp := known.released || cause == causeTake // by the holder's own word
+	if !givenUp {
+		asked = h.askHolder(asking, known.holderRecord)
+	}
 	// One try: who cannot reach the store either must not take the shard the
 	// moment it can, from a holder that was in the same trouble.
 	before, err := h.readDirectory(ctx)
@@ -88,10 +99,19 @@
 	if h.mustLeaveTo(before, failed) {
 		return errHeld
 	}
+	if !givenUp && h.isHeld(asking, before, known.holderRecord, asked) {
+		h.confirmed = confirmation{holder: before, at: time.Now()}
+		h.metrics.kept()
+		h.logger.Info().Str("holder", before.Daemon).Uint64("epoch", before.Epoch).Uint64("failed", failed).Str("for", cause).
+			Dur("took", time.Since(started)).Msg("Shard left to its holder, which answers.")
+		return errHeld
+	}
+	stop()
 	if err := h.seize(ctx, before.Epoch, failed); err != nil {
 		return err
 	}
 	seizedAfter := time.Since(started)
+	h.heldEpoch.Store(h.epoch)
 	var writing sync.WaitGroup
 	writing.Go(func() { h.writeDirectory(ctx, h.epoch) })
 	loaded, err := h.readClaimed(ctx)
--- /dev/null
+++ b/internal/ledger/confirm.go
@@ -0,0 +1,150 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// Before a shard is taken from a holder, the daemon at its address is asked whether it
+// still holds it, while the directory is read. A holder that answers keeps its shard,
+// whatever the claimant and its asker believe: what was asked for is passed on to it.
+//
+// A holder that is dead does not answer, and is waited for no longer than the
+// directory's reading takes, unless there is reason to doubt its death.
+
+const (
+	// confirmAgain separates questions to a holder that has not answered.
+	confirmAgain = 200 * time.Millisecond
+	// doubtIsolated is how much longer than the directory's reading an answer is waited
+	// for by a daemon that was cut off: as long as peers take to connect again.
+	doubtIsolated = 2 * time.Second
+	// doubtReturned is the same for one that could not reach the store until now, and
+	// doubtAlive for one whose view says that the holder lives: some round trips to a
+	// small machine that is busy.
+	doubtReturned = 500 * time.Millisecond
+	doubtAlive    = 100 * time.Millisecond
+	// confirmLife is how long a holder's word is relied on: as long as a view that is
+	// behind takes to learn that it lives would cost a directory's reading a turn.
+	confirmLife = time.Second
+)
+
+// confirmation is a holder's word that it holds the shard.
+type confirmation struct {
+	holder holderRecord
+	at     time.Time
+}
+
+// confirm answers whether this daemon holds the shard, without taking it. It is
+// called by any goroutine: the holder's own may be busy with a claim.
+func (h *holder) confirm(number uint64) Response {
+	epoch := h.heldEpoch.Load()
+	if epoch == 0 || h.isIsolated() {
+		return Response{Number: number, Result: resultMoved}
+	}
+	return Response{Number: number, Result: resultOK, Epoch: epoch, Holder: h.daemon}
+}
+
+// askHolder asks a shard's holder whether it lives, again and again until it answers
+// or ctx ends. The channel gets one value: whether it holds that claim.
+func (h *holder) askHolder(ctx context.Context, holder holderRecord) <-chan bool {
+	confirmed := make(chan bool, 1)
+	id := structs.DaemonID(holder.Daemon)
+	if holder.Daemon == "" || id.Address() == structs.DaemonID(h.daemon).Address() {
+		confirmed <- false
+		return confirmed
+	}
+	go func() {
+		// Any run at the address may answer: a new one says at once that it holds nothing.
+		to := structs.NewDaemonID(id.Address(), structs.AnyIncarnation)
+		for ctx.Err() == nil {
+			asking, cancel := context.WithTimeout(ctx, confirmAgain)
+			response := h.fleet.askOne(asking, to, Request{Shard: h.shard, Confirm: true})
+			cancel()
+			if response.Result != resultSilent {
+				confirmed <- response.Result == resultOK && response.Holder == holder.Daemon && response.Epoch >= holder.Epoch
+				return
+			}
+		}
+		confirmed <- false
+	}()
+	return confirmed
+}
+
+// isHeld tells whether a holder keeps the shard by its own word, after the directory
+// was read. known is what the claimant knew of it before, and asked the answer to the
+// question that was sent then.
+func (h *holder) isHeld(ctx context.Context, before, known holderRecord, asked <-chan bool) bool {
+	if before.Daemon == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.fleet.doubt(before.Daemon))
+	defer cancel()
+	if before != known {
+		asked = h.askHolder(ctx, before)
+	}
+	for {
+		select {
+		case held := <-asked:
+			return held
+		default:
+		}
+		select {
+		case held := <-asked:
+			return held
+		case <-time.After(answerWithin / 2):
+			h.noteProgress() // it is waited for, and so are those that asked
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// doubt implements fleet.
+func (s *Service) doubt(daemon string) time.Duration {
+	now := time.Now()
+	switch {
+	case s.sight.isDoubtful(now):
+		return doubtIsolated
+	case s.records.isBack(now):
+		return doubtReturned
+	case s.mayLive(daemon):
+		return doubtAlive
+	}
+	return 0
+}
+
+// isConfirmed tells whether the known holder said lately that it holds the shard.
+func (h *holder) isConfirmed(now time.Time) bool {
+	return h.confirmed.holder.Daemon != "" && now.Sub(h.confirmed.at) <= confirmLife &&
+		h.known.get(h.shard).holderRecord == h.confirmed.holder
+}
+
+// passOn asks the shard's holder in the asker's place: the asker has bad news of it.
+func (h *holder) passOn(ctx context.Context, o operation) {
+	holder := h.confirmed.holder
+	request := *o.request
+	request.Failed = 0
+	h.passing.Add(1)
+	h.metrics.passedOn()
+	go func() {
+		asking, cancel := context.WithTimeout(ctx, answerWithin)
+		defer cancel()
+		response := h.fleet.askOne(asking, structs.DaemonID(holder.Daemon), request)
+		h.passing.Add(-1)
+		h.post(ctx, func(context.Context) {
+			switch {
+			case response.Result != resultSilent:
+				h.known.note(h.shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+			case h.confirmed.holder == holder:
+				h.confirmed = confirmation{}
+			}
+		})
+		if response.Result == resultSilent {
+			response.Result = resultMoved
+		}
+		response.Number = o.request.Number
+		o.reply(response)
+	}()
+}
--- /dev/null
+++ b/internal/ledger/confirm_test.go
@@ -0,0 +1,134 @@
+package ledger
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// staleView is a view in which some daemons are dead, whatever they are.
+type staleView struct {
+	*testFleet
+	dead map[structs.DaemonID]bool
+}
+
+// Members implements membership.View.
+func (v staleView) Members() []membership.Member {
+	var members []membership.Member
+	for _, member := range v.testFleet.Members() {
+		if !v.dead[member.Daemon.ID] {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// Lookup implements View.
+func (v staleView) Lookup(address string) (membership.Member, bool) {
+	member, known := v.testFleet.Lookup(address)
+	if v.dead[member.Daemon.ID] {
+		member.State = membership.StateDead
+	}
+	return member, known
+}
+
+// TestHolderThatAnswersKeepsItsShard: all others believe it dead. It keeps its shard,
+// turns are served by way of a daemon that asks it, and the directory is not read for
+// each of them.
+func TestHolderThatAnswersKeepsItsShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 5)
+		f.store.SetDelay(4 * time.Millisecond)
+		begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		holder, other := f.holderOf("p"), f.other("p")
+		begin(t, other, Turn{ID: "b", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		for _, id := range f.ids() {
+			if id != holder {
+				f.service(id).View = staleView{testFleet: f, dead: map[structs.DaemonID]bool{holder: true}}
+			}
+		}
+		claims := f.claims()
+		started := time.Now()
+		for i := range 20 {
+			begin(t, other, Turn{ID: fmt.Sprint("later-", i), Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		}
+		if now := f.holderOf("p"); now != holder || f.claims() != claims {
+			t.Errorf("the shard moved from %s, which lives, to %s", holder, now)
+		}
+		if took := time.Since(started); took > silence {
+			t.Errorf("20 turns took %s", took)
+		}
+	})
+}
+
+// TestDeadHolderIsReplacedAtOnce: a holder that is dead is not waited for, and a new
+// run at its address says at once that it holds nothing.
+func TestDeadHolderIsReplacedAtOnce(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, 5)
+			f.store.SetDelay(4 * time.Millisecond)
+			begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+			holder, other := f.holderOf("p"), f.other("p")
+			begin(t, other, Turn{ID: "b", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+			time.Sleep(time.Second) // what they settled with is over
+			f.kill(holder)
+			if restarted {
+				f.start(structs.NewDaemonID(holder.Address(), 2))
+			}
+			started := time.Now()
+			begin(t, other, Turn{ID: "c", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+			if took := time.Since(started); took > 50*time.Millisecond {
+				t.Errorf("restarted %v: a dead holder was replaced after %s", restarted, took)
+			}
+		})
+	}
+}
+
+// TestSightTellsIsolationFromDeaths: with most of the other zones lost and the own one
+// whole, or with all lost, a daemon is cut off; not when many are killed at once.
+func TestSightTellsIsolationFromDeaths(t *testing.T) {
+	const zones, perZone = 4, 15
+	for _, c := range []struct {
+		name     string
+		isLost   func(zone, number int) bool
+		isolated bool
+	}{
+		{"nothing lost", func(int, int) bool { return false }, false},
+		{"another zone cut off", func(zone, _ int) bool { return zone == 1 }, false},
+		{"cut off with its zone", func(zone, _ int) bool { return zone != 0 }, true},
+		{"cut off with its zone, one of it lost before", func(zone, number int) bool { return zone != 0 || number == 1 }, true},
+		{"cut off with its zone and another", func(zone, _ int) bool { return zone > 1 }, true},
+		{"cut off alone", func(zone, number int) bool { return zone+number != 0 }, true},
+		{"most killed at once", func(_, number int) bool { return number > 4 }, false},
+	} {
+		members := func(withLost bool) []membership.Member {
+			var list []membership.Member
+			for i := range zones * perZone {
+				zone, number := i%zones, i/zones
+				if withLost || !c.isLost(zone, number) {
+					daemon := structs.Daemon{ID: daemonID(i, 1), Zone: structs.ZoneName(fmt.Sprint(zone))}
+					list = append(list, membership.Member{Daemon: daemon, State: membership.StateAlive})
+				}
+			}
+			return list
+		}
+		now, s := time.Now(), &sight{}
+		s.look(daemonID(0, 1), members(true), now)
+		isolated, _ := s.look(daemonID(0, 1), members(false), now.Add(time.Second))
+		if isolated != c.isolated || s.isDoubtful(now.Add(time.Second)) != c.isolated {
+			t.Errorf("%s: isolated %v, want %v", c.name, isolated, c.isolated)
+		}
+		s.look(daemonID(0, 1), members(true), now.Add(2*time.Second))
+		if back := now.Add(time.Second + sightBack + time.Millisecond); s.isDoubtful(back) {
+			t.Errorf("%s: still doubtful %s after it was back", c.name, sightBack)
+		}
+		if isolated, _ := s.look(daemonID(0, 1), members(false), now.Add(2*time.Second+sightLife+time.Millisecond)); isolated {
+			t.Errorf("%s: those that are gone for long still count", c.name)
+		}
+	}
+}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -33,6 +34,12 @@
 	settleTime time.Duration
 	// blind: daemons that start have heard of no other.
 	blind bool
+	// shards is the number of shards, viewOf and storeOf what a daemon that starts sees
+	// and calls, and severed whether a message is lost; nil and 0 for the usual.
+	shards  int
+	viewOf  func(structs.DaemonID) View
+	storeOf func(structs.DaemonID) store.Store
+	severed func(from, to structs.DaemonID) bool
 
 	mutex    sync.Mutex
 	services map[structs.DaemonID]*Service
@@ -67,12 +74,16 @@
 
 func (f *testFleet) start(id structs.DaemonID) *Service {
 	var partitions []store.Partition
-	for number := range testShards {
+	for number := range cmp.Or(f.shards, testShards) {
 		partitions = append(partitions, store.Partition{Space: "ledger", Number: number})
 	}
+	var records store.Store = &testStore{Store: f.store, fleet: f}
+	if f.storeOf != nil {
+		records = f.storeOf(id)
+	}
 	s := NewService(Options{
 		Self:       id,
-		Store:      &testStore{Store: f.store, fleet: f},
+		Store:      records,
 		Transport:  &testTransport{fleet: f, self: id},
 		View:       f.view(id),
 		Partitions: partitions,
@@ -226,6 +237,9 @@
 
 // view returns a daemon's view of the fleet.
 func (f *testFleet) view(id structs.DaemonID) View {
+	if f.viewOf != nil {
+		return f.viewOf(id)
+	}
 	if f.blind {
 		return blindView{testFleet: f, self: id}
 	}
@@ -292,6 +306,9 @@
 	}
 	lost := target == nil || t.fleet.deaf[to] || t.fleet.deaf[t.self]
 	t.fleet.mutex.Unlock()
+	if severed := t.fleet.severed; severed != nil && severed(t.self, to) {
+		return
+	}
 	if !lost {
 		go target.Receive(t.self, message)
 	}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -68,10 +68,16 @@
 	quotaTerms quota.Terms
 	// confirmations are told to those that ask for a limit.
 	confirmations Confirmations
-	// holding tells other goroutines whether the shard is held.
-	holding  atomic.Bool
-	epoch    uint64
-	sequence uint64
+	// holding tells other goroutines whether the shard is held, and heldEpoch by which
+	// claim it is held or being read; 0 for none.
+	holding   atomic.Bool
+	heldEpoch atomic.Uint64
+	// confirmed is the latest word of another daemon that it holds the shard, and
+	// passing counts the requests that are being passed on to it.
+	confirmed confirmation
+	passing   atomic.Int32
+	epoch     uint64
+	sequence  uint64
 	// waiting operations are answered once the next append is done.
 	waiting []answered
 	// barrier: the next append must take place even without a change.
@@ -157,7 +163,7 @@
 
 // isBusy tells whether the holder works on something that others wait for.
 func (h *holder) isBusy() bool {
-	return h.appending.Load() || h.preparing.Load() || h.claiming.Load() && h.isGettingOn(time.Now())
+	return h.appending.Load() || h.preparing.Load() || h.passing.Load() > 0 || h.claiming.Load() && h.isGettingOn(time.Now())
 }
 
 // noteProgress takes note that the reading of the shard gets on.
@@ -193,7 +199,12 @@
 		h.prepare(ctx, o)
 		return
 	}
+	h.known.note(h.shard, holderRecord{Epoch: o.request.Failed, Daemon: o.request.Holder})
 	if refusal, refused := h.hold(ctx, o.request.Failed, o.request.kind()); refused {
+		if refusal == resultMoved && o.request.Failed != 0 && !o.request.Take && h.isConfirmed(time.Now()) {
+			h.passOn(ctx, o)
+			return
+		}
 		h.refuse(o, refusal)
 		return
 	}
@@ -386,6 +397,7 @@
 	h.state = nil
 	h.limiter = nil
 	h.holding.Store(false)
+	h.heldEpoch.Store(0)
 	h.pending = nil
 	h.handover = nil
 	h.appending.Store(false)
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -93,6 +93,9 @@
 	mayLive(daemon string) bool
 	// preferred returns the daemon that should hold a shard if some cannot.
 	preferred(shard int, except ...structs.DaemonID) string
+	// doubt returns how much longer than a directory's reading a holder is waited for
+	// that may live in spite of what is believed.
+	doubt(daemon string) time.Duration
 	// askOne sends a request to one daemon and waits for its answer.
 	askOne(ctx context.Context, to structs.DaemonID, request Request) Response
 }
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -34,13 +34,15 @@
 }
 
 // Request asks the holder of a shard, or the daemon that is to hold it. One of
-// Begin, End, Find, Quota, Prepare and Take is set.
+// Begin, End, Find, Quota, Prepare, Take and Confirm is set.
 type Request struct {
 	Number uint64 `json:"n"`
 	Shard  int    `json:"s"`
 	// Failed is the epoch of the holder that the asker got no answer from, 0
 	// for none: only then may a daemon take the shard from a holder that lives.
-	Failed uint64   `json:"x,omitempty"`
+	Failed uint64 `json:"x,omitempty"`
+	// Holder is the daemon of that claim.
+	Holder string   `json:"h,omitempty"`
 	Begin  *Turn    `json:"begin,omitempty"`
 	End    *Outcome `json:"end,omitempty"`
 	Find   *Find    `json:"find,omitempty"`
@@ -50,6 +52,8 @@
 	Prepare bool `json:"prepare,omitempty"`
 	// Take: the daemon shall hold the shard from now on.
 	Take bool `json:"take,omitempty"`
+	// Confirm: the daemon shall tell whether it holds the shard, and not take it.
+	Confirm bool `json:"confirm,omitempty"`
 }
 
 // Find asks for a turn with its whole chain.
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -14,6 +14,9 @@
 	losses   *prometheus.CounterVec
 	skipped  prometheus.Counter
 	silences prometheus.Counter
+	// confirms are shards that a claimant left to their holder by its word, and
+	// requests that were passed on to one.
+	confirms *prometheus.CounterVec
 	grants   *prometheus.CounterVec
 	// handovers are planned ones, by the successor's last word.
 	handovers *prometheus.CounterVec
@@ -45,6 +48,10 @@
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "turns_total",
 		Help: "Turns that began, by what they waited for.",
 	}, []string{"by"})
+	m.confirms = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "holders_confirmed_total",
+		Help: "Claims that were left off because the holder answered (kept), and requests passed on to it (passed_on).",
+	}, []string{"what"})
 	m.handovers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "handovers_total",
 		Help: "Shards that were to be passed on as planned, by what the successor said last.",
@@ -53,7 +60,7 @@
 		Namespace: "mintpulley", Subsystem: "quota", Name: "verdicts_total",
 		Help: "Requests of limited tenants that this daemon decided as the limit's owner, by reason.",
 	}, []string{"reason"})
-	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.grants, m.handovers, m.verdicts)
+	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts)
 	return m
 }
 
@@ -69,6 +76,10 @@
 
 func (m *Metrics) malformed() { m.skipped.Inc() }
 
+func (m *Metrics) kept() { m.confirms.WithLabelValues("kept").Inc() }
+
+func (m *Metrics) passedOn() { m.confirms.WithLabelValues("passed_on").Inc() }
+
 func (m *Metrics) silent() { m.silences.Inc() }
 
 func (m *Metrics) lost(err error) {
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -62,6 +62,10 @@
 	// if none did.
 	failingSince time.Time
 	probeAt      time.Time
+	// failedAt is when the latest call failed, and backAt when one was answered after
+	// calls had failed for downAfter.
+	failedAt time.Time
+	backAt   time.Time
 	// returned is closed when the store is said to answer again after it failed.
 	returned <-chan struct{}
 }
@@ -85,16 +89,29 @@
 	return false
 }
 
+// isBack tells whether the store answers this daemon again since lately.
+func (r *recordStore) isBack(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return !r.backAt.IsZero() && now.Sub(r.backAt) <= sightBack
+}
+
 // noteOutcome takes note of whether a call was answered.
 func (r *recordStore) noteOutcome(err error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
 	case err == nil || isFinal(err):
+		if r.failedAt.Sub(r.failingSince) >= downAfter && !r.failingSince.IsZero() {
+			r.backAt = time.Now()
+		}
 		r.failingSince = time.Time{}
-	case r.failingSince.IsZero():
-		r.failingSince = time.Now()
-		r.returned = r.contact.Returned()
+	default:
+		r.failedAt = time.Now()
+		if r.failingSince.IsZero() {
+			r.failingSince = r.failedAt
+			r.returned = r.contact.Returned()
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/ledger/return_test.go
@@ -0,0 +1,437 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// One of four zones is cut off from the others and from the store, silently, and
+// comes back. All sizes but those of records are a tenth of a fleet of 75 daemons
+// whose shards have 3 MB each and whose store reads 80 MB a second.
+const (
+	returnDaemons = 60
+	returnZones   = 4
+	returnShards  = 48
+	// returnHistory is the number of turns that each shard keeps, of returnTurn bytes.
+	returnHistory = 75
+	returnTurn    = 4000
+	// returnReadRate is what the store reads in a second, and returnLinkRate what the
+	// link of a daemon carries, in bytes.
+	returnReadRate = 8 << 20
+	returnLinkRate = 2 << 20
+	// returnPage bounds a page of newest records, in bytes.
+	returnPage = 100 << 10
+	returnWay  = 1500 * time.Microsecond
+
+	returnCutAt  = 6 * time.Second
+	returnCutFor = 6 * time.Second
+	returnEnd    = 24 * time.Second
+	// claimRace is the most that daemons which claim a shard at once differ by.
+	claimRace = time.Second
+	// A cut daemon is suspect after suspectAfter and dead deadAfter later, to each of
+	// the others a little later or sooner. Once the cut has ended, the store is reached
+	// within storeBack, other daemons within linkBack and told alive within viewBack.
+	suspectAfter = 800 * time.Millisecond
+	deadAfter    = 1500 * time.Millisecond
+	storeBack    = 300 * time.Millisecond
+	linkBack     = 1200 * time.Millisecond
+	viewBack     = 2500 * time.Millisecond
+
+	returnPrograms  = 2 * returnShards
+	returnThink     = 150 * time.Millisecond
+	returnMost      = 100
+	returnTurns     = 6
+	returnRetention = 60 * time.Second
+)
+
+// returnFleet is a fleet one zone of which is cut off and comes back.
+type returnFleet struct {
+	*testFleet
+	began time.Time
+
+	mutex sync.Mutex
+	// readBusyUntil is when the store has read all that it was asked for, and
+	// linkBusyUntil the same of a daemon's link.
+	readBusyUntil time.Time
+	linkBusyUntil map[structs.DaemonID]time.Time
+	// bytes were asked of the store in each second, keys and values as base64.
+	bytes []int
+	// holders are those of each shard by the store's word, since claimedAt.
+	holders   []structs.DaemonID
+	claimedAt []time.Duration
+	// seizures were made of holders that lived, were reached by the store, and held the
+	// shard for longer than two that claim it at once differ by; claims are all others.
+	seizures []time.Duration
+	claims   []time.Duration
+	// served tells for each shard when turns began, and waits how long the longest
+	// of each second took.
+	served    [][]time.Duration
+	waits     []time.Duration
+	failed    []int
+	begun     []int
+	wrongOver []string
+}
+
+func newReturnFleet(t *testing.T) *returnFleet {
+	f := &returnFleet{testFleet: newTestFleet(t, 0), began: time.Now(), linkBusyUntil: map[structs.DaemonID]time.Time{}}
+	f.shards = returnShards
+	f.holders, f.claimedAt = make([]structs.DaemonID, returnShards), make([]time.Duration, returnShards)
+	f.served = make([][]time.Duration, returnShards)
+	seconds := int(returnEnd/time.Second) + 10
+	f.bytes, f.waits, f.failed, f.begun = make([]int, seconds), make([]time.Duration, seconds), make([]int, seconds), make([]int, seconds)
+	f.testFleet.viewOf = func(id structs.DaemonID) View { return &returnView{returnFleet: f, self: id} }
+	f.testFleet.storeOf = func(id structs.DaemonID) store.Store {
+		return &returnStore{Store: f.testFleet.store, fleet: f, self: id}
+	}
+	f.testFleet.severed = f.isSevered
+	f.fill(t)
+	for i := range returnDaemons {
+		f.start(daemonID(i, 1))
+	}
+	return f
+}
+
+// fill gives each shard its history.
+func (f *returnFleet) fill(t *testing.T) {
+	for shard := range returnShards {
+		var records []store.Record
+		for i := range returnHistory {
+			turn := &turnEntry{KeptTurn: KeptTurn{ID: fmt.Sprintf("old-%d-%d", shard, i), Input: make([]byte, returnTurn)}, RetentionMS: returnRetention.Milliseconds()}
+			value, err := encodeTurn(turn)
+			if err != nil {
+				t.Fatal(err)
+			}
+			records = append(records, store.Record{Key: turnPrefix + turn.ID, Value: value})
+		}
+		if err := f.testFleet.store.Append(context.Background(), store.Partition{Space: "ledger", Number: shard}, store.Writer{}, records); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func (f *returnFleet) now() time.Duration { return time.Since(f.began) }
+
+// second is the index of the second that a time lies in.
+func (f *returnFleet) second() int { return min(int(f.now()/time.Second), len(f.bytes)-1) }
+
+// zoneOfDaemon tells the zones of the daemons' addresses.
+var zoneOfDaemon = func() map[string]int {
+	zones := map[string]int{}
+	for i := range returnDaemons {
+		zones[daemonID(i, 1).Address()] = i % returnZones
+	}
+	return zones
+}()
+
+func isCutOff(id structs.DaemonID) bool { return zoneOfDaemon[id.Address()] == returnZones-1 }
+
+// spread is a time below most that is the same for a pair of daemons.
+func spread(what string, a, b structs.DaemonID, most time.Duration) time.Duration {
+	return time.Duration(xxhash.Sum64String(what+string(a)+string(b)) % uint64(most))
+}
+
+func (f *returnFleet) isDuringCut(more time.Duration) bool {
+	now := f.now()
+	return now >= returnCutAt && now < returnCutAt+returnCutFor+more
+}
+
+// isSevered tells whether a message between two daemons is lost.
+func (f *returnFleet) isSevered(from, to structs.DaemonID) bool {
+	return isCutOff(from) != isCutOff(to) && f.isDuringCut(spread("link", from, to, linkBack))
+}
+
+// returnView is a daemon's view: of the other side of the cut it hears nothing.
+type returnView struct {
+	*returnFleet
+	self structs.DaemonID
+}
+
+// State implements membership.View.
+func (v *returnView) State(id structs.DaemonID) membership.State {
+	if isCutOff(id) != isCutOff(v.self) && v.isDuringCut(spread("view", v.self, id, viewBack)) {
+		silent := v.now() - returnCutAt - spread("dead", v.self, id, suspectAfter/2)
+		switch {
+		case silent >= deadAfter:
+			return membership.StateDead
+		case silent >= suspectAfter:
+			return membership.StateSuspect
+		}
+	}
+	return membership.StateAlive
+}
+
+// Members implements membership.View.
+func (v *returnView) Members() []membership.Member {
+	var members []membership.Member
+	for address := range zoneOfDaemon {
+		if member, _ := v.Lookup(address); member.State != membership.StateDead {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// Lookup implements View.
+func (v *returnView) Lookup(address string) (membership.Member, bool) {
+	id := structs.NewDaemonID(address, 1) // no daemon ends here
+	zone := structs.ZoneName("zone-" + strconv.Itoa(zoneOfDaemon[address]))
+	return membership.Member{Daemon: structs.Daemon{ID: id, Zone: zone}, State: v.State(id)}, true
+}
+
+// returnStore is a daemon's way to the store, whose reading all share.
+type returnStore struct {
+	store.Store
+	fleet *returnFleet
+	self  structs.DaemonID
+}
+
+// reach lets a call get to the store; an error tells that it does not.
+func (s *returnStore) reach(ctx context.Context) error {
+	if isCutOff(s.self) && s.fleet.isDuringCut(spread("store", s.self, "", storeBack)) {
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	clock.Sleep(ctx, 2*returnWay)
+	return nil
+}
+
+// Append implements store.Store.
+func (s *returnStore) Append(ctx context.Context, partition store.Partition, by store.Writer, records []store.Record) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	err := s.Store.Append(ctx, partition, by, records)
+	if err == nil && partition.Space == "ledger" && by.Sequence == 1 && by.Name == writerName {
+		s.fleet.noteClaim(partition.Number, s.self)
+	}
+	return err
+}
+
+// NewestPage implements store.Store.
+func (s *returnStore) NewestPage(ctx context.Context, partition store.Partition, after string) (store.Page, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Page{}, err
+	}
+	page, err := s.Store.NewestPage(ctx, partition, after)
+	if err != nil {
+		return page, err
+	}
+	size := 0
+	for i, record := range page.Records {
+		if size += len(record.Key) + len(record.Value); size > returnPage {
+			page.Records, page.More = page.Records[:i+1], i+1 < len(page.Records) || page.More
+			break
+		}
+	}
+	return page, s.fleet.transfer(ctx, s.self, 4*store.SizeOf(page.Records)/3)
+}
+
+// Read implements store.Store.
+func (s *returnStore) Read(ctx context.Context, partition store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, from, err
+	}
+	records, next, err := s.Store.Read(ctx, partition, from, wait)
+	if err != nil {
+		return records, next, err
+	}
+	for i, size := 0, 0; i < len(records); i++ {
+		if size += len(records[i].Key) + len(records[i].Value); size > returnPage {
+			records, next = records[:i+1], from+int64(i+1)
+		}
+	}
+	return records, next, s.fleet.transfer(ctx, s.self, store.SizeOf(records))
+}
+
+// transfer lets the time pass that the store takes to read some bytes after all that
+// it was asked for before, and the daemon's link to carry them. What nobody waits for
+// any more is read all the same.
+func (f *returnFleet) transfer(ctx context.Context, to structs.DaemonID, size int) error {
+	f.mutex.Lock()
+	f.bytes[f.second()] += size
+	now := time.Now()
+	f.readBusyUntil = later(f.readBusyUntil, now).Add(time.Duration(size) * time.Second / returnReadRate)
+	f.linkBusyUntil[to] = later(f.linkBusyUntil[to], now).Add(time.Duration(size) * time.Second / returnLinkRate)
+	until := later(f.readBusyUntil, f.linkBusyUntil[to])
+	f.mutex.Unlock()
+	clock.Sleep(ctx, time.Until(until))
+	if ctx.Err() != nil {
+		return store.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// noteClaim takes note of a claim that the store took.
+func (f *returnFleet) noteClaim(shard int, by structs.DaemonID) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	before, heldFor := f.holders[shard], f.now()-f.claimedAt[shard]
+	f.holders[shard], f.claimedAt[shard] = by, f.now()
+	holder := f.testFleet.service(before)
+	lives := holder != nil && before != by && heldFor > claimRace && holder.holders[shard].holding.Load()
+	if lives && (!isCutOff(before) || !f.isDuringCut(0)) {
+		f.seizures = append(f.seizures, f.now())
+		return
+	}
+	f.claims = append(f.claims, f.now())
+}
+
+// caller returns a daemon that a program's next turn enters by: mostly one of its zone.
+func (f *returnFleet) caller(random *rand.Rand, zone int) *Service {
+	if random.Float64() < 0.2 {
+		zone = random.IntN(returnZones)
+	}
+	return f.testFleet.service(daemonID(random.IntN(returnDaemons/returnZones)*returnZones+zone, 1))
+}
+
+// run lets a line of programs take turns, one program after the other.
+func (f *returnFleet) run(number int) {
+	random := rand.New(rand.NewPCG(uint64(number), 7))
+	for life := 0; f.now() < returnEnd; life++ {
+		f.runProgram(random, fmt.Sprintf("program-%d-%d", number, life), number%returnZones)
+	}
+}
+
+// runProgram takes a program's turns, each as often as its caller would ask.
+func (f *returnFleet) runProgram(random *rand.Rand, program string, zone int) {
+	spent, previous := int64(0), ""
+	for number := range returnTurns {
+		time.Sleep(time.Duration(random.Int64N(2 * int64(returnThink))))
+		turn := Turn{Program: program, MostTokens: returnMost, BudgetTokens: 1.5 * returnTurns * returnMost, Previous: previous, Retention: returnRetention}
+		began := false
+		for try := 0; try < 3 && !began; try++ {
+			s := f.caller(random, zone)
+			turn.ID = fmt.Sprintf("%s-%d-%d", program, number, try)
+			if began = f.begin(s, turn, spent); !began {
+				s.Abandon(turn)
+				time.Sleep(200 * time.Millisecond)
+				continue
+			}
+			used := int64(returnMost / 3)
+			spent += used
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			err := s.End(ctx, Outcome{Turn: turn.ID, Program: program, UsedTokens: used, Retention: returnRetention, Kept: &KeptTurn{
+				ID: turn.ID, Previous: previous, Input: make([]byte, returnTurn/4),
+			}})
+			cancel()
+			if err != nil {
+				return
+			}
+			previous = turn.ID
+		}
+		if !began {
+			return
+		}
+	}
+}
+
+// begin lets a turn begin as long as its caller waits for that.
+func (f *returnFleet) begin(s *Service, turn Turn, spent int64) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callersPatience)
+	defer cancel()
+	second, started := f.second(), time.Now()
+	inside := isCutOff(s.Self) && f.isDuringCut(0)
+	_, err := s.Begin(ctx, turn)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if errors.Is(err, ErrBudgetSpent) && spent+turn.MostTokens <= turn.BudgetTokens {
+		f.wrongOver = append(f.wrongOver, fmt.Sprintf("%s at %v", turn.ID, f.now()))
+	}
+	if inside {
+		return err == nil // nothing is promised to callers that are cut off
+	}
+	f.begun[second]++
+	f.waits[second] = max(f.waits[second], time.Since(started))
+	if err != nil {
+		f.failed[second]++
+		return false
+	}
+	shard := s.shardOf(turn.Program)
+	f.served[shard] = append(f.served[shard], f.now())
+	return true
+}
+
+// firstServed returns when the last of all shards was first served after a time.
+func (f *returnFleet) firstServed(after time.Duration) time.Duration {
+	latest := time.Duration(0)
+	for shard, times := range f.served {
+		next := slices.IndexFunc(times, func(at time.Duration) bool { return at >= after })
+		if next < 0 {
+			f.t.Errorf("shard %d was not served after %v", shard, after)
+			continue
+		}
+		latest = max(latest, times[next])
+	}
+	return latest
+}
+
+func countAfter(times []time.Duration, after time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at >= after {
+			count++
+		}
+	}
+	return count
+}
+
+// TestReturnOfAZone: a zone that comes back neither takes shards from holders that
+// live, nor makes the fleet ask more of the store than it reads.
+func TestReturnOfAZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newReturnFleet(t)
+		var callers sync.WaitGroup
+		for number := range returnPrograms {
+			callers.Go(func() { f.run(number) })
+		}
+		callers.Wait()
+		back := returnCutAt + returnCutFor
+		for second := range int(returnEnd / time.Second) {
+			t.Logf("%2d s: %5.2f of the store's reading, %4d turns, %3d failed, longest wait %v", second,
+				float64(f.bytes[second])/returnReadRate, f.begun[second], f.failed[second], f.waits[second])
+		}
+		t.Logf("claims %s", perSecond(f.claims))
+		t.Logf("seizures of living holders %s", perSecond(f.seizures))
+		t.Logf("all shards served %v after the cut, %v after its end", f.firstServed(returnCutAt)-returnCutAt, f.firstServed(back)-back)
+		t.Logf("refused with room in their budget: %d %v", len(f.wrongOver), f.wrongOver[:min(len(f.wrongOver), 5)])
+		if seized := countAfter(f.seizures, returnCutAt); seized > 0 {
+			t.Errorf("%d shards were seized of holders that live", seized)
+		}
+	})
+}
+
+func perSecond(times []time.Duration) string {
+	counts := make([]int, int(returnEnd/time.Second)+10)
+	for _, at := range times {
+		counts[min(int(at/time.Second), len(counts)-1)]++
+	}
+	text := ""
+	for second, count := range counts {
+		if count > 0 {
+			text += " " + strconv.Itoa(second) + "s:" + strconv.Itoa(count)
+		}
+	}
+	return text
+}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -97,6 +97,7 @@
 	records *recordStore
 	known   *holderTable
 	avoided avoided
+	sight   sight
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
 	leaving  chan struct{}
@@ -149,6 +150,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var workers sync.WaitGroup
+	workers.Go(func() { s.watchSight(ctx) })
 	workers.Go(func() { s.settle(ctx) })
 	for _, h := range s.holders {
 		workers.Go(func() { h.run(ctx) })
@@ -346,6 +348,10 @@
 		return
 	}
 	holder := s.holders[request.Shard]
+	if request.Confirm {
+		reply(holder.confirm(request.Number))
+		return
+	}
 	stop := tellPending(request, holder, reply)
 	o := operation{request: request, reply: func(response Response) {
 		stop()
@@ -394,6 +400,9 @@
 	}
 }
 
+// causeTake is the kind of a request by which a holder passes its shard on.
+const causeTake = "take"
+
 // kind names what a request asks for, for the log.
 func (r *Request) kind() string {
 	switch {
@@ -408,12 +417,12 @@
 	case r.Prepare:
 		return "prepare"
 	}
-	return "take"
+	return causeTake
 }
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
-	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take || r.Confirm
 }
 
 // isClosed tells whether a channel that carries nothing was closed.
