Ledger: planned handovers of daemons that stay are paced by the store's reading

Cause: shards that were taken during a cut go back to the returned zone's daemons four seconds after they were taken, all at once: each is read anew. Change: each daemon spaces its planned handovers so that all together read a tenth of what the store reads (settings' store_read_megabytes, the fleet's size, the shard's own), from a moment drawn within the interval; nobody is asked. A stopping daemon's handovers are not held back.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -40,6 +40,8 @@
 	viewOf  func(structs.DaemonID) View
 	storeOf func(structs.DaemonID) store.Store
 	severed func(from, to structs.DaemonID) bool
+	// readBytes is what the store reads in a second, as daemons are told.
+	readBytes float64
 
 	mutex    sync.Mutex
 	services map[structs.DaemonID]*Service
@@ -89,10 +91,13 @@
 		Partitions: partitions,
 		Directory:  store.Partition{Space: "holders"},
 		SettleTime: f.settleTime,
-		Machine:    testMachine(id),
-		Quota:      testTerms,
-		Logger:     zerolog.Nop(),
-		Metrics:    NewMetrics(prometheus.NewRegistry()),
+
+		StoreReadBytes: f.readBytes,
+
+		Machine: testMachine(id),
+		Quota:   testTerms,
+		Logger:  zerolog.Nop(),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	f.mutex.Lock()
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -34,6 +34,9 @@
 	// link of a daemon carries, in bytes.
 	returnReadRate = 8 << 20
 	returnLinkRate = 2 << 20
+	// returnShare is the part of the store's reading that a return may take: some shards
+	// at once beside the part for planned handovers.
+	returnShare = 0.4
 	// returnPage bounds a page of newest records, in bytes.
 	returnPage = 100 << 10
 	returnWay  = 1500 * time.Microsecond
@@ -89,7 +92,7 @@
 
 func newReturnFleet(t *testing.T) *returnFleet {
 	f := &returnFleet{testFleet: newTestFleet(t, 0), began: time.Now(), linkBusyUntil: map[structs.DaemonID]time.Time{}}
-	f.shards = returnShards
+	f.shards, f.readBytes = returnShards, returnReadRate
 	f.holders, f.claimedAt = make([]structs.DaemonID, returnShards), make([]time.Duration, returnShards)
 	f.served = make([][]time.Duration, returnShards)
 	seconds := int(returnEnd/time.Second) + 10
@@ -419,9 +422,24 @@
 		if seized := countAfter(f.seizures, returnCutAt); seized > 0 {
 			t.Errorf("%d shards were seized of holders that live", seized)
 		}
+		f.expectCalmAfter(t, back)
 	})
 }
 
+// expectCalmAfter: from a time on the store's reading is hardly used, and from when all
+// are connected again no turn fails.
+func (f *returnFleet) expectCalmAfter(t *testing.T, back time.Duration) {
+	t.Helper()
+	for second := int(back / time.Second); second < int(returnEnd/time.Second); second++ {
+		if share := float64(f.bytes[second]) / returnReadRate; share > returnShare {
+			t.Errorf("%.2f of the store's reading is asked for in second %d, want %.2f at most", share, second, returnShare)
+		}
+		if connected := int((back + linkBack) / time.Second); second > connected && f.failed[second] > 0 {
+			t.Errorf("%d turns failed in second %d", f.failed[second], second)
+		}
+	}
+}
+
 func perSecond(times []time.Duration) string {
 	counts := make([]int, int(returnEnd/time.Second)+10)
 	for _, at := range times {
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -81,6 +81,9 @@
 	// Confirmations are of the routes, which daemons tell each other along with what
 	// they say of tenants' limits; nil if there are none.
 	Confirmations Confirmations
+	// StoreReadBytes is how many bytes the store reads in a second for the whole fleet;
+	// 0 if that is not known: then nothing is paced by it.
+	StoreReadBytes float64
 	// Machine is the steady clock of the machine that the daemon runs on.
 	Machine MachineClock
 	// Quota are the terms on which the holder of a tenant's shard owns its limit.
@@ -98,6 +101,7 @@
 	known   *holderTable
 	avoided avoided
 	sight   sight
+	pace    pace
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
 	leaving  chan struct{}
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -181,9 +181,10 @@
 		Quota:      d.settings.quotaTerms(),
 		Machine:    machineClock(d.settings.PeerAddress),
 
-		Confirmations: d,
-		Logger:        part(d.logger, "ledger"),
-		Metrics:       ledger.NewMetrics(figures),
+		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
+		Confirmations:  d,
+		Logger:         part(d.logger, "ledger"),
+		Metrics:        ledger.NewMetrics(figures),
 	})
 	d.relay = relay.New(relay.Options{
 		Pool:    d.pool,
