--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -93,6 +93,12 @@
 	mayLive(daemon string) bool
 	// preferred returns the daemon that should hold a shard if some cannot.
 	preferred(shard int, except ...structs.DaemonID) string
+	// doubt returns how much longer than a directory's reading a holder is waited for
+	// that may live in spite of what is believed.
+	doubt(daemon string) time.Duration
+	// mayHandOver tells whether a shard of some bytes may be passed on now by a daemon
+	// that stays.
+	mayHandOver(shardBytes int) bool
 	// askOne sends a request to one daemon and waits for its answer.
 	askOne(ctx context.Context, to structs.DaemonID, request Request) Response
 }
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -84,6 +84,9 @@
 	// Evacuations are which zones the operators evacuated, which daemons tell each
 	// other along with all answers; nil if that is no matter.
 	Evacuations Evacuations
+	// StoreReadBytes is how many bytes the store reads in a second for the whole fleet;
+	// 0 if that is not known: then nothing is paced by it.
+	StoreReadBytes float64
 	// Machine is the steady clock of the machine that the daemon runs on.
 	Machine MachineClock
 	// Quota are the terms on which the holder of a tenant's shard owns its limit.
@@ -100,6 +103,8 @@
 	records *recordStore
 	known   *holderTable
 	avoided avoided
+	sight   sight
+	pace    pace
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
 	leaving  chan struct{}
@@ -152,6 +157,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var workers sync.WaitGroup
+	workers.Go(func() { s.watchSight(ctx) })
 	workers.Go(func() { s.settle(ctx) })
 	for _, h := range s.holders {
 		workers.Go(func() { h.run(ctx) })
@@ -353,6 +359,10 @@
 		return
 	}
 	holder := s.holders[request.Shard]
+	if request.Confirm {
+		reply(holder.confirm(request.Number))
+		return
+	}
 	stop := tellPending(request, holder, reply)
 	o := operation{request: request, reply: func(response Response) {
 		stop()
@@ -401,6 +411,9 @@
 	}
 }
 
+// causeTake is the kind of a request by which a holder passes its shard on.
+const causeTake = "take"
+
 // kind names what a request asks for, for the log.
 func (r *Request) kind() string {
 	switch {
@@ -415,12 +428,13 @@
 	case r.Prepare:
 		return "prepare"
 	}
-	return "take"
+	return causeTake
 }
 
 // isWhole tells whether a request asks for something.
 func (r *Request) isWhole() bool {
-	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take || r.Superseded != nil
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take ||
+		r.Superseded != nil || r.Confirm
 }
 
 // isClosed tells whether a channel that carries nothing was closed.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -194,6 +194,8 @@
 		Quota:      d.settings.quotaTerms(),
 		Machine:    machineClock(d.settings.PeerAddress),
 
+		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
+
 		Confirmations: d,
 		Evacuations:   d,
 		Logger:        part(d.logger, "ledger"),
