--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -14,4 +14,7 @@
 	ErrLate = eris.Wrap(ErrNotSent, "httpconn: too late to send it")
 	// ErrBroken: the connection broke after some of the request was sent.
 	ErrBroken = eris.New("httpconn: the connection broke")
+	// ErrGivenUp is the cause of a context that ends because the other side is taken to
+	// be cut off: what is still on its way there is dropped.
+	ErrGivenUp = eris.New("httpconn: the other side is taken to be cut off")
 )
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -59,6 +59,15 @@
 	expires time.Time
 }
 
+// closeFor closes the connection. To the other side of a cut the system would go on
+// to send what it holds, and a request that was given up would arrive after the cut.
+func (c *conn) closeFor(cause error) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(cause, ErrGivenUp) {
+		_ = tcp.SetLinger(0) // fails on a connection that is closed already
+	}
+	_ = c.Close()
+}
+
 // NewPool returns a pool whose dials take dialTimeout at most.
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{dialTimeout: dialTimeout, addresses: map[string]*address{}}
@@ -95,13 +104,16 @@
 	Connections int
 	// SendBy is when the request must have begun to be sent; zero sets no bound.
 	SendBy time.Time
+	// Connect bounds the opening of a connection; 0 for the pool's own bound.
+	Connect time.Duration
 }
 
 // Do sends a request to an address and reads the head of the answer. The body
 // of the answer must be closed; read to its end, the connection is kept. The error
-// wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed.
+// wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed; if that is
+// for ErrGivenUp, what was not delivered is dropped.
 func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
-	c, err := p.take(ctx, name, bounds.Connections)
+	c, err := p.take(ctx, name, bounds)
 	if err != nil {
 		return nil, err
 	}
@@ -111,7 +123,7 @@
 		return nil, ErrLate
 	}
 	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
-	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	e.stop = context.AfterFunc(ctx, func() { c.closeFor(context.Cause(ctx)) })
 	response, err := e.start(request)
 	if err != nil {
 		e.discard()
@@ -121,14 +133,18 @@
 }
 
 // take returns a connection that is idle and sound, or opens one.
-func (p *Pool) take(ctx context.Context, name string, limit int) (*conn, error) {
+func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if c := p.takeIdle(name); c != nil {
 		return c, nil
 	}
-	if !p.reserve(name, limit) {
+	if !p.reserve(name, bounds.Connections) {
 		return nil, ErrNoConnection
 	}
-	dialer := net.Dialer{Timeout: p.dialTimeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout), KeepAlive: -1}
+	timeout := p.dialTimeout
+	if bounds.Connect > 0 {
+		timeout = bounds.Connect
+	}
+	dialer := net.Dialer{Timeout: timeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout), KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		p.release(name)
--- a/internal/instance/health.go
+++ b/internal/instance/health.go
@@ -97,6 +97,21 @@
 	return slowness
 }
 
+// Pace returns how long an instance usually takes for a piece of work of a kind; 0 if
+// that is not known.
+func (p *Pool) Pace(id, kind string) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	usual, known := p.paces[kind]
+	if !known {
+		return 0
+	}
+	if e := p.byID[id]; e != nil {
+		usual += max(e.health.slowness, 0)
+	}
+	return time.Duration(math.Exp(usual) * float64(time.Second))
+}
+
 // NotePace takes note of how long an instance took for a piece of work that is
 // alike for all requests of a kind: to answer, or between two events of a
 // stream.
--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -40,6 +40,19 @@
 	return p.lost || now.Before(p.lapsedUntil)
 }
 
+// AddressesIn returns the addresses of the instances in a zone.
+func (p *Pool) AddressesIn(zone string) []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var addresses []string
+	for _, e := range p.byID {
+		if e.Zone == zone {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	return addresses
+}
+
 // IsUncertain tells whether instances may be running that this daemon does not
 // know of: before the first list, while none can be read, and shortly after.
 func (p *Pool) IsUncertain() bool {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -84,11 +84,13 @@
 }
 
 // waitForTurn waits before the reservation is tried again. False means that the
-// turn is to be refused: its context ended, or it is hardly served in time.
+// turn is to be refused: its context ended, it is hardly served in time, or another
+// daemon can serve it now.
 func (c *carrier) waitForTurn(ctx context.Context, err error, started time.Time) bool {
 	now := time.Now()
 	decision := c.decideTurn(err, started, now)
-	if !decision.Waits(now) {
+	_, isCut := c.relay.silences.cutOffSince()
+	if isCut || !decision.Waits(now) {
 		return false
 	}
 	select {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -107,11 +107,13 @@
 const (
 	ReasonNoInstance Reason = "no_instance"
 	// ReasonEvacuated: operators evacuated the zones of all instances that could serve.
-	ReasonEvacuated   Reason = "evacuated"
-	ReasonFull        Reason = "full"
-	ReasonLedger      Reason = "ledger_unavailable"
-	ReasonStarting    Reason = "starting"
-	ReasonStopping    Reason = "stopping"
+	ReasonEvacuated Reason = "evacuated"
+	ReasonFull      Reason = "full"
+	ReasonLedger    Reason = "ledger_unavailable"
+	ReasonStarting  Reason = "starting"
+	ReasonStopping  Reason = "stopping"
+	// ReasonCutOff: this daemon reaches neither the store nor most of the fleet.
+	ReasonCutOff      Reason = "cut_off"
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
@@ -164,6 +166,8 @@
 	Urgency int
 	// ConnectionLimit bounds this daemon's connections to the instance.
 	ConnectionLimit int
+	// ConnectTime bounds the opening of a connection; 0 for the driver's own bound.
+	ConnectTime time.Duration
 }
 
 // Answer is the head of what an instance answered.
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -47,6 +47,10 @@
 	offers    int
 	offeredAt time.Time
 	heardAt   time.Time
+	// underway is the latest offer, while its instance may still send something, and
+	// sending is its context.
+	underway *underway
+	sending  context.Context
 	// refusals counts the offers that were turned down, rounds how often all instances
 	// did, and offeredBefore the offers to the service before the call's first.
 	refusals      int
@@ -134,7 +138,33 @@
 	c.offeredAt = time.Now()
 	c.heardAt = c.offeredAt
 	outgoing.ConnectionLimit = c.connectionLimit()
-	return c.relay.Driver.Send(ctx, target, &outgoing)
+	outgoing.ConnectTime = c.relay.silences.connectTime(target)
+	c.sending, c.underway = c.relay.silences.begin(ctx, target, c.call.Route.Name)
+	answer, err := c.relay.Driver.Send(c.sending, target, &outgoing)
+	if err == nil {
+		c.relay.silences.hear(c.underway, time.Now())
+	}
+	return answer, err
+}
+
+// release ends the latest offer.
+func (c *carrier) release(target instance.Instance, outcome instance.Outcome) {
+	c.relay.silences.end(c.underway)
+	c.underway = nil
+	c.relay.Pool.Release(target.ID, outcome)
+}
+
+// fail ends the latest offer after an error. One that was given up says nothing of
+// the instance, only of its zone.
+func (c *carrier) fail(target instance.Instance) {
+	if !isGivenUp(c.sending) {
+		c.release(target, instance.OutcomeFailed)
+		return
+	}
+	c.relay.Metrics.gaveUp(target.Zone)
+	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Dur("silent", time.Since(c.heardAt)).
+		Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Its zone is cut off.")
+	c.release(target, instance.OutcomeGivenUp)
 }
 
 // serviceInForce is the service as the routes in force have it, nil if they do
@@ -170,7 +200,7 @@
 		return true
 	}
 	if ctx.Err() != nil {
-		c.relay.Pool.Release(target.ID, c.outcomeOfGivingUp())
+		c.release(target, c.outcomeOfGivingUp())
 		if !httpconn.IsNotSent(err) {
 			c.noteRun(target)
 		}
@@ -178,10 +208,10 @@
 		return false
 	}
 	if errors.Is(err, httpconn.ErrNoConnection) || errors.Is(err, httpconn.ErrLate) {
-		c.relay.Pool.Release(target.ID, instance.OutcomeFull)
+		c.release(target, instance.OutcomeFull)
 		return true
 	}
-	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.fail(target)
 	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
 	if httpconn.IsNotSent(err) {
 		c.only = "" // it cannot be reached, so it runs nothing any more
@@ -226,7 +256,7 @@
 	} else {
 		c.refusals++
 	}
-	c.relay.Pool.Release(target.ID, outcome)
+	c.release(target, outcome)
 	c.relay.Metrics.notRun(answer.OtherInstance)
 	c.logNotTaken(target, answer.Status)
 }
@@ -257,6 +287,9 @@
 // nextRound waits before all instances are offered the call again. False
 // means that the call was refused.
 func (c *carrier) nextRound(ctx context.Context) bool {
+	if !c.mayHaveRun() && c.refuseCutOff() {
+		return false
+	}
 	now := time.Now()
 	census := c.relay.Pool.Count(c.query())
 	if isEvacuated(census) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -31,7 +31,7 @@
 			took := time.Since(c.offeredAt)
 			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, took)
 			c.relay.serving.note(c.call.Route.Name, servingTime{first: took, whole: took})
-			c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+			c.release(target, instance.OutcomeAnswered)
 			c.answer(answer, body, target)
 			return
 		}
@@ -52,11 +52,11 @@
 // request may run again. If not, the call was ended.
 func (c *carrier) retryBroken(ctx context.Context, target instance.Instance, err error) bool {
 	if ctx.Err() != nil {
-		c.relay.Pool.Release(target.ID, c.outcomeOfGivingUp())
+		c.release(target, c.outcomeOfGivingUp())
 		c.refuseLate(ctx)
 		return false
 	}
-	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.fail(target)
 	c.logger.Info().Str("instance", target.ID).Err(err).Int("runs", c.runs).Msg("Answer broke off.")
 	c.excluded = append(c.excluded, target.ID)
 	return c.mayRunAgain()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,11 @@
 	Daemons func() int
 	// Evacuations are which zones the operators evacuated; nil if that is no matter.
 	Evacuations *zone.Evacuations
+	// Zones is which zones this daemon is cut off from; nil in a fleet of one zone.
+	Zones *zone.Reachability
+	// AwayAfter is how long after this daemon finds itself cut off callers that
+	// connect anew are led to others.
+	AwayAfter time.Duration
 	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
 	// bound. From half of it on no further turns are begun.
 	RecordBytes int64
@@ -100,6 +105,7 @@
 	recording waitingBytes
 	// draining: calls that come now are refused.
 	draining atomic.Bool
+	silences *silences
 	// settling counts turns whose outcome is not on record yet.
 	settling sync.WaitGroup
 }
@@ -109,11 +115,13 @@
 	if options.Admission == nil {
 		options.Admission = &admission.Admission{}
 	}
-	return &Relay{
+	r := &Relay{
 		Options:  options,
 		sessions: newSessions(),
 		ordinary: ordinaryLogger(options.Logger, options.Metrics.lineLeftOut),
 	}
+	r.silences = newSilences(r)
+	return r
 }
 
 // Serve carries one call to its end. It returns once the responder was ended.
@@ -136,6 +144,9 @@
 		c.refuse(stopping)
 		return
 	}
+	if c.needsRecord() && c.refuseCutOff() {
+		return
+	}
 	if !c.admitByQuota(ctx) {
 		return
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -79,7 +79,7 @@
 	err := c.passEvents(answer, target, state)
 	if errors.Is(err, io.EOF) {
 		_ = answer.Body.Close() // the connection serves others while the record is waited for
-		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+		c.release(target, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
 		c.relay.serving.note(c.call.Route.Name, servingTime{first: state.servedAfter, whole: time.Since(c.offeredAt)})
 		state.instance = target.ID
@@ -87,7 +87,7 @@
 		return false
 	}
 	if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
-		c.relay.Pool.Release(target.ID, c.outcomeOfGivingUp())
+		c.release(target, c.outcomeOfGivingUp())
 		c.breakOff(ctx, state)
 		return false
 	}
@@ -114,9 +114,9 @@
 func (c *carrier) passFailure(ctx context.Context, answer *Answer, target instance.Instance, state *streamState) {
 	body, err := readWhole(answer.Body)
 	if err != nil {
-		c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+		c.fail(target)
 	} else {
-		c.relay.Pool.Release(target.ID, instance.OutcomeAnswered)
+		c.release(target, instance.OutcomeAnswered)
 	}
 	switch {
 	case state.hasHead:
@@ -145,6 +145,7 @@
 			state.servedAfter = time.Since(c.offeredAt)
 		}
 		c.heardAt = time.Now()
+		c.relay.silences.hear(c.underway, c.heardAt)
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
@@ -155,6 +156,7 @@
 		if err := c.responder.Event(event.Raw); err != nil {
 			return errCallerLeft
 		}
+		c.relay.silences.waitOn(c.underway)
 	}
 }
 
@@ -172,7 +174,7 @@
 // takeUp tells whether a stream that broke may be taken up; if not, the call
 // is ended.
 func (c *carrier) takeUp(target instance.Instance, state *streamState, err error) bool {
-	c.relay.Pool.Release(target.ID, instance.OutcomeFailed)
+	c.fail(target)
 	c.logger.Info().Str("instance", target.ID).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
 	if c.call.Route.Resumable && c.runs < streamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -33,6 +33,11 @@
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, c.beginUntil(started))
 	defer cancel()
+	if c.needsRecord() {
+		watched, stopWatching := c.relay.silences.untilCutOff(ctx)
+		defer stopWatching()
+		ctx = watched
+	}
 	grant, err := c.tryBegin(ctx)
 	took := time.Since(started)
 	c.relay.Metrics.begun(took, err)
@@ -46,6 +51,7 @@
 		c.refuse(Refusal{Reason: ReasonUnknownTurn, Detail: "The previous turn is not known."})
 	case isStopBound(ctx):
 		c.refuse(stopping)
+	case c.refuseCutOff():
 	default:
 		c.logger.Warn().Err(err).Dur("took", took).Msg("Program's record not reached.")
 		c.refuse(Refusal{Reason: ReasonLedger, RetryAfter: c.returnAfter(), Detail: "The program's record can not be reached."})
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
+	"github.com/mintpulley/mintpulley/internal/zone/reach"
 )
 
 const (
@@ -65,7 +66,11 @@
 	topology zone.Topology
 	// evacuations are which zones the operators evacuated.
 	evacuations zone.Evacuations
-	registry    *memberRegistry
+	// zones is which zones this daemon is cut off from, and reach finds that out; nil
+	// in a fleet of one zone.
+	zones    *zone.Reachability
+	reach    *reach.Watch
+	registry *memberRegistry
 	// cold bounds what cold instances get.
 	cold *warmup.Limiter
 	// store is reached by way of other daemons where this one does not reach it.
@@ -126,6 +131,9 @@
 		Logger:  part(logger, "warmup"),
 		Metrics: warmup.NewMetrics(figures),
 	})
+	if len(d.topology.Zones()) > 1 {
+		d.zones = zone.NewReachability(d.topology)
+	}
 	d.pool = instance.NewPool(settings.Zone, newRandom(), d.placementPlugins())
 	d.registerZones(figures)
 	if err := d.join(figures); err != nil {
@@ -208,12 +216,14 @@
 		Daemons: func() int { return len(d.membership.Members()) },
 
 		Evacuations: &d.evacuations,
-
+		Zones:       d.zones,
+		AwayAfter:   noticeTime,
 		Admission:   d.admission,
 		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
 		Logger:      part(d.logger, "relay"),
 		Metrics:     relay.NewMetrics(figures),
 	})
+	d.watchZones()
 	receiver.daemon.Store(d)
 	return nil
 }
@@ -248,7 +258,7 @@
 	if d == nil {
 		return
 	}
-	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) {
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.receiveReach(from, message) {
 		d.ledger.Receive(from, message)
 	}
 }
@@ -262,6 +272,9 @@
 	d.workers.Go(func() { d.ledger.Run(ctx) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
+	if d.reach != nil {
+		d.workers.Go(func() { d.reach.Run(ctx) })
+	}
 }
 
 // Table implements Gateway. The first routes are waited for while it is likely that
@@ -282,17 +295,15 @@
 	return d.table.Load()
 }
 
-// Stopping implements Gateway.
-func (d *Daemon) Stopping() bool { return d.stopping.Load() }
-
 // Serve implements Gateway.
 func (d *Daemon) Serve(ctx context.Context, call *relay.Call, responder relay.Responder) {
 	d.relay.Serve(ctx, call, responder)
 }
 
-// isReady tells whether the daemon may get requests.
+// isReady tells whether the daemon may get requests. One that is cut off can not serve
+// most of them: their callers are better led to another zone.
 func (d *Daemon) isReady() bool {
-	return !d.stopping.Load() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
+	return !d.SendsAway() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
 }
 
 var (
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -184,15 +184,21 @@
 		left = unknownPatience
 	}
 	now := time.Now()
+	if _, isCut := d.cutOffSince(); isCut {
+		return d.keys.await(ctx, atMost, now) // another daemon can tell at once
+	}
 	wait := admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now), Worthless: now.Add(left)}
 	return d.keys.await(ctx, atMost, d.admission.Decide(wait, now).Until)
 }
 
 func (d *Daemon) refuseUnconfirmed(asked KeyQuestion) *relay.Refusal {
 	now := time.Now()
-	forecast := d.admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now)}, now)
+	after := d.admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now)}, now).Remaining
+	if since, isCut := d.cutOffSince(); isCut {
+		after = relay.AwayIn(since, noticeTime)
+	}
 	return d.refuseKey(asked, relay.Refusal{
-		Reason: relay.ReasonKeysUnconfirmed, RetryAfter: forecast.Remaining,
+		Reason: relay.ReasonKeysUnconfirmed, RetryAfter: after,
 		Detail: "It was not confirmed lately which keys there are.",
 	})
 }
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -10,9 +10,15 @@
 // placementPlugins are the parts that take part in the choice of instances, by what
 // the settings ask for.
 func (d *Daemon) placementPlugins() instance.Plugins {
-	return instance.Plugins{
+	plugins := instance.Plugins{
 		Filters:   []instance.Filter{zone.EvacuationFilter{Evacuations: &d.evacuations}, d.cold},
 		Scorers:   []instance.Scorer{zone.ReturnScorer{Evacuations: &d.evacuations, Seed: rand.Uint64()}, d.cold},
 		Reservers: []instance.Reserver{d.cold},
 	}
+	if d.zones != nil {
+		cutOff := cutOffZones{d.zones}
+		plugins.Scorers = append(plugins.Scorers, cutOff)
+		plugins.Reservers = append(plugins.Reservers, cutOff)
+	}
+	return plugins
 }
--- /dev/null
+++ b/internal/zone/reach/metrics.go
@@ -0,0 +1,48 @@
+package reach
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+const (
+	namespace = "mintpulley"
+	subsystem = "zone"
+)
+
+// Metrics tell what is believed. Zones are those of the settings, so that labels are
+// bounded.
+type Metrics struct {
+	cut      *prometheus.GaugeVec
+	found    *prometheus.CounterVec
+	isolated prometheus.Gauge
+	asked    prometheus.Counter
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		cut:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "cut_off", Help: "1 while the daemon takes itself to be cut off from the zone."}, []string{"zone"}),
+		found:    prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "found_cut_off_total", Help: "How often the zone was found cut off."}, []string{"zone"}),
+		isolated: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "isolated", Help: "1 while the daemon takes itself to be cut off from the store and most of the fleet."}),
+		asked:    prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "questions_total", Help: "Daemons asked whether they can be reached."}),
+	}
+	registry.MustRegister(m.cut, m.found, m.isolated, m.asked)
+	return m
+}
+
+func (m *Metrics) changed(change zone.BeliefChange) {
+	value := 0.0
+	if change.Cut {
+		value = 1
+	}
+	if change.Zone == "" {
+		m.isolated.Set(value)
+		return
+	}
+	m.cut.WithLabelValues(change.Zone).Set(value)
+	if change.Cut {
+		m.found.WithLabelValues(change.Zone).Inc()
+	}
+}
