--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -154,11 +154,15 @@
 	c.relay.Pool.Release(target.ID, outcome)
 }
 
-// fail ends the latest offer after an error. One that was given up says nothing of
-// the instance, only of its zone.
+// fail ends the latest offer after an error. While a zone is cut off it says nothing of
+// the instance.
 func (c *carrier) fail(target instance.Instance) {
+	outcome := instance.OutcomeFailed
+	if c.relay.silences.noteFailed(target, time.Now()) {
+		outcome = instance.OutcomeGivenUp
+	}
 	if !isGivenUp(c.sending) {
-		c.release(target, instance.OutcomeFailed)
+		c.release(target, outcome)
 		return
 	}
 	c.relay.Metrics.gaveUp(target.Zone)
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -19,6 +19,9 @@
 	// paceFactor times the usual time is what counts as usual: single requests differ
 	// by as much.
 	paceFactor = 2
+	// failureLife is for how long a back end that broke off counts as silent; it may be
+	// its zone's connections that are reset.
+	failureLife = time.Second
 	// cutConnectTime bounds one try to connect to a back end in a zone that is cut off:
 	// some ways to another region. Nothing is sent if it fails.
 	cutConnectTime = 100 * time.Millisecond
@@ -48,6 +51,14 @@
 	// offers wait for back ends, and beginning are turns that wait for their record.
 	offers    map[*underway]struct{}
 	beginning map[*context.CancelCauseFunc]struct{}
+	// failed are the instances that broke off lately.
+	failed map[string]failure
+}
+
+// failure is where and when an instance broke off.
+type failure struct {
+	zone string
+	at   time.Time
 }
 
 func newSilences(r *Relay) *silences {
@@ -57,6 +68,7 @@
 	return &silences{
 		relay: r, zones: r.Zones,
 		offers: map[*underway]struct{}{}, beginning: map[*context.CancelCauseFunc]struct{}{},
+		failed: map[string]failure{},
 	}
 }
 
@@ -105,6 +117,18 @@
 	u.waitingSince = time.Now()
 }
 
+// noteFailed takes note that an instance broke off, and tells whether it does not speak
+// against it, as its zone is cut off.
+func (s *silences) noteFailed(target instance.Instance, now time.Time) bool {
+	if s == nil {
+		return false
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failed[target.ID] = failure{target.Zone, now}
+	return s.zones.IsCut(target.Zone)
+}
+
 // usual is how long the back end of an offer may say nothing.
 func (s *silences) usual(u *underway) time.Duration {
 	if u.started {
@@ -122,6 +146,13 @@
 	// longest is by how much each instance exceeds what is usual.
 	longest := map[string]time.Duration{}
 	zones := map[string]string{}
+	for id, failed := range s.failed {
+		if now.Sub(failed.at) > failureLife {
+			delete(s.failed, id)
+			continue
+		}
+		longest[id], zones[id] = silentBeyond+1, failed.zone
+	}
 	for u := range s.offers {
 		if beyond := now.Sub(u.waitingSince) - s.usual(u); beyond > longest[u.target.ID] {
 			longest[u.target.ID] = beyond
--- /dev/null
+++ b/internal/relay/silence_test.go
@@ -0,0 +1,327 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/httpconn"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+const (
+	near, far = "z", "y"
+	cutAt     = 2 * time.Second
+)
+
+// zonesHarness is a relay in zone near with an instance there and one in zone far,
+// which is tried first. What is far can be cut off.
+type zonesHarness struct {
+	*harness
+	zones *zone.Reachability
+	// cut ends what comes from far, and deaf only what its daemons answer.
+	cut, deaf, storeOut atomic.Bool
+}
+
+// farDriver answers at once in near. In far it sends an event each eventPause, and
+// nothing while far is cut off.
+type farDriver struct {
+	h *zonesHarness
+	// unsent: requests to far are not even sent. resets: connections there are reset.
+	unsent, resets bool
+	sentTo         []string
+}
+
+const eventPause = 40 * time.Millisecond
+
+func (d *farDriver) Send(ctx context.Context, to instance.Instance, _ *Outgoing) (*Answer, error) {
+	d.sentTo = append(d.sentTo, to.ID)
+	answer := &Answer{Status: http.StatusOK, Header: http.Header{}}
+	if to.Zone == near {
+		answer.Body = io.NopCloser(strings.NewReader("id: 9\ndata: near\n\n"))
+		return answer, nil
+	}
+	if d.h.cut.Load() {
+		if !d.resets {
+			<-ctx.Done()
+		}
+		if d.unsent {
+			return nil, httpconn.ErrNotSent
+		}
+		return nil, httpconn.ErrBroken
+	}
+	answer.Body = io.NopCloser(&farBody{ctx: ctx, h: d.h, left: 200})
+	return answer, nil
+}
+
+type farBody struct {
+	ctx  context.Context
+	h    *zonesHarness
+	left int
+}
+
+func (b *farBody) Read(buffer []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	b.left--
+	select {
+	case <-time.After(eventPause):
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+	if b.h.cut.Load() {
+		<-b.ctx.Done()
+		return 0, b.ctx.Err()
+	}
+	return copy(buffer, "id: 1\ndata: far\n\n"), nil
+}
+
+func newZonesHarness(t *testing.T, watching bool) (*zonesHarness, *farDriver) {
+	h := &zonesHarness{harness: newHarness(t, step{})}
+	h.pool = instance.NewPool(far, rand.New(rand.NewPCG(1, 1)), instance.Plugins{}) // so that far is tried first
+	h.pool.Replace([]instance.Instance{
+		{ID: "far", Service: "s", Address: "a:1", Zone: far, Slots: 4, State: instance.StateReady},
+		{ID: "near", Service: "s", Address: "a:2", Zone: near, Slots: 4, State: instance.StateReady},
+	})
+	driver := &farDriver{h: h}
+	options := h.relay.Options
+	options.Pool, options.Driver = h.pool, driver
+	if watching {
+		h.zones = zone.NewReachability(zone.NewTopology(near, "", map[string]string{far: ""}))
+		h.zones.NoteDaemons(near, 10)
+		h.zones.NoteDaemons(far, 10)
+		options.Zones, options.AwayAfter = h.zones, 2500*time.Millisecond
+	}
+	h.relay = New(options)
+	for range 20 { // what serving usually takes
+		h.relay.serving.note("r", servingTime{first: 50 * time.Millisecond, whole: 100 * time.Millisecond})
+		h.pool.NotePace("far", "r", eventPause)
+	}
+	return h, driver
+}
+
+// watch does for the test's time what the watch of the zones does.
+func (h *zonesHarness) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		now := time.Now()
+		plan := h.zones.Step(h.relay.Waiting(now), now)
+		for name := range plan.Ask {
+			if name == near || !h.cut.Load() && !h.deaf.Load() {
+				h.zones.Answered(name, now.Add(time.Millisecond))
+			}
+		}
+		if plan.AskStore {
+			h.zones.StoreAsked(!h.storeOut.Load(), now, now)
+		}
+		h.relay.GiveUpSilent(now)
+		pause(ctx, zone.StepInterval)
+	}
+}
+
+// pause sleeps, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// hangs serves a call during which far is cut off, and returns how long it hung.
+func (h *zonesHarness) hangs(call *Call) (*recorder, time.Duration) {
+	ctx, cancel := context.WithCancel(h.t.Context())
+	defer cancel()
+	if h.zones != nil {
+		go h.watch(ctx)
+	}
+	began := time.Now()
+	time.AfterFunc(cutAt, func() { h.cut.Store(true) })
+	time.Sleep(cutAt - 100*time.Millisecond)
+	call.Received, call.Deadline = time.Now(), time.Now().Add(20*time.Second)
+	got := h.serve(call)
+	return got, time.Since(began) - cutAt
+}
+
+// TestRequestsInAZoneThatIsCutOffAreGivenUpEarly prints how long requests hang that
+// wait for a back end when its zone is cut off, without the watch of the zones and
+// with it.
+func TestRequestsInAZoneThatIsCutOffAreGivenUpEarly(t *testing.T) {
+	once, repeatable, stream, resumable := newRoute(route.KindOnce), newRoute(route.KindRepeatable), newRoute(route.KindStream), newRoute(route.KindStream)
+	stream.Resumable = false
+	cases := []struct {
+		name  string
+		route *route.Route
+		check func(*recorder) bool
+	}{
+		{"unrepeatable", once, func(r *recorder) bool { return r.refusal != nil && r.refusal.Reason == ReasonBroken }},
+		{"repeatable", repeatable, func(r *recorder) bool { return r.status == http.StatusOK }},
+		{"stream", stream, func(r *recorder) bool { return r.aborted }},
+		{"stream that may be taken up", resumable, func(r *recorder) bool { return r.ended && strings.HasSuffix(r.body.String(), "near\n\n") }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var hung [2]time.Duration
+			for i, watching := range []bool{false, true} {
+				synctest.Test(t, func(t *testing.T) {
+					h, _ := newZonesHarness(t, watching)
+					var got *recorder
+					got, hung[i] = h.hangs(newCall(c.route))
+					if watching && !c.check(got) {
+						t.Errorf("got %+v, refused with %+v", got, got.refusal)
+					}
+				})
+			}
+			t.Logf("%-30s hung %5d ms without, %4d ms with", c.name, hung[0].Milliseconds(), hung[1].Milliseconds())
+			if hung[1] > 800*time.Millisecond {
+				t.Errorf("hung %s", hung[1])
+			}
+		})
+	}
+}
+
+func TestRequestThatWasNotSentToACutZoneGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, driver := newZonesHarness(t, true)
+		driver.unsent = true
+		h.cut.Store(true)
+		got, _ := h.hangs(newCall(newRoute(route.KindOnce)))
+		if got.status != http.StatusOK || len(driver.sentTo) != 2 {
+			t.Errorf("status %d after %v", got.status, driver.sentTo)
+		}
+		if got := h.picks()["far"]; got == 0 {
+			t.Error("the instance is passed over for a failure, which was its zone's")
+		}
+	})
+}
+
+// TestResetsOfAZoneDoNotSpeakAgainstItsInstances: a cut may reset connections.
+func TestResetsOfAZoneDoNotSpeakAgainstItsInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, driver := newZonesHarness(t, true)
+		driver.unsent, driver.resets = true, true
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go h.watch(ctx)
+		h.cut.Store(true)
+		h.serve(newCall(newRoute(route.KindOnce)))
+		pause(ctx, time.Second)
+		if !h.zones.IsCut(far) {
+			t.Fatal("not found cut off")
+		}
+		for range 10 {
+			h.serve(newCall(newRoute(route.KindOnce)))
+			pause(ctx, 300*time.Millisecond)
+		}
+		h.cut.Store(false)
+		pause(ctx, 500*time.Millisecond)
+		if got := h.picks()["far"]; h.zones.IsCut(far) || got == 0 {
+			t.Errorf("cut off: %v; it got %d of 60 requests after the cut", h.zones.IsCut(far), got)
+		}
+	})
+}
+
+// TestSilentBackEndAloneIsWaitedFor: the daemons of its zone answer.
+func TestSilentBackEndAloneIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newZonesHarness(t, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			for ctx.Err() == nil {
+				h.zones.Answered(far, time.Now())
+				pause(ctx, 10*time.Millisecond)
+			}
+		}()
+		got, hung := h.hangs(newCall(newRoute(route.KindOnce)))
+		if hung < 15*time.Second {
+			t.Errorf("given up after %s: %+v", hung, got.refusal)
+		}
+	})
+}
+
+// TestConnectionThatGetsSomethingIsNotGivenUp: only daemons are silent.
+func TestConnectionThatGetsSomethingIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newZonesHarness(t, true)
+		h.deaf.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go h.watch(ctx)
+		stream := newRoute(route.KindStream)
+		stream.Resumable = false
+		got := h.serve(newCall(stream))
+		if !got.ended || h.zones.IsCut(far) {
+			t.Errorf("ended: %v, cut off: %v", got.ended, h.zones.IsCut(far))
+		}
+	})
+}
+
+// isolate cuts the relay's daemon off.
+func (h *zonesHarness) isolate(ctx context.Context) {
+	h.cut.Store(true)
+	h.storeOut.Store(true)
+	go h.watch(ctx)
+	go func() {
+		for ctx.Err() == nil {
+			h.zones.Suspect(far, time.Now())
+			pause(ctx, zone.StepInterval)
+		}
+	}()
+}
+
+func keptTurn() *Call {
+	r := newRoute(route.KindStream)
+	r.RetainContext = true
+	return newTurn(r)
+}
+
+func TestDaemonThatIsCutOffSendsTurnsAwayAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, _ := newZonesHarness(t, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		h.ledger.err = ledger.ErrUnavailable
+		h.isolate(ctx)
+		held := keptTurn()
+		if got := h.serve(held); got.refusal == nil || got.refusal.Reason != ReasonCutOff {
+			t.Fatalf("a turn that was held up: %+v", got.refusal)
+		}
+		if took := time.Since(held.Received); took > time.Second {
+			t.Errorf("held for %s", took)
+		}
+		if len(h.ledger.abandoned) != 1 {
+			t.Error("it was not abandoned: its tokens may stay reserved")
+		}
+		next := keptTurn()
+		got := h.serve(next)
+		if got.refusal == nil || got.refusal.Reason != ReasonCutOff || time.Since(next.Received) != 0 {
+			t.Errorf("the next one after %s: %+v", time.Since(next.Received), got.refusal)
+		}
+		if after := got.refusal.RetryAfter; after < 2*time.Second || after > 2500*time.Millisecond {
+			t.Errorf("to come back after %s", after)
+		}
+		h.ledger.setError(nil) // its holder grants from what it has
+		if got := h.serve(newTurn(newRoute(route.KindStream))); !got.ended {
+			t.Errorf("a turn whose caller keeps its text: %+v", got.refusal)
+		}
+		h.pool.Replace([]instance.Instance{{ID: "near", Service: "s", Address: "a:2", Zone: near, Slots: 4, State: instance.StateReady}})
+		if got := h.serve(newCall(newRoute(route.KindOnce))); got.status != http.StatusOK {
+			t.Errorf("a call that needs no record: %+v", got.refusal)
+		}
+		h.cut.Store(false)
+		h.storeOut.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		if got := h.serve(keptTurn()); !got.ended {
+			t.Errorf("after the cut: %+v", got.refusal)
+		}
+	})
+}
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -28,18 +28,20 @@
 
 // Cost implements instance.Scorer. One request in a while tries the zone.
 func (c cutOffZones) Cost(_ *instance.Query, candidate *instance.Instance, now time.Time) float64 {
-	share := c.zones.Share(candidate.Zone, now)
-	if share == 0 && !c.zones.IsTrialDue(candidate.Zone, now) {
-		return cutCost
+	switch {
+	case !c.zones.IsCut(candidate.Zone):
+		return rampCost * (1 - c.zones.Share(candidate.Zone, now))
+	case c.zones.IsTrialDue(candidate.Zone, now):
+		return 0
 	}
-	return rampCost * (1 - share)
+	return cutCost
 }
 
 // Reserve implements instance.Reserver. Nothing is turned down: what is cut off is
 // chosen where nothing else serves.
-func (c cutOffZones) Reserve(candidate *instance.Instance, now time.Time) bool {
+func (c cutOffZones) Reserve(candidate *instance.Instance, now time.Time) (sendBy time.Time, reserved bool) {
 	c.zones.TakeTrial(candidate.Zone, now)
-	return true
+	return time.Time{}, true
 }
 
 // watchZones makes the daemon find out which zones it is cut off from; in a fleet of
--- /dev/null
+++ b/internal/relaydaemon/cutoff_test.go
@@ -0,0 +1,126 @@
+package relaydaemon
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/relay"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/warmup"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+// cutZones returns the belief of a daemon in zone a that finds others cut off.
+func cutZones(cut ...string) *zone.Reachability {
+	zones := zone.NewReachability(zone.NewTopology("a", "", map[string]string{"b": "", "c": ""}))
+	for _, name := range []string{"a", "b", "c"} {
+		zones.NoteDaemons(name, 5)
+	}
+	hear(zones, 600*time.Millisecond, cut...)
+	return zones
+}
+
+// hear plays a while in which some zones are silent, and the others answer. The store
+// does not.
+func hear(zones *zone.Reachability, length time.Duration, cut ...string) {
+	waiting := map[string]zone.Waiting{}
+	for _, name := range cut {
+		waiting[name] = zone.Waiting{Overdue: 1, Silent: 1}
+	}
+	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(zone.StepInterval) {
+		now := time.Now()
+		plan := zones.Step(waiting, now)
+		for name := range plan.Ask {
+			if _, silent := waiting[name]; !silent {
+				zones.Answered(name, now.Add(1))
+			}
+		}
+		if plan.AskStore {
+			zones.StoreAsked(len(cut) == 0, now, now)
+		}
+	}
+}
+
+// picks counts how often each instance is chosen.
+func picks(pool *instance.Pool, count int, excluded ...string) map[string]int {
+	counts := map[string]int{}
+	for range count {
+		if chosen, found := pool.Take(instance.Query{Service: "s", Preferred: "i-b", Excluded: excluded}); found {
+			counts[chosen.ID]++
+			pool.Release(chosen.ID, instance.OutcomeAnswered)
+		}
+	}
+	return counts
+}
+
+func TestNoRequestGoesToAZoneThatIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &Daemon{zones: cutZones("b"), cold: warmup.NewLimiter(warmup.Options{})}
+		pool := instance.NewPool("a", rand.New(rand.NewPCG(1, 1)), d.placementPlugins())
+		near := instance.Instance{ID: "i-a", Service: "s", Zone: "a", Slots: 4, State: instance.StateReady}
+		there := instance.Instance{ID: "i-b", Service: "s", Zone: "b", Slots: 4, State: instance.StateReady}
+		pool.Replace([]instance.Instance{near, there})
+		if got := picks(pool, 50); got["i-b"] != 0 {
+			t.Errorf("cut off: %v", got)
+		}
+		hear(d.zones, 1100*time.Millisecond, "b")
+		if got := picks(pool, 50); got["i-b"] != 1 {
+			t.Errorf("one request is to try the zone: %v", got)
+		}
+		if got := picks(pool, 50, "i-a"); got["i-b"] != 50 {
+			t.Errorf("nothing else serves: %v", got)
+		}
+		hear(d.zones, 250*time.Millisecond)
+		if got := picks(pool, 50); d.zones.IsCut("b") || got["i-b"] != 0 {
+			t.Errorf("right after the cut, cut off %v: %v", d.zones.IsCut("b"), got)
+		}
+		time.Sleep(zone.RampTime)
+		if got := picks(pool, 50); got["i-b"] != 50 {
+			t.Errorf("after the ramp: %v", got)
+		}
+	})
+}
+
+func TestDaemonThatIsCutOffIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := keyDaemon(t, "key")
+		d.zones = cutZones()
+		if d.SendsAway() {
+			t.Fatal("sends callers away while all is well")
+		}
+		d.confirmRoutes(time.Now())
+		hear(d.zones, time.Second, "b", "c")
+		if !d.SendsAway() || d.isReady() {
+			t.Fatal("ready though it is cut off")
+		}
+		if !d.honours(t, "key") {
+			t.Error("a key that was confirmed lately is not honoured")
+		}
+		time.Sleep(d.settings.revocationTime())
+		asked := time.Now()
+		_, refusal := d.Identify(t.Context(), KeyQuestion{Route: &route.Route{}, Key: "key", Left: 3 * time.Second})
+		if refusal == nil || refusal.Reason != relay.ReasonKeysUnconfirmed || time.Since(asked) != 0 {
+			t.Errorf("refused after %s: %+v", time.Since(asked), refusal)
+		}
+		hear(d.zones, 600*time.Millisecond)
+		if d.SendsAway() {
+			t.Error("still sends callers away 0.6 s after the cut")
+		}
+	})
+}
+
+func TestFleetOfOneZoneHasNoPartInIt(t *testing.T) {
+	d := &Daemon{}
+	d.watchZones()
+	isPart := func(plugin any) bool { _, is := plugin.(cutOffZones); return is }
+	plugins := d.placementPlugins()
+	inChoice := slices.ContainsFunc(plugins.Scorers, func(s instance.Scorer) bool { return isPart(s) }) ||
+		slices.ContainsFunc(plugins.Reservers, func(r instance.Reserver) bool { return isPart(r) })
+	if d.reach != nil || inChoice || d.SendsAway() {
+		t.Error("it has")
+	}
+}
--- a/internal/zone/judgement.go
+++ b/internal/zone/judgement.go
@@ -124,9 +124,6 @@
 	}
 	p.openSince, p.asked = time.Time{}, 0
 	p.closedAt = now
-	if paused {
-		p.closedAt = time.Time{}
-	}
 }
 
 // isSilent tells whether nobody of the zone has shown himself since its daemons are
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -22,12 +22,13 @@
 	// rosterEvery is how often the list of a zone's daemons is renewed, while nothing
 	// is suspected there.
 	rosterEvery = time.Second
-	// toldDaemons are told of a zone that was found cut off. Each tells as many: in a
-	// fleet of 300, all know after four steps of some milliseconds.
-	toldDaemons = 4
+	// toldDaemons are told of a zone that was found cut off, once. Those that have no
+	// request there find it by that: with as many, hardly one of 300 is left out that
+	// hears of it from nobody who found it by itself.
+	toldDaemons = 8
 	// storeTime bounds a call by which the store is asked whether it answers: one that
-	// is slow for all answers within it.
-	storeTime = 400 * time.Millisecond
+	// is slow for all, sixty times as slow as usual, answers within it.
+	storeTime = 300 * time.Millisecond
 )
 
 // Connections are the requests that this daemon has at back ends.
--- a/internal/zone/reachability_test.go
+++ b/internal/zone/reachability_test.go
@@ -17,9 +17,10 @@
 	// each is in each zone.
 	answering map[string]int
 	sending   map[string]bool
-	// overdueAfter, if above zero, is how long a request at a back end that sends
-	// nothing has waited; it grows with time.
+	// silentSince is since when back ends of a zone send nothing, and hanging counts
+	// those that hang while others send.
 	silentSince map[string]time.Time
+	hanging     map[string]int
 	// instances is how many back ends this daemon has requests at, in each zone.
 	instances map[string]int
 	storeUp   bool
@@ -28,7 +29,6 @@
 	// questions counts all.
 	questions int
 	changes   []Change
-	cutAt     map[string]time.Duration
 }
 
 const daemonsEach = 19
@@ -43,7 +43,7 @@
 	f := &fleet{
 		r: NewReachability(NewTopology(own, "r", regions)), now: begin, storeUp: true,
 		answering: map[string]int{}, sending: map[string]bool{}, silentSince: map[string]time.Time{},
-		instances: map[string]int{}, asked: map[string]int{}, cutAt: map[string]time.Duration{},
+		hanging: map[string]int{}, instances: map[string]int{}, asked: map[string]int{},
 	}
 	for _, name := range zoneNames {
 		f.answering[name], f.sending[name], f.instances[name] = daemonsEach, true, 1
@@ -84,6 +84,7 @@
 		if f.sending[name] {
 			delete(f.silentSince, name)
 			f.r.Heard(name, f.now)
+			waiting[name] = Waiting{Overdue: f.hanging[name], Silent: f.hanging[name]}
 			continue
 		}
 		if f.silentSince[name].IsZero() {
@@ -225,6 +226,7 @@
 						f.answering[each] = 0
 					}
 				}
+				f.hanging[name] = rapid.IntRange(0, 3).Draw(t, "hanging")
 			case "burst":
 				for _, each := range zoneNames {
 					f.sending[each] = false
@@ -251,11 +253,36 @@
 
 func TestStoreOutageIsNoIsolation(t *testing.T) {
 	f := newFleet("d")
-	f.storeUp = false
 	f.silence("a") // one zone of four is cut off, too
+	for range 60 {
+		f.r.StoreAsked(false, f.now, f.now)
+		f.run(StepInterval)
+		if f.isolated() {
+			t.Fatal("an outage of the store for all is taken for a cut of this daemon")
+		}
+	}
+}
+
+// TestPausedDaemonMissesNobody: a daemon that stood still finds questions unanswered
+// whose answers wait at its door.
+func TestPausedDaemonMissesNobody(t *testing.T) {
+	f := newFleet("a")
+	waiting := map[string]Waiting{"b": {Overdue: 5, Silent: 5}}
+	f.r.Step(waiting, f.now)
+	f.now = f.now.Add(2 * answerTime)
+	f.r.Answered("c", f.now) // the first of them was read
+	if plan := f.r.Step(waiting, f.now); len(plan.Changes) != 0 {
+		t.Errorf("changes: %+v", plan.Changes)
+	}
+}
+
+// TestDaemonThatHearsNobodyBlamesNoZone: it may be its own link.
+func TestDaemonThatHearsNobodyBlamesNoZone(t *testing.T) {
+	f := newFleet("a")
+	f.silence(zoneNames...)
 	f.run(3 * time.Second)
-	if f.isolated() {
-		t.Error("an outage of the store for all is taken for a cut of this daemon")
+	if len(f.changes) != 0 {
+		t.Errorf("changes: %+v", f.changes)
 	}
 }
 
