--- a/internal/zone/reachability_test.go
+++ b/internal/zone/reachability_test.go
@@ -338,15 +338,35 @@
 	}
 }
 
+// BenchmarkBelief asks what a choice among 50 instances does, in a fleet of 300 daemons
+// in 8 zones, one of which is cut off.
 func BenchmarkBelief(b *testing.B) {
-	f := newFleet("a")
-	f.silence("d")
-	f.run(time.Second)
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	regions := map[string]string{}
+	for _, name := range names {
+		regions[name] = "r"
+	}
+	r, now := NewReachability(NewTopology("a", "r", regions)), begin
+	for _, name := range names {
+		r.NoteDaemons(name, 38)
+	}
+	for range 10 {
+		r.Step(map[string]Waiting{"d": {Overdue: 2, Silent: 2}}, now)
+		r.Answered("b", now.Add(1))
+		now = now.Add(StepInterval)
+	}
+	if !r.IsCut("d") {
+		b.Fatal("not cut off")
+	}
 	b.ReportAllocs()
 	for b.Loop() {
-		for range 50 {
-			f.r.IsCut("d")
-			f.r.Share("b", f.now)
+		for i := range 50 {
+			name := names[i%len(names)]
+			if !r.IsCut(name) {
+				r.Share(name, now)
+			} else {
+				r.IsTrialDue(name, now)
+			}
 		}
 	}
 }
