--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -59,12 +59,24 @@
 		View:         d.membership,
 		AskStore:     d.askStore,
 		OnCut:        func(zone string) { d.adapter.Forget(d.pool.AddressesIn(zone)) },
+		OnIsolated:   d.leadAway,
 		Random:       newRandom(),
 		Logger:       part(d.logger, "zones"),
 		Metrics:      reach.NewMetrics(d.figures),
 	})
 }
 
+// leadAway closes callers' connections that rest once the platform leads new ones
+// elsewhere: their next requests then reach a daemon that can serve them without being
+// refused first.
+func (d *Daemon) leadAway() {
+	time.AfterFunc(noticeTime, func() {
+		if _, isCut := d.cutOffSince(); isCut {
+			d.front.expireResting(time.Now())
+		}
+	})
+}
+
 // askStore tells whether the store answers, directly or by way of another daemon. It
 // reads behind the last key of the members' registry, which is nothing.
 func (d *Daemon) askStore(ctx context.Context) bool {
--- a/internal/relaydaemon/cutoff_test.go
+++ b/internal/relaydaemon/cutoff_test.go
@@ -113,6 +113,31 @@
 	})
 }
 
+func TestRestingConnectionsAreClosedOnceCallersAreLedElsewhere(t *testing.T) {
+	for name, cutFor := range map[string]time.Duration{"long": 2 * noticeTime, "short": noticeTime / 2} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				front := newDrainTest(t)
+				caller := front.dial(t)
+				caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+				caller.expectAnswer("/a ")
+				d := &Daemon{front: front.server, zones: cutZones()}
+				hear(d.zones, time.Second, "b", "c")
+				d.leadAway()
+				hear(d.zones, noticeTime/2, "b", "c")
+				if !d.SendsAway() || front.server.count() != 1 {
+					t.Fatalf("cut off: %v, with %d connections", d.SendsAway(), front.server.count())
+				}
+				hear(d.zones, cutFor-noticeTime/2, "b", "c")
+				hear(d.zones, 2*noticeTime)
+				if kept := front.server.count() == 1; kept != (cutFor < noticeTime) {
+					t.Errorf("kept: %v", kept)
+				}
+			})
+		})
+	}
+}
+
 func TestFleetOfOneZoneHasNoPartInIt(t *testing.T) {
 	d := &Daemon{}
 	d.watchZones()
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -49,11 +49,13 @@
 	View         membership.View
 	// AskStore calls the store and tells whether it answered, in whichever way.
 	AskStore func(ctx context.Context) bool
-	// OnCut is told of each zone that is found cut off.
-	OnCut   func(zone string)
-	Random  *rand.Rand
-	Logger  zerolog.Logger
-	Metrics *Metrics
+	// OnCut is told of each zone that is found cut off, and OnIsolated that this daemon
+	// is.
+	OnCut      func(zone string)
+	OnIsolated func()
+	Random     *rand.Rand
+	Logger     zerolog.Logger
+	Metrics    *Metrics
 }
 
 // Watch keeps a daemon's belief which zones it is cut off from.
@@ -119,6 +121,7 @@
 	switch {
 	case change.Zone == "" && change.Cut:
 		line.Msg("Cut off from the store and most of the fleet.")
+		w.OnIsolated()
 	case change.Zone == "":
 		line.Msg("No longer cut off.")
 	case change.Cut:
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -132,7 +132,7 @@
 	for i, e := range ends {
 		w := New(Options{
 			Self: structs.NewDaemonID(e.self, 1), Zone: n.zoneOf[e.self], Reachability: e.zones, Connections: e,
-			Transport: e, View: e, OnCut: func(string) {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
+			Transport: e, View: e, OnCut: func(string) {}, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
 			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 			AskStore: func(asking context.Context) bool {
 				n.mutex.Lock()
