--- a/internal/zone/reachability_test.go
+++ b/internal/zone/reachability_test.go
@@ -28,7 +28,7 @@
 	asked map[string]int
 	// questions counts all.
 	questions int
-	changes   []Change
+	changes   []BeliefChange
 }
 
 const daemonsEach = 19
