Regions: requests and the text of turns stay where operators allow

Cause: allowedRegions of routes and tenants was not decoded. Change: both are, and bind a request to the regions that both name: a filter of instances; 403 where they have none in common, 503 where no back end is there, both before anything is reserved. The text of bound turns lies in a ledger of one allowed region, whose shards only daemons of the region hold, pass on, and make calls to the store for; budgets stay in the common ledger. A turn that is not found at home is looked for in all ledgers, so that a changed configuration loses none. A configuration that names no region brings up nothing of this.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -38,6 +38,8 @@
 	Object string
 	// Only restricts the choice to one instance, "" for no restriction.
 	Only string
+	// Regions are those that the request is bound to, nil for none.
+	Regions []string
 	// Excluded instances are passed over.
 	Excluded []string
 }
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -136,6 +136,7 @@
 	if to == s.Self {
 		s.operate(&request, s.deliver)
 	} else {
+		request.Ledger = s.Name
 		request.OrdersEnd = s.evacuationsEnd()
 		s.Transport.Send(to, &request)
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,6 +75,9 @@
 	// Imported is the previous turn as another shard keeps it, nil if this
 	// shard keeps it itself.
 	Imported *KeptTurn `json:"imported,omitempty"`
+	// Regions are those that the turn's text may go to, nil for all. It is never sent:
+	// see package residency.
+	Regions []string `json:"-"`
 }
 
 // Grant lets a turn run.
@@ -104,6 +107,8 @@
 	// Imported is the turn before it with its whole chain as one turn, if the
 	// shard's holder does not know that.
 	Imported *KeptTurn `json:"imported,omitempty"`
+	// Regions are those of the turn.
+	Regions []string `json:"-"`
 }
 
 // KeptTurn is a completed turn.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -39,6 +39,8 @@
 type Request struct {
 	Number uint64 `json:"n"`
 	Shard  int    `json:"s"`
+	// Ledger names the ledger whose shard it is, "" for that of all daemons.
+	Ledger string `json:"ledger,omitempty"`
 	// Failed is the epoch of the holder that the asker got no answer from, 0
 	// for none: only then may a daemon take the shard from a holder that lives.
 	Failed uint64 `json:"x,omitempty"`
@@ -74,6 +76,8 @@
 type Response struct {
 	Number uint64 `json:"n"`
 	Result result `json:"r"`
+	// Ledger is the request's.
+	Ledger string `json:"ledger,omitempty"`
 	// StoreOutMS tells, with resultPending, for how many milliseconds the store has
 	// not answered the holder that waits for it; 0 if it does.
 	StoreOutMS int64 `json:"out_ms,omitempty"`
@@ -110,6 +114,18 @@
 // MessageKind implements peer.Message.
 func (*Response) MessageKind() peer.Kind { return "ledger.response" }
 
+// LedgerOf returns the name of the ledger that a message is for, false if it is none of
+// a ledger's.
+func LedgerOf(message peer.Message) (name string, known bool) {
+	switch message := message.(type) {
+	case *Request:
+		return message.Ledger, true
+	case *Response:
+		return message.Ledger, true
+	}
+	return "", false
+}
+
 func init() {
 	peer.Register(peer.ClassData, &Request{})
 	peer.Register(peer.ClassData, &Response{})
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -59,6 +59,8 @@
 
 // Options give a Service what it works with.
 type Options struct {
+	// Name tells the ledger apart from others in messages, "" for that of all daemons.
+	Name      string
 	Self      structs.DaemonID
 	Store     store.Store
 	Transport peer.Transport
@@ -87,6 +89,8 @@
 	// StoreReadBytes is how many bytes the store reads in a second for the whole fleet;
 	// 0 if that is not known: then nothing is paced by it.
 	StoreReadBytes float64
+	// AsksOnly: the daemon holds no shard, whoever asks it to.
+	AsksOnly bool
 	// Machine is the steady clock of the machine that the daemon runs on.
 	Machine MachineClock
 	// Quota are the terms on which the holder of a tenant's shard owns its limit.
@@ -297,6 +301,23 @@
 	}
 }
 
+// Find returns a turn of a program with its whole chain as one turn. ErrUnknownTurn
+// means that every shard is sure not to keep it.
+func (s *Service) Find(ctx context.Context, program, turn string) (*KeptTurn, error) {
+	shard := s.shardOf(program)
+	response := s.ask(ctx, shard, Request{Find: &Find{Turn: turn}})
+	switch {
+	case response.Found != nil:
+		return response.Found, nil
+	case response.Result != resultUnknownTurn:
+		return nil, s.heldUp(shard, response.Result)
+	}
+	return s.findElsewhere(ctx, noShard, turn)
+}
+
+// noShard stands where no shard is left out.
+const noShard = -1
+
 // findElsewhere looks for a turn in all other shards. ErrUnknownTurn means
 // that every one of them is sure not to keep it.
 func (s *Service) findElsewhere(ctx context.Context, except int, turn string) (*KeptTurn, error) {
@@ -336,9 +357,13 @@
 
 // Receive takes a message that arrived; false means it is another part's.
 func (s *Service) Receive(from structs.DaemonID, message peer.Message) bool {
+	if name, known := LedgerOf(message); !known || name != s.Name {
+		return false
+	}
 	switch message := message.(type) {
 	case *Request:
 		s.operate(message, func(response Response) {
+			response.Ledger = s.Name
 			response.Evacuations = s.tellEvacuations(message.OrdersEnd)
 			s.Transport.Send(from, &response)
 		})
@@ -354,7 +379,7 @@
 // operate hands a request to its shard's holder. If that takes a while, the
 // asker is told so, again and again while the holder is busy.
 func (s *Service) operate(request *Request, reply func(Response)) {
-	if request.Shard < 0 || request.Shard >= len(s.holders) || !request.isWhole() {
+	if s.AsksOnly || request.Shard < 0 || request.Shard >= len(s.holders) || !request.isWhole() {
 		reply(Response{Number: request.Number, Result: resultMoved})
 		return
 	}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -106,6 +106,10 @@
 // never will.
 const (
 	ReasonNoInstance Reason = "no_instance"
+	// ReasonNoRegion: no region is allowed for both the route and the tenant;
+	// ReasonRegionEmpty: no instance is in one that is.
+	ReasonNoRegion    Reason = "no_region"
+	ReasonRegionEmpty Reason = "region_empty"
 	// ReasonEvacuated: operators evacuated the zones of all instances that could serve.
 	ReasonEvacuated Reason = "evacuated"
 	ReasonFull      Reason = "full"
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -12,6 +12,7 @@
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
@@ -31,6 +32,8 @@
 	responder Responder
 	service   string
 	logger    zerolog.Logger
+	// regions are those that the call is bound to.
+	regions residency.Regions
 
 	// excluded instances were offered the call in this round.
 	excluded []string
@@ -122,6 +125,7 @@
 		Preferred: c.preferred,
 		Object:    c.object(),
 		Only:      c.only,
+		Regions:   c.regions,
 		Excluded:  c.excluded,
 	}
 }
@@ -296,8 +300,7 @@
 	}
 	now := time.Now()
 	census := c.relay.Pool.Count(c.query())
-	if isEvacuated(census) {
-		c.refuseEvacuated(now)
+	if c.refuseUnplaceable(census, now) {
 		return false
 	}
 	if census.Admitted+census.Passing == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/tenant"
 	"github.com/mintpulley/mintpulley/internal/zone"
@@ -139,12 +140,13 @@
 		responder: responder,
 		service:   r.splits.choose(call.Route),
 		logger:    callLogger(r.Logger, call),
+		regions:   residency.Bound(call.Route.AllowedRegions, call.Tenant.Regions()),
 	}
 	if r.draining.Load() {
 		c.refuse(stopping)
 		return
 	}
-	if c.needsRecord() && c.refuseCutOff() {
+	if c.needsRecord() && c.refuseCutOff() || !c.isPlaceable() {
 		return
 	}
 	if !c.admitByQuota(ctx) {
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -71,6 +71,7 @@
 		MostTokens:   c.mostTokens(),
 		Previous:     c.call.Program.Previous,
 		Retention:    c.call.Route.Retention,
+		Regions:      c.regions,
 	}
 	started := time.Now()
 	if c.call.Route.RetainContext && c.relay.recording.isCrowded(c.relay.RecordBytes) {
@@ -120,6 +121,7 @@
 		Instance:   state.instance,
 		Retention:  c.call.Route.Retention,
 		UsedTokens: state.events * turn.perEvent,
+		Regions:    c.regions,
 	}
 	if whole && turn.retain && c.call.ResumeAfter == "" {
 		outcome.Kept = &ledger.KeptTurn{
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -56,9 +56,11 @@
 	adapter  Adapter
 
 	// admission decides how long requests wait.
-	admission  *admission.Admission
-	relay      *relay.Relay
-	ledger     *ledger.Service
+	admission *admission.Admission
+	relay     *relay.Relay
+	ledger    *ledger.Service
+	// regional are the ledgers of single regions.
+	regional   *regionalLedgers
 	membership *membership.Membership
 	transport  *tcp.Transport
 	pool       *instance.Pool
@@ -184,11 +186,12 @@
 		Transport: transport,
 		View:      d.membership,
 		Random:    newRandom(),
+		MayHelp:   mayHelp,
 		Logger:    part(d.logger, "store"),
 		Metrics:   proxy.NewMetrics(figures),
 	})
 	d.registry.store, d.registry.contact = d.store, d.store
-	d.ledger = ledger.NewService(ledger.Options{
+	options := ledger.Options{
 		Self:       self.ID,
 		Store:      d.store,
 		Contact:    d.store,
@@ -208,11 +211,13 @@
 		Evacuations:   d,
 		Logger:        part(d.logger, "ledger"),
 		Metrics:       ledger.NewMetrics(figures),
-	})
+	}
+	d.ledger = ledger.NewService(options)
+	d.regional = newRegionalLedgers(d.topology, options)
 	d.relay = relay.New(relay.Options{
 		Pool:    d.pool,
 		Driver:  d.adapter.Driver(),
-		Ledger:  d.ledger,
+		Ledger:  d.regional.join(d.ledger),
 		Quota:   quota.NewGate(d.ledger, d.settings.quotaTerms()),
 		Table:   d.table.Load,
 		Daemons: func() int { return len(d.membership.Members()) },
@@ -260,8 +265,9 @@
 	if d == nil {
 		return
 	}
-	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.receiveReach(from, message) {
-		d.ledger.Receive(from, message)
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.receiveReach(from, message) &&
+		!d.ledger.Receive(from, message) {
+		d.regional.receive(from, message)
 	}
 }
 
@@ -272,6 +278,7 @@
 	d.membership.Start()
 	d.workers.Go(func() { d.registry.run(ctx, d.membership.MachinesListed) })
 	d.workers.Go(func() { d.ledger.Run(ctx) })
+	d.regional.start(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
 	if d.reach != nil {
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
@@ -11,7 +12,9 @@
 // the settings ask for.
 func (d *Daemon) placementPlugins() instance.Plugins {
 	plugins := instance.Plugins{
-		Filters:   []instance.Filter{zone.EvacuationFilter{Evacuations: &d.evacuations}, d.cold},
+		Filters: []instance.Filter{
+			residency.Filter{Topology: d.topology}, zone.EvacuationFilter{Evacuations: &d.evacuations}, d.cold,
+		},
 		Scorers:   []instance.Scorer{zone.ReturnScorer{Evacuations: &d.evacuations, Seed: rand.Uint64()}, d.cold},
 		Reservers: []instance.Reserver{d.cold},
 	}
--- /dev/null
+++ b/internal/relaydaemon/regional.go
@@ -0,0 +1,233 @@
+package relaydaemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/residency"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+const (
+	// regionalSpace is where the ledgers of single regions lie; the region follows.
+	regionalSpace = "ledger-region-"
+	// regionalShards is the number of shards of each; one more partition tells their
+	// holders. Only the text of bound turns lies there.
+	regionalShards = 8
+	// directoryPause separates looks whether regional ledgers were used before this
+	// daemon started: one for each turn that nobody knows would be a call to the store
+	// for each region.
+	directoryPause = time.Second
+)
+
+// regionalLedgers are the ledgers of single regions, which keep the text of turns that
+// operators bind to regions: only daemons of a region hold its shards, and make calls to
+// the store about them. They come up at the first need. It is safe for concurrent use.
+type regionalLedgers struct {
+	regions []string
+	// own is the daemon's region.
+	own     string
+	options ledger.Options
+	joined  *residency.Ledger
+	inUse   atomic.Bool
+	// looking is held while the directories are read, last at lookedAt.
+	looking  sync.Mutex
+	lookedAt time.Time
+
+	mutex sync.Mutex
+	// run makes a service work, nil until the daemon does.
+	run      func(*ledger.Service)
+	services map[string]*ledger.Service
+	leaving  bool
+}
+
+// newRegionalLedgers takes the options of the ledger of all daemons. A fleet of one
+// region needs no others.
+func newRegionalLedgers(topology zone.Topology, options ledger.Options) *regionalLedgers {
+	regions := topology.Regions()
+	if len(regions) < 2 {
+		regions = nil
+	}
+	return &regionalLedgers{regions: regions, own: topology.OwnRegion(), options: options, services: map[string]*ledger.Service{}}
+}
+
+// join returns what keeps the turns of all callers.
+func (r *regionalLedgers) join(common *ledger.Service) *residency.Ledger {
+	r.joined = &residency.Ledger{
+		Common:     common,
+		Regional:   r.find,
+		Regions:    r.regions,
+		HasDaemons: r.hasDaemons,
+		InUse:      r.isInUse,
+		Logger:     r.options.Logger,
+	}
+	return r.joined
+}
+
+// find returns the ledger of a region.
+func (r *regionalLedgers) find(region string) (residency.Service, bool) {
+	service := r.service(region)
+	return service, service != nil
+}
+
+// use brings the ledgers of all regions up, so that they have settled once requests
+// come that need them.
+func (r *regionalLedgers) use() {
+	if r.inUse.Swap(true) {
+		return
+	}
+	for _, region := range r.regions {
+		r.service(region)
+	}
+}
+
+// isInUse tells whether a regional ledger may keep turns: since routes in force name
+// regions, or since some did before this daemon started, as their directories tell.
+func (r *regionalLedgers) isInUse(ctx context.Context) (bool, error) {
+	if r.inUse.Load() || len(r.regions) == 0 {
+		return r.inUse.Load(), nil
+	}
+	r.looking.Lock()
+	defer r.looking.Unlock()
+	if r.inUse.Load() || time.Since(r.lookedAt) < directoryPause {
+		return r.inUse.Load(), nil
+	}
+	for _, region := range r.regions {
+		page, err := r.options.Store.NewestPage(ctx, regionalDirectory(region), "")
+		if err != nil {
+			return false, eris.Wrapf(ledger.ErrUnavailable, "directory of region %s: %v", region, err)
+		}
+		if len(page.Records) > 0 {
+			r.use()
+			return true, nil
+		}
+	}
+	r.lookedAt = time.Now()
+	return false, nil
+}
+
+// regionalDirectory is the partition that tells who holds the shards of a region.
+func regionalDirectory(region string) store.Partition {
+	return store.Partition{Space: regionalSpace + region, Number: regionalShards}
+}
+
+// service returns the ledger of a region, and brings it up; nil if there is none.
+func (r *regionalLedgers) service(region string) *ledger.Service {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if service := r.services[region]; service != nil {
+		return service
+	}
+	if r.run == nil || !slices.Contains(r.regions, region) {
+		return nil
+	}
+	options := r.options
+	options.Name = regionalSpace + region
+	options.View = regionView{View: options.View, region: structs.RegionName(region)}
+	options.Partitions = nil
+	for number := range regionalShards {
+		options.Partitions = append(options.Partitions, store.Partition{Space: options.Name, Number: number})
+	}
+	options.Directory = regionalDirectory(region)
+	options.Expected = nil
+	options.AsksOnly = r.own != region
+	options.Confirmations, options.Evacuations = nil, nil
+	options.Logger = options.Logger.With().Str("region", region).Logger()
+	service := ledger.NewService(options)
+	if r.leaving {
+		service.Leave()
+	}
+	r.services[region] = service
+	r.run(service)
+	return service
+}
+
+func (r *regionalLedgers) start(run func(*ledger.Service)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.run = run
+}
+
+// receive takes a message for the ledger of a region.
+func (r *regionalLedgers) receive(from structs.DaemonID, message peer.Message) {
+	name, known := ledger.LedgerOf(message)
+	region, isRegional := strings.CutPrefix(name, regionalSpace)
+	if !known || !isRegional {
+		return
+	}
+	if service := r.service(region); service != nil {
+		service.Receive(from, message)
+	}
+}
+
+func (r *regionalLedgers) all() []*ledger.Service {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var all []*ledger.Service
+	for _, service := range r.services {
+		all = append(all, service)
+	}
+	return all
+}
+
+func (r *regionalLedgers) leave() {
+	r.mutex.Lock()
+	r.leaving = true
+	r.mutex.Unlock()
+	for _, service := range r.all() {
+		service.Leave()
+	}
+}
+
+func (r *regionalLedgers) waitForHandover(ctx context.Context) {
+	for _, service := range r.all() {
+		service.WaitForHandover(ctx)
+	}
+}
+
+func (r *regionalLedgers) wait(ctx context.Context) { r.joined.Wait(ctx) }
+
+func (r *regionalLedgers) hasDaemons(region string) bool {
+	view := regionView{View: r.options.View, region: structs.RegionName(region)}
+	return slices.ContainsFunc(view.Members(), func(m membership.Member) bool { return m.State != membership.StateLeaving })
+}
+
+// regionView is membership as the ledger of a region sees it: others hold nothing of
+// it.
+type regionView struct {
+	ledger.View
+	region structs.RegionName
+}
+
+// Members implements membership.View.
+func (v regionView) Members() []membership.Member {
+	return slices.DeleteFunc(v.View.Members(), func(m membership.Member) bool { return m.Daemon.Region != v.region })
+}
+
+// Lookup implements ledger.View. A daemon of another region that came to the address of
+// a former holder is none to ask.
+func (v regionView) Lookup(address string) (membership.Member, bool) {
+	member, heardOf := v.View.Lookup(address)
+	if heardOf && member.Daemon.Region != v.region {
+		member.State = membership.StateDead
+	}
+	return member, heardOf
+}
+
+// mayHelp tells whether a daemon may make calls to the store about a partition for
+// others: about those of a region's ledger only daemons of the region.
+func mayHelp(partition store.Partition, daemon structs.Daemon) bool {
+	region, isRegional := strings.CutPrefix(partition.Space, regionalSpace)
+	return !isRegional || string(daemon.Region) == region
+}
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -40,6 +40,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.stopTime()-exitMargin)
 	defer cancel()
 	d.ledger.Leave()
+	d.regional.leave()
 	d.membership.Leave()
 	clock.Sleep(ctx, noticeTime)
 	d.relay.Drain()
@@ -77,6 +78,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handoverWait)
 	defer cancel()
 	d.ledger.WaitForHandover(ctx)
+	d.regional.waitForHandover(ctx)
 }
 
 // settleAndWithdraw settles turns and withdraws this daemon's entry, both until
@@ -87,5 +89,6 @@
 	var withdrawing sync.WaitGroup
 	withdrawing.Go(func() { d.registry.withdraw(ctx) })
 	d.relay.Wait(ctx)
+	d.regional.wait(ctx)
 	withdrawing.Wait()
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -57,6 +57,9 @@
 		return
 	}
 	d.cold.TakeServices(table.Services)
+	if table.IsBound() {
+		d.regional.use()
+	}
 	d.table.Store(table)
 	d.front.setLimits(table.Limits)
 	if before == nil {
--- /dev/null
+++ b/internal/residency/ledger.go
@@ -0,0 +1,220 @@
+package residency
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/ledger"
+)
+
+// settleTimeout bounds how long the budget of a turn whose text is on record is tried
+// to be settled.
+const settleTimeout = 20 * time.Second
+
+// errNoHome: no daemon of this fleet is in a region that may keep the turn's text.
+var errNoHome = eris.Wrap(ledger.ErrUnavailable, "residency: no daemon is in an allowed region")
+
+// Service is a ledger whose shards some daemons hold; ledger.Service is one.
+type Service interface {
+	Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error)
+	Abandon(turn ledger.Turn)
+	End(ctx context.Context, outcome ledger.Outcome) error
+	// Find returns a turn of a program with its whole chain as one turn. ErrUnknownTurn
+	// means that no shard keeps it.
+	Find(ctx context.Context, program, turn string) (*ledger.KeptTurn, error)
+}
+
+// Ledger keeps the budgets of all programs in one ledger, which any daemon may hold,
+// and the text of bound turns in a ledger of one of their regions, which only daemons
+// of that region hold. Turns that are not bound it leaves to the first. It is safe for
+// concurrent use.
+type Ledger struct {
+	// Common is the ledger of all daemons.
+	Common Service
+	// Regional returns the ledger of a region, false if there is none. Where no region
+	// has one, all daemons are in the same.
+	Regional func(region string) (Service, bool)
+	// Regions are those that have a ledger.
+	Regions []string
+	// HasDaemons tells whether any daemon lives in a region, as far as is known.
+	HasDaemons func(region string) bool
+	// InUse tells whether regional ledgers may keep turns. The error wraps
+	// ErrUnavailable: it is not known.
+	InUse  func(ctx context.Context) (bool, error)
+	Logger zerolog.Logger
+
+	// settling counts budgets that are settled in the background.
+	settling sync.WaitGroup
+}
+
+// Begin implements relay.Ledger. The history comes first: a turn that goes on from none
+// reserves nothing.
+func (l *Ledger) Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error) {
+	if !l.isKeptApart(turn.Regions) {
+		grant, err := l.Common.Begin(ctx, turn)
+		if !errors.Is(err, ledger.ErrUnknownTurn) {
+			return grant, err
+		}
+		if turn.Imported, err = l.findUnbound(ctx, turn.Program, turn.Previous); err != nil {
+			return ledger.Grant{}, err
+		}
+		return l.Common.Begin(ctx, turn)
+	}
+	var history []byte
+	if turn.Previous != "" {
+		found, err := l.findBound(ctx, turn.Program, turn.Previous, turn.Regions)
+		if err != nil {
+			return ledger.Grant{}, err
+		}
+		history = slices.Concat(found.Input, found.Output)
+	}
+	reserved := turn
+	reserved.Previous, reserved.Imported = "", nil
+	grant, err := l.Common.Begin(ctx, reserved)
+	grant.History = history
+	return grant, err
+}
+
+// Abandon implements relay.Ledger.
+func (l *Ledger) Abandon(turn ledger.Turn) { l.Common.Abandon(turn) }
+
+// End implements relay.Ledger. The text of a bound turn is on record when End returns
+// without an error; its budget is settled in the background, as until then its
+// reservation counts.
+func (l *Ledger) End(ctx context.Context, outcome ledger.Outcome) error {
+	if outcome.Kept == nil || !l.isKeptApart(outcome.Regions) {
+		return l.endCommon(ctx, outcome)
+	}
+	home, _, err := l.home(outcome.Program, outcome.Regions)
+	if err != nil {
+		return err
+	}
+	text := outcome
+	text.UsedTokens, text.Instance = 0, ""
+	err = home.End(ctx, text)
+	if errors.Is(err, ledger.ErrUnknownTurn) {
+		if text.Imported, err = l.findBound(ctx, outcome.Program, outcome.Kept.Previous, outcome.Regions); err == nil {
+			err = home.End(ctx, text)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	outcome.Kept = nil
+	l.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		if err := l.Common.End(ctx, outcome); err != nil {
+			l.Logger.Warn().Err(err).Str("request", outcome.Turn).Msg("Turn not settled. Its reservation stays spent.")
+		}
+	})
+	return nil
+}
+
+// endCommon ends a turn that is not bound. The one before it may have been.
+func (l *Ledger) endCommon(ctx context.Context, outcome ledger.Outcome) error {
+	err := l.Common.End(ctx, outcome)
+	if outcome.Kept == nil || !errors.Is(err, ledger.ErrUnknownTurn) {
+		return err
+	}
+	if outcome.Imported, err = l.findUnbound(ctx, outcome.Program, outcome.Kept.Previous); err != nil {
+		return err
+	}
+	return l.Common.End(ctx, outcome)
+}
+
+// isKeptApart tells whether the text of turns that are bound to regions must not go to
+// the common ledger.
+func (l *Ledger) isKeptApart(regions []string) bool { return regions != nil && len(l.Regions) > 0 }
+
+// home returns the ledger that keeps the text of a program's next turn: that of the
+// region which comes first by rendezvous hashing among those in which daemons live.
+// Daemons that disagree on that keep the turns of a program in several regions, where
+// findBound finds them.
+func (l *Ledger) home(program string, regions []string) (Service, string, error) {
+	best, highest := "", uint64(0)
+	for _, region := range regions {
+		if !slices.Contains(l.Regions, region) || !l.HasDaemons(region) {
+			continue
+		}
+		if hash := xxhash.Sum64String(region + "/" + program); best == "" || hash > highest {
+			best, highest = region, hash
+		}
+	}
+	home, known := l.Regional(best)
+	if best == "" || !known {
+		return nil, "", errNoHome
+	}
+	return home, best, nil
+}
+
+// findBound finds a turn that a bound one goes on from: in its home, or wherever the
+// operators let it be kept before.
+func (l *Ledger) findBound(ctx context.Context, program, turn string, regions []string) (*ledger.KeptTurn, error) {
+	home, region, err := l.home(program, regions)
+	if err != nil {
+		return nil, err
+	}
+	found, err := home.Find(ctx, program, turn)
+	if !errors.Is(err, ledger.ErrUnknownTurn) {
+		return found, err
+	}
+	others := slices.DeleteFunc(slices.Clone(l.Regions), func(other string) bool { return other == region })
+	found, err = l.find(ctx, program, turn, others)
+	if !errors.Is(err, ledger.ErrUnknownTurn) {
+		return found, err
+	}
+	return l.Common.Find(ctx, program, turn)
+}
+
+// findUnbound finds a turn that the common ledger does not keep: it may have been bound.
+func (l *Ledger) findUnbound(ctx context.Context, program, turn string) (*ledger.KeptTurn, error) {
+	used, err := l.InUse(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if !used {
+		return nil, ledger.ErrUnknownTurn
+	}
+	return l.find(ctx, program, turn, l.Regions)
+}
+
+// find finds a turn in the ledgers of some regions. ErrUnknownTurn means that none of
+// them keeps it; one that can not be asked may.
+func (l *Ledger) find(ctx context.Context, program, turn string, regions []string) (*ledger.KeptTurn, error) {
+	failure := error(ledger.ErrUnknownTurn)
+	for _, region := range regions {
+		keeper, known := l.Regional(region)
+		if !known {
+			continue
+		}
+		found, err := keeper.Find(ctx, program, turn)
+		if err == nil {
+			return found, nil
+		}
+		if !errors.Is(err, ledger.ErrUnknownTurn) {
+			failure = err
+		}
+	}
+	return nil, failure
+}
+
+// Wait waits until what goes on in the background is done, or ctx ends.
+func (l *Ledger) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		l.settling.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -60,6 +60,9 @@
 	Public bool
 	// Services answer the route, each with its weight.
 	Services []Weighted
+	// AllowedRegions are those in which requests may be served and their text kept,
+	// nil for all.
+	AllowedRegions []string
 }
 
 // Repeatable tells whether a request of the route may run again.
@@ -127,6 +130,16 @@
 	return t
 }
 
+// IsBound tells whether requests of any route or tenant are bound to regions.
+func (t *Table) IsBound() bool {
+	for _, list := range t.hosts {
+		if slices.ContainsFunc(list, func(r *Route) bool { return len(r.AllowedRegions) > 0 }) {
+			return true
+		}
+	}
+	return t.Tenants.IsBound()
+}
+
 // Lookup returns the route with the longest prefix of the path at a host, or
 // nil. The host may carry a port.
 func (t *Table) Lookup(host, path string) *Route {
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -109,11 +109,12 @@
 	return now.Sub(h.unansweredSince)
 }
 
-// candidates are the other daemons that live.
-func (s *Service) candidates() []structs.DaemonID {
+// candidates are the other daemons that live and may make a call about a partition.
+func (s *Service) candidates(partition store.Partition) []structs.DaemonID {
 	var candidates []structs.DaemonID
 	for _, member := range s.View.Members() {
-		if member.Daemon.ID != s.Self && member.State == membership.StateAlive {
+		mayHelp := s.MayHelp == nil || s.MayHelp(partition, member.Daemon)
+		if member.Daemon.ID != s.Self && member.State == membership.StateAlive && mayHelp {
 			candidates = append(candidates, member.Daemon.ID)
 		}
 	}
@@ -128,7 +129,7 @@
 
 // callHelper makes a call by way of another daemon.
 func (s *Service) callHelper(ctx context.Context, request *Request) outcome {
-	helper, found := s.helpers.choose(s.candidates(), s.pick, time.Now())
+	helper, found := s.helpers.choose(s.candidates(request.Partition), s.pick, time.Now())
 	if !found {
 		return outcome{next: request.From, err: errNoHelper}
 	}
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -51,8 +51,11 @@
 	Transport peer.Transport
 	View      membership.View
 	Random    *rand.Rand
-	Logger    zerolog.Logger
-	Metrics   *Metrics
+	// MayHelp tells whether a daemon may see the records of a partition; nil if all
+	// may see all.
+	MayHelp func(partition store.Partition, daemon structs.Daemon) bool
+	Logger  zerolog.Logger
+	Metrics *Metrics
 }
 
 // Service is a store.Store and a store.Contact. It is safe for concurrent use.
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -35,11 +35,23 @@
 	// daemons, and Burst how many more at a time; a PerSecond of 0 sets no bound.
 	PerSecond float64
 	Burst     float64
+	// AllowedRegions are those in which its requests may be served and their text
+	// kept, nil for all.
+	AllowedRegions []string
 }
 
 // IsLimited tells whether the tenant's requests are bounded.
 func (t *Tenant) IsLimited() bool { return t != nil && t.PerSecond > 0 }
 
+// Regions returns the regions allowed for the tenant's requests, nil for all, as for
+// requests of no tenant.
+func (t *Tenant) Regions() []string {
+	if t == nil {
+		return nil
+	}
+	return t.AllowedRegions
+}
+
 // digest is a key's SHA-256.
 type digest [sha256.Size]byte
 
@@ -76,6 +88,19 @@
 	return nil
 }
 
+// IsBound tells whether requests of any tenant are bound to regions.
+func (d *Directory) IsBound() bool {
+	if d == nil {
+		return false
+	}
+	for _, t := range d.byKey {
+		if len(t.AllowedRegions) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Find returns the tenant that a key belongs to, nil if it belongs to none.
 func (d *Directory) Find(key string) *Tenant {
 	if d == nil || key == "" {
--- a/internal/zone/evacuation.go
+++ b/internal/zone/evacuation.go
@@ -97,14 +97,14 @@
 
 // LastOrderedAt returns when the latest order came into force that is, as far as is
 // known here; false if none is.
-func (e *Evacuations) LastOrderedAt() (at time.Time, any bool) {
+func (e *Evacuations) LastOrderedAt() (at time.Time, ordered bool) {
 	for _, order := range e.load().evacuated {
 		if order.since.After(at) {
 			at = order.since
 		}
-		any = true
+		ordered = true
 	}
-	return at, any
+	return at, ordered
 }
 
 // InForce returns the orders in force, by zone.
--- a/internal/zone/topology.go
+++ b/internal/zone/topology.go
@@ -67,6 +67,11 @@
 // Zones returns the zones that are known, in order.
 func (t Topology) Zones() []string { return slices.Sorted(maps.Keys(t.regions)) }
 
+// Regions returns the regions that are known, in order.
+func (t Topology) Regions() []string {
+	return slices.Compact(slices.Sorted(maps.Values(t.regions)))
+}
+
 // RegionOf returns a zone's region, and false if the zone is not known.
 func (t Topology) RegionOf(zone string) (string, bool) {
 	region, known := t.regions[zone]
