Store: a store that is busy is not taken for one that is lost

Cause: at the return of a zone directory readings of 0.4 s and watches were late behind 65 MB/s of shards. One late call made a daemon believe the store lost: 114 of them in one second, whose calls then went by way of others, which made them too; pages were read a second time after 0.15 s and 1.4 s. Change: a call without an answer tells nothing if the store answered another direct call since it began (proxy and ledger alike). Pauses after a refusal are drawn. A claim that gets on nowhere for 3 s is left to another.

--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -25,6 +25,9 @@
 	// small machine that is busy.
 	doubtReturned = 500 * time.Millisecond
 	doubtAlive    = 100 * time.Millisecond
+	// claimIdle is how long a claim may get on nowhere until it is left to another: one
+	// page of a store that is busy.
+	claimIdle = 3 * time.Second
 	// confirmLife is how long a holder's word is relied on: as long as a view that is
 	// behind takes to learn that it lives would cost a directory's reading a turn.
 	confirmLife = time.Second
@@ -40,7 +43,8 @@
 // called by any goroutine: the holder's own may be busy with a claim.
 func (h *holder) confirm(number uint64) Response {
 	epoch := h.heldEpoch.Load()
-	if epoch == 0 || h.isIsolated() {
+	idle, _ := h.progressAt.since(time.Now())
+	if epoch == 0 || h.isIsolated() || !h.holding.Load() && idle > claimIdle {
 		return Response{Number: number, Result: resultMoved}
 	}
 	return Response{Number: number, Result: resultOK, Epoch: epoch, Holder: h.daemon}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -446,7 +446,7 @@
 		return resultMoved
 	}
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
-	h.retryAt = time.Now().Add(h.pause)
+	h.retryAt = time.Now().Add(spread(h.pause))
 	h.returned = h.records.contact.Returned()
 	h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Dur("pause", h.pause).Msg("Shard's partition not reached.")
 	return resultImpaired
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,13 +18,13 @@
 	// giveUpPage is how long one page of a reading is tried. A reading of many
 	// pages may take as long as it gets on: a page is up to a megabyte, which
 	// takes the smallest machines (30 Mbit/s) 0.3 s, and longer beside others.
-	giveUpPage = 4 * time.Second
+	giveUpPage = 8 * time.Second
 	// readingWait is how long the first try to read a page waits for its answer,
 	// and longestReadingWait a later one. A page whose answer is lost comes by way
 	// of another daemon sooner (store/proxy); one that takes long must not be read
 	// twice while askers wait for progress (answerWithin).
-	readingWait        = 1400 * time.Millisecond
-	longestReadingWait = 3 * time.Second
+	readingWait        = 2 * time.Second
+	longestReadingWait = 4 * time.Second
 	// shortReadingWait is how long the single try at a short reading waits.
 	shortReadingWait = 400 * time.Millisecond
 	// shortestWait and longestWait bound how long a try is waited for until
@@ -70,6 +71,8 @@
 	// calls had failed for downAfter.
 	failedAt time.Time
 	backAt   time.Time
+	// answeredAt is when a call was last answered.
+	answeredAt time.Time
 	// returned is closed when the store is said to answer again after it failed.
 	returned <-chan struct{}
 }
@@ -100,8 +103,9 @@
 	return !r.backAt.IsZero() && now.Sub(r.backAt) <= sightBack
 }
 
-// noteOutcome takes note of whether a call was answered.
-func (r *recordStore) noteOutcome(err error) {
+// noteOutcome takes note of whether a call was answered. One that was not tells nothing
+// if the store has answered another since it began: it is busy, and not lost.
+func (r *recordStore) noteOutcome(err error, started time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
@@ -110,6 +114,8 @@
 			r.backAt = time.Now()
 		}
 		r.failingSince = time.Time{}
+		r.answeredAt = time.Now()
+	case errors.Is(err, store.ErrOutcomeUnknown) && r.answeredAt.After(started):
 	default:
 		r.failedAt = time.Now()
 		if r.failingSince.IsZero() {
@@ -229,7 +235,7 @@
 			return err
 		}
 		if errors.Is(err, store.ErrUnavailable) || time.Since(started) < wait {
-			clock.Sleep(ctx, refused)
+			clock.Sleep(ctx, spread(refused))
 			refused *= 2
 		} else {
 			wait = min(2*wait, longestReadingWait)
@@ -240,6 +246,10 @@
 	}
 }
 
+// spread returns a pause between half and one and a half of a usual one, so that those
+// who were refused at once do not come back at once.
+func spread(usual time.Duration) time.Duration { return usual/2 + rand.N(usual) }
+
 // isFinal tells whether another try would be answered alike.
 func isFinal(err error) bool {
 	return isSuperseded(err) || errors.Is(err, store.ErrMalformed) || errors.Is(err, store.ErrTrimmed)
@@ -253,9 +263,10 @@
 func (r *recordStore) once(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	started := time.Now()
 	err := call(ctx)
 	if !errors.Is(ctx.Err(), context.Canceled) {
-		r.noteOutcome(err) // else another try was answered, or nobody waits any more
+		r.noteOutcome(err, started) // else another try was answered, or nobody waits any more
 	}
 	return err
 }
--- a/internal/ledger/record_store_test.go
+++ b/internal/ledger/record_store_test.go
@@ -38,3 +38,54 @@
 		}
 	})
 }
+
+// slowPages is a store that gives a page late, and answers appends at once.
+type slowPages struct {
+	store.Store
+	late  time.Duration
+	pages int
+}
+
+// NewestPage implements store.Store.
+func (s *slowPages) NewestPage(ctx context.Context, _ store.Partition, _ string) (store.Page, error) {
+	s.pages++
+	select {
+	case <-time.After(s.late):
+		return store.Page{}, nil
+	case <-ctx.Done():
+		return store.Page{}, store.ErrOutcomeUnknown
+	}
+}
+
+// Append implements store.Store.
+func (s *slowPages) Append(context.Context, store.Partition, store.Writer, []store.Record) error {
+	return nil
+}
+
+// TestSlowPageIsProgress: a page that comes slowly from a busy store is read once, and
+// the store does not count as down meanwhile.
+func TestSlowPageIsProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &slowPages{late: 1800 * time.Millisecond}
+		r := &recordStore{Store: s, contact: store.NoContact{}}
+		go func() {
+			for range 20 {
+				time.Sleep(100 * time.Millisecond)
+				_ = r.appendWithin(t.Context(), giveUpAfter, store.Partition{}, store.Writer{}, nil)
+			}
+		}()
+		if _, err := r.page(t.Context(), store.Partition{}, "", func() {}); err != nil {
+			t.Error(err)
+		}
+		if s.pages != 1 {
+			t.Errorf("the page was read %d times, want once", s.pages)
+		}
+		if _, err := r.newestOnce(t.Context(), store.Partition{}); err == nil {
+			t.Error("a short reading was waited for")
+		}
+		time.Sleep(downAfter)
+		if r.isDown(time.Now()) {
+			t.Error("the store counts as down though it answers appends")
+		}
+	})
+}
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -143,8 +143,8 @@
 
 func isCutOff(id structs.DaemonID) bool { return zoneOfDaemon[id.Address()] == returnZones-1 }
 
-// spread is a time below most that is the same for a pair of daemons.
-func spread(what string, a, b structs.DaemonID, most time.Duration) time.Duration {
+// spreadOf is a time below most that is the same for a pair of daemons.
+func spreadOf(what string, a, b structs.DaemonID, most time.Duration) time.Duration {
 	return time.Duration(xxhash.Sum64String(what+string(a)+string(b)) % uint64(most))
 }
 
@@ -155,7 +155,7 @@
 
 // isSevered tells whether a message between two daemons is lost.
 func (f *returnFleet) isSevered(from, to structs.DaemonID) bool {
-	return isCutOff(from) != isCutOff(to) && f.isDuringCut(spread("link", from, to, linkBack))
+	return isCutOff(from) != isCutOff(to) && f.isDuringCut(spreadOf("link", from, to, linkBack))
 }
 
 // returnView is a daemon's view: of the other side of the cut it hears nothing.
@@ -166,8 +166,8 @@
 
 // State implements membership.View.
 func (v *returnView) State(id structs.DaemonID) membership.State {
-	if isCutOff(id) != isCutOff(v.self) && v.isDuringCut(spread("view", v.self, id, viewBack)) {
-		silent := v.now() - returnCutAt - spread("dead", v.self, id, suspectAfter/2)
+	if isCutOff(id) != isCutOff(v.self) && v.isDuringCut(spreadOf("view", v.self, id, viewBack)) {
+		silent := v.now() - returnCutAt - spreadOf("dead", v.self, id, suspectAfter/2)
 		switch {
 		case silent >= deadAfter:
 			return membership.StateDead
@@ -205,7 +205,7 @@
 
 // reach lets a call get to the store; an error tells that it does not.
 func (s *returnStore) reach(ctx context.Context) error {
-	if isCutOff(s.self) && s.fleet.isDuringCut(spread("store", s.self, "", storeBack)) {
+	if isCutOff(s.self) && s.fleet.isDuringCut(spreadOf("store", s.self, "", storeBack)) {
 		<-ctx.Done()
 		return store.ErrOutcomeUnknown
 	}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -34,6 +34,11 @@
 	meterBytes = 256 << 10
 )
 
+// IsBulk tells whether calls bring many records, which take long by themselves.
+func (p Purpose) IsBulk() bool {
+	return p == PurposeShard || p == PurposeHistories || p == PurposeReadAhead
+}
+
 type purposeKey struct{}
 
 // WithPurpose marks calls made under a context.
--- a/internal/store/proxy/contact.go
+++ b/internal/store/proxy/contact.go
@@ -21,6 +21,8 @@
 	// if none did.
 	failingSince time.Time
 	probeAt      time.Time
+	// answeredAt is when a direct call was last answered.
+	answeredAt time.Time
 	// returned is closed when the store answers again after noticeAfter or more,
 	// or is said to.
 	returned chan struct{}
@@ -57,11 +59,21 @@
 	return true
 }
 
+// hasAnsweredSince tells whether the store has answered a direct call since a time: a
+// call that was made then and hangs is late at a store that is busy, or its answer was
+// lost, but the store is not.
+func (c *contact) hasAnsweredSince(at time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.answeredAt.After(at)
+}
+
 // answer notes a call that was answered, and returns for how long none was; 0
 // if none had failed.
 func (c *contact) answer(now time.Time) time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.answeredAt = now
 	if c.failingSince.IsZero() {
 		return 0
 	}
--- a/internal/store/proxy/metrics.go
+++ b/internal/store/proxy/metrics.go
@@ -5,6 +5,7 @@
 // Metrics counts calls that went by way of another daemon.
 type Metrics struct {
 	calls *prometheus.CounterVec
+	late  prometheus.Counter
 }
 
 // NewMetrics registers the proxy's metrics.
@@ -13,10 +14,16 @@
 		Namespace: "mintpulley", Subsystem: "store_proxy", Name: "calls_total",
 		Help: "Calls to the store by way of another daemon, by side (asked: this daemon's own; served: made for others) and result.",
 	}, []string{"side", "result"})}
-	registry.MustRegister(m.calls)
+	m.late = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "store_proxy", Name: "late_calls_total",
+		Help: "Calls that were not answered in time while the store answered others.",
+	})
+	registry.MustRegister(m.calls, m.late)
 	return m
 }
 
+func (m *Metrics) busy() { m.late.Inc() }
+
 func (m *Metrics) asked(result string) { m.calls.WithLabelValues("asked", result).Inc() }
 
 func (m *Metrics) served(result string) { m.calls.WithLabelValues("served", result).Inc() }
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -34,6 +34,9 @@
 	// how long the next may take: a page is up to a megabyte, and made twice it costs
 	// two machines what one of them is short of.
 	overdueFactor = 3
+	// busyPageAfter is how long a page of many records may take at least while the store
+	// answers other calls: it is busy, and a page made twice makes it busier.
+	busyPageAfter = 700 * time.Millisecond
 	// pageTimeFall is how fast the longest time of a page is forgotten, with each
 	// shorter one: the last page of a listing is a short one.
 	pageTimeFall = 0.9
@@ -134,6 +137,7 @@
 	} else {
 		askHelper()
 	}
+	started := time.Now()
 	overdue := time.NewTimer(s.overdueTime(request))
 	defer overdue.Stop()
 	failed := outcome{next: request.From}
@@ -150,6 +154,10 @@
 				return failed
 			}
 		case <-overdue.C:
+			if s.isBusyPage(request, started) {
+				overdue.Reset(overdueAfter)
+				continue
+			}
 			askHelper()
 		case <-ctx.Done():
 			failed.err = store.ErrOutcomeUnknown
@@ -168,6 +176,12 @@
 	return max(overdueFactor*s.pageTimes[request.Partition.Space], overdueAfter)
 }
 
+// isBusyPage tells whether a page that is overdue is waited for all the same.
+func (s *Service) isBusyPage(request *Request, started time.Time) bool {
+	return request.Call == callNewest && request.Purpose.IsBulk() &&
+		time.Since(started) < busyPageAfter && s.contact.hasAnsweredSince(started)
+}
+
 // notePageTime takes note of how long a page took.
 func (s *Service) notePageTime(request *Request, took time.Duration) {
 	if request.Call != callNewest {
@@ -199,6 +213,10 @@
 	if !isAnswered(got.err) && errors.Is(ctx.Err(), context.Canceled) {
 		return got // nobody waited for the answer any more
 	}
+	if errors.Is(got.err, store.ErrOutcomeUnknown) && s.contact.hasAnsweredSince(started) {
+		s.Metrics.busy()
+		return got
+	}
 	s.noteDirect(got.err)
 	return got
 }
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -398,3 +398,56 @@
 		}
 	})
 }
+
+// busyWay is a way to a store that answers one call late while it answers others.
+type busyWay struct {
+	*way
+	late time.Duration
+}
+
+func (w *busyWay) NewestPage(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	select {
+	case <-time.After(w.late):
+	case <-ctx.Done():
+		return store.Page{}, store.ErrOutcomeUnknown
+	}
+	return w.way.NewestPage(ctx, p, after)
+}
+
+// TestBusyStoreIsNotTakenForALostOne: while the store answers other calls, one that
+// comes late is neither made by way of a helper nor news of an outage.
+func TestBusyStoreIsNotTakenForALostOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		s := f.services[0]
+		s.Direct = &busyWay{way: f.ways[0], late: 600 * time.Millisecond}
+		appending, stop := context.WithCancel(t.Context())
+		var workers sync.WaitGroup
+		workers.Go(func() {
+			for appending.Err() == nil {
+				if err := s.Append(t.Context(), partition, store.Writer{}, []store.Record{record}); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		bulk := store.WithPurpose(t.Context(), store.PurposeShard)
+		if _, err := s.NewestPage(bulk, partition, ""); err != nil {
+			t.Error(err)
+		}
+		for range 3 { // these are given up by their caller
+			ctx, cancel := context.WithTimeout(bulk, 500*time.Millisecond)
+			_, _ = s.NewestPage(ctx, partition, "")
+			cancel()
+			time.Sleep(5 * time.Millisecond)
+			if failing := s.contact.failingFor(time.Now()); failing > 0 {
+				t.Errorf("the store is taken for lost since %s", failing)
+			}
+		}
+		stop()
+		workers.Wait()
+		if got := f.ways[1].count(); got > 0 {
+			t.Errorf("the helper made %d calls, want none", got)
+		}
+	})
+}
