--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -21,7 +21,7 @@
 )
 
 // One of four zones is cut off from the others and from the store, silently, and
-// comes back. All sizes but those of records are a tenth of a fleet of 75 daemons
+// comes back; or the store does, or daemons that were killed. All sizes but those of records are a tenth of a fleet of 75 daemons
 // whose shards have 3 MB each and whose store reads 80 MB a second.
 const (
 	returnDaemons = 60
@@ -53,18 +53,38 @@
 	deadAfter    = 1500 * time.Millisecond
 	storeBack    = 300 * time.Millisecond
 	linkBack     = 1200 * time.Millisecond
+	// restartAfter is when daemons that were killed run again, and runHeard within which
+	// the others hear of it.
+	restartAfter = 2 * time.Second
+	runHeard     = 500 * time.Millisecond
 	viewBack     = 2500 * time.Millisecond
 
-	returnPrograms  = 2 * returnShards
-	returnThink     = 150 * time.Millisecond
-	returnMost      = 100
-	returnTurns     = 6
+	returnPrograms = 2 * returnShards
+	returnThink    = 150 * time.Millisecond
+	returnMost     = 100
+	// returnTurns is the most turns of a program; its budget is half more than the most
+	// of all its turns, of which each uses a third.
+	returnTurns     = 10
 	returnRetention = 60 * time.Second
 )
 
-// returnFleet is a fleet one zone of which is cut off and comes back.
+// returnTrouble is what a fleet goes through from returnCutAt on.
+type returnTrouble struct {
+	name string
+	// zone: one zone is cut off from all else, for returnCutFor.
+	zone bool
+	// outage: the store does not answer anybody for so long.
+	outage bool
+	// killed is the part of the daemons that are killed, and run again restartAfter.
+	killed float64
+	// calmIn is from when on, after its end, no turn fails.
+	calmIn time.Duration
+}
+
+// returnFleet is a fleet that goes through a trouble.
 type returnFleet struct {
 	*testFleet
+	returnTrouble
 	began time.Time
 
 	mutex sync.Mutex
@@ -90,8 +110,8 @@
 	wrongOver []string
 }
 
-func newReturnFleet(t *testing.T) *returnFleet {
-	f := &returnFleet{testFleet: newTestFleet(t, 0), began: time.Now(), linkBusyUntil: map[structs.DaemonID]time.Time{}}
+func newReturnFleet(t *testing.T, trouble returnTrouble) *returnFleet {
+	f := &returnFleet{testFleet: newTestFleet(t, 0), returnTrouble: trouble, began: time.Now(), linkBusyUntil: map[structs.DaemonID]time.Time{}}
 	f.shards, f.readBytes = returnShards, returnReadRate
 	f.holders, f.claimedAt = make([]structs.DaemonID, returnShards), make([]time.Duration, returnShards)
 	f.served = make([][]time.Duration, returnShards)
@@ -141,7 +161,30 @@
 	return zones
 }()
 
-func isCutOff(id structs.DaemonID) bool { return zoneOfDaemon[id.Address()] == returnZones-1 }
+func (f *returnFleet) isCutOff(id structs.DaemonID) bool {
+	return f.zone && zoneOfDaemon[id.Address()] == returnZones-1
+}
+
+// isKilled tells whether the daemon at an address is one of those that are killed.
+func (f *returnFleet) isKilled(address string) bool {
+	return float64(xxhash.Sum64String("kill"+address)%1000) < 1000*f.killed
+}
+
+// killAndRestart ends some daemons at once, and runs them again.
+func (f *returnFleet) killAndRestart() {
+	time.Sleep(returnCutAt)
+	for address := range zoneOfDaemon {
+		if f.isKilled(address) {
+			f.testFleet.kill(structs.NewDaemonID(address, 1))
+		}
+	}
+	time.Sleep(restartAfter)
+	for address := range zoneOfDaemon {
+		if f.isKilled(address) {
+			f.start(structs.NewDaemonID(address, 2))
+		}
+	}
+}
 
 // spreadOf is a time below most that is the same for a pair of daemons.
 func spreadOf(what string, a, b structs.DaemonID, most time.Duration) time.Duration {
@@ -155,7 +198,7 @@
 
 // isSevered tells whether a message between two daemons is lost.
 func (f *returnFleet) isSevered(from, to structs.DaemonID) bool {
-	return isCutOff(from) != isCutOff(to) && f.isDuringCut(spreadOf("link", from, to, linkBack))
+	return f.isCutOff(from) != f.isCutOff(to) && f.isDuringCut(spreadOf("link", from, to, linkBack))
 }
 
 // returnView is a daemon's view: of the other side of the cut it hears nothing.
@@ -166,7 +209,11 @@
 
 // State implements membership.View.
 func (v *returnView) State(id structs.DaemonID) membership.State {
-	if isCutOff(id) != isCutOff(v.self) && v.isDuringCut(spreadOf("view", v.self, id, viewBack)) {
+	if v.runAt(id.Address()) != id {
+		return membership.StateDead
+	}
+	cut := v.isCutOff(id) != v.isCutOff(v.self) && v.isDuringCut(spreadOf("view", v.self, id, viewBack))
+	if cut || v.isKilled(id.Address()) && id.Incarnation() == 1 {
 		silent := v.now() - returnCutAt - spreadOf("dead", v.self, id, suspectAfter/2)
 		switch {
 		case silent >= deadAfter:
@@ -178,6 +225,15 @@
 	return membership.StateAlive
 }
 
+// runAt returns the latest run at an address that this daemon has heard of.
+func (v *returnView) runAt(address string) structs.DaemonID {
+	heard := returnCutAt + restartAfter + spreadOf("run", v.self, structs.DaemonID(address), runHeard)
+	if v.isKilled(address) && (v.now() >= heard || v.self.Address() == address && v.self.Incarnation() == 2) {
+		return structs.NewDaemonID(address, 2)
+	}
+	return structs.NewDaemonID(address, 1)
+}
+
 // Members implements membership.View.
 func (v *returnView) Members() []membership.Member {
 	var members []membership.Member
@@ -191,7 +247,7 @@
 
 // Lookup implements View.
 func (v *returnView) Lookup(address string) (membership.Member, bool) {
-	id := structs.NewDaemonID(address, 1) // no daemon ends here
+	id := v.runAt(address)
 	zone := structs.ZoneName("zone-" + strconv.Itoa(zoneOfDaemon[address]))
 	return membership.Member{Daemon: structs.Daemon{ID: id, Zone: zone}, State: v.State(id)}, true
 }
@@ -205,7 +261,7 @@
 
 // reach lets a call get to the store; an error tells that it does not.
 func (s *returnStore) reach(ctx context.Context) error {
-	if isCutOff(s.self) && s.fleet.isDuringCut(spreadOf("store", s.self, "", storeBack)) {
+	if (s.fleet.outage || s.fleet.isCutOff(s.self)) && s.fleet.isDuringCut(spreadOf("store", s.self, "", storeBack)) {
 		<-ctx.Done()
 		return store.ErrOutcomeUnknown
 	}
@@ -294,7 +350,7 @@
 	f.holders[shard], f.claimedAt[shard] = by, f.now()
 	holder := f.testFleet.service(before)
 	lives := holder != nil && before != by && heldFor > claimRace && holder.holders[shard].holding.Load()
-	if lives && (!isCutOff(before) || !f.isDuringCut(0)) {
+	if lives && (!f.isCutOff(before) || !f.isDuringCut(0)) {
 		f.seizures = append(f.seizures, f.now())
 		return
 	}
@@ -306,7 +362,14 @@
 	if random.Float64() < 0.2 {
 		zone = random.IntN(returnZones)
 	}
-	return f.testFleet.service(daemonID(random.IntN(returnDaemons/returnZones)*returnZones+zone, 1))
+	for {
+		address := daemonID(random.IntN(returnDaemons/returnZones)*returnZones+zone, 1).Address()
+		for run := uint64(1); run <= 2; run++ {
+			if s := f.testFleet.service(structs.NewDaemonID(address, run)); s != nil {
+				return s
+			}
+		}
+	}
 }
 
 // run lets a line of programs take turns, one program after the other.
@@ -320,9 +383,10 @@
 // runProgram takes a program's turns, each as often as its caller would ask.
 func (f *returnFleet) runProgram(random *rand.Rand, program string, zone int) {
 	spent, previous := int64(0), ""
-	for number := range returnTurns {
+	turns := 2 + random.IntN(returnTurns-1)
+	for number := range turns {
 		time.Sleep(time.Duration(random.Int64N(2 * int64(returnThink))))
-		turn := Turn{Program: program, MostTokens: returnMost, BudgetTokens: 1.5 * returnTurns * returnMost, Previous: previous, Retention: returnRetention}
+		turn := Turn{Program: program, MostTokens: returnMost, BudgetTokens: int64(turns) * returnMost * 3 / 2, Previous: previous, Retention: returnRetention}
 		began := false
 		for try := 0; try < 3 && !began; try++ {
 			s := f.caller(random, zone)
@@ -355,7 +419,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callersPatience)
 	defer cancel()
 	second, started := f.second(), time.Now()
-	inside := isCutOff(s.Self) && f.isDuringCut(0)
+	inside := f.isCutOff(s.Self) && f.isDuringCut(0)
 	_, err := s.Begin(ctx, turn)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -400,41 +464,58 @@
 	return count
 }
 
-// TestReturnOfAZone: a zone that comes back neither takes shards from holders that
-// live, nor makes the fleet ask more of the store than it reads.
+// TestReturnOfAZone: a zone that comes back, a store that answers again and daemons that
+// are started again neither take shards from holders that live, nor make the fleet ask
+// more of the store than it reads.
 func TestReturnOfAZone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newReturnFleet(t)
-		var callers sync.WaitGroup
-		for number := range returnPrograms {
-			callers.Go(func() { f.run(number) })
-		}
-		callers.Wait()
-		back := returnCutAt + returnCutFor
-		for second := range int(returnEnd / time.Second) {
-			t.Logf("%2d s: %5.2f of the store's reading, %4d turns, %3d failed, longest wait %v", second,
-				float64(f.bytes[second])/returnReadRate, f.begun[second], f.failed[second], f.waits[second])
-		}
-		t.Logf("claims %s", perSecond(f.claims))
-		t.Logf("seizures of living holders %s", perSecond(f.seizures))
-		t.Logf("all shards served %v after the cut, %v after its end", f.firstServed(returnCutAt)-returnCutAt, f.firstServed(back)-back)
-		t.Logf("refused with room in their budget: %d %v", len(f.wrongOver), f.wrongOver[:min(len(f.wrongOver), 5)])
-		if seized := countAfter(f.seizures, returnCutAt); seized > 0 {
-			t.Errorf("%d shards were seized of holders that live", seized)
-		}
-		f.expectCalmAfter(t, back)
-	})
+	for _, trouble := range []returnTrouble{
+		{name: "zone cut off", zone: true, calmIn: 2 * time.Second},
+		{name: "store out", outage: true, calmIn: 2 * time.Second},
+		{name: "most killed", killed: 0.55},
+	} {
+		t.Run(trouble.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playReturn(t, trouble) })
+		})
+	}
+}
+
+func playReturn(t *testing.T, trouble returnTrouble) {
+	f := newReturnFleet(t, trouble)
+	var callers sync.WaitGroup
+	if trouble.killed > 0 {
+		callers.Go(f.killAndRestart)
+	}
+	for number := range returnPrograms {
+		callers.Go(func() { f.run(number) })
+	}
+	callers.Wait()
+	back := returnCutAt + returnCutFor
+	for second := range int(returnEnd / time.Second) {
+		t.Logf("%2d s: %5.2f of the store's reading, %4d turns, %3d failed, longest wait %v", second,
+			float64(f.bytes[second])/returnReadRate, f.begun[second], f.failed[second], f.waits[second])
+	}
+	t.Logf("claims %s", perSecond(f.claims))
+	t.Logf("seizures of living holders %s", perSecond(f.seizures))
+	t.Logf("all shards served %v after the cut, %v after its end", f.firstServed(returnCutAt)-returnCutAt, f.firstServed(back)-back)
+	t.Logf("refused with room in their budget: %d %v", len(f.wrongOver), f.wrongOver[:min(len(f.wrongOver), 5)])
+	if seized := countAfter(f.seizures, returnCutAt); seized > 0 {
+		t.Errorf("%d shards were seized of holders that live", seized)
+	}
+	if len(f.wrongOver) > 0 {
+		t.Errorf("%d turns were refused that had room in their program's budget", len(f.wrongOver))
+	}
+	f.expectCalmAfter(t, back)
 }
 
-// expectCalmAfter: from a time on the store's reading is hardly used, and from when all
-// are connected again no turn fails.
+// expectCalmAfter: from a time on the store's reading is hardly used, and soon no turn
+// fails.
 func (f *returnFleet) expectCalmAfter(t *testing.T, back time.Duration) {
 	t.Helper()
 	for second := int(back / time.Second); second < int(returnEnd/time.Second); second++ {
 		if share := float64(f.bytes[second]) / returnReadRate; share > returnShare {
 			t.Errorf("%.2f of the store's reading is asked for in second %d, want %.2f at most", share, second, returnShare)
 		}
-		if connected := int((back + linkBack) / time.Second); second > connected && f.failed[second] > 0 {
+		if second >= int((back+f.calmIn)/time.Second) && f.failed[second] > 0 {
 			t.Errorf("%d turns failed in second %d", f.failed[second], second)
 		}
 	}
