Ledger: who waits for a turn's text hears at once that the store does not give it

A page of texts was tried for 8 s while the turns behind it heard nothing. It has one try now, 2 s at first; a later one waits longer. With the former loop TestTextsThatAreNotReadAreNotUnknown fails (impaired after 4 s).

--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -76,13 +76,16 @@
 // readHistories reads page after page until the last, as long as the shard is held.
 func (h *holder) readHistories(ctx context.Context, current *histories, after string, started time.Time) {
 	records, bytes := 0, 0
+	wait := readingWait
 	for ctx.Err() == nil {
-		page, err := h.records.historiesPage(ctx, h.partition, after, h.noteProgress)
+		page, err := h.records.historiesPage(ctx, wait, h.partition, after, h.noteProgress)
 		if err != nil {
+			wait = min(2*wait, giveUpPage)
 			h.post(ctx, func(context.Context) { h.noteHistoriesLate(current, err) })
 			clock.Sleep(ctx, historiesAgain)
 			continue
 		}
+		wait = readingWait
 		h.noteProgress()
 		records += len(page.Records)
 		bytes += store.SizeOf(page.Records)
@@ -219,14 +222,21 @@
 	return page, err
 }
 
-// historiesPage is page for texts that nobody waits for yet.
-func (r *recordStore) historiesPage(ctx context.Context, partition store.Partition, after string, waiting func()) (store.Page, error) {
-	release, err := r.histories.take(ctx, waiting)
-	if err != nil {
-		return store.Page{}, err
+// historiesPage is page for texts that nobody waits for yet, with a single try: those
+// who do wait hear at once that the store does not give them.
+func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, waiting func()) (page store.Page, err error) {
+	for _, bound := range []slots{r.histories, r.pages} {
+		release, err := bound.take(ctx, waiting)
+		if err != nil {
+			return store.Page{}, err
+		}
+		defer release()
 	}
-	defer release()
-	return r.page(ctx, partition, after, waiting)
+	err = r.once(ctx, wait, func(ctx context.Context) error {
+		page, err = r.NewestPage(ctx, partition, after)
+		return err
+	})
+	return page, err
 }
 
 // slots bound what is done at a time; nil for no bound.
--- a/internal/ledger/histories_test.go
+++ b/internal/ledger/histories_test.go
@@ -99,6 +99,12 @@
 				t.Errorf("a turn after %s: %v, want %v", previous, err, ErrUnavailable)
 			}
 		}
+		started := time.Now()
+		next := Turn{ID: "asked", Program: "p", BudgetTokens: 1000, MostTokens: 10, Previous: "t-5"}
+		holder := f.service(f.holderOf("p"))
+		if got := askHolder(t, holder, Request{Begin: &next}); got != resultImpaired || time.Since(started) > 2*historiesAgain {
+			t.Errorf("who waits for a text hears %q after %s", got, time.Since(started))
+		}
 		gated.failed = false
 		close(gated.gate)
 		refusedWith(t, s, Turn{ID: "later", Program: "p", BudgetTokens: 1000, MostTokens: 10, Previous: "never"}, ErrUnknownTurn)
