--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -21,6 +21,7 @@
 	PurposeDirectory Purpose = "directory"
 	PurposeClaim     Purpose = "claim"
 	PurposeShard     Purpose = "shard"
+	PurposeHistories Purpose = "histories"
 	PurposeReadAhead Purpose = "read_ahead"
 	PurposeChanges   Purpose = "changes"
 )
@@ -33,6 +34,11 @@
 	meterBytes = 256 << 10
 )
 
+// IsBulk tells whether calls bring many records, which take long by themselves.
+func (p Purpose) IsBulk() bool {
+	return p == PurposeShard || p == PurposeHistories || p == PurposeReadAhead
+}
+
 type purposeKey struct{}
 
 // WithPurpose marks calls made under a context.
