Membership: a cut that ends is healed by one reading; many changes are one log line

Cause: after a zone of 18 of 74 daemons was cut off for 5.5 s, views were whole after 9.5 s only, with some 1,900 changes to suspect or dead of daemons that lived in the first two seconds and 400 later: queued bad news crossed to daemons that never missed each other, and members about which tables disagreed were probed six a second. Bad news of lost daemons is never taken. A daemon that looks for one it holds dead says so. Changes beyond eight a second are summed in one line by state and zone.

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -38,6 +38,18 @@
 	b.pending = append(b.pending, update)
 }
 
+// drop forgets an update of an address.
+func (b *broadcast) drop(address string) {
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.update.Address == address })
+	b.pending = slices.DeleteFunc(b.pending, func(p Update) bool { return p.Address == address })
+}
+
+// dropBadNews forgets all suspicions and deaths.
+func (b *broadcast) dropBadNews() {
+	b.items = slices.DeleteFunc(b.items, func(i *queuedUpdate) bool { return i.update.isBadNews() })
+	b.pending = slices.DeleteFunc(b.pending, Update.isBadNews)
+}
+
 // duplicateWeight is how many sendings are saved when another daemon sends the
 // same update.
 const duplicateWeight = 4
@@ -57,6 +69,17 @@
 // directFleet is the size up to which updates are pushed to every member.
 const directFleet = 16
 
+// receivePush takes pushed updates.
+func (m *Membership) receivePush(from structs.DaemonID, push *UpdatePush) {
+	m.applyAll(from, push.Updates)
+	if !push.Healed || len(push.Updates) == 0 {
+		return
+	}
+	if back := m.records[push.Updates[0].Address]; back != nil && back != m.self {
+		m.hearOfHealing(back)
+	}
+}
+
 // announce pushes an update that originates at this daemon.
 func (m *Membership) announce(update Update) {
 	m.broadcast.add(update, true)
--- /dev/null
+++ b/internal/membership/change_log.go
@@ -0,0 +1,67 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// changeWindow is the time over which changes are summed up that are too many for a
+	// line each.
+	changeWindow = time.Second
+	// changeLines bounds the lines of single changes in each window: a fleet of 295 that
+	// starts would write 63,529 of them in two seconds.
+	changeLines = 8
+)
+
+// changeLog writes the changes of members: a line each, or one for all beyond changeLines
+// in a window, with their number by state and zone.
+type changeLog struct {
+	endsAt time.Time
+	lines  int
+	summed map[State]map[structs.ZoneName]int
+}
+
+// logChange writes a line of a change, or counts it.
+func (m *Membership) logChange(r *record) {
+	l := &m.changeLog
+	now := m.Clock.Now()
+	if !now.Before(l.endsAt) {
+		m.logSum()
+		*l = changeLog{endsAt: now.Add(changeWindow)}
+	}
+	if l.lines < changeLines {
+		l.lines++
+		m.Logger.Info().Str("daemon", string(r.daemon.ID)).Str("zone", string(r.daemon.Zone)).
+			Str("state", string(r.state())).Msg("Member changed.")
+		return
+	}
+	if l.summed == nil {
+		l.summed = map[State]map[structs.ZoneName]int{}
+		m.after(l.endsAt.Sub(now), m.logSum)
+	}
+	if l.summed[r.state()] == nil {
+		l.summed[r.state()] = map[structs.ZoneName]int{}
+	}
+	l.summed[r.state()][r.daemon.Zone]++
+}
+
+// logSum writes what was counted.
+func (m *Membership) logSum() {
+	if m.changeLog.summed == nil {
+		return
+	}
+	event := m.Logger.Info().Int("members", m.fleet())
+	for state, zones := range m.changeLog.summed {
+		counts := zerolog.Dict()
+		for zone, count := range zones {
+			counts.Int(string(zone), count)
+		}
+		event.Dict(string(state), counts)
+	}
+	m.changeLog = changeLog{}
+	event.Msg("More members changed.")
+}
--- /dev/null
+++ b/internal/membership/heal_test.go
@@ -0,0 +1,214 @@
+package membership
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// seenChange is one daemon's word of a change of another.
+type seenChange struct {
+	// after is the time since the cut began or ended.
+	after    time.Duration
+	observer *testNode
+	daemon   string
+	state    State
+}
+
+// changeWatch notes all changes since a time.
+type changeWatch struct {
+	network *testNetwork
+	since   time.Time
+	seen    []seenChange
+}
+
+func watchChanges(w *testNetwork) *changeWatch {
+	watch := &changeWatch{network: w}
+	for _, node := range w.nodes {
+		node.Subscribe(func(member Member) {
+			watch.seen = append(watch.seen, seenChange{w.clock.Now().Sub(watch.since), node, member.Daemon.ID.Address(), member.State})
+		})
+	}
+	return watch
+}
+
+func (w *changeWatch) restart() { w.since, w.seen = w.network.clock.Now(), nil }
+
+// badNews counts the changes to a state other than alive in a time.
+func (w *changeWatch) badNews(from, until time.Duration) int {
+	count := 0
+	for _, change := range w.seen {
+		if change.state != StateAlive && change.after >= from && change.after < until {
+			count++
+		}
+	}
+	return count
+}
+
+// zoneOf4 is a daemon's zone of four.
+func zoneOf4(n *testNode) int { return n.index % 4 }
+
+func inLastZone(n *testNode) bool     { return zoneOf4(n) == 3 }
+func inLastTwoZones(n *testNode) bool { return zoneOf4(n) >= 2 }
+
+// cutCase is a cut that ends.
+type cutCase struct {
+	daemons int
+	length  time.Duration
+	inside  func(*testNode) bool
+	oneWay  bool
+	// wholeWithin bounds the time from its end until all views are whole.
+	wholeWithin time.Duration
+	// badNews bounds the changes to suspect or dead in the two seconds after its end,
+	// when all daemons live; later there must be none.
+	badNews int
+	// bytes bounds what each daemon sends in the mean until views are whole, in tables
+	// mostly.
+	bytes int
+}
+
+// play plays a cut and returns the changes since its end.
+func (c cutCase) play(t *testing.T, seed uint64) (w *testNetwork, watch *changeWatch) {
+	w = newTestNetwork(t, seed, c.daemons)
+	w.introduceAll()
+	w.run(10 * time.Second)
+	watch = watchChanges(w)
+	watch.restart()
+	w.cut = func(from, to *testNode) bool {
+		if c.oneWay {
+			return c.inside(from) && !c.inside(to)
+		}
+		return c.inside(from) != c.inside(to)
+	}
+	w.run(c.length)
+	w.cut = nil
+	return w, watch
+}
+
+// TestCutThatEndsIsHealedByOneReading: all daemons live, so after the end of a cut bad
+// news are about members that answer.
+func TestCutThatEndsIsHealedByOneReading(t *testing.T) {
+	for name, c := range map[string]cutCase{
+		"a zone of four":     {74, 5500 * time.Millisecond, inLastZone, false, 1500 * time.Millisecond, 60, 12_000},
+		"for two seconds":    {74, 2 * time.Second, inLastZone, false, 2 * time.Second, 400, 12_000},
+		"for 30 seconds":     {74, 30 * time.Second, inLastZone, false, 1500 * time.Millisecond, 60, 12_000},
+		"for 90 seconds":     {74, 90 * time.Second, inLastZone, false, 1500 * time.Millisecond, 60, 12_000},
+		"two zones together": {74, 5500 * time.Millisecond, inLastTwoZones, false, 2 * time.Second, 300, 12_000},
+		"one way":            {74, 5500 * time.Millisecond, inLastZone, true, 2500 * time.Millisecond, 150, 12_000},
+		"of 20 daemons":      {20, 5500 * time.Millisecond, inLastZone, false, 1500 * time.Millisecond, 30, 12_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w, watch := c.play(t, 60+seed)
+				watch.restart()
+				startBytes := w.bytes
+				whole := w.settle(30 * time.Second)
+				sent := (w.bytes - startBytes) / c.daemons
+				w.run(8 * time.Second)
+				early, late := watch.badNews(0, 2*time.Second), watch.badNews(2*time.Second, time.Hour)
+				t.Logf("seed %d: whole after %v, %d bytes a daemon; %d changes, %d bad within 2 s, %d later",
+					seed, whole, sent, len(watch.seen), early, late)
+				if whole > c.wholeWithin || early > c.badNews || late > 0 || sent > c.bytes {
+					t.Errorf("seed %d: whole after %v, %d bytes a daemon, %d bad news within 2 s, %d later", seed, whole, sent, early, late)
+				}
+			}
+		})
+	}
+}
+
+// TestEachSideHearsOfACutAndOfItsEnd: of the end within a second. Who is not cut off
+// notices a cut within a second or so: half of the members of the zone are suspected.
+func TestEachSideHearsOfACutAndOfItsEnd(t *testing.T) {
+	for seed := range uint64(5) {
+		c := cutCase{daemons: 74, length: 5500 * time.Millisecond, inside: inLastZone}
+		w, watch := c.play(t, 60+seed)
+		noticed := map[bool][]time.Duration{}
+		for _, node := range w.nodes {
+			lost := map[string]bool{}
+			for _, change := range watch.seen {
+				if change.observer == node && c.inside(w.byPlace[change.daemon][0]) != c.inside(node) {
+					lost[change.daemon] = true
+				}
+				if len(lost) == 9 { // half of the zone; within it, half of one of the others
+					noticed[c.inside(node)] = append(noticed[c.inside(node)], change.after)
+					break
+				}
+			}
+		}
+		watch.restart()
+		w.run(3 * time.Second)
+		var heard []time.Duration
+		for _, node := range w.nodes {
+			for _, change := range watch.seen {
+				if change.observer == node && change.state == StateAlive && c.inside(w.byPlace[change.daemon][0]) != c.inside(node) {
+					heard = append(heard, change.after)
+					break
+				}
+			}
+		}
+		for _, times := range [][]time.Duration{noticed[false], noticed[true], heard} {
+			slices.Sort(times)
+		}
+		if len(heard) < c.daemons || len(noticed[false]) < 56 || len(noticed[true]) < 18 {
+			t.Fatalf("seed %d: %d noticed the cut, %d inside, %d its end", seed, len(noticed[false]), len(noticed[true]), len(heard))
+		}
+		t.Logf("seed %d: nine lost to daemons outside after %v (p50), %v (last), to those inside %v, %v; the end heard %v, %v", seed,
+			percentile(noticed[false], 50), percentile(noticed[false], 100), percentile(noticed[true], 50), percentile(noticed[true], 100),
+			percentile(heard, 50), percentile(heard, 100))
+		if percentile(heard, 100) > time.Second || percentile(noticed[false], 100) > 1700*time.Millisecond || percentile(noticed[true], 100) > 3500*time.Millisecond {
+			t.Errorf("seed %d: too late", seed)
+		}
+	}
+}
+
+// TestDaemonsThatDieAtTheEndOfACutAreFound though no bad news is believed by hearsay
+// then.
+func TestDaemonsThatDieAtTheEndOfACutAreFound(t *testing.T) {
+	c := cutCase{daemons: 74, length: 5500 * time.Millisecond, inside: inLastZone}
+	for seed := range uint64(5) {
+		w, _ := c.play(t, 60+seed)
+		w.run(time.Duration(seed) * 300 * time.Millisecond)
+		for _, index := range []int{0, 1, 3, 7, 20} {
+			w.nodes[index].down = true
+		}
+		if took := w.settle(12 * time.Second); took > 10*time.Second {
+			t.Errorf("seed %d: found after %v", seed, took)
+		}
+	}
+}
+
+// TestBadNewsOfALostDaemonIsNotBelieved: it was cut off, or is slow, and takes others for
+// lost.
+func TestBadNewsOfALostDaemonIsNotBelieved(t *testing.T) {
+	w := formed(t, 25, 5)
+	observer, subject, lost := w.nodes[0], w.nodes[1], w.nodes[2]
+	suspicion := lost.self.update()
+	suspicion.Status = statusSuspect
+	observer.Receive(w.nodes[3].id, &UpdatePush{Updates: []Update{suspicion}})
+	update := subject.self.update()
+	update.Status = statusDead
+	observer.Receive(lost.id, &UpdatePush{Updates: []Update{update}})
+	observer.wantState(t, subject, StateAlive, "after the word of a lost daemon")
+	observer.Receive(w.nodes[4].id, &UpdatePush{Updates: []Update{update}})
+	observer.wantState(t, subject, StateSuspect, "after the word of another")
+}
+
+// TestManyChangesAreSummedUp: a line each for some, and one a second for all others.
+func TestManyChangesAreSummedUp(t *testing.T) {
+	w := newTestNetwork(t, 26, 74)
+	w.introduceAll()
+	w.run(10 * time.Second)
+	var log bytes.Buffer
+	w.nodes[0].Logger = zerolog.New(&log)
+	w.cut = func(from, to *testNode) bool { return inLastZone(from) != inLastZone(to) }
+	w.run(10 * time.Second)
+	lines := strings.Count(log.String(), "\n")
+	summed := strings.Count(log.String(), "More members changed.")
+	if lines > 60 || summed == 0 || !strings.Contains(log.String(), `"dead":{"zone-`) {
+		t.Errorf("%d lines, %d of them sums:\n%s", lines, summed, log.String())
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -50,6 +50,8 @@
 	prober        prober
 	broadcast     broadcast
 	syncer        syncer
+	healer        healer
+	changeLog     changeLog
 	healthPenalty int
 	startedAt     time.Time
 }
@@ -74,6 +76,7 @@
 	m.prober.init()
 	m.broadcast.init(options.Settings)
 	m.syncer.init(options.Settings)
+	m.healer.pushes = newTokenBucket(healBytesPerSecond, healBurst)
 	return m
 }
 
@@ -260,7 +263,7 @@
 	case *PingRequest:
 		m.receivePingRequest(from, message)
 	case *UpdatePush:
-		m.applyAll(from, message.Updates)
+		m.receivePush(from, message)
 	case *SyncRequest:
 		m.receiveSyncRequest(from, message)
 	case *SyncReply:
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -76,6 +76,7 @@
 		Digest:   m.digest(),
 		Note:     m.note,
 		Updates:  m.piggyback(about),
+		Healed:   m.isHealing(),
 	})
 }
 
@@ -130,6 +131,9 @@
 	sender := m.records[from.Address()]
 	m.applyAll(from, ping.Updates)
 	m.processHeartbeat(from, ping.Digest, &ping.Note)
+	if ping.Healed && sender != nil && !m.healedLately() {
+		m.hearOfHealing(sender)
+	}
 	note := m.note
 	ack := &Ack{Sequence: ping.Sequence, Digest: m.digest(), Note: &note, Updates: m.piggyback(sender)}
 	if mentions(ping.Updates, m.self.address) {
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -55,6 +55,8 @@
 	// answeredAt is when the latest probe was sent that was answered.
 	answeredAt time.Time
 	diedAt     time.Time
+	// lostAt is when it was suspected last.
+	lostAt time.Time
 	// suspicion runs while the run is suspected.
 	suspicion clock.Timer
 }
@@ -129,6 +131,9 @@
 	return Update{Address: r.address, Run: r.run, Status: r.status, Refutation: r.refutation}
 }
 
+// isBadNews tells that an update is of a suspicion or a death.
+func (u Update) isBadNews() bool { return u.Status == statusSuspect || u.Status == statusDead }
+
 // isComplete tells that an update says enough about a run that is not known.
 // The announcement of a fresh run always does.
 func (u Update) isComplete() bool {
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -69,6 +69,13 @@
 	// VerifyPerSecond bounds the probes of daemons about which tables differ.
 	VerifyPerSecond int
 
+	// HealTime is how long, from when a daemon learns that a cut has ended, others'
+	// tables are taken over and bad news by hearsay is not: news of the end cross 74
+	// daemons in 0.3 s, and a reading or two follow. HealPause is the shortest time from
+	// one such time's begin to the next.
+	HealTime  time.Duration
+	HealPause time.Duration
+
 	// TombstoneTime is how long a dead daemon that is not on the platform's
 	// list is remembered.
 	TombstoneTime time.Duration
@@ -107,6 +114,8 @@
 		SyncBurst:          96 << 10,
 		SyncRecords:        48,
 		VerifyPerSecond:    6,
+		HealTime:           600 * time.Millisecond,
+		HealPause:          time.Second,
 		TombstoneTime:      time.Hour,
 		TombstoneLimit:     1024,
 	}
@@ -126,6 +135,8 @@
 	s.AckTimeout = scale(s.AckTimeout, math.Sqrt(factor))
 	s.IndirectAfter = scale(s.IndirectAfter, math.Sqrt(factor))
 	s.ReconnectInterval = scale(s.ReconnectInterval, factor*factor)
+	s.HealTime = scale(s.HealTime, factor*factor)
+	s.HealPause = scale(s.HealPause, factor*factor)
 	s.SyncAfter = scale(s.SyncAfter, factor)
 	s.SyncInterval = scale(s.SyncInterval, factor)
 	return s
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -85,12 +85,23 @@
 	interval, fanout := m.joinPace()
 	for range min(fanout, len(absent)) {
 		i := m.Random.IntN(len(absent))
-		m.requestSync(structs.NewDaemonID(absent[i], structs.AnyIncarnation))
+		m.lookFor(absent[i])
 		absent = slices.Delete(absent, i, i+1)
 	}
 	m.after(interval/2+m.jitter(interval), m.joinTick)
 }
 
+// lookFor asks for the table of whoever runs at an address, and tells it if it was held
+// dead: it has most likely lost this daemon, too.
+func (m *Membership) lookFor(address string) {
+	request := &SyncRequest{Self: m.self.update(), Buckets: m.buckets}
+	if r := m.records[address]; r != nil && r.status == statusDead {
+		about := r.shortUpdate()
+		request.About = &about
+	}
+	m.Transport.Send(structs.NewDaemonID(address, structs.AnyIncarnation), request)
+}
+
 // joinPace returns the pause between rounds of looking for others, and how many
 // are asked in each.
 func (m *Membership) joinPace() (interval time.Duration, fanout int) {
@@ -154,16 +165,29 @@
 	if m.apply(self) {
 		m.announce(self)
 	}
+	if request.About != nil && request.About.Address == m.self.address {
+		m.applySelf(*request.About)
+	}
 	updates := []Update{m.self.update()}
 	if sender := m.records[from.Address()]; sender != nil && sender.status.rank() >= statusSuspect.rank() {
 		updates = append(updates, sender.update())
 	}
-	updates = append(updates, m.differing(request.Buckets)...)
-	if !request.joins() {
+	size := recordSize
+	switch {
+	case request.Living:
+		updates = append(updates, m.living(request.Buckets)...)
+		size = updateSize
+	case request.joins():
+		updates = append(updates, m.differing(request.Buckets)...)
+	default:
+		updates = append(updates, m.differing(request.Buckets)...)
 		updates = updates[:min(len(updates), m.settings.SyncRecords)]
 	}
-	granted := m.syncer.replies.take(m.Clock.Now(), recordSize*len(updates)) / recordSize
-	m.Transport.Send(from, &SyncReply{Updates: updates[:min(len(updates), max(granted, leastSyncRecords))]})
+	granted := m.syncer.replies.take(m.Clock.Now(), size*len(updates)) / size
+	m.Transport.Send(from, &SyncReply{
+		Updates: updates[:min(len(updates), max(granted, leastSyncRecords))],
+		Living:  request.Living,
+	})
 }
 
 // joiningEmptyBuckets is the number of empty parts of a table above which its
@@ -206,15 +230,20 @@
 // dead statuses are taken over: it may have been cut off together with few others.
 // Where the tables disagree about a run, that run is asked.
 func (m *Membership) receiveSyncReply(reply *SyncReply) {
+	m.healer.answered = m.healer.answered || reply.Living
 	for _, update := range reply.Updates {
 		if update.Status.rank() < 0 || update.Address == "" {
 			continue
 		}
+		r := m.records[update.Address]
+		sameRun := r != nil && r != m.self && r.run == update.Run
+		if sameRun && m.isHealing() {
+			m.takeOver(r, update)
+			continue
+		}
 		if update.Status == statusSuspect {
 			update.Status = statusAlive
 		}
-		r := m.records[update.Address]
-		sameRun := r != nil && r != m.self && r.run == update.Run
 		if sameRun && m.disagree(r, update) {
 			m.verify(r)
 			continue
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -13,6 +13,9 @@
 			m.Logger.Warn().Str("from", string(from)).Msg("Update refused. Its status is unknown.")
 			continue
 		}
+		if m.isHearsay(from, update) {
+			continue
+		}
 		if m.apply(update) {
 			m.relayUpdate(update)
 		} else {
@@ -23,12 +26,23 @@
 	m.sendRefutations(from, refuted)
 }
 
+// isHearsay tells whether bad news is not to be believed: it comes from a daemon that is
+// itself lost here, or from before the end of a cut. Who is lost has lost others.
+func (m *Membership) isHearsay(from structs.DaemonID, update Update) bool {
+	r := m.records[update.Address]
+	if !update.isBadNews() || r == nil || r == m.self || r.run != update.Run || r.status.rank() >= statusSuspect.rank() {
+		return false
+	}
+	sender := m.records[from.Address()]
+	isLost := sender != nil && sender.daemon.ID == from && sender.status.rank() >= statusSuspect.rank()
+	return isLost || m.isHealing()
+}
+
 // refutationOf returns the later update by which a run is known to have refuted
 // this one, if there is any.
 func (m *Membership) refutationOf(update Update) []Update {
 	r := m.records[update.Address]
-	bad := update.Status == statusSuspect || update.Status == statusDead
-	if !bad || r == nil || r.gone() || r.run != update.Run || r.refutation <= update.Refutation {
+	if !update.isBadNews() || r == nil || r.gone() || r.run != update.Run || r.refutation <= update.Refutation {
 		return nil
 	}
 	return []Update{r.shortUpdate()}
@@ -147,6 +161,7 @@
 // replace applies a newer update to the record of the same run.
 func (m *Membership) replace(r *record, update Update) {
 	former := r.state()
+	wasLost, wasDead := r != m.self && m.isLost(r), r.status == statusDead
 	m.buckets[r.bucket()] ^= r.digest()
 	m.mutex.Lock()
 	wasGone := r.gone()
@@ -170,13 +185,19 @@
 	if r.state() != former {
 		m.changed(r)
 	}
+	if !wasLost && r.status.rank() >= statusSuspect.rank() {
+		r.lostAt = m.Clock.Now()
+	}
+	if wasLost && r.status.rank() < statusSuspect.rank() {
+		m.noteReturn(r, wasDead)
+	}
 }
 
 // changed queues a change for the listeners.
 func (m *Membership) changed(r *record) {
 	m.changes = append(m.changes, Member{Daemon: r.daemon, State: r.state()})
 	if r != m.self {
-		m.Logger.Info().Str("daemon", string(r.daemon.ID)).Str("state", string(r.state())).Msg("Member changed.")
+		m.logChange(r)
 	}
 }
 
