Relay: instances that are silent and can not be connected to are given up early

A request at a machine that fell silent hung until the caller's time was over; TCP_USER_TIMEOUT sees only what was not acknowledged. A silent instance is now tried to connect to.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -113,9 +113,12 @@
 // wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed; if that is
 // for ErrGivenUp, what was not delivered is dropped.
 func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
-	c, err := p.take(ctx, name, bounds)
-	if err != nil {
-		return nil, err
+	c := p.takeIdle(name)
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx, name, bounds); err != nil {
+			return nil, err
+		}
 	}
 	if !bounds.SendBy.IsZero() && time.Now().After(bounds.SendBy) {
 		_ = c.Close() // nothing was sent on it
@@ -132,11 +135,18 @@
 	return response, nil
 }
 
-// take returns a connection that is idle and sound, or opens one.
-func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
-	if c := p.takeIdle(name); c != nil {
-		return c, nil
+// Connect opens a connection to an address and keeps it for a request. The error wraps
+// ErrNotSent.
+func (p *Pool) Connect(ctx context.Context, name string, bounds Bounds) error {
+	c, err := p.open(ctx, name, bounds)
+	if err == nil {
+		p.keep(name, c, defaultIdle)
 	}
+	return err
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !p.reserve(name, bounds.Connections) {
 		return nil, ErrNoConnection
 	}
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -243,3 +244,49 @@
 	}
 	_ = response.Body.Close()
 }
+
+func TestConnectionOpenedAheadIsUsed(t *testing.T) {
+	s := newRawServer(t, okAnswer)
+	p := NewPool(time.Second)
+	one := Bounds{Connections: 1}
+	if err := p.Connect(t.Context(), s.address, one); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Connect(t.Context(), s.address, one); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("a further one: got %v, want %v", err, ErrNoConnection)
+	}
+	if _, err := exchangeBody(t, p, s.address, ""); err != nil || p.Dials() != 1 {
+		t.Errorf("%v, after %d dials", err, p.Dials())
+	}
+}
+
+// TestRequestThatIsGivenUpIsDropped: the other side sees a reset, not the end of a
+// request that it may go on to serve.
+func TestRequestThatIsGivenUpIsDropped(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	ended := make(chan error, 1)
+	go func() {
+		_, err := NewPool(time.Second).Do(ctx, listener.Addr().String(), Bounds{}, get("body"))
+		ended <- err
+	}()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.ReadFull(conn, make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	cancel(ErrGivenUp)
+	if err := <-ended; !errors.Is(err, ErrBroken) || IsNotSent(err) {
+		t.Errorf("got %v, want %v", err, ErrBroken)
+	}
+	if _, err := io.ReadAll(conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the other side got %v", err)
+	}
+}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -187,4 +187,7 @@
 // request may have run.
 type Driver interface {
 	Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error)
+	// Connect opens a connection to an instance, which a later request may use. The
+	// error wraps httpconn.ErrNoConnection if there may be no further one.
+	Connect(ctx context.Context, to instance.Instance, connections int) error
 }
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -137,7 +137,7 @@
 	c.offers++
 	c.offeredAt = time.Now()
 	c.heardAt = c.offeredAt
-	outgoing.ConnectionLimit = c.connectionLimit()
+	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTime = c.relay.silences.connectTime(target)
 	c.sending, c.underway = c.relay.silences.begin(ctx, target, c.call.Route.Name)
 	answer, err := c.relay.Driver.Send(c.sending, target, &outgoing)
@@ -161,33 +161,33 @@
 	if c.relay.silences.noteFailed(target, time.Now()) {
 		outcome = instance.OutcomeGivenUp
 	}
+	defer c.release(target, outcome)
 	if !isGivenUp(c.sending) {
-		c.release(target, outcome)
 		return
 	}
-	c.relay.Metrics.gaveUp(target.Zone)
-	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Dur("silent", time.Since(c.heardAt)).
-		Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Its zone is cut off.")
-	c.release(target, instance.OutcomeGivenUp)
+	zoneIsCut := c.relay.silences.isCut(target.Zone)
+	c.relay.Metrics.gaveUp(target.Zone, zoneIsCut)
+	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Bool("zone_cut_off", zoneIsCut).
+		Dur("silent", time.Since(c.heardAt)).Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Nobody is reached there.")
 }
 
-// serviceInForce is the service as the routes in force have it, nil if they do
+// serviceInForce is a service as the routes in force have it, nil if they do
 // not.
-func (c *carrier) serviceInForce() *route.Service {
-	table := c.relay.Table()
+func (r *Relay) serviceInForce(name string) *route.Service {
+	table := r.Table()
 	if table == nil {
 		return nil
 	}
-	return table.Services[c.service]
+	return table.Services[name]
 }
 
-// connectionLimit is this daemon's share of an instance's connections.
-func (c *carrier) connectionLimit() int {
-	service := c.serviceInForce()
+// connectionLimit is this daemon's share of an instance's connections; 0 for no bound.
+func (r *Relay) connectionLimit(name string) int {
+	service := r.serviceInForce(name)
 	if service == nil || service.MaxConnections == 0 {
 		return 0
 	}
-	return max(service.MaxConnections/max(c.relay.Daemons(), 1), 1)
+	return max(service.MaxConnections/max(r.Daemons(), 1), 1)
 }
 
 // goOn takes note of a failed offer and tells whether the call may be offered
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -76,6 +76,9 @@
 	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, OtherInstance: next.other}, nil
 }
 
+// Connect implements Driver.
+func (d *scriptedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
+
 type cutReader struct{}
 
 func (cutReader) Read([]byte) (int, error) { return 0, errCut }
--- a/internal/relay/health_test.go
+++ b/internal/relay/health_test.go
@@ -90,3 +90,6 @@
 		}
 	})
 }
+
+// Connect implements Driver.
+func (d *pacedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,7 +27,8 @@
 	begins      *prometheus.HistogramVec
 	records     *prometheus.HistogramVec
 	leftOut     prometheus.Counter
-	// givenUp are offers that were given up as their zone is cut off, by zone.
+	// givenUp are offers that were given up as nobody is reached there, by zone and by
+	// whether that is cut off or the instance alone.
 	givenUp *prometheus.CounterVec
 	// waits are requests that were held up, by what held them up last and by what
 	// became of them.
@@ -49,7 +50,7 @@
 	}
 	m.waits = counters("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome")
 	m.tenants = newTenantMetrics()
-	m.givenUp = counters("offers_given_up_total", "Offers given up as their back end's zone is cut off, by zone.", "zone")
+	m.givenUp = counters("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what")
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
 	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits, m.givenUp, m.tenants.requests)
 	return m
@@ -91,7 +92,13 @@
 	m.waits.WithLabelValues(by.String(), outcome).Inc()
 }
 
-func (m *Metrics) gaveUp(zone string) { m.givenUp.WithLabelValues(zone).Inc() }
+func (m *Metrics) gaveUp(zone string, isCut bool) {
+	what := "instance"
+	if isCut {
+		what = "zone"
+	}
+	m.givenUp.WithLabelValues(zone, what).Inc()
+}
 
 func (m *Metrics) lineLeftOut() { m.leftOut.Inc() }
 
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -43,16 +43,18 @@
 }
 
 // silences are the requests that wait for something, and give up when it is cut off.
-// A nil one watches nothing.
 type silences struct {
 	relay *Relay
+	// zones is nil in a fleet of one zone.
 	zones *zone.Reachability
 	mutex sync.Mutex
 	// offers wait for back ends, and beginning are turns that wait for their record.
 	offers    map[*underway]struct{}
 	beginning map[*context.CancelCauseFunc]struct{}
-	// failed are the instances that broke off lately.
+	// failed are the instances that broke off lately, and tried those that were tried to
+	// connect to as they are silent.
 	failed map[string]failure
+	tried  map[string]*tried
 }
 
 // failure is where and when an instance broke off.
@@ -62,21 +64,15 @@
 }
 
 func newSilences(r *Relay) *silences {
-	if r.Zones == nil {
-		return nil
-	}
 	return &silences{
 		relay: r, zones: r.Zones,
 		offers: map[*underway]struct{}{}, beginning: map[*context.CancelCauseFunc]struct{}{},
-		failed: map[string]failure{},
+		failed: map[string]failure{}, tried: map[string]*tried{},
 	}
 }
 
 // begin watches an offer until end. The context ends when it is given up.
 func (s *silences) begin(ctx context.Context, target instance.Instance, kind string) (context.Context, *underway) {
-	if s == nil {
-		return ctx, nil
-	}
 	ctx, giveUp := context.WithCancelCause(ctx)
 	u := &underway{target: target, kind: kind, waitingSince: time.Now(), giveUp: giveUp}
 	s.mutex.Lock()
@@ -86,9 +82,6 @@
 }
 
 func (s *silences) end(u *underway) {
-	if u == nil {
-		return
-	}
 	s.mutex.Lock()
 	delete(s.offers, u)
 	s.mutex.Unlock()
@@ -97,10 +90,9 @@
 
 // hear takes note that a back end sent something.
 func (s *silences) hear(u *underway, now time.Time) {
-	if u == nil {
-		return
+	if s.zones != nil {
+		s.zones.Heard(u.target.Zone, now)
 	}
-	s.zones.Heard(u.target.Zone, now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	u.waitingSince, u.started = now, true
@@ -109,9 +101,6 @@
 // waitOn takes note that the back end is waited for only from now on: until now the
 // caller was.
 func (s *silences) waitOn(u *underway) {
-	if u == nil {
-		return
-	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	u.waitingSince = time.Now()
@@ -120,15 +109,17 @@
 // noteFailed takes note that an instance broke off, and tells whether it does not speak
 // against it, as its zone is cut off.
 func (s *silences) noteFailed(target instance.Instance, now time.Time) bool {
-	if s == nil {
+	if s.zones == nil {
 		return false
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.failed[target.ID] = failure{target.Zone, now}
-	return s.zones.IsCut(target.Zone)
+	return s.isCut(target.Zone)
 }
 
+func (s *silences) isCut(zone string) bool { return s.zones != nil && s.zones.IsCut(zone) }
+
 // usual is how long the back end of an offer may say nothing.
 func (s *silences) usual(u *underway) time.Duration {
 	if u.started {
@@ -174,29 +165,46 @@
 }
 
 // GiveUpSilent ends the wait for back ends that are silent in zones that are cut off,
-// and of turns for their records while this daemon is. Requests on connections that
-// still get something go on. It implements reach.Connections.
+// or that can not be connected to, and of turns for their records while this daemon is
+// cut off. Requests on connections that still get something go on. It implements
+// reach.Connections.
 func (r *Relay) GiveUpSilent(now time.Time) {
 	s := r.silences
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for u := range s.offers {
-		if s.zones.IsCut(u.target.Zone) && now.Sub(u.waitingSince)-s.usual(u) > silentBeyond {
+		if now.Sub(u.waitingSince)-s.usual(u) <= silentBeyond {
+			continue
+		}
+		if s.isCut(u.target.Zone) || !s.isReached(u, now) {
 			u.giveUp(errCutOff)
 		}
 	}
-	if _, isolated := s.zones.Isolated(); isolated {
+	s.forgetTries(now)
+	if _, isolated := s.cutOffSince(); isolated {
 		for giveUp := range s.beginning {
 			(*giveUp)(errCutOff)
 		}
 	}
 }
 
+// WatchSilence gives up what is silent until ctx ends, in a fleet of one zone, where
+// nothing else watches.
+func (r *Relay) WatchSilence(ctx context.Context) {
+	ticker := time.NewTicker(zone.StepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.GiveUpSilent(now)
+		}
+	}
+}
+
 // untilCutOff returns a context that also ends when this daemon is cut off.
 func (s *silences) untilCutOff(ctx context.Context) (context.Context, context.CancelFunc) {
-	if s == nil {
-		return ctx, func() {}
-	}
 	ctx, giveUp := context.WithCancelCause(ctx)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -214,7 +222,7 @@
 
 // connectTime bounds the connecting to an instance; 0 for the driver's own bound.
 func (s *silences) connectTime(target instance.Instance) time.Duration {
-	if s == nil || !s.zones.IsCut(target.Zone) {
+	if !s.isCut(target.Zone) {
 		return 0
 	}
 	return cutConnectTime
@@ -222,7 +230,7 @@
 
 // cutOffSince tells since when this daemon has been cut off.
 func (s *silences) cutOffSince() (time.Time, bool) {
-	if s == nil {
+	if s.zones == nil {
 		return time.Time{}, false
 	}
 	return s.zones.Isolated()
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -38,7 +38,10 @@
 	h *zonesHarness
 	// unsent: requests to far are not even sent. resets: connections there are reset.
 	unsent, resets bool
-	sentTo         []string
+	// dark: the instance alone can not be reached. Its zone's daemons answer.
+	dark   bool
+	sentTo []string
+	tries  int
 }
 
 const eventPause = 40 * time.Millisecond
@@ -63,6 +66,16 @@
 	return answer, nil
 }
 
+// Connect implements Driver.
+func (d *farDriver) Connect(ctx context.Context, to instance.Instance, _ int) error {
+	d.tries++
+	if to.Zone == far && d.dark && d.h.cut.Load() {
+		<-ctx.Done()
+		return httpconn.ErrNotSent
+	}
+	return nil
+}
+
 type farBody struct {
 	ctx  context.Context
 	h    *zonesHarness
@@ -229,22 +242,58 @@
 	})
 }
 
-// TestSilentBackEndAloneIsWaitedFor: the daemons of its zone answer.
+// answerFar lets the daemons of far answer whatever happens to its back ends.
+func (h *zonesHarness) answerFar(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.zones.Answered(far, time.Now())
+		pause(ctx, 10*time.Millisecond)
+	}
+}
+
+// TestInstanceThatIsNotReachedIsGivenUpEarly prints what
+// TestRequestsInAZoneThatIsCutOffAreGivenUpEarly does, for an instance whose machine
+// alone is cut off.
+func TestInstanceThatIsNotReachedIsGivenUpEarly(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindOnce, route.KindRepeatable, route.KindStream} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, driver := newZonesHarness(t, true)
+				driver.dark = true
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go h.answerFar(ctx)
+				got, hung := h.hangs(newCall(newRoute(kind)))
+				t.Logf("%-10s hung %4d ms", kind, hung.Milliseconds())
+				if hung > 950*time.Millisecond || h.zones.IsCut(far) {
+					t.Errorf("hung %s; zone cut off: %v", hung, h.zones.IsCut(far))
+				}
+				if served := got.status == http.StatusOK; served != (kind != route.KindOnce) {
+					t.Errorf("status %d, refused with %+v", got.status, got.refusal)
+				}
+				if got := h.picks()["far"]; got != 0 {
+					t.Errorf("it got %d of 60 requests right after", got)
+				}
+				time.Sleep(tryTime)
+			})
+		})
+	}
+}
+
+// TestSilentBackEndAloneIsWaitedFor: it can be connected to, and the daemons of its
+// zone answer.
 func TestSilentBackEndAloneIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h, _ := newZonesHarness(t, true)
+		h, driver := newZonesHarness(t, true)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		go func() {
-			for ctx.Err() == nil {
-				h.zones.Answered(far, time.Now())
-				pause(ctx, 10*time.Millisecond)
-			}
-		}()
+		go h.answerFar(ctx)
 		got, hung := h.hangs(newCall(newRoute(route.KindOnce)))
 		if hung < 15*time.Second {
 			t.Errorf("given up after %s: %+v", hung, got.refusal)
 		}
+		if most := 11; driver.tries > most {
+			t.Errorf("%d tries to connect in 20 s", driver.tries)
+		}
 	})
 }
 
--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -444,3 +444,6 @@
 		t.Errorf("only %d of %d calls were answered", answered, simulatedCalls)
 	}
 }
+
+// Connect implements Driver.
+func (d *simulatedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -90,7 +90,7 @@
 }
 
 func (c *carrier) tokensPerEvent() int64 {
-	service := c.serviceInForce()
+	service := c.relay.serviceInForce(c.service)
 	if service == nil || service.Model == nil {
 		return 1
 	}
--- a/internal/relay/turned_down_test.go
+++ b/internal/relay/turned_down_test.go
@@ -125,3 +125,6 @@
 		}
 	})
 }
+
+// Connect implements Driver.
+func (d *pickyDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -66,6 +66,15 @@
 	})
 }
 
+// watchReach finds out what is not reached until ctx ends.
+func (d *Daemon) watchReach(ctx context.Context) {
+	if d.reach == nil {
+		d.relay.WatchSilence(ctx)
+		return
+	}
+	d.reach.Run(ctx)
+}
+
 // leadAway closes callers' connections that rest once the platform leads new ones
 // elsewhere: their next requests then reach a daemon that can serve them without being
 // refused first.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -274,9 +274,7 @@
 	d.workers.Go(func() { d.ledger.Run(ctx) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
-	if d.reach != nil {
-		d.workers.Go(func() { d.reach.Run(ctx) })
-	}
+	d.workers.Go(func() { d.watchReach(ctx) })
 }
 
 // Table implements Gateway. The first routes are waited for while it is likely that
