--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -281,9 +281,7 @@
 	d.regional.start(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
-	if d.reach != nil {
-		d.workers.Go(func() { d.reach.Run(ctx) })
-	}
+	d.workers.Go(func() { d.watchReach(ctx) })
 }
 
 // Table implements Gateway. The first routes are waited for while it is likely that
