--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -182,6 +182,9 @@
 	Body io.ReadCloser
 	// NotRun: the instance promises that it did not run the request.
 	NotRun bool
+	// SoundsNotRun: callers take the status for a promise that the request has not run.
+	// Without NotRun the instance did not make it.
+	SoundsNotRun bool
 	// OtherInstance: another instance has the address by now.
 	OtherInstance bool
 }
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -30,6 +30,8 @@
 	err    error
 	status int
 	notRun bool
+	// sounds: the status promises that it did not run.
+	sounds bool
 	other  bool
 	body   string
 	// cut breaks the body off at its end.
@@ -73,7 +75,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, OtherInstance: next.other}, nil
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, SoundsNotRun: next.sounds, OtherInstance: next.other}, nil
 }
 
 type cutReader struct{}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -32,7 +32,7 @@
 			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, took)
 			c.relay.serving.note(c.call.Route.Name, servingTime{first: took, whole: took})
 			c.release(target, instance.OutcomeAnswered)
-			c.answer(answer, body, target)
+			c.answerOrBreak(answer, body, target)
 			return
 		}
 		if !c.retryBroken(ctx, target, err) {
@@ -41,6 +41,18 @@
 	}
 }
 
+// answerOrBreak passes an answer on. One that callers would take for a promise that the
+// request has not run is none of an instance that ran it: whoever may not send the
+// request again unless it has not run hears that it may have.
+func (c *carrier) answerOrBreak(answer *Answer, body []byte, target instance.Instance) {
+	if answer.SoundsNotRun && !c.call.Route.Repeatable() {
+		c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer promises what its instance did not. It is not passed on.")
+		c.refuse(brokenOff)
+		return
+	}
+	c.answer(answer, body, target)
+}
+
 func (c *carrier) answer(answer *Answer, body []byte, target instance.Instance) {
 	c.relay.Metrics.answered(c.call, answer.Status)
 	c.noteForecast(heldUpServed)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -124,7 +124,7 @@
 	case err != nil:
 		c.refuse(brokenOff)
 	default:
-		c.answer(answer, body, target)
+		c.answerOrBreak(answer, body, target)
 	}
 }
 
--- a/internal/relaydaemon/zones_test.go
+++ b/internal/relaydaemon/zones_test.go
@@ -56,12 +56,17 @@
 type trimmingStore struct {
 	*memory.Store
 	trimmed chan struct{}
+	// hangs lets a reading hang until it is given up.
+	hangs chan struct{}
 }
 
 func (s *trimmingStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
 	select {
 	case <-s.trimmed:
 		return nil, from, store.ErrTrimmed
+	case <-s.hangs:
+		<-ctx.Done()
+		return nil, from, store.ErrOutcomeUnknown
 	default:
 		return s.Store.Read(ctx, p, from, wait)
 	}
@@ -184,6 +189,28 @@
 	})
 }
 
+// TestOrderComesIntoForceThoughAReadingHangs: the store lets one reading hang for good
+// and answers others, as a watch that it cut without a word. The order is in force within
+// the operators' bound all the same.
+func TestOrderComesIntoForceThoughAReadingHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOperatorsTest(t)
+		o.write("routes", "1")
+		o.store.hangs = make(chan struct{}, 1)
+		o.store.hangs <- struct{}{}
+		defer o.follow()()
+		time.Sleep(time.Millisecond)
+		o.write("c", "{}")
+		ordered := time.Now()
+		for o.admitted() != "a1" {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(ordered); took == 0 || took > o.settings.evacuationTime()-time.Second {
+			t.Errorf("in force after %s", took)
+		}
+	})
+}
+
 // TestSeveralZones: also ones that nobody knows.
 func TestSeveralZones(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
