Ledger: no race between an asker's answer and what the holder learns of it

Cause: passOn changed the response that the holder's goroutine reads later. What is noted of the holder is now what it said, also where the asker is told something else.

--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -150,15 +150,16 @@
 		defer cancel()
 		response := h.fleet.askOne(asking, structs.DaemonID(holder.Daemon), request)
 		h.passing.Add(-1)
+		isSilent, told := response.Result == resultSilent, holderRecord{Epoch: response.Epoch, Daemon: response.Holder}
 		h.post(ctx, func(context.Context) {
 			switch {
-			case response.Result != resultSilent:
-				h.known.note(h.shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+			case !isSilent:
+				h.known.note(h.shard, told)
 			case h.confirmed.holder == holder:
 				h.confirmed = confirmation{}
 			}
 		})
-		if response.Result == resultSilent {
+		if isSilent {
 			response.Result = resultMoved
 		}
 		response.Number = o.request.Number
