--- a/internal/relaydaemon/regional_test.go
+++ b/internal/relaydaemon/regional_test.go
@@ -64,11 +64,17 @@
 func newRegionalFleet(t *testing.T) *regionalFleet {
 	f := &regionalFleet{t: t, store: memory.New()}
 	for i := range 6 {
-		f.daemons = append(f.daemons, f.start(i, testRegions[i%len(testRegions)]))
+		f.add(f.start(i, testRegions[i%len(testRegions)]))
 	}
 	return f
 }
 
+func (f *regionalFleet) add(d *regionalDaemon) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.daemons = append(f.daemons, d)
+}
+
 // start starts a run of the daemon at a place, in a region.
 func (f *regionalFleet) start(place int, own string) *regionalDaemon {
 	f.number++
@@ -354,10 +360,7 @@
 				f.replace(i, "south")
 			}
 		}
-		added := f.start(6, "east")
-		f.mutex.Lock()
-		f.daemons = append(f.daemons, added)
-		f.mutex.Unlock()
+		f.add(f.start(6, "east"))
 		f.turn(f.daemons[1], "p", "", "", 1, []string{"east"}) // nothing is asked for first
 		f.turn(f.daemons[1], "p", "p-0", first, 2, []string{"east"})
 	})
