--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -106,6 +106,10 @@
 // never will.
 const (
 	ReasonNoInstance Reason = "no_instance"
+	// ReasonNoRegion: no region is allowed for both the route and the tenant;
+	// ReasonRegionEmpty: no instance is in one that is.
+	ReasonNoRegion    Reason = "no_region"
+	ReasonRegionEmpty Reason = "region_empty"
 	// ReasonEvacuated: operators evacuated the zones of all instances that could serve.
 	ReasonEvacuated Reason = "evacuated"
 	ReasonFull      Reason = "full"
@@ -187,4 +191,7 @@
 // request may have run.
 type Driver interface {
 	Send(ctx context.Context, to instance.Instance, outgoing *Outgoing) (*Answer, error)
+	// Connect opens a connection to an instance, which a later request may use. The
+	// error wraps httpconn.ErrNoConnection if there may be no further one.
+	Connect(ctx context.Context, to instance.Instance, connections int) error
 }
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -12,6 +12,7 @@
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
@@ -31,6 +32,8 @@
 	responder Responder
 	service   string
 	logger    zerolog.Logger
+	// regions are those that the call is bound to.
+	regions residency.Regions
 
 	// excluded instances were offered the call in this round.
 	excluded []string
@@ -122,6 +125,7 @@
 		Preferred: c.preferred,
 		Object:    c.object(),
 		Only:      c.only,
+		Regions:   c.regions,
 		Excluded:  c.excluded,
 	}
 }
@@ -137,7 +141,7 @@
 	c.offers++
 	c.offeredAt = time.Now()
 	c.heardAt = c.offeredAt
-	outgoing.ConnectionLimit = c.connectionLimit()
+	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTime = c.relay.silences.connectTime(target)
 	c.sending, c.underway = c.relay.silences.begin(ctx, target, c.call.Route.Name)
 	answer, err := c.relay.Driver.Send(c.sending, target, &outgoing)
@@ -161,33 +165,33 @@
 	if c.relay.silences.noteFailed(target, time.Now()) {
 		outcome = instance.OutcomeGivenUp
 	}
+	defer c.release(target, outcome)
 	if !isGivenUp(c.sending) {
-		c.release(target, outcome)
 		return
 	}
-	c.relay.Metrics.gaveUp(target.Zone)
-	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Dur("silent", time.Since(c.heardAt)).
-		Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Its zone is cut off.")
-	c.release(target, instance.OutcomeGivenUp)
+	zoneIsCut := c.relay.silences.isCut(target.Zone)
+	c.relay.Metrics.gaveUp(target.Zone, zoneIsCut)
+	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Bool("zone_cut_off", zoneIsCut).
+		Dur("silent", time.Since(c.heardAt)).Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Nobody is reached there.")
 }
 
-// serviceInForce is the service as the routes in force have it, nil if they do
+// serviceInForce is a service as the routes in force have it, nil if they do
 // not.
-func (c *carrier) serviceInForce() *route.Service {
-	table := c.relay.Table()
+func (r *Relay) serviceInForce(name string) *route.Service {
+	table := r.Table()
 	if table == nil {
 		return nil
 	}
-	return table.Services[c.service]
+	return table.Services[name]
 }
 
-// connectionLimit is this daemon's share of an instance's connections.
-func (c *carrier) connectionLimit() int {
-	service := c.serviceInForce()
+// connectionLimit is this daemon's share of an instance's connections; 0 for no bound.
+func (r *Relay) connectionLimit(name string) int {
+	service := r.serviceInForce(name)
 	if service == nil || service.MaxConnections == 0 {
 		return 0
 	}
-	return max(service.MaxConnections/max(c.relay.Daemons(), 1), 1)
+	return max(service.MaxConnections/max(r.Daemons(), 1), 1)
 }
 
 // goOn takes note of a failed offer and tells whether the call may be offered
@@ -296,8 +300,7 @@
 	}
 	now := time.Now()
 	census := c.relay.Pool.Count(c.query())
-	if isEvacuated(census) {
-		c.refuseEvacuated(now)
+	if c.refuseUnplaceable(census, now) {
 		return false
 	}
 	if census.Admitted+census.Passing == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
