Ledger: claims that nobody waits for are spread

A turn that only has to be settled asked for its shard at once when the holder was lost; all such shards of a fleet were read in the same second. It asks after up to 2 s now, drawn, if the holder is dead; turns that begin, and ends that a caller waits for, ask at once.

--- a/internal/ledger/pace.go
+++ b/internal/ledger/pace.go
@@ -1,9 +1,12 @@
 package ledger
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
 // Shards move back to the daemons that should hold them one after the other: each move
@@ -29,6 +32,18 @@
 	nextAt time.Time
 }
 
+// claimSpread is over what time claims are spread that nobody waits for: a turn that only
+// has to be settled would have all shards of those that were lost read at once, beside
+// those whose callers wait.
+const claimSpread = 2 * time.Second
+
+// spreadClaim waits a while before a shard is asked for whose holder is dead.
+func (s *Service) spreadClaim(ctx context.Context, shard int) {
+	if holder := s.known.get(shard); holder.Daemon != "" && !s.mayLive(holder.Daemon) {
+		clock.Sleep(ctx, rand.N(claimSpread))
+	}
+}
+
 // handoverInterval is how far a daemon's planned handovers are apart on the mean, so
 // that daemons read at most handoverShare of what the store reads in a second; 0 if
 // that is not known.
--- a/internal/ledger/pace_test.go
+++ b/internal/ledger/pace_test.go
@@ -1,9 +1,15 @@
 package ledger
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // TestPlannedHandoversKeepWithinTheirShare: all daemons of a fleet want to pass shards
@@ -42,3 +48,57 @@
 		t.Errorf("handovers are %s apart though the store's reading is not known", interval)
 	}
 }
+
+// TestClaimsThatNobodyWaitsForAreSpread: turns that only have to be settled do not have
+// all shards of those that were lost read at once; a turn that begins has its at once.
+func TestClaimsThatNobodyWaitsForAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const shards = 40
+		f := newTestFleet(t, 0)
+		f.shards = shards
+		for i := range 4 {
+			f.start(daemonID(i, 1))
+		}
+		s := f.service(daemonID(0, 1))
+		var programs []string
+		for i := range 4 * shards {
+			program := fmt.Sprint("p-", i)
+			begin(t, s, Turn{ID: program + "-first", Program: program, BudgetTokens: 1000, MostTokens: 10})
+			programs = append(programs, program)
+		}
+		time.Sleep(time.Second)
+		for i := 1; i < 4; i++ {
+			f.kill(daemonID(i, 1))
+		}
+		claims := f.claims()
+		var settled sync.WaitGroup
+		for _, program := range programs[1:] {
+			settled.Go(func() { end(t, s, Outcome{Turn: program + "-first", Program: program}) })
+		}
+		started := time.Now()
+		begin(t, s, Turn{ID: "next", Program: programs[0], BudgetTokens: 1000, MostTokens: 10})
+		if took := time.Since(started); took > silence {
+			t.Errorf("a turn that begins waited for %s", took)
+		}
+		time.Sleep(claimSpread/10 - time.Since(started))
+		most := (f.claims() - claims)
+		settled.Wait()
+		if all := f.claims() - claims; most > all*3/4 || all < shards/2 {
+			t.Errorf("%d of %d claims were made in the first tenth of the time", most, all)
+		}
+	})
+}
+
+func BenchmarkSight(b *testing.B) {
+	const daemons, zones = 300, 8
+	var members []membership.Member
+	for i := range daemons {
+		id := structs.NewDaemonID(fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200), 1)
+		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id, Zone: structs.ZoneName(fmt.Sprint(i % zones))}, State: membership.StateAlive})
+	}
+	s := &sight{}
+	now := time.Now()
+	for i := 0; b.Loop(); i++ {
+		s.look(members[0].Daemon.ID, members, now.Add(time.Duration(i)*sightPause))
+	}
+}
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -281,6 +281,9 @@
 // fails with ErrUnknownTurn if the turn is to be kept and its chain is gone.
 func (s *Service) End(ctx context.Context, outcome Outcome) error {
 	shard := s.shardOf(outcome.Program)
+	if outcome.Kept == nil {
+		s.spreadClaim(ctx, shard)
+	}
 	for wait := endPause; ; wait = min(2*wait, longestEndPause) {
 		asked := outcome // a holder may still have it when the chain is added
 		response := s.ask(ctx, shard, Request{End: &asked})
