--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -9,9 +9,6 @@
 
 // What counts for and against an instance when one is chosen; see cost.
 const (
-	// otherZoneCost is what another zone counts against an instance, in
-	// requests of its load.
-	otherZoneCost = 0.3
 	// randomCost bounds the random share that spreads equal loads, in requests.
 	randomCost = 0.25
 	// affinityGain is what having seen the request's object counts for an
@@ -42,6 +39,11 @@
 	Regions []string
 	// Excluded instances are passed over.
 	Excluded []string
+	// Bytes are what is sent with the request, as far as it is known.
+	Bytes int
+	// Stay is how long a request of the service usually stays at an instance, 0 if that
+	// is not known. Take sets it.
+	Stay time.Duration
 }
 
 // admits tells whether an instance comes into question for a query.
@@ -61,6 +63,7 @@
 	now := time.Now()
 	p.asked = asked
 	query := &p.asked
+	query.Stay = p.stays[query.Service]
 	if query.Preferred == "" && query.Object != "" {
 		query.Preferred = p.homeOf(query, now)
 	}
@@ -116,9 +119,6 @@
 	slots := float64(max(e.Slots, 1))
 	cost := float64(e.inFlight) / slots
 	cost += randomCost * p.random.Float64() / slots
-	if e.Zone != p.zone {
-		cost += otherZoneCost / slots
-	}
 	if e.ID == query.Preferred {
 		cost -= affinityGain
 	}
--- a/internal/instance/health_test.go
+++ b/internal/instance/health_test.go
@@ -117,7 +117,7 @@
 
 func TestAgeOfTheListIsThatOfItsLastConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPool("z", nil, Plugins{})
+		p := NewPool(nil, Plugins{})
 		p.Confirm()
 		if p.Listed() || p.Age() != 0 {
 			t.Error("a list counts as known before there was one")
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -10,7 +10,6 @@
 
 // Pool keeps the instances of all services. It is safe for concurrent use.
 type Pool struct {
-	zone    string
 	plugins Plugins
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -18,6 +17,8 @@
 	// byService holds the instances of each service, in order of ID.
 	byService map[string][]*entry
 	paces     paces
+	// stays tells by service how long requests that were answered stayed at instances.
+	stays map[string]time.Duration
 	// asked is what an instance is taken for just now; it stands here to be allocated
 	// once.
 	asked Query
@@ -46,15 +47,15 @@
 	vanished time.Time
 }
 
-// NewPool returns an empty pool for a daemon in a zone.
-func NewPool(zone string, random *rand.Rand, plugins Plugins) *Pool {
+// NewPool returns an empty pool.
+func NewPool(random *rand.Rand, plugins Plugins) *Pool {
 	return &Pool{
-		zone:      zone,
 		plugins:   plugins,
 		random:    random,
 		byID:      map[string]*entry{},
 		byService: map[string][]*entry{},
 		paces:     paces{},
+		stays:     map[string]time.Duration{},
 	}
 }
 
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -11,7 +11,7 @@
 )
 
 func newTestPool(ready ...string) *Pool {
-	p := NewPool("z", rand.New(rand.NewPCG(1, 2)), Plugins{})
+	p := NewPool(rand.New(rand.NewPCG(1, 2)), Plugins{})
 	p.Replace(listOf(StateReady, ready...))
 	return p
 }
--- a/internal/metrics/node.go
+++ b/internal/metrics/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/node"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // Traffic counts what a daemon sends to others. The zero value is ready.
@@ -16,7 +17,8 @@
 }
 
 // Count adds one message; it fits the transport's counter.
-func (t *Traffic) Count(class peer.Class, bytes int) {
+func (t *Traffic) Count(_ structs.DaemonID, kind peer.Kind, bytes int) {
+	class := peer.ClassOf(kind)
 	if class == peer.ClassControl {
 		t.controlBytes.Add(int64(bytes))
 		t.controlMessages.Add(1)
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -25,8 +25,8 @@
 	bufferSize = 8 << 10
 )
 
-// Counter is told of every message that was sent, by class.
-type Counter func(class peer.Class, bytes int)
+// Counter is told of every message that was sent.
+type Counter func(to structs.DaemonID, kind peer.Kind, bytes int)
 
 // Transport implements peer.Transport.
 type Transport struct {
@@ -115,7 +115,7 @@
 		return
 	}
 	if to.Address() != t.self.Address() && t.counter != nil {
-		t.counter(peer.ClassOf(message.MessageKind()), line.Len())
+		t.counter(to, message.MessageKind(), line.Len())
 	}
 	select {
 	case l.lines <- line:
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -59,6 +59,8 @@
 	refusals      int
 	rounds        int
 	offeredBefore offerCounts
+	// bytes are what is sent along with the call.
+	bytes int
 	// heldUp is what held the call up last, and forecast what was expected of it.
 	heldUp   admission.Wait
 	forecast admission.Decision
@@ -75,6 +77,7 @@
 // offer sends the call to one instance after another until one takes it. A nil
 // answer means that the call is over: refused, or its caller left.
 func (c *carrier) offer(ctx context.Context, outgoing Outgoing) (*Answer, instance.Instance) {
+	c.bytes = max(len(outgoing.Body), len(c.call.Body))
 	if c.offers == 0 {
 		c.offeredBefore = c.relay.offered.of(c.service)
 	}
@@ -127,6 +130,7 @@
 		Only:      c.only,
 		Regions:   c.regions,
 		Excluded:  c.excluded,
+		Bytes:     c.bytes,
 	}
 }
 
@@ -156,6 +160,9 @@
 	c.relay.silences.end(c.underway)
 	c.underway = nil
 	c.relay.Pool.Release(target.ID, outcome)
+	if outcome == instance.OutcomeAnswered {
+		c.relay.Pool.NoteStay(c.service, time.Since(c.offeredAt))
+	}
 }
 
 // fail ends the latest offer after an error. While a zone is cut off it says nothing of
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -26,7 +26,7 @@
 func newColdHarness(t *testing.T, coldTime time.Duration, steps ...step) *harness {
 	h := newHarness(t, steps...)
 	filter := &coldFor{until: time.Now().Add(coldTime + 5*time.Second)}
-	h.pool = instance.NewPool("z", rand.New(rand.NewPCG(1, 1)), instance.Plugins{Filters: []instance.Filter{filter}})
+	h.pool = instance.NewPool(rand.New(rand.NewPCG(1, 1)), instance.Plugins{Filters: []instance.Filter{filter}})
 	h.pool.Replace([]instance.Instance{{ID: "i1", Service: "s", Address: "a:1", Slots: 4, State: instance.StateReady}})
 	h.relay.Pool = h.pool
 	time.Sleep(5 * time.Second) // the list is no news of a daemon that just started
--- a/internal/relay/evacuated_test.go
+++ b/internal/relay/evacuated_test.go
@@ -21,7 +21,7 @@
 
 func newEvacuationTest(t *testing.T, steps ...step) *evacuationTest {
 	e := &evacuationTest{harness: newHarness(t, steps...)}
-	e.pool = instance.NewPool("a", rand.New(rand.NewPCG(1, 1)), instance.Plugins{
+	e.pool = instance.NewPool(rand.New(rand.NewPCG(1, 1)), instance.Plugins{
 		Filters: []instance.Filter{zone.EvacuationFilter{Evacuations: &e.evacuations}},
 	})
 	var list []instance.Instance
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -175,7 +175,7 @@
 func newHarness(t *testing.T, steps ...step) *harness {
 	t.Helper()
 	h := &harness{t: t, driver: &scriptedDriver{steps: steps}, ledger: &fakeLedger{}}
-	h.pool = instance.NewPool("z", rand.New(rand.NewPCG(1, 1)), instance.Plugins{})
+	h.pool = instance.NewPool(rand.New(rand.NewPCG(1, 1)), instance.Plugins{})
 	h.pool.Replace([]instance.Instance{
 		{ID: "i1", Service: "s", Address: "a:1", Zone: "z", Slots: 4, State: instance.StateReady},
 		{ID: "i2", Service: "s", Address: "a:2", Zone: "z", Slots: 4, State: instance.StateReady},
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/instance/distance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/zone"
@@ -101,7 +102,8 @@
 
 func newZonesHarness(t *testing.T, watching bool) (*zonesHarness, *farDriver) {
 	h := &zonesHarness{harness: newHarness(t, step{})}
-	h.pool = instance.NewPool(far, rand.New(rand.NewPCG(1, 1)), instance.Plugins{}) // so that far is tried first
+	farFirst := distance.Scorer{Topology: zone.NewTopology(far, "", nil)}
+	h.pool = instance.NewPool(rand.New(rand.NewPCG(1, 1)), instance.Plugins{Scorers: []instance.Scorer{farFirst}})
 	h.pool.Replace([]instance.Instance{
 		{ID: "far", Service: "s", Address: "a:1", Zone: far, Slots: 4, State: instance.StateReady},
 		{ID: "near", Service: "s", Address: "a:2", Zone: near, Slots: 4, State: instance.StateReady},
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -16,8 +16,10 @@
 	// failed lately included: these may serve.
 	cutCost = 10_000
 	// rampCost is what counts against an instance, as a share of its slots, right
-	// after a cut's end: at first it gets requests that find no place elsewhere.
-	rampCost = 0.5
+	// after a cut's end: at first it gets requests that find no place elsewhere. It
+	// exceeds what speaks for the instance that knows a session (0.4) until a third of
+	// the ramp is over.
+	rampCost = 0.6
 	// lastKey sorts behind all keys of a space.
 	lastKey = "\xff"
 )
--- a/internal/relaydaemon/cutoff_test.go
+++ b/internal/relaydaemon/cutoff_test.go
@@ -60,7 +60,7 @@
 func TestNoRequestGoesToAZoneThatIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := &Daemon{zones: cutZones("b"), cold: warmup.NewLimiter(warmup.Options{})}
-		pool := instance.NewPool("a", rand.New(rand.NewPCG(1, 1)), d.placementPlugins())
+		pool := instance.NewPool(rand.New(rand.NewPCG(1, 1)), d.placementPlugins())
 		near := instance.Instance{ID: "i-a", Service: "s", Zone: "a", Slots: 4, State: instance.StateReady}
 		there := instance.Instance{ID: "i-b", Service: "s", Zone: "b", Slots: 4, State: instance.StateReady}
 		pool.Replace([]instance.Instance{near, there})
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -136,7 +136,7 @@
 	if len(d.topology.Zones()) > 1 {
 		d.zones = zone.NewReachability(d.topology)
 	}
-	d.pool = instance.NewPool(settings.Zone, newRandom(), d.placementPlugins())
+	d.pool = instance.NewPool(newRandom(), d.placementPlugins())
 	d.registerZones(figures)
 	if err := d.join(figures); err != nil {
 		return nil, err
@@ -167,7 +167,8 @@
 		Capacity: d.settings.capacity(),
 	}
 	receiver := &receiverSlot{}
-	transport, err := tcp.Listen(self.ID, receiver, nil, part(d.logger, "peer"))
+	sent := newTraffic(d.topology, figures)
+	transport, err := tcp.Listen(self.ID, receiver, sent.count, part(d.logger, "peer"))
 	if err != nil {
 		return err
 	}
@@ -180,8 +181,10 @@
 		Settings:  membershipSettings(),
 		Logger:    part(d.logger, "membership"),
 	})
+	sent.members = d.membership.Lookup
 	d.store = proxy.New(proxy.Options{
 		Self:      self.ID,
+		Region:    self.Region,
 		Direct:    store.NewMeter(d.adapter.Store(), figures, part(d.logger, "store")),
 		Transport: transport,
 		View:      d.membership,
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/instance/distance"
 	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
@@ -15,7 +16,9 @@
 		Filters: []instance.Filter{
 			residency.Filter{Topology: d.topology}, zone.EvacuationFilter{Evacuations: &d.evacuations}, d.cold,
 		},
-		Scorers:   []instance.Scorer{zone.ReturnScorer{Evacuations: &d.evacuations, Seed: rand.Uint64()}, d.cold},
+		Scorers: []instance.Scorer{
+			distance.Scorer{Topology: d.topology}, zone.ReturnScorer{Evacuations: &d.evacuations, Seed: rand.Uint64()}, d.cold,
+		},
 		Reservers: []instance.Reserver{d.cold},
 	}
 	if d.zones != nil {
--- a/internal/relaydaemon/zones_test.go
+++ b/internal/relaydaemon/zones_test.go
@@ -82,7 +82,7 @@
 		adapter: &testAdapter{}, hasTable: make(chan struct{}), front: &frontServer{server: &http.Server{}},
 	}
 	o.cold = warmup.NewLimiter(warmup.Options{Returns: &o.evacuations, Logger: zerolog.Nop()})
-	o.pool = instance.NewPool("a", rand.New(rand.NewPCG(1, 1)), o.placementPlugins())
+	o.pool = instance.NewPool(rand.New(rand.NewPCG(1, 1)), o.placementPlugins())
 	o.pool.Replace([]instance.Instance{
 		{ID: "a1", Service: "s", Zone: "a", State: instance.StateReady}, {ID: "c1", Service: "s", Zone: "c", State: instance.StateReady},
 	})
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -24,6 +24,10 @@
 	pageShare = 0.5
 	// avoidSilent is how long a helper that said nothing is not asked.
 	avoidSilent = 3 * time.Second
+	// wideTime is for how long helpers of all regions may be asked after one of the own
+	// region failed: what keeps it from the store may be common to the region, and an
+	// answer from there is a few ways of 8 ms later.
+	wideTime = 5 * time.Second
 	// outPause is how long no helper is asked after one said that it cannot
 	// reach the store either, or makes calls enough for others.
 	outPause = 250 * time.Millisecond
@@ -47,16 +51,29 @@
 	// unansweredSince is when a helper was first asked since one answered; zero
 	// if none was.
 	unansweredSince time.Time
+	// wideUntil is until when helpers of other regions come into question, too.
+	wideUntil time.Time
 }
 
-// choose returns the helper to ask.
-func (h *helpers) choose(candidates []structs.DaemonID, pick func(int) int, now time.Time) (structs.DaemonID, bool) {
+// candidate is a daemon that may pass calls on.
+type candidate struct {
+	id structs.DaemonID
+	// near: it is of the own region.
+	near bool
+}
+
+// choose returns the helper to ask: one of the own region, unless there is none or one
+// failed lately.
+func (h *helpers) choose(found []candidate, pick func(int) int, now time.Time) (structs.DaemonID, bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if now.Before(h.outUntil) {
 		return "", false
 	}
-	candidates = slices.DeleteFunc(candidates, func(id structs.DaemonID) bool { return now.Before(h.avoided[id]) })
+	candidates := h.usable(found, now.Before(h.wideUntil), now)
+	if len(candidates) == 0 {
+		candidates = h.usable(found, true, now)
+	}
 	if len(candidates) == 0 {
 		return "", false
 	}
@@ -69,6 +86,18 @@
 	return h.chosen, true
 }
 
+// usable are the candidates that did not keep silent lately, those of other regions only
+// if wide is set.
+func (h *helpers) usable(found []candidate, wide bool, now time.Time) []structs.DaemonID {
+	var usable []structs.DaemonID
+	for _, c := range found {
+		if (wide || c.near) && !now.Before(h.avoided[c.id]) {
+			usable = append(usable, c.id)
+		}
+	}
+	return usable
+}
+
 // note takes a helper's answer; helped is false if it could not reach the store
 // either.
 func (h *helpers) note(helped bool, now time.Time) {
@@ -78,6 +107,7 @@
 	if !helped {
 		h.chosen = ""
 		h.outUntil = now.Add(outPause)
+		h.wideUntil = now.Add(wideTime)
 	}
 }
 
@@ -94,6 +124,7 @@
 		}
 	}
 	h.avoided[id] = now.Add(avoidSilent)
+	h.wideUntil = now.Add(wideTime)
 	if h.chosen == id {
 		h.chosen = ""
 	}
@@ -110,12 +141,12 @@
 }
 
 // candidates are the other daemons that live and may make a call about a partition.
-func (s *Service) candidates(partition store.Partition) []structs.DaemonID {
-	var candidates []structs.DaemonID
+func (s *Service) candidates(partition store.Partition) []candidate {
+	var candidates []candidate
 	for _, member := range s.View.Members() {
 		mayHelp := s.MayHelp == nil || s.MayHelp(partition, member.Daemon)
 		if member.Daemon.ID != s.Self && member.State == membership.StateAlive && mayHelp {
-			candidates = append(candidates, member.Daemon.ID)
+			candidates = append(candidates, candidate{id: member.Daemon.ID, near: member.Daemon.Region == s.Region})
 		}
 	}
 	return candidates
--- /dev/null
+++ b/internal/store/proxy/helper_test.go
@@ -0,0 +1,89 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// regionalView puts the daemons of a fleet into two regions, the first half in one.
+type regionalView struct{ *fleet }
+
+func (v regionalView) Members() []membership.Member {
+	members := v.fleet.Members()
+	for i := range members {
+		members[i].Daemon.Region = "north"
+		if i >= len(members)/2 {
+			members[i].Daemon.Region = "south"
+		}
+	}
+	return members
+}
+
+// newRegionalFleet returns a fleet of six daemons in two regions, of which the first
+// does not reach the store itself.
+func newRegionalFleet() *fleet {
+	f := newFleet(6)
+	f.ways[0].set(refused)
+	f.services[0] = New(Options{
+		Self: f.ids[0], Region: structs.RegionName("north"), Direct: f.ways[0], Transport: &transport{fleet: f, self: f.ids[0]},
+		View: regionalView{f}, Random: rand.New(rand.NewPCG(1, 9)), Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+	})
+	return f
+}
+
+// append makes some calls one after the other and returns how many were done.
+func (f *fleet) append(t *testing.T, calls int) (done int) {
+	for range calls {
+		if f.services[0].Append(within(t, time.Second), partition, store.Writer{}, []store.Record{record}) == nil {
+			done++
+		}
+		time.Sleep(outPause / 2)
+	}
+	return done
+}
+
+func TestHelpersAreOfTheOwnRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet()
+		for round := range 20 { // each chooses anew
+			f.services[0].helpers = helpers{}
+			if done := f.append(t, 3); done != 3 {
+				t.Errorf("round %d: %d of 3 calls were done", round, done)
+			}
+		}
+		for i := 3; i < 6; i++ {
+			if got := f.ways[i].count(); got > 0 {
+				t.Errorf("daemon %d of the other region made %d calls", i, got)
+			}
+		}
+	})
+}
+
+// TestRegionThatDoesNotReachTheStoreIsHelpedByAnother, whether its daemons say so or
+// nothing at all.
+func TestRegionThatDoesNotReachTheStoreIsHelpedByAnother(t *testing.T) {
+	for name, lose := range map[string]func(f *fleet, i int){
+		"refused": func(f *fleet, i int) { f.ways[i].set(refused) },
+		"silent":  func(f *fleet, i int) { f.setDeaf(f.ids[i]) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newRegionalFleet()
+				lose(f, 1)
+				lose(f, 2)
+				if done := f.append(t, 20); done < 14 {
+					t.Errorf("%d of 20 calls were done", done)
+				}
+			})
+		})
+	}
+}
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -49,6 +49,8 @@
 // Options give a Service what it works with.
 type Options struct {
 	Self structs.DaemonID
+	// Region is this daemon's: helpers are looked for there first.
+	Region structs.RegionName
 	// Direct is the store as this daemon reaches it itself.
 	Direct    store.Store
 	Transport peer.Transport
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -79,7 +79,7 @@
 		}
 		addresses = append(addresses, address)
 		limiters = append(limiters, limiter)
-		pools = append(pools, instance.NewPool("z", rand.New(rand.NewPCG(uint64(i), 1)), plugins))
+		pools = append(pools, instance.NewPool(rand.New(rand.NewPCG(uint64(i), 1)), plugins))
 	}
 	for _, limiter := range limiters {
 		limiter.TakeRecord(addresses, time.Now())
@@ -233,7 +233,7 @@
 	if plugIn {
 		plugins = pluggedIn(limiter)
 	}
-	pool := instance.NewPool("z", rand.New(rand.NewPCG(1, 1)), plugins)
+	pool := instance.NewPool(rand.New(rand.NewPCG(1, 1)), plugins)
 	pool.Replace(engines(50, cold, time.Hour))
 	b.ReportAllocs()
 	for b.Loop() {
