--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -53,6 +53,26 @@
 	return addresses
 }
 
+// AnyIn returns an instance in a zone that may serve, chosen at random; false if there is
+// none.
+func (p *Pool) AnyIn(zone string) (Instance, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	var chosen Instance
+	found := 0
+	for _, e := range p.byID {
+		if e.Zone != zone || !p.mayServe(e, now) {
+			continue
+		}
+		found++
+		if p.random.IntN(found) == 0 {
+			chosen = e.Instance
+		}
+	}
+	return chosen, found > 0
+}
+
 // IsUncertain tells whether instances may be running that this daemon does not
 // know of: before the first list, while none can be read, and shortly after.
 func (p *Pool) IsUncertain() bool {
--- a/internal/relay/unreachable.go
+++ b/internal/relay/unreachable.go
@@ -67,6 +67,22 @@
 	}
 }
 
+// Try connects to an instance of a zone, and takes note that the zone can be reached if
+// that can be done. It implements reach.Connections.
+func (r *Relay) Try(zone string) {
+	target, found := r.Pool.AnyIn(zone)
+	if !found {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tryTime)
+		defer cancel()
+		if r.Driver.Connect(ctx, target, r.connectionLimit(target.Service)) == nil {
+			r.Zones.Heard(zone, time.Now())
+		}
+	}()
+}
+
 // forgetTries drops what is known of instances at which no offer waits.
 func (s *silences) forgetTries(now time.Time) {
 	for id, t := range s.tried {
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -24,26 +24,16 @@
 	lastKey = "\xff"
 )
 
-// cutOffZones is the part of placing that keeps requests from zones that are cut off.
-// It implements instance.Scorer and instance.Reserver.
+// cutOffZones is the part of placing that keeps requests from zones that are cut off,
+// unless nothing else serves. It implements instance.Scorer.
 type cutOffZones struct{ zones *zone.Reachability }
 
-// Cost implements instance.Scorer. One request in a while tries the zone.
+// Cost implements instance.Scorer.
 func (c cutOffZones) Cost(_ *instance.Query, candidate *instance.Instance, now time.Time) float64 {
-	switch {
-	case !c.zones.IsCut(candidate.Zone):
-		return rampCost * (1 - c.zones.Share(candidate.Zone, now))
-	case c.zones.IsTrialDue(candidate.Zone, now):
-		return 0
+	if c.zones.IsCut(candidate.Zone) {
+		return cutCost
 	}
-	return cutCost
-}
-
-// Reserve implements instance.Reserver. Nothing is turned down: what is cut off is
-// chosen where nothing else serves.
-func (c cutOffZones) Reserve(candidate *instance.Instance, now time.Time) (sendBy time.Time, reserved bool) {
-	c.zones.TakeTrial(candidate.Zone, now)
-	return time.Time{}, true
+	return rampCost * (1 - c.zones.Share(candidate.Zone, now))
 }
 
 // watchZones makes the daemon find out which zones it is cut off from; in a fleet of
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -22,9 +22,7 @@
 		Reservers: []instance.Reserver{d.cold},
 	}
 	if d.zones != nil {
-		cutOff := cutOffZones{d.zones}
-		plugins.Scorers = append(plugins.Scorers, cutOff)
-		plugins.Reservers = append(plugins.Reservers, cutOff)
+		plugins.Scorers = append(plugins.Scorers, cutOffZones{d.zones})
 	}
 	return plugins
 }
--- a/internal/zone/judgement.go
+++ b/internal/zone/judgement.go
@@ -30,7 +30,10 @@
 	openTime = time.Second
 	// askCutEvery is how often cutAsked daemons of a zone are asked that is cut off,
 	// and askStoreEvery is the same for the store: the end of a cut is noticed as soon.
-	askCutEvery   = 200 * time.Millisecond
+	askCutEvery = 200 * time.Millisecond
+	// tryEvery is how often a back end of a zone that is cut off is connected to. The
+	// daemons there tell of the end of the cut sooner, but it may have none that runs.
+	tryEvery      = time.Second
 	cutAsked      = 2
 	askStoreEvery = 300 * time.Millisecond
 	// storeSilence is how long the store must not have answered, and storeMemory for how
@@ -69,6 +72,8 @@
 	// Ask is how many daemons of each zone are to be asked, those first that were not
 	// asked since the zone was last left alone.
 	Ask map[string]int
+	// Try are the zones of which a back end is to be connected to.
+	Try []string
 	// AskStore: the store is to be called.
 	AskStore bool
 	Changes  []BeliefChange
@@ -160,7 +165,7 @@
 	plan.ask(name, count)
 }
 
-// askMore asks on while nobody answers.
+// askMore asks on while nobody answers, and tries on while the zone is cut off.
 func (p *path) askMore(name string, now time.Time, plan *Plan) {
 	switch {
 	case p.openSince.IsZero():
@@ -169,6 +174,10 @@
 			p.askedAt = now
 			plan.ask(name, cutAsked)
 		}
+		if now.Sub(p.triedAt) >= tryEvery {
+			p.triedAt = now
+			plan.Try = append(plan.Try, name)
+		}
 	case now.Sub(p.askedAt) >= askMoreAfter && p.asked < mostAsked:
 		p.put(name, firstAsked, now, plan)
 	}
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -35,6 +35,9 @@
 type Connections interface {
 	// Waiting returns what they tell of each zone.
 	Waiting(now time.Time) map[string]zone.Waiting
+	// Try connects to a back end of a zone and, if that can be done, takes note that the
+	// zone can be reached. It returns at once.
+	Try(zone string)
 	// GiveUpSilent ends those that wait in vain in zones that are cut off.
 	GiveUpSilent(now time.Time)
 }
@@ -103,6 +106,9 @@
 	for name, count := range plan.Ask {
 		w.ask(name, count)
 	}
+	for _, name := range plan.Try {
+		w.Connections.Try(name)
+	}
 	if plan.AskStore {
 		go func() {
 			asking, cancel := context.WithTimeout(ctx, storeTime)
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -105,6 +105,17 @@
 
 func (e *end) GiveUpSilent(time.Time) {}
 
+// Try plays a back end that can be connected to unless its zone is cut off.
+func (e *end) Try(name string) {
+	e.n.mutex.Lock()
+	home := e.n.zoneOf[e.self]
+	lost := e.n.lost(home, name) || e.n.lost(name, home)
+	e.n.mutex.Unlock()
+	if !lost {
+		e.zones.Heard(name, time.Now())
+	}
+}
+
 func zoneName(i int) string { return string(rune('a' + i)) }
 
 // newFleet starts a fleet of which one daemon in three is busy.
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -6,13 +6,8 @@
 	"time"
 )
 
-const (
-	// trialEvery is how often one request tries a zone that is cut off. Daemons there
-	// tell of the end of the cut sooner, but a zone may have none that runs.
-	trialEvery = time.Second
-	// RampTime is how long after a cut's end the zone gets less than its share.
-	RampTime = time.Second
-)
+// RampTime is how long after a cut's end the zone gets less than its share.
+const RampTime = time.Second
 
 // Waiting is what a daemon's own requests tell of the back ends of a zone.
 type Waiting struct {
@@ -80,7 +75,7 @@
 	asked              int
 	// closedAt is when the questions before ended.
 	closedAt time.Time
-	// triedAt is when a request tried the zone last that is cut off.
+	// triedAt is when a back end of the zone was last to be connected to.
 	triedAt time.Time
 }
 
@@ -137,7 +132,7 @@
 	}
 }
 
-// Heard takes note that a back end of a zone sent something.
+// Heard takes note that a back end of a zone sent something, or could be connected to.
 func (r *Reachability) Heard(zone string, now time.Time) {
 	r.with(zone, func(p *path) { p.heardAt = now })
 }
@@ -184,28 +179,6 @@
 	return counts
 }
 
-// IsTrialDue tells whether a request may try a zone that is cut off.
-func (r *Reachability) IsTrialDue(zone string, now time.Time) bool {
-	due := false
-	r.with(zone, func(p *path) { due = p.isTrialDue(now) })
-	return due
-}
-
-// TakeTrial is IsTrialDue, and takes note that a request does.
-func (r *Reachability) TakeTrial(zone string, now time.Time) bool {
-	due := false
-	r.with(zone, func(p *path) {
-		if due = p.isTrialDue(now); due {
-			p.triedAt = now
-		}
-	})
-	return due
-}
-
-func (p *path) isTrialDue(now time.Time) bool {
-	return !p.cutSince.IsZero() && now.Sub(later(p.cutSince, p.triedAt)) >= trialEvery
-}
-
 // publish makes the beliefs known to readers; the mutex must be held.
 func (r *Reachability) publish() {
 	next := &beliefs{zones: map[string]belief{}, isolatedSince: r.isolatedSince, changed: make(chan struct{})}
@@ -216,10 +189,3 @@
 		close(former.changed)
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
