Ledger: the death of one other zone, or of all others, is not taken for isolation

Cause: a daemon that had lost nine tenths of the others, or the other of two zones, doubted its view and waited 2 s for dead holders at each claim; found by TestClaimsThatNobodyWaitsForAreSpread, where three of four daemons are killed (a turn that begins waited 2 s in a third of the runs). Two other zones lost together with the own one whole tell so by themselves (a half cut leaves the store).

--- a/internal/ledger/confirm_test.go
+++ b/internal/ledger/confirm_test.go
@@ -90,21 +90,26 @@
 }
 
 // TestSightTellsIsolationFromDeaths: with most of the other zones lost and the own one
-// whole, or with all lost, a daemon is cut off; not when many are killed at once.
+// whole, or with all lost and the store, a daemon is cut off; not when many are killed at
+// once, or it is the only one that lives.
 func TestSightTellsIsolationFromDeaths(t *testing.T) {
 	const zones, perZone = 4, 15
 	for _, c := range []struct {
-		name     string
-		isLost   func(zone, number int) bool
-		isolated bool
+		name   string
+		isLost func(zone, number int) bool
+		// storeLost: the store is not reached either.
+		storeLost, isolated bool
 	}{
-		{"nothing lost", func(int, int) bool { return false }, false},
-		{"another zone cut off", func(zone, _ int) bool { return zone == 1 }, false},
-		{"cut off with its zone", func(zone, _ int) bool { return zone != 0 }, true},
-		{"cut off with its zone, one of it lost before", func(zone, number int) bool { return zone != 0 || number == 1 }, true},
-		{"cut off with its zone and another", func(zone, _ int) bool { return zone > 1 }, true},
-		{"cut off alone", func(zone, number int) bool { return zone+number != 0 }, true},
-		{"most killed at once", func(_, number int) bool { return number > 4 }, false},
+		{"nothing lost", func(int, int) bool { return false }, false, false},
+		{"store out for all", func(int, int) bool { return false }, true, false},
+		{"another zone cut off", func(zone, _ int) bool { return zone == 1 }, false, false},
+		{"cut off with its zone", func(zone, _ int) bool { return zone != 0 }, true, true},
+		{"cut off with its zone from all but the store", func(zone, _ int) bool { return zone != 0 }, false, true},
+		{"cut off with its zone, one of it lost before", func(zone, number int) bool { return zone != 0 || number == 1 }, true, true},
+		{"cut off with its zone and another", func(zone, _ int) bool { return zone > 1 }, true, true},
+		{"cut off alone", func(zone, number int) bool { return zone+number != 0 }, true, true},
+		{"the only one that lives", func(zone, number int) bool { return zone+number != 0 }, false, false},
+		{"most killed at once", func(_, number int) bool { return number > 4 }, false, false},
 	} {
 		members := func(withLost bool) []membership.Member {
 			var list []membership.Member
@@ -118,17 +123,39 @@
 			return list
 		}
 		now, s := time.Now(), &sight{}
-		s.look(daemonID(0, 1), members(true), now)
-		isolated, _ := s.look(daemonID(0, 1), members(false), now.Add(time.Second))
+		s.look(daemonID(0, 1), members(true), false, now)
+		isolated, _ := s.look(daemonID(0, 1), members(false), c.storeLost, now.Add(time.Second))
 		if isolated != c.isolated || s.isDoubtful(now.Add(time.Second)) != c.isolated {
 			t.Errorf("%s: isolated %v, want %v", c.name, isolated, c.isolated)
 		}
-		s.look(daemonID(0, 1), members(true), now.Add(2*time.Second))
+		s.look(daemonID(0, 1), members(true), false, now.Add(2*time.Second))
 		if back := now.Add(time.Second + sightBack + time.Millisecond); s.isDoubtful(back) {
 			t.Errorf("%s: still doubtful %s after it was back", c.name, sightBack)
 		}
-		if isolated, _ := s.look(daemonID(0, 1), members(false), now.Add(2*time.Second+sightLife+time.Millisecond)); isolated {
+		if isolated, _ := s.look(daemonID(0, 1), members(false), false, now.Add(2*time.Second+sightLife+time.Millisecond)); isolated {
 			t.Errorf("%s: those that are gone for long still count", c.name)
 		}
 	}
 }
+
+// TestZoneOfTwoThatDiesIsNoIsolation: it is if the store is lost as well.
+func TestZoneOfTwoThatDiesIsNoIsolation(t *testing.T) {
+	members := func(zones int) []membership.Member {
+		var list []membership.Member
+		for i := range 20 {
+			if zone := i % 2; zone < zones {
+				daemon := structs.Daemon{ID: daemonID(i, 1), Zone: structs.ZoneName(fmt.Sprint(zone))}
+				list = append(list, membership.Member{Daemon: daemon, State: membership.StateAlive})
+			}
+		}
+		return list
+	}
+	now := time.Now()
+	for _, storeLost := range []bool{false, true} {
+		s := &sight{}
+		s.look(daemonID(0, 1), members(2), false, now)
+		if isolated, _ := s.look(daemonID(0, 1), members(1), storeLost, now.Add(time.Second)); isolated != storeLost {
+			t.Errorf("store lost %v: isolated %v", storeLost, isolated)
+		}
+	}
+}
--- a/internal/ledger/pace_test.go
+++ b/internal/ledger/pace_test.go
@@ -99,6 +99,6 @@
 	s := &sight{}
 	now := time.Now()
 	for i := 0; b.Loop(); i++ {
-		s.look(members[0].Daemon.ID, members, now.Add(time.Duration(i)*sightPause))
+		s.look(members[0].Daemon.ID, members, false, now.Add(time.Duration(i)*sightPause))
 	}
 }
--- a/internal/ledger/sight.go
+++ b/internal/ledger/sight.go
@@ -12,7 +12,9 @@
 
 // A daemon that is cut off believes all others dead. When it comes back it reaches
 // the store first and the others after, and would take their shards. That many are
-// lost at once is news of its own isolation, not of their deaths.
+// lost at once is news of its own isolation, not of their deaths. So many may have died
+// all the same: whose store answered all along is not cut off by the loss of one other
+// zone, or of all others.
 
 const (
 	// sightPause separates looks at the members.
@@ -29,6 +31,9 @@
 	// isolatedAlone is the part of all daemons that one which is cut off alone has
 	// lost at least.
 	isolatedAlone = 0.9
+	// zonesAtOnce is how many other zones are lost together by one that is cut off
+	// though its store answers: fleets are to bear the death of one.
+	zonesAtOnce = 2
 	// sightBack is how long after its isolation a daemon still doubts what it then
 	// came to believe: peers dial again each 1.2 s at most, and membership takes a
 	// round of probes to hear of all.
@@ -40,6 +45,11 @@
 type sight struct {
 	mutex sync.Mutex
 	seen  map[structs.DaemonID]seenDaemon
+	// zones counts those of each zone in one look.
+	zones map[structs.ZoneName]zoneCount
+	// storeLostAt is when this daemon last reached neither the store nor a daemon that
+	// does; zero if it always did.
+	storeLostAt time.Time
 	// isolatedAt is when this daemon was last cut off; zero if it never was.
 	isolatedAt time.Time
 }
@@ -50,13 +60,25 @@
 	aliveAt time.Time
 }
 
+// zoneCount is how many daemons of a zone were seen, and how many of them are lost.
+type zoneCount struct{ seen, lost int }
+
+func (c zoneCount) isLost(part float64) bool {
+	return c.seen > 0 && float64(c.lost) >= part*float64(c.seen)
+}
+
 // look takes the members as they are believed to be now, and tells whether the daemon
-// has just become isolated, or ceased to be.
-func (s *sight) look(self structs.DaemonID, members []membership.Member, now time.Time) (isolated, changed bool) {
+// has just become isolated, or ceased to be. storeLost tells that it reaches neither the
+// store nor a daemon that does.
+func (s *sight) look(self structs.DaemonID, members []membership.Member, storeLost bool, now time.Time) (isolated, changed bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.seen == nil {
 		s.seen = map[structs.DaemonID]seenDaemon{}
+		s.zones = map[structs.ZoneName]zoneCount{}
+	}
+	if storeLost {
+		s.storeLostAt = now
 	}
 	var zone structs.ZoneName
 	for _, member := range members {
@@ -79,27 +101,36 @@
 
 // isCutOff tells whether those that were lost tell of this daemon's isolation.
 func (s *sight) isCutOff(own structs.ZoneName, now time.Time) bool {
-	var near, nearLost, far, farLost int
+	clear(s.zones)
+	var far, all zoneCount
 	for id, daemon := range s.seen {
-		lost := 0
+		if now.Sub(daemon.aliveAt) > sightLife {
+			delete(s.seen, id)
+			continue
+		}
+		one := zoneCount{seen: 1}
 		if daemon.aliveAt.Before(now) {
-			lost = 1
+			one.lost = 1
 		}
-		switch {
-		case now.Sub(daemon.aliveAt) > sightLife:
-			delete(s.seen, id)
-		case daemon.zone == own:
-			near++
-			nearLost += lost
-		default:
-			far++
-			farLost += lost
+		zone := s.zones[daemon.zone]
+		s.zones[daemon.zone] = zoneCount{zone.seen + one.seen, zone.lost + one.lost}
+		all = zoneCount{all.seen + one.seen, all.lost + one.lost}
+		if daemon.zone != own {
+			far = zoneCount{far.seen + one.seen, far.lost + one.lost}
 		}
 	}
-	if near+far > 1 && float64(nearLost+farLost) >= isolatedAlone*float64(near+far) {
+	storeLost := !s.storeLostAt.IsZero() && now.Sub(s.storeLostAt) <= sightLife
+	if storeLost && all.isLost(isolatedAlone) {
 		return true
 	}
-	return far > 1 && float64(farLost) >= isolatedBeyond*float64(far) && float64(nearLost) <= isolatedWithin*float64(near)
+	near, zonesLost := s.zones[own], 0
+	for zone, count := range s.zones {
+		if zone != own && count.isLost(isolatedBeyond) {
+			zonesLost++
+		}
+	}
+	isWhole := float64(near.lost) <= isolatedWithin*float64(near.seen)
+	return isWhole && far.isLost(isolatedBeyond) && (storeLost || zonesLost >= zonesAtOnce)
 }
 
 // isDoubtful tells whether what this daemon believes of others is news of its own
@@ -113,7 +144,7 @@
 // watchSight looks at the members until ctx ends.
 func (s *Service) watchSight(ctx context.Context) {
 	for ctx.Err() == nil {
-		if isolated, changed := s.sight.look(s.Self, s.View.Members(), time.Now()); changed {
+		if isolated, changed := s.sight.look(s.Self, s.View.Members(), s.records.contact.IsIsolated(), time.Now()); changed {
 			s.Logger.Info().Bool("isolated", isolated).Msg("Sight of the other daemons changed.")
 		}
 		clock.Sleep(ctx, sightPause)
