Zones: a machine that reaches back ends alone is cut off, too; silent zones are asked on

A daemon without store and peers stayed ready while some back end sent something: it has no records, and its callers are better led elsewhere. And daemons that restarted were not heard for up to 1 s after nine questions to them while they were down: with back ends that turned silent meanwhile, the zone was found cut off (found by the property test once bytes of back ends no longer ended the questions). The property test lets the store's return be noticed before all others die: with neither, the daemon is cut off.

--- a/internal/zone/judgement.go
+++ b/internal/zone/judgement.go
@@ -17,7 +17,7 @@
 	// do not answer either, it may be this daemon that is cut off.
 	controlAsked = 1
 	// answerTime is how long all daemons of a zone that were asked must have said
-	// nothing: ten times what one with a full processor takes.
+	// nothing, ten times what one with a full processor takes, and its back ends, too.
 	answerTime = 250 * time.Millisecond
 	// leastEvidence is how many daemons and back ends of a zone must be silent.
 	leastEvidence = 3
@@ -28,13 +28,14 @@
 	groundLife = time.Second
 	// openTime bounds how long a zone is asked that is not found cut off.
 	openTime = time.Second
-	// askCutEvery is how often cutAsked daemons of a zone are asked that is cut off,
-	// and askStoreEvery is the same for the store: the end of a cut is noticed as soon.
-	askCutEvery = 200 * time.Millisecond
+	// askOnEvery is how often askedOn daemons of a zone are asked that is silent by
+	// then, and askStoreEvery is the same for the store: the end of a cut, or of a
+	// herd's restart, is noticed as soon.
+	askOnEvery = 200 * time.Millisecond
 	// tryEvery is how often a back end of a zone that is cut off is connected to. The
 	// daemons there tell of the end of the cut sooner, but it may have none that runs.
 	tryEvery      = time.Second
-	cutAsked      = 2
+	askedOn       = 2
 	askStoreEvery = 300 * time.Millisecond
 	// storeSilence is how long the store must not have answered, and storeMemory for how
 	// long a call that failed counts.
@@ -116,8 +117,8 @@
 	return plan
 }
 
-// close ends the questions to a zone once somebody there showed himself. They end in
-// vain if this daemon was paused, or after a while if nothing follows from them.
+// close ends the questions to a zone once one was answered. They end in vain if this
+// daemon was paused, or after a while if nothing follows from them.
 func (p *path) close(paused bool, isolatedSince, now time.Time) {
 	if p.openSince.IsZero() {
 		return
@@ -131,10 +132,9 @@
 	p.closedAt = now
 }
 
-// isSilent tells whether nobody of the zone has shown himself since its daemons are
-// being asked.
+// isSilent tells whether no daemon of the zone has answered since they are being asked.
 func (p *path) isSilent() bool {
-	return !p.openSince.IsZero() && !p.answeredAt.After(p.openSince) && !p.heardAt.After(p.openSince)
+	return !p.openSince.IsZero() && !p.answeredAt.After(p.openSince)
 }
 
 func (p *path) isSuspect(now time.Time) bool {
@@ -167,24 +167,26 @@
 
 // askMore asks on while nobody answers, and tries on while the zone is cut off.
 func (p *path) askMore(name string, now time.Time, plan *Plan) {
-	switch {
-	case p.openSince.IsZero():
-	case !p.cutSince.IsZero():
-		if now.Sub(p.askedAt) >= askCutEvery {
+	if p.openSince.IsZero() {
+		return
+	}
+	isCut := !p.cutSince.IsZero()
+	if isCut && now.Sub(p.triedAt) >= tryEvery {
+		p.triedAt = now
+		plan.Try = append(plan.Try, name)
+	}
+	switch asked := now.Sub(p.askedAt); {
+	case isCut || p.asked >= mostAsked:
+		if asked >= askOnEvery {
 			p.askedAt = now
-			plan.ask(name, cutAsked)
-		}
-		if now.Sub(p.triedAt) >= tryEvery {
-			p.triedAt = now
-			plan.Try = append(plan.Try, name)
+			plan.ask(name, askedOn)
 		}
-	case now.Sub(p.askedAt) >= askMoreAfter && p.asked < mostAsked:
+	case asked >= askMoreAfter:
 		p.put(name, firstAsked, now, plan)
 	}
 }
 
-// isLost tells whether the daemons asked in a zone had the time to answer, and nobody
-// there showed himself.
+// isLost tells whether the daemons asked in a zone had the time to answer, and none did.
 func (p *path) isLost(now time.Time) bool {
 	return p.isSilent() && p.daemons > 0 && now.Sub(p.openSince) >= answerTime
 }
@@ -192,7 +194,7 @@
 // judge decides whether a zone is cut off.
 func (r *Reachability) judge(name string, now time.Time, plan *Plan) {
 	p := r.paths[name]
-	cut := p.isLost(now)
+	cut := p.isLost(now) && now.Sub(p.heardAt) >= answerTime
 	if p.cutSince.IsZero() {
 		cut = cut && (!r.isolatedSince.IsZero() || p.hasEvidence(now) && r.isAnyoneHeard(p.openSince))
 	}
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -38,6 +38,8 @@
 	dead map[string]bool
 	// sent counts messages between daemons.
 	sent atomic.Int64
+	// found counts how often a daemon found a zone cut off.
+	found atomic.Int64
 	// storeCut zones do not reach the store.
 	storeCut map[string]bool
 }
@@ -143,7 +145,7 @@
 	for i, e := range ends {
 		w := New(Options{
 			Self: structs.NewDaemonID(e.self, 1), Zone: n.zoneOf[e.self], Reachability: e.zones, Connections: e,
-			Transport: e, View: e, OnCut: func(string) {}, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
+			Transport: e, View: e, OnCut: func(string) { n.found.Add(1) }, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
 			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 			AskStore: func(asking context.Context) bool {
 				n.mutex.Lock()
@@ -276,6 +278,9 @@
 				t.Errorf("%s: isolated %v, cut off %v", e.self, isolated, e.zones.IsCut("d"))
 			}
 		}
+		if found := n.found.Load(); found != 0 {
+			t.Errorf("zones were found cut off %d times", found)
+		}
 	})
 }
 
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -25,8 +25,9 @@
 // fail, hang or are slow look like that: in these cases somebody of the zone answers.
 //
 // A daemon takes itself to be cut off when the daemons of half of the fleet are
-// silent, and the store does not answer in any way. Where the store answers, the
-// others may as well have died, and somebody has to serve.
+// silent, and the store does not answer in any way, whether or not back ends can be
+// reached: it has no programs' records. Where the store answers, the others may as well
+// have died, and somebody has to serve.
 //
 // It is pure: it sends nothing and has no clock. It is safe for concurrent use.
 type Reachability struct {
--- a/internal/zone/reachability_test.go
+++ b/internal/zone/reachability_test.go
@@ -105,7 +105,7 @@
 		f.questions += count
 		f.asked[name] += count
 		// Those that died are asked first: the worst case.
-		if f.answering[name] > 0 && f.asked[name] > daemonsEach-f.answering[name] {
+		if count > 0 && f.answering[name] > 0 && f.asked[name] > daemonsEach-f.answering[name] {
 			f.r.Answered(name, f.now.Add(5*time.Millisecond))
 			f.asked[name] = 0
 		}
@@ -205,6 +205,28 @@
 	}
 }
 
+// TestMachineThatReachesOnlyBackEndsIsCutOff: it has no programs' records, but it may
+// serve what needs none.
+func TestMachineThatReachesOnlyBackEndsIsCutOff(t *testing.T) {
+	f := newFleet("a")
+	for _, name := range zoneNames {
+		f.answering[name] = 0
+	}
+	f.storeUp = false
+	f.r.Suspect("b", f.now)
+	f.run(900 * time.Millisecond)
+	if !f.isolated() || len(f.cut()) != 0 {
+		t.Errorf("isolated %v, zones cut off %v", f.isolated(), f.cut())
+	}
+	f.run(3 * time.Second)
+	f.restore(zoneNames...)
+	f.storeUp = true
+	f.run(500 * time.Millisecond)
+	if f.isolated() {
+		t.Error("0.5 s after the end still")
+	}
+}
+
 // TestWhatOnlyLooksLikeACut draws troubles in which somebody of each zone shows
 // himself, one after another.
 func TestWhatOnlyLooksLikeACut(t *testing.T) {
@@ -227,6 +249,7 @@
 					}
 				}
 				f.hanging[name] = rapid.IntRange(0, 3).Draw(t, "hanging")
+				f.storeUp = true // with neither the others nor the store it is cut off
 			case "burst":
 				for _, each := range zoneNames {
 					f.sending[each] = false
@@ -235,6 +258,10 @@
 				f.now = f.now.Add(time.Duration(rapid.IntRange(200, 5000).Draw(t, "pause")) * time.Millisecond)
 			}
 			f.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "steps")) * StepInterval)
+			if !f.storeUp { // its return is noticed before all others die
+				f.storeUp = true
+				f.run(askStoreEvery)
+			}
 		}
 		if len(f.changes) != 0 {
 			t.Fatalf("changes: %+v", f.changes)
@@ -263,6 +290,19 @@
 	}
 }
 
+// TestDaemonsThatRestartAreHeard: all of a zone are killed, and back by the time at which
+// its back ends turn silent for another reason.
+func TestDaemonsThatRestartAreHeard(t *testing.T) {
+	f := newFleet("a")
+	f.answering["d"], f.hanging["d"] = 0, 1
+	f.run(400 * time.Millisecond)
+	f.answering["d"], f.sending["d"] = daemonsEach, false
+	f.run(2 * time.Second)
+	if len(f.changes) != 0 {
+		t.Errorf("changes: %+v", f.changes)
+	}
+}
+
 // TestPausedDaemonMissesNobody: a daemon that stood still finds questions unanswered
 // whose answers wait at its door.
 func TestPausedDaemonMissesNobody(t *testing.T) {
