Ledger: texts that a turn waits for are read before those that nobody wants

A daemon that claimed several shards read their texts one shard at a time in no order, so a turn could wait behind shards that nobody asked for.

--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -32,8 +32,10 @@
 	// after is the last key that was read.
 	after string
 	stop  context.CancelFunc
-	// waiting operations need a turn that was not read yet.
+	// waiting operations need a turn that was not read yet; wanted is closed when the
+	// first of them comes.
 	waiting []operation
+	wanted  chan struct{}
 }
 
 // isPast tells whether all keys that are not turns' were read with a page.
@@ -67,7 +69,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(store.WithPurpose(ctx, store.PurposeHistories))
-	current := &histories{after: after, stop: stop}
+	current := &histories{after: after, stop: stop, wanted: make(chan struct{})}
 	h.histories = current
 	h.reading.Store(true)
 	go h.readHistories(ctx, current, after, time.Now())
@@ -78,7 +80,7 @@
 	records, bytes := 0, 0
 	wait := readingWait
 	for ctx.Err() == nil {
-		page, err := h.records.historiesPage(ctx, wait, h.partition, after, h.noteProgress)
+		page, err := h.records.historiesPage(ctx, wait, h.partition, after, current.wanted, h.noteProgress)
 		if err != nil {
 			wait = min(2*wait, giveUpPage)
 			h.post(ctx, func(context.Context) { h.noteHistoriesLate(current, err) })
@@ -157,6 +159,9 @@
 		return true
 	}
 	h.histories.waiting = append(h.histories.waiting, o)
+	if !isClosed(h.histories.wanted) {
+		close(h.histories.wanted)
+	}
 	return true
 }
 
@@ -222,16 +227,19 @@
 	return page, err
 }
 
-// historiesPage is page for texts that nobody waits for yet, with a single try: those
-// who do wait hear at once that the store does not give them.
-func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, waiting func()) (page store.Page, err error) {
-	for _, bound := range []slots{r.histories, r.pages} {
-		release, err := bound.take(ctx, waiting)
-		if err != nil {
-			return store.Page{}, err
-		}
-		defer release()
+// historiesPage is page for texts, with a single try: those who wait for them hear at once
+// that the store does not give them. Texts that are wanted go before those that are not.
+func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, wanted <-chan struct{}, waiting func()) (page store.Page, err error) {
+	release, err := r.histories.takeUnless(ctx, wanted, waiting)
+	if err != nil {
+		return store.Page{}, err
 	}
+	defer release()
+	releasePage, err := r.pages.take(ctx, waiting)
+	if err != nil {
+		return store.Page{}, err
+	}
+	defer releasePage()
 	err = r.once(ctx, wait, func(ctx context.Context) error {
 		page, err = r.NewestPage(ctx, partition, after)
 		return err
@@ -245,7 +253,12 @@
 // take waits for a slot, and calls waiting now and then meanwhile: who asked for it is
 // in a queue that gets on.
 func (s slots) take(ctx context.Context, waiting func()) (release func(), err error) {
-	if s == nil {
+	return s.takeUnless(ctx, nil, waiting)
+}
+
+// takeUnless is take that needs no slot once urgent is closed.
+func (s slots) takeUnless(ctx context.Context, urgent <-chan struct{}, waiting func()) (release func(), err error) {
+	if s == nil || isClosed(urgent) {
 		return func() {}, nil
 	}
 	ticker := time.NewTicker(answerWithin / 3)
@@ -254,6 +267,8 @@
 		select {
 		case s <- struct{}{}:
 			return func() { <-s }, nil
+		case <-urgent:
+			return func() {}, nil
 		case <-ticker.C:
 			waiting()
 		case <-ctx.Done():
--- a/internal/ledger/histories_test.go
+++ b/internal/ledger/histories_test.go
@@ -136,3 +136,29 @@
 		t.Error("the first turn of a chain was dropped before its last")
 	}
 }
+
+// TestTextsThatAreWantedGoFirst: they do not queue behind those that nobody waits for.
+func TestTextsThatAreWantedGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bound := make(slots, 1)
+		release, err := bound.take(t.Context(), func() {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		wanted := make(chan struct{})
+		time.AfterFunc(100*time.Millisecond, func() { close(wanted) })
+		started := time.Now()
+		if _, err := bound.takeUnless(t.Context(), wanted, func() {}); err != nil || time.Since(started) != 100*time.Millisecond {
+			t.Errorf("texts that became wanted waited for %s, %v", time.Since(started), err)
+		}
+		release()
+		if _, err := bound.take(t.Context(), func() {}); err != nil {
+			t.Errorf("the slot was not given back: %v", err)
+		}
+		ended, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := bound.take(ended, func() {}); !errors.Is(err, store.ErrUnavailable) {
+			t.Errorf("a second slot: %v, want %v", err, store.ErrUnavailable)
+		}
+	})
+}
