Ledger: who passes a request on learns that the holder gave the shard up

The answer of a holder that had just passed its shard on was taken for news of a claim, so the successor counted as the holder of the former epoch, and whoever asked it was not told to let it claim.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -88,11 +88,7 @@
 
 // noteHolder takes what an answer tells of who holds the shard.
 func (s *Service) noteHolder(shard int, response Response) {
-	if response.Released {
-		s.known.noteReleased(shard, response.Epoch, response.Holder)
-		return
-	}
-	s.known.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+	s.known.noteAnswer(shard, response)
 }
 
 // knownTo returns what a daemon that answered knew of the holder: what is known here
--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -154,11 +154,11 @@
 		defer cancel()
 		response := h.fleet.askOne(asking, structs.DaemonID(holder.Daemon), request)
 		h.passing.Add(-1)
-		isSilent, told := response.Result == resultSilent, holderRecord{Epoch: response.Epoch, Daemon: response.Holder}
+		isSilent, told := response.Result == resultSilent, response
 		h.post(ctx, func(context.Context) {
 			switch {
 			case !isSilent:
-				h.known.note(h.shard, told)
+				h.known.noteAnswer(h.shard, told)
 			case h.confirmed.holder == holder:
 				h.confirmed = confirmation{}
 			}
--- a/internal/ledger/confirm_test.go
+++ b/internal/ledger/confirm_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -159,3 +160,32 @@
 		}
 	}
 }
+
+// TestShardThatIsGivenUpWhileRequestsArePassedOnIsReleased: who passes requests on to a
+// holder learns from its answer that it gave the shard up, and to whom.
+func TestShardThatIsGivenUpWhileRequestsArePassedOnIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 3)
+		begin(t, f.service(daemonID(0, 1)), Turn{ID: "a", Program: "p", BudgetTokens: 1000, MostTokens: 10})
+		holder, other := f.service(f.holderOf("p")), f.other("p")
+		shard := holder.shardOf("p")
+		held := holder.known.get(shard).holderRecord
+		h := other.holders[shard]
+		other.known.note(shard, held)
+		h.confirmed = confirmation{holder: held, at: time.Now()}
+		giving := holder.holders[shard]
+		giving.post(testContext(t), func(context.Context) {
+			giving.known.noteReleased(shard, held.Epoch, string(other.Self))
+			giving.drop()
+			giving.givenTo = string(other.Self)
+		})
+		turn := Turn{ID: "b", Program: "p", BudgetTokens: 1000, MostTokens: 10}
+		if got := askHolder(t, other, Request{Begin: &turn, Failed: held.Epoch, Holder: held.Daemon}); got != resultMoved {
+			t.Errorf("the request was answered %q", got)
+		}
+		time.Sleep(time.Millisecond)
+		if known := other.known.get(shard); !known.released || known.Daemon != string(other.Self) {
+			t.Errorf("known of the shard is %+v, want that it was released to %s", known, other.Self)
+		}
+	})
+}
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -55,6 +55,15 @@
 	known.holderRecord = holder
 }
 
+// noteAnswer takes what an answer tells of who holds a shard.
+func (t *holderTable) noteAnswer(shard int, response Response) {
+	if response.Released {
+		t.noteReleased(shard, response.Epoch, response.Holder)
+		return
+	}
+	t.note(shard, holderRecord{Epoch: response.Epoch, Daemon: response.Holder})
+}
+
 // noteReleased takes news that the holder of an epoch gave the shard up for
 // another daemon to claim.
 func (t *holderTable) noteReleased(shard int, epoch uint64, successor string) {
