Ledger: the history of a chain is sent once to the daemon that goes on

Change: an asker remembers the texts of the chains it had to do with lately (512 KB) and says so in its request; the holder checks the chain as ever and leaves the text out. A daemon that only asks, as its region may not keep the text, remembers nothing.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -50,6 +50,8 @@
 	dead     map[structs.DaemonID]bool
 	leaving  map[structs.DaemonID]bool
 	offers   int
+	// history counts the bytes of histories that were sent.
+	history int
 }
 
 func newTestFleet(t *testing.T, daemons int) *testFleet {
@@ -159,6 +161,13 @@
 	return f.offers
 }
 
+// historySent returns how many bytes of histories daemons sent each other.
+func (f *testFleet) historySent() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.history
+}
+
 func (f *testFleet) setDeaf(id structs.DaemonID, deaf bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -309,6 +318,9 @@
 	if request, isRequest := message.(*Request); isRequest && request.Prepare {
 		t.fleet.offers++
 	}
+	if response, isResponse := message.(*Response); isResponse {
+		t.fleet.history += len(response.Grant.History)
+	}
 	lost := target == nil || t.fleet.deaf[to] || t.fleet.deaf[t.self]
 	t.fleet.mutex.Unlock()
 	if severed := t.fleet.severed; severed != nil && severed(t.self, to) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -72,6 +72,8 @@
 	// Retention is how long the program and its turns are kept after their
 	// last use.
 	Retention time.Duration `json:"retention,omitempty"`
+	// HistoryKnown: the asker has the text of the chain, so the grant needs none.
+	HistoryKnown bool `json:"known,omitempty"`
 	// Imported is the previous turn as another shard keeps it, nil if this
 	// shard keeps it itself.
 	Imported *KeptTurn `json:"imported,omitempty"`
@@ -84,6 +86,8 @@
 type Grant struct {
 	// History is the text of the chain of turns before this one.
 	History []byte `json:"history,omitempty"`
+	// HistoryLeftOut: the asker said that it has the text.
+	HistoryLeftOut bool `json:"left_out,omitempty"`
 	// Underway: the program has had turns before.
 	Underway bool `json:"underway,omitempty"`
 	// Instance ran the session's turn before, or else the program's latest: it
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -106,6 +106,8 @@
 	holders []*holder
 	records *recordStore
 	known   *holderTable
+	// texts are those of chains that this daemon had to do with lately.
+	texts   texts
 	avoided avoided
 	sight   sight
 	pace    pace
@@ -247,6 +249,8 @@
 // them once, or must be abandoned.
 func (s *Service) Begin(ctx context.Context, turn Turn) (Grant, error) {
 	shard := s.shardOf(turn.Program)
+	text, known := s.texts.get(turn.Previous)
+	turn.HistoryKnown = known
 	response := s.ask(ctx, shard, Request{Begin: &turn})
 	if response.Result == resultUnknownTurn && turn.Imported == nil {
 		found, err := s.findElsewhere(ctx, shard, turn.Previous)
@@ -258,6 +262,11 @@
 	}
 	switch response.Result {
 	case resultOK:
+		if response.Grant.HistoryLeftOut {
+			response.Grant.History = text
+		} else {
+			s.remember(turn.Previous, response.Grant.History)
+		}
 		return response.Grant, nil
 	case resultBudgetSpent:
 		return Grant{}, ErrBudgetSpent
@@ -267,6 +276,14 @@
 	return Grant{}, s.heldUp(shard, response.Result)
 }
 
+// remember keeps the text of a chain for the next turn, unless the daemon may not have
+// it beyond what passes through.
+func (s *Service) remember(turn string, text []byte) {
+	if !s.AsksOnly {
+		s.texts.put(turn, slices.Clip(text))
+	}
+}
+
 // Abandon ends a turn of which it is not known whether it was reserved: it
 // can not be reserved later either. It returns at once.
 func (s *Service) Abandon(turn Turn) {
@@ -289,6 +306,9 @@
 		response := s.ask(ctx, shard, Request{End: &asked})
 		switch response.Result {
 		case resultOK:
+			if outcome.Kept != nil && !s.AsksOnly {
+				s.texts.goOn(outcome.Kept)
+			}
 			return nil
 		case resultUnknownTurn:
 			chain, err := s.findElsewhere(ctx, shard, outcome.Kept.Previous)
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -143,7 +143,11 @@
 	}
 	s.accounts[turn.Program] = entry
 	s.touch(accountPrefix + turn.Program)
-	return Grant{History: history, Underway: underway, Instance: entry.instanceOf(turn.Session)}, resultOK
+	grant := Grant{History: history, Underway: underway, Instance: entry.instanceOf(turn.Session)}
+	if turn.HistoryKnown {
+		grant.History, grant.HistoryLeftOut = nil, true
+	}
+	return grant, resultOK
 }
 
 // end settles a turn, and keeps it if later ones may go on from it. A turn
