--- a/internal/zone/judgement.go
+++ b/internal/zone/judgement.go
@@ -73,6 +73,9 @@
 	// Ask is how many daemons of each zone are to be asked, those first that were not
 	// asked since the zone was last left alone.
 	Ask map[string]int
+	// Suspected are the zones of which nobody answers yet: other daemons had better ask
+	// them, too.
+	Suspected []string
 	// Try are the zones of which a back end is to be connected to.
 	Try []string
 	// AskStore: the store is to be called.
@@ -128,7 +131,7 @@
 	if p.isSilent() && !inVain {
 		return
 	}
-	p.openSince, p.asked = time.Time{}, 0
+	p.openSince, p.asked, p.shared = time.Time{}, 0, false
 	p.closedAt = now
 }
 
@@ -165,11 +168,16 @@
 	plan.ask(name, count)
 }
 
-// askMore asks on while nobody answers, and tries on while the zone is cut off.
+// askMore asks on while nobody answers, tells that once, and tries on while the zone is
+// cut off.
 func (p *path) askMore(name string, now time.Time, plan *Plan) {
 	if p.openSince.IsZero() {
 		return
 	}
+	if !p.shared && p.waiting.Overdue > 0 && p.isSilent() && now.Sub(p.openSince) >= askMoreAfter {
+		p.shared = true
+		plan.Suspected = append(plan.Suspected, name)
+	}
 	isCut := !p.cutSince.IsZero()
 	if isCut && now.Sub(p.triedAt) >= tryEvery {
 		p.triedAt = now
--- a/internal/zone/reach/messages.go
+++ b/internal/zone/reach/messages.go
@@ -16,6 +16,11 @@
 	Zone string `json:"z"`
 }
 
+// Suspicion tells that the sender hears nothing of a zone, and asks its daemons.
+type Suspicion struct {
+	Zone string `json:"z"`
+}
+
 // MessageKind implements peer.Message.
 func (*Question) MessageKind() peer.Kind { return "reach.question" }
 
@@ -25,8 +30,12 @@
 // MessageKind implements peer.Message.
 func (*Finding) MessageKind() peer.Kind { return "reach.finding" }
 
+// MessageKind implements peer.Message.
+func (*Suspicion) MessageKind() peer.Kind { return "reach.suspicion" }
+
 func init() {
 	peer.Register(peer.ClassControl, &Question{})
 	peer.Register(peer.ClassControl, &Answer{})
 	peer.Register(peer.ClassControl, &Finding{})
+	peer.Register(peer.ClassControl, &Suspicion{})
 }
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -22,7 +22,8 @@
 	// rosterEvery is how often the list of a zone's daemons is renewed, while nothing
 	// is suspected there.
 	rosterEvery = time.Second
-	// toldDaemons are told of a zone that was found cut off, once. Those that have no
+	// toldDaemons are told of a zone that is suspected, and of one that was found cut
+	// off, once each. Those that have no
 	// request there find it by that: with as many, hardly one of 300 is left out that
 	// hears of it from nobody who found it by itself.
 	toldDaemons = 8
@@ -106,6 +107,9 @@
 	for name, count := range plan.Ask {
 		w.ask(name, count)
 	}
+	for _, name := range plan.Suspected {
+		w.tell(name, &Suspicion{Zone: name})
+	}
 	for _, name := range plan.Try {
 		w.Connections.Try(name)
 	}
@@ -138,7 +142,7 @@
 	w.Metrics.changed(change)
 	if change.Zone != "" && change.Cut {
 		w.OnCut(change.Zone)
-		w.tell(change.Zone)
+		w.tell(change.Zone, &Finding{Zone: change.Zone})
 	}
 }
 
@@ -209,8 +213,8 @@
 	return left
 }
 
-// tell passes on that a zone was found cut off to some daemons of other zones.
-func (w *Watch) tell(name string) {
+// tell sends a message about a zone to some daemons of others.
+func (w *Watch) tell(name string, message peer.Message) {
 	var others []structs.DaemonID
 	for _, member := range w.View.Members() {
 		home := string(member.Daemon.Zone)
@@ -220,7 +224,7 @@
 	}
 	for range min(toldDaemons, len(others)) {
 		i := w.Random.IntN(len(others))
-		w.Transport.Send(others[i], &Finding{Zone: name})
+		w.Transport.Send(others[i], message)
 		others = slices.Delete(others, i, i+1)
 	}
 }
@@ -234,6 +238,8 @@
 		w.Reachability.Answered(message.Zone, time.Now())
 	case *Finding:
 		w.Reachability.Told(message.Zone, 0, time.Now())
+	case *Suspicion:
+		w.Reachability.Suspect(message.Zone, time.Now())
 	default:
 		return false
 	}
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -23,6 +23,8 @@
 	zones      = 4
 	perZone    = 8
 	wayBetween = 2 * time.Millisecond
+	// mostFind is within how long three quarters of the daemons find a zone cut off.
+	mostFind = 650 * time.Millisecond
 )
 
 // network carries messages between the daemons of a fleet. Zones may be cut off from
@@ -197,7 +199,17 @@
 func TestWholeFleetFindsAZoneCutOffWithinASecond(t *testing.T) {
 	run(t, func(n *network) { n.cutOff("d") }, func(n *network, ends []*end) {
 		before := n.sent.Load()
-		time.Sleep(time.Second)
+		time.Sleep(mostFind)
+		found := 0
+		for _, e := range ends {
+			if e.zones.IsCut("d") {
+				found++
+			}
+		}
+		if outside := len(ends) - perZone; found < outside*3/4 {
+			t.Errorf("%d of %d found it within %s", found, outside, mostFind)
+		}
+		time.Sleep(time.Second - mostFind)
 		for _, e := range ends {
 			_, isolated := e.zones.Isolated()
 			inside := n.zoneOf[e.self] == "d"
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -74,6 +74,8 @@
 	// asked counts the questions, and askedAt is when the latest was put.
 	openSince, askedAt time.Time
 	asked              int
+	// shared: other daemons were told that none has answered.
+	shared bool
 	// closedAt is when the questions before ended.
 	closedAt time.Time
 	// triedAt is when a back end of the zone was last to be connected to.
@@ -144,7 +146,7 @@
 }
 
 // Suspect takes note of a ground to ask a zone's daemons, such as that one of them
-// is suspected to have failed.
+// is suspected to have failed, or that others hear nothing of them.
 func (r *Reachability) Suspect(zone string, now time.Time) {
 	r.with(zone, func(p *path) { p.suspectedAt = now })
 }
