Ledger tests: the time of a reading is set without a race

Cause: holders read the texts of turns in the background now, while TestLongHistoryIsReadToItsEnd sets how long a reading takes (found under -race, 1 of 2 runs). Change: an atomic in the tests' fleet. No check changes. Measured: five runs of those tests under -race without a report.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,8 +29,8 @@
 	t     *testing.T
 	store *memory.Store
 
-	// readTime is how long a reading takes a record.
-	readTime time.Duration
+	// readTime is how long a reading takes a record, in nanoseconds.
+	readTime atomic.Int64
 	// settleTime is that of daemons that start.
 	settleTime time.Duration
 	// blind: daemons that start have heard of no other.
@@ -161,6 +162,9 @@
 	return f.offers
 }
 
+// setReadTime sets how long a reading takes a record: holders may be reading.
+func (f *testFleet) setReadTime(d time.Duration) { f.readTime.Store(int64(d)) }
+
 // historySent returns how many bytes of histories daemons sent each other.
 func (f *testFleet) historySent() int {
 	f.mutex.Lock()
@@ -299,7 +303,7 @@
 // read lets the time pass that a reading takes; an error tells that it was
 // broken off before its end.
 func (f *testFleet) read(ctx context.Context, records int) error {
-	clock.Sleep(ctx, time.Duration(records)*f.readTime)
+	clock.Sleep(ctx, time.Duration(records)*time.Duration(f.readTime.Load()))
 	if ctx.Err() != nil {
 		return store.ErrOutcomeUnknown
 	}
--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -155,7 +155,7 @@
 		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
 		former := f.holderOf("p")
 		shard := f.service(former).shardOf("p")
-		f.readTime = rollingReadTime
+		f.setReadTime(rollingReadTime)
 		f.leave(former)
 		time.Sleep(300 * time.Millisecond)
 		var reader *Service
@@ -182,7 +182,7 @@
 		f.fillHistory(t)
 		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
 		former := f.service(f.holderOf("p"))
-		f.readTime = rollingReadTime
+		f.setReadTime(rollingReadTime)
 		f.leave(former.Self)
 		started := time.Now()
 		former.WaitForHandover(testContext(t))
--- a/internal/ledger/promise_test.go
+++ b/internal/ledger/promise_test.go
@@ -20,7 +20,7 @@
 		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
 		former := f.service(f.holderOf("p"))
 		shard := former.shardOf("p")
-		f.readTime = rollingReadTime
+		f.setReadTime(rollingReadTime)
 		successor := f.service(structs.DaemonID(former.preferred(shard, former.Self)))
 		prepared := former.askOne(testContext(t), successor.Self, Request{Shard: shard, Prepare: true})
 		if prepared.Result != resultOK {
--- a/internal/ledger/rolling_stop_test.go
+++ b/internal/ledger/rolling_stop_test.go
@@ -166,7 +166,7 @@
 		f.fillHistory(t)
 		begin(t, f.caller(), Turn{ID: "first", Program: "p"})
 		former := f.holderOf("p")
-		f.readTime = 2500 * time.Microsecond // 1.25 s a page, 5 s in all
+		f.setReadTime(2500 * time.Microsecond) // 1.25 s a page, 5 s in all
 		f.setCalled(former, false)
 		f.kill(former)
 		directory := store.Partition{Space: "holders"}
@@ -197,7 +197,7 @@
 	for i := range rollingPrograms { // each shard has its holder before
 		begin(t, f.caller(), Turn{ID: fmt.Sprint("first-", i), Program: fmt.Sprint("program-", i)})
 	}
-	f.readTime = rollingReadTime
+	f.setReadTime(rollingReadTime)
 	waits := &recordWaits{}
 	stop := make(chan struct{})
 	var callers, stops sync.WaitGroup
--- a/internal/ledger/trouble_test.go
+++ b/internal/ledger/trouble_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newRollingFleet(t, 1)
 		f.fillHistory(t)
-		f.readTime = rollingReadTime
+		f.setReadTime(rollingReadTime)
 		s := f.service(daemonID(0, 1))
 		before := outageForecast(s)
 		begin(t, s, Turn{ID: "a", Program: "p"})
