--- a/internal/instance/distance/distance.go
+++ b/internal/instance/distance/distance.go
@@ -28,10 +28,11 @@
 	zoneWay   = time.Millisecond
 	// zoneKilobyte is how long a request may rather wait than send a kilobyte to another
 	// zone, and regionKilobyte the same to another region. Operators pay four times as
-	// much between regions (250 and 1,000 a gigabyte). A turn of 20 KB counts 10 ms
-	// between zones, a thirtieth of a stay of 300 ms: as much as a third of one request
-	// more at an instance of eight slots, enough to break ties and no more.
-	zoneKilobyte   = 500 * time.Microsecond
+	// much between regions (250 and 1,000 a gigabyte). A turn of 20 KB counts 6 ms
+	// between zones, a fiftieth of a stay of 300 ms: as much as a third of one request
+	// more at an instance of sixteen slots. That breaks ties; more would fill the zone that
+	// has most callers while others have places, as a daemon sees its own requests only.
+	zoneKilobyte   = 200 * time.Microsecond
 	regionKilobyte = 4 * zoneKilobyte
 	kilobyte       = 1000
 	// usualStay is taken for a service's until it is known, and shortestStay is taken
