--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -23,6 +23,8 @@
 	zones      = 4
 	perZone    = 8
 	wayBetween = 2 * time.Millisecond
+	// mostFind is within how long three quarters of the daemons find a zone cut off.
+	mostFind = 650 * time.Millisecond
 )
 
 // network carries messages between the daemons of a fleet. Zones may be cut off from
@@ -38,6 +40,8 @@
 	dead map[string]bool
 	// sent counts messages between daemons.
 	sent atomic.Int64
+	// found counts how often a daemon found a zone cut off.
+	found atomic.Int64
 	// storeCut zones do not reach the store.
 	storeCut map[string]bool
 }
@@ -143,7 +147,7 @@
 	for i, e := range ends {
 		w := New(Options{
 			Self: structs.NewDaemonID(e.self, 1), Zone: n.zoneOf[e.self], Reachability: e.zones, Connections: e,
-			Transport: e, View: e, OnCut: func(string) {}, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
+			Transport: e, View: e, OnCut: func(string) { n.found.Add(1) }, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
 			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 			AskStore: func(asking context.Context) bool {
 				n.mutex.Lock()
@@ -195,7 +199,17 @@
 func TestWholeFleetFindsAZoneCutOffWithinASecond(t *testing.T) {
 	run(t, func(n *network) { n.cutOff("d") }, func(n *network, ends []*end) {
 		before := n.sent.Load()
-		time.Sleep(time.Second)
+		time.Sleep(mostFind)
+		found := 0
+		for _, e := range ends {
+			if e.zones.IsCut("d") {
+				found++
+			}
+		}
+		if outside := len(ends) - perZone; found < outside*3/4 {
+			t.Errorf("%d of %d found it within %s", found, outside, mostFind)
+		}
+		time.Sleep(time.Second - mostFind)
 		for _, e := range ends {
 			_, isolated := e.zones.Isolated()
 			inside := n.zoneOf[e.self] == "d"
@@ -276,6 +290,9 @@
 				t.Errorf("%s: isolated %v, cut off %v", e.self, isolated, e.zones.IsCut("d"))
 			}
 		}
+		if found := n.found.Load(); found != 0 {
+			t.Errorf("zones were found cut off %d times", found)
+		}
 	})
 }
 
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -25,8 +25,9 @@
 // fail, hang or are slow look like that: in these cases somebody of the zone answers.
 //
 // A daemon takes itself to be cut off when the daemons of half of the fleet are
-// silent, and the store does not answer in any way. Where the store answers, the
-// others may as well have died, and somebody has to serve.
+// silent, and the store does not answer in any way, whether or not back ends can be
+// reached: it has no programs' records. Where the store answers, the others may as well
+// have died, and somebody has to serve.
 //
 // It is pure: it sends nothing and has no clock. It is safe for concurrent use.
 type Reachability struct {
@@ -73,6 +74,8 @@
 	// asked counts the questions, and askedAt is when the latest was put.
 	openSince, askedAt time.Time
 	asked              int
+	// shared: other daemons were told that none has answered.
+	shared bool
 	// closedAt is when the questions before ended.
 	closedAt time.Time
 	// triedAt is when a back end of the zone was last to be connected to.
@@ -143,7 +146,7 @@
 }
 
 // Suspect takes note of a ground to ask a zone's daemons, such as that one of them
-// is suspected to have failed.
+// is suspected to have failed, or that others hear nothing of them.
 func (r *Reachability) Suspect(zone string, now time.Time) {
 	r.with(zone, func(p *path) { p.suspectedAt = now })
 }
