Relay daemon: its parts are joined in functions of their own; behaviour unchanged

Cause: Start and join had grown to 150 lines that built every part of the daemon. Change: join.go builds members, store, ledger and relay one after the other; placement and the pauses of the watches stand where they are used.

--- /dev/null
+++ b/internal/relaydaemon/join.go
@@ -0,0 +1,171 @@
+package relaydaemon
+
+import (
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/peer/tcp"
+	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/relay"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/proxy"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// ledgerSpace is where the ledger's shards lie; a number follows.
+	ledgerSpace = "ledger-"
+	// ledgerDirectory is where the shards' holders are told.
+	ledgerDirectory = "ledger-holders"
+	// recordShare is the part of the memory that the text of turns may take
+	// which wait for their record: some hundred turns on the smallest machines.
+	recordShare = 0.1
+)
+
+// join makes the daemon one of the fleet, with its share of the ledger. Parts that come
+// later work with those before.
+func (d *Daemon) join() error {
+	receiver := &receiverSlot{}
+	if err := d.joinMembers(receiver); err != nil {
+		return err
+	}
+	d.joinStore()
+	d.joinLedger()
+	d.joinRelay()
+	d.watchZones()
+	receiver.daemon.Store(d)
+	return nil
+}
+
+// joinMembers opens the way to the other daemons.
+func (d *Daemon) joinMembers(receiver peer.Handler) error {
+	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, d.cold, part(d.logger, "members"))
+	self := structs.Daemon{
+		ID:     structs.NewDaemonID(d.settings.PeerAddress, d.registry.incarnation()),
+		Zone:   structs.ZoneName(d.settings.Zone),
+		Region: structs.RegionName(d.settings.Region),
+
+		Capacity: d.settings.capacity(),
+	}
+	sent := newTraffic(d.topology, d.figures)
+	transport, err := tcp.Listen(self.ID, receiver, sent.count, part(d.logger, "peer"))
+	if err != nil {
+		return err
+	}
+	d.transport = transport
+	d.membership = membership.New(membership.Options{
+		Self:      self,
+		Clock:     clock.System(),
+		Random:    newRandom(),
+		Transport: transport,
+		Settings:  membershipSettings(),
+		Logger:    part(d.logger, "membership"),
+	})
+	sent.members = d.membership.Lookup
+	return nil
+}
+
+// joinStore makes the store be reached by way of other daemons, too.
+func (d *Daemon) joinStore() {
+	d.store = proxy.New(proxy.Options{
+		Self:      d.membership.Self.ID,
+		Region:    d.membership.Self.Region,
+		Direct:    store.NewMeter(d.adapter.Store(), d.figures, part(d.logger, "store")),
+		Transport: d.transport,
+		View:      d.membership,
+		Random:    newRandom(),
+		MayHelp:   mayHelp,
+		Logger:    part(d.logger, "store"),
+		Metrics:   proxy.NewMetrics(d.figures),
+	})
+	d.registry.store, d.registry.contact = d.store, d.store
+}
+
+// joinLedger takes the daemon's share of the ledger of all daemons; those of regions
+// come up when they are needed.
+func (d *Daemon) joinLedger() {
+	options := ledger.Options{
+		Self:       d.membership.Self.ID,
+		Store:      d.store,
+		Contact:    d.store,
+		Transport:  d.transport,
+		View:       d.membership,
+		Partitions: ledgerPartitions(d.settings),
+		Directory:  store.Partition{Space: ledgerDirectory},
+		SettleTime: ledger.DefaultSettleTime,
+		Admission:  d.admission,
+		Expected:   d.registry.count,
+		Quota:      d.settings.quotaTerms(),
+		Machine:    machineClock(d.settings.PeerAddress),
+
+		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
+
+		Confirmations: d,
+		Evacuations:   d,
+		Logger:        part(d.logger, "ledger"),
+		Metrics:       ledger.NewMetrics(d.figures),
+	}
+	d.ledger = ledger.NewService(options)
+	d.regional = newRegionalLedgers(d.topology, options)
+}
+
+// joinRelay makes callers' requests be carried.
+func (d *Daemon) joinRelay() {
+	d.relay = relay.New(relay.Options{
+		Pool:    d.pool,
+		Driver:  d.adapter.Driver(),
+		Ledger:  d.regional.join(d.ledger),
+		Quota:   quota.NewGate(d.ledger, d.settings.quotaTerms()),
+		Table:   d.table.Load,
+		Daemons: func() int { return len(d.membership.Members()) },
+
+		Evacuations: &d.evacuations,
+		Zones:       d.zones,
+		AwayAfter:   noticeTime,
+		Admission:   d.admission,
+		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
+		Logger:      part(d.logger, "relay"),
+		Metrics:     relay.NewMetrics(d.figures),
+	})
+}
+
+// membershipSettings are those of a fleet whose daemons must find each other
+// fast after the loss of all of them: within some 0.1 s, where looking for one
+// another at the usual pace took 0.6 s.
+func membershipSettings() membership.Settings {
+	settings := membership.DefaultSettings()
+	settings.FirstJoinTime = 600 * time.Millisecond
+	settings.FirstJoinInterval = 50 * time.Millisecond
+	settings.FirstJoinFanout = 3
+	return settings
+}
+
+func ledgerPartitions(settings Settings) []store.Partition {
+	var partitions []store.Partition
+	for space := range settings.LedgerSpaces {
+		for number := range settings.LedgerPartitions {
+			partitions = append(partitions, store.Partition{Space: ledgerSpace + strconv.Itoa(space), Number: number})
+		}
+	}
+	return partitions
+}
+
+// receiverSlot lets the transport start before the parts that it serves.
+type receiverSlot struct{ daemon atomic.Pointer[Daemon] }
+
+// Receive implements peer.Handler.
+func (s *receiverSlot) Receive(from structs.DaemonID, message peer.Message) {
+	d := s.daemon.Load()
+	if d == nil {
+		return
+	}
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.receiveReach(from, message) &&
+		!d.ledger.Receive(from, message) {
+		d.regional.receive(from, message)
+	}
+}
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -6,6 +6,7 @@
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/instance/distance"
 	"github.com/mintpulley/mintpulley/internal/residency"
+	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
@@ -26,3 +27,19 @@
 	}
 	return plugins
 }
+
+// preparePlacement makes the pool of instances, and what has a say in their choice.
+func (d *Daemon) preparePlacement() {
+	d.cold = warmup.NewLimiter(warmup.Options{
+		Terms:   d.settings.coldTerms(),
+		Own:     d.settings.PeerAddress,
+		Returns: &d.evacuations,
+		Logger:  part(d.logger, "warmup"),
+		Metrics: warmup.NewMetrics(d.figures),
+	})
+	if len(d.topology.Zones()) > 1 {
+		d.zones = zone.NewReachability(d.topology)
+	}
+	d.pool = instance.NewPool(newRandom(), d.placementPlugins())
+	d.registerZones(d.figures)
+}
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -7,6 +7,22 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
+// Pauses with which operators' and back ends' records are followed. A reading
+// that hangs since its machine was cut off must end within the three seconds
+// after which a machine that reaches the store again is held to what stands
+// there: Wait and Answer stay below. Back ends write often: their changes are
+// read together. Routes are confirmed by each reading: one that hangs must leave time
+// for another before keys count as unconfirmed, 2 x Wait + Answer + Retry.
+var (
+	routesWatch = store.WatchSettings{
+		Wait: 1500 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+	}
+	instancesWatch = store.WatchSettings{
+		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Pause: 500 * time.Millisecond,
+	}
+)
+
 // watchRoutes follows the operators' routes until ctx ends.
 func (d *Daemon) watchRoutes(ctx context.Context) {
 	watcher := store.Watcher{
