--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -96,8 +96,8 @@
 // what is left, and so little that some turns still fit in if the holder dies: one
 // that was cut, and the one that replaces it. Near has some turns of it, and far the
 // rest. With a turn more for short programs more of them ended with 402 after losses
-// than went on in outages (chlebnet: 0.69 in place of 0.73, mean of the days with
-// trouble).
+// than went on in outages (0.69 of what programs are worth in place of 0.73, mean of five
+// days with losses and outages, 12 daemons).
 func (a *account) nextHeadroom() (near, far int64) {
 	if a.BudgetTokens == 0 {
 		return unboundedHeadroom, 0
--- a/internal/relaydaemon/capacity.go
+++ b/internal/relaydaemon/capacity.go
@@ -1,8 +1,7 @@
 package relaydaemon
 
 // coreMegabits is how many Mbit/s of a shard's records one core reads: 0.85 MB
-// took 0.15 s on 0.8 of a core with a fast link (chlebnet-grown trouble-2, 2
-// December 2026).
+// took 0.15 s on 0.8 of a core with a fast link, by the logs of a rolling stop.
 const coreMegabits = 60.0
 
 // capacity is how much of the fleet's work the machine can take beside others:
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -31,7 +31,7 @@
 	// heapGrowth is by how many percent the heap may grow until it is collected.
 	// Memory costs operators more than the processor time of collecting: at 30
 	// in place of the runtime's 100 a daemon takes 13 MB at its peak in place of
-	// 18, and 23% more processor time (khaosan quiet-1).
+	// 18, and 23% more processor time (a calm day of 11 daemons, played once with each).
 	heapGrowth = 30
 	megabyte   = 1 << 20
 )
