Ledger: a daemon that only asks holds no shard, tested

Cause: with the guard taken out no test failed (found by its author). Change: TestDaemonThatOnlyAsksHoldsNoShard; it fails without the guard.

--- /dev/null
+++ b/internal/ledger/asks_only_test.go
@@ -0,0 +1,36 @@
+package ledger
+
+import (
+	"testing"
+	"testing/synctest"
+)
+
+// TestDaemonThatOnlyAsksHoldsNoShard: text of turns that are bound to a region must not
+// go to a daemon elsewhere, whoever asks it to take a shard, to read one ahead or to keep
+// a turn.
+func TestDaemonThatOnlyAsksHoldsNoShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		begin(t, f.service(daemonID(0, 1)), Turn{ID: "first", Program: "p"})
+		holder, other := f.service(f.holderOf("p")), f.other("p")
+		other.AsksOnly = true
+		shard := holder.shardOf("p")
+		failed := holder.known.get(shard).Epoch
+		for name, request := range map[string]Request{
+			"take":    {Take: true, Failed: failed},
+			"prepare": {Prepare: true},
+			"begin":   {Begin: &Turn{ID: "second", Program: "p"}, Failed: failed},
+			"end":     {End: &Outcome{Turn: "first", Program: "p", Kept: &KeptTurn{ID: "first", Input: []byte("in")}}, Failed: failed},
+			"find":    {Find: &Find{Turn: "first"}, Failed: failed},
+		} {
+			request.Shard = shard
+			if got := holder.askOne(testContext(t), other.Self, request).Result; got != resultMoved {
+				t.Errorf("%s: got %q, want %q", name, got, resultMoved)
+			}
+		}
+		if f.holderOf("p") != holder.Self || other.holders[shard].holding.Load() {
+			t.Error("the shard moved to a daemon that only asks")
+		}
+		complete(t, other, "p", "third", "") // it asks as any other
+	})
+}
