Zones: a daemon that has just started finds itself cut off like the others

Rosters are renewed each 0.1 s until daemons of all zones are known, may grow while a zone is asked, and a zone of which nobody is known is not asked. The test fails without either part.

--- a/internal/zone/judgement.go
+++ b/internal/zone/judgement.go
@@ -103,7 +103,7 @@
 		p.close(paused, r.isolatedSince, now)
 	}
 	for _, name := range r.others {
-		if p := r.paths[name]; p.openSince.IsZero() && p.isSuspect(now) && now.Sub(p.closedAt) >= askRest {
+		if p := r.paths[name]; p.daemons > 0 && p.openSince.IsZero() && p.isSuspect(now) && now.Sub(p.closedAt) >= askRest {
 			r.open(name, now, &plan)
 		}
 	}
@@ -151,6 +151,9 @@
 		if name == zone {
 			count = firstAsked
 		}
+		if p.daemons == 0 {
+			continue // nobody to ask is known yet
+		}
 		if p.openSince.IsZero() {
 			p.openSince = now
 		}
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -22,6 +22,10 @@
 	// rosterEvery is how often the list of a zone's daemons is renewed, while nothing
 	// is suspected there.
 	rosterEvery = time.Second
+	// firstRosterEvery is the same while no daemon of some zone is known: one that has
+	// just started must not be the last of a zone to find itself cut off, as callers are
+	// led there as long as one is ready.
+	firstRosterEvery = 100 * time.Millisecond
 	// toldDaemons are told of a zone that is suspected, and of one that was found cut
 	// off, once each. Those that have no
 	// request there find it by that: with as many, hardly one of 300 is left out that
@@ -71,6 +75,8 @@
 	rosters    map[string][]string
 	asked      map[string][]string
 	rosteredAt time.Time
+	// rostersWhole: daemons of all zones are known. It belongs to the watch's goroutine.
+	rostersWhole bool
 }
 
 // New returns a watch. It hears of members that are suspected from then on.
@@ -148,7 +154,11 @@
 
 // renewRosters takes the members of zones in which nothing is suspected.
 func (w *Watch) renewRosters(now time.Time) {
-	if now.Sub(w.rosteredAt) < rosterEvery {
+	every := rosterEvery
+	if !w.rostersWhole {
+		every = firstRosterEvery
+	}
+	if now.Sub(w.rosteredAt) < every {
 		return
 	}
 	w.rosteredAt = now
@@ -166,6 +176,7 @@
 			w.rosters[name] = addresses
 		}
 	}
+	w.rostersWhole = len(found) >= w.Reachability.Zones()
 	for name := range w.rosters {
 		if found[name] == nil && w.Reachability.NoteDaemons(name, 0) {
 			delete(w.rosters, name)
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -73,13 +73,21 @@
 	silentSince map[string]time.Time
 	zones       *zone.Reachability
 	suspected   func(membership.Member)
+	// isNew: it has just started and knows nobody but itself.
+	isNew atomic.Bool
 }
 
 func (e *end) Send(to structs.DaemonID, message peer.Message) {
 	e.n.deliver(e.self, to.Address(), message)
 }
 
-func (e *end) Members() []membership.Member                  { return e.n.members }
+func (e *end) Members() []membership.Member {
+	if e.isNew.Load() {
+		return nil
+	}
+	return e.n.members
+}
+
 func (e *end) State(structs.DaemonID) membership.State       { return membership.StateAlive }
 func (e *end) Subscribe(suspected func(m membership.Member)) { e.suspected = suspected }
 
@@ -229,6 +237,35 @@
 	})
 }
 
+// TestDaemonThatHasJustStartedFindsItselfCutOffLikeTheOthers: it hears of the members
+// from its own zone after the cut.
+func TestDaemonThatHasJustStartedFindsItselfCutOffLikeTheOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		n, ends := newFleet(ctx)
+		var young []*end
+		for _, e := range ends {
+			if n.zoneOf[e.self] == "d" && !e.busy {
+				e.isNew.Store(true)
+				young = append(young, e)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		n.cutOff("d")
+		time.Sleep(600 * time.Millisecond)
+		for _, e := range young {
+			e.isNew.Store(false)
+		}
+		time.Sleep(900 * time.Millisecond)
+		for _, e := range young {
+			if _, isolated := e.zones.Isolated(); !isolated {
+				t.Errorf("%s is ready still", e.self)
+			}
+		}
+	})
+}
+
 func TestHalfCuts(t *testing.T) {
 	oneWay := func(from, to string) bool { return from != "d" && to == "d" }
 	cases := map[string]struct {
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -123,6 +123,9 @@
 	return since, !since.IsZero()
 }
 
+// Zones returns how many zones there are, this daemon's own included.
+func (r *Reachability) Zones() int { return len(r.others) + 1 }
+
 // Changed returns a channel that is closed at the next change of a belief.
 func (r *Reachability) Changed() <-chan struct{} { return r.beliefs.Load().changed }
 
@@ -170,12 +173,12 @@
 }
 
 // NoteDaemons takes how many daemons a zone has, and tells whether that counts: a
-// zone that is being asked keeps its number, as its daemons may be taken for dead by
-// now.
+// zone that is being asked keeps its number unless that grows, as its daemons may be
+// taken for dead by now.
 func (r *Reachability) NoteDaemons(zone string, count int) bool {
 	counts := false
 	r.with(zone, func(p *path) {
-		if counts = p.openSince.IsZero(); counts {
+		if counts = p.openSince.IsZero() || count > p.daemons; counts {
 			p.daemons = count
 		}
 	})
