Ledger: service.go holds one job

service.go had 500 lines with six jobs: options, the wait for news of the other daemons, turns, the search for a turn, incoming messages and the service itself. Each has a file of its own now; the kinds of requests stand beside Request. No logic changed.

--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -130,3 +130,29 @@
 	peer.Register(peer.ClassData, &Request{})
 	peer.Register(peer.ClassData, &Response{})
 }
+
+// causeTake is the kind of a request by which a holder passes its shard on.
+const causeTake = "take"
+
+// kind names what a request asks for, for the log.
+func (r *Request) kind() string {
+	switch {
+	case r.Begin != nil:
+		return "begin"
+	case r.End != nil:
+		return "end"
+	case r.Find != nil:
+		return "find"
+	case r.Quota != nil:
+		return "quota"
+	case r.Prepare:
+		return "prepare"
+	}
+	return causeTake
+}
+
+// isWhole tells whether a request asks for something.
+func (r *Request) isWhole() bool {
+	return r.Begin != nil || r.End != nil || r.Find != nil || r.Quota != nil || r.Prepare || r.Take ||
+		r.Superseded != nil || r.Confirm
+}
