Ledger: appends, readings and slots have files of their own

histories.go held reads of the record store and a semaphore that other readings use as well, and record_store.go two ways to repeat calls with their constants mixed. Moved: recordStore's appends to record_append.go, its pages to record_store.go, the semaphore to slots.go. No logic changed.

--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -17,15 +16,8 @@
 // the turns: with those a claimant serves turns that begin a line. The texts are read
 // on in the background, and only turns that go on from one which is not read yet wait.
 
-const (
-	// historiesAgain is the pause after a page of texts that was not read.
-	historiesAgain = 300 * time.Millisecond
-	// pagesAtOnce bounds the pages of shards that a daemon reads at a time, and
-	// historiesAtOnce those of them that are texts nobody waits for yet: a page is up to
-	// a megabyte, and takes the smallest machines (30 Mbit/s) 0.35 s if it comes alone.
-	pagesAtOnce     = 3
-	historiesAtOnce = 1
-)
+// historiesAgain is the pause after a page of texts that was not read.
+const historiesAgain = 300 * time.Millisecond
 
 // histories is the reading of a claimed shard's texts.
 type histories struct {
@@ -212,67 +204,3 @@
 		s.keepChainOf(entry)
 	}
 }
-
-// page reads one page of newest records.
-func (r *recordStore) page(ctx context.Context, partition store.Partition, after string, waiting func()) (page store.Page, err error) {
-	release, err := r.pages.take(ctx, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer release()
-	err = r.tryPage(ctx, func(ctx context.Context) error {
-		page, err = r.NewestPage(ctx, partition, after)
-		return err
-	})
-	return page, err
-}
-
-// historiesPage is page for texts, with a single try: those who wait for them hear at once
-// that the store does not give them. Texts that are wanted go before those that are not.
-func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, wanted <-chan struct{}, waiting func()) (page store.Page, err error) {
-	release, err := r.histories.takeUnless(ctx, wanted, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer release()
-	releasePage, err := r.pages.take(ctx, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer releasePage()
-	err = r.once(ctx, wait, func(ctx context.Context) error {
-		page, err = r.NewestPage(ctx, partition, after)
-		return err
-	})
-	return page, err
-}
-
-// slots bound what is done at a time; nil for no bound.
-type slots chan struct{}
-
-// take waits for a slot, and calls waiting now and then meanwhile: who asked for it is
-// in a queue that gets on.
-func (s slots) take(ctx context.Context, waiting func()) (release func(), err error) {
-	return s.takeUnless(ctx, nil, waiting)
-}
-
-// takeUnless is take that needs no slot once urgent is closed.
-func (s slots) takeUnless(ctx context.Context, urgent <-chan struct{}, waiting func()) (release func(), err error) {
-	if s == nil || isClosed(urgent) {
-		return func() {}, nil
-	}
-	ticker := time.NewTicker(answerWithin / 3)
-	defer ticker.Stop()
-	for {
-		select {
-		case s <- struct{}{}:
-			return func() { <-s }, nil
-		case <-urgent:
-			return func() {}, nil
-		case <-ticker.C:
-			waiting()
-		case <-ctx.Done():
-			return nil, errors.Join(store.ErrUnavailable, ctx.Err())
-		}
-	}
-}
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// giveUpAfter is how long an append is tried that a shard's holder waits for
-	// itself.
-	giveUpAfter = 700 * time.Millisecond
 	// giveUpPage is how long one page of a reading is tried. A reading of many
 	// pages may take as long as it gets on: a page is up to a megabyte, which
 	// takes the smallest machines (30 Mbit/s) 0.3 s, and longer beside others.
@@ -27,19 +24,6 @@
 	longestReadingWait = 4 * time.Second
 	// shortReadingWait is how long the single try at a short reading waits.
 	shortReadingWait = 400 * time.Millisecond
-	// shortestWait and longestWait bound how long a try is waited for until
-	// another is made beside it. The longest is how late the store's return may
-	// be noticed by an append that waits for it.
-	shortestWait = 30 * time.Millisecond
-	longestWait  = 400 * time.Millisecond
-	// waitFactor times the usual time of an answer is how long a first try waits.
-	waitFactor = 4
-	// tryTimeout bounds one try at an append: a store that is slow answers later
-	// than another try is made.
-	tryTimeout = 2 * time.Second
-	// triesAtOnce bounds the tries of one append that are under way. The store
-	// answers a repeated append alike while at most five have followed it.
-	triesAtOnce = 4
 	// refusedPause follows a try that was refused, or broken off before its time;
 	// it doubles each time.
 	refusedPause = 30 * time.Millisecond
@@ -48,8 +32,6 @@
 	// are made all the same to see whether it is back.
 	downAfter  = 300 * time.Millisecond
 	probePause = 250 * time.Millisecond
-	// averageWeight is the weight of the newest answer in the usual time.
-	averageWeight = 0.2
 )
 
 // recordStore repeats calls to the store that were not answered. A repeated
@@ -125,65 +107,6 @@
 	}
 }
 
-// append appends records until the store answers for good or ctx ends. A try
-// that is not answered in time is not broken off: another is made beside it, on
-// another connection, and the first answer counts. So an append waits neither
-// for an answer that was lost nor, where the store is slow, from the start.
-func (r *recordStore) append(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan error, triesAtOnce)
-	underway := 0
-	try := func() {
-		if underway < triesAtOnce {
-			underway++
-			go func() { results <- r.tryAppend(ctx, partition, writer, records) }()
-		}
-	}
-	try()
-	wait := r.firstWait()
-	next := time.NewTimer(wait)
-	defer next.Stop()
-	last := store.ErrOutcomeUnknown
-	for {
-		select {
-		case err := <-results:
-			underway--
-			if err == nil || isFinal(err) {
-				return err
-			}
-			last = err
-		case <-r.contact.Returned():
-			try()
-		case <-next.C:
-			try()
-			wait = min(2*wait, longestWait)
-			next.Reset(wait)
-		case <-ctx.Done():
-			return last
-		}
-	}
-}
-
-// appendWithin is append with a bound on its time.
-func (r *recordStore) appendWithin(ctx context.Context, limit time.Duration, partition store.Partition, writer store.Writer, records []store.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return r.append(ctx, partition, writer, records)
-}
-
-// tryAppend makes one try at an append.
-func (r *recordStore) tryAppend(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
-	started := time.Now()
-	err := r.once(ctx, tryTimeout, func(ctx context.Context) error {
-		return r.Append(ctx, partition, writer, records)
-	})
-	if err == nil {
-		r.note(time.Since(started))
-	}
-	return err
-}
-
 // newest reads the newest record of each key, and the offset to go on from. It
 // calls advanced after each page.
 func (r *recordStore) newest(ctx context.Context, partition store.Partition, advanced func()) ([]store.Record, int64, error) {
@@ -260,6 +183,7 @@
 	return errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence)
 }
 
+// once makes a call that is waited for no longer than wait.
 func (r *recordStore) once(ctx context.Context, wait time.Duration, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -271,19 +195,36 @@
 	return err
 }
 
-func (r *recordStore) firstWait() time.Duration {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return min(max(waitFactor*r.usual, shortestWait), longestWait)
+// page reads one page of newest records.
+func (r *recordStore) page(ctx context.Context, partition store.Partition, after string, waiting func()) (page store.Page, err error) {
+	release, err := r.pages.take(ctx, waiting)
+	if err != nil {
+		return store.Page{}, err
+	}
+	defer release()
+	err = r.tryPage(ctx, func(ctx context.Context) error {
+		page, err = r.NewestPage(ctx, partition, after)
+		return err
+	})
+	return page, err
 }
 
-// note takes the time of an answer into the usual time.
-func (r *recordStore) note(took time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.usual == 0 {
-		r.usual = took
-		return
+// historiesPage is page for texts, with a single try: those who wait for them hear at once
+// that the store does not give them. Texts that are wanted go before those that are not.
+func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, wanted <-chan struct{}, waiting func()) (page store.Page, err error) {
+	release, err := r.histories.takeUnless(ctx, wanted, waiting)
+	if err != nil {
+		return store.Page{}, err
 	}
-	r.usual += time.Duration(averageWeight * float64(took-r.usual))
+	defer release()
+	releasePage, err := r.pages.take(ctx, waiting)
+	if err != nil {
+		return store.Page{}, err
+	}
+	defer releasePage()
+	err = r.once(ctx, wait, func(ctx context.Context) error {
+		page, err = r.NewestPage(ctx, partition, after)
+		return err
+	})
+	return page, err
 }
