Ledger: the type sight is an isolation detector

A newcomer can't tell from the names sight, look and isDoubtful that they detect whether this daemon is cut off. The test and the benchmark follow the names.

--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -126,7 +126,7 @@
 func (s *Service) doubt(daemon string) time.Duration {
 	now := time.Now()
 	switch {
-	case s.sight.isDoubtful(now):
+	case s.isolation.wasIsolatedLately(now):
 		return doubtIsolated
 	case s.records.isBack(now):
 		return doubtReturned
--- a/internal/ledger/confirm_test.go
+++ b/internal/ledger/confirm_test.go
@@ -90,10 +90,10 @@
 	}
 }
 
-// TestSightTellsIsolationFromDeaths: with most of the other zones lost and the own one
+// TestIsolationIsToldFromDeaths: with most of the other zones lost and the own one
 // whole, or with all lost and the store, a daemon is cut off; not when many are killed at
 // once, or it is the only one that lives.
-func TestSightTellsIsolationFromDeaths(t *testing.T) {
+func TestIsolationIsToldFromDeaths(t *testing.T) {
 	const zones, perZone = 4, 15
 	for _, c := range []struct {
 		name   string
@@ -123,17 +123,17 @@
 			}
 			return list
 		}
-		now, s := time.Now(), &sight{}
-		s.look(daemonID(0, 1), members(true), false, now)
-		isolated, _ := s.look(daemonID(0, 1), members(false), c.storeLost, now.Add(time.Second))
-		if isolated != c.isolated || s.isDoubtful(now.Add(time.Second)) != c.isolated {
+		now, s := time.Now(), &isolationDetector{}
+		s.observe(daemonID(0, 1), members(true), false, now)
+		isolated, _ := s.observe(daemonID(0, 1), members(false), c.storeLost, now.Add(time.Second))
+		if isolated != c.isolated || s.wasIsolatedLately(now.Add(time.Second)) != c.isolated {
 			t.Errorf("%s: isolated %v, want %v", c.name, isolated, c.isolated)
 		}
-		s.look(daemonID(0, 1), members(true), false, now.Add(2*time.Second))
-		if back := now.Add(time.Second + sightBack + time.Millisecond); s.isDoubtful(back) {
-			t.Errorf("%s: still doubtful %s after it was back", c.name, sightBack)
+		s.observe(daemonID(0, 1), members(true), false, now.Add(2*time.Second))
+		if back := now.Add(time.Second + isolationDoubt + time.Millisecond); s.wasIsolatedLately(back) {
+			t.Errorf("%s: still doubtful %s after it was back", c.name, isolationDoubt)
 		}
-		if isolated, _ := s.look(daemonID(0, 1), members(false), false, now.Add(2*time.Second+sightLife+time.Millisecond)); isolated {
+		if isolated, _ := s.observe(daemonID(0, 1), members(false), false, now.Add(2*time.Second+lostLife+time.Millisecond)); isolated {
 			t.Errorf("%s: those that are gone for long still count", c.name)
 		}
 	}
@@ -153,9 +153,9 @@
 	}
 	now := time.Now()
 	for _, storeLost := range []bool{false, true} {
-		s := &sight{}
-		s.look(daemonID(0, 1), members(2), false, now)
-		if isolated, _ := s.look(daemonID(0, 1), members(1), storeLost, now.Add(time.Second)); isolated != storeLost {
+		s := &isolationDetector{}
+		s.observe(daemonID(0, 1), members(2), false, now)
+		if isolated, _ := s.observe(daemonID(0, 1), members(1), storeLost, now.Add(time.Second)); isolated != storeLost {
 			t.Errorf("store lost %v: isolated %v", storeLost, isolated)
 		}
 	}
@@ -194,7 +194,7 @@
 // that others do not reach yet, or have for dead.
 func TestDaemonIsSteadyOnceItIsBackForLong(t *testing.T) {
 	self, other := daemonID(0, 1), daemonID(1, 1)
-	s := &sight{}
+	s := &isolationDetector{}
 	began := time.Now()
 	// look tells whether the other daemon is steady after a look at a time.
 	look := func(at time.Duration, alive bool) bool {
@@ -202,7 +202,7 @@
 		if alive {
 			members = append(members, membership.Member{Daemon: structs.Daemon{ID: other}, State: membership.StateAlive})
 		}
-		s.look(self, members, false, began.Add(at))
+		s.observe(self, members, false, began.Add(at))
 		return s.isSteady(other, began.Add(at))
 	}
 	for _, step := range []struct {
--- a/internal/ledger/pace.go
+++ b/internal/ledger/pace.go
@@ -76,7 +76,7 @@
 
 // mayHandOver implements fleet.
 func (s *Service) mayHandOver(successor string, shardBytes int) bool {
-	if !s.sight.isSteady(structs.DaemonID(successor), time.Now()) {
+	if !s.isolation.isSteady(structs.DaemonID(successor), time.Now()) {
 		return false
 	}
 	interval := handoverInterval(len(s.View.Members()), shardBytes, s.StoreReadBytes)
--- a/internal/ledger/pace_test.go
+++ b/internal/ledger/pace_test.go
@@ -89,16 +89,16 @@
 	})
 }
 
-func BenchmarkSight(b *testing.B) {
+func BenchmarkIsolationDetector(b *testing.B) {
 	const daemons, zones = 300, 8
 	var members []membership.Member
 	for i := range daemons {
 		id := structs.NewDaemonID(fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200), 1)
 		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id, Zone: structs.ZoneName(fmt.Sprint(i % zones))}, State: membership.StateAlive})
 	}
-	s := &sight{}
+	s := &isolationDetector{}
 	now := time.Now()
 	for i := 0; b.Loop(); i++ {
-		s.look(members[0].Daemon.ID, members, false, now.Add(time.Duration(i)*sightPause))
+		s.observe(members[0].Daemon.ID, members, false, now.Add(time.Duration(i)*observeInterval))
 	}
 }
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -82,7 +82,7 @@
 func (r *recordStore) isBack(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return !r.backAt.IsZero() && now.Sub(r.backAt) <= sightBack
+	return !r.backAt.IsZero() && now.Sub(r.backAt) <= isolationDoubt
 }
 
 // noteOutcome takes note of whether a call was answered. One that was not tells nothing
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -28,8 +28,9 @@
 	// texts are those of chains that this daemon sent or was sent lately.
 	texts   texts
 	avoided avoided
-	sight   sight
-	pace    pace
+	// isolation tells whether this daemon is cut off from the others.
+	isolation isolationDetector
+	pace      pace
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
 	leaving  chan struct{}
@@ -90,7 +91,7 @@
 // Run works until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	var workers sync.WaitGroup
-	workers.Go(func() { s.watchSight(ctx) })
+	workers.Go(func() { s.watchIsolation(ctx) })
 	workers.Go(func() { s.settle(ctx) })
 	for _, h := range s.holders {
 		workers.Go(func() { h.run(ctx) })
