Ledger: the holder's fields stand in named structs, its code in files by job

holder was a struct of some fifty fields, and holder.go did six jobs. What a holder works with is holderOptions; what other goroutines read without waiting is holderStatus, with the methods that need nothing else; the queue of appends, the time that a shard is kept (tenure) and the next claim after a failure (claimRetry) are structs with their own methods. Operations and the giving up of a shard have files of their own. The records of an append were put together in two places, now in takeChanges. Tests follow the names, their assertions stand.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -40,39 +40,40 @@
 // startAppend appends all changes, unless an append is under way: then they go with
 // the next one.
 func (h *holder) startAppend(ctx context.Context) {
-	if h.state == nil || h.pending != nil {
+	if h.state == nil || h.appends.pending != nil {
 		return
 	}
-	h.flush.Stop()
-	records, err := h.state.takeDirty()
+	h.appends.flush.Stop()
+	records, err := h.takeChanges()
 	if err != nil {
 		h.logger.Error().Err(err).Msg("Changes not encoded.")
 		h.drop()
 		return
 	}
-	if len(records) == 0 && h.barrier {
-		records = append(records, h.holderRecord(holderKey))
-	}
-	h.barrier = false
-	waiting := h.waiting
-	h.waiting = nil
+	h.appends.barrier = false
+	waiting := h.appends.waiting
+	h.appends.waiting = nil
 	if len(records) == 0 { // all is durable already
 		h.answerAll(waiting)
 		return
 	}
 	if !h.state.allowance.sentAt.IsZero() {
-		h.stampedAt.set(h.state.allowance.sentAt)
+		h.status.stampedAt.set(h.state.allowance.sentAt)
 	}
 	h.sequence++
-	h.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting, sentAt: time.Now()}
-	h.appending.Store(true)
-	go h.runAppend(ctx, h.pending)
+	h.appends.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting, sentAt: time.Now()}
+	h.status.appending.Store(true)
+	go h.runAppend(ctx, h.appends.pending)
 }
 
-func (h *holder) answerAll(list []answered) {
-	for _, a := range list {
-		h.answer(a.operation, a.answer)
+// takeChanges returns the records of all changes. If there are none and an append must
+// take place all the same, it is of this daemon's claim.
+func (h *holder) takeChanges() ([]store.Record, error) {
+	records, err := h.state.takeDirty()
+	if err == nil && len(records) == 0 && h.appends.barrier {
+		records = append(records, h.holderRecord(holderKey))
 	}
+	return records, err
 }
 
 // runAppend makes an append until the store answers for good: it keeps its number,
@@ -94,7 +95,7 @@
 			return
 		}
 		select {
-		case h.appendNews <- told:
+		case h.appends.news <- told:
 		case <-ctx.Done():
 		}
 		if !told.underway {
@@ -108,15 +109,15 @@
 // spent already: if another daemon takes the shard, it counts it so, too.
 func (h *holder) noteAppend(ctx context.Context, news appendNews) {
 	current := news.append
-	if current != h.pending || h.state == nil {
+	if current != h.appends.pending || h.state == nil {
 		return // the shard was lost meanwhile
 	}
 	switch {
 	case news.underway:
 		h.noteSlowAppend(current)
 	case news.err == nil:
-		h.pending = nil
-		h.appending.Store(false)
+		h.appends.pending = nil
+		h.status.appending.Store(false)
 		h.noteAnswered()
 		h.state.confirmHeadroom()
 		h.state.confirmAllowance(current.sentAt)
@@ -124,7 +125,7 @@
 		switch {
 		case h.handover != nil && h.handover.prepared:
 			h.relinquish(ctx)
-		case len(h.waiting) > 0:
+		case len(h.appends.waiting) > 0:
 			h.startAppend(ctx)
 		}
 	default:
@@ -137,20 +138,20 @@
 // to wait: it is answered as soon as the store does. Only a daemon that is cut
 // off from the store and from all that could help sends its callers elsewhere.
 func (h *holder) noteSlowAppend(current *pendingAppend) {
-	if _, known := h.silentSince.since(current.sentAt); !known {
-		h.silentSince.set(current.sentAt)
-		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.waiting)).
+	if _, known := h.status.silentSince.since(current.sentAt); !known {
+		h.status.silentSince.set(current.sentAt)
+		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.appends.waiting)).
 			Msg("Shard's partition does not answer. Turns are granted from headroom alone.")
 		h.metrics.lost(store.ErrUnavailable)
 	}
 	now := time.Now()
 	current.waiting = h.grantWaiting(current.waiting, now)
-	h.waiting = h.grantWaiting(h.waiting, now)
+	h.appends.waiting = h.grantWaiting(h.appends.waiting, now)
 	if h.isIsolated() {
 		h.refuseAll(current.waiting, resultImpaired)
 		current.waiting = nil
-		h.refuseAll(h.waiting, resultImpaired)
-		h.waiting = nil
+		h.refuseAll(h.appends.waiting, resultImpaired)
+		h.appends.waiting = nil
 	}
 }
 
@@ -173,8 +174,8 @@
 // noteAnswered takes note that the store answered.
 func (h *holder) noteAnswered() {
 	if out := h.storeOutFor(time.Now()); out > 0 {
-		h.silentSince.clear()
-		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", out).Int("waiting", len(h.waiting)).
+		h.status.silentSince.clear()
+		h.logger.Info().Uint64("epoch", h.epoch).Dur("out", out).Int("waiting", len(h.appends.waiting)).
 			Msg("Shard's partition answers again.")
 	}
 }
@@ -182,7 +183,7 @@
 // allowedIn is when the allowance grants more than one turn, if the store does not
 // answer until then; 0 if it does already. It is looked at each troublePause.
 func (h *holder) allowedIn(now time.Time) time.Duration {
-	passed, stamped := h.stampedAt.since(now)
+	passed, stamped := h.status.stampedAt.since(now)
 	if !stamped || passed >= firstTurnTime+troublePause {
 		return 0
 	}
@@ -197,9 +198,22 @@
 // storeOutFor tells for how long the store has not answered an append; 0 if none
 // has been under way for long.
 func (h *holder) storeOutFor(now time.Time) time.Duration {
-	out, silent := h.silentSince.since(now)
+	out, silent := h.status.silentSince.since(now)
 	if !silent {
 		return 0
 	}
 	return max(out, time.Millisecond)
 }
+
+// appendQueue is what goes to the store, and who waits for it.
+type appendQueue struct {
+	// pending is the append that is under way, nil for none, and news tells of it.
+	pending *pendingAppend
+	news    chan appendNews
+	// waiting operations are answered once the next append is done.
+	waiting []answered
+	// barrier: the next append must take place even without a change.
+	barrier bool
+	// flush fires when changes that nobody waits for have waited for settleDelay.
+	flush *time.Timer
+}
--- a/internal/ledger/asks_only_test.go
+++ b/internal/ledger/asks_only_test.go
@@ -28,7 +28,7 @@
 				t.Errorf("%s: got %q, want %q", name, got, resultMoved)
 			}
 		}
-		if f.holderOf("p") != holder.Self || other.holders[shard].holding.Load() {
+		if f.holderOf("p") != holder.Self || other.holders[shard].status.holding.Load() {
 			t.Error("the shard moved to a daemon that only asks")
 		}
 		complete(t, other, "p", "third", "") // it asks as any other
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -22,14 +22,6 @@
 	epochRandomBits = 20
 	// loadTries bounds the readings after a claim.
 	loadTries = 3
-	// firstPause and longestPause separate tries to claim a shard whose
-	// partition does not answer.
-	firstPause   = 200 * time.Millisecond
-	longestPause = 600 * time.Millisecond
-	// shortestStay is how long a daemon keeps a shard at least that another
-	// should hold; it doubles up to longestStay each time the shard comes back.
-	shortestStay = 4 * time.Second
-	longestStay  = time.Minute
 )
 
 // errHeld: another daemon holds the shard, and lives.
@@ -45,24 +37,24 @@
 	switch {
 	case h.state != nil:
 		return "", false
-	case h.isLeaving() && !h.isPromised(now), h.givenTo != "":
+	case h.isLeaving() && !h.status.isPromised(now), h.givenTo != "":
 		return resultMoved, true
 	case h.mustLeaveTo(h.known.get(h.shard).holderRecord, failed):
 		return resultMoved, true
 	case failed != 0 && h.isConfirmed(now):
 		return resultMoved, true
-	case now.Before(h.retryAt) && !isClosed(h.returned), h.records.isDown(now):
+	case h.retry.mustWait(now), h.records.isDown(now):
 		return resultImpaired, true
 	}
-	h.noteProgress()
-	h.claiming.Store(true)
-	defer h.claiming.Store(false)
+	h.status.noteProgress()
+	h.status.claiming.Store(true)
+	defer h.status.claiming.Store(false)
 	if err := h.claim(ctx, failed, cause); err != nil {
-		h.heldEpoch.Store(0)
+		h.status.heldEpoch.Store(0)
 		return h.lose(ctx, err), true
 	}
-	h.pause = 0
-	h.promisedAt.clear()
+	h.retry.pause = 0
+	h.status.promisedAt.clear()
 	if h.isLeaving() {
 		h.leave(ctx) // it was promised; the next one reads it ahead meanwhile
 	}
@@ -115,7 +107,7 @@
 		return err
 	}
 	seizedAfter := time.Since(started)
-	h.heldEpoch.Store(h.epoch)
+	h.status.heldEpoch.Store(h.epoch)
 	var beside sync.WaitGroup
 	beside.Go(func() { h.writeDirectory(ctx, h.epoch) })
 	var told *formerState
@@ -199,8 +191,8 @@
 	h.state = newState(now)
 	h.state.machine = h.machine
 	h.limiter = quota.NewLimiter(h.quotaTerms, first, now)
-	h.holding.Store(true)
-	h.prolongStay(now)
+	h.status.holding.Store(true)
+	h.tenure.prolong(now)
 	h.known.note(h.shard, holderRecord{Epoch: h.epoch, Daemon: h.daemon})
 	for _, record := range records {
 		if err := h.state.load(record); err != nil {
--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -42,9 +42,9 @@
 // confirm answers whether this daemon holds the shard, without taking it. It is
 // called by any goroutine: the holder's own may be busy with a claim.
 func (h *holder) confirm(number uint64) Response {
-	epoch := h.heldEpoch.Load()
-	idle, _ := h.progressAt.since(time.Now())
-	if epoch == 0 || h.isIsolated() || !h.holding.Load() && idle > claimIdle {
+	epoch := h.status.heldEpoch.Load()
+	idle, _ := h.status.progressAt.since(time.Now())
+	if epoch == 0 || h.isIsolated() || !h.status.holding.Load() && idle > claimIdle {
 		return Response{Number: number, Result: resultMoved}
 	}
 	return Response{Number: number, Result: resultOK, Epoch: epoch, Holder: h.daemon}
@@ -115,7 +115,7 @@
 		case word := <-asked:
 			return word
 		case <-time.After(answerWithin / 2):
-			h.noteProgress() // it is waited for, and so are those that asked
+			h.status.noteProgress() // it is waited for, and so are those that asked
 		case <-ctx.Done():
 			return holderSilent
 		}
@@ -147,13 +147,13 @@
 	holder := h.confirmed.holder
 	request := *o.request
 	request.Failed = 0
-	h.passing.Add(1)
+	h.status.passing.Add(1)
 	h.metrics.passedOn()
 	go func() {
 		asking, cancel := context.WithTimeout(ctx, answerWithin)
 		defer cancel()
 		response := h.fleet.askOne(asking, structs.DaemonID(holder.Daemon), request)
-		h.passing.Add(-1)
+		h.status.passing.Add(-1)
 		isSilent, told := response.Result == resultSilent, response
 		h.post(ctx, func(context.Context) {
 			switch {
--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -87,7 +87,7 @@
 		h.metrics.lost(store.ErrFenced)
 		h.logger.Info().Uint64("epoch", h.epoch).Str("to", successor.Daemon).Uint64("claimed", successor.Epoch).
 			Msg("Shard lost to another holder, which asks what was granted.")
-		pending := h.pending
+		pending := h.appends.pending
 		h.drop()
 		if pending != nil {
 			h.refuseAll(pending.waiting, resultMoved)
--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -85,14 +85,6 @@
 	return h.fleet.askOne(ctx, structs.DaemonID(to), request)
 }
 
-// post lets run do a task.
-func (h *holder) post(ctx context.Context, task func(context.Context)) {
-	select {
-	case h.tasks <- task:
-	case <-ctx.Done():
-	}
-}
-
 // notePrepared takes the successor's word. The holder keeps a shard for which
 // there is no successor: one that stays offers it again after a longer stay, one
 // that is leaving soon, and serves until then. Only a leaving holder gives the
@@ -106,11 +98,11 @@
 	h.metrics.handedOver(result)
 	if result != resultOK && (!h.isLeaving() || result == resultMoved) {
 		h.handover = nil
-		h.prolongStay(time.Now())
+		h.tenure.prolong(time.Now())
 		return
 	}
 	current.prepared = true
-	if h.pending == nil {
+	if h.appends.pending == nil {
 		h.relinquish(ctx)
 	}
 }
--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -160,7 +160,7 @@
 		time.Sleep(300 * time.Millisecond)
 		var reader *Service
 		for _, id := range f.ids() {
-			if f.service(id).holders[shard].preparing.Load() {
+			if f.service(id).holders[shard].status.preparing.Load() {
 				reader = f.service(id)
 			}
 		}
@@ -169,7 +169,7 @@
 		}
 		f.kill(reader.Self)
 		time.Sleep(time.Minute)
-		if reader.holders[shard].isBusy() {
+		if reader.holders[shard].status.isBusy() {
 			t.Error("a run that ended a minute ago says that it is busy")
 		}
 	})
--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -39,11 +39,11 @@
 // that was all.
 func (h *holder) readHeads(ctx context.Context) (records []store.Record, after string, err error) {
 	for {
-		page, err := h.records.page(ctx, h.partition, after, h.noteProgress)
+		page, err := h.records.page(ctx, h.partition, after, h.status.noteProgress)
 		if err != nil {
 			return nil, "", err
 		}
-		h.noteProgress()
+		h.status.noteProgress()
 		records = append(records, page.Records...)
 		if len(page.Records) == 0 || !page.More {
 			return records, "", nil
@@ -63,7 +63,7 @@
 	ctx, stop := context.WithCancel(store.WithPurpose(ctx, store.PurposeHistories))
 	current := &histories{after: after, stop: stop, wanted: make(chan struct{})}
 	h.histories = current
-	h.reading.Store(true)
+	h.status.reading.Store(true)
 	go h.readHistories(ctx, current, after, time.Now())
 }
 
@@ -72,7 +72,7 @@
 	records, bytes := 0, 0
 	wait := readingWait
 	for ctx.Err() == nil {
-		page, err := h.records.historiesPage(ctx, wait, h.partition, after, current.wanted, h.noteProgress)
+		page, err := h.records.historiesPage(ctx, wait, h.partition, after, current.wanted, h.status.noteProgress)
 		if err != nil {
 			wait = min(2*wait, giveUpPage)
 			h.post(ctx, func(context.Context) { h.noteHistoriesLate(current, err) })
@@ -80,7 +80,7 @@
 			continue
 		}
 		wait = readingWait
-		h.noteProgress()
+		h.status.noteProgress()
 		records += len(page.Records)
 		bytes += store.SizeOf(page.Records)
 		last := !page.More || len(page.Records) == 0
@@ -133,7 +133,7 @@
 		h.histories.stop()
 		h.histories = nil
 	}
-	h.reading.Store(false)
+	h.status.reading.Store(false)
 }
 
 // awaitsHistory puts an operation off that needs a turn whose text may not have been
--- /dev/null
+++ b/internal/ledger/holder_operations.go
@@ -0,0 +1,128 @@
+package ledger
+
+import (
+	"context"
+	"time"
+)
+
+// settleDelay is how long the end of a turn may wait to be appended together with other
+// changes.
+const settleDelay = 400 * time.Millisecond
+
+// answered is an operation whose answer waits until it is durable.
+type answered struct {
+	operation
+	answer Response
+}
+
+// begin grants a turn: at once from what the store already counts as spent, or
+// else with an append.
+func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
+	turn := *o.request.Begin
+	if h.isIsolated() && !h.state.canGrant(turn, now) {
+		h.refuse(o, resultImpaired)
+		return
+	}
+	grant, outcome := h.state.begin(turn, now)
+	answer := Response{Result: outcome, Grant: grant}
+	if outcome == resultOK && h.state.takeHeadroom(turn, now) {
+		h.metrics.granted("headroom")
+		h.answer(o, answer)
+		return
+	}
+	if outcome != resultOK {
+		h.appends.barrier = true // a final no must not rest on a state that another has gone on from
+		h.logRefusal(turn, outcome)
+	}
+	h.metrics.granted("append")
+	h.await(ctx, o, answer)
+}
+
+// logRefusal tells what a refusal rests on.
+func (h *holder) logRefusal(turn Turn, outcome result) {
+	event := h.logger.Info().Str("request", turn.ID).Str("program", turn.Program).Str("result", string(outcome)).
+		Uint64("epoch", h.epoch).Dur("held_for", time.Since(h.tenure.since))
+	if entry := h.state.accounts[turn.Program]; entry != nil {
+		event = event.Int64("budget", turn.BudgetTokens).Int64("most", turn.MostTokens).Int64("spent", entry.Spent).
+			Int64("forfeited", entry.Forfeited).Int64("committed", entry.committed()).Int("reserved_turns", len(entry.Reserved))
+	}
+	event.Str("previous", turn.Previous).Msg("Turn not granted.")
+}
+
+// end settles a turn.
+func (h *holder) end(ctx context.Context, o operation, now time.Time) {
+	outcome := h.state.end(*o.request.End, now)
+	if h.isIsolated() {
+		h.refuse(o, resultImpaired) // it is settled here; the asker asks again until it is durable
+		return
+	}
+	if outcome != resultOK {
+		h.appends.barrier = true // as in begin
+	}
+	h.await(ctx, o, Response{Result: outcome})
+}
+
+// find looks for a turn.
+func (h *holder) find(ctx context.Context, o operation, now time.Time) {
+	if found := h.state.find(o.request.Find.Turn, now); found != nil {
+		h.answer(o, Response{Result: resultOK, Found: found})
+		return
+	}
+	answer := Response{Result: resultUnknownTurn}
+	switch {
+	case !o.request.Find.Certain:
+		h.answer(o, answer)
+	case h.isIsolated():
+		h.refuse(o, resultImpaired)
+	default:
+		h.appends.barrier = true
+		h.await(ctx, o, answer)
+	}
+}
+
+// await answers an operation once all changes so far are durable.
+func (h *holder) await(ctx context.Context, o operation, answer Response) {
+	if len(h.appends.waiting) >= waitingLimit {
+		h.refuse(o, resultImpaired)
+		return
+	}
+	h.appends.waiting = append(h.appends.waiting, answered{operation: o, answer: answer})
+	if o.urgent() {
+		h.startAppend(ctx)
+		return
+	}
+	if len(h.appends.waiting) == 1 {
+		h.appends.flush.Reset(settleDelay)
+	}
+}
+
+func (h *holder) answer(o operation, answer Response) {
+	answer.Number = o.request.Number
+	answer.Epoch = h.epoch
+	answer.Holder = h.daemon
+	o.reply(answer)
+}
+
+// refuse answers an operation with the holder that this daemon knows of.
+func (h *holder) refuse(o operation, with result) {
+	holder := h.known.get(h.shard)
+	o.reply(Response{
+		Number:   o.request.Number,
+		Result:   with,
+		Epoch:    holder.Epoch,
+		Holder:   holder.Daemon,
+		Released: holder.released,
+	})
+}
+
+func (h *holder) refuseAll(list []answered, with result) {
+	for _, a := range list {
+		h.refuse(a.operation, with)
+	}
+}
+
+func (h *holder) answerAll(list []answered) {
+	for _, a := range list {
+		h.answer(a.operation, a.answer)
+	}
+}
--- a/internal/ledger/read_ahead.go
+++ b/internal/ledger/read_ahead.go
@@ -52,13 +52,6 @@
 	return a.err == nil && now.Sub(a.at) <= readAheadLife
 }
 
-// isPromised tells whether a holder may count on this daemon to take the shard,
-// whether it leaves or not.
-func (h *holder) isPromised(now time.Time) bool {
-	since, promised := h.promisedAt.since(now)
-	return promised && since <= promiseLife
-}
-
 // prepare reads the shard ahead, for a holder that wants to pass it on.
 func (h *holder) prepare(ctx context.Context, o operation) {
 	if h.state != nil || h.isLeaving() {
@@ -71,14 +64,14 @@
 	}
 	ahead := &readAhead{done: make(chan struct{}), newest: map[string]store.Record{}, waiting: []operation{o}}
 	h.ahead = ahead
-	h.preparing.Store(true)
+	h.status.preparing.Store(true)
 	started := time.Now()
 	go func() {
 		ahead.err = h.readAheadOfClaim(ctx, ahead)
 		ahead.at = time.Now()
 		h.logger.Info().Int("records", len(ahead.newest)).Int("bytes", ahead.bytes).Dur("took", time.Since(started)).
 			AnErr("error", ahead.err).Msg("Shard read ahead.")
-		h.preparing.Store(false)
+		h.status.preparing.Store(false)
 		close(ahead.done)
 		h.post(ctx, func(context.Context) { h.noteReadAhead(ctx, ahead) })
 	}()
@@ -93,7 +86,7 @@
 		h.logger.Warn().Err(ahead.err).Msg("Shard not read ahead.")
 	}
 	if ahead.err == nil && len(ahead.waiting) > 0 {
-		h.promisedAt.set(ahead.at)
+		h.status.promisedAt.set(ahead.at)
 	}
 	for _, o := range ahead.waiting {
 		o.reply(Response{Number: o.request.Number, Result: answer})
@@ -119,7 +112,7 @@
 	}
 	defer func() { <-h.readingAhead }()
 	ctx = store.WithPurpose(ctx, store.PurposeReadAhead)
-	records, next, err := h.records.newest(ctx, h.partition, h.noteProgress)
+	records, next, err := h.records.newest(ctx, h.partition, h.status.noteProgress)
 	if err != nil {
 		return err
 	}
@@ -161,7 +154,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h.noteProgress()
+		h.status.noteProgress()
 		ahead.apply(records, next)
 		claimed := holderUnder(holderKey, records).Epoch
 		switch {
--- a/internal/ledger/receive.go
+++ b/internal/ledger/receive.go
@@ -82,7 +82,7 @@
 			StoreOutMS:  holder.storeOutFor(now).Milliseconds(),
 			AllowedInMS: holder.allowedIn(now).Milliseconds(),
 		})
-		if holder.isBusy() {
+		if holder.status.isBusy() {
 			timer.Reset(pendingPause)
 		}
 	}
--- a/internal/ledger/return_test.go
+++ b/internal/ledger/return_test.go
@@ -349,7 +349,7 @@
 	before, heldFor := f.holders[shard], f.now()-f.claimedAt[shard]
 	f.holders[shard], f.claimedAt[shard] = by, f.now()
 	holder := f.testFleet.service(before)
-	lives := holder != nil && before != by && heldFor > claimRace && holder.holders[shard].holding.Load()
+	lives := holder != nil && before != by && heldFor > claimRace && holder.holders[shard].status.holding.Load()
 	if lives && (!f.isCutOff(before) || !f.isDuringCut(0)) {
 		f.seizures = append(f.seizures, f.now())
 		return
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -68,21 +68,23 @@
 	holders := make([]*holder, len(s.Partitions))
 	for shard, partition := range s.Partitions {
 		holders[shard] = &holder{
-			shard:         shard,
-			partition:     partition,
-			directory:     s.Directory,
-			daemon:        string(s.Self),
-			records:       s.records,
-			known:         s.known,
-			fleet:         s,
-			machine:       s.Machine,
-			quotaTerms:    s.Quota,
-			confirmations: s.Confirmations,
-			logger:        s.Logger.With().Int("shard", shard).Logger(),
-			metrics:       s.Metrics,
-			operations:    make(chan operation, operationQueue),
-			leaving:       s.leaving,
-			readingAhead:  readingAhead,
+			holderOptions: holderOptions{
+				shard:         shard,
+				partition:     partition,
+				directory:     s.Directory,
+				daemon:        string(s.Self),
+				records:       s.records,
+				known:         s.known,
+				fleet:         s,
+				machine:       s.Machine,
+				quotaTerms:    s.Quota,
+				confirmations: s.Confirmations,
+				logger:        s.Logger.With().Int("shard", shard).Logger(),
+				metrics:       s.Metrics,
+				leaving:       s.leaving,
+				readingAhead:  readingAhead,
+			},
+			operations: make(chan operation, operationQueue),
 		}
 	}
 	return holders
@@ -111,7 +113,7 @@
 }
 
 func (s *Service) isNeeded(now time.Time) bool {
-	return slices.ContainsFunc(s.holders, func(h *holder) bool { return h.holding.Load() || h.isPromised(now) })
+	return slices.ContainsFunc(s.holders, func(h *holder) bool { return h.status.holding.Load() || h.status.isPromised(now) })
 }
 
 func (s *Service) isLeaving() bool { return isClosed(s.leaving) }
