Ledger: claim has a step for the holder's check and one for the reading

claim had over 50 lines with three steps in one: whether the shard must be left to its holder, the seizure, and the reading beside the former holder's word. The first is checkHolder and the last readSeized; the order of the calls is as before.

--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -73,28 +73,10 @@
 // the next claim is told by the store that its epoch is too low.
 func (h *holder) claim(ctx context.Context, failed uint64, cause string) error {
 	started := time.Now()
-	known := h.known.get(h.shard)
-	asking, stop := context.WithCancel(ctx)
-	defer stop()
-	var asked <-chan holderWord
-	givenUp := known.released || cause == causeTake // by the holder's own word
-	if !givenUp {
-		asked = h.askHolder(asking, known.holderRecord)
-	}
-	// One try: who cannot reach the store either must not take the shard the
-	// moment it can, from a holder that was in the same trouble.
-	before, err := h.readDirectory(ctx)
+	before, word, err := h.checkHolder(ctx, failed, cause)
 	if err != nil {
 		return err
 	}
-	h.known.note(h.shard, before)
-	if h.mustLeaveTo(before, failed) {
-		return errHeld
-	}
-	word := holderGone
-	if !givenUp {
-		word = h.awaitHolder(asking, before, known.holderRecord, asked)
-	}
 	if word == holderKeeps {
 		h.confirmed = confirmation{holder: before, at: time.Now()}
 		h.metrics.kept()
@@ -102,37 +84,81 @@
 			Dur("took", time.Since(started)).Msg("Shard left to its holder, which answers.")
 		return errHeld
 	}
-	stop()
 	if err := h.seize(ctx, before.Epoch, failed); err != nil {
 		return err
 	}
 	seizedAfter := time.Since(started)
 	h.status.heldEpoch.Store(h.epoch)
-	var beside sync.WaitGroup
-	beside.Go(func() { h.writeDirectory(ctx, h.epoch) })
-	var told *formerState
-	if word == holderGone { // one that is silent would be waited for in vain once more
-		beside.Go(func() { told = h.askFormer(ctx, before) })
-	}
-	loaded, after, err := h.readClaimed(ctx)
-	beside.Wait()
+	read, err := h.readSeized(ctx, before, word)
 	if err != nil {
 		return err
 	}
-	if told != nil {
-		h.former = told
+	if read.former != nil {
+		h.former = read.former
 	}
-	h.take(loaded, before.Daemon == "", time.Now())
-	h.startHistories(ctx, after)
+	h.take(read.records, before.Daemon == "", time.Now())
+	h.startHistories(ctx, read.after)
 	h.metrics.claimed(time.Since(started))
 	h.logger.Info().Uint64("epoch", h.epoch).Str("before", before.Daemon).Uint64("failed", failed).Str("for", cause).
 		Bool("lives", before.Daemon != "" && h.fleet.mayLive(before.Daemon)).
-		Int("records", len(loaded)).Int("bytes", store.SizeOf(loaded)).Bool("told", told != nil).Bool("whole", after == "").
+		Int("records", len(read.records)).Int("bytes", store.SizeOf(read.records)).Bool("told", read.former != nil).Bool("whole", read.after == "").
 		Int("turn_losses", h.state.allowance.OfOneTurn).Int("losses", h.state.allowance.OfAll).
 		Dur("seized_after", seizedAfter).Dur("took", time.Since(started)).Msg("Shard taken over.")
 	return nil
 }
 
+// checkHolder reads who holds the shard by the directory, and asks that daemon meanwhile
+// whether it does, unless it gave the shard up. It fails with errHeld if the shard must be
+// left to its holder unasked.
+func (h *holder) checkHolder(ctx context.Context, failed uint64, cause string) (before holderRecord, word holderWord, err error) {
+	known := h.known.get(h.shard)
+	asking, stop := context.WithCancel(ctx)
+	defer stop()
+	var asked <-chan holderWord
+	givenUp := known.released || cause == causeTake // by the holder's own word
+	if !givenUp {
+		asked = h.askHolder(asking, known.holderRecord)
+	}
+	// One try: who cannot reach the store either must not take the shard the
+	// moment it can, from a holder that was in the same trouble.
+	before, err = h.readDirectory(ctx)
+	if err != nil {
+		return before, holderSilent, err
+	}
+	h.known.note(h.shard, before)
+	if h.mustLeaveTo(before, failed) {
+		return before, holderSilent, errHeld
+	}
+	if givenUp {
+		return before, holderGone, nil
+	}
+	return before, h.awaitHolder(asking, before, known.holderRecord, asked), nil
+}
+
+// seizedShard is what is known of a shard that was just seized.
+type seizedShard struct {
+	records []store.Record
+	// after is the key after which the turns' texts go on, "" if all was read.
+	after string
+	// former is what the holder before told, nil if it did not.
+	former *formerState
+}
+
+// readSeized reads the shard, and meanwhile asks the holder before this one what it
+// granted and writes the claim to the directory.
+func (h *holder) readSeized(ctx context.Context, before holderRecord, word holderWord) (seizedShard, error) {
+	var read seizedShard
+	var beside sync.WaitGroup
+	beside.Go(func() { h.writeDirectory(ctx, h.epoch) })
+	if word == holderGone { // one that is silent would be waited for in vain once more
+		beside.Go(func() { read.former = h.askFormer(ctx, before) })
+	}
+	var err error
+	read.records, read.after, err = h.readClaimed(ctx)
+	beside.Wait()
+	return read, err
+}
+
 // seize makes a higher epoch known to the store. The epoch in the directory
 // may be behind: then either another daemon claims the shard at this moment, or
 // one died before it wrote there. The shard's own records tell which.
@@ -157,6 +183,7 @@
 	return h.appendClaim(ctx, nextEpoch(before.Epoch))
 }
 
+// appendClaim appends this daemon's claim under an epoch.
 func (h *holder) appendClaim(ctx context.Context, epoch uint64) error {
 	h.epoch = epoch
 	h.sequence = 1
@@ -243,6 +270,7 @@
 // holderOf returns who holds the shard by its own records.
 func holderOf(records []store.Record) holderRecord { return holderUnder(holderKey, records) }
 
+// holderUnder returns the holder that the last record under a key names.
 func holderUnder(key string, records []store.Record) holderRecord {
 	var found holderRecord
 	for _, record := range records {
@@ -253,8 +281,10 @@
 	return found
 }
 
+// holderRecord returns the record of this daemon's latest claim.
 func (h *holder) holderRecord(key string) store.Record { return h.recordOf(key, h.epoch) }
 
+// recordOf returns the record of this daemon's claim under an epoch.
 func (h *holder) recordOf(key string, epoch uint64) store.Record {
 	value, err := json.Marshal(holderRecord{Epoch: epoch, Daemon: h.daemon})
 	if err != nil {
