Ledger: names say what they are; comments on one subject stand together

texts was both the cache of chains and the reading of a shard's texts; pace, doubt, goOn and takeUp needed explaining. They are textCache, handoverPacer, confirmWait, extend and restoreFormer; the answer of a holder is holderAnswer, its confirmation holderConfirmation, so that it isn't taken for the Confirmations of routes. What delays a claim stands with the turns, the size of a state with the state, and the comment on former holders at the top of its file. A field that nobody read is gone from historyReading. Tests follow the names, their assertions stand.

Nothing to measure; tests of the package pass.

--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -106,7 +106,7 @@
 // from its record on, which goes along with the next append. former is what this
 // daemon knew of the shard before, nil for nothing.
 func (s *state) openAllowance(epoch uint64, former *formerState, now time.Time) {
-	if s.takeUp(former, now) {
+	if s.restoreFormer(former, now) {
 		s.allowance.Epoch = epoch
 		s.touch(allowanceKey)
 		return
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -73,12 +73,12 @@
 // the next claim is told by the store that its epoch is too low.
 func (h *holder) claim(ctx context.Context, failed uint64, cause string) error {
 	started := time.Now()
-	before, word, err := h.checkHolder(ctx, failed, cause)
+	before, answer, err := h.checkHolder(ctx, failed, cause)
 	if err != nil {
 		return err
 	}
-	if word == holderKeeps {
-		h.confirmed = confirmation{holder: before, at: time.Now()}
+	if answer == holderKeeps {
+		h.confirmed = holderConfirmation{holder: before, at: time.Now()}
 		h.metrics.kept()
 		h.logger.Info().Str("holder", before.Daemon).Uint64("epoch", before.Epoch).Uint64("failed", failed).Str("for", cause).
 			Dur("took", time.Since(started)).Msg("Shard left to its holder, which answers.")
@@ -89,7 +89,7 @@
 	}
 	seizedAfter := time.Since(started)
 	h.status.heldEpoch.Store(h.epoch)
-	read, err := h.readSeized(ctx, before, word)
+	read, err := h.readSeized(ctx, before, answer)
 	if err != nil {
 		return err
 	}
@@ -110,11 +110,11 @@
 // checkHolder reads who holds the shard by the directory, and asks that daemon meanwhile
 // whether it does, unless it gave the shard up. It fails with errHeld if the shard must be
 // left to its holder unasked.
-func (h *holder) checkHolder(ctx context.Context, failed uint64, cause string) (before holderRecord, word holderWord, err error) {
+func (h *holder) checkHolder(ctx context.Context, failed uint64, cause string) (before holderRecord, answer holderAnswer, err error) {
 	known := h.known.get(h.shard)
 	asking, stop := context.WithCancel(ctx)
 	defer stop()
-	var asked <-chan holderWord
+	var asked <-chan holderAnswer
 	givenUp := known.released || cause == causeTake // by the holder's own word
 	if !givenUp {
 		asked = h.askHolder(asking, known.holderRecord)
@@ -146,11 +146,11 @@
 
 // readSeized reads the shard, and meanwhile asks the holder before this one what it
 // granted and writes the claim to the directory.
-func (h *holder) readSeized(ctx context.Context, before holderRecord, word holderWord) (seizedShard, error) {
+func (h *holder) readSeized(ctx context.Context, before holderRecord, answer holderAnswer) (seizedShard, error) {
 	var read seizedShard
 	var beside sync.WaitGroup
 	beside.Go(func() { h.writeDirectory(ctx, h.epoch) })
-	if word == holderGone { // one that is silent would be waited for in vain once more
+	if answer == holderGone { // one that is silent would be waited for in vain once more
 		beside.Go(func() { read.former = h.askFormer(ctx, before) })
 	}
 	var err error
@@ -171,7 +171,7 @@
 		h.known.note(h.shard, later)
 		return errHeld
 	}
-	records, _, err := h.readHeads(store.WithPurpose(ctx, store.PurposeShard))
+	records, _, err := h.readUntilTurns(store.WithPurpose(ctx, store.PurposeShard))
 	if err != nil {
 		return err
 	}
@@ -246,7 +246,7 @@
 		h.logger.Info().Err(err).Uint64("epoch", h.epoch).Msg("What was read ahead is of no use. The shard is read anew.")
 	}
 	for range loadTries {
-		loaded, after, err := h.readHeads(ctx)
+		loaded, after, err := h.readUntilTurns(ctx)
 		if err != nil {
 			return nil, "", err
 		}
--- a/internal/ledger/confirm.go
+++ b/internal/ledger/confirm.go
@@ -15,26 +15,27 @@
 // directory's reading takes, unless there is reason to doubt its death.
 
 const (
-	// confirmAgain separates questions to a holder that has not answered.
-	confirmAgain = 200 * time.Millisecond
-	// doubtIsolated is how much longer than the directory's reading an answer is waited
-	// for by a daemon that was cut off: as long as peers take to connect again.
-	doubtIsolated = 2 * time.Second
-	// doubtReturned is the same for one that could not reach the store until now, and
-	// doubtAlive for one whose view says that the holder lives: some round trips to a
+	// confirmInterval separates questions to a holder that has not answered.
+	confirmInterval = 200 * time.Millisecond
+	// waitIsolated is how much longer than the directory's reading a daemon that was cut
+	// off waits for the holder's answer: as long as peers take to connect again.
+	waitIsolated = 2 * time.Second
+	// waitReturned is the same for one that could not reach the store until now, and
+	// waitAlive for one whose view says that the holder lives: some round trips to a
 	// small machine that is busy.
-	doubtReturned = 500 * time.Millisecond
-	doubtAlive    = 100 * time.Millisecond
-	// claimIdle is how long a claim may get on nowhere until it is left to another: one
-	// page of a store that is busy.
+	waitReturned = 500 * time.Millisecond
+	waitAlive    = 100 * time.Millisecond
+	// claimIdle is how long a claim may make no progress until another daemon may take the
+	// shard: one page of a store that is busy.
 	claimIdle = 3 * time.Second
-	// confirmLife is how long a holder's word is relied on: as long as a view that is
-	// behind takes to learn that it lives would cost a directory's reading a turn.
+	// confirmLife is how long a holder's confirmation is relied on. Without it each turn
+	// would cost a reading of the directory until this daemon's view shows that the holder
+	// lives.
 	confirmLife = time.Second
 )
 
-// confirmation is a holder's word that it holds the shard.
-type confirmation struct {
+// holderConfirmation is a holder's word that it holds the shard.
+type holderConfirmation struct {
 	holder holderRecord
 	at     time.Time
 }
@@ -50,12 +51,12 @@
 	return Response{Number: number, Result: resultOK, Epoch: epoch, Holder: h.daemon}
 }
 
-// holderWord is what a shard's holder said when it was asked whether it holds it.
-type holderWord int
+// holderAnswer is a shard's holder's answer to the question whether it holds the shard.
+type holderAnswer int
 
 const (
 	// holderSilent: it said nothing.
-	holderSilent holderWord = iota
+	holderSilent holderAnswer = iota
 	// holderKeeps: it holds the shard.
 	holderKeeps
 	// holderGone: it answers, and does not hold the shard or cannot serve it.
@@ -64,8 +65,8 @@
 
 // askHolder asks a shard's holder whether it lives, again and again until it answers
 // or ctx ends. The channel gets one value.
-func (h *holder) askHolder(ctx context.Context, holder holderRecord) <-chan holderWord {
-	confirmed := make(chan holderWord, 1)
+func (h *holder) askHolder(ctx context.Context, holder holderRecord) <-chan holderAnswer {
+	confirmed := make(chan holderAnswer, 1)
 	id := structs.DaemonID(holder.Daemon)
 	if holder.Daemon == "" || id.Address() == structs.DaemonID(h.daemon).Address() {
 		confirmed <- holderSilent
@@ -75,7 +76,7 @@
 		// Any run at the address may answer: a new one says at once that it holds nothing.
 		to := structs.NewDaemonID(id.Address(), structs.AnyIncarnation)
 		for ctx.Err() == nil {
-			asking, cancel := context.WithTimeout(ctx, confirmAgain)
+			asking, cancel := context.WithTimeout(ctx, confirmInterval)
 			response := h.fleet.askOne(asking, to, Request{Shard: h.shard, Confirm: true})
 			cancel()
 			switch {
@@ -93,14 +94,14 @@
 	return confirmed
 }
 
-// awaitHolder returns the word of a shard's holder, after the directory was read.
+// awaitHolder returns the answer of a shard's holder, after the directory was read.
 // known is what the claimant knew of it before, and asked the answer to the question
 // that was sent then.
-func (h *holder) awaitHolder(ctx context.Context, before, known holderRecord, asked <-chan holderWord) holderWord {
+func (h *holder) awaitHolder(ctx context.Context, before, known holderRecord, asked <-chan holderAnswer) holderAnswer {
 	if before.Daemon == "" {
 		return holderSilent
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.fleet.doubt(before.Daemon))
+	ctx, cancel := context.WithTimeout(ctx, h.fleet.confirmWait(before.Daemon))
 	defer cancel()
 	if before != known {
 		asked = h.askHolder(ctx, before)
@@ -123,15 +124,15 @@
 }
 
 // doubt implements fleet.
-func (s *Service) doubt(daemon string) time.Duration {
+func (s *Service) confirmWait(daemon string) time.Duration {
 	now := time.Now()
 	switch {
 	case s.isolation.wasIsolatedLately(now):
-		return doubtIsolated
+		return waitIsolated
 	case s.records.isBack(now):
-		return doubtReturned
+		return waitReturned
 	case s.mayLive(daemon):
-		return doubtAlive
+		return waitAlive
 	}
 	return 0
 }
@@ -160,7 +161,7 @@
 			case !isSilent:
 				h.known.noteAnswer(h.shard, told)
 			case h.confirmed.holder == holder:
-				h.confirmed = confirmation{}
+				h.confirmed = holderConfirmation{}
 			}
 		})
 		if isSilent {
--- a/internal/ledger/confirm_test.go
+++ b/internal/ledger/confirm_test.go
@@ -172,7 +172,7 @@
 		held := holder.known.get(shard).holderRecord
 		h := other.holders[shard]
 		other.known.note(shard, held)
-		h.confirmed = confirmation{holder: held, at: time.Now()}
+		h.confirmed = holderConfirmation{holder: held, at: time.Now()}
 		giving := holder.holders[shard]
 		giving.post(testContext(t), func(context.Context) {
 			giving.known.noteReleased(shard, held.Epoch, string(other.Self))
--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -8,31 +8,6 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// formerLife is how long a daemon remembers what it knew of a shard that it lost: a
-// store that is out is back by then, or the shard is another's.
-const formerLife = 30 * time.Second
-
-// formerState is what a daemon knew of a shard when it lost it, most often because an
-// append's answer did: all that was granted, whether on record or not.
-type formerState struct {
-	epoch    uint64
-	lostAt   time.Time
-	accounts map[string]*accountEntry
-}
-
-// takeUp puts what this daemon granted before it lost the shard in the place of what
-// the records tell, if nobody else held the shard since, and returns whether it did.
-func (s *state) takeUp(former *formerState, now time.Time) bool {
-	if former == nil || former.epoch != s.allowance.Epoch || now.Sub(former.lostAt) > formerLife {
-		return false
-	}
-	for id, entry := range former.accounts {
-		s.accounts[id] = &accountEntry{account: entry.account, usedAt: entry.usedAt, allowed: unboundedHeadroom}
-		s.touch(accountPrefix + id)
-	}
-	return true
-}
-
 // A holder that lives may lose its shard: callers could not reach it, or it the store.
 // Its successor asks it what it granted, and then nothing counts as lost:
 //
@@ -45,14 +20,38 @@
 // Without an answer what was set aside counts as spent, as after a crash.
 
 const (
-	// formerAnswerTime bounds how long a claim waits for the former holder: two ways
-	// between regions (16 ms) and a busy machine.
+	// formerLife is how long a daemon remembers what it knew of a shard that it lost: a
+	// store that is out is back by then, or the shard is another's.
+	formerLife = 30 * time.Second
+	// formerAnswerTime bounds how long a claim waits for the former holder: a round
+	// trip between regions (16 ms) and a busy machine.
 	formerAnswerTime = 80 * time.Millisecond
 	// formerAccountsLimit bounds the accounts that are told, each of some 200 bytes: an
 	// answer of half a megabyte.
 	formerAccountsLimit = 2500
 )
 
+// formerState is what a daemon knew of a shard when it lost it, most often because the
+// answer to an append was lost: all that was granted, whether on record or not.
+type formerState struct {
+	epoch    uint64
+	lostAt   time.Time
+	accounts map[string]*accountEntry
+}
+
+// restoreFormer puts what was granted before the shard was lost in the place of what the
+// records tell, if nobody else held the shard since, and returns whether it did.
+func (s *state) restoreFormer(former *formerState, now time.Time) bool {
+	if former == nil || former.epoch != s.allowance.Epoch || now.Sub(former.lostAt) > formerLife {
+		return false
+	}
+	for id, entry := range former.accounts {
+		s.accounts[id] = &accountEntry{account: entry.account, usedAt: entry.usedAt, allowed: unboundedHeadroom}
+		s.touch(accountPrefix + id)
+	}
+	return true
+}
+
 // FormerAccounts is what a holder knew of its shard's programs when it lost the shard.
 type FormerAccounts struct {
 	Epoch    uint64             `json:"epoch"`
--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -13,17 +13,15 @@
 
 // A shard's records are megabytes, almost all of them the texts of turns. The store
 // lists keys in their order, which puts accounts, the allowance and the holder before
-// the turns: with those a claimant serves turns that begin a line. The texts are read
-// on in the background, and only turns that go on from one which is not read yet wait.
+// the turns: with those a claimant serves turns that begin a chain. The texts are read
+// in the background, and only turns that go on from one which is not read yet wait.
 
-// historiesAgain is the pause after a page of texts that was not read.
-const historiesAgain = 300 * time.Millisecond
+// historiesRetryPause is the pause after a page of texts that was not read.
+const historiesRetryPause = 300 * time.Millisecond
 
-// histories is the reading of a claimed shard's texts.
-type histories struct {
-	// after is the last key that was read.
-	after string
-	stop  context.CancelFunc
+// historyReading is the reading of a claimed shard's texts.
+type historyReading struct {
+	stop context.CancelFunc
 	// waiting operations need a turn that was not read yet; wanted is closed when the
 	// first of them comes.
 	waiting []operation
@@ -35,9 +33,9 @@
 	return !page.More || len(page.Records) > 0 && page.Records[len(page.Records)-1].Key >= turnPrefix
 }
 
-// readHeads reads the pages up to the first with a turn. after is where to go on, "" if
+// readUntilTurns reads the pages up to the first with a turn. after is where to go on, "" if
 // that was all.
-func (h *holder) readHeads(ctx context.Context) (records []store.Record, after string, err error) {
+func (h *holder) readUntilTurns(ctx context.Context) (records []store.Record, after string, err error) {
 	for {
 		page, err := h.records.page(ctx, h.partition, after, h.status.noteProgress)
 		if err != nil {
@@ -61,14 +59,14 @@
 		return
 	}
 	ctx, stop := context.WithCancel(store.WithPurpose(ctx, store.PurposeHistories))
-	current := &histories{after: after, stop: stop, wanted: make(chan struct{})}
+	current := &historyReading{stop: stop, wanted: make(chan struct{})}
 	h.histories = current
 	h.status.reading.Store(true)
 	go h.readHistories(ctx, current, after, time.Now())
 }
 
 // readHistories reads page after page until the last, as long as the shard is held.
-func (h *holder) readHistories(ctx context.Context, current *histories, after string, started time.Time) {
+func (h *holder) readHistories(ctx context.Context, current *historyReading, after string, started time.Time) {
 	records, bytes := 0, 0
 	wait := readingWait
 	for ctx.Err() == nil {
@@ -76,7 +74,7 @@
 		if err != nil {
 			wait = min(2*wait, giveUpPage)
 			h.post(ctx, func(context.Context) { h.noteHistoriesLate(current, err) })
-			clock.Sleep(ctx, historiesAgain)
+			clock.Sleep(ctx, historiesRetryPause)
 			continue
 		}
 		wait = readingWait
@@ -93,8 +91,8 @@
 	}
 }
 
-// noteHistories takes a page of texts, and the operations up that can go on.
-func (h *holder) noteHistories(ctx context.Context, current *histories, records []store.Record, last bool) {
+// noteHistories takes a page of texts, and handles the operations that waited for it.
+func (h *holder) noteHistories(ctx context.Context, current *historyReading, records []store.Record, last bool) {
 	if h.histories != current || h.state == nil {
 		return // the shard was lost meanwhile
 	}
@@ -116,7 +114,7 @@
 }
 
 // noteHistoriesLate refuses those that wait for texts which the store does not give.
-func (h *holder) noteHistoriesLate(current *histories, err error) {
+func (h *holder) noteHistoriesLate(current *historyReading, err error) {
 	if h.histories != current {
 		return
 	}
--- a/internal/ledger/histories_test.go
+++ b/internal/ledger/histories_test.go
@@ -102,7 +102,7 @@
 		started := time.Now()
 		next := Turn{ID: "asked", Program: "p", BudgetTokens: 1000, MostTokens: 10, Previous: "t-5"}
 		holder := f.service(f.holderOf("p"))
-		if got := askHolder(t, holder, Request{Begin: &next}); got != resultImpaired || time.Since(started) > 2*historiesAgain {
+		if got := askHolder(t, holder, Request{Begin: &next}); got != resultImpaired || time.Since(started) > 2*historiesRetryPause {
 			t.Errorf("who waits for a text hears %q after %s", got, time.Since(started))
 		}
 		gated.failed = false
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -76,7 +76,7 @@
 	sequence uint64
 	appends  appendQueue
 	// histories is the reading of the turns' texts after a claim, nil once all are read.
-	histories *histories
+	histories *historyReading
 	tenure    tenure
 	// expiredAt is when records that nobody needs any more were last looked for.
 	expiredAt time.Time
@@ -91,7 +91,7 @@
 	// former is what this daemon knew of the shard when it last lost it.
 	former *formerState
 	// confirmed is the latest word of another daemon that it holds the shard.
-	confirmed confirmation
+	confirmed holderConfirmation
 	retry     claimRetry
 }
 
--- a/internal/ledger/holder_table.go
+++ b/internal/ledger/holder_table.go
@@ -102,9 +102,9 @@
 	mayLive(daemon string) bool
 	// preferred returns the daemon that should hold a shard if some cannot.
 	preferred(shard int, except ...structs.DaemonID) string
-	// doubt returns how much longer than a directory's reading a holder is waited for
-	// that may live in spite of what is believed.
-	doubt(daemon string) time.Duration
+	// confirmWait returns how much longer than a directory's reading the answer of a
+	// holder is waited for that may live in spite of what is believed.
+	confirmWait(daemon string) time.Duration
 	// mayHandOver tells whether a shard of some bytes may be passed on to a successor now
 	// by a daemon that stays.
 	mayHandOver(successor string, shardBytes int) bool
--- a/internal/ledger/pace.go
+++ b/internal/ledger/pace.go
@@ -1,12 +1,10 @@
 package ledger
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -16,35 +14,21 @@
 // nobody is asked. A daemon that stops passes its shards on at once.
 
 const (
-	// handoverShare is the part of the store's reading that planned handovers of daemons
-	// that stay may take. Shards that wait to move back are served where they are.
+	// handoverShare is the part of the bytes that the store reads in a second which may go
+	// to planned handovers of daemons that stay. Shards that wait to move back are served where they are.
 	handoverShare = 0.1
 	// encodedShare is how many bytes the store sends for one of a listing's values.
 	encodedShare = 4.0 / 3
-	// accountBytes is about what the record of an account takes.
-	accountBytes = 300
 )
 
-// pace spaces the planned handovers of one daemon. It is safe for concurrent use; the
-// zero value is ready.
-type pace struct {
+// handoverPacer spaces the planned handovers of one daemon. It is safe for concurrent use;
+// the zero value is ready.
+type handoverPacer struct {
 	mutex sync.Mutex
 	// nextAt is when the next handover may begin; zero if none was wanted lately.
 	nextAt time.Time
 }
 
-// claimSpread is over what time claims are spread that nobody waits for: a turn that only
-// has to be settled would have all shards of those that were lost read at once, beside
-// those whose callers wait.
-const claimSpread = 2 * time.Second
-
-// spreadClaim waits a while before a shard is asked for whose holder is dead.
-func (s *Service) spreadClaim(ctx context.Context, shard int) {
-	if holder := s.known.get(shard); holder.Daemon != "" && !s.mayLive(holder.Daemon) {
-		clock.Sleep(ctx, rand.N(claimSpread))
-	}
-}
-
 // handoverInterval is how far a daemon's planned handovers are apart on the mean, so
 // that daemons read at most handoverShare of what the store reads in a second; 0 if
 // that is not known.
@@ -58,7 +42,7 @@
 
 // take tells whether a handover may begin now. Daemons that want to pass shards on
 // since the same moment begin at times spread over the interval; chance is from [0, 1).
-func (p *pace) take(now time.Time, interval time.Duration, chance func() float64) bool {
+func (p *handoverPacer) take(now time.Time, interval time.Duration, chance func() float64) bool {
 	if interval <= 0 {
 		return true
 	}
@@ -82,12 +66,3 @@
 	interval := handoverInterval(len(s.View.Members()), shardBytes, s.StoreReadBytes)
 	return s.pace.take(time.Now(), interval, rand.Float64)
 }
-
-// size is about how many bytes the shard's records take in the store.
-func (s *state) size() int {
-	size := len(s.accounts) * accountBytes
-	for _, turn := range s.turns {
-		size += len(turn.Input) + len(turn.Output)
-	}
-	return size
-}
--- a/internal/ledger/pace_test.go
+++ b/internal/ledger/pace_test.go
@@ -19,7 +19,7 @@
 	const daemons, shardBytes, readBytes, seconds = 76, 3_000_000, 80e6, 60
 	random := rand.New(rand.NewPCG(1, 2))
 	interval := handoverInterval(daemons, shardBytes, readBytes)
-	paces := make([]pace, daemons)
+	paces := make([]handoverPacer, daemons)
 	began := time.Now()
 	read, worst := 0.0, 0.0
 	for second := range seconds {
@@ -80,7 +80,7 @@
 		if took := time.Since(started); took > silence {
 			t.Errorf("a turn that begins waited for %s", took)
 		}
-		time.Sleep(claimSpread/10 - time.Since(started))
+		time.Sleep(claimDelay/10 - time.Since(started))
 		most := (f.claims() - claims)
 		settled.Wait()
 		if all := f.claims() - claims; most > all*3/4 || all < shards/2 {
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -26,11 +26,11 @@
 	records *recordStore
 	known   *holderTable
 	// texts are those of chains that this daemon sent or was sent lately.
-	texts   texts
+	texts   textCache
 	avoided avoided
 	// isolation tells whether this daemon is cut off from the others.
 	isolation isolationDetector
-	pace      pace
+	pace      handoverPacer
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
 	leaving  chan struct{}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -300,3 +300,15 @@
 func isOver(unusedFor time.Duration, retentionMS int64) bool {
 	return unusedFor > time.Duration(retentionMS)*time.Millisecond+keepMargin
 }
+
+// accountBytes is about what the record of an account takes.
+const accountBytes = 300
+
+// size is about how many bytes the shard's records take in the store.
+func (s *state) size() int {
+	size := len(s.accounts) * accountBytes
+	for _, turn := range s.turns {
+		size += len(turn.Input) + len(turn.Output)
+	}
+	return size
+}
--- a/internal/ledger/text_cache.go
+++ b/internal/ledger/text_cache.go
@@ -9,50 +9,50 @@
 // histories, which a daemon of a large fleet has under way.
 const textsLimit = 512 << 10
 
-// texts remembers the text of chains that this daemon sent or was sent lately, by their
+// textCache remembers the text of chains that this daemon sent or was sent lately, by their
 // last turn. Half of a program's turns come by the daemon that had the one before, and
 // their history is most of what a reservation carries, two thirds of it between regions
 // where there are three. The text of a turn never changes. Whether it is still kept is
 // for the holder to say, each time. The zero value is ready.
-type texts struct {
-	mutex sync.Mutex
-	of    map[string][]byte
+type textCache struct {
+	mutex  sync.Mutex
+	byTurn map[string][]byte
 	// order holds the turns from the one remembered first.
 	order []string
 	bytes int
 }
 
 // get returns the text of a chain up to a turn; false if it is not remembered.
-func (t *texts) get(turn string) ([]byte, bool) {
+func (t *textCache) get(turn string) ([]byte, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	text, known := t.of[turn]
+	text, known := t.byTurn[turn]
 	return slices.Clip(text), known
 }
 
 // put remembers the text of a chain up to a turn; the oldest are forgotten.
-func (t *texts) put(turn string, text []byte) {
+func (t *textCache) put(turn string, text []byte) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if _, known := t.of[turn]; known || turn == "" || len(text) > textsLimit {
+	if _, known := t.byTurn[turn]; known || turn == "" || len(text) > textsLimit {
 		return
 	}
-	if t.of == nil {
-		t.of = map[string][]byte{}
+	if t.byTurn == nil {
+		t.byTurn = map[string][]byte{}
 	}
-	t.of[turn] = text
+	t.byTurn[turn] = text
 	t.order = append(t.order, turn)
 	t.bytes += len(text)
 	for t.bytes > textsLimit {
-		t.bytes -= len(t.of[t.order[0]])
-		delete(t.of, t.order[0])
+		t.bytes -= len(t.byTurn[t.order[0]])
+		delete(t.byTurn, t.order[0])
 		t.order = slices.Delete(t.order, 0, 1)
 	}
 }
 
-// goOn remembers the text of a chain up to a turn that was kept, if that of the turn
+// extend remembers the text of a chain up to a turn that was kept, if that of the turn
 // before it is remembered, and forgets the latter: few programs go on from a turn twice.
-func (t *texts) goOn(kept *KeptTurn) {
+func (t *textCache) extend(kept *KeptTurn) {
 	before, known := t.get(kept.Previous)
 	if !known && kept.Previous != "" {
 		return
@@ -61,14 +61,14 @@
 	t.put(kept.ID, slices.Concat(before, kept.Input, kept.Output))
 }
 
-func (t *texts) forget(turn string) {
+func (t *textCache) forget(turn string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	text, known := t.of[turn]
+	text, known := t.byTurn[turn]
 	if !known {
 		return
 	}
 	t.bytes -= len(text)
-	delete(t.of, turn)
+	delete(t.byTurn, turn)
 	t.order = slices.DeleteFunc(t.order, func(other string) bool { return other == turn })
 }
--- a/internal/ledger/text_cache_test.go
+++ b/internal/ledger/text_cache_test.go
@@ -89,19 +89,19 @@
 }
 
 func TestTextsAreBounded(t *testing.T) {
-	var remembered texts
+	var remembered textCache
 	for i := range 1000 {
 		kept := &KeptTurn{ID: fmt.Sprint(i), Input: bytes.Repeat([]byte("x"), 5_000)}
 		if i%3 == 2 {
 			kept.Previous = fmt.Sprint(i - 1)
 		}
-		remembered.goOn(kept)
+		remembered.extend(kept)
 		sum := 0
-		for _, text := range remembered.of {
+		for _, text := range remembered.byTurn {
 			sum += len(text)
 		}
-		if sum != remembered.bytes || sum > textsLimit || len(remembered.order) != len(remembered.of) {
-			t.Fatalf("%d: %d bytes in %d texts, counted %d in %d", i, sum, len(remembered.of), remembered.bytes, len(remembered.order))
+		if sum != remembered.bytes || sum > textsLimit || len(remembered.order) != len(remembered.byTurn) {
+			t.Fatalf("%d: %d bytes in %d texts, counted %d in %d", i, sum, len(remembered.byTurn), remembered.bytes, len(remembered.order))
 		}
 	}
 	if _, known := remembered.get("999"); !known {
--- a/internal/ledger/turns.go
+++ b/internal/ledger/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -75,7 +76,7 @@
 func (s *Service) End(ctx context.Context, outcome Outcome) error {
 	shard := s.shardOf(outcome.Program)
 	if outcome.Kept == nil {
-		s.spreadClaim(ctx, shard)
+		s.delayClaim(ctx, shard)
 	}
 	for wait := endPause; ; wait = min(2*wait, longestEndPause) {
 		asked := outcome // a holder may still have it when the chain is added
@@ -83,7 +84,7 @@
 		switch response.Result {
 		case resultOK:
 			if outcome.Kept != nil && !s.AsksOnly {
-				s.texts.goOn(outcome.Kept)
+				s.texts.extend(outcome.Kept)
 			}
 			return nil
 		case resultUnknownTurn:
@@ -102,3 +103,15 @@
 		clock.Sleep(ctx, wait)
 	}
 }
+
+// claimDelay is over what time claims are spread that nobody waits for: turns that only
+// have to be settled would have all shards of holders that died read at once, beside those
+// whose callers wait.
+const claimDelay = 2 * time.Second
+
+// delayClaim waits a while before a shard is asked for whose holder is dead.
+func (s *Service) delayClaim(ctx context.Context, shard int) {
+	if holder := s.known.get(shard); holder.Daemon != "" && !s.mayLive(holder.Daemon) {
+		clock.Sleep(ctx, rand.N(claimDelay))
+	}
+}
