Membership: heal.go says what a cut is, and its bounds what they bound

'Cut' was not explained, and lostCrowd, lostMemory, healReadings and takeOver did not say what they are. The probes of runs about which tables disagree are verify.go, as sync.go had two jobs in over 300 lines. No logic changed.

Nothing to measure; tests of the package pass.

--- a/internal/membership/change_log.go
+++ b/internal/membership/change_log.go
@@ -20,8 +20,10 @@
 // changeLog writes the changes of members: a line each, or one for all beyond changeLines
 // in a window, with their number by state and zone.
 type changeLog struct {
+	// endsAt is when the window ends, and lines how many single changes were logged in it.
 	endsAt time.Time
 	lines  int
+	// summed counts the changes beyond these; nil for none.
 	summed map[State]map[structs.ZoneName]int
 }
 
@@ -30,7 +32,7 @@
 	l := &m.changeLog
 	now := m.Clock.Now()
 	if !now.Before(l.endsAt) {
-		m.logSum()
+		m.logSummary()
 		*l = changeLog{endsAt: now.Add(changeWindow)}
 	}
 	if l.lines < changeLines {
@@ -41,7 +43,7 @@
 	}
 	if l.summed == nil {
 		l.summed = map[State]map[structs.ZoneName]int{}
-		m.after(l.endsAt.Sub(now), m.logSum)
+		m.after(l.endsAt.Sub(now), m.logSummary)
 	}
 	if l.summed[r.state()] == nil {
 		l.summed[r.state()] = map[structs.ZoneName]int{}
@@ -49,8 +51,8 @@
 	l.summed[r.state()][r.daemon.Zone]++
 }
 
-// logSum writes what was counted.
-func (m *Membership) logSum() {
+// logSummary writes one line for all changes that were counted.
+func (m *Membership) logSummary() {
 	if m.changeLog.summed == nil {
 		return
 	}
--- a/internal/membership/heal.go
+++ b/internal/membership/heal.go
@@ -7,30 +7,34 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// When a cut ends, each side holds much of the other dead, and has the bad news still
-// to pass on: about members that answer by now, to daemons that never missed them. So
-// a daemon that hears that a lost member is back, while it has lost others, takes the
-// cut for ended. It drops the bad news that it was to pass on, takes none by hearsay for
-// a while, tells some neighbours, and reads the table of a daemon from beyond once: its
-// living are taken over without asking each. A member that did die meanwhile is found by
-// its neighbours' probes as always.
+// A cut is a partition of the network. When it ends, each side still believes much of the
+// other dead, and has that bad news to pass on: about members that answer by now, to
+// daemons that never missed them. So a daemon that hears that a lost member is back, while
+// it has lost others, concludes that a cut has ended. Then it
+//
+//   - drops the bad news that it was to pass on, and ignores others' for HealTime;
+//   - tells some neighbours that the cut has ended;
+//   - reads the table of a daemon from the other side, and takes the members that are alive
+//     there for alive without asking each.
+//
+// A member that did die meanwhile is found by its neighbours' probes as always.
 
 const (
-	// lostCrowd is how many members must be lost besides the one that is back. Fewer
-	// are back in all views by their own refutations.
-	lostCrowd = 4
-	// lostMemory is how long ago a member may have died to count as lost in a cut.
-	lostMemory = 10 * time.Minute
+	// leastLost is how many members must be lost besides the one that is back. Fewer
+	// return to all views by their own refutations.
+	leastLost = 4
+	// lostLife is how long ago a member may have died to count as lost in a cut.
+	lostLife = 10 * time.Minute
 	// recentLoss is how long ago the others were lost at most if the one that is back
 	// was suspected alone.
 	recentLoss = 5 * time.Second
-	// healSpread spreads the readings, which all daemons make at once, over time and
-	// over the daemons that are back.
+	// healSpread is the time over which the readings are spread, which all daemons would
+	// make at once.
 	healSpread = 400 * time.Millisecond
-	// healReadings bounds them for each daemon and cut.
-	healReadings = 10
-	// healRecords bounds the records of one reading, of updateSize each.
-	healRecords = 128
+	// healReadingsLimit bounds the tables that a daemon reads after one cut.
+	healReadingsLimit = 10
+	// healRecordsLimit bounds the records of one such table, of updateSize each.
+	healRecordsLimit = 128
 	// healBytesPerSecond and healBurst bound the bytes by which a daemon tells others
 	// that a cut ended. They are kept apart from other pushes, which the suspicions of a
 	// cut have used up.
@@ -40,14 +44,16 @@
 
 // healer is what a daemon knows of a cut that ended.
 type healer struct {
-	// since is when it was heard last that a cut ended.
+	// since is when it was last heard that a cut ended, or, until a table was read, that
+	// another run is back.
 	since time.Time
 	// returned are the runs that are known to be back since then.
 	returned []structs.DaemonID
+	// readings counts the tables that were asked for, and answered tells whether one came.
 	readings int
-	// answered: a table was read since then.
 	answered bool
-	pushes   tokenBucket
+	// pushes bounds the bytes by which neighbours are told.
+	pushes tokenBucket
 }
 
 // isHealing tells whether a cut ended just now.
@@ -61,7 +67,7 @@
 	case statusSuspect:
 		return true
 	case statusDead:
-		return m.Clock.Now().Sub(r.diedAt) < lostMemory
+		return m.Clock.Now().Sub(r.diedAt) < lostLife
 	}
 	return false
 }
@@ -88,7 +94,7 @@
 	if !wasDead {
 		lost = slices.DeleteFunc(lost, func(r *record) bool { return m.Clock.Now().Sub(r.lostAt) > recentLoss })
 	}
-	if len(lost) >= lostCrowd {
+	if len(lost) >= leastLost {
 		m.beginHealing(r)
 	}
 }
@@ -98,7 +104,7 @@
 	switch {
 	case m.isHealing():
 		m.prolongHealing(back)
-	case !m.healedLately() || len(m.lost()) >= lostCrowd:
+	case !m.healedLately() || len(m.lost()) >= leastLost:
 		m.beginHealing(back)
 	}
 }
@@ -127,7 +133,7 @@
 		}
 	}
 	m.Logger.Info().Str("back", string(back.daemon.ID)).Int("members", m.fleet()).Msg("A cut has ended. Tables are read.")
-	m.after(m.jitter(healSpread), m.readBeyond)
+	m.after(m.jitter(healSpread), m.readTableBeyond)
 }
 
 // prolongHealing takes note of another run that is back. Until a table was read the time
@@ -142,15 +148,16 @@
 	}
 }
 
-// readBeyond reads the table of a daemon that is back, until nobody is lost any more.
-func (m *Membership) readBeyond() {
+// readTableBeyond asks a daemon from beyond the cut for its table, again and again until
+// nobody is lost any more.
+func (m *Membership) readTableBeyond() {
 	h := &m.healer
 	if !m.isHealing() {
 		return
 	}
-	m.after(healSpread/2+m.jitter(healSpread), m.readBeyond)
+	m.after(healSpread/2+m.jitter(healSpread), m.readTableBeyond)
 	lost := m.lost()
-	if h.readings >= healReadings || len(lost) == 0 {
+	if h.readings >= healReadingsLimit || len(lost) == 0 {
 		return
 	}
 	h.readings++
@@ -181,20 +188,20 @@
 	return ""
 }
 
-// living lists, from a random place on, what a daemon from beyond a cut needs of the
-// table: the members that are well, in the parts that differ.
-func (m *Membership) living(theirs [bucketCount]uint64) []Update {
+// livingRecords lists, from a random place on, what a daemon from beyond a cut needs of the
+// table: the members that are neither suspected nor gone, in the parts that differ.
+func (m *Membership) livingRecords(theirs [bucketCount]uint64) []Update {
 	differing := m.differing(theirs)
 	differing = slices.DeleteFunc(differing, func(u Update) bool { return u.Status.rank() >= statusSuspect.rank() })
 	for i, update := range differing {
 		differing[i] = m.records[update.Address].shortUpdate()
 	}
-	return differing[:min(len(differing), healRecords)]
+	return differing[:min(len(differing), healRecordsLimit)]
 }
 
-// takeOver takes a run as alive that is lost here, by the table of a daemon that was
-// beyond the cut.
-func (m *Membership) takeOver(r *record, update Update) {
+// reviveLost takes a run for alive that is lost here, if a table that is read after a cut
+// says so.
+func (m *Membership) reviveLost(r *record, update Update) {
 	well := update.Status.rank() >= 0 && update.Status.rank() < statusSuspect.rank()
 	if !well || !m.isLost(r) || update.Refutation < r.refutation {
 		return
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -24,17 +24,12 @@
 type syncer struct {
 	// differsSince tells since when a neighbour's table differs from this one.
 	differsSince map[structs.DaemonID]time.Time
-	readAt       time.Time
-	replies      tokenBucket
-	pending      []pendingVerification
-	verifying    bool
-}
-
-// pendingVerification is a run about which tables disagree. It is settled when the
-// run's state here is no longer what it was.
-type pendingVerification struct {
-	address string
-	gone    bool
+	// readAt is when another's table was last asked for.
+	readAt  time.Time
+	replies tokenBucket
+	// pending are the runs that are to be probed, and verifying tells that one is.
+	pending   []pendingVerification
+	verifying bool
 }
 
 // leastSyncRecords are sent whatever the rate limit: this run and the sender's.
@@ -175,7 +170,7 @@
 	size := recordSize
 	switch {
 	case request.Living:
-		updates = append(updates, m.living(request.Buckets)...)
+		updates = append(updates, m.livingRecords(request.Buckets)...)
 		size = updateSize
 	case request.joins():
 		updates = append(updates, m.differing(request.Buckets)...)
@@ -238,7 +233,7 @@
 		r := m.records[update.Address]
 		sameRun := r != nil && r != m.self && r.run == update.Run
 		if sameRun && m.isHealing() {
-			m.takeOver(r, update)
+			m.reviveLost(r, update)
 			continue
 		}
 		if update.Status == statusSuspect {
@@ -266,38 +261,3 @@
 	}
 	return dead || update.Refutation <= r.refutation
 }
-
-// verify queues a probe of a daemon, at a bounded rate.
-func (m *Membership) verify(r *record) {
-	s := &m.syncer
-	entry := pendingVerification{address: r.address, gone: r.gone()}
-	if slices.Contains(s.pending, entry) {
-		return
-	}
-	s.pending = append(s.pending, entry)
-	if !s.verifying {
-		s.verifying = true
-		m.verifyNext()
-	}
-}
-
-func (m *Membership) verifyNext() {
-	s := &m.syncer
-	if len(s.pending) == 0 {
-		s.verifying = false
-		return
-	}
-	next := s.pending[0]
-	s.pending = s.pending[1:]
-	r := m.records[next.address]
-	if r == nil || r.gone() != next.gone {
-		m.verifyNext()
-		return
-	}
-	if r.gone() {
-		m.sendPing(r.daemon.ID, m.prober.next(), r)
-	} else {
-		m.probe(r)
-	}
-	m.after(time.Second/time.Duration(m.settings.VerifyPerSecond), m.verifyNext)
-}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -27,7 +27,7 @@
 }
 
 // isHearsay tells whether bad news is not to be believed: it comes from a daemon that is
-// itself lost here, or from before the end of a cut. Who is lost has lost others.
+// itself lost here, which has lost others by the same cut, or from before a cut's end.
 func (m *Membership) isHearsay(from structs.DaemonID, update Update) bool {
 	r := m.records[update.Address]
 	if !update.isBadNews() || r == nil || r == m.self || r.run != update.Run || r.status.rank() >= statusSuspect.rank() {
--- /dev/null
+++ b/internal/membership/verify.go
@@ -0,0 +1,49 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// pendingVerification is a run about which tables disagree. It is settled when the
+// run's state here is no longer what it was.
+type pendingVerification struct {
+	address string
+	gone    bool
+}
+
+// verify queues a probe of a daemon, at a bounded rate.
+func (m *Membership) verify(r *record) {
+	s := &m.syncer
+	entry := pendingVerification{address: r.address, gone: r.gone()}
+	if slices.Contains(s.pending, entry) {
+		return
+	}
+	s.pending = append(s.pending, entry)
+	if !s.verifying {
+		s.verifying = true
+		m.verifyNext()
+	}
+}
+
+// verifyNext probes the next run that is queued and about which tables still disagree.
+func (m *Membership) verifyNext() {
+	s := &m.syncer
+	if len(s.pending) == 0 {
+		s.verifying = false
+		return
+	}
+	next := s.pending[0]
+	s.pending = s.pending[1:]
+	r := m.records[next.address]
+	if r == nil || r.gone() != next.gone {
+		m.verifyNext()
+		return
+	}
+	if r.gone() {
+		m.sendPing(r.daemon.ID, m.prober.next(), r)
+	} else {
+		m.probe(r)
+	}
+	m.after(time.Second/time.Duration(m.settings.VerifyPerSecond), m.verifyNext)
+}
