--- a/internal/store/listing.go
+++ b/internal/store/listing.go
@@ -47,3 +47,12 @@
 		known[record.Key] = record
 	}
 }
+
+// SizeOf returns the bytes of records' keys and values.
+func SizeOf(records []Record) int {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return size
+}
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -12,20 +12,6 @@
 	"github.com/rs/zerolog"
 )
 
-// Purpose is what a call to the store is made for: a label of figures and logs.
-type Purpose string
-
-// Purposes of the ledger's calls; watchers name theirs after what they follow.
-const (
-	PurposeOther     Purpose = "other"
-	PurposeDirectory Purpose = "directory"
-	PurposeClaim     Purpose = "claim"
-	PurposeShard     Purpose = "shard"
-	PurposeHistories Purpose = "histories"
-	PurposeReadAhead Purpose = "read_ahead"
-	PurposeChanges   Purpose = "changes"
-)
-
 const (
 	// meterWindow is the span over which a Meter adds calls up for one log line.
 	meterWindow = time.Second
@@ -34,44 +20,51 @@
 	meterBytes = 256 << 10
 )
 
-// IsBulk tells whether calls bring many records, which take long by themselves.
-func (p Purpose) IsBulk() bool {
-	return p == PurposeShard || p == PurposeHistories || p == PurposeReadAhead
-}
-
-type purposeKey struct{}
-
-// WithPurpose marks calls made under a context.
-func WithPurpose(ctx context.Context, purpose Purpose) context.Context {
-	return context.WithValue(ctx, purposeKey{}, purpose)
-}
-
-// PurposeOf returns what calls under a context are made for.
-func PurposeOf(ctx context.Context) Purpose {
-	if purpose, marked := ctx.Value(purposeKey{}).(Purpose); marked {
-		return purpose
-	}
-	return PurposeOther
-}
-
 // Meter counts the calls and the bytes read of the store that it wraps, by purpose.
 // A second in which much was read, or in which calls failed, is told in one log line.
 // It is safe for concurrent use.
 type Meter struct {
 	Store
-	logger  zerolog.Logger
-	calls   *prometheus.CounterVec
-	bytes   *prometheus.CounterVec
-	mutex   sync.Mutex
-	from    time.Time
-	window  map[Purpose]*meterCount
-	read    int
+	logger zerolog.Logger
+	calls  *prometheus.CounterVec
+	bytes  *prometheus.CounterVec
+	mutex  sync.Mutex
+	// from is when the window began that is added up, window its calls and read its bytes.
+	from   time.Time
+	window map[Purpose]*meterCount
+	read   int
+	// trouble tells whether a call of the window was refused or not answered.
 	trouble bool
 }
 
-// meterCount adds the calls of one purpose up.
+// callOutcome is how a call to the store ended: a label of figures.
+type callOutcome string
+
+const (
+	outcomeAnswered   callOutcome = "answered"
+	outcomeRefused    callOutcome = "refused"
+	outcomeUnanswered callOutcome = "unanswered"
+	// outcomeGivenUp: another try was answered, or nobody waited any more.
+	outcomeGivenUp callOutcome = "given_up"
+)
+
+// outcomeOf returns how a call under a context ended.
+func outcomeOf(ctx context.Context, err error) callOutcome {
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return outcomeRefused
+	case errors.Is(err, ErrOutcomeUnknown) && errors.Is(ctx.Err(), context.Canceled):
+		return outcomeGivenUp
+	case errors.Is(err, ErrOutcomeUnknown):
+		return outcomeUnanswered
+	}
+	return outcomeAnswered
+}
+
+// meterCount adds the calls of one purpose up, and the bytes that they read.
 type meterCount struct {
-	answered, refused, unanswered, givenUp, bytes int
+	calls map[callOutcome]int
+	bytes int
 }
 
 // NewMeter wraps a store and registers its figures.
@@ -112,7 +105,7 @@
 	return records, next, err
 }
 
-// note takes one call's end.
+// note counts one call that has ended.
 func (m *Meter) note(ctx context.Context, records []Record, err error) {
 	purpose, now := PurposeOf(ctx), time.Now()
 	size := SizeOf(records)
@@ -124,28 +117,15 @@
 	}
 	count := m.window[purpose]
 	if count == nil {
-		count = &meterCount{}
+		count = &meterCount{calls: map[callOutcome]int{}}
 		m.window[purpose] = count
 	}
-	outcome := "answered"
-	switch {
-	case errors.Is(err, ErrUnavailable):
-		outcome = "refused"
-		count.refused++
-		m.trouble = true
-	case errors.Is(err, ErrOutcomeUnknown) && errors.Is(ctx.Err(), context.Canceled):
-		outcome = "given_up" // another try was answered, or nobody waited any more
-		count.givenUp++
-	case errors.Is(err, ErrOutcomeUnknown):
-		outcome = "unanswered"
-		count.unanswered++
-		m.trouble = true
-	default:
-		count.answered++
-	}
+	outcome := outcomeOf(ctx, err)
+	count.calls[outcome]++
+	m.trouble = m.trouble || outcome == outcomeRefused || outcome == outcomeUnanswered
 	count.bytes += size
 	m.read += size
-	m.calls.WithLabelValues(string(purpose), outcome).Inc()
+	m.calls.WithLabelValues(string(purpose), string(outcome)).Inc()
 	m.bytes.WithLabelValues(string(purpose)).Add(float64(size))
 }
 
@@ -155,7 +135,9 @@
 		event := m.logger.Info().Time("since", m.from).Int("bytes", m.read)
 		for _, purpose := range m.purposes() {
 			c := m.window[purpose]
-			event = event.Ints(string(purpose), []int{c.answered, c.refused, c.unanswered, c.givenUp, c.bytes})
+			event = event.Ints(string(purpose), []int{
+				c.calls[outcomeAnswered], c.calls[outcomeRefused], c.calls[outcomeUnanswered], c.calls[outcomeGivenUp], c.bytes,
+			})
 		}
 		event.Msg("Calls to the store: answered, refused, unanswered, given up, bytes read.")
 	}
@@ -163,6 +145,7 @@
 	m.read, m.trouble = 0, false
 }
 
+// purposes lists the purposes of the window in their order.
 func (m *Meter) purposes() []Purpose {
 	var list []Purpose
 	for purpose := range m.window {
@@ -171,12 +154,3 @@
 	slices.SortFunc(list, func(a, b Purpose) int { return strings.Compare(string(a), string(b)) })
 	return list
 }
-
-// SizeOf returns the bytes of records' keys and values.
-func SizeOf(records []Record) int {
-	size := 0
-	for _, record := range records {
-		size += len(record.Key) + len(record.Value)
-	}
-	return size
-}
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -24,10 +24,10 @@
 	pageShare = 0.5
 	// avoidSilent is how long a helper that said nothing is not asked.
 	avoidSilent = 3 * time.Second
-	// wideTime is for how long helpers of all regions may be asked after one of the own
-	// region failed: what keeps it from the store may be common to the region, and an
-	// answer from there is a few ways of 8 ms later.
-	wideTime = 5 * time.Second
+	// otherRegionsTime is for how long helpers of all regions may be asked after one of the
+	// own region failed: what keeps that from the store may be common to the region. A
+	// helper of another region answers a few one-way delays of 8 ms later.
+	otherRegionsTime = 5 * time.Second
 	// outPause is how long no helper is asked after one said that it cannot
 	// reach the store either, or makes calls enough for others.
 	outPause = 250 * time.Millisecond
@@ -51,8 +51,8 @@
 	// unansweredSince is when a helper was first asked since one answered; zero
 	// if none was.
 	unansweredSince time.Time
-	// wideUntil is until when helpers of other regions come into question, too.
-	wideUntil time.Time
+	// otherRegionsUntil is until when helpers of other regions come into question, too.
+	otherRegionsUntil time.Time
 }
 
 // candidate is a daemon that may pass calls on.
@@ -70,7 +70,7 @@
 	if now.Before(h.outUntil) {
 		return "", false
 	}
-	candidates := h.usable(found, now.Before(h.wideUntil), now)
+	candidates := h.usable(found, now.Before(h.otherRegionsUntil), now)
 	if len(candidates) == 0 {
 		candidates = h.usable(found, true, now)
 	}
@@ -86,12 +86,12 @@
 	return h.chosen, true
 }
 
-// usable are the candidates that did not keep silent lately, those of other regions only
-// if wide is set.
-func (h *helpers) usable(found []candidate, wide bool, now time.Time) []structs.DaemonID {
+// usable lists the candidates that did not keep silent lately, those of other regions only
+// if withOtherRegions is set.
+func (h *helpers) usable(found []candidate, withOtherRegions bool, now time.Time) []structs.DaemonID {
 	var usable []structs.DaemonID
 	for _, c := range found {
-		if (wide || c.near) && !now.Before(h.avoided[c.id]) {
+		if (withOtherRegions || c.near) && !now.Before(h.avoided[c.id]) {
 			usable = append(usable, c.id)
 		}
 	}
@@ -107,7 +107,7 @@
 	if !helped {
 		h.chosen = ""
 		h.outUntil = now.Add(outPause)
-		h.wideUntil = now.Add(wideTime)
+		h.otherRegionsUntil = now.Add(otherRegionsTime)
 	}
 }
 
@@ -124,7 +124,7 @@
 		}
 	}
 	h.avoided[id] = now.Add(avoidSilent)
-	h.wideUntil = now.Add(wideTime)
+	h.otherRegionsUntil = now.Add(otherRegionsTime)
 	if h.chosen == id {
 		h.chosen = ""
 	}
--- a/internal/store/proxy/metrics.go
+++ b/internal/store/proxy/metrics.go
@@ -22,7 +22,7 @@
 	return m
 }
 
-func (m *Metrics) busy() { m.late.Inc() }
+func (m *Metrics) lateCall() { m.late.Inc() }
 
 func (m *Metrics) asked(result string) { m.calls.WithLabelValues("asked", result).Inc() }
 
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -219,7 +219,7 @@
 		return got // nobody waited for the answer any more
 	}
 	if errors.Is(got.err, store.ErrOutcomeUnknown) && s.contact.hasAnsweredSince(started) {
-		s.Metrics.busy()
+		s.Metrics.lateCall()
 		return got
 	}
 	s.noteDirect(got.err)
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -91,6 +91,7 @@
 	}
 }
 
+// tell calls OnAdvance, or OnChange without it.
 func (w *Watcher) tell(known map[string]Record, end int64) {
 	if w.OnAdvance != nil {
 		w.OnAdvance(known, end)
