Ledger and proxy: the loops that ask a daemon or the store hold less

ask set the failed claim of a request in its loop, and do kept the ways of a call in closures. The first is Request.setFailed, the second callWays; noteHolder only renamed another call and is gone. The queue of appends stands before the appends. No logic changed.

Nothing to measure; tests of the packages pass.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -17,6 +17,19 @@
 	waitingLimit = 4096
 )
 
+// appendQueue is what goes to the store, and who waits for it.
+type appendQueue struct {
+	// pending is the append that is under way, nil for none, and news tells of it.
+	pending *pendingAppend
+	news    chan appendNews
+	// waiting operations are answered once the next append is done.
+	waiting []answered
+	// barrier: the next append must take place even without a change.
+	barrier bool
+	// flush fires when changes that nobody waits for have waited for settleDelay.
+	flush *time.Timer
+}
+
 // pendingAppend is an append that is under way, with the operations that wait for it.
 type pendingAppend struct {
 	writer  store.Writer
@@ -204,16 +217,3 @@
 	}
 	return max(out, time.Millisecond)
 }
-
-// appendQueue is what goes to the store, and who waits for it.
-type appendQueue struct {
-	// pending is the append that is under way, nil for none, and news tells of it.
-	pending *pendingAppend
-	news    chan appendNews
-	// waiting operations are answered once the next append is done.
-	waiting []answered
-	// barrier: the next append must take place even without a change.
-	barrier bool
-	// flush fires when changes that nobody waits for have waited for settleDelay.
-	flush *time.Timer
-}
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -34,30 +34,24 @@
 func (s *Service) ask(ctx context.Context, shard int, request Request) Response {
 	request.Shard = shard
 	last := Response{Result: resultMoved}
-	// asked did not answer or could not.
-	var asked []structs.DaemonID
+	var asked []structs.DaemonID // they did not answer or could not
 	var moved movedAnswers
 	select {
 	case <-s.settled:
 	case <-ctx.Done():
 		return last
 	}
-	impaired := 0
-	silences := 0
+	impaired, silences := 0, 0
 	for range candidateTries {
 		known := s.known.get(shard)
 		target, failed := s.choose(shard, slices.Concat(asked, moved.about(known)), time.Now())
 		if target == "" {
 			break
 		}
-		request.Failed, request.Holder = failed, ""
-		if failed != 0 && failed == known.Epoch && !known.released {
-			request.Holder = known.Daemon
-		}
+		request.setFailed(failed, known)
 		response := s.askOne(ctx, target, request)
 		if response.Result == resultSilent && failed == 0 && ctx.Err() == nil {
-			silences++
-			if silences < holderTries {
+			if silences++; silences < holderTries {
 				last = response
 				continue
 			}
@@ -65,7 +59,7 @@
 		if ctx.Err() == nil {
 			s.avoided.note(shard, target, response.Result)
 		}
-		s.noteHolder(shard, response)
+		s.known.noteAnswer(shard, response)
 		s.noteAnswer(shard, response.Result, time.Now())
 		if response.Result.isFinal() || response.gaveUp {
 			return response
@@ -86,9 +80,13 @@
 	return last
 }
 
-// noteHolder takes what an answer tells of who holds the shard.
-func (s *Service) noteHolder(shard int, response Response) {
-	s.known.noteAnswer(shard, response)
+// setFailed tells of which claim there is bad news, 0 for none, and whose it is, if that
+// is known and was not given up.
+func (r *Request) setFailed(failed uint64, known knownHolder) {
+	r.Failed, r.Holder = failed, ""
+	if failed != 0 && failed == known.Epoch && !known.released {
+		r.Holder = known.Daemon
+	}
 }
 
 // knownTo returns what a daemon that answered knew of the holder: what is known here
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -119,28 +119,39 @@
 	return got.records, got.next, got.err
 }
 
+// callWays are the ways by which one call is being made, directly or by a helper.
+type callWays struct {
+	request  *Request
+	answers  chan outcome
+	underway int
+	// helped: a helper was asked.
+	helped bool
+}
+
+// start makes the call by one more way.
+func (w *callWays) start(ctx context.Context, call func(context.Context, *Request) outcome) {
+	w.underway++
+	go func() { w.answers <- call(ctx, w.request) }()
+}
+
+// askHelper makes the call by way of a helper, once.
+func (s *Service) askHelper(ctx context.Context, w *callWays) {
+	if !w.helped {
+		w.helped = true
+		w.start(ctx, s.callHelper)
+	}
+}
+
 // do makes a call directly, by way of a helper, or both.
 func (s *Service) do(ctx context.Context, request *Request) outcome {
 	request.Purpose = store.PurposeOf(ctx)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan outcome, 2)
-	underway := 0
-	start := func(way func(context.Context, *Request) outcome) {
-		underway++
-		go func() { answers <- way(ctx, request) }()
-	}
-	helped := false
-	askHelper := func() {
-		if !helped {
-			helped = true
-			start(s.callHelper)
-		}
-	}
+	ways := &callWays{request: request, answers: make(chan outcome, 2)}
 	if s.contact.mayCall(time.Now()) {
-		start(s.callDirect)
+		ways.start(ctx, s.callDirect)
 	} else {
-		askHelper()
+		s.askHelper(ctx, ways)
 	}
 	started := time.Now()
 	overdue := time.NewTimer(s.overdueTime(request))
@@ -148,14 +159,14 @@
 	failed := outcome{next: request.From}
 	for {
 		select {
-		case got := <-answers:
-			underway--
+		case got := <-ways.answers:
+			ways.underway--
 			if isAnswered(got.err) {
 				return got
 			}
 			failed.err = worse(failed.err, got.err)
-			askHelper()
-			if underway == 0 {
+			s.askHelper(ctx, ways)
+			if ways.underway == 0 {
 				return failed
 			}
 		case <-overdue.C:
@@ -163,7 +174,7 @@
 				overdue.Reset(overdueAfter)
 				continue
 			}
-			askHelper()
+			s.askHelper(ctx, ways)
 		case <-ctx.Done():
 			failed.err = store.ErrOutcomeUnknown
 			return failed
