Ledger: state.go holds what changes, its records and chains stand beside it

Records are state_records.go now and chains chains.go. The comment of nextHeadroom told a measurement's history; it says the reason. No logic changed.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -95,9 +95,8 @@
 // nextHeadroom is what may be set aside for the program's next turns: at most half of
 // what is left, and so little that some turns still fit in if the holder dies: one
 // that was cut, and the one that replaces it. Near has some turns of it, and far the
-// rest. With a turn more for short programs more of them ended with 402 after losses
-// than went on in outages (0.69 of what programs are worth in place of 0.73, mean of five
-// days with losses and outages, 12 daemons).
+// rest. With a turn more for short programs, more of them would have their budget spent
+// after losses than could go on in outages.
 func (a *account) nextHeadroom() (near, far int64) {
 	if a.BudgetTokens == 0 {
 		return unboundedHeadroom, 0
--- /dev/null
+++ b/internal/ledger/chains.go
@@ -0,0 +1,48 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// history joins the texts of a chain of turns, from the oldest on.
+func (s *state) history(last string, now time.Time) ([]byte, error) {
+	var chain []*turnEntry
+	size := 0
+	for id := last; id != ""; {
+		entry := s.turns[id]
+		if entry == nil || len(chain) >= chainLimit {
+			return nil, errBrokenChain
+		}
+		chain = append(chain, entry)
+		size += len(entry.Input) + len(entry.Output)
+		id = entry.Previous
+	}
+	text := make([]byte, 0, size)
+	for i := len(chain) - 1; i >= 0; i-- {
+		chain[i].usedAt = now
+		text = append(text, chain[i].Input...)
+		text = append(text, chain[i].Output...)
+	}
+	return text, nil
+}
+
+// hasChain tells whether a turn and all before it are known.
+func (s *state) hasChain(last string) bool {
+	for count := 0; last != ""; count++ {
+		entry := s.turns[last]
+		if entry == nil || count >= chainLimit {
+			return false
+		}
+		last = entry.Previous
+	}
+	return true
+}
+
+// restoreChains makes all turns before others be kept for as long as those are.
+func (s *state) restoreChains() {
+	for _, entry := range slices.Collect(maps.Values(s.turns)) {
+		s.keepChainOf(entry)
+	}
+}
--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
@@ -168,37 +165,3 @@
 	}
 	return "", false
 }
-
-// hasChain tells whether a turn and all before it are known.
-func (s *state) hasChain(last string) bool {
-	for count := 0; last != ""; count++ {
-		entry := s.turns[last]
-		if entry == nil || count >= chainLimit {
-			return false
-		}
-		last = entry.Previous
-	}
-	return true
-}
-
-// loadLater takes a turn's record that was read after the shard was taken. What was
-// written since stands.
-func (s *state) loadLater(record store.Record) error {
-	id, isTurn := strings.CutPrefix(record.Key, turnPrefix)
-	if _, isDirty := s.dirty[record.Key]; !isTurn || isDirty || s.turns[id] != nil {
-		return nil
-	}
-	if err := s.load(record); err != nil {
-		return err
-	}
-	entry := s.turns[id]
-	entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
-	return nil
-}
-
-// restoreChains makes all turns before others be kept for as long as those are.
-func (s *state) restoreChains() {
-	for _, entry := range slices.Collect(maps.Values(s.turns)) {
-		s.keepChainOf(entry)
-	}
-}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,14 +1,10 @@
 package ledger
 
 import (
-	"encoding/json"
 	"maps"
-	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 // Keys of a shard's records.
@@ -92,30 +88,6 @@
 	}
 }
 
-// load takes a record that was read from the store; restoreAges must follow the
-// last one. Errors tell of records that cannot be understood; they change nothing.
-func (s *state) load(record store.Record) error {
-	switch {
-	case strings.HasPrefix(record.Key, accountPrefix):
-		entry := &accountEntry{}
-		if err := json.Unmarshal(record.Value, &entry.account); err != nil {
-			return eris.Wrapf(err, "ledger: record %q", record.Key)
-		}
-		entry.isOnRecord = true
-		s.accounts[strings.TrimPrefix(record.Key, accountPrefix)] = entry
-	case strings.HasPrefix(record.Key, turnPrefix):
-		id := strings.TrimPrefix(record.Key, turnPrefix)
-		entry, err := decodeTurn(id, record.Value)
-		if err != nil {
-			return eris.Wrapf(err, "ledger: record %q", record.Key)
-		}
-		s.turns[id] = entry
-	case record.Key == allowanceKey:
-		return s.loadAllowance(record.Value)
-	}
-	return nil
-}
-
 // begin reserves a turn's tokens and gathers its history.
 func (s *state) begin(turn Turn, now time.Time) (Grant, result) {
 	if _, over := s.ended[turn.ID]; over {
@@ -201,30 +173,6 @@
 	_, _ = s.history(turn.Previous, now) // its chain is kept as long as it is
 }
 
-func (s *state) touch(key string) { s.dirty[key] = struct{}{} }
-
-// history joins the texts of a chain of turns, from the oldest on.
-func (s *state) history(last string, now time.Time) ([]byte, error) {
-	var chain []*turnEntry
-	size := 0
-	for id := last; id != ""; {
-		entry := s.turns[id]
-		if entry == nil || len(chain) >= chainLimit {
-			return nil, errBrokenChain
-		}
-		chain = append(chain, entry)
-		size += len(entry.Input) + len(entry.Output)
-		id = entry.Previous
-	}
-	text := make([]byte, 0, size)
-	for i := len(chain) - 1; i >= 0; i-- {
-		chain[i].usedAt = now
-		text = append(text, chain[i].Input...)
-		text = append(text, chain[i].Output...)
-	}
-	return text, nil
-}
-
 // find returns a turn with its whole chain as one turn, nil if it is not kept.
 func (s *state) find(id string, now time.Time) *KeptTurn {
 	text, err := s.history(id, now)
@@ -234,45 +182,6 @@
 	return &KeptTurn{ID: id, Input: text}
 }
 
-// takeDirty returns the records of all changes since the last call.
-func (s *state) takeDirty() ([]store.Record, error) {
-	if len(s.dirty) > 0 {
-		s.touch(allowanceKey) // its age tells what a holder that is lost may have granted
-	}
-	records := make([]store.Record, 0, len(s.dirty))
-	for key := range s.dirty {
-		value, err := s.value(key)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, store.Record{Key: key, Value: value})
-	}
-	clear(s.dirty)
-	return records, nil
-}
-
-// value encodes what stands under a key now; nil drops the key.
-func (s *state) value(key string) ([]byte, error) {
-	if key == allowanceKey {
-		return s.encodeAllowance(time.Now())
-	}
-	if id, isAccount := strings.CutPrefix(key, accountPrefix); isAccount {
-		if entry := s.accounts[id]; entry != nil {
-			s.setHeadroom(entry)
-			entry.UsedAtMS = s.clock.showMS(entry.usedAt)
-			return json.Marshal(entry.account)
-		}
-		return nil, nil
-	}
-	if id, isTurn := strings.CutPrefix(key, turnPrefix); isTurn {
-		if entry := s.turns[id]; entry != nil {
-			entry.UsedAtMS = s.clock.showMS(entry.usedAt)
-			return encodeTurn(entry)
-		}
-	}
-	return nil, nil
-}
-
 // expire drops up to limit records that nobody used for their retention.
 func (s *state) expire(now time.Time, limit int) {
 	maps.DeleteFunc(s.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedLife })
@@ -300,15 +209,3 @@
 func isOver(unusedFor time.Duration, retentionMS int64) bool {
 	return unusedFor > time.Duration(retentionMS)*time.Millisecond+keepMargin
 }
-
-// accountBytes is about what the record of an account takes.
-const accountBytes = 300
-
-// size is about how many bytes the shard's records take in the store.
-func (s *state) size() int {
-	size := len(s.accounts) * accountBytes
-	for _, turn := range s.turns {
-		size += len(turn.Input) + len(turn.Output)
-	}
-	return size
-}
--- /dev/null
+++ b/internal/ledger/state_records.go
@@ -0,0 +1,103 @@
+package ledger
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+)
+
+// load takes a record that was read from the store; restoreAges must follow the
+// last one. Errors tell of records that cannot be understood; they change nothing.
+func (s *state) load(record store.Record) error {
+	switch {
+	case strings.HasPrefix(record.Key, accountPrefix):
+		entry := &accountEntry{}
+		if err := json.Unmarshal(record.Value, &entry.account); err != nil {
+			return eris.Wrapf(err, "ledger: record %q", record.Key)
+		}
+		entry.isOnRecord = true
+		s.accounts[strings.TrimPrefix(record.Key, accountPrefix)] = entry
+	case strings.HasPrefix(record.Key, turnPrefix):
+		id := strings.TrimPrefix(record.Key, turnPrefix)
+		entry, err := decodeTurn(id, record.Value)
+		if err != nil {
+			return eris.Wrapf(err, "ledger: record %q", record.Key)
+		}
+		s.turns[id] = entry
+	case record.Key == allowanceKey:
+		return s.loadAllowance(record.Value)
+	}
+	return nil
+}
+
+func (s *state) touch(key string) { s.dirty[key] = struct{}{} }
+
+// takeDirty returns the records of all changes since the last call.
+func (s *state) takeDirty() ([]store.Record, error) {
+	if len(s.dirty) > 0 {
+		s.touch(allowanceKey) // its age tells what a holder that is lost may have granted
+	}
+	records := make([]store.Record, 0, len(s.dirty))
+	for key := range s.dirty {
+		value, err := s.value(key)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, store.Record{Key: key, Value: value})
+	}
+	clear(s.dirty)
+	return records, nil
+}
+
+// value encodes what stands under a key now; nil drops the key.
+func (s *state) value(key string) ([]byte, error) {
+	if key == allowanceKey {
+		return s.encodeAllowance(time.Now())
+	}
+	if id, isAccount := strings.CutPrefix(key, accountPrefix); isAccount {
+		if entry := s.accounts[id]; entry != nil {
+			s.setHeadroom(entry)
+			entry.UsedAtMS = s.clock.showMS(entry.usedAt)
+			return json.Marshal(entry.account)
+		}
+		return nil, nil
+	}
+	if id, isTurn := strings.CutPrefix(key, turnPrefix); isTurn {
+		if entry := s.turns[id]; entry != nil {
+			entry.UsedAtMS = s.clock.showMS(entry.usedAt)
+			return encodeTurn(entry)
+		}
+	}
+	return nil, nil
+}
+
+// accountBytes is about what the record of an account takes.
+const accountBytes = 300
+
+// size is about how many bytes the shard's records take in the store.
+func (s *state) size() int {
+	size := len(s.accounts) * accountBytes
+	for _, turn := range s.turns {
+		size += len(turn.Input) + len(turn.Output)
+	}
+	return size
+}
+
+// loadLater takes a turn's record that was read after the shard was taken. What was
+// written since stands.
+func (s *state) loadLater(record store.Record) error {
+	id, isTurn := strings.CutPrefix(record.Key, turnPrefix)
+	if _, isDirty := s.dirty[record.Key]; !isTurn || isDirty || s.turns[id] != nil {
+		return nil
+	}
+	if err := s.load(record); err != nil {
+		return err
+	}
+	entry := s.turns[id]
+	entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
+	return nil
+}
