Ledger: what calls tell of the store's reach is one struct

recordStore mixed six fields on whether the store answers with its slots and times. They are storeReach, with what reads and sets them, in store_reach.go. No logic changed.

--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -27,11 +27,6 @@
 	// refusedPause follows a try that was refused, or broken off before its time;
 	// it doubles each time.
 	refusedPause = 30 * time.Millisecond
-	// downAfter is how long no call must have been answered until the store
-	// counts as down for this daemon, and probePause separates the calls that
-	// are made all the same to see whether it is back.
-	downAfter  = 300 * time.Millisecond
-	probePause = 250 * time.Millisecond
 )
 
 // recordStore repeats calls to the store that were not answered. A repeated
@@ -44,67 +39,10 @@
 	pages     slots
 	histories slots
 	mutex     sync.Mutex
-	usual     time.Duration
-	// failingSince is when the first call failed since one was answered; zero
-	// if none did.
-	failingSince time.Time
-	probeAt      time.Time
-	// failedAt is when the latest call failed, and backAt when one was answered after
-	// calls had failed for downAfter.
-	failedAt time.Time
-	backAt   time.Time
-	// answeredAt is when a call was last answered.
-	answeredAt time.Time
-	// returned is closed when the store is said to answer again after it failed.
-	returned <-chan struct{}
-}
-
-// isDown tells whether the store does not answer this daemon at all. Now and
-// then it says no, so that the caller tries.
-func (r *recordStore) isDown(now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.failingSince.IsZero() || now.Sub(r.failingSince) < downAfter {
-		return false
-	}
-	if isClosed(r.returned) {
-		r.returned = r.contact.Returned()
-		return false
-	}
-	if now.Before(r.probeAt) {
-		return true
-	}
-	r.probeAt = now.Add(probePause)
-	return false
-}
-
-// isBack tells whether the store answers this daemon again since lately.
-func (r *recordStore) isBack(now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return !r.backAt.IsZero() && now.Sub(r.backAt) <= isolationDoubt
-}
-
-// noteOutcome takes note of whether a call was answered. One that was not tells nothing
-// if the store has answered another since it began: it is busy, and not lost.
-func (r *recordStore) noteOutcome(err error, started time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	switch {
-	case err == nil || isFinal(err):
-		if r.failedAt.Sub(r.failingSince) >= downAfter && !r.failingSince.IsZero() {
-			r.backAt = time.Now()
-		}
-		r.failingSince = time.Time{}
-		r.answeredAt = time.Now()
-	case errors.Is(err, store.ErrOutcomeUnknown) && r.answeredAt.After(started):
-	default:
-		r.failedAt = time.Now()
-		if r.failingSince.IsZero() {
-			r.failingSince = r.failedAt
-			r.returned = r.contact.Returned()
-		}
-	}
+	// usual is the usual time of an append's answer, and reach what the outcome of calls
+	// tells of the store. The mutex guards both.
+	usual time.Duration
+	reach storeReach
 }
 
 // newest reads the newest record of each key, and the offset to go on from. It
