--- a/internal/membership/change_log.go
+++ b/internal/membership/change_log.go
@@ -12,8 +12,8 @@
 	// changeWindow is the time over which changes are summed up that are too many for a
 	// line each.
 	changeWindow = time.Second
-	// changeLines bounds the lines of single changes in each window: a fleet of 295 that
-	// starts would write 63,529 of them in two seconds.
+	// changeLines bounds the lines of single changes in each window: each of some hundred
+	// daemons that start at once hears of all others within two seconds.
 	changeLines = 8
 )
 
