--- a/internal/ledger/histories.go
+++ b/internal/ledger/histories.go
@@ -2,10 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
@@ -14,24 +10,15 @@
 
 // A shard's records are megabytes, almost all of them the texts of turns. The store
 // lists keys in their order, which puts accounts, the allowance and the holder before
-// the turns: with those a claimant serves turns that begin a line. The texts are read
-// on in the background, and only turns that go on from one which is not read yet wait.
+// the turns: with those a claimant serves turns that begin a chain. The texts are read
+// in the background, and only turns that go on from one which is not read yet wait.
 
-const (
-	// historiesAgain is the pause after a page of texts that was not read.
-	historiesAgain = 300 * time.Millisecond
-	// pagesAtOnce bounds the pages of shards that a daemon reads at a time, and
-	// historiesAtOnce those of them that are texts nobody waits for yet: a page is up to
-	// a megabyte, and takes the smallest machines (30 Mbit/s) 0.35 s if it comes alone.
-	pagesAtOnce     = 3
-	historiesAtOnce = 1
-)
+// historiesRetryPause is the pause after a page of texts that was not read.
+const historiesRetryPause = 300 * time.Millisecond
 
-// histories is the reading of a claimed shard's texts.
-type histories struct {
-	// after is the last key that was read.
-	after string
-	stop  context.CancelFunc
+// historyReading is the reading of a claimed shard's texts.
+type historyReading struct {
+	stop context.CancelFunc
 	// waiting operations need a turn that was not read yet; wanted is closed when the
 	// first of them comes.
 	waiting []operation
@@ -43,15 +30,15 @@
 	return !page.More || len(page.Records) > 0 && page.Records[len(page.Records)-1].Key >= turnPrefix
 }
 
-// readHeads reads the pages up to the first with a turn. after is where to go on, "" if
+// readUntilTurns reads the pages up to the first with a turn. after is where to go on, "" if
 // that was all.
-func (h *holder) readHeads(ctx context.Context) (records []store.Record, after string, err error) {
+func (h *holder) readUntilTurns(ctx context.Context) (records []store.Record, after string, err error) {
 	for {
-		page, err := h.records.page(ctx, h.partition, after, h.noteProgress)
+		page, err := h.records.page(ctx, h.partition, after, h.status.noteProgress)
 		if err != nil {
 			return nil, "", err
 		}
-		h.noteProgress()
+		h.status.noteProgress()
 		records = append(records, page.Records...)
 		if len(page.Records) == 0 || !page.More {
 			return records, "", nil
@@ -69,26 +56,26 @@
 		return
 	}
 	ctx, stop := context.WithCancel(store.WithPurpose(ctx, store.PurposeHistories))
-	current := &histories{after: after, stop: stop, wanted: make(chan struct{})}
+	current := &historyReading{stop: stop, wanted: make(chan struct{})}
 	h.histories = current
-	h.reading.Store(true)
+	h.status.reading.Store(true)
 	go h.readHistories(ctx, current, after, time.Now())
 }
 
 // readHistories reads page after page until the last, as long as the shard is held.
-func (h *holder) readHistories(ctx context.Context, current *histories, after string, started time.Time) {
+func (h *holder) readHistories(ctx context.Context, current *historyReading, after string, started time.Time) {
 	records, bytes := 0, 0
 	wait := readingWait
 	for ctx.Err() == nil {
-		page, err := h.records.historiesPage(ctx, wait, h.partition, after, current.wanted, h.noteProgress)
+		page, err := h.records.historiesPage(ctx, wait, h.partition, after, current.wanted, h.status.noteProgress)
 		if err != nil {
 			wait = min(2*wait, giveUpPage)
 			h.post(ctx, func(context.Context) { h.noteHistoriesLate(current, err) })
-			clock.Sleep(ctx, historiesAgain)
+			clock.Sleep(ctx, historiesRetryPause)
 			continue
 		}
 		wait = readingWait
-		h.noteProgress()
+		h.status.noteProgress()
 		records += len(page.Records)
 		bytes += store.SizeOf(page.Records)
 		last := !page.More || len(page.Records) == 0
@@ -101,8 +88,8 @@
 	}
 }
 
-// noteHistories takes a page of texts, and the operations up that can go on.
-func (h *holder) noteHistories(ctx context.Context, current *histories, records []store.Record, last bool) {
+// noteHistories takes a page of texts, and handles the operations that waited for it.
+func (h *holder) noteHistories(ctx context.Context, current *historyReading, records []store.Record, last bool) {
 	if h.histories != current || h.state == nil {
 		return // the shard was lost meanwhile
 	}
@@ -124,7 +111,7 @@
 }
 
 // noteHistoriesLate refuses those that wait for texts which the store does not give.
-func (h *holder) noteHistoriesLate(current *histories, err error) {
+func (h *holder) noteHistoriesLate(current *historyReading, err error) {
 	if h.histories != current {
 		return
 	}
@@ -141,7 +128,7 @@
 		h.histories.stop()
 		h.histories = nil
 	}
-	h.reading.Store(false)
+	h.status.reading.Store(false)
 }
 
 // awaitsHistory puts an operation off that needs a turn whose text may not have been
@@ -178,101 +165,3 @@
 	}
 	return "", false
 }
-
-// hasChain tells whether a turn and all before it are known.
-func (s *state) hasChain(last string) bool {
-	for count := 0; last != ""; count++ {
-		entry := s.turns[last]
-		if entry == nil || count >= chainLimit {
-			return false
-		}
-		last = entry.Previous
-	}
-	return true
-}
-
-// loadLater takes a turn's record that was read after the shard was taken. What was
-// written since stands.
-func (s *state) loadLater(record store.Record) error {
-	id, isTurn := strings.CutPrefix(record.Key, turnPrefix)
-	if _, isDirty := s.dirty[record.Key]; !isTurn || isDirty || s.turns[id] != nil {
-		return nil
-	}
-	if err := s.load(record); err != nil {
-		return err
-	}
-	entry := s.turns[id]
-	entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
-	return nil
-}
-
-// restoreChains makes all turns before others be kept for as long as those are.
-func (s *state) restoreChains() {
-	for _, entry := range slices.Collect(maps.Values(s.turns)) {
-		s.keepChainOf(entry)
-	}
-}
-
-// page reads one page of newest records.
-func (r *recordStore) page(ctx context.Context, partition store.Partition, after string, waiting func()) (page store.Page, err error) {
-	release, err := r.pages.take(ctx, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer release()
-	err = r.tryPage(ctx, func(ctx context.Context) error {
-		page, err = r.NewestPage(ctx, partition, after)
-		return err
-	})
-	return page, err
-}
-
-// historiesPage is page for texts, with a single try: those who wait for them hear at once
-// that the store does not give them. Texts that are wanted go before those that are not.
-func (r *recordStore) historiesPage(ctx context.Context, wait time.Duration, partition store.Partition, after string, wanted <-chan struct{}, waiting func()) (page store.Page, err error) {
-	release, err := r.histories.takeUnless(ctx, wanted, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer release()
-	releasePage, err := r.pages.take(ctx, waiting)
-	if err != nil {
-		return store.Page{}, err
-	}
-	defer releasePage()
-	err = r.once(ctx, wait, func(ctx context.Context) error {
-		page, err = r.NewestPage(ctx, partition, after)
-		return err
-	})
-	return page, err
-}
-
-// slots bound what is done at a time; nil for no bound.
-type slots chan struct{}
-
-// take waits for a slot, and calls waiting now and then meanwhile: who asked for it is
-// in a queue that gets on.
-func (s slots) take(ctx context.Context, waiting func()) (release func(), err error) {
-	return s.takeUnless(ctx, nil, waiting)
-}
-
-// takeUnless is take that needs no slot once urgent is closed.
-func (s slots) takeUnless(ctx context.Context, urgent <-chan struct{}, waiting func()) (release func(), err error) {
-	if s == nil || isClosed(urgent) {
-		return func() {}, nil
-	}
-	ticker := time.NewTicker(answerWithin / 3)
-	defer ticker.Stop()
-	for {
-		select {
-		case s <- struct{}{}:
-			return func() { <-s }, nil
-		case <-urgent:
-			return func() {}, nil
-		case <-ticker.C:
-			waiting()
-		case <-ctx.Done():
-			return nil, errors.Join(store.ErrUnavailable, ctx.Err())
-		}
-	}
-}
--- a/internal/ledger/pace_test.go
+++ b/internal/ledger/pace_test.go
@@ -19,7 +19,7 @@
 	const daemons, shardBytes, readBytes, seconds = 76, 3_000_000, 80e6, 60
 	random := rand.New(rand.NewPCG(1, 2))
 	interval := handoverInterval(daemons, shardBytes, readBytes)
-	paces := make([]pace, daemons)
+	paces := make([]handoverPacer, daemons)
 	began := time.Now()
 	read, worst := 0.0, 0.0
 	for second := range seconds {
@@ -80,7 +80,7 @@
 		if took := time.Since(started); took > silence {
 			t.Errorf("a turn that begins waited for %s", took)
 		}
-		time.Sleep(claimSpread/10 - time.Since(started))
+		time.Sleep(claimDelay/10 - time.Since(started))
 		most := (f.claims() - claims)
 		settled.Wait()
 		if all := f.claims() - claims; most > all*3/4 || all < shards/2 {
@@ -89,16 +89,16 @@
 	})
 }
 
-func BenchmarkSight(b *testing.B) {
+func BenchmarkIsolationDetector(b *testing.B) {
 	const daemons, zones = 300, 8
 	var members []membership.Member
 	for i := range daemons {
 		id := structs.NewDaemonID(fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200), 1)
 		members = append(members, membership.Member{Daemon: structs.Daemon{ID: id, Zone: structs.ZoneName(fmt.Sprint(i % zones))}, State: membership.StateAlive})
 	}
-	s := &sight{}
+	s := &isolationDetector{}
 	now := time.Now()
 	for i := 0; b.Loop(); i++ {
-		s.look(members[0].Daemon.ID, members, false, now.Add(time.Duration(i)*sightPause))
+		s.observe(members[0].Daemon.ID, members, false, now.Add(time.Duration(i)*observeInterval))
 	}
 }
