Instances: service time, latency and penalty for stay, way and extra

Cause: a reader of the choice of instances met words of its own for known things: a request's "stay", the "way" to a region, "passing" filters, and a package comment that needed the code to be understood. Change: names and comments only: service time, latency, per kilobyte, penalty, temporary filter. The figures are those that were there. Measured: nothing to measure; tests of instance, distance, warmup and relay pass.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -41,9 +41,9 @@
 	Excluded []string
 	// Bytes are what is sent with the request, as far as it is known.
 	Bytes int
-	// Stay is how long a request of the service usually stays at an instance, 0 if that
-	// is not known. Take sets it.
-	Stay time.Duration
+	// ServiceTime is how long an instance usually takes to serve a request of the
+	// service, 0 if that is not known. Take sets it.
+	ServiceTime time.Duration
 }
 
 // admits tells whether an instance comes into question for a query.
@@ -63,7 +63,7 @@
 	now := time.Now()
 	p.asked = asked
 	query := &p.asked
-	query.Stay = p.stays[query.Service]
+	query.ServiceTime = p.serviceTimes[query.Service]
 	if query.Preferred == "" && query.Object != "" {
 		query.Preferred = p.homeOf(query, now)
 	}
--- a/internal/instance/distance/distance.go
+++ b/internal/instance/distance/distance.go
@@ -1,16 +1,14 @@
-// Package distance weighs how far an instance is against what a request would wait at a
-// nearer one: by zone, then by region.
+// Package distance weighs how far an instance is against the wait for a nearer one.
 //
-// All is reckoned in time. An instance farther off costs the way there and back and, for
-// the bytes that cross zones or regions, what their price is worth:
+// The unit is time. A request to another zone or region costs the latency there and back,
+// and the price of its bytes as the wait that it is worth to save them:
 //
-//	cost = 2 x way + kilobytes x time per kilobyte        milliseconds
+//	penalty = 2 x latency + kilobytes x time per kilobyte
 //
-// A nearer instance whose slots are all taken makes the request wait for as long as one
-// usually stays there, and the more requests are ahead of it the longer. So the cost in
-// shares of an instance's slots, as the pool counts, is that time by the usual stay. A
-// request goes to another region once what it would wait in its own exceeds what the way
-// and the bytes cost.
+// The pool reckons cost in shares of an instance's slots. A request that comes to an
+// instance without a free slot waits for about the service time, and for longer the more
+// requests are ahead of it. So the cost is the penalty divided by the service time, and a
+// request goes to another region once its wait in its own would exceed the penalty.
 package distance
 
 import (
@@ -21,49 +19,52 @@
 )
 
 const (
-	// regionWay and zoneWay are one way to another region, or to another zone of the
-	// region: what platforms tell of places some hundred kilometres apart, and of
-	// buildings of one town.
-	regionWay = 8 * time.Millisecond
-	zoneWay   = time.Millisecond
-	// zoneKilobyte is how long a request may rather wait than send a kilobyte to another
-	// zone, and regionKilobyte the same to another region. Operators pay four times as
-	// much between regions (250 and 1,000 a gigabyte). A turn of 20 KB counts 6 ms
-	// between zones, a fiftieth of a stay of 300 ms: as much as a third of one request
-	// more at an instance of sixteen slots. That breaks ties; more would fill the zone that
-	// has most callers while others have places, as a daemon sees its own requests only.
-	zoneKilobyte   = 200 * time.Microsecond
-	regionKilobyte = 4 * zoneKilobyte
-	kilobyte       = 1000
-	// usualStay is taken for a service's until it is known, and shortestStay is taken
-	// for a shorter one: less is lost in what the load is known by.
-	usualStay    = 250 * time.Millisecond
-	shortestStay = 20 * time.Millisecond
+	// zoneLatency and regionLatency are the one-way latencies to another zone of the
+	// region and to another region: those of buildings in one town, and of places some
+	// hundred kilometres apart.
+	zoneLatency   = time.Millisecond
+	regionLatency = 8 * time.Millisecond
+	// zonePerKilobyte is how long a request may rather wait than send a kilobyte to
+	// another zone, and regionPerKilobyte the same for another region, where operators pay
+	// four times as much (1,000 a gigabyte in place of 250). For a request of 20 KB that is
+	// 4 ms between zones: with the latency 6 ms, or a third of one request more at an
+	// instance of sixteen slots whose service time is 300 ms. That breaks ties. More would
+	// fill the zone with most callers while others have free slots, as a daemon knows its
+	// own requests only.
+	zonePerKilobyte   = 200 * time.Microsecond
+	regionPerKilobyte = 4 * zonePerKilobyte
+	// kilobyte is in bytes.
+	kilobyte = 1000
+	// defaultServiceTime is used until a service's is known.
+	defaultServiceTime = 250 * time.Millisecond
+	// minServiceTime is used for a shorter one: the load of an instance is not known more
+	// exactly than that.
+	minServiceTime = 20 * time.Millisecond
 )
 
-// Scorer is an instance.Scorer.
+// Scorer counts the distance to an instance against it. It implements instance.Scorer.
 type Scorer struct{ Topology zone.Topology }
 
 // Cost implements instance.Scorer.
 func (s Scorer) Cost(query *instance.Query, candidate *instance.Instance, _ time.Time) float64 {
-	extra := Extra(s.Topology.DistanceTo(candidate.Zone), query.Bytes)
-	if extra == 0 {
+	penalty := Penalty(s.Topology.DistanceTo(candidate.Zone), query.Bytes)
+	if penalty == 0 {
 		return 0
 	}
-	stay := query.Stay
-	if stay == 0 {
-		stay = usualStay
+	serviceTime := query.ServiceTime
+	if serviceTime == 0 {
+		serviceTime = defaultServiceTime
 	}
-	return float64(extra) / float64(max(stay, shortestStay))
+	return float64(penalty) / float64(max(serviceTime, minServiceTime))
 }
 
-// Extra is what a distance costs a request of some bytes, in time that it may rather wait.
-func Extra(distance zone.Distance, bytes int) time.Duration {
+// Penalty is how long a request of some bytes may rather wait than go a distance.
+func Penalty(distance zone.Distance, bytes int) time.Duration {
 	switch distance {
 	case zone.SameRegion:
-		return 2*zoneWay + price(zoneKilobyte, bytes)
+		return 2*zoneLatency + price(zonePerKilobyte, bytes)
 	case zone.OtherRegion:
-		return 2*regionWay + price(regionKilobyte, bytes)
+		return 2*regionLatency + price(regionPerKilobyte, bytes)
 	}
 	return 0
 }
--- a/internal/instance/distance/distance_test.go
+++ b/internal/instance/distance/distance_test.go
@@ -25,7 +25,7 @@
 		list = append(list, instance.Instance{ID: id, Service: "s", Address: id, Zone: name, Slots: slots, State: instance.StateReady})
 	}
 	p.Replace(list)
-	p.NoteStay("s", stay)
+	p.NoteServiceTime("s", stay)
 	return p
 }
 
@@ -95,7 +95,7 @@
 
 func BenchmarkCost(b *testing.B) {
 	scorer := Scorer{testTopology()}
-	query := &instance.Query{Bytes: 20_000, Stay: 300 * time.Millisecond}
+	query := &instance.Query{Bytes: 20_000, ServiceTime: 300 * time.Millisecond}
 	candidates := make([]instance.Instance, 50)
 	for i := range candidates {
 		candidates[i].Zone = []string{"north-a", "north-b", "south-a", "south-b"}[i%4]
--- a/internal/instance/health.go
+++ b/internal/instance/health.go
@@ -18,8 +18,8 @@
 	// and kindWeight the same in the usual pace of a kind of work.
 	paceWeight = 0.25
 	kindWeight = 0.02
-	// stayWeight is the weight of the newest request in a service's usual stay.
-	stayWeight = 0.05
+	// serviceTimeWeight is the weight of the newest request in a service's mean service time.
+	serviceTimeWeight = 0.05
 	// paceLife is for how long samples count after the newest: an instance that
 	// gets nothing any more must be tried again some time.
 	paceLife = 4 * time.Second
@@ -114,16 +114,17 @@
 	return time.Duration(math.Exp(usual) * float64(time.Second))
 }
 
-// NoteStay takes note of how long a request stayed at an instance that answered it.
-func (p *Pool) NoteStay(service string, took time.Duration) {
+// NoteServiceTime takes note of how long an instance took to serve a request that it
+// answered.
+func (p *Pool) NoteServiceTime(service string, took time.Duration) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	usual, known := p.stays[service]
+	usual, known := p.serviceTimes[service]
 	if !known {
-		p.stays[service] = took
+		p.serviceTimes[service] = took
 		return
 	}
-	p.stays[service] = usual + time.Duration(stayWeight*float64(took-usual))
+	p.serviceTimes[service] = usual + time.Duration(serviceTimeWeight*float64(took-usual))
 }
 
 // NotePace takes note of how long an instance took for a piece of work that is
--- a/internal/instance/plugin.go
+++ b/internal/instance/plugin.go
@@ -12,11 +12,12 @@
 	Admits(query *Query, candidate *Instance, now time.Time) bool
 }
 
-// PassingFilter is a Filter that turns instances down for some seconds at most: a
-// service with none but these is full, not gone.
-type PassingFilter interface {
+// TemporaryFilter is a Filter that turns an instance down for some seconds at most. A
+// service all of whose instances it turns down is full, not gone.
+type TemporaryFilter interface {
 	Filter
-	IsPassing()
+	// IsTemporary marks the filter; it does nothing.
+	IsTemporary()
 }
 
 // Scorer weighs instances that may get a request. It is asked like a Filter.
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -17,10 +17,11 @@
 	// byService holds the instances of each service, in order of ID.
 	byService map[string][]*entry
 	paces     paces
-	// stays tells by service how long requests that were answered stayed at instances.
-	stays map[string]time.Duration
-	// asked is what an instance is taken for just now; it stands here to be allocated
-	// once.
+	// serviceTimes is, by service, how long instances take to serve a request: a moving
+	// average over those that were answered.
+	serviceTimes map[string]time.Duration
+	// asked is the query that Take is working on. It is a field, as a local variable whose
+	// address the plug-ins get would be allocated for each request.
 	asked Query
 	// listedAt is when the list was last known to be the newest; zero if there
 	// was none.
@@ -50,12 +51,12 @@
 // NewPool returns an empty pool.
 func NewPool(random *rand.Rand, plugins Plugins) *Pool {
 	return &Pool{
-		plugins:   plugins,
-		random:    random,
-		byID:      map[string]*entry{},
-		byService: map[string][]*entry{},
-		paces:     paces{},
-		stays:     map[string]time.Duration{},
+		plugins:      plugins,
+		random:       random,
+		byID:         map[string]*entry{},
+		byService:    map[string][]*entry{},
+		paces:        paces{},
+		serviceTimes: map[string]time.Duration{},
 	}
 }
 
@@ -170,8 +171,8 @@
 	Admitted int
 	// Filtered counts those that could serve, by why a filter turns them down.
 	Filtered map[string]int
-	// Passing counts those of them that are turned down for some seconds at most.
-	Passing int
+	// Temporary counts those of them that are turned down for some seconds at most.
+	Temporary int
 }
 
 // Count returns how many instances of a request's service may get it, those that are
@@ -187,8 +188,8 @@
 		}
 		if filter := p.plugins.filteredBy(&query, &e.Instance, now); filter != nil {
 			census.Filtered[filter.Reason()]++
-			if _, passing := filter.(PassingFilter); passing {
-				census.Passing++
+			if _, temporary := filter.(TemporaryFilter); temporary {
+				census.Temporary++
 			}
 			continue
 		}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -87,7 +87,7 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.take()
-		if !found && c.only != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).Passing == 0 {
+		if !found && c.only != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).Temporary == 0 {
 			c.refuseBound()
 			return nil, instance.Instance{}
 		}
@@ -161,7 +161,7 @@
 	c.underway = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
-		c.relay.Pool.NoteStay(c.service, time.Since(c.offeredAt))
+		c.relay.Pool.NoteServiceTime(c.service, time.Since(c.offeredAt))
 	}
 }
 
@@ -310,7 +310,7 @@
 	if c.refuseUnplaceable(census, now) {
 		return false
 	}
-	if census.Admitted+census.Passing == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
+	if census.Admitted+census.Temporary == 0 && c.offers == 0 && !c.relay.Pool.IsUncertain() {
 		c.decide(admission.ServiceGone, now, now)
 		c.refuse(Refusal{Reason: ReasonNoInstance, RetryAfter: c.returnAfter(), Detail: "No back end of this service is known."})
 		return false
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -17,7 +17,7 @@
 
 func (c *coldFor) Reason() string { return "cold" }
 
-func (c *coldFor) IsPassing() {}
+func (c *coldFor) IsTemporary() {}
 
 func (c *coldFor) Admits(_ *instance.Query, _ *instance.Instance, now time.Time) bool {
 	return !now.Before(c.until)
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -136,8 +136,8 @@
 // Reason implements instance.Filter.
 func (l *Limiter) Reason() string { return "cold" }
 
-// IsPassing implements instance.PassingFilter: an instance is cold for some seconds.
-func (l *Limiter) IsPassing() {}
+// IsTemporary implements instance.TemporaryFilter: an instance is cold for some seconds.
+func (l *Limiter) IsTemporary() {}
 
 // Admits implements instance.Filter.
 func (l *Limiter) Admits(_ *instance.Query, candidate *instance.Instance, now time.Time) bool {
@@ -304,7 +304,7 @@
 }
 
 var (
-	_ instance.PassingFilter = (*Limiter)(nil)
-	_ instance.Scorer        = (*Limiter)(nil)
-	_ instance.Reserver      = (*Limiter)(nil)
+	_ instance.TemporaryFilter = (*Limiter)(nil)
+	_ instance.Scorer          = (*Limiter)(nil)
+	_ instance.Reserver        = (*Limiter)(nil)
 )
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -182,7 +182,7 @@
 		for found := true; found; {
 			_, found = pool.Take(instance.Query{Service: "s"})
 		}
-		if census := pool.Count(instance.Query{Service: "s"}); census.Admitted != 0 || census.Passing != 1 || census.Filtered["cold"] != 1 {
+		if census := pool.Count(instance.Query{Service: "s"}); census.Admitted != 0 || census.Temporary != 1 || census.Filtered["cold"] != 1 {
 			t.Errorf("got %+v", census)
 		}
 	})
