--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -132,15 +132,15 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		plan := h.zones.Step(h.relay.Waiting(now), now)
-		for name := range plan.Ask {
+		for name := range plan.Probe {
 			if name == near || !h.cut.Load() && !h.deaf.Load() {
 				h.zones.Answered(name, now.Add(time.Millisecond))
 			}
 		}
-		if plan.AskStore {
+		if plan.ProbeStore {
 			h.zones.StoreAsked(!h.storeOut.Load(), now, now)
 		}
-		for _, name := range plan.Try {
+		for _, name := range plan.Connect {
 			h.relay.Try(name)
 		}
 		h.relay.GiveUpSilent(now)
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -49,7 +49,7 @@
 		Connections:  d.relay,
 		Transport:    d.transport,
 		View:         d.membership,
-		AskStore:     d.askStore,
+		ProbeStore:   d.probeStore,
 		OnCut:        func(zone string) { d.adapter.Forget(d.pool.AddressesIn(zone)) },
 		OnIsolated:   d.leadAway,
 		Random:       newRandom(),
@@ -78,9 +78,9 @@
 	})
 }
 
-// askStore tells whether the store answers, directly or by way of another daemon. It
+// probeStore tells whether the store answers, directly or by way of another daemon. It
 // reads behind the last key of the members' registry, which is nothing.
-func (d *Daemon) askStore(ctx context.Context) bool {
+func (d *Daemon) probeStore(ctx context.Context) bool {
 	_, err := d.store.NewestPage(ctx, registryPartition(), lastKey)
 	return err == nil
 }
--- a/internal/relaydaemon/cutoff_test.go
+++ b/internal/relaydaemon/cutoff_test.go
@@ -34,12 +34,12 @@
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(zone.StepInterval) {
 		now := time.Now()
 		plan := zones.Step(waiting, now)
-		for name := range plan.Ask {
+		for name := range plan.Probe {
 			if _, silent := waiting[name]; !silent {
 				zones.Answered(name, now.Add(1))
 			}
 		}
-		if plan.AskStore {
+		if plan.ProbeStore {
 			zones.StoreAsked(len(cut) == 0, now, now)
 		}
 	}
--- a/internal/zone/reach/messages.go
+++ b/internal/zone/reach/messages.go
@@ -2,11 +2,11 @@
 
 import "github.com/mintpulley/mintpulley/internal/peer"
 
-// Question asks a daemon for an answer.
-type Question struct{}
+// Probe asks a daemon for a ProbeReply. On the wire they are a question and an answer.
+type Probe struct{}
 
-// Answer answers a Question.
-type Answer struct {
+// ProbeReply answers a Probe.
+type ProbeReply struct {
 	// Zone is where the daemon that answers stands.
 	Zone string `json:"z"`
 }
@@ -16,16 +16,16 @@
 	Zone string `json:"z"`
 }
 
-// Suspicion tells that the sender hears nothing of a zone, and asks its daemons.
+// Suspicion tells that the sender hears nothing of a zone, and probes its daemons.
 type Suspicion struct {
 	Zone string `json:"z"`
 }
 
 // MessageKind implements peer.Message.
-func (*Question) MessageKind() peer.Kind { return "reach.question" }
+func (*Probe) MessageKind() peer.Kind { return "reach.question" }
 
 // MessageKind implements peer.Message.
-func (*Answer) MessageKind() peer.Kind { return "reach.answer" }
+func (*ProbeReply) MessageKind() peer.Kind { return "reach.answer" }
 
 // MessageKind implements peer.Message.
 func (*Finding) MessageKind() peer.Kind { return "reach.finding" }
@@ -34,8 +34,8 @@
 func (*Suspicion) MessageKind() peer.Kind { return "reach.suspicion" }
 
 func init() {
-	peer.Register(peer.ClassControl, &Question{})
-	peer.Register(peer.ClassControl, &Answer{})
+	peer.Register(peer.ClassControl, &Probe{})
+	peer.Register(peer.ClassControl, &ProbeReply{})
 	peer.Register(peer.ClassControl, &Finding{})
 	peer.Register(peer.ClassControl, &Suspicion{})
 }
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -1,6 +1,6 @@
-// Package reach finds out which zones a daemon is cut off from: it asks daemons of
-// other zones, tells neighbours what it found, and acts on what package zone makes of
-// it.
+// Package reach finds out which zones a daemon is cut off from: it probes daemons of
+// other zones as package zone plans it, tells other daemons what was found, and calls
+// back the parts that act on it.
 package reach
 
 import (
@@ -19,21 +19,20 @@
 )
 
 const (
-	// rosterEvery is how often the list of a zone's daemons is renewed, while nothing
+	// refreshInterval is how often the list of a zone's daemons is renewed, while nothing
 	// is suspected there.
-	rosterEvery = time.Second
-	// firstRosterEvery is the same while no daemon of some zone is known: one that has
-	// just started must not be the last of a zone to find itself cut off, as callers are
-	// led there as long as one is ready.
-	firstRosterEvery = 100 * time.Millisecond
-	// toldDaemons are told of a zone that is suspected, and of one that was found cut
-	// off, once each. Those that have no
-	// request there find it by that: with as many, hardly one of 300 is left out that
-	// hears of it from nobody who found it by itself.
-	toldDaemons = 8
-	// storeTime bounds a call by which the store is asked whether it answers: one that
-	// is slow for all, sixty times as slow as usual, answers within it.
-	storeTime = 300 * time.Millisecond
+	refreshInterval = time.Second
+	// firstRefreshInterval is the same while no daemon of some zone is known. A daemon that
+	// has just started must not be the last of its zone to find itself cut off: callers are
+	// sent to the zone as long as one of its daemons is ready.
+	firstRefreshInterval = 100 * time.Millisecond
+	// notifiedDaemons are told of a zone that is suspected, and of one that was found cut
+	// off, once each. A daemon that has no request in the zone learns of the cut from them:
+	// with this many, hardly one daemon of 300 is told by nobody.
+	notifiedDaemons = 8
+	// storeTimeout bounds the call that checks whether the store answers: a store that is
+	// sixty times as slow as usual still answers within it.
+	storeTimeout = 300 * time.Millisecond
 )
 
 // Connections are the requests that this daemon has at back ends.
@@ -55,8 +54,8 @@
 	Connections  Connections
 	Transport    peer.Transport
 	View         membership.View
-	// AskStore calls the store and tells whether it answered, in whichever way.
-	AskStore func(ctx context.Context) bool
+	// ProbeStore calls the store and tells whether it answered, in whichever way.
+	ProbeStore func(ctx context.Context) bool
 	// OnCut is told of each zone that is found cut off, and OnIsolated that this daemon
 	// is.
 	OnCut      func(zone string)
@@ -70,18 +69,18 @@
 type Watch struct {
 	Options
 	mutex sync.Mutex
-	// rosters are the addresses of the daemons of each zone, and asked those of them
-	// that were asked since the zone was last left alone.
-	rosters    map[string][]string
-	asked      map[string][]string
-	rosteredAt time.Time
-	// rostersWhole: daemons of all zones are known. It belongs to the watch's goroutine.
-	rostersWhole bool
+	// daemons are the addresses of the daemons of each zone, and probed those of them that
+	// were probed since all of them last were.
+	daemons     map[string][]string
+	probed      map[string][]string
+	refreshedAt time.Time
+	// knowsAllZones: daemons of all zones are known. It belongs to the watch's goroutine.
+	knowsAllZones bool
 }
 
-// New returns a watch. It hears of members that are suspected from then on.
+// New returns a watch, which subscribes to suspected members in the view.
 func New(options Options) *Watch {
-	w := &Watch{Options: options, rosters: map[string][]string{}, asked: map[string][]string{}}
+	w := &Watch{Options: options, daemons: map[string][]string{}, probed: map[string][]string{}}
 	w.View.Subscribe(func(member membership.Member) {
 		if member.State == membership.StateSuspect {
 			w.Reachability.Suspect(string(member.Daemon.Zone), time.Now())
@@ -105,32 +104,32 @@
 }
 
 func (w *Watch) step(ctx context.Context, now time.Time) {
-	w.renewRosters(now)
+	w.refreshDaemons(now)
 	plan := w.Reachability.Step(w.Connections.Waiting(now), now)
 	for _, change := range plan.Changes {
-		w.act(change)
+		w.applyChange(change)
 	}
-	for name, count := range plan.Ask {
-		w.ask(name, count)
+	for name, count := range plan.Probe {
+		w.probe(name, count)
 	}
 	for _, name := range plan.Suspected {
-		w.tell(name, &Suspicion{Zone: name})
+		w.notify(name, &Suspicion{Zone: name})
 	}
-	for _, name := range plan.Try {
+	for _, name := range plan.Connect {
 		w.Connections.Try(name)
 	}
-	if plan.AskStore {
+	if plan.ProbeStore {
 		go func() {
-			asking, cancel := context.WithTimeout(ctx, storeTime)
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 			defer cancel()
-			w.Reachability.StoreAsked(w.AskStore(asking), now, time.Now())
+			w.Reachability.StoreAsked(w.ProbeStore(ctx), now, time.Now())
 		}()
 	}
 	w.Connections.GiveUpSilent(now)
 }
 
-// act logs a change and passes it on.
-func (w *Watch) act(change zone.BeliefChange) {
+// applyChange logs a change and passes it on.
+func (w *Watch) applyChange(change zone.BeliefChange) {
 	e := change.Evidence
 	line := w.Logger.Info().Str("zone", change.Zone).Dur("before", change.Lasted).Int("asked", e.Asked).
 		Int("silent", e.Silent).Dur("unanswered", e.Unanswered).Dur("unheard", e.Unheard).Bool("told", e.Told)
@@ -148,20 +147,20 @@
 	w.Metrics.changed(change)
 	if change.Zone != "" && change.Cut {
 		w.OnCut(change.Zone)
-		w.tell(change.Zone, &Finding{Zone: change.Zone})
+		w.notify(change.Zone, &Finding{Zone: change.Zone})
 	}
 }
 
-// renewRosters takes the members of zones in which nothing is suspected.
-func (w *Watch) renewRosters(now time.Time) {
-	every := rosterEvery
-	if !w.rostersWhole {
-		every = firstRosterEvery
+// refreshDaemons renews the lists of the zones in which nothing is suspected.
+func (w *Watch) refreshDaemons(now time.Time) {
+	every := refreshInterval
+	if !w.knowsAllZones {
+		every = firstRefreshInterval
 	}
-	if now.Sub(w.rosteredAt) < every {
+	if now.Sub(w.refreshedAt) < every {
 		return
 	}
-	w.rosteredAt = now
+	w.refreshedAt = now
 	found := map[string][]string{}
 	for _, member := range w.View.Members() {
 		if member.State == membership.StateAlive {
@@ -173,22 +172,22 @@
 	defer w.mutex.Unlock()
 	for name, addresses := range found {
 		if w.Reachability.NoteDaemons(name, len(addresses)) {
-			w.rosters[name] = addresses
+			w.daemons[name] = addresses
 		}
 	}
-	w.rostersWhole = len(found) >= w.Reachability.Zones()
-	for name := range w.rosters {
+	w.knowsAllZones = len(found) >= w.Reachability.Zones()
+	for name := range w.daemons {
 		if found[name] == nil && w.Reachability.NoteDaemons(name, 0) {
-			delete(w.rosters, name)
+			delete(w.daemons, name)
 		}
 	}
 }
 
-// ask asks daemons of a zone, those first that were not asked lately.
-func (w *Watch) ask(name string, count int) {
+// probe probes daemons of a zone, those first that were not probed lately.
+func (w *Watch) probe(name string, count int) {
 	for _, address := range w.choose(name, count) {
 		w.Metrics.asked.Inc()
-		w.Transport.Send(structs.NewDaemonID(address, structs.AnyIncarnation), &Question{})
+		w.Transport.Send(structs.NewDaemonID(address, structs.AnyIncarnation), &Probe{})
 	}
 }
 
@@ -197,35 +196,35 @@
 	defer w.mutex.Unlock()
 	var chosen []string
 	for range count {
-		left := w.unasked(name)
+		left := w.unprobed(name)
 		if len(left) == 0 {
-			w.asked[name] = nil
-			left = w.unasked(name)
+			w.probed[name] = nil
+			left = w.unprobed(name)
 		}
 		left = slices.DeleteFunc(left, func(address string) bool { return slices.Contains(chosen, address) })
 		if len(left) == 0 {
 			break
 		}
 		address := left[w.Random.IntN(len(left))]
-		w.asked[name] = append(w.asked[name], address)
+		w.probed[name] = append(w.probed[name], address)
 		chosen = append(chosen, address)
 	}
 	return chosen
 }
 
-// unasked are the other daemons of a zone that were not asked in this turn.
-func (w *Watch) unasked(name string) []string {
+// unprobed are the other daemons of a zone that were not probed since all of them were.
+func (w *Watch) unprobed(name string) []string {
 	var left []string
-	for _, address := range w.rosters[name] {
-		if address != w.Self.Address() && !slices.Contains(w.asked[name], address) {
+	for _, address := range w.daemons[name] {
+		if address != w.Self.Address() && !slices.Contains(w.probed[name], address) {
 			left = append(left, address)
 		}
 	}
 	return left
 }
 
-// tell sends a message about a zone to some daemons of others.
-func (w *Watch) tell(name string, message peer.Message) {
+// notify sends a message about a zone to some daemons of other zones.
+func (w *Watch) notify(name string, message peer.Message) {
 	var others []structs.DaemonID
 	for _, member := range w.View.Members() {
 		home := string(member.Daemon.Zone)
@@ -233,7 +232,7 @@
 			others = append(others, member.Daemon.ID)
 		}
 	}
-	for range min(toldDaemons, len(others)) {
+	for range min(notifiedDaemons, len(others)) {
 		i := w.Random.IntN(len(others))
 		w.Transport.Send(others[i], message)
 		others = slices.Delete(others, i, i+1)
@@ -243,9 +242,9 @@
 // Receive takes a message that arrived; false means it is another part's.
 func (w *Watch) Receive(from structs.DaemonID, message peer.Message) bool {
 	switch message := message.(type) {
-	case *Question:
-		w.Transport.Send(from, &Answer{Zone: w.Zone})
-	case *Answer:
+	case *Probe:
+		w.Transport.Send(from, &ProbeReply{Zone: w.Zone})
+	case *ProbeReply:
 		w.Reachability.Answered(message.Zone, time.Now())
 	case *Finding:
 		w.Reachability.Told(message.Zone, 0, time.Now())
--- a/internal/zone/reach/watch_test.go
+++ b/internal/zone/reach/watch_test.go
@@ -157,7 +157,7 @@
 			Self: structs.NewDaemonID(e.self, 1), Zone: n.zoneOf[e.self], Reachability: e.zones, Connections: e,
 			Transport: e, View: e, OnCut: func(string) { n.found.Add(1) }, OnIsolated: func() {}, Random: rand.New(rand.NewPCG(1, uint64(i))),
 			Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
-			AskStore: func(asking context.Context) bool {
+			ProbeStore: func(asking context.Context) bool {
 				n.mutex.Lock()
 				out := n.storeCut[n.zoneOf[e.self]]
 				n.mutex.Unlock()
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -19,7 +19,7 @@
 // Reachability is a daemon's belief which zones it is cut off from, and whether it
 // is cut off itself.
 //
-// A zone is taken to be cut off when none of the daemons that were asked there
+// A zone is taken to be cut off when none of the daemons that were probed there
 // answers, its back ends keep requests waiting and send nothing on any connection,
 // and somebody elsewhere does answer. Neither machines that died nor back ends that
 // fail, hang or are slow look like that: in these cases somebody of the zone answers.
@@ -37,10 +37,10 @@
 	// mutex guards all below.
 	mutex sync.Mutex
 	paths map[string]*path
-	// others are the names of the paths but the daemon's own, in order.
-	others  []string
-	stepped time.Time
-	store   storePath
+	// otherZones are the names of the paths but the daemon's own, in order.
+	otherZones []string
+	steppedAt  time.Time
+	store      storePath
 	// isolatedSince is zero while this daemon is not cut off, and endedAt is when it
 	// last ceased to be.
 	isolatedSince, endedAt time.Time
@@ -64,26 +64,26 @@
 	// daemons is how many there are.
 	daemons int
 	// heardAt is when a back end sent something last, and answeredAt when a daemon
-	// answered a question.
+	// answered a probe.
 	heardAt, answeredAt time.Time
-	// suspectedAt is when there was a ground to ask last, and toldAt when another
-	// daemon found the zone cut off.
-	suspectedAt, toldAt time.Time
-	waiting             Waiting
-	// openSince is since when daemons of the zone are being asked; zero if none is.
-	// asked counts the questions, and askedAt is when the latest was put.
-	openSince, askedAt time.Time
-	asked              int
-	// shared: other daemons were told that none has answered.
-	shared bool
-	// closedAt is when the questions before ended.
-	closedAt time.Time
-	// triedAt is when a back end of the zone was last to be connected to.
-	triedAt time.Time
+	// suspectedAt is when there was last a reason to probe the zone, and reportedAt when
+	// another daemon found it cut off.
+	suspectedAt, reportedAt time.Time
+	waiting                 Waiting
+	// probingSince is since when daemons of the zone are being probed; zero if none is.
+	// probes counts the probes sent since then, and probedAt is when the latest was sent.
+	probingSince, probedAt time.Time
+	probes                 int
+	// suspicionSent: other daemons were told that no probe was answered.
+	suspicionSent bool
+	// probingEndedAt is when the zone was last probed before.
+	probingEndedAt time.Time
+	// connectedAt is when a connection to a back end of the zone was last asked for.
+	connectedAt time.Time
 }
 
 // storePath is what is known of the way to the store.
-type storePath struct{ askedAt, failedAt, answeredAt time.Time }
+type storePath struct{ probedAt, failedAt, answeredAt time.Time }
 
 // NewReachability returns the belief of a daemon that is cut off from no zone.
 func NewReachability(topology Topology) *Reachability {
@@ -91,7 +91,7 @@
 	for _, name := range topology.Zones() {
 		r.paths[name] = &path{}
 		if name != r.own {
-			r.others = append(r.others, name)
+			r.otherZones = append(r.otherZones, name)
 		}
 	}
 	r.publish()
@@ -124,13 +124,13 @@
 }
 
 // Zones returns how many zones there are, this daemon's own included.
-func (r *Reachability) Zones() int { return len(r.others) + 1 }
+func (r *Reachability) Zones() int { return len(r.otherZones) + 1 }
 
 // Changed returns a channel that is closed at the next change of a belief.
 func (r *Reachability) Changed() <-chan struct{} { return r.beliefs.Load().changed }
 
-// with calls change with the path to a zone, if the zone is known.
-func (r *Reachability) with(zone string, change func(*path)) {
+// update changes the path to a zone under the mutex, if the zone is known.
+func (r *Reachability) update(zone string, change func(*path)) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if p := r.paths[zone]; p != nil {
@@ -140,25 +140,25 @@
 
 // Heard takes note that a back end of a zone sent something, or could be connected to.
 func (r *Reachability) Heard(zone string, now time.Time) {
-	r.with(zone, func(p *path) { p.heardAt = now })
+	r.update(zone, func(p *path) { p.heardAt = now })
 }
 
-// Answered takes note that a daemon of a zone answered a question.
+// Answered takes note that a daemon of a zone answered a probe.
 func (r *Reachability) Answered(zone string, now time.Time) {
-	r.with(zone, func(p *path) { p.answeredAt = now })
+	r.update(zone, func(p *path) { p.answeredAt = now })
 }
 
-// Suspect takes note of a ground to ask a zone's daemons, such as that one of them
-// is suspected to have failed, or that others hear nothing of them.
+// Suspect takes note of a reason to probe a zone's daemons, such as that one of them
+// is suspected to have failed, or that other daemons hear nothing of them.
 func (r *Reachability) Suspect(zone string, now time.Time) {
-	r.with(zone, func(p *path) { p.suspectedAt = now })
+	r.update(zone, func(p *path) { p.suspectedAt = now })
 }
 
-// Told takes another daemon's word of some age that a zone is cut off. It stands
-// for the silence of the back ends there, not for that of the daemons: this daemon
-// asks these itself.
+// Told takes another daemon's word of some age that a zone is cut off. It
+// stands for the silence of the back ends there, not for that of the daemons: this
+// daemon probes these itself.
 func (r *Reachability) Told(zone string, age time.Duration, now time.Time) {
-	r.with(zone, func(p *path) { p.toldAt = now.Add(-age) })
+	r.update(zone, func(p *path) { p.reportedAt = now.Add(-age) })
 }
 
 // StoreAsked takes the outcome of a call to the store that began at a time.
@@ -172,17 +172,17 @@
 	}
 }
 
-// NoteDaemons takes how many daemons a zone has, and tells whether that counts: a
-// zone that is being asked keeps its number unless that grows, as its daemons may be
-// taken for dead by now.
+// NoteDaemons sets how many daemons a zone has, and tells whether the number was taken:
+// that of a zone that is being probed may only grow, as its daemons may be taken for
+// dead by now.
 func (r *Reachability) NoteDaemons(zone string, count int) bool {
-	counts := false
-	r.with(zone, func(p *path) {
-		if counts = p.openSince.IsZero() || count > p.daemons; counts {
+	taken := false
+	r.update(zone, func(p *path) {
+		if taken = p.probingSince.IsZero() || count > p.daemons; taken {
 			p.daemons = count
 		}
 	})
-	return counts
+	return taken
 }
 
 // publish makes the beliefs known to readers; the mutex must be held.
--- a/internal/zone/reachability_test.go
+++ b/internal/zone/reachability_test.go
@@ -101,7 +101,7 @@
 		waiting[name] = w
 	}
 	plan := f.r.Step(waiting, f.now)
-	for name, count := range plan.Ask {
+	for name, count := range plan.Probe {
 		f.questions += count
 		f.asked[name] += count
 		// Those that died are asked first: the worst case.
@@ -110,7 +110,7 @@
 			f.asked[name] = 0
 		}
 	}
-	if plan.AskStore {
+	if plan.ProbeStore {
 		f.r.StoreAsked(f.storeUp, f.now, f.now.Add(10*time.Millisecond))
 	}
 	f.changes = append(f.changes, plan.Changes...)
@@ -260,7 +260,7 @@
 			f.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "steps")) * StepInterval)
 			if !f.storeUp { // its return is noticed before all others die
 				f.storeUp = true
-				f.run(askStoreEvery)
+				f.run(storeProbeInterval)
 			}
 		}
 		if len(f.changes) != 0 {
@@ -309,7 +309,7 @@
 	f := newFleet("a")
 	waiting := map[string]Waiting{"b": {Overdue: 5, Silent: 5}}
 	f.r.Step(waiting, f.now)
-	f.now = f.now.Add(2 * answerTime)
+	f.now = f.now.Add(2 * probeTimeout)
 	f.r.Answered("c", f.now) // the first of them was read
 	if plan := f.r.Step(waiting, f.now); len(plan.Changes) != 0 {
 		t.Errorf("changes: %+v", plan.Changes)
@@ -332,7 +332,7 @@
 	for step := range 100 {
 		now := begin.Add(time.Duration(step) * StepInterval)
 		r.StoreAsked(false, now, now)
-		if plan := r.Step(map[string]Waiting{"z": {Overdue: 3, Silent: 3}}, now); len(plan.Changes) != 0 || plan.Ask != nil || plan.AskStore {
+		if plan := r.Step(map[string]Waiting{"z": {Overdue: 3, Silent: 3}}, now); len(plan.Changes) != 0 || plan.Probe != nil || plan.ProbeStore {
 			t.Fatalf("plan: %+v", plan)
 		}
 	}
@@ -360,7 +360,7 @@
 	before := f.questions
 	f.run(10 * time.Second)
 	// Each askRest at most all zones once, with three or one daemon asked.
-	if asked := f.questions - before; asked > 20*(3*firstAsked+controlAsked) {
+	if asked := f.questions - before; asked > 20*(3*firstProbes+controlProbes) {
 		t.Errorf("%d questions in 10 s", asked)
 	}
 }
@@ -372,7 +372,7 @@
 	f.run(time.Second)
 	tries := 0
 	for range 60 {
-		for _, name := range f.r.Step(map[string]Waiting{}, f.now).Try {
+		for _, name := range f.r.Step(map[string]Waiting{}, f.now).Connect {
 			tries++
 			if tries == 3 {
 				f.r.Heard(name, f.now.Add(1))
