Cold instances: plain names and comments in the limiter and its roster

Cause: a map named "gone" that also holds the daemons that are there, "since" without what, "judge", "used" that also drops, "lasts", a rate bound without a unit, and comments that could be read in two ways (what slack is for, why no cost goes with a rate). Change: names and comments only; tests follow the names. Measured: nothing to measure; tests of warmup, instance, relaydaemon and platform pass.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -31,10 +31,10 @@
 	State State
 	// Sequence rises with every change of what it says of itself.
 	Sequence int64
-	// ColdFor is how much longer it said that it stays cold, if TellsCold: slow, or
+	// ColdFor is how much longer it said that it stays cold, if ReportsCold: slow, or
 	// able to take few requests.
-	ColdFor   time.Duration
-	TellsCold bool
+	ColdFor     time.Duration
+	ReportsCold bool
 	// HeardAt is when what it says of itself was first heard, which is some time after
 	// it was said. NewAt is when it was first heard of at all, zero if it was there
 	// before this daemon.
--- a/internal/relaydaemon/cold_test.go
+++ b/internal/relaydaemon/cold_test.go
@@ -23,12 +23,12 @@
 		var registries []*memberRegistry
 		for _, address := range []string{"a:1", "a:2"} {
 			registry := newTestRegistry(s, address)
-			registry.cold.TakeServices(map[string]*route.Service{"s": {Name: "s", ColdPerSecond: 10}})
+			registry.cold.SetServices(map[string]*route.Service{"s": {Name: "s", ColdPerSecond: 10}})
 			registry.incarnation()
 			running.Go(func() { registry.run(ctx, func([]structs.Machine) {}) })
 			registries = append(registries, registry)
 		}
-		cold := &instance.Instance{ID: "i", Service: "s", TellsCold: true, ColdFor: time.Hour, HeardAt: time.Now()}
+		cold := &instance.Instance{ID: "i", Service: "s", ReportsCold: true, ColdFor: time.Hour, HeardAt: time.Now()}
 		sent := func() (count int) {
 			for range 60 {
 				for _, registry := range registries {
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -114,10 +114,10 @@
 		OnChange: func(records map[string]store.Record) {
 			addresses := presentAddresses(maps.Values(records))
 			r.known.Store(int64(len(addresses)))
-			r.cold.TakeRecord(addresses, time.Now())
+			r.cold.SetDaemons(addresses, time.Now())
 			listed(r.machines(addresses))
 		},
-		OnRead:    func(asOf time.Time) { r.cold.ConfirmRecord(asOf, time.Now()) },
+		OnRead:    func(asOf time.Time) { r.cold.ConfirmDaemons(asOf, time.Now()) },
 		Hurry:     r.cold.Hurry(),
 		OnContact: func(err error) { r.logger.Debug().Err(err).Msg("Registry's contact changed.") },
 	}
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -72,7 +72,7 @@
 	if before != nil && table.Version <= before.Version {
 		return
 	}
-	d.cold.TakeServices(table.Services)
+	d.cold.SetServices(table.Services)
 	if table.IsBound() {
 		d.regional.use()
 	}
--- a/internal/warmup/fleet_test.go
+++ b/internal/warmup/fleet_test.go
@@ -30,12 +30,12 @@
 
 func newTestLimiter(address string) *Limiter {
 	l := NewLimiter(Options{Terms: testTerms, Own: address, Logger: zerolog.Nop()})
-	l.TakeServices(testServices)
+	l.SetServices(testServices)
 	return l
 }
 
 func coldInstance(id string) *instance.Instance {
-	return &instance.Instance{ID: id, Service: "s", Zone: "z", TellsCold: true, ColdFor: time.Hour, HeardAt: testStart}
+	return &instance.Instance{ID: id, Service: "s", Zone: "z", ReportsCold: true, ColdFor: time.Hour, HeardAt: testStart}
 }
 
 // machine is a machine of the fleet, with the daemon that runs on it, if one does.
@@ -99,8 +99,8 @@
 			addresses = append(addresses, address)
 		}
 	}
-	m.limiter.TakeRecord(addresses, now)
-	m.limiter.ConfirmRecord(now, now)
+	m.limiter.SetDaemons(addresses, now)
+	m.limiter.ConfirmDaemons(now, now)
 }
 
 // step lets a machine do what it does in testStep, with a caller at any moment.
@@ -288,8 +288,8 @@
 	now := testStart
 	tell := func(addresses ...string) {
 		for _, l := range []*Limiter{first, second} {
-			l.TakeRecord(addresses, now)
-			l.ConfirmRecord(now, now)
+			l.SetDaemons(addresses, now)
+			l.ConfirmDaemons(now, now)
 		}
 	}
 	tell("a", "b")
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -1,10 +1,10 @@
-// Package warmup keeps the fleet from sending a cold instance more than it bears: one
-// that has just started, or whose caches were lost, falls over at a rate that it takes
+// Package warmup limits the rate of requests that the whole fleet sends to a cold
+// instance: one that has just started, or lost its caches, fails at a rate that it serves
 // with ease once it is warm.
 //
-// Each daemon decides for itself and no message passes. Among the daemons on record in
-// the store some are chosen for each cold instance, by rendezvous; each of these sends it
-// a fixed share, and all others pass it over while it is cold. The bound rests on three
+// Each daemon decides by itself, without messages. For each cold instance some of the
+// daemons on record in the store are chosen by rendezvous hashing. Each of these sends it
+// at most a fixed share; all others pass it over while it is cold. The bound rests on three
 // rules, for daemons that are cut off, frozen, killed or just started alike:
 //
 //   - A daemon sends only on a reading of the record that is at most freshFor old, and
@@ -33,20 +33,19 @@
 )
 
 const (
-	// entryAge is how old what an instance's entry says may be when it is heard: entries
+	// maxEntryAge is how old an instance's entry may be when it is read: entries
 	// are written every 1.2 s at least, and read twice a second.
-	entryAge = 2 * time.Second
-	// unboundedCost is what being cold counts against an instance whose service tells no
-	// rate that it bears then, in requests of its load: it is slow. Where there is a
-	// rate, that is all that keeps requests away: each daemon knows its own load alone,
-	// and by a cost of one request no daemon of many would send any to a zone that came
-	// back while others still have theirs.
+	maxEntryAge = 2 * time.Second
+	// unboundedCost is what counts against a cold instance of a service without a rate
+	// limit, in requests of its load: it is slow. With a rate limit nothing more counts
+	// against it: each daemon knows its own load only, which in a large fleet is less than
+	// one request at most instances, so that none would send any to a zone that came back.
 	unboundedCost = 1.0
-	// hurryPause separates requests to read the record before its time.
-	hurryPause = 300 * time.Millisecond
-	// shareLimit bounds the instances whose shares are remembered; it is above the
-	// number of instances of a service that can be cold at once.
-	shareLimit = 2048
+	// refreshPause is the least time between requests to read the record early.
+	refreshPause = 300 * time.Millisecond
+	// maxShares is the number of shares kept from which on unused ones are dropped; it
+	// is above the number of instances of a service that can be cold at once.
+	maxShares = 2048
 )
 
 // Returns tells when a zone that operators had emptied was given back.
@@ -76,23 +75,24 @@
 	limits atomic.Pointer[map[string]limit]
 	hurry  chan struct{}
 
-	mutex     sync.Mutex
-	roster    *roster
-	shares    map[string]*share
-	hurriedAt time.Time
+	mutex       sync.Mutex
+	roster      *roster
+	shares      map[string]*share
+	refreshedAt time.Time
 }
 
-// share is this daemon's of one cold instance.
+// share is this daemon's part of the requests to one cold instance.
 type share struct {
 	hash uint64
-	// size is how many requests it is in each window, as of the roster's revision and
-	// the service's rate.
-	size     int
+	// allowed is how many requests it is in each window, for this revision of the roster
+	// and this rate of the service.
+	allowed  int
 	revision uint64
 	rate     int
 	// sentAt are the times of the requests of the last window, the oldest first.
 	sentAt []time.Time
-	// coldUntil is the latest end of its being cold that was logged.
+	// coldUntil is until when the instance was last found to be cold; the next time is
+	// logged again once that is over.
 	coldUntil time.Time
 }
 
@@ -106,8 +106,8 @@
 	}
 }
 
-// TakeServices takes the services in force.
-func (l *Limiter) TakeServices(services map[string]*route.Service) {
+// SetServices replaces the services and their limits.
+func (l *Limiter) SetServices(services map[string]*route.Service) {
 	limits := l.options.Terms.limitsOf(services)
 	if limits == nil {
 		l.limits.Store(nil)
@@ -116,15 +116,15 @@
 	l.limits.Store(&limits)
 }
 
-// TakeRecord takes the addresses of the daemons on record.
-func (l *Limiter) TakeRecord(addresses []string, now time.Time) {
+// SetDaemons replaces the addresses of the daemons on record.
+func (l *Limiter) SetDaemons(addresses []string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.roster.take(addresses, now)
 }
 
-// ConfirmRecord takes note that the record taken last is the newest as of a time.
-func (l *Limiter) ConfirmRecord(asOf, now time.Time) {
+// ConfirmDaemons takes note that the addresses set last were the newest as of a time.
+func (l *Limiter) ConfirmDaemons(asOf, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.roster.confirm(asOf, now)
@@ -141,13 +141,13 @@
 
 // Admits implements instance.Filter.
 func (l *Limiter) Admits(_ *instance.Query, candidate *instance.Instance, now time.Time) bool {
-	bound, until, cold := l.cold(candidate, now)
+	bound, until, cold := l.limitIfCold(candidate, now)
 	if !cold {
 		return true
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	outcome := l.judge(l.shareOf(candidate, bound, until, now), now)
+	outcome := l.decide(l.shareOf(candidate, bound, until, now), now)
 	if outcome != outcomeTaken {
 		l.options.Metrics.note(outcome)
 	}
@@ -156,14 +156,14 @@
 
 // Reserve implements instance.Reserver.
 func (l *Limiter) Reserve(candidate *instance.Instance, now time.Time) (sendBy time.Time, reserved bool) {
-	bound, until, cold := l.cold(candidate, now)
+	bound, until, cold := l.limitIfCold(candidate, now)
 	if !cold {
 		return time.Time{}, true
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s := l.shareOf(candidate, bound, until, now)
-	outcome := l.judge(s, now)
+	outcome := l.decide(s, now)
 	l.options.Metrics.note(outcome)
 	if outcome != outcomeTaken {
 		return time.Time{}, false
@@ -174,7 +174,7 @@
 
 // Cost implements instance.Scorer.
 func (l *Limiter) Cost(_ *instance.Query, candidate *instance.Instance, now time.Time) float64 {
-	if !candidate.TellsCold || !now.Before(candidate.ColdUntil()) {
+	if !candidate.ReportsCold || !now.Before(candidate.ColdUntil()) {
 		return 0
 	}
 	if limits := l.limits.Load(); limits != nil {
@@ -185,9 +185,9 @@
 	return unboundedCost / float64(max(candidate.Slots, 1))
 }
 
-// cold returns the limit of an instance and until when it is held to it, and false if
-// it is not cold or has none.
-func (l *Limiter) cold(candidate *instance.Instance, now time.Time) (limit, time.Time, bool) {
+// limitIfCold returns the limit of an instance and until when it applies, and false if the
+// instance is not cold or its service has no limit.
+func (l *Limiter) limitIfCold(candidate *instance.Instance, now time.Time) (limit, time.Time, bool) {
 	limits := l.limits.Load()
 	if limits == nil {
 		return limit{}, time.Time{}, false
@@ -200,42 +200,44 @@
 	return bound, until, now.Before(until)
 }
 
-// coldUntil is until when an instance is believed to be cold. Its entry has the word. An
-// instance that tells nothing is cold from when it was first heard of. One in a zone that
-// was given back may have become cold shortly before, when its entry was already written.
+// coldUntil is until when an instance is taken to be cold: until when its entry says so,
+// or, if that says nothing, for the service's cold start from when the instance was first
+// heard of. An instance in a zone that was taken back may have become cold after its entry
+// was written: until one is read that cannot be older than the zone's return, it is also
+// taken to be cold for the service's cold start from then on.
 func (l *Limiter) coldUntil(candidate *instance.Instance, bound limit) time.Time {
 	var until time.Time
-	if candidate.TellsCold {
+	if candidate.ReportsCold {
 		until = candidate.ColdUntil()
 	} else if !candidate.NewAt.IsZero() {
-		until = candidate.NewAt.Add(bound.lasts)
+		until = candidate.NewAt.Add(bound.coldFor)
 	}
 	if l.options.Returns == nil {
 		return until
 	}
 	returnedAt, returned := l.options.Returns.ReturnedAt(candidate.Zone)
-	if !returned || !candidate.HeardAt.Before(returnedAt.Add(entryAge)) {
+	if !returned || !candidate.HeardAt.Before(returnedAt.Add(maxEntryAge)) {
 		return until
 	}
-	if until.Before(returnedAt.Add(bound.lasts)) {
-		until = returnedAt.Add(bound.lasts)
+	if until.Before(returnedAt.Add(bound.coldFor)) {
+		until = returnedAt.Add(bound.coldFor)
 	}
 	return until
 }
 
 // judge tells whether a share has a request left now, or why not.
-func (l *Limiter) judge(s *share, now time.Time) string {
+func (l *Limiter) decide(s *share, now time.Time) string {
 	switch {
-	case s.size == 0:
+	case s.allowed == 0:
 		return outcomeOthers
 	case !l.roster.isCounted(now):
 		return outcomeNew
-	case s.used(now) >= s.size:
+	case s.sentInWindow(now) >= s.allowed:
 		return outcomeSpent
 	}
 	age := l.roster.age(now)
 	if age > renewAfter {
-		l.askForRecord(now)
+		l.requestRefresh(now)
 	}
 	if age > freshFor {
 		return outcomeUnconfirmed
@@ -243,28 +245,29 @@
 	return outcomeTaken
 }
 
-func (l *Limiter) askForRecord(now time.Time) {
-	if now.Sub(l.hurriedAt) < hurryPause {
+func (l *Limiter) requestRefresh(now time.Time) {
+	if now.Sub(l.refreshedAt) < refreshPause {
 		return
 	}
-	l.hurriedAt = now
+	l.refreshedAt = now
 	select {
 	case l.hurry <- struct{}{}:
 	default:
 	}
 }
 
-// shareOf returns this daemon's share of a cold instance by what is known now.
+// shareOf returns this daemon's share of a cold instance, for the roster and rate in
+// force. It logs when an instance becomes cold.
 func (l *Limiter) shareOf(candidate *instance.Instance, bound limit, until, now time.Time) *share {
 	s := l.shares[candidate.ID]
 	if s == nil {
-		l.forgetUnused(now)
+		l.dropUnusedShares(now)
 		s = &share{hash: hashOf(candidate.ID)}
 		l.shares[candidate.ID] = s
 	}
 	if s.revision != l.roster.revision || s.rate != bound.rate {
 		s.revision, s.rate = l.roster.revision, bound.rate
-		s.size = l.roster.share(s.hash, bound.rate)
+		s.allowed = l.roster.share(s.hash, bound.rate)
 	}
 	if now.After(s.coldUntil) {
 		l.logCold(candidate, s, until, now)
@@ -273,13 +276,14 @@
 	return s
 }
 
-// forgetUnused makes room for another share; those that were not used lately are as new.
-func (l *Limiter) forgetUnused(now time.Time) {
-	if len(l.shares) < shareLimit {
+// dropUnusedShares makes room for another share. A share without requests in the last
+// window is the same as a new one.
+func (l *Limiter) dropUnusedShares(now time.Time) {
+	if len(l.shares) < maxShares {
 		return
 	}
 	for id, s := range l.shares {
-		if s.used(now) == 0 && now.After(s.coldUntil) {
+		if s.sentInWindow(now) == 0 && now.After(s.coldUntil) {
 			delete(l.shares, id)
 		}
 	}
@@ -288,13 +292,13 @@
 func (l *Limiter) logCold(candidate *instance.Instance, s *share, until, now time.Time) {
 	l.options.Logger.Info().Str("instance", candidate.ID).Str("zone", candidate.Zone).
 		Dur("for", until.Sub(now)).Dur("entry_age", now.Sub(candidate.HeardAt)).
-		Int("per_second", s.rate).Int("share", s.size).Int("daemons", len(l.roster.others)+1).
+		Int("per_second", s.rate).Int("share", s.allowed).Int("daemons", len(l.roster.others)+1).
 		Dur("record_age", min(l.roster.age(now), time.Hour)).Bool("counted", l.roster.isCounted(now)).
 		Msg("Back end is cold. It is sent this daemon's share alone.")
 }
 
-// used returns how many requests were sent on it in the last window.
-func (s *share) used(now time.Time) int {
+// sentInWindow drops the requests before the last window, and returns how many are left.
+func (s *share) sentInWindow(now time.Time) int {
 	old := 0
 	for old < len(s.sentAt) && now.Sub(s.sentAt[old]) >= window {
 		old++
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -26,7 +26,7 @@
 	returns := zoneReturns{"returned": at(10)}
 	tells := func(zone string, heard, coldFor float64) instance.Instance {
 		return instance.Instance{
-			Service: "s", Zone: zone, TellsCold: true, HeardAt: at(heard), NewAt: at(0),
+			Service: "s", Zone: zone, ReportsCold: true, HeardAt: at(heard), NewAt: at(0),
 			ColdFor: time.Duration(coldFor * float64(time.Second)),
 		}
 	}
@@ -38,7 +38,7 @@
 		"it says that it is warm":                {tells("z", 1, 0), 0, 0},
 		"it says nothing and is new":             {instance.Instance{Service: "s", NewAt: at(1), HeardAt: at(1)}, 1, 4},
 		"it says nothing and was there":          {instance.Instance{Service: "s", HeardAt: at(1)}, 0, 0},
-		"its service has no limit":               {instance.Instance{Service: "t", TellsCold: true, HeardAt: at(0), ColdFor: time.Hour}, 0, 0},
+		"its service has no limit":               {instance.Instance{Service: "t", ReportsCold: true, HeardAt: at(0), ColdFor: time.Hour}, 0, 0},
 		"its zone returned after its word":       {tells("returned", 9, 0), 10, 13},
 		"its word may be from before the return": {tells("returned", 11.9, 0), 11.9, 13},
 		"its word is newer than the return":      {tells("returned", 12, 0), 0, 0},
@@ -51,7 +51,7 @@
 			if now.Before(test.instance.HeardAt) || (test.instance.Zone == "returned" && second < 10) {
 				continue
 			}
-			_, _, got := l.cold(&test.instance, now)
+			_, _, got := l.limitIfCold(&test.instance, now)
 			if want := second >= test.from && second < test.to; got != want {
 				t.Errorf("%s: at %.1f s cold is %t, want %t", name, second, got, want)
 			}
@@ -82,11 +82,11 @@
 		pools = append(pools, instance.NewPool(rand.New(rand.NewPCG(uint64(i), 1)), plugins))
 	}
 	for _, limiter := range limiters {
-		limiter.TakeRecord(addresses, time.Now())
+		limiter.SetDaemons(addresses, time.Now())
 	}
 	time.Sleep(countedAfter)
 	for _, limiter := range limiters {
-		limiter.ConfirmRecord(time.Now(), time.Now())
+		limiter.ConfirmDaemons(time.Now(), time.Now())
 	}
 	return pools
 }
@@ -97,7 +97,7 @@
 	for i := range count {
 		listed := instance.Instance{
 			ID: fmt.Sprint("engine-", i), Service: "s", Address: fmt.Sprint("address-", i), Zone: "z", Slots: 16,
-			State: instance.StateReady, Sequence: 1, TellsCold: true,
+			State: instance.StateReady, Sequence: 1, ReportsCold: true,
 		}
 		if i < cold {
 			listed.ColdFor = coldFor
@@ -226,9 +226,9 @@
 		addresses = append(addresses, fmt.Sprint("machine-", i))
 	}
 	limiter := newTestLimiter(addresses[0])
-	limiter.TakeServices(services)
-	limiter.TakeRecord(addresses, time.Now().Add(-countedAfter))
-	limiter.ConfirmRecord(time.Now().Add(time.Hour), time.Now())
+	limiter.SetServices(services)
+	limiter.SetDaemons(addresses, time.Now().Add(-countedAfter))
+	limiter.ConfirmDaemons(time.Now().Add(time.Hour), time.Now())
 	var plugins instance.Plugins
 	if plugIn {
 		plugins = pluggedIn(limiter)
--- a/internal/warmup/roster.go
+++ b/internal/warmup/roster.go
@@ -13,15 +13,15 @@
 	// window is the time in which a daemon sends a cold instance no more than its
 	// share: any second of sendings was chosen within it.
 	window = time.Second + permitLife
-	// freshFor is how old a daemon's reading of the record may be for it to send a
-	// cold instance anything: two hurried readings, each with a pause and the time of
-	// a slow answer.
+	// freshFor is how old a daemon's reading of the record may be for it to send a cold
+	// instance anything: time for two early readings, each with refreshPause and a slow
+	// answer.
 	freshFor = 3 * time.Second
-	// renewAfter is the age at which it is read again, if a request asks for it.
+	// renewAfter is the age from which a request makes the record be read again.
 	renewAfter = freshFor / 2
-	// countedAfter is how long a daemon must have been on record until it counts itself,
-	// and for how long the others count one that is not any more. It is above freshFor
-	// + permitLife + 1 s, so that whoever sends in a second is counted by all who do.
+	// countedAfter is how long a daemon must have been on the record until it sends, and
+	// for how long the others count one that is missing there. It is above freshFor +
+	// permitLife + 1 s, so that all who send within one second count each other.
 	countedAfter = 5 * time.Second
 )
 
@@ -31,11 +31,13 @@
 	// others are the hashes of the other daemons' addresses, those included that are
 	// not on record any more and still count.
 	others []uint64
-	// gone tells since when a daemon is not on record any more, zero while it is.
-	gone map[string]time.Time
-	// since is when this daemon's own record was first read, zero if it is not there.
-	since time.Time
-	// asOf is the time as of which all this is the newest.
+	// missingSince is, by address, since when a daemon is missing on the record; zero
+	// while it is there.
+	missingSince map[string]time.Time
+	// listedSince is when this daemon was first found on the record, zero if it is not
+	// there.
+	listedSince time.Time
+	// asOf is when the record is known to have been the newest.
 	asOf time.Time
 	// revision counts changes.
 	revision uint64
@@ -45,7 +47,7 @@
 
 // newRoster returns the roster of a daemon that has read nothing yet.
 func newRoster(ownAddress string) *roster {
-	return &roster{ownAddress: ownAddress, own: hashOf(ownAddress), gone: map[string]time.Time{}}
+	return &roster{ownAddress: ownAddress, own: hashOf(ownAddress), missingSince: map[string]time.Time{}}
 }
 
 func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
@@ -55,42 +57,43 @@
 	listed := make(map[string]bool, len(onRecord))
 	for _, address := range onRecord {
 		listed[address] = true
-		r.gone[address] = time.Time{}
+		r.missingSince[address] = time.Time{}
 	}
-	for address, since := range r.gone {
+	for address, since := range r.missingSince {
 		if !listed[address] && since.IsZero() {
-			r.gone[address] = now
+			r.missingSince[address] = now
 		}
 	}
 	switch {
 	case !listed[r.ownAddress]:
-		r.since = time.Time{}
-	case r.since.IsZero():
-		r.since = now
+		r.listedSince = time.Time{}
+	case r.listedSince.IsZero():
+		r.listedSince = now
 	}
-	r.count(now)
+	r.rebuild(now)
 }
 
-// confirm takes note that what was taken last is the newest as of a time.
+// confirm takes note that the record taken last was the newest as of a time.
 func (r *roster) confirm(asOf, now time.Time) {
 	if asOf.After(r.asOf) {
 		r.asOf = asOf
 	}
-	for _, since := range r.gone {
+	for _, since := range r.missingSince {
 		if !since.IsZero() && now.Sub(since) > countedAfter {
-			r.count(now)
+			r.rebuild(now)
 			return
 		}
 	}
 }
 
-// count forgets daemons that are gone for long, and lists the others anew.
-func (r *roster) count(now time.Time) {
+// rebuild drops the daemons that have been missing for longer than countedAfter, and
+// lists the others anew.
+func (r *roster) rebuild(now time.Time) {
 	r.revision++
 	r.others = r.others[:0]
-	for address, since := range r.gone {
+	for address, since := range r.missingSince {
 		if !since.IsZero() && now.Sub(since) > countedAfter {
-			delete(r.gone, address)
+			delete(r.missingSince, address)
 			continue
 		}
 		if address != r.ownAddress {
@@ -101,7 +104,7 @@
 
 // isCounted tells whether the other daemons count this one.
 func (r *roster) isCounted(now time.Time) bool {
-	return !r.since.IsZero() && now.Sub(r.since) >= countedAfter
+	return !r.listedSince.IsZero() && now.Sub(r.listedSince) >= countedAfter
 }
 
 func (r *roster) age(now time.Time) time.Duration { return now.Sub(r.asOf) }
--- a/internal/warmup/terms.go
+++ b/internal/warmup/terms.go
@@ -7,24 +7,26 @@
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// mostRate bounds a rate, so that it can be counted: no instance bears more.
-const mostRate = 1e6
+// maxRate bounds a rate, in requests per second, so that it fits an int: no instance
+// bears more.
+const maxRate = 1e6
 
-// Terms are the operators' for all cold instances: one gets in each second at most
-// the rate of its service times Overage, and Slack more.
+// Terms are the operators' bounds for all cold instances: one gets in each second at most
+// the rate of its service times Overage, plus Slack.
 type Terms struct {
+	// Overage is a factor of at least 1.
 	Overage float64
-	// Slack is in requests.
+	// Slack is in requests per second.
 	Slack float64
 }
 
 // limit is what the instances of one service bear while they are cold.
 type limit struct {
-	// lasts is how long one stays cold from its start.
-	lasts time.Duration
-	// rate is how many requests the daemons together send one in a second. What
-	// daemons sent that had yet to hear that it is cold comes on top: that is what
-	// the slack is left for, unless nothing could be sent without it.
+	// coldFor is how long one is cold from its start.
+	coldFor time.Duration
+	// rate is how many requests the daemons together send one in a second. Slack is not
+	// part of it: that is for daemons which have yet to hear that the instance is cold.
+	// But where the rate would be 0 without it, slack may raise it to 1.
 	rate int
 }
 
@@ -38,14 +40,14 @@
 		if limits == nil {
 			limits = map[string]limit{}
 		}
-		limits[name] = limit{lasts: service.ColdStart, rate: t.rate(service.ColdPerSecond)}
+		limits[name] = limit{coldFor: service.ColdStart, rate: t.rate(service.ColdPerSecond)}
 	}
 	return limits
 }
 
 func (t Terms) rate(perSecond float64) int {
 	if usual := math.Floor(perSecond * t.Overage); usual >= 1 {
-		return int(min(usual, mostRate))
+		return int(min(usual, maxRate))
 	}
 	return int(min(math.Floor(perSecond*t.Overage+t.Slack), 1))
 }
