Relay: the monitor of offers, its connection probes, and refusals of an isolated daemon

Cause: "silences" that hear, wait on and have tried; a file with three jobs; a function that both found the longest waits and classed them; the same excess reckoned in two places; a struct with "since, at"; "AwayIn" and "AwayAfter". Change: offerMonitor with startOffer, noteProgress, restartWait, excess and longestWaits; silence.go is offer_monitor.go, unreachable.go connect_probe.go, the refusals isolated.go; RerouteTime. What is waited for, and how long, is as it was; tests follow the names.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -89,8 +89,8 @@
 func (c *carrier) waitForTurn(ctx context.Context, err error, started time.Time) bool {
 	now := time.Now()
 	decision := c.decideTurn(err, started, now)
-	_, isCut := c.relay.silences.cutOffSince()
-	if isCut || !decision.Waits(now) {
+	_, isolated := c.relay.monitor.isolatedSince()
+	if isolated || !decision.Waits(now) {
 		return false
 	}
 	select {
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -50,10 +50,10 @@
 	offers    int
 	offeredAt time.Time
 	heardAt   time.Time
-	// underway is the latest offer, while its instance may still send something, and
-	// sending is its context.
-	underway *underway
-	sending  context.Context
+	// pending is the latest offer, while its instance may still send something, and
+	// offerContext is its context.
+	pending      *pendingOffer
+	offerContext context.Context
 	// refusals counts the offers that were turned down, rounds how often all instances
 	// did, and offeredBefore the offers to the service before the call's first.
 	refusals      int
@@ -146,37 +146,37 @@
 	c.offeredAt = time.Now()
 	c.heardAt = c.offeredAt
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
-	outgoing.ConnectTime = c.relay.silences.connectTime(target)
-	c.sending, c.underway = c.relay.silences.begin(ctx, target, c.call.Route.Name)
-	answer, err := c.relay.Driver.Send(c.sending, target, &outgoing)
+	outgoing.ConnectTime = c.relay.monitor.connectTimeout(target)
+	c.offerContext, c.pending = c.relay.monitor.startOffer(ctx, target, c.call.Route.Name)
+	answer, err := c.relay.Driver.Send(c.offerContext, target, &outgoing)
 	if err == nil {
-		c.relay.silences.hear(c.underway, time.Now())
+		c.relay.monitor.noteProgress(c.pending, time.Now())
 	}
 	return answer, err
 }
 
-// release ends the latest offer.
+// release ends the latest offer with an outcome.
 func (c *carrier) release(target instance.Instance, outcome instance.Outcome) {
-	c.relay.silences.end(c.underway)
-	c.underway = nil
+	c.relay.monitor.endOffer(c.pending)
+	c.pending = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
 		c.relay.Pool.NoteServiceTime(c.service, time.Since(c.offeredAt))
 	}
 }
 
-// fail ends the latest offer after an error. While a zone is cut off it says nothing of
-// the instance.
+// fail ends the latest offer after an error. If the zone is cut off, the error does not
+// count against the instance.
 func (c *carrier) fail(target instance.Instance) {
 	outcome := instance.OutcomeFailed
-	if c.relay.silences.noteFailed(target, time.Now()) {
+	if c.relay.monitor.noteFailed(target, time.Now()) {
 		outcome = instance.OutcomeGivenUp
 	}
 	defer c.release(target, outcome)
-	if !isGivenUp(c.sending) {
+	if !isGivenUp(c.offerContext) {
 		return
 	}
-	zoneIsCut := c.relay.silences.isCut(target.Zone)
+	zoneIsCut := c.relay.monitor.isCut(target.Zone)
 	c.relay.Metrics.gaveUp(target.Zone, zoneIsCut)
 	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Bool("zone_cut_off", zoneIsCut).
 		Dur("silent", time.Since(c.heardAt)).Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Nobody is reached there.")
--- /dev/null
+++ b/internal/relay/offer_monitor.go
@@ -0,0 +1,247 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/httpconn"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/zone"
+)
+
+const (
+	// overdueMargin is by how much the wait for a back end must exceed the usual one for
+	// it to count as overdue, and silentMargin the same for it to count as silent.
+	overdueMargin = 100 * time.Millisecond
+	silentMargin  = 300 * time.Millisecond
+	// paceFactor times the mean wait counts as usual: single requests differ by as much.
+	paceFactor = 2
+	// failureTTL is for how long a back end that broke off counts as silent; it may be
+	// its zone's connections that are reset.
+	failureTTL = time.Second
+	// cutConnectTimeout bounds one try to connect to a back end in a zone that is cut off:
+	// several round trips to another region. Nothing is sent if it fails.
+	cutConnectTimeout = 100 * time.Millisecond
+)
+
+// errCutOff ends what waits for a zone, or for records, that can not be reached.
+var errCutOff = httpconn.ErrGivenUp
+
+// pendingOffer is an offer that a back end has not answered to its end. The monitor's
+// mutex guards it.
+type pendingOffer struct {
+	target instance.Instance
+	// kind is the route's name, by which paces are kept.
+	kind string
+	// waitingSince is since when the back end has sent nothing while it was waited for, and
+	// started tells that it sent something before.
+	waitingSince time.Time
+	started      bool
+	giveUp       context.CancelCauseFunc
+}
+
+// offerMonitor watches the requests that wait for a back end or for a program's record,
+// and ends the wait when what they wait for can not be reached.
+type offerMonitor struct {
+	relay *Relay
+	// zones is nil in a fleet of one zone.
+	zones *zone.Reachability
+	mutex sync.Mutex
+	// offers wait for back ends, and pendingBegins are turns that wait for their record.
+	offers        map[*pendingOffer]struct{}
+	pendingBegins map[*context.CancelCauseFunc]struct{}
+	// failed are the instances that broke off lately, and probes the connection probes of
+	// silent instances; both by the instance's ID.
+	failed map[string]failure
+	probes map[string]*connectProbes
+}
+
+// failure is where and when an instance broke off.
+type failure struct {
+	zone string
+	at   time.Time
+}
+
+func newOfferMonitor(r *Relay) *offerMonitor {
+	return &offerMonitor{
+		relay: r, zones: r.Zones,
+		offers: map[*pendingOffer]struct{}{}, pendingBegins: map[*context.CancelCauseFunc]struct{}{},
+		failed: map[string]failure{}, probes: map[string]*connectProbes{},
+	}
+}
+
+// startOffer watches an offer until endOffer. The context ends when it is given up.
+func (m *offerMonitor) startOffer(ctx context.Context, target instance.Instance, kind string) (context.Context, *pendingOffer) {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	o := &pendingOffer{target: target, kind: kind, waitingSince: time.Now(), giveUp: giveUp}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.offers[o] = struct{}{}
+	return ctx, o
+}
+
+// endOffer ends the watch of an offer.
+func (m *offerMonitor) endOffer(o *pendingOffer) {
+	m.mutex.Lock()
+	delete(m.offers, o)
+	m.mutex.Unlock()
+	o.giveUp(nil)
+}
+
+// noteProgress takes note that a back end sent something.
+func (m *offerMonitor) noteProgress(o *pendingOffer, now time.Time) {
+	if m.zones != nil {
+		m.zones.Heard(o.target.Zone, now)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	o.waitingSince, o.started = now, true
+}
+
+// restartWait takes note that the back end is waited for from now on: until now it was
+// the caller that took its time.
+func (m *offerMonitor) restartWait(o *pendingOffer) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	o.waitingSince = time.Now()
+}
+
+// noteFailed takes note that an instance broke off, and tells whether its zone is cut
+// off: then the failure says nothing of the instance.
+func (m *offerMonitor) noteFailed(target instance.Instance, now time.Time) bool {
+	if m.zones == nil {
+		return false
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.failed[target.ID] = failure{target.Zone, now}
+	return m.isCut(target.Zone)
+}
+
+func (m *offerMonitor) isCut(zone string) bool { return m.zones != nil && m.zones.IsCut(zone) }
+
+// excess is by how much the wait for an offer's back end exceeds the usual one.
+func (m *offerMonitor) excess(o *pendingOffer, now time.Time) time.Duration {
+	usual := m.relay.serving.of(o.kind).first
+	if o.started {
+		usual = m.relay.Pool.Pace(o.target.ID, o.kind)
+	}
+	return now.Sub(o.waitingSince) - paceFactor*usual
+}
+
+// Waiting returns what this daemon's requests tell of the back ends of each zone. It
+// implements reach.Connections.
+func (r *Relay) Waiting(now time.Time) map[string]zone.Waiting {
+	waiting := map[string]zone.Waiting{}
+	for _, wait := range r.monitor.longestWaits(now) {
+		w := waiting[wait.zone]
+		if wait.excess > overdueMargin {
+			w.Overdue++
+		}
+		if wait.excess > silentMargin {
+			w.Silent++
+		}
+		waiting[wait.zone] = w
+	}
+	return waiting
+}
+
+// longestWait is by how much the longest wait for an instance exceeds the usual one.
+type longestWait struct {
+	zone   string
+	excess time.Duration
+}
+
+// longestWaits returns the longest wait for each instance, by ID, that exceeds the usual
+// one. An instance that broke off lately counts as silent.
+func (m *offerMonitor) longestWaits(now time.Time) map[string]longestWait {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	longest := map[string]longestWait{}
+	for id, failed := range m.failed {
+		if now.Sub(failed.at) > failureTTL {
+			delete(m.failed, id)
+			continue
+		}
+		longest[id] = longestWait{zone: failed.zone, excess: silentMargin + 1}
+	}
+	for o := range m.offers {
+		if excess := m.excess(o, now); excess > longest[o.target.ID].excess {
+			longest[o.target.ID] = longestWait{zone: o.target.Zone, excess: excess}
+		}
+	}
+	return longest
+}
+
+// GiveUpSilent ends the wait for silent back ends that can not be connected to or whose
+// zone is cut off, and that of turns for their records while this daemon is isolated.
+// Requests whose back ends still send something go on. It implements reach.Connections.
+func (r *Relay) GiveUpSilent(now time.Time) {
+	m := r.monitor
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for o := range m.offers {
+		if m.excess(o, now) <= silentMargin {
+			continue
+		}
+		if m.isCut(o.target.Zone) || !m.isReachable(o, now) {
+			o.giveUp(errCutOff)
+		}
+	}
+	m.dropOldProbes(now)
+	if _, isolated := m.isolatedSince(); isolated {
+		for giveUp := range m.pendingBegins {
+			(*giveUp)(errCutOff)
+		}
+	}
+}
+
+// WatchSilence calls GiveUpSilent until ctx ends. It is for a fleet of one zone, where no
+// reach.Watch calls it.
+func (r *Relay) WatchSilence(ctx context.Context) {
+	ticker := time.NewTicker(zone.StepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.GiveUpSilent(now)
+		}
+	}
+}
+
+// untilIsolated returns a context that also ends when this daemon is isolated.
+func (m *offerMonitor) untilIsolated(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.pendingBegins[&giveUp] = struct{}{}
+	return ctx, func() {
+		m.mutex.Lock()
+		delete(m.pendingBegins, &giveUp)
+		m.mutex.Unlock()
+		giveUp(nil)
+	}
+}
+
+// isGivenUp tells whether a context ended because something is cut off.
+func isGivenUp(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutOff) }
+
+// connectTimeout bounds the connecting to an instance; 0 for the driver's own bound.
+func (m *offerMonitor) connectTimeout(target instance.Instance) time.Duration {
+	if !m.isCut(target.Zone) {
+		return 0
+	}
+	return cutConnectTimeout
+}
+
+// isolatedSince tells since when this daemon has been isolated; false if it is not.
+func (m *offerMonitor) isolatedSince() (time.Time, bool) {
+	if m.zones == nil {
+		return time.Time{}, false
+	}
+	return m.zones.Isolated()
+}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/offer_monitor_test.go
@@ -117,7 +117,7 @@
 		h.zones = zone.NewReachability(zone.NewTopology(near, "", map[string]string{far: ""}))
 		h.zones.NoteDaemons(near, 10)
 		h.zones.NoteDaemons(far, 10)
-		options.Zones, options.AwayAfter = h.zones, 2500*time.Millisecond
+		options.Zones, options.RerouteTime = h.zones, 2500*time.Millisecond
 	}
 	h.relay = New(options)
 	for range 20 { // what serving usually takes
@@ -280,7 +280,7 @@
 				if got := h.picks()["far"]; got != 0 {
 					t.Errorf("it got %d of 60 requests right after", got)
 				}
-				time.Sleep(tryTime)
+				time.Sleep(probeTimeout)
 			})
 		})
 	}
@@ -306,7 +306,7 @@
 			t.Error("still cut off 1.5 s after the end")
 		}
 		cancel()
-		pause(t.Context(), tryTime)
+		pause(t.Context(), probeTimeout)
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,13 +75,13 @@
 	Table func() *route.Table
 	// Daemons returns how many daemons share the instances' connections.
 	Daemons func() int
-	// Evacuations are which zones the operators evacuated; nil if that is no matter.
+	// Evacuations are which zones the operators evacuated; nil if none ever is.
 	Evacuations *zone.Evacuations
 	// Zones is which zones this daemon is cut off from; nil in a fleet of one zone.
 	Zones *zone.Reachability
-	// AwayAfter is how long after this daemon finds itself cut off callers that
-	// connect anew are led to others.
-	AwayAfter time.Duration
+	// RerouteTime is how long it takes until new connections are routed to other daemons
+	// after this one found itself isolated.
+	RerouteTime time.Duration
 	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
 	// bound. From half of it on no further turns are begun.
 	RecordBytes int64
@@ -106,7 +106,7 @@
 	recording waitingBytes
 	// draining: calls that come now are refused.
 	draining atomic.Bool
-	silences *silences
+	monitor  *offerMonitor
 	// settling counts turns whose outcome is not on record yet.
 	settling sync.WaitGroup
 }
@@ -121,7 +121,7 @@
 		sessions: newSessions(),
 		ordinary: ordinaryLogger(options.Logger, options.Metrics.lineLeftOut),
 	}
-	r.silences = newSilences(r)
+	r.monitor = newOfferMonitor(r)
 	return r
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -145,7 +145,7 @@
 			state.servedAfter = time.Since(c.offeredAt)
 		}
 		c.heardAt = time.Now()
-		c.relay.silences.hear(c.underway, c.heardAt)
+		c.relay.monitor.noteProgress(c.pending, c.heardAt)
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
@@ -156,7 +156,7 @@
 		if err := c.responder.Event(event.Raw); err != nil {
 			return errCallerLeft
 		}
-		c.relay.silences.waitOn(c.underway)
+		c.relay.monitor.restartWait(c.pending)
 	}
 }
 
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -28,13 +28,16 @@
 	return program != nil && (program.BudgetTokens > 0 || program.Previous != "" || c.call.Route.RetainContext)
 }
 
+// needsRecord tells whether the call can not be served without its program's record.
+func (c *carrier) needsRecord() bool { return c.isTurn() && c.call.Route.RetainContext }
+
 // beginTurn reserves the turn's tokens. False means that the call was ended.
 func (c *carrier) beginTurn(ctx context.Context) (turn *turnState, ok bool) {
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, c.beginUntil(started))
 	defer cancel()
 	if c.needsRecord() {
-		watched, stopWatching := c.relay.silences.untilCutOff(ctx)
+		watched, stopWatching := c.relay.monitor.untilIsolated(ctx)
 		defer stopWatching()
 		ctx = watched
 	}
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -126,7 +126,7 @@
 
 		Evacuations: &d.evacuations,
 		Zones:       d.zones,
-		AwayAfter:   noticeTime,
+		RerouteTime: noticeTime,
 		Admission:   d.admission,
 		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
 		Logger:      part(d.logger, "relay"),
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -195,7 +195,7 @@
 	now := time.Now()
 	after := d.admission.Decide(admission.Wait{Kind: admission.StoreOut, Since: d.keys.troubledSince(now)}, now).Remaining
 	if since, isCut := d.cutOffSince(); isCut {
-		after = relay.AwayIn(since, noticeTime)
+		after = relay.RetryAfterReroute(since, noticeTime)
 	}
 	return d.refuseKey(asked, relay.Refusal{
 		Reason: relay.ReasonKeysUnconfirmed, RetryAfter: after,
