Daemon: regional ledgers' options apart from their start, and plainer comments

Change: serviceOptions, startAll, setRunner, ledgerWith, serviceOf; RedirectsCallers, expireRestingAfterReroute; comments of join, cutoff, watch, placement, zones, traffic and the front's connections. Tests follow the names.

--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -12,20 +12,20 @@
 )
 
 const (
-	// cutCost puts instances in zones that are cut off behind all others, those that
-	// failed lately included: these may serve.
+	// cutCost counts against an instance in a zone that is cut off, as a share of its
+	// slots. It is above all other costs: an instance that failed lately may serve again.
 	cutCost = 10_000
-	// rampCost is what counts against an instance, as a share of its slots, right
-	// after a cut's end: at first it gets requests that find no place elsewhere. It
-	// exceeds what speaks for the instance that knows a session (0.4) until a third of
-	// the ramp is over.
+	// rampCost is the same right after a cut's end; it falls to 0 within zone.RampTime. At
+	// first the instance gets only requests that find no free slot elsewhere: until a third
+	// of the ramp is over this exceeds what counts for the instance that knows a session
+	// (0.4).
 	rampCost = 0.6
-	// lastKey sorts behind all keys of a space.
+	// lastKey sorts after all keys of a space.
 	lastKey = "\xff"
 )
 
-// cutOffZones is the part of placing that keeps requests from zones that are cut off,
-// unless nothing else serves. It implements instance.Scorer.
+// cutOffZones keeps requests from the instances of zones that are cut off, unless no other
+// instance serves. It implements instance.Scorer.
 type cutOffZones struct{ zones *zone.Reachability }
 
 // Cost implements instance.Scorer.
@@ -36,8 +36,8 @@
 	return rampCost * (1 - c.zones.Share(candidate.Zone, now))
 }
 
-// watchZones makes the daemon find out which zones it is cut off from; in a fleet of
-// one zone there is none.
+// watchZones prepares the watch of which zones this daemon is cut off from; a fleet of
+// one zone has none.
 func (d *Daemon) watchZones() {
 	if d.zones == nil {
 		return
@@ -51,14 +51,14 @@
 		View:         d.membership,
 		ProbeStore:   d.probeStore,
 		OnCut:        func(zone string) { d.adapter.Forget(d.pool.AddressesIn(zone)) },
-		OnIsolated:   d.leadAway,
+		OnIsolated:   d.expireRestingAfterReroute,
 		Random:       newRandom(),
 		Logger:       part(d.logger, "zones"),
 		Metrics:      reach.NewMetrics(d.figures),
 	})
 }
 
-// watchReach finds out what is not reached until ctx ends.
+// watchReach watches what can not be reached until ctx ends.
 func (d *Daemon) watchReach(ctx context.Context) {
 	if d.reach == nil {
 		d.relay.WatchSilence(ctx)
@@ -67,10 +67,10 @@
 	d.reach.Run(ctx)
 }
 
-// leadAway closes callers' connections that rest once the platform leads new ones
-// elsewhere: their next requests then reach a daemon that can serve them without being
-// refused first.
-func (d *Daemon) leadAway() {
+// expireRestingAfterReroute closes callers' idle connections once new ones are routed to
+// other daemons, if this one is still cut off then: their next requests then reach a
+// daemon that can serve them without being refused first.
+func (d *Daemon) expireRestingAfterReroute() {
 	time.AfterFunc(noticeTime, func() {
 		if _, isCut := d.cutOffSince(); isCut {
 			d.front.expireResting(time.Now())
@@ -79,7 +79,7 @@
 }
 
 // probeStore tells whether the store answers, directly or by way of another daemon. It
-// reads behind the last key of the members' registry, which is nothing.
+// reads after the last key of the members' registry, so that the answer is empty.
 func (d *Daemon) probeStore(ctx context.Context) bool {
 	_, err := d.store.NewestPage(ctx, registryPartition(), lastKey)
 	return err == nil
@@ -100,9 +100,9 @@
 	return d.zones.Isolated()
 }
 
-// SendsAway implements Gateway: who connects anew to a daemon that stops or is cut
-// off is led to another one.
-func (d *Daemon) SendsAway() bool {
+// RedirectsCallers implements Gateway: new connections of callers are routed to other
+// daemons while this one stops or is cut off.
+func (d *Daemon) RedirectsCallers() bool {
 	_, isCut := d.cutOffSince()
 	return isCut || d.stopping.Load()
 }
--- a/internal/relaydaemon/cutoff_test.go
+++ b/internal/relaydaemon/cutoff_test.go
@@ -85,12 +85,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := keyDaemon(t, "key")
 		d.zones = cutZones()
-		if d.SendsAway() {
+		if d.RedirectsCallers() {
 			t.Fatal("sends callers away while all is well")
 		}
 		d.confirmRoutes(time.Now())
 		hear(d.zones, time.Second, "b", "c")
-		if !d.SendsAway() || d.isReady() {
+		if !d.RedirectsCallers() || d.isReady() {
 			t.Fatal("ready though it is cut off")
 		}
 		if !d.honours(t, "key") {
@@ -103,7 +103,7 @@
 			t.Errorf("refused after %s: %+v", time.Since(asked), refusal)
 		}
 		hear(d.zones, 600*time.Millisecond)
-		if d.SendsAway() {
+		if d.RedirectsCallers() {
 			t.Error("still sends callers away 0.6 s after the cut")
 		}
 	})
@@ -119,10 +119,10 @@
 				caller.expectAnswer("/a ")
 				d := &Daemon{front: front.server, zones: cutZones()}
 				hear(d.zones, time.Second, "b", "c")
-				d.leadAway()
+				d.expireRestingAfterReroute()
 				hear(d.zones, noticeTime/2, "b", "c")
-				if !d.SendsAway() || front.server.count() != 1 {
-					t.Fatalf("cut off: %v, with %d connections", d.SendsAway(), front.server.count())
+				if !d.RedirectsCallers() || front.server.count() != 1 {
+					t.Fatalf("cut off: %v, with %d connections", d.RedirectsCallers(), front.server.count())
 				}
 				hear(d.zones, cutFor-noticeTime/2, "b", "c")
 				hear(d.zones, 2*noticeTime)
@@ -141,7 +141,7 @@
 		_, isPart := s.(cutOffZones)
 		return isPart
 	})
-	if d.reach != nil || inChoice || d.SendsAway() {
+	if d.reach != nil || inChoice || d.RedirectsCallers() {
 		t.Error("it has")
 	}
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -29,9 +29,9 @@
 	// memoryShare is the part of the memory that the runtime aims to stay in.
 	memoryShare = 0.7
 	// heapGrowth is by how many percent the heap may grow until it is collected.
-	// Memory costs operators more than the processor time of collecting: at 30
-	// in place of the runtime's 100 a daemon takes 13 MB at its peak in place of
-	// 18, and 23% more processor time (a calm day of 11 daemons, played once with each).
+	// Memory costs operators more than the processor time of collecting: in a run of 11
+	// daemons for each value, 30 in place of the runtime's 100 took 13 MB at the peak in
+	// place of 18, and 23% more processor time.
 	heapGrowth = 30
 	megabyte   = 1 << 20
 )
@@ -51,7 +51,7 @@
 	membership *membership.Membership
 	transport  *tcp.Transport
 	pool       *instance.Pool
-	// topology is which zones there are, and how far.
+	// topology is which zones there are, and how far each is.
 	topology zone.Topology
 	// evacuations are which zones the operators evacuated.
 	evacuations zone.Evacuations
@@ -60,12 +60,12 @@
 	zones    *zone.Reachability
 	reach    *reach.Watch
 	registry *memberRegistry
-	// cold bounds what cold instances get.
+	// cold limits the requests to cold instances.
 	cold *warmup.Limiter
 	// store is reached by way of other daemons where this one does not reach it.
 	store   *proxy.Service
 	figures *prometheus.Registry
-	// servers are all that listen but for front, the one that callers reach.
+	// servers are all servers but front, the one that callers reach.
 	servers []*http.Server
 	front   *frontServer
 
@@ -150,7 +150,7 @@
 	d.membership.Start()
 	d.workers.Go(func() { d.registry.run(ctx, d.membership.MachinesListed) })
 	d.workers.Go(func() { d.ledger.Run(ctx) })
-	d.regional.start(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
+	d.regional.setRunner(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
 	d.workers.Go(func() { d.watchReach(ctx) })
@@ -182,7 +182,7 @@
 // isReady tells whether the daemon may get requests. One that is cut off can not serve
 // most of them: their callers are better led to another zone.
 func (d *Daemon) isReady() bool {
-	return !d.SendsAway() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
+	return !d.RedirectsCallers() && d.table.Load() != nil && d.pool.Listed() && d.ledger.IsSettled()
 }
 
 var (
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -8,7 +8,7 @@
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// frontListener hands out connections that know whether they rest.
+// frontListener accepts connections as frontConnections.
 type frontListener struct{ net.Listener }
 
 // Accept implements net.Listener.
@@ -20,7 +20,7 @@
 	return &frontConnection{Conn: connection}, nil
 }
 
-// phase is what a caller's connection is at.
+// phase is the state of a caller's connection.
 type phase int
 
 const (
@@ -42,7 +42,7 @@
 	phase  phase
 	// since is when the phase began.
 	since time.Time
-	// sparedUntil is until when a drain leaves the connection its rest.
+	// sparedUntil is until when a drain does not end the connection's rest.
 	sparedUntil time.Time
 	// expired: the wait for the next request was ended.
 	expired bool
@@ -93,7 +93,7 @@
 	c.bound()
 }
 
-// setLimits puts limits in force, for the phase that lasts, too.
+// setLimits puts limits in force, for the current phase, too.
 func (c *frontConnection) setLimits(limits route.Limits) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -103,7 +103,7 @@
 	}
 }
 
-// bound lets readings fail from the end of the phase on. The mutex must be held.
+// bound makes reads fail from the end of the phase on. The mutex must be held.
 func (c *frontConnection) bound() {
 	_ = c.Conn.SetReadDeadline(c.phaseEnd()) // fails on a connection that is closed
 }
@@ -115,8 +115,8 @@
 	c.sparedUntil = until
 }
 
-// noteArrived notes that a request is under way. Where its first bytes crossed
-// the end of the wait for them, the rest gets its time.
+// noteArrived begins phaseHead when the first bytes of a request arrive, also if the wait
+// for them was just ended.
 func (c *frontConnection) noteArrived(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -139,8 +139,8 @@
 	_ = c.Conn.SetReadDeadline(now) // fails on a connection that is closed
 }
 
-// CloseWrite lets the server tell the caller that nothing follows while it still
-// reads: net/http does so where closing at once would reset the connection.
+// CloseWrite closes the writing side only: net/http looks for this method and uses it
+// where closing at once would reset the connection.
 func (c *frontConnection) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -18,17 +18,18 @@
 )
 
 const (
-	// ledgerSpace is where the ledger's shards lie; a number follows.
+	// ledgerSpace is the prefix of the store's spaces of the ledger's shards; a number
+	// follows.
 	ledgerSpace = "ledger-"
-	// ledgerDirectory is where the shards' holders are told.
+	// ledgerDirectory is the store's space of the directory of the shards' holders.
 	ledgerDirectory = "ledger-holders"
 	// recordShare is the part of the memory that the text of turns may take
 	// which wait for their record: some hundred turns on the smallest machines.
 	recordShare = 0.1
 )
 
-// join makes the daemon one of the fleet, with its share of the ledger. Parts that come
-// later work with those before.
+// join makes the daemon a member of the fleet, with its share of the ledger. The order
+// matters: each part uses those before it.
 func (d *Daemon) join() error {
 	receiver := &receiverSlot{}
 	if err := d.joinMembers(receiver); err != nil {
@@ -42,7 +43,7 @@
 	return nil
 }
 
-// joinMembers opens the way to the other daemons.
+// joinMembers prepares the registry, the transport to other daemons, and membership.
 func (d *Daemon) joinMembers(receiver peer.Handler) error {
 	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, d.cold, part(d.logger, "members"))
 	self := structs.Daemon{
@@ -70,7 +71,7 @@
 	return nil
 }
 
-// joinStore makes the store be reached by way of other daemons, too.
+// joinStore prepares calls to the store, directly or by way of other daemons.
 func (d *Daemon) joinStore() {
 	d.store = proxy.New(proxy.Options{
 		Self:      d.membership.Self.ID,
@@ -86,8 +87,8 @@
 	d.registry.store, d.registry.contact = d.store, d.store
 }
 
-// joinLedger takes the daemon's share of the ledger of all daemons; those of regions
-// come up when they are needed.
+// joinLedger prepares the ledger of all daemons; those of regions are started when they
+// are needed.
 func (d *Daemon) joinLedger() {
 	options := ledger.Options{
 		Self:       d.membership.Self.ID,
@@ -114,12 +115,12 @@
 	d.regional = newRegionalLedgers(d.topology, options)
 }
 
-// joinRelay makes callers' requests be carried.
+// joinRelay prepares the relay of callers' requests.
 func (d *Daemon) joinRelay() {
 	d.relay = relay.New(relay.Options{
 		Pool:    d.pool,
 		Driver:  d.adapter.Driver(),
-		Ledger:  d.regional.join(d.ledger),
+		Ledger:  d.regional.ledgerWith(d.ledger),
 		Quota:   quota.NewGate(d.ledger, d.settings.quotaTerms()),
 		Table:   d.table.Load,
 		Daemons: func() int { return len(d.membership.Members()) },
@@ -134,9 +135,8 @@
 	})
 }
 
-// membershipSettings are those of a fleet whose daemons must find each other
-// fast after the loss of all of them: within some 0.1 s, where looking for one
-// another at the usual pace took 0.6 s.
+// membershipSettings look for other daemons every 50 ms after the start, as daemons that
+// start after the loss of all of them must find each other within some 0.1 s.
 func membershipSettings() membership.Settings {
 	settings := membership.DefaultSettings()
 	settings.FirstJoinTime = 600 * time.Millisecond
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -10,8 +10,7 @@
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
-// placementPlugins are the parts that take part in the choice of instances, by what
-// the settings ask for.
+// placementPlugins are the filters, scorers and reservers in the choice of instances.
 func (d *Daemon) placementPlugins() instance.Plugins {
 	plugins := instance.Plugins{
 		Filters: []instance.Filter{
@@ -28,7 +27,7 @@
 	return plugins
 }
 
-// preparePlacement makes the pool of instances, and what has a say in their choice.
+// preparePlacement makes the pool of instances and the plug-ins of their choice.
 func (d *Daemon) preparePlacement() {
 	d.cold = warmup.NewLimiter(warmup.Options{
 		Terms:   d.settings.coldTerms(),
--- a/internal/relaydaemon/regional.go
+++ b/internal/relaydaemon/regional.go
@@ -20,40 +20,42 @@
 )
 
 const (
-	// regionalSpace is where the ledgers of single regions lie; the region follows.
+	// regionalSpace is the prefix of the store's space of a regional ledger; the region
+	// follows.
 	regionalSpace = "ledger-region-"
-	// regionalShards is the number of shards of each; one more partition tells their
-	// holders. Only the text of bound turns lies there.
+	// regionalShards is the number of shards of a regional ledger, which keeps the text of
+	// bound turns only. One more partition is the directory of their holders.
 	regionalShards = 8
-	// directoryPause separates looks whether regional ledgers were used before this
-	// daemon started: one for each turn that nobody knows would be a call to the store
-	// for each region.
-	directoryPause = time.Second
+	// lookPause is the least time between checks whether regional ledgers were used before
+	// this daemon started: each is a call to the store for each region, and without a pause
+	// every unknown turn would cause one.
+	lookPause = time.Second
 )
 
 // regionalLedgers are the ledgers of single regions, which keep the text of turns that
 // operators bind to regions: only daemons of a region hold its shards, and make calls to
-// the store about them. They come up at the first need. It is safe for concurrent use.
+// the store about them. They are started once they are needed. It is safe for concurrent
+// use.
 type regionalLedgers struct {
 	regions []string
 	// own is the daemon's region.
 	own     string
 	options ledger.Options
-	joined  *residency.Ledger
+	ledger  *residency.Ledger
 	inUse   atomic.Bool
 	// looking is held while the directories are read, last at lookedAt.
 	looking  sync.Mutex
 	lookedAt time.Time
 
 	mutex sync.Mutex
-	// run makes a service work, nil until the daemon does.
+	// run runs a service in the background; nil until the daemon runs.
 	run      func(*ledger.Service)
 	services map[string]*ledger.Service
 	leaving  bool
 }
 
-// newRegionalLedgers takes the options of the ledger of all daemons. A fleet of one
-// region needs no others.
+// newRegionalLedgers returns the regional ledgers, by the options of the ledger of all
+// daemons. A fleet of one region has none.
 func newRegionalLedgers(topology zone.Topology, options ledger.Options) *regionalLedgers {
 	regions := topology.Regions()
 	if len(regions) < 2 {
@@ -62,28 +64,29 @@
 	return &regionalLedgers{regions: regions, own: topology.OwnRegion(), options: options, services: map[string]*ledger.Service{}}
 }
 
-// join returns what keeps the turns of all callers.
-func (r *regionalLedgers) join(common *ledger.Service) *residency.Ledger {
-	r.joined = &residency.Ledger{
+// ledgerWith returns the ledger of all callers' turns: the common ledger, and the regional
+// ones for the text of bound turns.
+func (r *regionalLedgers) ledgerWith(common *ledger.Service) *residency.Ledger {
+	r.ledger = &residency.Ledger{
 		Common:     common,
-		Regional:   r.find,
+		Regional:   r.serviceOf,
 		Regions:    r.regions,
 		HasDaemons: r.hasDaemons,
 		InUse:      r.isInUse,
 		Logger:     r.options.Logger,
 	}
-	return r.joined
+	return r.ledger
 }
 
-// find returns the ledger of a region.
-func (r *regionalLedgers) find(region string) (residency.Service, bool) {
+// serviceOf is service for residency.Ledger.
+func (r *regionalLedgers) serviceOf(region string) (residency.Service, bool) {
 	service := r.service(region)
 	return service, service != nil
 }
 
-// use brings the ledgers of all regions up, so that they have settled once requests
+// startAll starts the ledgers of all regions, so that they have settled once requests
 // come that need them.
-func (r *regionalLedgers) use() {
+func (r *regionalLedgers) startAll() {
 	if r.inUse.Swap(true) {
 		return
 	}
@@ -100,7 +103,7 @@
 	}
 	r.looking.Lock()
 	defer r.looking.Unlock()
-	if r.inUse.Load() || time.Since(r.lookedAt) < directoryPause {
+	if r.inUse.Load() || time.Since(r.lookedAt) < lookPause {
 		return r.inUse.Load(), nil
 	}
 	for _, region := range r.regions {
@@ -109,7 +112,7 @@
 			return false, eris.Wrapf(ledger.ErrUnavailable, "directory of region %s: %v", region, err)
 		}
 		if len(page.Records) > 0 {
-			r.use()
+			r.startAll()
 			return true, nil
 		}
 	}
@@ -122,7 +125,8 @@
 	return store.Partition{Space: regionalSpace + region, Number: regionalShards}
 }
 
-// service returns the ledger of a region, and brings it up; nil if there is none.
+// service returns the ledger of a region, and starts it if that is due; nil if there is
+// none.
 func (r *regionalLedgers) service(region string) *ledger.Service {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -132,6 +136,19 @@
 	if r.run == nil || !slices.Contains(r.regions, region) {
 		return nil
 	}
+	service := ledger.NewService(r.serviceOptions(region))
+	if r.leaving {
+		service.Leave()
+	}
+	r.services[region] = service
+	r.run(service)
+	return service
+}
+
+// serviceOptions are the options of the ledger of a region: those of the ledger of all
+// daemons, with the region's members and partitions. Keys and evacuations are the common
+// ledger's matter.
+func (r *regionalLedgers) serviceOptions(region string) ledger.Options {
 	options := r.options
 	options.Name = regionalSpace + region
 	options.View = regionView{View: options.View, region: structs.RegionName(region)}
@@ -144,16 +161,11 @@
 	options.AsksOnly = r.own != region
 	options.Confirmations, options.Evacuations = nil, nil
 	options.Logger = options.Logger.With().Str("region", region).Logger()
-	service := ledger.NewService(options)
-	if r.leaving {
-		service.Leave()
-	}
-	r.services[region] = service
-	r.run(service)
-	return service
+	return options
 }
 
-func (r *regionalLedgers) start(run func(*ledger.Service)) {
+// setRunner sets how services are run; until then none is started.
+func (r *regionalLedgers) setRunner(run func(*ledger.Service)) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.run = run
@@ -196,15 +208,15 @@
 	}
 }
 
-func (r *regionalLedgers) wait(ctx context.Context) { r.joined.Wait(ctx) }
+func (r *regionalLedgers) wait(ctx context.Context) { r.ledger.Wait(ctx) }
 
 func (r *regionalLedgers) hasDaemons(region string) bool {
 	view := regionView{View: r.options.View, region: structs.RegionName(region)}
 	return slices.ContainsFunc(view.Members(), func(m membership.Member) bool { return m.State != membership.StateLeaving })
 }
 
-// regionView is membership as the ledger of a region sees it: others hold nothing of
-// it.
+// regionView is membership as the ledger of a region sees it: daemons of other regions
+// hold nothing of it.
 type regionView struct {
 	ledger.View
 	region structs.RegionName
@@ -215,8 +227,8 @@
 	return slices.DeleteFunc(v.View.Members(), func(m membership.Member) bool { return m.Daemon.Region != v.region })
 }
 
-// Lookup implements ledger.View. A daemon of another region that came to the address of
-// a former holder is none to ask.
+// Lookup implements ledger.View. A daemon of another region that has the address of a
+// former holder by now counts as dead: it is not to be asked for its records.
 func (v regionView) Lookup(address string) (membership.Member, bool) {
 	member, heardOf := v.View.Lookup(address)
 	if heardOf && member.Daemon.Region != v.region {
--- a/internal/relaydaemon/regional_test.go
+++ b/internal/relaydaemon/regional_test.go
@@ -98,7 +98,7 @@
 	}
 	d.common = ledger.NewService(options)
 	d.regional = newRegionalLedgers(zone.NewTopology(string(d.Region)+"-a", string(d.Region), zones), options)
-	d.joined = d.regional.join(d.common)
+	d.joined = d.regional.ledgerWith(d.common)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
 	f.t.Cleanup(func() {
@@ -106,9 +106,9 @@
 		d.joined.Wait(context.Background())
 	})
 	go d.common.Run(ctx)
-	d.regional.start(func(s *ledger.Service) { go s.Run(ctx) })
+	d.regional.setRunner(func(s *ledger.Service) { go s.Run(ctx) })
 	if !f.unused {
-		d.regional.use()
+		d.regional.startAll()
 	}
 	return d
 }
--- a/internal/relaydaemon/traffic.go
+++ b/internal/relaydaemon/traffic.go
@@ -11,14 +11,14 @@
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
-// traffic counts what this daemon sends to others, by kind of message and by how far the
-// other is: bytes between zones and regions cost.
+// traffic counts the bytes that this daemon sends to others, by kind of message and by
+// distance: those between zones and regions cost money.
 type traffic struct {
 	topology zone.Topology
 	// members is set once membership is there; what is sent before counts as near.
 	members func(address string) (membership.Member, bool)
 	bytes   *prometheus.CounterVec
-	// counters are those of bytes, kept as finding them by their labels takes longer.
+	// counters are those of bytes by trafficKey: finding them by labels takes longer.
 	counters sync.Map
 }
 
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -7,12 +7,11 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
-// Pauses with which operators' and back ends' records are followed. A reading
-// that hangs since its machine was cut off must end within the three seconds
-// after which a machine that reaches the store again is held to what stands
-// there: Wait and Answer stay below. Back ends write often: their changes are
-// read together. Routes are confirmed by each reading: one that hangs must leave time
-// for another before keys count as unconfirmed, 2 x Wait + Answer + Retry.
+// How operators' and back ends' records are watched. A read that hangs as its machine was
+// cut off must end within the 3 s after which a machine that reaches the store again has to
+// act on what is there: Wait + Answer is below that. Back ends write often: Pause has their
+// changes read together. Each read confirms the routes: one that hangs must leave time for
+// another before keys count as unconfirmed, 2 x Wait + Answer + Retry.
 var (
 	routesWatch = store.WatchSettings{
 		Wait: 1500 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
@@ -41,7 +40,7 @@
 	watcher.Run(ctx)
 }
 
-// takeOperators puts what the operators wrote in force. Evacuations come first: a
+// takeOperators puts the operators' records in force. Evacuations come first: a
 // daemon that starts sends nothing before it has routes.
 func (d *Daemon) takeOperators(records map[string]store.Record, end int64) {
 	d.takeEvacuations(d.adapter.Evacuations(records, end))
@@ -74,7 +73,7 @@
 	}
 	d.cold.SetServices(table.Services)
 	if table.IsBound() {
-		d.regional.use()
+		d.regional.startAll()
 	}
 	d.table.Store(table)
 	d.front.setLimits(table.Limits)
--- a/internal/relaydaemon/zones.go
+++ b/internal/relaydaemon/zones.go
@@ -10,17 +10,16 @@
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
-// Where news of evacuations came from, as logs tell it.
+// Sources of news of evacuations, in logs.
 const (
-	newsFromStore  = "store"
-	newsFromDaemon = "daemon"
+	sourceStore  = "store"
+	sourceDaemon = "daemon"
 )
 
-// takeEvacuations puts the operators' orders in force, or takes zones back, as the
-// store tells.
+// takeEvacuations puts the operators' orders that were read from the store in force.
 func (d *Daemon) takeEvacuations(reading zone.Reading) {
 	now := time.Now()
-	d.noteEvacuations(d.evacuations.Take(reading, now), reading.End, newsFromStore, now)
+	d.noteEvacuations(d.evacuations.Take(reading, now), reading.End, sourceStore, now)
 }
 
 // AskEvacuations implements ledger.Evacuations.
@@ -33,10 +32,10 @@
 
 // HearEvacuations implements ledger.Evacuations.
 func (d *Daemon) HearEvacuations(news *zone.News, now time.Time) {
-	d.noteEvacuations(d.evacuations.Hear(news, now), news.End, newsFromDaemon, now)
+	d.noteEvacuations(d.evacuations.Hear(news, now), news.End, sourceDaemon, now)
 }
 
-// noteEvacuations logs what changed, and learns for how long zones are evacuated.
+// noteEvacuations logs changes, and tells admission how long ended evacuations lasted.
 func (d *Daemon) noteEvacuations(changes []zone.Change, end int64, from string, now time.Time) {
 	for _, change := range changes {
 		logger := part(d.logger, "zones").With().Str("zone", change.Zone).Int64("order", change.Offset).
@@ -55,8 +54,8 @@
 	}
 }
 
-// registerZones makes figures of the zones that the settings name. Orders for other
-// zones are counted together: operators may name any.
+// registerZones registers metrics of each zone that the settings name. Orders for other
+// zones, of which operators may name any, are counted together.
 func (d *Daemon) registerZones(registry prometheus.Registerer) {
 	for _, name := range d.topology.Zones() {
 		registry.MustRegister(
