--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -182,9 +182,9 @@
 	Body io.ReadCloser
 	// NotRun: the instance promises that it did not run the request.
 	NotRun bool
-	// SoundsNotRun: callers take the status for a promise that the request has not run.
-	// Without NotRun the instance did not make it.
-	SoundsNotRun bool
+	// StatusMeansNotRun: callers take the status to mean that the request has not run. The
+	// instance says so only if NotRun is set, too.
+	StatusMeansNotRun bool
 	// OtherInstance: another instance has the address by now.
 	OtherInstance bool
 }
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -11,18 +11,10 @@
 	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
-	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// brokenOff ends a call whose back end broke off and that may not run again.
-var brokenOff = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
-
-// stopping ends a call that reaches a daemon which is about to leave: it would
-// not be there for the answer.
-var stopping = Refusal{Reason: ReasonStopping, RetryAfter: stoppingPause, Detail: "This daemon stops."}
-
 // carrier carries one call.
 type carrier struct {
 	relay *Relay
@@ -45,15 +37,9 @@
 	preferred string
 	// runs counts instances that may have run the call.
 	runs int
-	// offers counts all tries. The latest began at offeredAt, and heardAt is when its
-	// instance last sent something, or the same.
-	offers    int
-	offeredAt time.Time
-	heardAt   time.Time
-	// pending is the latest offer, while its instance may still send something, and
-	// offerContext is its context.
-	pending      *pendingOffer
-	offerContext context.Context
+	// offers counts all tries, and latest is the last of them.
+	offers int
+	latest latestOffer
 	// refusals counts the offers that were turned down, rounds how often all instances
 	// did, and offeredBefore the offers to the service before the call's first.
 	refusals      int
@@ -64,11 +50,17 @@
 	// heldUp is what held the call up last, and forecast what was expected of it.
 	heldUp   admission.Wait
 	forecast admission.Decision
-	// verdict is that on the tenant's limit, which was asked and came after
-	// admittedAfter.
-	asked         quota.Ask
-	verdict       quota.Verdict
-	admittedAfter time.Duration
+	quota    quotaState
+}
+
+// latestOffer is a call's last offer to an instance.
+type latestOffer struct {
+	beganAt time.Time
+	// heardAt is when the instance last sent something, or beganAt.
+	heardAt time.Time
+	context context.Context
+	// watched is the offer at the monitor, nil once its instance sends nothing more.
+	watched *pendingOffer
 }
 
 // mayHaveRun tells whether some instance may have run the call.
@@ -143,25 +135,25 @@
 
 func (c *carrier) send(ctx context.Context, target instance.Instance, outgoing Outgoing) (*Answer, error) {
 	c.offers++
-	c.offeredAt = time.Now()
-	c.heardAt = c.offeredAt
+	now := time.Now()
+	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTime = c.relay.monitor.connectTimeout(target)
-	c.offerContext, c.pending = c.relay.monitor.startOffer(ctx, target, c.call.Route.Name)
-	answer, err := c.relay.Driver.Send(c.offerContext, target, &outgoing)
+	c.latest.context, c.latest.watched = c.relay.monitor.startOffer(ctx, target, c.call.Route.Name)
+	answer, err := c.relay.Driver.Send(c.latest.context, target, &outgoing)
 	if err == nil {
-		c.relay.monitor.noteProgress(c.pending, time.Now())
+		c.relay.monitor.noteProgress(c.latest.watched, time.Now())
 	}
 	return answer, err
 }
 
 // release ends the latest offer with an outcome.
 func (c *carrier) release(target instance.Instance, outcome instance.Outcome) {
-	c.relay.monitor.endOffer(c.pending)
-	c.pending = nil
+	c.relay.monitor.endOffer(c.latest.watched)
+	c.latest.watched = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
-		c.relay.Pool.NoteServiceTime(c.service, time.Since(c.offeredAt))
+		c.relay.Pool.NoteServiceTime(c.service, time.Since(c.latest.beganAt))
 	}
 }
 
@@ -173,13 +165,13 @@
 		outcome = instance.OutcomeGivenUp
 	}
 	defer c.release(target, outcome)
-	if !isGivenUp(c.offerContext) {
+	if !isGivenUp(c.latest.context) {
 		return
 	}
 	zoneIsCut := c.relay.monitor.isCut(target.Zone)
 	c.relay.Metrics.gaveUp(target.Zone, zoneIsCut)
 	c.logger.Info().Str("instance", target.ID).Str("zone", target.Zone).Bool("zone_cut_off", zoneIsCut).
-		Dur("silent", time.Since(c.heardAt)).Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Nobody is reached there.")
+		Dur("silent", time.Since(c.latest.heardAt)).Dur("held", time.Since(c.call.Received)).Msg("Offer given up. Nobody is reached there.")
 }
 
 // serviceInForce is a service as the routes in force have it, nil if they do
@@ -239,7 +231,7 @@
 // outcomeOfGivingUp is what a request that this side ended says of its
 // instance: something, if that was silent for long.
 func (c *carrier) outcomeOfGivingUp() instance.Outcome {
-	if time.Since(c.heardAt) >= silentAfter {
+	if time.Since(c.latest.heardAt) >= silentAfter {
 		return instance.OutcomeSilent
 	}
 	return instance.OutcomeGivenUp
@@ -294,7 +286,7 @@
 
 // noteTaken takes note that the call's service takes requests.
 func (c *carrier) noteTaken() {
-	if lasted, ended := c.relay.full.end(c.service, c.offeredAt); ended {
+	if lasted, ended := c.relay.full.end(c.service, c.latest.beganAt); ended {
 		c.relay.Admission.Ended(admission.ServiceFull, lasted)
 	}
 }
@@ -330,58 +322,3 @@
 		return true
 	}
 }
-
-// refuseLate ends a call whose time is over, whose caller left, or whose daemon
-// leaves.
-func (c *carrier) refuseLate(ctx context.Context) {
-	if isStopBound(ctx) {
-		c.refuse(stopping)
-		return
-	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		c.refuse(Refusal{Reason: ReasonCallerLeft, Detail: "The caller left."})
-		return
-	}
-	if c.mayHaveRun() {
-		c.refuse(Refusal{Reason: ReasonTimeout, Detail: "The time for this request is over; it may have run."})
-		return
-	}
-	c.refuse(Refusal{Reason: ReasonNotInTime, Detail: "The time for this request is over; it has not run."})
-}
-
-func isStopBound(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopBound) }
-
-// refuse ends the call with an answer of the system's own. Where the call may
-// have run, no answer may promise the contrary.
-func (c *carrier) refuse(refusal Refusal) {
-	cause := refusal.Reason
-	if c.mayHaveRun() && refusal.Reason.PromisesNotRun() {
-		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
-	}
-	c.relay.Metrics.refused(c.call, refusal.Reason)
-	c.noteForecast(heldUpRefused)
-	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
-		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
-	if c.verdict.Reason != "" {
-		line = c.logVerdict(line)
-	}
-	if cause != refusal.Reason {
-		line = line.Str("cause", string(cause))
-	}
-	if !c.heldUp.Since.IsZero() {
-		line = c.logForecast(line)
-	}
-	line.Msg("Request refused.")
-	c.returnQuota()
-	c.responder.Refuse(refusal)
-}
-
-// PromisesNotRun tells whether a refusal for this reason says that the request
-// has not run and never will.
-func (r Reason) PromisesNotRun() bool {
-	switch r {
-	case ReasonBroken, ReasonTimeout, ReasonCallerLeft:
-		return false
-	}
-	return true
-}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -75,7 +75,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, SoundsNotRun: next.sounds, OtherInstance: next.other}, nil
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, StatusMeansNotRun: next.sounds, OtherInstance: next.other}, nil
 }
 
 // Connect implements Driver.
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -68,8 +68,8 @@
 	if !c.heldUp.Since.IsZero() {
 		event = c.logForecast(event)
 	}
-	if c.verdict.Reason != "" {
-		event = c.logVerdict(event).Dur("admitted_after", c.admittedAfter)
+	if c.quota.verdict.Reason != "" {
+		event = c.logVerdict(event).Dur("admitted_after", c.quota.admittedAfter)
 	}
 	if state != nil {
 		event = event.Int64("events", state.events).Dur("first_event", state.firstAfter)
@@ -99,7 +99,7 @@
 
 // logVerdict adds what the owner of the tenant's limit decided, and on what.
 func (c *carrier) logVerdict(line *zerolog.Event) *zerolog.Event {
-	return line.Str("quota", string(c.verdict.Reason)).Float64("tokens", c.verdict.Tokens).Int("programs", c.verdict.Programs)
+	return line.Str("quota", string(c.quota.verdict.Reason)).Float64("tokens", c.quota.verdict.Tokens).Int("programs", c.quota.verdict.Programs)
 }
 
 // logForecast adds what held the call up, and what was expected of it when that was
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -28,7 +28,7 @@
 		}
 		body, err := readWhole(answer.Body)
 		if err == nil {
-			took := time.Since(c.offeredAt)
+			took := time.Since(c.latest.beganAt)
 			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, took)
 			c.relay.serving.note(c.call.Route.Name, servingTime{first: took, whole: took})
 			c.release(target, instance.OutcomeAnswered)
@@ -45,7 +45,7 @@
 // request has not run is none of an instance that ran it: whoever may not send the
 // request again unless it has not run hears that it may have.
 func (c *carrier) answerOrBreak(answer *Answer, body []byte, target instance.Instance) {
-	if answer.SoundsNotRun && !c.call.Route.Repeatable() {
+	if answer.StatusMeansNotRun && !c.call.Route.Repeatable() {
 		c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer promises what its instance did not. It is not passed on.")
 		c.refuse(brokenOff)
 		return
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -17,6 +17,14 @@
 	Return(ask quota.Ask)
 }
 
+// quotaState is what a call asked for by its tenant's limit, and the verdict on it.
+type quotaState struct {
+	asked   quota.Ask
+	verdict quota.Verdict
+	// admittedAfter is how long the call waited until it was admitted.
+	admittedAfter time.Duration
+}
+
 // admitByQuota makes sure that the tenant's limit has room for the request. False
 // means that the call was ended. A request of a program under way waits for room
 // while it is still served in time then: a program that is stopped half-way has cost
@@ -29,16 +37,16 @@
 	ctx, cancel := context.WithDeadline(ctx, c.beginUntil(started))
 	defer cancel()
 	ask := c.quotaAsk()
-	c.asked = ask
+	c.quota.asked = ask
 	for {
 		verdict, err := c.relay.Quota.Admit(ctx, ask)
-		c.verdict = verdict
+		c.quota.verdict = verdict
 		switch {
 		case err != nil:
 			c.refuseUnasked(ctx, err, started)
 			return false
 		case verdict.Admitted:
-			c.admittedAfter = time.Since(started)
+			c.quota.admittedAfter = time.Since(started)
 			return true
 		case !c.waitForQuota(ctx, ask, verdict):
 			c.refuse(Refusal{Reason: ReasonQuota, RetryAfter: verdict.After(), Detail: "The tenant's limit has no room for the request."})
@@ -65,8 +73,8 @@
 // returnQuota gives back what the call was admitted on, if no instance was offered it:
 // a program that has spent its budget asks again and again.
 func (c *carrier) returnQuota() {
-	if c.verdict.Reason == quota.ReasonRoom && c.offers == 0 {
-		c.relay.Quota.Return(c.asked)
+	if c.quota.verdict.Reason == quota.ReasonRoom && c.offers == 0 {
+		c.relay.Quota.Return(c.quota.asked)
 	}
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -81,7 +81,7 @@
 		_ = answer.Body.Close() // the connection serves others while the record is waited for
 		c.release(target, instance.OutcomeAnswered)
 		c.relay.sessions.note(c.call.Program, target.ID)
-		c.relay.serving.note(c.call.Route.Name, servingTime{first: state.servedAfter, whole: time.Since(c.offeredAt)})
+		c.relay.serving.note(c.call.Route.Name, servingTime{first: state.servedAfter, whole: time.Since(c.latest.beganAt)})
 		state.instance = target.ID
 		c.endStream(ctx, answer, target, state)
 		return false
@@ -140,12 +140,12 @@
 			return err
 		}
 		if passed > 0 {
-			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, time.Since(c.heardAt))
+			c.relay.Pool.NotePace(target.ID, c.call.Route.Name, time.Since(c.latest.heardAt))
 		} else {
-			state.servedAfter = time.Since(c.offeredAt)
+			state.servedAfter = time.Since(c.latest.beganAt)
 		}
-		c.heardAt = time.Now()
-		c.relay.monitor.noteProgress(c.pending, c.heardAt)
+		c.latest.heardAt = time.Now()
+		c.relay.monitor.noteProgress(c.latest.watched, c.latest.heardAt)
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
@@ -156,7 +156,7 @@
 		if err := c.responder.Event(event.Raw); err != nil {
 			return errCallerLeft
 		}
-		c.relay.monitor.restartWait(c.pending)
+		c.relay.monitor.restartWait(c.latest.watched)
 	}
 }
 
