Regional turns, evacuations, connections: one job a function, and comments that say it

Cause: residency.Ledger's Begin and End each held the bound and the unbound case; comments of evacuations, connections and links could be misread (what a partial reading lacks, what is remembered of a return) or told how long something took before it was changed. Change: beginBound, beginUnbound, recordText, settle, endUnbound; ConnectTimeout; maxNewsOrders; comments. Measured: nothing to measure; tests of peer, httpconn, zone, residency, relay, relaydaemon and platform pass.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -9,7 +9,7 @@
 	// ErrNoConnection: every connection this daemon may have to the address is
 	// in use; no byte left this machine.
 	ErrNoConnection = eris.Wrap(ErrNotSent, "httpconn: no connection is free")
-	// ErrLate: the time by which the request had to be sent was over; no byte left this
+	// ErrLate: Bounds.SendBy was over before the request was sent; no byte left this
 	// machine.
 	ErrLate = eris.Wrap(ErrNotSent, "httpconn: too late to send it")
 	// ErrBroken: the connection broke after some of the request was sent.
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -59,8 +59,9 @@
 	expires time.Time
 }
 
-// closeFor closes the connection. To the other side of a cut the system would go on
-// to send what it holds, and a request that was given up would arrive after the cut.
+// closeFor closes the connection. If the cause is ErrGivenUp, unsent data is dropped: the
+// system would go on to send it, and a request that was given up would arrive after the
+// cut's end.
 func (c *conn) closeFor(cause error) {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(cause, ErrGivenUp) {
 		_ = tcp.SetLinger(0) // fails on a connection that is closed already
@@ -98,20 +99,20 @@
 	}
 }
 
-// Bounds are what an exchange is held to. The zero value sets none.
+// Bounds limit an exchange. The zero value sets no limit.
 type Bounds struct {
-	// Connections bounds those of all exchanges to the address; 0 sets no bound.
+	// Connections limits the open connections to the address; 0 sets no limit.
 	Connections int
-	// SendBy is when the request must have begun to be sent; zero sets no bound.
+	// SendBy is when the request must have begun to be sent; zero sets no limit.
 	SendBy time.Time
-	// Connect bounds the opening of a connection; 0 for the pool's own bound.
-	Connect time.Duration
+	// ConnectTimeout limits the opening of a connection; 0 for the pool's own limit.
+	ConnectTimeout time.Duration
 }
 
 // Do sends a request to an address and reads the head of the answer. The body
 // of the answer must be closed; read to its end, the connection is kept. The error
-// wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed; if that is
-// for ErrGivenUp, what was not delivered is dropped.
+// wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed; if its cause is
+// ErrGivenUp, what was not delivered is dropped.
 func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
 	c := p.takeIdle(name)
 	if c == nil {
@@ -145,14 +146,14 @@
 	return err
 }
 
-// open opens a connection.
+// open opens a connection, within the bounds on connections and on connecting.
 func (p *Pool) open(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !p.reserve(name, bounds.Connections) {
 		return nil, ErrNoConnection
 	}
 	timeout := p.dialTimeout
-	if bounds.Connect > 0 {
-		timeout = bounds.Connect
+	if bounds.ConnectTimeout > 0 {
+		timeout = bounds.ConnectTimeout
 	}
 	dialer := net.Dialer{Timeout: timeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout), KeepAlive: -1}
 	raw, err := dialer.DialContext(ctx, "tcp", name)
--- a/internal/peer/tcp/inbound.go
+++ b/internal/peer/tcp/inbound.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// acceptPause is the pause after a connection could not be accepted.
+	// acceptPause is how long accepting rests after an error.
 	acceptPause = 50 * time.Millisecond
 	// lineLimit bounds one message in bytes.
 	lineLimit = 64 << 20
@@ -54,6 +54,7 @@
 	}
 }
 
+// readFrom handles the messages of a connection until it ends.
 func (t *Transport) readFrom(conn net.Conn) {
 	defer t.workers.Done()
 	defer func() {
--- a/internal/peer/tcp/link.go
+++ b/internal/peer/tcp/link.go
@@ -12,26 +12,24 @@
 )
 
 const (
-	// dialTimeout bounds one try to connect. A way there and back takes 16 ms between
-	// regions. A cut link swallows the packet that opens a connection, and the system
-	// sends it again only after a second, so another try is made sooner: a link is back
-	// within 0.3 s of a cut's end, where it took up to 1.2 s (see link_test.go).
+	// dialTimeout bounds one try to connect. A round trip between regions takes 16 ms. If
+	// the first packet of a connection is lost, the system sends it again only after a
+	// second; another try before that has the link back within 0.3 s of a cut's end.
 	dialTimeout = 300 * time.Millisecond
 	// writeTimeout bounds one write to a daemon that does not read.
 	writeTimeout = 2 * time.Second
 	// closeTimeout bounds the writing of what is queued when the transport
 	// closes.
 	closeTimeout = 200 * time.Millisecond
-	// unacknowledgedTimeout is when the system gives up a connection on which
+	// unacknowledgedTimeout is after how long the system gives up a connection on which
 	// the other side acknowledges nothing. A connection that fell silent is replaced
 	// before its daemon would be taken for dead (1.4 s, see package membership), and
 	// three packets in a row may be lost until then.
 	unacknowledgedTimeout = time.Second
 	// firstRedialPause separates a failed try from the next, and doubles up to
 	// longestRedialPause; the time that the try took counts. Messages meanwhile are
-	// dropped. The first is short against the time after
-	// which a daemon that says nothing counts as failed, 0.3 s for holders of
-	// shards: daemons that start together miss each other by some milliseconds.
+	// dropped. The first is short against the 0.3 s after which a silent holder of shards
+	// counts as failed: daemons that start together miss each other by some milliseconds.
 	firstRedialPause   = 50 * time.Millisecond
 	longestRedialPause = 200 * time.Millisecond
 )
@@ -57,6 +55,7 @@
 // keptBuffer is the largest buffer that is kept for later messages, in bytes.
 const keptBuffer = 16 << 10
 
+// recycle keeps a message's buffer for another, unless it is large.
 func recycle(line *bytes.Buffer) {
 	if line.Cap() <= keptBuffer {
 		lineBuffers.Put(line)
@@ -104,6 +103,7 @@
 	}
 }
 
+// writeTo writes messages to a connection until it ends or the transport closes.
 func (t *Transport) writeTo(l *link, conn net.Conn) {
 	gone := make(chan struct{})
 	go watchClosed(conn, gone)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -170,8 +170,8 @@
 	Urgency int
 	// ConnectionLimit bounds this daemon's connections to the instance.
 	ConnectionLimit int
-	// ConnectTime bounds the opening of a connection; 0 for the driver's own bound.
-	ConnectTime time.Duration
+	// ConnectTimeout limits the opening of a connection; 0 for the driver's own limit.
+	ConnectTimeout time.Duration
 }
 
 // Answer is the head of what an instance answered.
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -138,7 +138,7 @@
 	now := time.Now()
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
-	outgoing.ConnectTime = c.relay.monitor.connectTimeout(target)
+	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
 	c.latest.context, c.latest.watched = c.relay.monitor.startOffer(ctx, target, c.call.Route.Name)
 	answer, err := c.relay.Driver.Send(c.latest.context, target, &outgoing)
 	if err == nil {
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -14,8 +14,7 @@
 	"github.com/mintpulley/mintpulley/internal/ledger"
 )
 
-// settleTimeout bounds how long the budget of a turn whose text is on record is tried
-// to be settled.
+// settleTimeout bounds the settling of a turn's budget after its text is on record.
 const settleTimeout = 20 * time.Second
 
 // errNoHome: no daemon of this fleet is in a region that may keep the turn's text.
@@ -31,22 +30,21 @@
 	Find(ctx context.Context, program, turn string) (*ledger.KeptTurn, error)
 }
 
-// Ledger keeps the budgets of all programs in one ledger, which any daemon may hold,
-// and the text of bound turns in a ledger of one of their regions, which only daemons
-// of that region hold. Turns that are not bound it leaves to the first. It is safe for
-// concurrent use.
+// Ledger keeps the budgets of all programs in the common ledger, whose shards any daemon
+// may hold, and the text of bound turns in a ledger of one of their regions, whose shards
+// only daemons of that region hold. The text of other turns is in the common ledger. It is
+// safe for concurrent use.
 type Ledger struct {
 	// Common is the ledger of all daemons.
 	Common Service
-	// Regional returns the ledger of a region, false if there is none. Where no region
-	// has one, all daemons are in the same.
+	// Regional returns the ledger of a region, false if there is none.
 	Regional func(region string) (Service, bool)
-	// Regions are those that have a ledger.
+	// Regions are those that have a ledger; none in a fleet of one region.
 	Regions []string
 	// HasDaemons tells whether any daemon lives in a region, as far as is known.
 	HasDaemons func(region string) bool
-	// InUse tells whether regional ledgers may keep turns. The error wraps
-	// ErrUnavailable: it is not known.
+	// InUse tells whether regional ledgers may keep turns. An error, which wraps
+	// ErrUnavailable, means that this is not known.
 	InUse  func(ctx context.Context) (bool, error)
 	Logger zerolog.Logger
 
@@ -54,19 +52,29 @@
 	settling sync.WaitGroup
 }
 
-// Begin implements relay.Ledger. The history comes first: a turn that goes on from none
-// reserves nothing.
+// Begin implements relay.Ledger.
 func (l *Ledger) Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error) {
-	if !l.isKeptApart(turn.Regions) {
-		grant, err := l.Common.Begin(ctx, turn)
-		if !errors.Is(err, ledger.ErrUnknownTurn) {
-			return grant, err
-		}
-		if turn.Imported, err = l.findUnbound(ctx, turn.Program, turn.Previous); err != nil {
-			return ledger.Grant{}, err
-		}
-		return l.Common.Begin(ctx, turn)
+	if l.isKeptApart(turn.Regions) {
+		return l.beginBound(ctx, turn)
+	}
+	return l.beginUnbound(ctx, turn)
+}
+
+// beginUnbound begins a turn that is not bound. The one before it may have been.
+func (l *Ledger) beginUnbound(ctx context.Context, turn ledger.Turn) (ledger.Grant, error) {
+	grant, err := l.Common.Begin(ctx, turn)
+	if !errors.Is(err, ledger.ErrUnknownTurn) {
+		return grant, err
+	}
+	if turn.Imported, err = l.findUnbound(ctx, turn.Program, turn.Previous); err != nil {
+		return ledger.Grant{}, err
 	}
+	return l.Common.Begin(ctx, turn)
+}
+
+// beginBound begins a bound turn. It reads the history before it reserves tokens: a turn
+// whose previous one is not known reserves none.
+func (l *Ledger) beginBound(ctx context.Context, turn ledger.Turn) (ledger.Grant, error) {
 	var history []byte
 	if turn.Previous != "" {
 		found, err := l.findBound(ctx, turn.Program, turn.Previous, turn.Regions)
@@ -90,8 +98,18 @@
 // reservation counts.
 func (l *Ledger) End(ctx context.Context, outcome ledger.Outcome) error {
 	if outcome.Kept == nil || !l.isKeptApart(outcome.Regions) {
-		return l.endCommon(ctx, outcome)
+		return l.endUnbound(ctx, outcome)
+	}
+	if err := l.recordText(ctx, outcome); err != nil {
+		return err
 	}
+	outcome.Kept = nil
+	l.settling.Go(func() { l.settle(outcome) })
+	return nil
+}
+
+// recordText puts the text of a bound turn on record in its home.
+func (l *Ledger) recordText(ctx context.Context, outcome ledger.Outcome) error {
 	home, _, err := l.home(outcome.Program, outcome.Regions)
 	if err != nil {
 		return err
@@ -104,22 +122,20 @@
 			err = home.End(ctx, text)
 		}
 	}
-	if err != nil {
-		return err
+	return err
+}
+
+// settle settles the budget of a turn whose text is on record.
+func (l *Ledger) settle(outcome ledger.Outcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if err := l.Common.End(ctx, outcome); err != nil {
+		l.Logger.Warn().Err(err).Str("request", outcome.Turn).Msg("Turn not settled. Its reservation stays spent.")
 	}
-	outcome.Kept = nil
-	l.settling.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-		defer cancel()
-		if err := l.Common.End(ctx, outcome); err != nil {
-			l.Logger.Warn().Err(err).Str("request", outcome.Turn).Msg("Turn not settled. Its reservation stays spent.")
-		}
-	})
-	return nil
 }
 
-// endCommon ends a turn that is not bound. The one before it may have been.
-func (l *Ledger) endCommon(ctx context.Context, outcome ledger.Outcome) error {
+// endUnbound ends a turn that is not bound. The one before it may have been.
+func (l *Ledger) endUnbound(ctx context.Context, outcome ledger.Outcome) error {
 	err := l.Common.End(ctx, outcome)
 	if outcome.Kept == nil || !errors.Is(err, ledger.ErrUnknownTurn) {
 		return err
--- a/internal/residency/regions.go
+++ b/internal/residency/regions.go
@@ -1,5 +1,5 @@
-// Package residency keeps requests, and the text of turns, in the regions that
-// operators allow for them.
+// Package residency keeps requests and the text of turns in the regions that operators
+// allow for them.
 //
 // A route and a tenant may each name regions; where both do, a request is bound to
 // those that both name. A bound request runs on back ends in its regions alone, and its
@@ -17,8 +17,8 @@
 // ReasonRegion is why back ends in other regions get nothing of a bound request.
 const ReasonRegion = "region"
 
-// Regions are those that a request is bound to; nil binds it to none, and an empty list
-// leaves it nowhere to go.
+// Regions are those that a request is bound to. Nil means that any region may serve it,
+// and an empty list that none may.
 type Regions []string
 
 // Bound returns the regions to which a request is bound by those that its route and its
@@ -41,7 +41,7 @@
 	return both
 }
 
-// IsBound tells whether there is any bound.
+// IsBound tells whether the request is bound to regions.
 func (r Regions) IsBound() bool { return r != nil }
 
 // IsNowhere tells whether no region at all may serve the request.
--- a/internal/zone/evacuation.go
+++ b/internal/zone/evacuation.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// mostTold bounds the orders in one message, to some 4 KB. A fleet in which more
-	// zones are evacuated at once tells nothing, and its daemons read the store.
-	mostTold = 64
-	// returnMemory is for how long it is remembered that a zone was taken back: longer
-	// than back ends take to warm up.
+	// maxNewsOrders bounds the orders in one message, to some 4 KB. While more zones are
+	// evacuated, daemons send each other no news, and learn of orders from the store alone.
+	maxNewsOrders = 64
+	// returnMemory is for how long it is kept that a zone was taken back: longer than back
+	// ends take to warm up.
 	returnMemory = 10 * time.Minute
 )
 
@@ -22,44 +22,44 @@
 // force until they take the zone back.
 type Order struct {
 	Zone string
-	// Offset is the place of the order's record among the operators' records: that of
-	// an order which was given anew is higher.
+	// Offset is that of the order's record among the operators' records. A repeated order
+	// has a higher one.
 	Offset int64
 }
 
-// Reading is what a reading of the operators' records told.
+// Reading is the orders that were read from the operators' records.
 type Reading struct {
-	// End is the place behind the last record that was read. Of two readings the one
-	// with the higher End is the newer.
+	// End is the offset after the last record that was read. The reading with the higher
+	// End is the newer of two.
 	End int64
 	// Orders are those in force.
 	Orders []Order
-	// Partial: the reading may lack orders that nobody took back.
+	// Partial: the reading may lack orders that are in force.
 	Partial bool
 }
 
 // Change is a zone that was evacuated or taken back.
 type Change struct {
 	Order
-	// Evacuated tells which of both.
+	// Evacuated: the zone was evacuated; otherwise it was taken back.
 	Evacuated bool
-	// Lasted is for how long the order was in force that was taken back.
+	// Lasted is for how long an order that was taken back was in force.
 	Lasted time.Duration
 }
 
-// Evacuations keeps which zones the operators evacuated, as of the newest that this
-// daemon read itself or heard of others. It is a last writer wins register: the whole
-// set of orders, with the End of the reading that it comes from as its version. So an
-// older reading, or older news, changes nothing, and all daemons agree once each has
-// the newest. The zero value is ready, and safe for concurrent use.
+// Evacuations keeps which zones the operators evacuated, by the newest reading of this
+// daemon's own or of another's news. It is a last-writer-wins register: its value is the
+// whole set of orders, and its version the End of the reading. So an older reading or news
+// changes nothing, and all daemons agree once each has the newest. The zero value is ready
+// to use. It is safe for concurrent use.
 type Evacuations struct {
-	// writing is held while the state is replaced; it is read without a lock, as
-	// instances are chosen by it.
+	// writing is held while the state is replaced. It is read without a lock, as that is
+	// done for each choice of an instance.
 	writing sync.Mutex
 	state   atomic.Pointer[evacuationState]
 }
 
-// evacuationState is never changed once it is in place.
+// evacuationState is immutable once it is in place.
 type evacuationState struct {
 	end int64
 	// evacuated are the orders in force, and returned is when zones were last taken
@@ -88,15 +88,15 @@
 	return order.since, evacuated
 }
 
-// ReturnedAt returns when this daemon heard that a zone was last taken back, false if it
-// is evacuated or was not for long.
+// ReturnedAt returns when this daemon heard that a zone was taken back; false if the zone
+// is evacuated, or was not taken back within some returnMemory.
 func (e *Evacuations) ReturnedAt(zone string) (at time.Time, returned bool) {
 	at, returned = e.load().returned[zone]
 	return at, returned
 }
 
-// LastOrderedAt returns when the latest order came into force that is, as far as is
-// known here; false if none is.
+// LastOrderedAt returns when the latest of the orders in force was first known; false if
+// none is in force.
 func (e *Evacuations) LastOrderedAt() (at time.Time, ordered bool) {
 	for _, order := range e.load().evacuated {
 		if order.since.After(at) {
@@ -117,8 +117,8 @@
 	return orders
 }
 
-// Take takes a reading of this daemon's own, and returns what it changed. One that is
-// not newer than what is known changes nothing.
+// Take takes this daemon's own reading, and returns what it changed. A reading that is not
+// newer than what is known changes nothing.
 func (e *Evacuations) Take(reading Reading, now time.Time) []Change {
 	orders := map[string]timedOrder{}
 	for _, order := range reading.Orders {
@@ -127,8 +127,8 @@
 	return e.replace(reading.End, orders, reading.Partial, now)
 }
 
-// replace puts a newer set of orders in place. An order that was in force before
-// stays so since then.
+// replace puts a newer set of orders in place. An order that was in force before keeps the
+// time since when it is known.
 func (e *Evacuations) replace(end int64, orders map[string]timedOrder, partial bool, now time.Time) []Change {
 	e.writing.Lock()
 	defer e.writing.Unlock()
@@ -168,8 +168,8 @@
 	return changes
 }
 
-// News is what daemons tell each other of evacuations, along with messages that go
-// anyway.
+// News is what daemons tell each other of evacuations. It is part of messages that are
+// sent for other reasons.
 type News struct {
 	// End is that of the reading which the orders come from.
 	End    int64       `json:"end"`
@@ -184,8 +184,8 @@
 	AgeMS int64 `json:"age_ms"`
 }
 
-// Asking returns the End that goes along with a question to another daemon, so that
-// only newer news comes back: 0 while no zone is evacuated or was lately.
+// Asking returns the End that is sent along with a request to another daemon, so that only
+// newer news comes back: 0 while no zone is evacuated or was taken back lately.
 func (e *Evacuations) Asking() int64 {
 	if state := e.load(); len(state.evacuated)+len(state.returned) > 0 {
 		return state.end
@@ -193,11 +193,10 @@
 	return 0
 }
 
-// Tell returns the news for a daemon that asked with an End; nil if there is none, as
-// always while no zone was evacuated.
+// Tell returns the news for a daemon that asked with an End; nil if there is none.
 func (e *Evacuations) Tell(asked int64, now time.Time) *News {
 	state := e.load()
-	if asked >= state.end || (asked == 0 && e.Asking() == 0) || len(state.evacuated) > mostTold {
+	if asked >= state.end || (asked == 0 && e.Asking() == 0) || len(state.evacuated) > maxNewsOrders {
 		return nil
 	}
 	news := &News{End: state.end}
--- a/internal/zone/evacuation_test.go
+++ b/internal/zone/evacuation_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("one that asks for news that is older gets %+v", news)
 	}
 	reading := Reading{End: 200}
-	for i := range mostTold + 1 {
+	for i := range maxNewsOrders + 1 {
 		reading.Orders = append(reading.Orders, Order{Zone: fmt.Sprint("z", i), Offset: int64(i)})
 	}
 	e.Take(reading, start)
--- a/internal/zone/placement.go
+++ b/internal/zone/placement.go
@@ -12,12 +12,12 @@
 const ReasonEvacuated = "evacuated"
 
 const (
-	// returnTime is within how long the back ends of a zone that was taken back are
-	// filled: several times what a turn takes, so that what the first requests find
-	// shows in their pace, and in what is full, before all daemons send there.
+	// returnTime is within how long requests return to the back ends of a zone that was
+	// taken back. It is several times what a turn takes: if back ends are slow or refuse,
+	// the first requests show it before all daemons send there.
 	returnTime = 2 * time.Second
-	// returnCost is what counts against a back end whose turn has not come yet: it is
-	// taken when all places elsewhere are.
+	// returnCost counts against a back end that this daemon has not opened yet, as a share
+	// of its slots: it is chosen when all slots elsewhere are taken.
 	returnCost = 1.0
 )
 
@@ -34,8 +34,7 @@
 }
 
 // ReturnScorer lets the back ends of a zone that was taken back fill up within
-// returnTime. They are empty, so that by load alone every daemon would send them all
-// that comes. Each daemon opens them one after the other, in an order of its own: the
+// returnTime. They are empty: by load alone every daemon would send them all requests. Each daemon opens them one after the other, in an order of its own: the
 // share of daemons that send to a back end, and with it its load, rises evenly.
 type ReturnScorer struct {
 	Evacuations *Evacuations
