--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -27,10 +27,10 @@
 	Name   string `yaml:"name"`
 	Zone   string `yaml:"zone"`
 	Region string `yaml:"region"`
-	// Zones names the region of each zone of the fleet; those that it does not name
-	// count as near.
+	// Zones is the region of each zone of the fleet. A zone that is not in it counts as one
+	// of this daemon's region.
 	Zones map[string]string `yaml:"zones"`
-	// ZonesBorne is how many zones may be lost at once with every promise kept.
+	// ZonesBorne is how many zones may be lost at once while all promises are kept.
 	ZonesBorne int `yaml:"zones_borne"`
 	// FrontAddress is where callers reach it, ReadyAddress where it tells
 	// whether it takes requests, PeerAddress where other daemons reach it;
@@ -69,13 +69,13 @@
 	// EvacuationMS is within how many milliseconds after the operators emptied a zone
 	// no request may reach a back end there.
 	EvacuationMS float64 `yaml:"evacuation_milliseconds"`
-	// A cold back end may get in each second its own rate times ColdOverage, and
-	// ColdSlack more, from the whole fleet.
+	// A cold back end may get from the whole fleet, in each second, its service's rate times
+	// ColdOverage plus ColdSlack requests.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
-	// StoreReads and StoreWrites are how many calls a second the store takes of the
-	// whole fleet, and StoreReadMegabytes what it reads a second for all of them; 0 if
-	// that is not known.
+	// StoreReads and StoreWrites are how many calls a second the store takes of the whole
+	// fleet, and StoreReadMegabytes how many megabytes a second it reads for them; 0 if that
+	// is not known.
 	StoreReads         float64 `yaml:"store_reads"`
 	StoreWrites        float64 `yaml:"store_writes"`
 	StoreReadMegabytes float64 `yaml:"store_read_megabytes"`
@@ -119,11 +119,21 @@
 	return settings, nil
 }
 
+// check returns what is wrong with the settings of a file.
 func (s *Settings) check(path string) []yamlfile.Problem {
 	var problems []yamlfile.Problem
 	add := func(field, reason string) {
 		problems = append(problems, yamlfile.Problem{File: path, Field: field, Reason: reason})
 	}
+	s.checkAddresses(add)
+	s.checkMachine(add)
+	s.checkBounds(add)
+	s.checkFleet(add)
+	return problems
+}
+
+// checkAddresses checks where this daemon and the store listen.
+func (s *Settings) checkAddresses(add func(field, reason string)) {
 	addresses := []struct {
 		field, value string
 		optional     bool
@@ -142,6 +152,10 @@
 			add(a.field, "must be an address \"IP:PORT\"")
 		}
 	}
+}
+
+// checkMachine checks what this daemon is and may use.
+func (s *Settings) checkMachine(add func(field, reason string)) {
 	if s.Zone == "" {
 		add("zone", "must be given")
 	}
@@ -160,6 +174,10 @@
 	if s.StopSeconds <= 0 {
 		add("stop_seconds", "must be above 0")
 	}
+}
+
+// checkBounds checks what the operators promise to others.
+func (s *Settings) checkBounds(add func(field, reason string)) {
 	if s.RevocationMS <= milliseconds(revocationMargin) {
 		add("revocation_milliseconds", "must be above 100")
 	}
@@ -175,6 +193,10 @@
 	if s.ColdOverage < 1 || s.ColdSlack < 0 {
 		add("cold_overage, cold_slack", "must be at least 1 and not negative")
 	}
+}
+
+// checkFleet checks what the fleet has in common.
+func (s *Settings) checkFleet(add func(field, reason string)) {
 	if s.StoreReads < 0 || s.StoreWrites < 0 || s.StoreReadMegabytes < 0 {
 		add("store_reads, store_writes, store_read_megabytes", "must not be negative")
 	}
@@ -184,7 +206,6 @@
 	if region, named := s.Zones[s.Zone]; named && region != s.Region {
 		add("zones", "names another region for the daemon's own zone than region does")
 	}
-	return problems
 }
 
 // topology is the fleet's zones as seen from this daemon's.
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -21,7 +21,6 @@
 package warmup
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,21 +80,6 @@
 	refreshedAt time.Time
 }
 
-// share is this daemon's part of the requests to one cold instance.
-type share struct {
-	hash uint64
-	// allowed is how many requests it is in each window, for this revision of the roster
-	// and this rate of the service.
-	allowed  int
-	revision uint64
-	rate     int
-	// sentAt are the times of the requests of the last window, the oldest first.
-	sentAt []time.Time
-	// coldUntil is until when the instance was last found to be cold; the next time is
-	// logged again once that is over.
-	coldUntil time.Time
-}
-
 // NewLimiter returns a limiter that knows no services and no daemons yet.
 func NewLimiter(options Options) *Limiter {
 	return &Limiter{
@@ -225,7 +209,7 @@
 	return until
 }
 
-// judge tells whether a share has a request left now, or why not.
+// decide tells whether a share has a request left now, or why not.
 func (l *Limiter) decide(s *share, now time.Time) string {
 	switch {
 	case s.allowed == 0:
@@ -245,6 +229,7 @@
 	return outcomeTaken
 }
 
+// requestRefresh asks for the record to be read at once, each refreshPause at most.
 func (l *Limiter) requestRefresh(now time.Time) {
 	if now.Sub(l.refreshedAt) < refreshPause {
 		return
@@ -297,16 +282,6 @@
 		Msg("Back end is cold. It is sent this daemon's share alone.")
 }
 
-// sentInWindow drops the requests before the last window, and returns how many are left.
-func (s *share) sentInWindow(now time.Time) int {
-	old := 0
-	for old < len(s.sentAt) && now.Sub(s.sentAt[old]) >= window {
-		old++
-	}
-	s.sentAt = slices.Delete(s.sentAt, 0, old)
-	return len(s.sentAt)
-}
-
 var (
 	_ instance.TemporaryFilter = (*Limiter)(nil)
 	_ instance.Scorer          = (*Limiter)(nil)
