Relay: predicates that refuse are named so; comments of placing and metrics

Cause: isPlaceable ended the call as a side effect; its opposite refuseUnplaceable, which it calls, returns the contrary. Change: refuseIfUnplaceable; comments.

--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,8 +27,8 @@
 	begins      *prometheus.HistogramVec
 	records     *prometheus.HistogramVec
 	leftOut     prometheus.Counter
-	// givenUp are offers that were given up as nobody is reached there, by zone and by
-	// whether that is cut off or the instance alone.
+	// givenUp are offers that were given up, by zone and by whether the zone or the
+	// instance alone could not be reached.
 	givenUp *prometheus.CounterVec
 	// waits are requests that were held up, by what held them up last and by what
 	// became of them.
--- a/internal/relay/placeable.go
+++ b/internal/relay/placeable.go
@@ -9,20 +9,21 @@
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
-// isPlaceable tells whether some instance may be had for a call; if not, the call was
-// ended. It is asked before anything is reserved for the call, where regions or
-// evacuated zones may leave none.
-func (c *carrier) isPlaceable() bool {
+// refuseIfUnplaceable refuses a call for which regions or evacuated zones leave no
+// instance, and tells whether it did. It is called before anything is reserved for the
+// call.
+func (c *carrier) refuseIfUnplaceable() bool {
 	if c.regions.IsNowhere() {
 		c.refuse(Refusal{Reason: ReasonNoRegion, Detail: "No region is allowed for both the route and the tenant."})
-		return false
+		return true
 	}
 	if !c.regions.IsBound() && !c.relay.anyEvacuated() {
-		return true
+		return false
 	}
-	return !c.refuseUnplaceable(c.relay.Pool.Count(c.query()), time.Now())
+	return c.refuseUnplaceable(c.relay.Pool.Count(c.query()), time.Now())
 }
 
+// anyEvacuated tells whether any zone is evacuated.
 func (r *Relay) anyEvacuated() bool {
 	if r.Evacuations == nil {
 		return false
@@ -31,12 +32,13 @@
 	return ordered
 }
 
-// refuseUnplaceable ends a call that regions or evacuated zones alone keep from all
-// instances that could serve it. False means that there is another reason, or that
-// instances may be running in its regions that this daemon does not know of.
+// refuseUnplaceable refuses a call that regions or evacuated zones alone keep from all
+// instances that could serve it, and tells whether it did. It does not if something else
+// keeps the call from an instance, or if instances may be running in its regions that this
+// daemon does not know of.
 func (c *carrier) refuseUnplaceable(census instance.Census, now time.Time) bool {
-	evacuated, elsewhere := census.Filtered[zone.ReasonEvacuated], census.Filtered[residency.ReasonRegion]
-	others := -evacuated - elsewhere
+	evacuated, otherRegion := census.Filtered[zone.ReasonEvacuated], census.Filtered[residency.ReasonRegion]
+	others := -evacuated - otherRegion
 	for _, count := range census.Filtered {
 		others += count
 	}
@@ -46,7 +48,7 @@
 	case evacuated > 0:
 		c.refuseEvacuated(now)
 		return true
-	case elsewhere > 0 && !c.relay.Pool.IsUncertain():
+	case otherRegion > 0 && !c.relay.Pool.IsUncertain():
 		c.decide(admission.ServiceGone, now, now)
 		c.refuse(Refusal{Reason: ReasonRegionEmpty, RetryAfter: c.returnAfter(), Detail: "No back end of this service is in an allowed region."})
 		return true
@@ -54,18 +56,18 @@
 	return false
 }
 
-// refuseBound ends a call that only one instance may run again, which may not get it
-// any more: it left the list, or its zone was evacuated. It may run the call to its
-// end.
+// refuseBound ends a call that only one instance may run again, and that instance may not
+// get it any more: it left the list, or its zone was evacuated. The instance may still run
+// the call to its end.
 func (c *carrier) refuseBound() {
 	if !c.refuseUnplaceable(c.relay.Pool.Count(c.query()), time.Now()) {
 		c.refuse(brokenOff)
 	}
 }
 
-// refuseEvacuated ends a call whose service has back ends in evacuated zones only. It
-// is refused at once: operators take a zone back when they are done, which no
-// caller's time is a measure of, and another daemon knows no other back ends.
+// refuseEvacuated refuses a call whose service has back ends in evacuated zones only. It
+// does not wait: how long operators need has nothing to do with the caller's time, and
+// other daemons know no other back ends.
 func (c *carrier) refuseEvacuated(now time.Time) {
 	since := now
 	if c.relay.Evacuations != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,7 +146,7 @@
 		c.refuse(stopping)
 		return
 	}
-	if c.needsRecord() && c.refuseCutOff() || !c.isPlaceable() {
+	if c.needsRecord() && c.refuseCutOff() || c.refuseIfUnplaceable() {
 		return
 	}
 	if !c.admitByQuota(ctx) {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -47,10 +47,10 @@
 	maxShares = 2048
 )
 
-// Returns tells when a zone that operators had emptied was given back.
+// Returns tells when evacuated zones were taken back; zone.Evacuations is one.
 type Returns interface {
-	// ReturnedAt returns when that was last heard, false if it never was. It must not
-	// block.
+	// ReturnedAt returns when that was last heard of a zone, false if it was not. It must
+	// not block.
 	ReturnedAt(zone string) (time.Time, bool)
 }
 
@@ -59,7 +59,7 @@
 	Terms Terms
 	// Own is the address under which this daemon is on record.
 	Own string
-	// Returns may be nil: then no zone was ever emptied.
+	// Returns may be nil: then no zone is ever evacuated.
 	Returns Returns
 	Logger  zerolog.Logger
 	// Metrics may be nil.
--- a/internal/zone/reach/metrics.go
+++ b/internal/zone/reach/metrics.go
@@ -11,8 +11,8 @@
 	subsystem = "zone"
 )
 
-// Metrics tell what is believed. Zones are those of the settings, so that labels are
-// bounded.
+// Metrics tell which zones are taken to be cut off. Their labels are the zones that the
+// settings name.
 type Metrics struct {
 	cut      *prometheus.GaugeVec
 	found    *prometheus.CounterVec
