Clock: WaitFor, for the wait for a group that stood twice

Cause: relay.Relay.Wait and residency.Ledger.Wait held the same eleven lines. Change: clock.WaitFor. Measured: nothing to measure; tests of relay, residency and relaydaemon pass.

--- a/internal/clock/sleep.go
+++ b/internal/clock/sleep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
@@ -17,3 +18,16 @@
 	case <-timer.C:
 	}
 }
+
+// WaitFor waits until a group is done or ctx ends.
+func WaitFor(ctx context.Context, group *sync.WaitGroup) {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/residency"
@@ -163,14 +164,4 @@
 func (r *Relay) Drain() { r.draining.Store(true) }
 
 // Wait waits until all turns are settled, or ctx ends.
-func (r *Relay) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		r.settling.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
+func (r *Relay) Wait(ctx context.Context) { clock.WaitFor(ctx, &r.settling) }
--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 )
 
@@ -223,14 +224,4 @@
 }
 
 // Wait waits until what goes on in the background is done, or ctx ends.
-func (l *Ledger) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		l.settling.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
+func (l *Ledger) Wait(ctx context.Context) { clock.WaitFor(ctx, &l.settling) }
