--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -170,8 +170,8 @@
 	Urgency int
 	// ConnectionLimit bounds this daemon's connections to the instance.
 	ConnectionLimit int
-	// ConnectTime bounds the opening of a connection; 0 for the driver's own bound.
-	ConnectTime time.Duration
+	// ConnectTimeout limits the opening of a connection; 0 for the driver's own limit.
+	ConnectTimeout time.Duration
 }
 
 // Answer is the head of what an instance answered.
@@ -182,9 +182,9 @@
 	Body io.ReadCloser
 	// NotRun: the instance promises that it did not run the request.
 	NotRun bool
-	// SoundsNotRun: callers take the status for a promise that the request has not run.
-	// Without NotRun the instance did not make it.
-	SoundsNotRun bool
+	// StatusMeansNotRun: callers take the status to mean that the request has not run. The
+	// instance says so only if NotRun is set, too.
+	StatusMeansNotRun bool
 	// OtherInstance: another instance has the address by now.
 	OtherInstance bool
 }
