Evacuation: a whole reading counts after a partial one; regional directories are looked at with a pause in outages, too

Cause, by the last reading: a partial reading took the place of a whole one up to the same offset, so an order that was taken back stayed; while the store was out each unknown turn read the regions' directories in turn. Three settings were checked and read by nothing. Change: a partial reading is no version; the outcome of a look is kept for its pause, an error, too; zones_borne, store_reads and store_writes are gone. Measured: TestWholeReadingFollowsAPartialOne fails without; tests of the packages pass.

--- a/internal/relaydaemon/regional.go
+++ b/internal/relaydaemon/regional.go
@@ -46,6 +46,8 @@
 	// looking is held while the directories are read, last at lookedAt.
 	looking  sync.Mutex
 	lookedAt time.Time
+	// lookErr is the outcome of that.
+	lookErr error
 
 	mutex sync.Mutex
 	// run runs a service in the background; nil until the daemon runs.
@@ -103,21 +105,30 @@
 	}
 	r.looking.Lock()
 	defer r.looking.Unlock()
-	if r.inUse.Load() || time.Since(r.lookedAt) < lookPause {
-		return r.inUse.Load(), nil
+	if r.inUse.Load() {
+		return true, nil
+	}
+	if time.Since(r.lookedAt) >= lookPause {
+		r.lookErr = r.look(ctx)
+		r.lookedAt = time.Now()
 	}
+	return r.inUse.Load(), r.lookErr
+}
+
+// look reads the directories of all regions, and starts their ledgers if any was used.
+// While the store does not answer, those that wait for the mutex get the same error.
+func (r *regionalLedgers) look(ctx context.Context) error {
 	for _, region := range r.regions {
 		page, err := r.options.Store.NewestPage(ctx, regionalDirectory(region), "")
 		if err != nil {
-			return false, eris.Wrapf(ledger.ErrUnavailable, "directory of region %s: %v", region, err)
+			return eris.Wrapf(ledger.ErrUnavailable, "directory of region %s: %v", region, err)
 		}
 		if len(page.Records) > 0 {
 			r.startAll()
-			return true, nil
+			return nil
 		}
 	}
-	r.lookedAt = time.Now()
-	return false, nil
+	return nil
 }
 
 // regionalDirectory is the partition that tells who holds the shards of a region.
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -30,8 +30,6 @@
 	// Zones is the region of each zone of the fleet. A zone that is not in it counts as one
 	// of this daemon's region.
 	Zones map[string]string `yaml:"zones"`
-	// ZonesBorne is how many zones may be lost at once while all promises are kept.
-	ZonesBorne int `yaml:"zones_borne"`
 	// FrontAddress is where callers reach it, ReadyAddress where it tells
 	// whether it takes requests, PeerAddress where other daemons reach it;
 	// each "IP:PORT".
@@ -73,11 +71,8 @@
 	// ColdOverage plus ColdSlack requests.
 	ColdOverage float64 `yaml:"cold_overage"`
 	ColdSlack   float64 `yaml:"cold_slack"`
-	// StoreReads and StoreWrites are how many calls a second the store takes of the whole
-	// fleet, and StoreReadMegabytes how many megabytes a second it reads for them; 0 if that
-	// is not known.
-	StoreReads         float64 `yaml:"store_reads"`
-	StoreWrites        float64 `yaml:"store_writes"`
+	// StoreReadMegabytes is how many megabytes a second the store reads for the whole
+	// fleet; 0 if that is not known.
 	StoreReadMegabytes float64 `yaml:"store_read_megabytes"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
@@ -197,11 +192,8 @@
 
 // checkFleet checks what the fleet has in common.
 func (s *Settings) checkFleet(add func(field, reason string)) {
-	if s.StoreReads < 0 || s.StoreWrites < 0 || s.StoreReadMegabytes < 0 {
-		add("store_reads, store_writes, store_read_megabytes", "must not be negative")
-	}
-	if s.ZonesBorne < 0 {
-		add("zones_borne", "must not be negative")
+	if s.StoreReadMegabytes < 0 {
+		add("store_read_megabytes", "must not be negative")
 	}
 	if region, named := s.Zones[s.Zone]; named && region != s.Region {
 		add("zones", "names another region for the daemon's own zone than region does")
--- a/internal/zone/evacuation.go
+++ b/internal/zone/evacuation.go
@@ -136,6 +136,9 @@
 	if end <= before.end {
 		return nil
 	}
+	if partial {
+		end = before.end // a whole reading up to the same offset is newer
+	}
 	after := &evacuationState{end: end, evacuated: orders, returned: map[string]time.Time{}}
 	for zone, at := range before.returned {
 		if now.Sub(at) < returnMemory {
--- a/internal/zone/evacuation_test.go
+++ b/internal/zone/evacuation_test.go
@@ -179,3 +179,16 @@
 		t.Errorf("remembers the return of %v", remembered)
 	}
 }
+
+// TestWholeReadingFollowsAPartialOne: a partial reading tells of orders, and is no version
+// of the whole set: one up to the same offset that has all records still counts.
+func TestWholeReadingFollowsAPartialOne(t *testing.T) {
+	var e Evacuations
+	start := time.Now()
+	e.Take(Reading{End: 5, Orders: []Order{{Zone: "c", Offset: 4}}}, start)
+	e.Take(Reading{End: 9, Partial: true}, start)
+	changes := e.Take(Reading{End: 9}, start)
+	if _, evacuated := e.Since("c"); evacuated || len(changes) != 1 {
+		t.Errorf("the zone that was taken back is evacuated: %v, changes %v", evacuated, changes)
+	}
+}
