--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -66,7 +66,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(cause, ErrGivenUp) {
 		_ = tcp.SetLinger(0) // fails on a connection that is closed already
 	}
-	_ = c.Close()
+	_ = c.Close() // the exchange fails by its reading
 }
 
 // NewPool returns a pool whose dials take dialTimeout at most.
--- a/internal/ledger/turns.go
+++ b/internal/ledger/turns.go
@@ -67,7 +67,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endedLife/2)
 		defer cancel()
-		_ = s.End(ctx, Outcome{Turn: turn.ID, Program: turn.Program})
+		_ = s.End(ctx, Outcome{Turn: turn.ID, Program: turn.Program}) // else its reservation stays spent
 	}()
 }
 
--- a/internal/peer/tcp/inbound.go
+++ b/internal/peer/tcp/inbound.go
@@ -34,7 +34,7 @@
 		t.mutex.Lock()
 		if t.closed {
 			t.mutex.Unlock()
-			_ = conn.Close()
+			_ = conn.Close() // the transport is closed
 			return
 		}
 		t.accept[conn] = struct{}{}
@@ -61,7 +61,7 @@
 		t.mutex.Lock()
 		delete(t.accept, conn)
 		t.mutex.Unlock()
-		_ = conn.Close()
+		_ = conn.Close() // its messages end here
 	}()
 	scanner := bufio.NewScanner(conn)
 	scanner.Buffer(make([]byte, 0, bufferSize), lineLimit)
--- a/internal/peer/tcp/link.go
+++ b/internal/peer/tcp/link.go
@@ -76,7 +76,7 @@
 		}
 		pause = firstRedialPause
 		t.writeTo(l, conn)
-		_ = conn.Close()
+		_ = conn.Close() // it is given up
 	}
 }
 
@@ -116,7 +116,7 @@
 		case <-gone:
 			return
 		case line := <-l.lines:
-			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // if that fails, so does the write
 			_, err := writer.Write(line.Bytes())
 			recycle(line)
 			if err != nil {
@@ -135,13 +135,13 @@
 // writeRest writes what was queued before the transport was closed, such as
 // this daemon's word that it has left.
 func writeRest(l *link, conn net.Conn, writer *bufio.Writer) {
-	_ = conn.SetWriteDeadline(time.Now().Add(closeTimeout))
+	_ = conn.SetWriteDeadline(time.Now().Add(closeTimeout)) // if that fails, so does the write
 	for len(l.lines) > 0 {
 		if _, err := writer.Write((<-l.lines).Bytes()); err != nil {
 			return
 		}
 	}
-	_ = writer.Flush()
+	_ = writer.Flush() // the process ends either way
 }
 
 // watchClosed notices that the other side closed: nothing is ever read on an
@@ -149,5 +149,5 @@
 func watchClosed(conn net.Conn, gone chan<- struct{}) {
 	defer close(gone)
 	var one [1]byte
-	_, _ = conn.Read(one[:])
+	_, _ = conn.Read(one[:]) // whatever it returns, the connection has ended
 }
