tokenbucket: one token bucket for quota and membership

Cause: quota's limiter wrote again what membership already had, with the same refill. Change: internal/tokenbucket serves both; in membership's test only the method's name changes.

--- a/internal/membership/broadcast.go
+++ b/internal/membership/broadcast.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
 
 // broadcast keeps the updates that this daemon passes on: each is piggybacked on
@@ -14,7 +15,7 @@
 	items   []*queuedUpdate
 	pending []Update
 	waiting bool
-	pushes  tokenBucket
+	pushes  tokenbucket.Bucket
 }
 
 // queuedUpdate is an update with the number of messages that carried it.
@@ -24,7 +25,7 @@
 }
 
 func (b *broadcast) init(settings Settings) {
-	b.pushes = newTokenBucket(settings.PushBytesPerSecond, settings.PushBurst)
+	b.pushes = tokenbucket.Full(float64(settings.PushBytesPerSecond), float64(settings.PushBurst))
 }
 
 // add queues an update in place of an older one of the same address.
@@ -131,7 +132,7 @@
 	size := messageSize + updateSize*len(updates)
 	own := mentions(updates, m.self.address)
 	for i, r := range targets {
-		if m.broadcast.pushes.take(m.Clock.Now(), size) < size && !own {
+		if m.broadcast.pushes.Take(m.Clock.Now(), size) < size && !own {
 			m.pushLater(updates, targets[i:])
 			return
 		}
--- a/internal/membership/heal.go
+++ b/internal/membership/heal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
 
 // A cut is a partition of the network. When it ends, each side still believes much of the
@@ -53,7 +54,7 @@
 	readings int
 	answered bool
 	// pushes bounds the bytes by which neighbours are told.
-	pushes tokenBucket
+	pushes tokenbucket.Bucket
 }
 
 // isHealing tells whether a cut ended just now.
@@ -128,7 +129,7 @@
 	}
 	message := &UpdatePush{Updates: []Update{back.update()}, Healed: true}
 	for _, neighbour := range m.pickNeighbours(m.settings.PushFanout, back) {
-		if m.healer.pushes.take(now, messageSize+recordSize) == messageSize+recordSize {
+		if m.healer.pushes.Take(now, messageSize+recordSize) == messageSize+recordSize {
 			m.Transport.Send(neighbour.daemon.ID, message)
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,7 @@
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/serial"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
 
 // Options give a Membership what it works with.
@@ -76,7 +77,7 @@
 	m.prober.init()
 	m.broadcast.init(options.Settings)
 	m.syncer.init(options.Settings)
-	m.healer.pushes = newTokenBucket(healBytesPerSecond, healBurst)
+	m.healer.pushes = tokenbucket.Full(float64(healBytesPerSecond), float64(healBurst))
 	return m
 }
 
--- a/internal/membership/news_test.go
+++ b/internal/membership/news_test.go
@@ -148,7 +148,7 @@
 	observer.Transport = recorder
 	live := len(w.nodes) - 2
 	pushSize := messageSize + updateSize
-	observer.broadcast.pushes.take(w.clock.Now(), observer.settings.PushBurst-(live-1)*pushSize-1)
+	observer.broadcast.pushes.Take(w.clock.Now(), observer.settings.PushBurst-(live-1)*pushSize-1)
 	subject.down = true
 	update := subject.self.update()
 	update.Status = statusSuspect
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
 
 // joinTime is how long after its start a daemon looks for others at the shorter
@@ -26,7 +27,7 @@
 	differsSince map[structs.DaemonID]time.Time
 	// readAt is when another's table was last asked for.
 	readAt  time.Time
-	replies tokenBucket
+	replies tokenbucket.Bucket
 	// pending are the runs that are to be probed, and verifying tells that one is.
 	pending   []pendingVerification
 	verifying bool
@@ -40,7 +41,7 @@
 
 func (s *syncer) init(settings Settings) {
 	s.differsSince = map[structs.DaemonID]time.Time{}
-	s.replies = newTokenBucket(settings.SyncBytesPerSecond, settings.SyncBurst)
+	s.replies = tokenbucket.Full(float64(settings.SyncBytesPerSecond), float64(settings.SyncBurst))
 }
 
 // compareTable reads a daemon's table when it has differed for a while, which
@@ -178,7 +179,7 @@
 		updates = append(updates, m.differing(request.Buckets)...)
 		updates = updates[:min(len(updates), m.settings.SyncRecords)]
 	}
-	granted := m.syncer.replies.take(m.Clock.Now(), size*len(updates)) / size
+	granted := m.syncer.replies.Take(m.Clock.Now(), size*len(updates)) / size
 	m.Transport.Send(from, &SyncReply{
 		Updates: updates[:min(len(updates), max(granted, leastSyncRecords))],
 		Living:  request.Living,
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -55,7 +55,7 @@
 		return
 	}
 	size := messageSize + updateSize*len(refuted)
-	if m.broadcast.pushes.take(m.Clock.Now(), size) == size {
+	if m.broadcast.pushes.Take(m.Clock.Now(), size) == size {
 		m.Transport.Send(from, &UpdatePush{Updates: refuted})
 	}
 }
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
 
 // ErrUnasked: the tenant's owner can not be asked, and this daemon has nothing of
@@ -67,7 +69,7 @@
 	troubledAt time.Time
 	lostAt     time.Time
 	// unasked is what requests pass on meanwhile.
-	unasked tokenBucket
+	unasked tokenbucket.Bucket
 }
 
 type answer struct {
@@ -155,17 +157,17 @@
 	if u.lostAt.IsZero() {
 		u.lostAt = now
 		rate := float64(u.used(g.slot(now))) / g.window.Seconds()
-		u.unasked = tokenBucket{rate: rate, capacity: unaskedCapacity, tokens: unaskedCapacity, at: now}
+		u.unasked = tokenbucket.Bucket{Rate: rate, Capacity: unaskedCapacity, Tokens: unaskedCapacity, At: now}
 	}
 	bucket := &u.unasked
-	bucket.refill(now)
+	bucket.Refill(now)
 	switch {
-	case bucket.rate == 0 && bucket.tokens < 1, now.Sub(u.lostAt) > unaskedFor:
+	case bucket.Rate == 0 && bucket.Tokens < 1, now.Sub(u.lostAt) > unaskedFor:
 		return askTime
-	case bucket.tokens < 1:
-		return bucket.timeToFill(1-bucket.tokens) + 1
+	case bucket.Tokens < 1:
+		return bucket.TimeToFill(1-bucket.Tokens) + 1
 	}
-	bucket.tokens--
+	bucket.Tokens--
 	return 0
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/tokenbucket"
+)
 
 const (
 	// lookInterval separates looks for programs that have ended.
@@ -35,7 +39,7 @@
 
 // bucket is what is left to one tenant.
 type bucket struct {
-	tokenBucket
+	tokenbucket.Bucket
 	limit   Limit
 	version int64
 	// programs are those under way, and byRoute counts them by route.
@@ -55,7 +59,7 @@
 // Decide admits a request or tells when one like it is admitted.
 func (l *Limiter) Decide(ask Ask, now time.Time) Verdict {
 	b := l.bucketOf(ask, now)
-	b.refill(now)
+	b.Refill(now)
 	if now.Sub(b.lookedAt) >= lookInterval {
 		b.lookedAt = now
 		l.endIdle(b, now)
@@ -64,11 +68,11 @@
 	if ask.Returned {
 		b.giveBack(known)
 	}
-	verdict := Verdict{Tokens: b.tokens, Programs: len(b.programs)}
+	verdict := Verdict{Tokens: b.Tokens, Programs: len(b.programs)}
 	switch {
 	case ask.Returned:
 		return verdict
-	case b.tokens < 1:
+	case b.Tokens < 1:
 		verdict.Reason = ReasonSpent
 		verdict.AfterMS = b.timeUntil(1).Milliseconds() + 1
 		return verdict
@@ -79,7 +83,7 @@
 			return verdict
 		}
 	}
-	b.tokens--
+	b.Tokens--
 	b.note(ask, known, now)
 	verdict.Admitted, verdict.Reason = true, ReasonRoom
 	return verdict
@@ -90,16 +94,16 @@
 	b := l.tenants[ask.Tenant]
 	if b == nil {
 		b = &bucket{lookedAt: now, programs: map[string]*program{}, byRoute: map[string]int{}}
-		b.at = l.since
-		b.tokens = b.set(ask, l.terms).start
+		b.At = l.since
+		b.Tokens = b.set(ask, l.terms).start
 		if l.first {
-			b.tokens = b.capacity
+			b.Tokens = b.Capacity
 		}
-		b.refill(now)
+		b.Refill(now)
 		l.tenants[ask.Tenant] = b
 	}
 	if ask.Version > b.version && ask.Limit != b.limit {
-		b.refill(now)
+		b.Refill(now)
 		b.set(ask, l.terms)
 	}
 	b.version = max(b.version, ask.Version)
@@ -110,14 +114,14 @@
 func (b *bucket) set(ask Ask, terms Terms) bounds {
 	b.limit, b.version = ask.Limit, ask.Version
 	made := terms.boundsOf(ask.Limit)
-	b.rate, b.capacity = made.rate, made.capacity
-	b.tokens = min(b.tokens, b.capacity)
+	b.Rate, b.Capacity = made.rate, made.capacity
+	b.Tokens = min(b.Tokens, b.Capacity)
 	return made
 }
 
 // giveBack takes back what a request was admitted on that did not run.
 func (b *bucket) giveBack(known *program) {
-	b.tokens = min(b.tokens+1, b.capacity)
+	b.Tokens = min(b.Tokens+1, b.Capacity)
 	if known != nil && known.made > 0 {
 		known.made--
 	}
@@ -125,7 +129,7 @@
 
 // timeUntil is when the bucket holds so much.
 func (b *bucket) timeUntil(tokens float64) time.Duration {
-	return min(b.timeToFill(max(tokens-b.tokens, 0)), longestAfter)
+	return min(b.TimeToFill(max(tokens-b.Tokens, 0)), longestAfter)
 }
 
 // knowsPrograms tells whether every program under way was seen here: for some seconds
@@ -147,8 +151,8 @@
 		for underway, count := range b.byRoute {
 			wanted += float64(count) * l.forecast.of(underway).left(horizon)
 		}
-		if got := b.tokens + b.rate*horizon.Seconds(); wanted > got {
-			longest = max(longest, b.timeToFill(wanted-got))
+		if got := b.Tokens + b.Rate*horizon.Seconds(); wanted > got {
+			longest = max(longest, b.TimeToFill(wanted-got))
 		}
 	}
 	return min(longest, longestAfter)
