Sight: why readings of the store end, and how old beliefs are at an offer

Cause: logs could not tell a reading that was broken off for another from one that was late, nor whether the store had begun to answer it.

--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -135,6 +135,7 @@
 
 func (c *carrier) send(ctx context.Context, target instance.Instance, outgoing Outgoing) (*Answer, error) {
 	c.offers++
+	c.noteBeliefs()
 	now := time.Now()
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
@@ -147,6 +148,15 @@
 	return answer, err
 }
 
+// noteBeliefs notes how old what the offer rests on is.
+func (c *carrier) noteBeliefs() {
+	routes := time.Duration(0)
+	if c.relay.RoutesAge != nil {
+		routes = c.relay.RoutesAge()
+	}
+	c.relay.Metrics.offered(c.relay.Pool.Age(), routes)
+}
+
 // release ends the latest offer with an outcome.
 func (c *carrier) release(target instance.Instance, outcome instance.Outcome) {
 	c.relay.monitor.endOffer(c.latest.watched)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -27,6 +27,8 @@
 	begins      *prometheus.HistogramVec
 	records     *prometheus.HistogramVec
 	leftOut     prometheus.Counter
+	// beliefAges are, at each offer, how old what the daemon believes is, by what it is of.
+	beliefAges *prometheus.HistogramVec
 	// givenUp are offers that were given up, by zone and by whether the zone or the
 	// instance alone could not be reached.
 	givenUp *prometheus.CounterVec
@@ -52,7 +54,8 @@
 	m.tenants = newTenantMetrics()
 	m.givenUp = counters("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what")
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
-	registry.MustRegister(m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits, m.givenUp, m.tenants.requests)
+	m.beliefAges = histograms("belief_age_seconds", "At each offer, since when what it rests on was not confirmed, by what that is.", "of")
+	registry.MustRegister(m.beliefAges, m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits, m.givenUp, m.tenants.requests)
 	return m
 }
 
@@ -100,6 +103,18 @@
 	m.givenUp.WithLabelValues(zone, what).Inc()
 }
 
+// Beliefs that an offer rests on.
+const (
+	beliefInstances = "instances"
+	beliefRoutes    = "routes"
+)
+
+// offered notes how old the list of instances and the routes are at an offer.
+func (m *Metrics) offered(instances, routes time.Duration) {
+	m.beliefAges.WithLabelValues(beliefInstances).Observe(instances.Seconds())
+	m.beliefAges.WithLabelValues(beliefRoutes).Observe(routes.Seconds())
+}
+
 func (m *Metrics) lineLeftOut() { m.leftOut.Inc() }
 
 func (m *Metrics) retry() { m.runs.WithLabelValues("retry").Inc() }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	Admission *admission.Admission
 	// Table returns the routes in force, nil while none are known.
 	Table func() *route.Table
+	// RoutesAge returns since when it was not confirmed that the routes in force are the
+	// newest; nil if that is not known.
+	RoutesAge func() time.Duration
 	// Daemons returns how many daemons share the instances' connections.
 	Daemons func() int
 	// Evacuations are which zones the operators evacuated; nil if none ever is.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/mintpulley/mintpulley/internal/peer/tcp"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
@@ -65,6 +66,8 @@
 	// store is reached by way of other daemons where this one does not reach it.
 	store   *proxy.Service
 	figures *prometheus.Registry
+	// watchMetrics count the readings of what is followed in the store.
+	watchMetrics *store.WatchMetrics
 	// servers are all servers but front, the one that callers reach.
 	servers []*http.Server
 	front   *frontServer
@@ -95,6 +98,9 @@
 		settings: settings,
 		logger:   logger,
 		figures:  figures,
+
+		watchMetrics: store.NewWatchMetrics(figures),
+
 		hasTable: make(chan struct{}),
 		keys:     newConfirmation(),
 
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -118,12 +118,13 @@
 // joinRelay prepares the relay of callers' requests.
 func (d *Daemon) joinRelay() {
 	d.relay = relay.New(relay.Options{
-		Pool:    d.pool,
-		Driver:  d.adapter.Driver(),
-		Ledger:  d.regional.ledgerWith(d.ledger),
-		Quota:   quota.NewGate(d.ledger, d.settings.quotaTerms()),
-		Table:   d.table.Load,
-		Daemons: func() int { return len(d.membership.Members()) },
+		Pool:      d.pool,
+		Driver:    d.adapter.Driver(),
+		Ledger:    d.regional.ledgerWith(d.ledger),
+		Quota:     quota.NewGate(d.ledger, d.settings.quotaTerms()),
+		Table:     d.table.Load,
+		RoutesAge: d.routesAge,
+		Daemons:   func() int { return len(d.membership.Members()) },
 
 		Evacuations: &d.evacuations,
 		Zones:       d.zones,
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -136,6 +136,12 @@
 	return table.Version, asOf
 }
 
+// routesAge is since when it was not confirmed that the routes in force are the newest.
+func (d *Daemon) routesAge() time.Duration {
+	asOf, _ := d.keys.last()
+	return time.Since(asOf)
+}
+
 // Hear implements ledger.Confirmations: what each daemon hears of some others keeps
 // its keys confirmed for longer into an outage, with no call to the store. A word of
 // newer routes makes this daemon read them.
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -32,6 +32,8 @@
 		OnAdvance: d.takeOperators,
 		OnRead:    d.confirmRoutes,
 		Hurry:     d.keys.hurry,
+		Metrics:   d.watchMetrics,
+		Logger:    &d.logger,
 		OnContact: func(err error) {
 			d.keys.noteContact(err)
 			d.contact("routes")(err)
@@ -91,6 +93,8 @@
 		Contact:   d.store,
 		Partition: d.adapter.InstancesPartition(),
 		Settings:  instancesWatch,
+		Metrics:   d.watchMetrics,
+		Logger:    &d.logger,
 		OnChange: func(records map[string]store.Record) {
 			d.adapter.Forget(d.pool.Replace(d.adapter.Instances(records)))
 		},
--- /dev/null
+++ b/internal/store/progress.go
@@ -0,0 +1,35 @@
+package store
+
+import (
+	"context"
+	"sync/atomic"
+)
+
+// Progress tells the caller of a reading how much of the store's answer has arrived. It
+// is safe for concurrent use.
+type Progress struct{ bytes atomic.Int64 }
+
+// progressKey is the key of a context's Progress.
+type progressKey struct{}
+
+// WithProgress returns a context under which the store's driver tells the progress of a
+// call.
+func WithProgress(ctx context.Context) (context.Context, *Progress) {
+	progress := &Progress{}
+	return context.WithValue(ctx, progressKey{}, progress), progress
+}
+
+// ProgressOf returns the progress of the call that is made under a context. It is never
+// nil.
+func ProgressOf(ctx context.Context) *Progress {
+	if progress, watched := ctx.Value(progressKey{}).(*Progress); watched {
+		return progress
+	}
+	return &Progress{}
+}
+
+// Note takes note of bytes that arrived; the head of an answer counts as one.
+func (p *Progress) Note(bytes int) { p.bytes.Add(int64(bytes)) }
+
+// Bytes returns how many bytes arrived so far.
+func (p *Progress) Bytes() int64 { return p.bytes.Load() }
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
@@ -45,6 +47,9 @@
 	// Hurry, if given, makes a reading that waits for a change be broken off, and
 	// made anew at once.
 	Hurry <-chan struct{}
+	// Metrics, if given, count the readings, and Logger hears of those that bring nothing.
+	Metrics *WatchMetrics
+	Logger  *zerolog.Logger
 }
 
 // Run follows the partition until ctx ends.
@@ -58,7 +63,11 @@
 			wait = 0 // what counts is whether, and how fresh, the store answers
 		}
 		asOf := time.Now()
-		changed, from, err := w.advance(ctx, known, next, wait)
+		reading, progress := WithProgress(ctx)
+		changed, from, err := w.advance(reading, known, next, wait)
+		if ctx.Err() == nil {
+			w.report(outcomeOfReading(changed, err), time.Since(asOf), progress.Bytes(), err)
+		}
 		next = from
 		hurried = errors.Is(err, errReturned)
 		if hurried {
@@ -91,6 +100,19 @@
 	}
 }
 
+// outcomeOfReading returns how a reading ended.
+func outcomeOfReading(changed bool, err error) readingOutcome {
+	switch {
+	case errors.Is(err, errReturned):
+		return readingBrokenOff
+	case err != nil:
+		return readingFailed
+	case changed:
+		return readingChanged
+	}
+	return readingUnchanged
+}
+
 // tell calls OnAdvance, or OnChange without it.
 func (w *Watcher) tell(known map[string]Record, end int64) {
 	if w.OnAdvance != nil {
