--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -7,6 +7,10 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
+// shortestDrain is the shortest time that operators give daemons to stop sending to an
+// instance that leaves.
+const shortestDrain = 2 * time.Second
+
 // How operators' and back ends' records are watched. A read that hangs as its machine was
 // cut off must end within the 3 s after which a machine that reaches the store again has to
 // act on what is there: Wait + Answer is below that. Back ends write often: Pause has their
