store: a reading is not broken off to be made anew; a late one is made once more beside it

Cause: word of newer routes from other daemons, and callers that wait for a confirmation of the keys, broke off the reading of the routes up to every 0.1 s, and a limit of 0.7 s did so once the store's queue was longer. The store goes on with what nobody waits for. Change: a reading has several calls, of which the first answer counts. One that is late is made once more, on a fresh connection; word of newer routes makes it late sooner; a wish for the newest adds a call only while the reading waits. A store counts as lost after the second late call. Waits are 1.2 s (routes) and 0.6 s (instances) in place of 1.5 and 2 s.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -105,6 +105,8 @@
 	Connections int
 	// SendBy is when the request must have begun to be sent; zero sets no limit.
 	SendBy time.Time
+	// Fresh: a connection is opened, none that rested is used.
+	Fresh bool
 	// ConnectTimeout limits the opening of a connection; 0 for the pool's own limit.
 	ConnectTimeout time.Duration
 }
@@ -114,7 +116,10 @@
 // wraps ErrNotSent or ErrBroken. When ctx ends, the connection is closed; if its cause is
 // ErrGivenUp, what was not delivered is dropped.
 func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
-	c := p.takeIdle(name)
+	var c *conn
+	if !bounds.Fresh {
+		c = p.takeIdle(name)
+	}
 	if c == nil {
 		var err error
 		if c, err = p.open(ctx, name, bounds); err != nil {
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -38,10 +38,14 @@
 	// hurry makes the watch of the routes read at once.
 	hurry     chan struct{}
 	hurriedAt time.Time
+	// newerRoutes tells the watch of the routes that there are newer ones.
+	newerRoutes chan struct{}
 }
 
 func newConfirmation() *confirmation {
-	return &confirmation{renewed: make(chan struct{}), hurry: make(chan struct{}, 1)}
+	return &confirmation{
+		renewed: make(chan struct{}), hurry: make(chan struct{}, 1), newerRoutes: make(chan struct{}, 1),
+	}
 }
 
 // note takes a confirmation as of a time. What the store answered
@@ -99,6 +103,15 @@
 	}
 }
 
+// expectRoutes tells the watch that there are newer routes. It breaks nothing off: the reading
+// under way brings them, and is made once more only if it does not begin to.
+func (c *confirmation) expectRoutes() {
+	select {
+	case c.newerRoutes <- struct{}{}:
+	default:
+	}
+}
+
 // await waits for a confirmation that is no older than a time, until a moment or
 // until ctx ends, and tells whether there is one.
 func (c *confirmation) await(ctx context.Context, atMost time.Duration, until time.Time) bool {
@@ -144,7 +157,7 @@
 
 // Hear implements ledger.Confirmations: what each daemon hears of some others keeps
 // its keys confirmed for longer into an outage, with no call to the store. A word of
-// newer routes makes this daemon read them.
+// newer routes makes this daemon expect them.
 func (d *Daemon) Hear(version int64, asOf time.Time) {
 	table := d.table.Load()
 	switch {
@@ -152,7 +165,7 @@
 	case table.Version >= version:
 		d.keys.note(asOf)
 	default:
-		d.keys.ask(time.Now())
+		d.keys.expectRoutes()
 	}
 }
 
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -11,17 +11,17 @@
 // instance that leaves.
 const shortestDrain = 2 * time.Second
 
-// How operators' and back ends' records are watched. A read that hangs as its machine was
-// cut off must end within the 3 s after which a machine that reaches the store again has to
-// act on what is there: Wait + Answer is below that. Back ends write often: Pause has their
-// changes read together. Each read confirms the routes: one that hangs must leave time for
-// another before keys count as unconfirmed, 2 x Wait + Answer + Retry.
+// How operators' and back ends' records are watched. A reading whose connection goes silent is
+// made once more Wait + Answer after it began: that stays below shortestDrain, with time left for
+// a second one that hangs (2 x Answer) and for a request on its way, and below the two seconds
+// within which operators expect new routes in force. Back ends write often: Pause has their
+// changes read together. Each reading confirms the routes, and with them the keys.
 var (
 	routesWatch = store.WatchSettings{
-		Wait: 1500 * time.Millisecond, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Wait: 1200 * time.Millisecond, Answer: 400 * time.Millisecond, Retry: 150 * time.Millisecond,
 	}
 	instancesWatch = store.WatchSettings{
-		Wait: 2 * time.Second, Answer: 700 * time.Millisecond, Retry: 150 * time.Millisecond,
+		Wait: 600 * time.Millisecond, Answer: 400 * time.Millisecond, Retry: 150 * time.Millisecond,
 		Pause: 500 * time.Millisecond,
 	}
 )
@@ -36,6 +36,7 @@
 		OnAdvance: d.takeOperators,
 		OnRead:    d.confirmRoutes,
 		Hurry:     d.keys.hurry,
+		Expected:  d.keys.newerRoutes,
 		Metrics:   d.watchMetrics,
 		Logger:    &d.logger,
 		OnContact: func(err error) {
--- a/internal/store/contact.go
+++ b/internal/store/contact.go
@@ -1,15 +1,6 @@
 package store
 
-import (
-	"context"
-	"errors"
-
-	"github.com/rotisserie/eris"
-)
-
-// errReturned: a call was broken off to be made anew, because the store answers
-// again or somebody asked for it.
-var errReturned = eris.New("store: the call was broken off to be made anew")
+import "context"
 
 // Contact tells a store's users when it is worth trying again. It is safe for
 // concurrent use.
@@ -31,36 +22,20 @@
 // IsIsolated implements Contact.
 func (NoContact) IsIsolated() bool { return false }
 
-// UntilReturned returns a context that also ends when the store answers again:
-// a call that hangs since before is then made anew. The caller must call stop.
+// UntilReturned returns a context that also ends when the store answers again. The caller
+// must call stop.
 func UntilReturned(ctx context.Context, contact Contact) (until context.Context, stop context.CancelFunc) {
-	return untilSignal(ctx, contact.Returned(), nil)
-}
-
-// untilSignal returns a context that also ends with one of two signals, of which
-// either may be nil.
-func untilSignal(ctx context.Context, first, second <-chan struct{}) (until context.Context, stop context.CancelFunc) {
-	if first == nil && second == nil {
-		return ctx, func() {}
+	returned := contact.Returned()
+	until, stop = context.WithCancel(ctx)
+	if returned == nil {
+		return until, stop
 	}
-	until, cancel := context.WithCancelCause(ctx)
 	go func() {
 		select {
-		case <-first:
-		case <-second:
+		case <-returned:
+			stop()
 		case <-until.Done():
-			return
 		}
-		cancel(errReturned)
 	}()
-	return until, func() { cancel(nil) }
-}
-
-// brokenOff is the error of a call that failed: errReturned if UntilReturned
-// ended it.
-func brokenOff(ctx context.Context, err error) error {
-	if errors.Is(context.Cause(ctx), errReturned) {
-		return errReturned
-	}
-	return err
+	return until, stop
 }
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -33,3 +33,18 @@
 
 // Bytes returns how many bytes arrived so far.
 func (p *Progress) Bytes() int64 { return p.bytes.Load() }
+
+// freshKey is the key of a context whose calls want a fresh connection.
+type freshKey struct{}
+
+// WithFreshConnection marks calls that must not share the connection of an earlier one: it
+// hangs, and others that were opened before may be as silent.
+func WithFreshConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, freshKey{}, true)
+}
+
+// WantsFreshConnection tells whether calls under a context were marked so.
+func WantsFreshConnection(ctx context.Context) bool {
+	fresh, _ := ctx.Value(freshKey{}).(bool)
+	return fresh
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,11 +13,12 @@
 type WatchSettings struct {
 	// Wait is how long one reading waits at the store for a change.
 	Wait time.Duration
-	// Answer is how much longer than that the store may take.
+	// Answer is how long after that nothing of the answer may arrive until the reading is
+	// made a second time, beside the first; see reading.
 	Answer time.Duration
 	// Pause separates readings, so that frequent changes are read together.
 	Pause time.Duration
-	// Retry separates tries while the store does not answer.
+	// Retry separates readings while the store refuses them.
 	Retry time.Duration
 }
 
@@ -41,12 +41,15 @@
 	// OnContact is called when the store is lost, with the cause, and with nil
 	// when it answers again.
 	OnContact func(err error)
-	// Contact, if given, tells when the store answers again: then a reading that
-	// hangs is broken off and made anew.
+	// Contact, if given, tells when the store answers again: then a reading is made
+	// beside one that hangs.
 	Contact Contact
-	// Hurry, if given, makes a reading that waits for a change be broken off, and
-	// made anew at once.
+	// Hurry, if given, asks for a reading that does not wait for a change: somebody wants
+	// to know what is the newest now.
 	Hurry <-chan struct{}
+	// Expected, if given, tells that there are changes which were not read yet: a reading
+	// that waits for some is due.
+	Expected <-chan struct{}
 	// Metrics, if given, count the readings, and Logger hears of those that bring nothing.
 	Metrics *WatchMetrics
 	Logger  *zerolog.Logger
@@ -56,63 +59,40 @@
 func (w *Watcher) Run(ctx context.Context) {
 	known := map[string]Record{}
 	next := int64(-1)
-	lost, hurried := false, false
+	contact := watchContact{tell: w.OnContact}
 	for ctx.Err() == nil {
 		wait := w.Settings.Wait
-		if lost || hurried {
-			wait = 0 // what counts is whether, and how fresh, the store answers
+		if contact.lost {
+			wait = 0 // what counts is whether the store answers
 		}
-		asOf := time.Now()
-		reading, progress := WithProgress(ctx)
-		changed, from, err := w.advance(reading, known, next, wait)
-		if ctx.Err() == nil {
-			w.report(outcomeOfReading(changed, err), time.Since(asOf), progress.Bytes(), err)
-		}
-		next = from
-		hurried = errors.Is(err, errReturned)
-		if hurried {
-			continue
-		}
-		if err != nil {
-			if ctx.Err() == nil && !lost {
-				lost = true
-				w.OnContact(err)
-			}
+		answer := newReading(w, next, &contact).run(ctx, wait)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case answer.err != nil:
+			contact.noteLost(answer.err)
 			w.pause(ctx)
 			continue
 		}
-		if lost {
-			lost = false
-			w.OnContact(nil)
-		}
+		contact.noteAnswer()
+		next = answer.end
 		if next < 0 {
 			continue // the records that follow are gone: nothing is known of what they told
 		}
-		if changed {
+		if answer.listed {
+			clear(known)
+		}
+		ApplyNewest(known, answer.records)
+		if answer.isChange() {
 			w.tell(known, next)
-		} else if time.Since(asOf) >= wait {
-			asOf = asOf.Add(wait) // a record that came before would have been the answer
 		}
 		if w.OnRead != nil {
-			w.OnRead(asOf)
+			w.OnRead(answer.asOf())
 		}
 		clock.Sleep(ctx, w.Settings.Pause)
 	}
 }
 
-// outcomeOfReading returns how a reading ended.
-func outcomeOfReading(changed bool, err error) readingOutcome {
-	switch {
-	case errors.Is(err, errReturned):
-		return readingBrokenOff
-	case err != nil:
-		return readingFailed
-	case changed:
-		return readingChanged
-	}
-	return readingUnchanged
-}
-
 // tell calls OnAdvance, or OnChange without it.
 func (w *Watcher) tell(known map[string]Record, end int64) {
 	if w.OnAdvance != nil {
@@ -122,7 +102,7 @@
 	w.OnChange(known)
 }
 
-// pause waits before the next try, until the store answers again at most.
+// pause waits before the next reading, until the store answers again at most.
 func (w *Watcher) pause(ctx context.Context) {
 	ctx, stop := UntilReturned(ctx, w.contact())
 	defer stop()
@@ -136,31 +116,22 @@
 	return w.Contact
 }
 
-// advance reads what follows next, or everything if next is negative. It
-// returns where to go on.
-func (w *Watcher) advance(ctx context.Context, known map[string]Record, next int64, wait time.Duration) (changed bool, from int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+w.Settings.Answer)
-	defer cancel()
-	ctx, stop := untilSignal(ctx, w.contact().Returned(), w.Hurry)
-	defer stop()
-	if next < 0 {
-		ctx = WithPurpose(ctx, Purpose("list_"+w.Partition.Space))
-		records, end, err := Newest(ctx, w.Store, w.Partition)
-		if err != nil {
-			return false, -1, brokenOff(ctx, err)
-		}
-		clear(known)
-		ApplyNewest(known, records)
-		return true, end, nil
-	}
-	ctx = WithPurpose(ctx, Purpose("watch_"+w.Partition.Space))
-	records, end, err := w.Store.Read(ctx, w.Partition, next, wait)
-	if errors.Is(err, ErrTrimmed) {
-		return false, -1, nil
+// watchContact is whether a watcher takes the store for lost.
+type watchContact struct {
+	lost bool
+	tell func(err error)
+}
+
+func (c *watchContact) noteLost(err error) {
+	if !c.lost {
+		c.lost = true
+		c.tell(err)
 	}
-	if err != nil {
-		return false, next, brokenOff(ctx, err)
+}
+
+func (c *watchContact) noteAnswer() {
+	if c.lost {
+		c.lost = false
+		c.tell(nil)
 	}
-	ApplyNewest(known, records)
-	return len(records) > 0, end, nil
 }
--- a/internal/store/watch_busy_test.go
+++ b/internal/store/watch_busy_test.go
@@ -162,3 +162,64 @@
 		}
 	})
 }
+
+// silentStore answers nothing to the readings that wait while it is silent, and counts those
+// that do not wait.
+type silentStore struct {
+	*memory.Store
+	silent bool
+	urgent int
+}
+
+func (s *silentStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	if wait > 0 && s.silent {
+		<-ctx.Done()
+		return nil, from, store.ErrOutcomeUnknown
+	}
+	if wait == 0 {
+		s.urgent++
+	}
+	return s.Store.Read(ctx, p, from, wait)
+}
+
+// TestExpectedChangeIsReadAlthoughTheReadingHangs: who hears of a change does not wait for the
+// end of a reading's wait, and who gets it from the reading makes no further one.
+func TestExpectedChangeIsReadAlthoughTheReadingHangs(t *testing.T) {
+	for name, isSilent := range map[string]bool{"the reading hangs": true, "the reading brings it": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &silentStore{Store: memory.New(), silent: isSilent}
+				expected := make(chan struct{}, 1)
+				changed := make(chan struct{}, 2)
+				watcher := store.Watcher{
+					Store: s, Partition: store.Partition{Space: "x"}, Expected: expected,
+					Settings:  store.WatchSettings{Wait: time.Minute, Answer: 400 * time.Millisecond},
+					OnChange:  func(map[string]store.Record) { changed <- struct{}{} },
+					OnContact: func(error) {},
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				go watcher.Run(ctx)
+				<-changed // the first listing
+				time.Sleep(time.Second)
+				if err := s.Append(ctx, watcher.Partition, store.Writer{}, []store.Record{{Key: "a", Value: []byte("1")}}); err != nil {
+					t.Fatal(err)
+				}
+				began := time.Now()
+				for len(changed) == 0 && time.Since(began) < 10*time.Second { // others tell of it until it is read
+					select {
+					case expected <- struct{}{}:
+					default:
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				if took := time.Since(began); took > 500*time.Millisecond {
+					t.Errorf("read after %s", took)
+				}
+				if want := map[bool]int{true: 1, false: 0}[isSilent]; s.urgent != want {
+					t.Errorf("%d readings beside the first, want %d", s.urgent, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/store/watch_report.go
+++ b/internal/store/watch_report.go
@@ -7,16 +7,16 @@
 	"github.com/rs/zerolog"
 )
 
-// readingOutcome is how one reading of a Watcher ended: a label of figures.
+// readingOutcome is how a call of a Watcher's reading went: a label of figures.
 type readingOutcome string
 
 const (
 	readingChanged   readingOutcome = "changed"
 	readingUnchanged readingOutcome = "unchanged"
-	// readingFailed: the store refused it, or nothing came in time.
+	// readingFailed: the store refused it, or it was given up.
 	readingFailed readingOutcome = "failed"
-	// readingBrokenOff: it was broken off to be made anew.
-	readingBrokenOff readingOutcome = "broken_off"
+	// readingLate: nothing came in time, and it was made once more beside.
+	readingLate readingOutcome = "late"
 )
 
 // WatchMetrics counts the readings of all watchers of a daemon.
@@ -30,7 +30,7 @@
 	m := &WatchMetrics{
 		readings: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "mintpulley", Subsystem: "store_watch", Name: "readings_total",
-			Help: "Readings of what is followed in the store, by space and outcome.",
+			Help: "Calls of readings of what is followed in the store, by space and outcome.",
 		}, []string{"space", "outcome"}),
 		times: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "mintpulley", Subsystem: "store_watch", Name: "reading_seconds",
@@ -42,19 +42,46 @@
 	return m
 }
 
-// report counts a reading, and logs one that brought nothing although it was waited for.
-func (w *Watcher) report(outcome readingOutcome, took time.Duration, bytes int64, err error) {
-	if w.Metrics != nil {
-		w.Metrics.readings.WithLabelValues(w.Partition.Space, string(outcome)).Inc()
-		if outcome != readingUnchanged {
-			w.Metrics.times.WithLabelValues(w.Partition.Space, string(outcome)).Observe(took.Seconds())
-		}
+// outcomeOfReading returns how a call of a reading ended.
+func outcomeOfReading(answer readingAnswer) readingOutcome {
+	switch {
+	case answer.err != nil:
+		return readingFailed
+	case answer.isChange():
+		return readingChanged
 	}
-	if outcome != readingFailed && outcome != readingBrokenOff {
+	return readingUnchanged
+}
+
+// report counts a call of a reading, and logs one that failed.
+func (r *reading) report(answer readingAnswer) {
+	outcome := outcomeOfReading(answer)
+	took := answer.endedAt.Sub(answer.call.began)
+	r.count(outcome, took)
+	if outcome == readingFailed {
+		r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("calls", len(r.calls)).
+			Int64("bytes", answer.call.progress.Bytes()).AnErr("error", answer.err).Msg("Reading not answered.")
+	}
+}
+
+// reportLate counts a reading that is late, and logs it.
+func (r *reading) reportLate(now time.Time) {
+	took := now.Sub(r.calls[0].began)
+	r.count(readingLate, took)
+	r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("calls", len(r.calls)).
+		Int64("bytes", r.latest().progress.Bytes()).Msg("Reading late. Made once more beside.")
+}
+
+// count adds a call or a reading up.
+func (r *reading) count(outcome readingOutcome, took time.Duration) {
+	metrics, space := r.watcher.Metrics, r.watcher.Partition.Space
+	if metrics == nil {
 		return
 	}
-	w.logger().Info().Str("space", w.Partition.Space).Str("outcome", string(outcome)).Dur("took", took).
-		Int64("bytes", bytes).AnErr("error", err).Msg("Reading ended without an answer.")
+	metrics.readings.WithLabelValues(space, string(outcome)).Inc()
+	if outcome != readingUnchanged {
+		metrics.times.WithLabelValues(space, string(outcome)).Observe(took.Seconds())
+	}
 }
 
 // logger returns where the watcher logs to: nowhere unless it was given one.
