instance: a vanished instance counts from its last confirmation; a late reading is no outage

Cause: an instance that is missing on the list was a last resort for 1.2 s from when the list was read, however late that was, and for 2.2 s more after any reading that failed. Change: it counts from when its entry was last confirmed. Only a time without a list of 2.4 s and more counts as an outage in which entries lapse. Measured: two tests, which fail on the code before: past 1.2 s from the last confirmation an instance is not chosen (chosen until 2.3 s), nor after a late reading (2.2 s).

--- a/internal/instance/health_test.go
+++ b/internal/instance/health_test.go
@@ -118,7 +118,7 @@
 func TestAgeOfTheListIsThatOfItsLastConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := NewPool(nil, Plugins{})
-		p.Confirm()
+		p.Confirm(time.Now())
 		if p.Listed() || p.Age() != 0 {
 			t.Error("a list counts as known before there was one")
 		}
@@ -127,10 +127,14 @@
 		if got := p.Age(); got != 20*time.Second {
 			t.Errorf("age %v", got)
 		}
-		p.Confirm()
+		p.Confirm(time.Now())
 		time.Sleep(time.Second)
 		if got := p.Age(); got != time.Second {
 			t.Errorf("age %v after the store confirmed the list", got)
 		}
+		p.Confirm(time.Now().Add(-2 * time.Second))
+		if got := p.Age(); got != time.Second {
+			t.Errorf("age %v after an older reading", got)
+		}
 	})
 }
--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -6,14 +6,21 @@
 
 const (
 	// vanishedLife is how long an instance is a last resort that is not on the
-	// list any more. While the store is down entries lapse of instances that
-	// are well, and they are written anew only after it is back. It must stay
-	// below the time that instances serve on after they were taken off.
+	// list any more, from when its entry was last confirmed. While the store is down
+	// entries lapse of instances that are well, and they are written anew only after
+	// it is back. It must stay below the time that instances serve on after they
+	// were taken off: a reading that comes late must not add to it.
 	vanishedLife = 1200 * time.Millisecond
 	// lapsedLife is how long after the store's return instances are still tried
 	// that are missing on the list: entries of those that are well lapse in an
 	// outage and are written anew within about two seconds of its end.
 	lapsedLife = 2200 * time.Millisecond
+	// shortestLapse is the shortest time without a confirmed list in which an entry of
+	// an instance that is well can lapse: entries are written every 1.2 s and go after
+	// three of these without a write, of which the first may have been due when the
+	// outage began. A shorter time is a late reading of our own, and what is missing
+	// after it has left.
+	shortestLapse = 2400 * time.Millisecond
 )
 
 // mayServe tells whether an instance may get requests.
@@ -83,13 +90,13 @@
 	return isNew || p.isListUncertain(now)
 }
 
-// NoteLost takes note that the list cannot be read any more.
+// NoteLost takes note that the list cannot be read any more. It may have changed ever since
+// it was last confirmed.
 func (p *Pool) NoteLost() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	now := time.Now()
-	if !now.Before(p.lapsedUntil) {
-		p.lapsedSince = now
+	if !time.Now().Before(p.lapsedUntil) {
+		p.lapsedSince = p.listedAt
 	}
 	p.lost = true
 }
@@ -98,31 +105,35 @@
 func (p *Pool) NoteReturned() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	now := time.Now()
 	p.lost = false
-	p.lapsedUntil = time.Now().Add(lapsedLife)
+	if now.Sub(p.lapsedSince) >= shortestLapse {
+		p.lapsedUntil = now.Add(lapsedLife)
+	}
 }
 
 // Listed tells whether a list was ever taken.
 func (p *Pool) Listed() bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return !p.listedAt.IsZero()
+	return !p.firstListedAt.IsZero()
 }
 
-// Confirm takes note that the last list is still the newest.
-func (p *Pool) Confirm() {
+// Confirm takes note that the last list was the newest as of a time.
+func (p *Pool) Confirm(asOf time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if !p.listedAt.IsZero() {
-		p.listedAt = time.Now()
+	if p.firstListedAt.IsZero() || !asOf.After(p.listedAt) {
+		return
 	}
+	p.listedAt = asOf
 }
 
 // Age tells how long ago the list was known to be the newest.
 func (p *Pool) Age() time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.listedAt.IsZero() {
+	if p.firstListedAt.IsZero() {
 		return 0
 	}
 	return time.Since(p.listedAt)
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -23,10 +23,9 @@
 	// asked is the query that Take is working on. It is a field, as a local variable whose
 	// address the plug-ins get would be allocated for each request.
 	asked Query
-	// listedAt is when the list was last known to be the newest; zero if there
-	// was none.
+	// listedAt is as of when the list was last known to be the newest.
 	listedAt time.Time
-	// firstListedAt is when the first list was taken.
+	// firstListedAt is when the first list was taken; zero if there was none.
 	firstListedAt time.Time
 	// lost: the list cannot be read.
 	lost bool
@@ -43,8 +42,8 @@
 	inFlight int
 	health   health
 	paused   time.Time
-	// vanished is when the instance was first missing on the list; zero while
-	// it is listed.
+	// vanished is when the instance was last confirmed to be on the list, if it is
+	// missing there now; zero while it is listed.
 	vanished time.Time
 }
 
@@ -69,10 +68,9 @@
 	now := time.Now()
 	newAt := now
 	if p.firstListedAt.IsZero() {
-		p.firstListedAt = now
+		p.firstListedAt, p.listedAt = now, now
 		newAt = time.Time{}
 	}
-	p.listedAt = now
 	seen := map[string]bool{}
 	addresses := map[string]bool{}
 	for _, instance := range list {
@@ -118,7 +116,7 @@
 			continue
 		}
 		if known.vanished.IsZero() {
-			known.vanished = now
+			known.vanished = p.listedAt
 		}
 		if !p.mayServe(known, now) {
 			delete(p.byID, id)
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -208,7 +208,9 @@
 func TestInstanceTakenOffBeforeAnOutageIsNotKeptByIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPool("a", "b")
+		time.Sleep(time.Second)
 		p.Replace(listOf(StateReady, "a"))
+		p.Confirm(time.Now()) // as after each reading
 		time.Sleep(vanishedLife / 2)
 		p.NoteLost()
 		time.Sleep(vanishedLife)
@@ -224,6 +226,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPool("a", "b", "c")
 		p.NoteLost()
+		time.Sleep(5 * time.Second)
 		p.NoteReturned()
 		p.Replace(listOf(StateReady, "a")) // the first entry is back
 		taken := map[string]int{}
@@ -236,3 +239,48 @@
 		}
 	})
 }
+
+// usable tells whether an instance may be chosen at all.
+func (p *Pool) usable(id string) bool {
+	_, found := p.Take(Query{Service: "s", Only: id})
+	return found
+}
+
+// TestVanishedInstanceCountsFromItsLastConfirmation: instances that leave without a word serve
+// on for some time after their entry went. What users saw was a request at one past that time.
+// The entry may have gone right after the last reading that showed it, so a next one that came
+// late must not add to the time for which the instance is a last resort.
+func TestVanishedInstanceCountsFromItsLastConfirmation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool("a", "b")
+		p.Confirm(time.Now())
+		time.Sleep(vanishedLife - 100*time.Millisecond) // the next reading is late
+		p.Replace(listOf(StateReady, "a"))
+		p.Confirm(time.Now())
+		if !p.usable("b") {
+			t.Error("no last resort within its time")
+		}
+		time.Sleep(150 * time.Millisecond)
+		if p.usable("b") {
+			t.Error("an instance is chosen that may have left longer ago than it may be used")
+		}
+	})
+}
+
+// TestLateReadingIsNoOutage: what is missing after it has left, as no entry of an instance that
+// is well lapses in that time. It was taken for lapsed, and used for 2.2 s more.
+func TestLateReadingIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool("a", "b")
+		p.Confirm(time.Now())
+		time.Sleep(500 * time.Millisecond)
+		p.NoteLost()
+		time.Sleep(shortestLapse - 600*time.Millisecond)
+		p.NoteReturned()
+		p.Replace(listOf(StateReady, "a"))
+		p.Confirm(time.Now())
+		if p.usable("b") {
+			t.Error("an instance that left beside a late reading is taken for one whose entry lapsed")
+		}
+	})
+}
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -103,7 +103,7 @@
 		OnChange: func(records map[string]store.Record) {
 			d.adapter.Forget(d.pool.Replace(d.adapter.Instances(records)))
 		},
-		OnRead: func(time.Time) { d.pool.Confirm() },
+		OnRead: d.pool.Confirm,
 		OnContact: func(err error) {
 			if err != nil {
 				d.pool.NoteLost()
