--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -4,6 +4,8 @@
 package instance
 
 import (
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -20,7 +22,8 @@
 
 // Instance is one run of one back end.
 type Instance struct {
-	// ID names the run; a restart has another.
+	// ID names the run; a restart has another. Whatever is remembered of an instance is
+	// remembered under it, so that nothing of it is believed of a later run; see RunID.
 	ID      string
 	Service string
 	// Address is "IP:PORT"; it may pass to another instance later.
@@ -45,5 +48,38 @@
 	SendBy time.Time
 }
 
+// RunSeparator stands between a back end's name and its incarnation in an ID. No name may hold
+// it.
+const RunSeparator = "#"
+
+// RunID returns the ID of a run of a back end: of the name that it gives itself, which may stay
+// the same over a restart, and of the incarnation that tells its runs apart, which is higher for
+// a later run; 0 if it does not tell.
+func RunID(name string, incarnation int64) string {
+	if incarnation == 0 {
+		return name
+	}
+	return name + RunSeparator + strconv.FormatInt(incarnation, 10)
+}
+
+// Name returns the back end's name.
+func (i *Instance) Name() string {
+	name, _, _ := strings.Cut(i.ID, RunSeparator)
+	return name
+}
+
+// incarnation returns the run's incarnation.
+func (i *Instance) incarnation() int64 {
+	_, text, told := strings.Cut(i.ID, RunSeparator)
+	if !told {
+		return 0
+	}
+	incarnation, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0 // no RunID
+	}
+	return incarnation
+}
+
 // ColdUntil is until when it stays cold at most by what it said.
 func (i *Instance) ColdUntil() time.Time { return i.HeardAt.Add(i.ColdFor) }
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -14,6 +14,8 @@
 	mutex   sync.Mutex
 	random  *rand.Rand
 	byID    map[string]*entry
+	// latestRuns are by name.
+	latestRuns map[string]*latestRun
 	// byService holds the instances of each service, in order of ID.
 	byService map[string][]*entry
 	paces     paces
@@ -53,6 +55,7 @@
 		plugins:      plugins,
 		random:       random,
 		byID:         map[string]*entry{},
+		latestRuns:   map[string]*latestRun{},
 		byService:    map[string][]*entry{},
 		paces:        paces{},
 		serviceTimes: map[string]time.Duration{},
@@ -61,7 +64,7 @@
 
 // Replace takes the list of all instances there are; an instance that is not
 // on it is a last resort for vanishedLife, and then gone. It returns the
-// addresses that no instance has any more.
+// addresses that no instance has any more, or that a later run has.
 func (p *Pool) Replace(list []Instance) (gone []string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -74,10 +77,11 @@
 	seen := map[string]bool{}
 	addresses := map[string]bool{}
 	for _, instance := range list {
-		seen[instance.ID] = true
 		addresses[instance.Address] = true
 		instance.HeardAt, instance.NewAt = now, newAt
-		p.update(instance)
+		id, left := p.update(instance)
+		seen[id] = true
+		gone = append(gone, left...)
 	}
 	for _, address := range p.dropUnlisted(seen, now) {
 		if !addresses[address] {
@@ -88,24 +92,33 @@
 	return gone
 }
 
-// update takes a listed instance, unless something newer is known of it.
-func (p *Pool) update(instance Instance) {
-	known := p.byID[instance.ID]
+// update takes a listed instance, unless something newer is known of it. It returns the ID of
+// the run that it counts as, and the addresses that were left.
+func (p *Pool) update(instance Instance) (id string, left []string) {
+	id, ended := p.enter(&instance)
+	if ended != nil {
+		left = append(left, ended.Address)
+	}
+	known := p.byID[id]
 	if known == nil {
 		known = &entry{}
-		p.byID[instance.ID] = known
+		p.byID[id] = known
 	}
 	known.vanished = time.Time{}
-	if instance.Sequence < known.Sequence {
-		return
+	if instance.ID != id || instance.Sequence < known.Sequence {
+		return id, left
 	}
 	if known.ID != "" {
 		instance.NewAt = known.NewAt
 		if instance.Sequence == known.Sequence {
 			instance.HeardAt = known.HeardAt
 		}
+		if instance.Address != known.Address {
+			left = append(left, known.Address)
+		}
 	}
 	known.Instance = instance
+	return id, left
 }
 
 // dropUnlisted forgets the instances that are missing on the list and may not
@@ -120,6 +133,7 @@
 		}
 		if !p.mayServe(known, now) {
 			delete(p.byID, id)
+			p.forgetRun(known)
 			addresses = append(addresses, known.Address)
 		}
 	}
--- /dev/null
+++ b/internal/instance/runs.go
@@ -0,0 +1,66 @@
+package instance
+
+// A back end may start again under the name that it had. Its entry then tells a higher
+// incarnation, and the run before is over: nothing is held there any more, its sequence says
+// nothing of the new one, and what it was working on is lost. An entry that tells a lower
+// incarnation than the one known is a write of an earlier run that was done late, or that of a
+// run whose machine's clock went back. Only the second one writes again.
+
+// latestRun is the latest run that is known of a name.
+type latestRun struct {
+	id          string
+	incarnation int64
+	// doubted is the entry of a lower incarnation that was read last; its incarnation is
+	// doubtedNone if there was none.
+	doubted, doubtedSequence int64
+}
+
+// doubtedNone is no incarnation.
+const doubtedNone = -1
+
+// supersedes tells whether an entry is that of the latest run, or of a later one.
+func (r *latestRun) supersedes(instance *Instance) bool {
+	incarnation := instance.incarnation()
+	if incarnation >= r.incarnation {
+		return true
+	}
+	if incarnation == r.doubted && instance.Sequence > r.doubtedSequence {
+		return true // it goes on to write
+	}
+	r.doubted, r.doubtedSequence = incarnation, instance.Sequence
+	return false
+}
+
+// enter takes note of the run that an entry is of. It returns the run's ID, whose entry it
+// counts as, and the run that ended with that, nil if none did. An entry that is not believed
+// counts as one of the latest run.
+func (p *Pool) enter(instance *Instance) (id string, ended *entry) {
+	latest := p.latestRuns[instance.Name()]
+	if latest == nil {
+		p.latestRuns[instance.Name()] = &latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: doubtedNone}
+		return instance.ID, nil
+	}
+	if instance.ID == latest.id || !latest.supersedes(instance) {
+		return latest.id, nil
+	}
+	ended = p.byID[latest.id]
+	delete(p.byID, latest.id)
+	*latest = latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: doubtedNone}
+	return instance.ID, ended
+}
+
+// HasEnded tells whether a run is over for certain, as a later one of its name is known.
+func (p *Pool) HasEnded(id string) bool {
+	run := Instance{ID: id}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	latest := p.latestRuns[run.Name()]
+	return latest != nil && latest.id != id
+}
+
+// forgetRun forgets that an instance is the latest run of its name.
+func (p *Pool) forgetRun(known *entry) {
+	if latest := p.latestRuns[known.Name()]; latest != nil && latest.id == known.ID {
+		delete(p.latestRuns, known.Name())
+	}
+}
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -110,6 +110,9 @@
 	if len(c.excluded) >= roundOffers {
 		return instance.Instance{}, false
 	}
+	if c.only != "" && c.relay.Pool.HasEnded(c.only) {
+		c.only = "" // it has started again, so it runs nothing of before
+	}
 	return c.relay.Pool.Take(c.query())
 }
 
--- a/internal/relay/offer_monitor.go
+++ b/internal/relay/offer_monitor.go
@@ -175,8 +175,8 @@
 	return longest
 }
 
-// GiveUpSilent ends the wait for silent back ends that can not be connected to or whose
-// zone is cut off, and that of turns for their records while this daemon is isolated.
+// GiveUpSilent ends the wait for silent back ends that can not be connected to, whose zone is
+// cut off or which have started again since, and that of turns for their records while this daemon is isolated.
 // Requests whose back ends still send something go on. It implements reach.Connections.
 func (r *Relay) GiveUpSilent(now time.Time) {
 	m := r.monitor
@@ -186,7 +186,7 @@
 		if m.excess(o, now) <= silentMargin {
 			continue
 		}
-		if m.isCut(o.target.Zone) || !m.isReachable(o, now) {
+		if m.isCut(o.target.Zone) || m.relay.Pool.HasEnded(o.target.ID) || !m.isReachable(o, now) {
 			o.giveUp(errCutOff)
 		}
 	}
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -35,9 +35,9 @@
 	*memory.Store
 	// arriving makes the answers of readings arrive piece by piece for so long.
 	arriving time.Duration
-	mutex   sync.Mutex
-	trouble trouble
-	calls   int
+	mutex    sync.Mutex
+	trouble  trouble
+	calls    int
 }
 
 func (w *way) set(to trouble) {
