instance: nobody connects to back ends of a service that no route names

Cause: the try whether a zone can be reached took any listed back end, which may be an entry of another writer. Change: the try takes only back ends of services that the routes in force name. Measured: a test.

--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -61,15 +61,15 @@
 }
 
 // AnyIn returns an instance in a zone that may serve, chosen at random; false if there is
-// none.
-func (p *Pool) AnyIn(zone string) (Instance, bool) {
+// none. It is of a service that is named: whoever lists others may be no back end of ours.
+func (p *Pool) AnyIn(zone string, isNamed func(service string) bool) (Instance, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
 	var chosen Instance
 	found := 0
 	for _, e := range p.byID {
-		if e.Zone != zone || !p.mayServe(e, now) {
+		if e.Zone != zone || !p.mayServe(e, now) || !isNamed(e.Service) {
 			continue
 		}
 		found++
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -284,3 +284,13 @@
 		}
 	})
 }
+
+// TestNobodyConnectsToWhatNoRouteNames: an entry may be another writer's.
+func TestNobodyConnectsToWhatNoRouteNames(t *testing.T) {
+	p := newTestPool("a")
+	for service, want := range map[string]bool{"s": true, "t": false} {
+		if _, found := p.AnyIn("z", func(name string) bool { return name == service }); found != want {
+			t.Errorf("service %s is named: found %t", service, found)
+		}
+	}
+}
--- a/internal/relay/connect_probe.go
+++ b/internal/relay/connect_probe.go
@@ -70,10 +70,13 @@
 	p.failures++
 }
 
+// isNamed tells whether the routes in force name a service.
+func (r *Relay) isNamed(service string) bool { return r.serviceInForce(service) != nil }
+
 // Try connects to an instance of a zone and, if that succeeds, takes note that the zone
 // can be reached. It implements reach.Connections.
 func (r *Relay) Try(zone string) {
-	target, found := r.Pool.AnyIn(zone)
+	target, found := r.Pool.AnyIn(zone, r.isNamed)
 	if !found {
 		return
 	}
