ledger: of two daemons that claim a shard at once the first tells the second what it granted

Cause: a successor asks the holder before it, as the directory names it, what that granted. Where two claim at once the directory still names the one before both, which is silent, and what the first claimant had set aside counted as spent, on top of what it had counted itself. Change: the allowance's record names who holds the shard, whether it grants from one or not. A successor asks that one if the directory named another.

--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -56,6 +56,10 @@
 
 // allowanceRecord is the value under allowanceKey.
 type allowanceRecord struct {
+	// Holder is who held the shard when the record was written, whether it grants from the
+	// allowance or not: its successor asks it what it granted. The directory may still name
+	// one before it.
+	Holder holderRecord `json:"holder,omitzero"`
 	// Epoch is that of the holder that grants from the allowance, 0 if none does.
 	Epoch uint64 `json:"epoch,omitempty"`
 	// LostAtMS is what the shard's clock showed when an allowance was last lost, in
@@ -70,6 +74,15 @@
 	RetentionMS int64 `json:"retention_ms,omitempty"`
 }
 
+// holderEpoch is the epoch of the holder that wrote the record. Records of before holders
+// were named in it tell that of an allowance alone.
+func (r *allowanceRecord) holderEpoch() uint64 {
+	if r.Holder.Epoch != 0 {
+		return r.Holder.Epoch
+	}
+	return r.Epoch
+}
+
 // losses counts lost allowances.
 type losses struct {
 	// OfOneTurn are those that granted each program one turn at most, and OfAll the
@@ -102,15 +115,19 @@
 }
 
 // openAllowance counts the former holder's allowance as lost, if it did not give
-// it back, and opens one for the holder of an epoch unless too many count. It counts
-// from its record on, which goes along with the next append. former is what this
-// daemon knew of the shard before, nil for nothing.
-func (s *state) openAllowance(epoch uint64, former *formerState, now time.Time) {
+// it back, and opens one for a holder unless too many count. It counts
+// from its record on, which goes along with the next append. former is what was
+// granted before, nil if that is not known.
+func (s *state) openAllowance(holder holderRecord, former *formerState, now time.Time) {
+	s.touch(allowanceKey)
 	if s.restoreFormer(former, now) {
-		s.allowance.Epoch = epoch
-		s.touch(allowanceKey)
+		if s.allowance.Epoch != 0 {
+			s.allowance.Epoch = holder.Epoch
+		}
+		s.allowance.Holder = holder
 		return
 	}
+	s.allowance.Holder = holder
 	if !s.isAllowanceLost(now) {
 		s.allowance.LostAtMS = 0
 		s.allowance.losses = losses{}
@@ -119,8 +136,7 @@
 		s.loseAllowance(now)
 	}
 	if s.allowance.areBorne() {
-		s.allowance.Epoch = epoch
-		s.touch(allowanceKey)
+		s.allowance.Epoch = holder.Epoch
 	}
 }
 
--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -307,7 +307,7 @@
 		s := newState(now)
 		s.machine = test.machine
 		s.allowance.allowanceRecord = record
-		s.openAllowance(2, nil, now)
+		s.openAllowance(holderRecord{Epoch: 2}, nil, now)
 		if got := s.allowance.losses; got != test.want {
 			t.Errorf("%s: got %+v, want %+v", name, got, test.want)
 		}
@@ -321,7 +321,7 @@
 func TestAllowanceGrantsOneTurnUntilTheStoreIsOut(t *testing.T) {
 	now := time.Now()
 	s := newState(now)
-	s.openAllowance(1, nil, now)
+	s.openAllowance(holderRecord{Epoch: 1}, nil, now)
 	s.coverRetention(time.Minute)
 	if _, err := s.takeDirty(); err != nil {
 		t.Fatal(err)
@@ -347,7 +347,7 @@
 func TestDaemonThatLosesItsShardForAMomentLosesNoAllowance(t *testing.T) {
 	now := time.Now()
 	before := newState(now)
-	before.openAllowance(1, nil, now)
+	before.openAllowance(holderRecord{Epoch: 1}, nil, now)
 	before.coverRetention(time.Minute)
 	before.allowance.confirmed = before.allowance.allowanceRecord
 	before.allowance.usableUntil = now.Add(time.Minute)
@@ -364,7 +364,7 @@
 	}{"the same daemon": {former, 0, true}, "another": {nil, 1, false}, "after another held it": {&formerState{epoch: 7, lostAt: now}, 1, false}} {
 		after := newState(now)
 		after.allowance.allowanceRecord = record
-		after.openAllowance(2, test.former, now)
+		after.openAllowance(holderRecord{Epoch: 2}, test.former, now)
 		if got := after.allowance.OfAll; got != test.lost {
 			t.Errorf("%s: %d losses count, want %d", name, got, test.lost)
 		}
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if read.former == nil {
+		read.former = h.askRecorded(ctx, read.records, before)
+	}
 	if read.former != nil {
 		h.former = read.former
 	}
@@ -229,7 +232,7 @@
 	}
 	h.state.restoreAges(now)
 	h.state.forfeitHeadroom()
-	h.state.openAllowance(h.epoch, h.former, now)
+	h.state.openAllowance(holderRecord{Epoch: h.epoch, Daemon: h.daemon}, h.former, now)
 	h.former = nil
 }
 
--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -42,7 +43,7 @@
 // restoreFormer puts what was granted before the shard was lost in the place of what the
 // records tell, if nobody else held the shard since, and returns whether it did.
 func (s *state) restoreFormer(former *formerState, now time.Time) bool {
-	if former == nil || former.epoch != s.allowance.Epoch || now.Sub(former.lostAt) > formerLife {
+	if former == nil || former.epoch != s.allowance.holderEpoch() || now.Sub(former.lostAt) > formerLife {
 		return false
 	}
 	for id, entry := range former.accounts {
@@ -58,6 +59,29 @@
 	Accounts map[string]account `json:"accounts"`
 }
 
+// askRecorded asks the holder that the shard's own records name what it granted, unless that is
+// the one which the directory named: two daemons that claim a shard at once both read the
+// directory before the first of them has written there. Asking costs a round trip; not asking
+// counts all that the first set aside as spent, up to half of each program's budget.
+func (h *holder) askRecorded(ctx context.Context, records []store.Record, named holderRecord) *formerState {
+	recorded := recordedHolder(records)
+	if recorded.Daemon == named.Daemon {
+		return nil
+	}
+	return h.askFormer(ctx, recorded)
+}
+
+// recordedHolder returns the holder that wrote the allowance's record.
+func recordedHolder(records []store.Record) holderRecord {
+	var found allowanceRecord
+	for _, record := range records {
+		if record.Key == allowanceKey {
+			_ = json.Unmarshal(record.Value, &found) // one that is malformed names nobody
+		}
+	}
+	return found.Holder
+}
+
 // askFormer asks the holder before this one what it granted; nil if it does not tell.
 func (h *holder) askFormer(ctx context.Context, before holderRecord) *formerState {
 	if before.Daemon == "" || before.Daemon == h.daemon || !h.fleet.mayLive(before.Daemon) {
