clock: one paced signal for wishes to read early

Cause: reading. warmup.Limiter.requestRefresh and confirmation.ask were the same paced wish for a reading before its time, and word of newer routes a third without a pause. Change: clock.PacedSignal serves all three; behaviour unchanged.

--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/tenant"
 )
@@ -35,16 +36,15 @@
 	renewed chan struct{}
 	// lostAt is when the store stopped to answer, zero while it does.
 	lostAt time.Time
-	// hurry makes the watch of the routes read at once.
-	hurry     chan struct{}
-	hurriedAt time.Time
-	// newerRoutes tells the watch of the routes that there are newer ones.
-	newerRoutes chan struct{}
+	// hurry makes the watch of the routes read at once, and newerRoutes tells it that there
+	// are newer ones: that breaks nothing off, as the reading under way brings them, and is
+	// made once more only if it does not begin to.
+	hurry, newerRoutes *clock.PacedSignal
 }
 
 func newConfirmation() *confirmation {
 	return &confirmation{
-		renewed: make(chan struct{}), hurry: make(chan struct{}, 1), newerRoutes: make(chan struct{}, 1),
+		renewed: make(chan struct{}), hurry: clock.NewPacedSignal(hurryPause), newerRoutes: clock.NewPacedSignal(0),
 	}
 }
 
@@ -89,29 +89,6 @@
 	return c.at, c.renewed
 }
 
-// ask makes the watch read at once, unless it did so just now.
-func (c *confirmation) ask(now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if now.Sub(c.hurriedAt) < hurryPause {
-		return
-	}
-	c.hurriedAt = now
-	select {
-	case c.hurry <- struct{}{}:
-	default:
-	}
-}
-
-// expectRoutes tells the watch that there are newer routes. It breaks nothing off: the reading
-// under way brings them, and is made once more only if it does not begin to.
-func (c *confirmation) expectRoutes() {
-	select {
-	case c.newerRoutes <- struct{}{}:
-	default:
-	}
-}
-
 // await waits for a confirmation that is no older than a time, until a moment or
 // until ctx ends, and tells whether there is one.
 func (c *confirmation) await(ctx context.Context, atMost time.Duration, until time.Time) bool {
@@ -124,7 +101,7 @@
 		if !now.Before(until) {
 			return false
 		}
-		c.ask(now)
+		c.hurry.Ask(now)
 		timer := time.NewTimer(min(until.Sub(now), hurryPause))
 		select {
 		case <-renewed:
@@ -165,7 +142,7 @@
 	case table.Version >= version:
 		d.keys.note(asOf)
 	default:
-		d.keys.expectRoutes()
+		d.keys.newerRoutes.Ask(time.Now())
 	}
 }
 
--- a/internal/relaydaemon/keys_test.go
+++ b/internal/relaydaemon/keys_test.go
@@ -88,7 +88,7 @@
 		if known == nil || refusal != nil {
 			t.Errorf("got %v, %+v", known, refusal)
 		}
-		if len(d.keys.hurry) == 0 {
+		if len(d.keys.hurry.Asked()) == 0 {
 			t.Error("nobody asked for the confirmation")
 		}
 	})
@@ -102,8 +102,14 @@
 		d.confirmRoutes(time.Now())
 		time.Sleep(unknownKeyAge + time.Millisecond)
 		reads := 0
+		ended := make(chan struct{})
 		go func() {
-			for range d.keys.hurry {
+			for {
+				select {
+				case <-d.keys.hurry.Asked():
+				case <-ended:
+					return
+				}
 				reads++
 				time.Sleep(4 * time.Millisecond)
 				d.setKeys(t, 2, "key", "new")
@@ -121,7 +127,7 @@
 		if reads != 1 {
 			t.Errorf("the store was read %d times, want once", reads)
 		}
-		close(d.keys.hurry)
+		close(ended)
 	})
 }
 
@@ -132,7 +138,7 @@
 		keys := newConfirmation()
 		watcher := store.Watcher{
 			Store: memory.New(), Partition: store.Partition{Space: "x"}, Settings: store.WatchSettings{Wait: time.Hour, Answer: time.Minute},
-			OnChange: func(map[string]store.Record) {}, OnContact: func(error) {}, OnRead: keys.note, Hurry: keys.hurry,
+			OnChange: func(map[string]store.Record) {}, OnContact: func(error) {}, OnRead: keys.note, Hurry: keys.hurry.Asked(),
 		}
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -165,7 +171,7 @@
 		if d.honours(t, "key") {
 			t.Error("a word of newer routes confirms older ones")
 		}
-		if len(d.keys.newerRoutes) == 0 {
+		if len(d.keys.newerRoutes.Asked()) == 0 {
 			t.Error("newer routes are not expected")
 		}
 		d.Hear(5, time.Now().Add(-d.settings.revocationTime()))
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -35,8 +35,8 @@
 		Settings:  routesWatch,
 		OnAdvance: d.takeOperators,
 		OnRead:    d.confirmRoutes,
-		Hurry:     d.keys.hurry,
-		Expected:  d.keys.newerRoutes,
+		Hurry:     d.keys.hurry.Asked(),
+		Expected:  d.keys.newerRoutes.Asked(),
 		Metrics:   d.watchMetrics,
 		Logger:    &d.logger,
 		OnContact: func(err error) {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -27,6 +27,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
@@ -72,19 +73,19 @@
 	options Options
 	// limits are those of the services that have one; nil if none has.
 	limits atomic.Pointer[map[string]limit]
-	hurry  chan struct{}
+	// hurry asks for the record to be read at once.
+	hurry *clock.PacedSignal
 
-	mutex       sync.Mutex
-	roster      *roster
-	shares      map[string]*share
-	refreshedAt time.Time
+	mutex  sync.Mutex
+	roster *roster
+	shares map[string]*share
 }
 
 // NewLimiter returns a limiter that knows no services and no daemons yet.
 func NewLimiter(options Options) *Limiter {
 	return &Limiter{
 		options: options,
-		hurry:   make(chan struct{}, 1),
+		hurry:   clock.NewPacedSignal(refreshPause),
 		roster:  newRoster(options.Own),
 		shares:  map[string]*share{},
 	}
@@ -115,7 +116,7 @@
 }
 
 // Hurry returns a channel that asks for the record to be read at once.
-func (l *Limiter) Hurry() <-chan struct{} { return l.hurry }
+func (l *Limiter) Hurry() <-chan struct{} { return l.hurry.Asked() }
 
 // Reason implements instance.Filter.
 func (l *Limiter) Reason() string { return "cold" }
@@ -221,7 +222,7 @@
 	}
 	age := l.roster.age(now)
 	if age > renewAfter {
-		l.requestRefresh(now)
+		l.hurry.Ask(now)
 	}
 	if age > freshFor {
 		return outcomeUnconfirmed
@@ -229,18 +230,6 @@
 	return outcomeTaken
 }
 
-// requestRefresh asks for the record to be read at once, each refreshPause at most.
-func (l *Limiter) requestRefresh(now time.Time) {
-	if now.Sub(l.refreshedAt) < refreshPause {
-		return
-	}
-	l.refreshedAt = now
-	select {
-	case l.hurry <- struct{}{}:
-	default:
-	}
-}
-
 // shareOf returns this daemon's share of a cold instance, for the roster and rate in
 // force. It logs when an instance becomes cold.
 func (l *Limiter) shareOf(candidate *instance.Instance, bound limit, until, now time.Time) *share {
