Reading: one way to draw from a list; failed offers in a file of their own

Cause: reading. Change: package sample; internal/relay/failed_offer.go. Behaviour unchanged. Measured: tests of membership, zone and relay pass.

--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/sample"
 	"github.com/mintpulley/mintpulley/internal/structs"
 	"github.com/mintpulley/mintpulley/internal/tokenbucket"
 )
@@ -79,10 +80,8 @@
 	m.forgetTombstones()
 	absent := m.absentAddresses()
 	interval, fanout := m.joinPace()
-	for range min(fanout, len(absent)) {
-		i := m.Random.IntN(len(absent))
-		m.lookFor(absent[i])
-		absent = slices.Delete(absent, i, i+1)
+	for _, address := range sample.Of(m.Random, fanout, absent) {
+		m.lookFor(address)
 	}
 	m.after(interval/2+m.jitter(interval), m.joinTick)
 }
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
-	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
@@ -206,97 +203,6 @@
 	return max(service.MaxConnections/max(r.Daemons(), 1), 1)
 }
 
-// goOn takes note of a failed offer and tells whether the call may be offered
-// to another instance. If not, the call was ended.
-func (c *carrier) goOn(ctx context.Context, target instance.Instance, answer *Answer, err error) bool {
-	c.excluded = append(c.excluded, target.ID)
-	if err == nil {
-		drainAndClose(answer.Body)
-		c.noteNotRun(target, answer)
-		if belongsToCall(c.refusals, c.others()) {
-			c.refuseTurnedDown()
-			return false
-		}
-		return true
-	}
-	if ctx.Err() != nil {
-		c.release(target, c.outcomeOfGivingUp())
-		if !httpconn.IsNotSent(err) {
-			c.noteRun(target)
-		}
-		c.refuseLate(ctx)
-		return false
-	}
-	if errors.Is(err, httpconn.ErrNoConnection) || errors.Is(err, httpconn.ErrLate) {
-		c.release(target, instance.OutcomeFull)
-		return true
-	}
-	c.fail(target)
-	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
-	if httpconn.IsNotSent(err) {
-		c.only = "" // it cannot be reached, so it runs nothing any more
-		return true
-	}
-	c.noteRun(target)
-	return c.mayRunAgain()
-}
-
-// outcomeOfGivingUp is what a request that this side ended says of its
-// instance: something, if that was silent for long.
-func (c *carrier) outcomeOfGivingUp() instance.Outcome {
-	if time.Since(c.latest.heardAt) >= silentAfter {
-		return instance.OutcomeSilent
-	}
-	return instance.OutcomeGivenUp
-}
-
-// noteRun takes note that an instance may have run the call, after all others.
-func (c *carrier) noteRun(target instance.Instance) {
-	c.runs++
-	c.ranOn = slices.DeleteFunc(c.ranOn, func(id string) bool { return id == target.ID })
-	c.ranOn = append(c.ranOn, target.ID)
-}
-
-// bind keeps a call that ran on as many instances as its route allows to the
-// last of them. Only the connection to it may have broken, not its run; one
-// that cannot be reached any more is left.
-func (c *carrier) bind() {
-	if len(c.ranOn) < c.call.Route.MaxAttempts {
-		return
-	}
-	c.only = c.ranOn[len(c.ranOn)-1]
-	c.excluded = c.excluded[:0]
-}
-
-func (c *carrier) noteNotRun(target instance.Instance, answer *Answer) {
-	outcome := instance.OutcomeFull
-	if answer.OtherInstance {
-		outcome = instance.OutcomeGone
-		c.only = ""
-	} else {
-		c.refusals++
-	}
-	c.release(target, outcome)
-	c.relay.Metrics.notRun(answer.OtherInstance)
-	c.logNotTaken(target, answer.Status)
-}
-
-// mayRunAgain tells whether the route allows another run; if not, the call is
-// ended as one that may have run.
-func (c *carrier) mayRunAgain() bool {
-	limit := c.call.Route.MaxAttempts
-	if c.call.Route.Kind == kindStream {
-		limit = streamRuns
-	}
-	if c.call.Route.Repeatable() && c.runs < limit {
-		c.bind()
-		c.relay.Metrics.retry()
-		return true
-	}
-	c.refuse(brokenOff)
-	return false
-}
-
 // noteTaken takes note that the call's service takes requests.
 func (c *carrier) noteTaken() {
 	if lasted, ended := c.relay.full.end(c.service, c.latest.beganAt); ended {
--- a/internal/zone/reach/watch.go
+++ b/internal/zone/reach/watch.go
@@ -14,6 +14,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/sample"
 	"github.com/mintpulley/mintpulley/internal/structs"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
@@ -232,10 +233,8 @@
 			others = append(others, member.Daemon.ID)
 		}
 	}
-	for range min(notifiedDaemons, len(others)) {
-		i := w.Random.IntN(len(others))
-		w.Transport.Send(others[i], message)
-		others = slices.Delete(others, i, i+1)
+	for _, other := range sample.Of(w.Random, notifiedDaemons, others) {
+		w.Transport.Send(other, message)
 	}
 }
 
