store/proxy: a store that says nothing is noticed by calls without a limit, too

Cause: since readings are not broken off, those of a daemon without requests end only when they are answered or no longer wanted, and neither told that the store is silent: such a daemon, cut off, did not take itself for isolated. Found in reading. A reading also kept all its calls of an outage in memory. Change: nothing of a direct call's answer, nor of another's, 0.7 s after it was due counts as a lost store, as before; a reading keeps the calls that are under way. Measured: TestSilenceIsNoticedByCallsWithoutALimit.

--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -34,6 +34,10 @@
 	// of 30 Mbit/s 0.3 s; made twice it takes a store that is busy, and two machines, as much
 	// again.
 	readOverdueAfter = 400 * time.Millisecond
+	// silentAfter is how long nothing of a direct call's answer may have arrived, and none of
+	// another, until the store counts as lost: some answers of a store that is sixty times as
+	// slow as usual. Calls that are waited for without a limit would not tell of it at all.
+	silentAfter = 700 * time.Millisecond
 	// overdueFactor times what pages of newest records of a space took lately is
 	// how long the next may take: a page is up to a megabyte, and made twice it costs
 	// two machines what one of them is short of.
@@ -233,7 +237,9 @@
 // store answers.
 func (s *Service) callDirect(ctx context.Context, request *Request) outcome {
 	started := time.Now()
+	watch := s.watchSilence(ctx, request, started)
 	got := request.perform(ctx, s.Direct)
+	watch.Stop()
 	if got.err == nil {
 		s.notePageTime(request, time.Since(started))
 	}
@@ -248,6 +254,19 @@
 	return got
 }
 
+// watchSilence takes note that the store does not answer if nothing of a direct call's answer
+// arrives in time, until the watch is stopped.
+func (s *Service) watchSilence(ctx context.Context, request *Request, started time.Time) (watch *time.Timer) {
+	progress := store.ProgressOf(ctx)
+	before := progress.Bytes()
+	due := started.Add(request.wait())
+	return time.AfterFunc(request.wait()+silentAfter, func() {
+		if ctx.Err() == nil && progress.Bytes() == before && !s.contact.hasAnsweredSince(due) {
+			s.noteDirect(store.ErrOutcomeUnknown)
+		}
+	})
+}
+
 // noteDirect takes the outcome of a direct call.
 func (s *Service) noteDirect(err error) {
 	if !isAnswered(err) {
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -393,6 +393,29 @@
 }
 
 // TestLongPageComesByWayOfAHelper: to a daemon that the store does not serve.
+// TestSilenceIsNoticedByCallsWithoutALimit: a daemon without requests only follows what is in the
+// store, and waits for that without a limit. It was not noticed that the store said nothing, so
+// that a daemon which was cut off took itself for one that is not.
+func TestSilenceIsNoticedByCallsWithoutALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.ways[0].set(silent)
+		f.setDeaf(f.ids[1])
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _, _ = f.services[0].Read(ctx, partition, 0, time.Second) // it is given up below
+		}()
+		time.Sleep(time.Second + silentAfter + 10*time.Millisecond)
+		if f.services[0].contact.failingFor(time.Now()) == 0 {
+			t.Error("the store counts as answering that has said nothing")
+		}
+		cancel()
+		<-done
+	})
+}
+
 // TestReadingThatArrivesIsNotMadeTwice: a large record takes small machines long, and a second
 // reading of it by way of another daemon takes two of them.
 func TestReadingThatArrivesIsNotMadeTwice(t *testing.T) {
--- a/internal/store/reading.go
+++ b/internal/store/reading.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,10 +39,10 @@
 	// from is where to read from; negative for a listing of all keys.
 	from    int64
 	contact *watchContact
+	began   time.Time
+	// calls are those under way, in the order in which they were made.
 	calls   []*readingCall
 	answers chan readingAnswer
-	// underway counts the calls that were not answered yet.
-	underway int
 	// late fires at lateAt, when nothing has arrived for patience; it did lateCalls times.
 	late      *time.Timer
 	lateAt    time.Time
@@ -88,7 +89,7 @@
 func newReading(w *Watcher, from int64, contact *watchContact) *reading {
 	return &reading{
 		watcher: w, from: from, contact: contact, answers: make(chan readingAnswer), patience: w.Settings.Answer,
-		late: time.NewTimer(time.Hour),
+		began: time.Now(), late: time.NewTimer(time.Hour),
 	}
 }
 
@@ -105,9 +106,9 @@
 	for {
 		select {
 		case answer := <-r.answers:
-			r.underway--
+			r.calls = slices.DeleteFunc(r.calls, func(call *readingCall) bool { return call == answer.call })
 			r.report(answer)
-			if answer.err == nil || r.underway == 0 {
+			if answer.err == nil || len(r.calls) == 0 {
 				return answer
 			}
 		case <-r.late.C:
@@ -132,7 +133,6 @@
 	now := time.Now()
 	call := &readingCall{began: now, wait: wait, progress: progress, cancel: cancel, progressAt: now.Add(wait)}
 	r.calls = append(r.calls, call)
-	r.underway++
 	r.lateIn(wait + r.patience)
 	go func() {
 		defer cancel()
--- a/internal/store/watch_report.go
+++ b/internal/store/watch_report.go
@@ -59,16 +59,16 @@
 	took := answer.endedAt.Sub(answer.call.began)
 	r.count(outcome, took)
 	if outcome == readingFailed {
-		r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("calls", len(r.calls)).
+		r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("underway", len(r.calls)).
 			Int64("bytes", answer.call.progress.Bytes()).AnErr("error", answer.err).Msg("Reading not answered.")
 	}
 }
 
 // reportLate counts a reading that is late, and logs it.
 func (r *reading) reportLate(now time.Time) {
-	took := now.Sub(r.calls[0].began)
+	took := now.Sub(r.began)
 	r.count(readingLate, took)
-	r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("calls", len(r.calls)).
+	r.watcher.logger().Info().Str("space", r.watcher.Partition.Space).Dur("took", took).Int("underway", len(r.calls)).
 		Int64("bytes", r.latest().progress.Bytes()).Msg("Reading late. Made once more beside.")
 }
 
