ledger: who claimed a shard first is asked also by a daemon that takes it for dead

The directory named the one before both, and the holder was dead in the claimant's old view, so it was not asked: 825 of 1200 tokens forfeited where 297 were spent.

--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -62,13 +62,15 @@
 // askRecorded asks the holder that the shard's own records name what it granted, unless that is
 // the one which the directory named: two daemons that claim a shard at once both read the
 // directory before the first of them has written there. Asking costs a round trip; not asking
-// counts all that the first set aside as spent, up to half of each program's budget.
+// counts all that the first set aside as spent, up to half of each program's budget. Whether it
+// lives in this daemon's view does not matter: one that was cut off until now claims shards by a
+// view that is as old as its last word from others.
 func (h *holder) askRecorded(ctx context.Context, records []store.Record, named holderRecord) *formerState {
 	recorded := recordedHolder(records)
 	if recorded.Daemon == named.Daemon {
 		return nil
 	}
-	return h.askFormer(ctx, recorded)
+	return h.askGranted(ctx, recorded.Daemon)
 }
 
 // recordedHolder returns the holder that wrote the allowance's record.
@@ -82,15 +84,24 @@
 	return found.Holder
 }
 
-// askFormer asks the holder before this one what it granted; nil if it does not tell.
+// askFormer asks the holder before this one what it granted, unless it is dead; nil if it does
+// not tell.
 func (h *holder) askFormer(ctx context.Context, before holderRecord) *formerState {
-	if before.Daemon == "" || before.Daemon == h.daemon || !h.fleet.mayLive(before.Daemon) {
+	if !h.fleet.mayLive(before.Daemon) {
+		return nil
+	}
+	return h.askGranted(ctx, before.Daemon)
+}
+
+// askGranted asks a daemon that held the shard what it granted; nil if it does not tell.
+func (h *holder) askGranted(ctx context.Context, daemon string) *formerState {
+	if daemon == "" || daemon == h.daemon {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, formerAnswerTime)
 	defer cancel()
 	request := Request{Shard: h.shard, Superseded: &holderRecord{Epoch: h.epoch, Daemon: h.daemon}}
-	told := h.fleet.askOne(ctx, structs.DaemonID(before.Daemon), request).Former
+	told := h.fleet.askOne(ctx, structs.DaemonID(daemon), request).Former
 	if told == nil {
 		return nil
 	}
--- a/internal/ledger/superseded_test.go
+++ b/internal/ledger/superseded_test.go
@@ -73,16 +73,29 @@
 	})
 }
 
-// claimTwice lets a shard's holder die, and two daemons claim the shard one right after the
+// claimTwice lets a program's holder die, and two daemons claim the shard one right after the
 // other: the second knows of the first only what the directory tells, which is nothing yet. It
 // returns both, and false if the second left the shard to the first, as it does where the store
-// tells it of a higher epoch.
-func claimTwice(t *testing.T, f *testFleet, program string) (first, second *Service, taken bool) {
+// tells it of a higher epoch. If isDead, the second takes the first for dead.
+func claimTwice(t *testing.T, isDead bool) (first, second *Service, program string, taken bool) {
 	t.Helper()
-	dead := f.service(f.holderOf(program))
-	shard := dead.shardOf(program)
-	failed := dead.known.get(shard).Epoch
-	f.kill(dead.Self)
+	f := newTestFleet(t, 0)
+	believedDead := map[structs.DaemonID]bool{}
+	f.viewOf = func(structs.DaemonID) View { return staleView{f, believedDead} }
+	for i := range 3 {
+		f.start(daemonID(i, 1))
+	}
+	s := f.service(daemonID(0, 1))
+	names := programsOfOneShard(s, 2)
+	warmUp(t, s, names[0])
+	program = names[1]
+	begin(t, s, allowanceTurn(program, "first", 100))
+	end(t, s, Outcome{Turn: "first", Program: program, UsedTokens: 10})
+
+	holder := f.service(f.holderOf(program))
+	shard := holder.shardOf(program)
+	take := Request{Shard: shard, Take: true, Failed: holder.known.get(shard).Epoch}
+	f.kill(holder.Self)
 	f.store.SetFault(func(p store.Partition, _ store.Writer) memory.Fault {
 		if p.Space == "holders" {
 			return memory.FaultRefused
@@ -90,18 +103,18 @@
 		return memory.FaultNone
 	})
 	defer f.store.SetFault(nil)
-	var alive []*Service
-	for _, id := range f.ids() {
-		alive = append(alive, f.service(id))
-	}
-	take := Request{Shard: shard, Take: true, Failed: failed}
-	if got := alive[0].askOne(testContext(t), alive[0].Self, take).Result; got != resultOK {
+	alive := f.ids()
+	first, second = f.service(alive[0]), f.service(alive[1])
+	if got := first.askOne(testContext(t), first.Self, take).Result; got != resultOK {
 		t.Fatalf("the shard was not taken: %q", got)
 	}
-	begin(t, alive[0], allowanceTurn(program, "between", 100))
-	end(t, alive[0], Outcome{Turn: "between", Program: program, UsedTokens: 10})
-	got := alive[1].askOne(testContext(t), alive[1].Self, take).Result
-	return alive[0], alive[1], got == resultOK
+	begin(t, first, allowanceTurn(program, "between", 100))
+	end(t, first, Outcome{Turn: "between", Program: program, UsedTokens: 10})
+	if isDead {
+		synctest.Wait()
+		believedDead[first.Self] = true
+	}
+	return first, second, program, second.askOne(testContext(t), second.Self, take).Result == resultOK
 }
 
 // accountOf returns what a daemon knows, or knew when it lost the shard, of a program.
@@ -118,32 +131,35 @@
 // the word that their budget is spent, after they had spent a fifth of it.
 //
 // The order of events: a shard's holder is cut off, and two daemons claim the shard within a
-// second. The first has granted headroom to the program again when the second supersedes it. The
-// directory still named the holder that was cut off, so the second asked that one, which is silent,
-// and counted what the first had set aside as spent, on top of what it had counted itself: 588 of
-// 840 tokens. The first lived all the time and could have told.
+// second, the second as it is behind, or as it was cut off until now and takes all others for dead.
+// The first has granted headroom to the program again when the second supersedes it. The directory
+// still named the holder that was cut off, so the second asked that one, which is silent, and
+// counted what the first had set aside as spent, on top of what it had counted itself: 588 of 840
+// tokens. The first lived all the time and could have told.
 func TestFirstOfTwoClaimantsTellsTheSecondWhatItGranted(t *testing.T) {
-	const most = 20 // claims, each of which supersedes the first with one chance in two
-	for range most {
-		taken := false
-		synctest.Test(t, func(t *testing.T) {
-			f, s, names := newWarmFleet(t, 3, 2)
-			begin(t, s, allowanceTurn(names[1], "first", 100))
-			end(t, s, Outcome{Turn: "first", Program: names[1], UsedTokens: 10})
-			var first, second *Service
-			if first, second, taken = claimTwice(t, f, names[1]); !taken {
-				return
-			}
-			synctest.Wait()
-			known, told := second.accountOf(names[1]), first.accountOf(names[1])
-			if known.Forfeited != told.Forfeited || known.Spent != told.Spent {
-				t.Errorf("forfeited %d, spent %d of 1000 tokens, where the first had counted %d and %d",
-					known.Forfeited, known.Spent, told.Forfeited, told.Spent)
+	for name, isDead := range map[string]bool{"lives in the second's view": false, "dead in the second's view": true} {
+		t.Run(name, func(t *testing.T) {
+			const most = 20 // claims, each of which supersedes the first with one chance in two at least
+			for range most {
+				taken := false
+				synctest.Test(t, func(t *testing.T) {
+					var first, second *Service
+					var program string
+					if first, second, program, taken = claimTwice(t, isDead); !taken {
+						return
+					}
+					synctest.Wait()
+					known, told := second.accountOf(program), first.accountOf(program)
+					if known.Forfeited != told.Forfeited || known.Spent != told.Spent {
+						t.Errorf("forfeited %d, spent %d of 1000 tokens, where the first had counted %d and %d",
+							known.Forfeited, known.Spent, told.Forfeited, told.Spent)
+					}
+				})
+				if taken {
+					return
+				}
 			}
+			t.Errorf("none of %d claims superseded another", most)
 		})
-		if taken {
-			return
-		}
 	}
-	t.Errorf("none of %d claims superseded another", most)
 }
