--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -95,7 +95,7 @@
 // update takes a listed instance, unless something newer is known of it. It returns the ID of
 // the run that it counts as, and the addresses that were left.
 func (p *Pool) update(instance Instance) (id string, left []string) {
-	id, ended := p.enter(&instance)
+	id, ended := p.noteRun(&instance)
 	if ended != nil {
 		left = append(left, ended.Address)
 	}
--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -11,12 +11,12 @@
 	id          string
 	incarnation int64
 	// doubted is the entry of a lower incarnation that was read last; its incarnation is
-	// doubtedNone if there was none.
+	// noIncarnation if there was none.
 	doubted, doubtedSequence int64
 }
 
-// doubtedNone is no incarnation.
-const doubtedNone = -1
+// noIncarnation is that of no run.
+const noIncarnation = -1
 
 // supersedes tells whether an entry is that of the latest run, or of a later one.
 func (r *latestRun) supersedes(instance *Instance) bool {
@@ -31,13 +31,13 @@
 	return false
 }
 
-// enter takes note of the run that an entry is of. It returns the run's ID, whose entry it
+// noteRun takes note of the run that an entry is of. It returns the run's ID, whose entry it
 // counts as, and the run that ended with that, nil if none did. An entry that is not believed
 // counts as one of the latest run.
-func (p *Pool) enter(instance *Instance) (id string, ended *entry) {
+func (p *Pool) noteRun(instance *Instance) (id string, ended *entry) {
 	latest := p.latestRuns[instance.Name()]
 	if latest == nil {
-		p.latestRuns[instance.Name()] = &latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: doubtedNone}
+		p.latestRuns[instance.Name()] = &latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: noIncarnation}
 		return instance.ID, nil
 	}
 	if instance.ID == latest.id || !latest.supersedes(instance) {
@@ -45,7 +45,7 @@
 	}
 	ended = p.byID[latest.id]
 	delete(p.byID, latest.id)
-	*latest = latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: doubtedNone}
+	*latest = latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: noIncarnation}
 	return instance.ID, ended
 }
 
