zone: one way to change a belief

Cause: reading. The belief that a zone is cut off and that this daemon is were changed by the same lines twice. Change: belief.become; behaviour unchanged.

--- a/internal/zone/detection.go
+++ b/internal/zone/detection.go
@@ -45,21 +45,12 @@
 func (r *Reachability) updateZone(name string, now time.Time, plan *Plan) {
 	p := r.paths[name]
 	cut := p.isLost(now) && now.Sub(p.heardAt) >= probeTimeout
-	if p.cutSince.IsZero() {
-		cut = cut && (!r.isolatedSince.IsZero() || p.hasEvidence(now) && r.isAnyoneHeard(p.probingSince))
+	if !p.isCut() {
+		cut = cut && (r.isolation.isCut() || p.hasEvidence(now) && r.isAnyoneHeard(p.probingSince))
 	}
-	if cut == !p.cutSince.IsZero() {
-		return
+	if lasted, changed := p.become(cut, now); changed {
+		plan.Changes = append(plan.Changes, BeliefChange{Zone: name, Cut: cut, Lasted: lasted, Evidence: p.evidence(now)})
 	}
-	change := BeliefChange{Zone: name, Cut: cut, Evidence: p.evidence(now)}
-	if cut {
-		change.Lasted = since(p.endedAt, now)
-		p.cutSince = now
-	} else {
-		change.Lasted = since(p.cutSince, now)
-		p.cutSince, p.endedAt = time.Time{}, now
-	}
-	plan.Changes = append(plan.Changes, change)
 }
 
 // hasEvidence tells whether more is silent in a zone than a few daemons that may have
@@ -112,18 +103,10 @@
 		plan.ProbeStore = true
 	}
 	isolated := total > 1 && 2*lost >= total && r.store.isSilent(now)
-	if isolated == !r.isolatedSince.IsZero() {
-		return
-	}
-	change := BeliefChange{Cut: isolated, Evidence: Evidence{Asked: lost, Unanswered: since(r.store.answeredAt, now)}}
-	if isolated {
-		change.Lasted = since(r.endedAt, now)
-		r.isolatedSince = now
-	} else {
-		change.Lasted = since(r.isolatedSince, now)
-		r.isolatedSince, r.endedAt = time.Time{}, now
+	if lasted, changed := r.isolation.become(isolated, now); changed {
+		evidence := Evidence{Asked: lost, Unanswered: since(r.store.answeredAt, now)}
+		plan.Changes = append(plan.Changes, BeliefChange{Cut: isolated, Lasted: lasted, Evidence: evidence})
 	}
-	plan.Changes = append(plan.Changes, change)
 }
 
 // isSilent tells whether calls to the store fail, and none was answered lately.
--- a/internal/zone/probing.go
+++ b/internal/zone/probing.go
@@ -68,7 +68,7 @@
 	r.steppedAt = now
 	for name, p := range r.paths {
 		p.waiting = waiting[name]
-		p.stopProbingIfDone(paused, r.isolatedSince, now)
+		p.stopProbingIfDone(paused, r.isolation.cutSince, now)
 	}
 	for _, name := range r.otherZones {
 		if p := r.paths[name]; p.daemons > 0 && p.probingSince.IsZero() && p.isSuspect(now) && now.Sub(p.probingEndedAt) >= probePause {
@@ -95,7 +95,7 @@
 	if p.probingSince.IsZero() {
 		return
 	}
-	foundCut := !p.cutSince.IsZero() || !isolatedSince.IsZero()
+	foundCut := p.isCut() || !isolatedSince.IsZero()
 	noResult := !foundCut && (paused || now.Sub(p.probingSince) >= maxProbing)
 	if p.isSilent() && !noResult {
 		return
@@ -126,7 +126,7 @@
 		if p.probingSince.IsZero() {
 			p.probingSince = now
 		}
-		if p.cutSince.IsZero() {
+		if !p.isCut() {
 			p.probe(name, count, now, plan)
 		}
 	}
@@ -150,7 +150,7 @@
 		p.suspicionSent = true
 		plan.Suspected = append(plan.Suspected, name)
 	}
-	isCut := !p.cutSince.IsZero()
+	isCut := p.isCut()
 	if isCut && now.Sub(p.connectedAt) >= connectInterval {
 		p.connectedAt = now
 		plan.Connect = append(plan.Connect, name)
--- a/internal/zone/reachability.go
+++ b/internal/zone/reachability.go
@@ -41,9 +41,8 @@
 	otherZones []string
 	steppedAt  time.Time
 	store      storePath
-	// isolatedSince is zero while this daemon is not cut off, and endedAt is when it
-	// last ceased to be.
-	isolatedSince, endedAt time.Time
+	// isolation is the belief that this daemon is cut off.
+	isolation belief
 }
 
 // beliefs is what readers see. It is replaced as a whole.
@@ -54,10 +53,27 @@
 	changed chan struct{}
 }
 
-// belief is since when a zone has been cut off, zero if it is not, and when it last
-// was.
+// belief is since when a zone, or this daemon, has been cut off, zero if it is not, and when it
+// last was.
 type belief struct{ cutSince, endedAt time.Time }
 
+func (b *belief) isCut() bool { return !b.cutSince.IsZero() }
+
+// become changes the belief, and tells whether that is a change, and for how long the contrary
+// was believed.
+func (b *belief) become(cut bool, now time.Time) (lasted time.Duration, changed bool) {
+	switch {
+	case cut == b.isCut():
+		return 0, false
+	case cut:
+		b.cutSince = now
+		return since(b.endedAt, now), true
+	}
+	lasted = since(b.cutSince, now)
+	b.cutSince, b.endedAt = time.Time{}, now
+	return lasted, true
+}
+
 // path is what is known of the way to one zone.
 type path struct {
 	belief
@@ -187,7 +203,7 @@
 
 // publish makes the beliefs known to readers; the mutex must be held.
 func (r *Reachability) publish() {
-	next := &beliefs{zones: map[string]belief{}, isolatedSince: r.isolatedSince, changed: make(chan struct{})}
+	next := &beliefs{zones: map[string]belief{}, isolatedSince: r.isolation.cutSince, changed: make(chan struct{})}
 	for name, p := range r.paths {
 		next.zones[name] = p.belief
 	}
