--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -104,7 +104,7 @@
 		Quota:      d.settings.quotaTerms(),
 		Machine:    machineClock(d.settings.PeerAddress),
 
-		StoreReadBytes: d.settings.storeReadRate(),
+		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
 
 		Confirmations: d,
 		Evacuations:   d,
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -216,10 +216,6 @@
 
 func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
 
-// storeReadRate is what the store reads for the whole fleet, in bytes a second; 0 if that is not
-// known.
-func (s *Settings) storeReadRate() float64 { return s.StoreReadMegabytes * 1e6 }
-
 func (s *Settings) revocationTime() time.Duration {
 	return time.Duration(s.RevocationMS * float64(time.Millisecond))
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -37,7 +37,6 @@
 		OnRead:    d.confirmRoutes,
 		Hurry:     d.keys.hurry.Asked(),
 		Expected:  d.keys.newerRoutes.Asked(),
-		ReadByAll: d.readByAll,
 		Metrics:   d.watchMetrics,
 		Logger:    &d.logger,
 		OnContact: func(err error) {
@@ -48,16 +47,6 @@
 	watcher.Run(ctx)
 }
 
-// readByAll is how long the store takes to send so many bytes to each daemon; 0 if its rate is not
-// known.
-func (d *Daemon) readByAll(bytes int) time.Duration {
-	rate := d.settings.storeReadRate()
-	if rate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(bytes*d.registry.count()) / rate * float64(time.Second))
-}
-
 // takeOperators puts the operators' records in force. Evacuations come first: a
 // daemon that starts sends nothing before it has routes.
 func (d *Daemon) takeOperators(records map[string]store.Record, end int64) {
--- a/internal/store/reading.go
+++ b/internal/store/reading.go
@@ -25,9 +25,6 @@
 	// lateCallsOfLostStore are the calls after which a store that says nothing counts as lost.
 	// One alone may have been lost with its connection.
 	lateCallsOfLostStore = 2
-	// queueMargin times what the whole fleet takes to read what it read last is waited for: the
-	// next change may be larger by half.
-	queueMargin = 1.5
 	// giveUpCall is how long a call may bring nothing until it is given up: the longest time
 	// that the ledger waits for a page of a busy store.
 	giveUpCall = 4 * time.Second
@@ -89,9 +86,9 @@
 	return a.call.began
 }
 
-func newReading(w *Watcher, from int64, patience time.Duration, contact *watchContact) *reading {
+func newReading(w *Watcher, from int64, contact *watchContact) *reading {
 	return &reading{
-		watcher: w, from: from, contact: contact, answers: make(chan readingAnswer), patience: patience,
+		watcher: w, from: from, contact: contact, answers: make(chan readingAnswer), patience: w.Settings.Answer,
 		began: time.Now(), late: time.NewTimer(time.Hour),
 	}
 }
@@ -193,7 +190,7 @@
 			call.bytes, call.progressAt = bytes, now
 			more = true
 		}
-		if now.Sub(call.progressAt) >= max(giveUpCall, r.patience) {
+		if now.Sub(call.progressAt) >= giveUpCall {
 			call.cancel()
 		}
 	}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -50,9 +50,6 @@
 	// Expected, if given, tells that there are changes which were not read yet: a reading
 	// that waits for some is due.
 	Expected <-chan struct{}
-	// ReadByAll, if given, is how long the store takes to send so many bytes to each daemon
-	// of the fleet: all follow the same records, and are served one after the other.
-	ReadByAll func(bytes int) time.Duration
 	// Metrics, if given, count the readings, and Logger hears of those that bring nothing.
 	Metrics *WatchMetrics
 	Logger  *zerolog.Logger
@@ -62,14 +59,13 @@
 func (w *Watcher) Run(ctx context.Context) {
 	known := map[string]Record{}
 	next := int64(-1)
-	patience := w.Settings.Answer
 	contact := watchContact{tell: w.OnContact}
 	for ctx.Err() == nil {
 		wait := w.Settings.Wait
 		if contact.lost {
 			wait = 0 // what counts is whether the store answers
 		}
-		answer := newReading(w, next, patience, &contact).run(ctx, wait)
+		answer := newReading(w, next, &contact).run(ctx, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -89,7 +85,6 @@
 		ApplyNewest(known, answer.records)
 		if answer.isChange() {
 			w.tell(known, next)
-			patience = w.patienceFor(known)
 		}
 		if w.OnRead != nil {
 			w.OnRead(answer.asOf())
@@ -98,20 +93,6 @@
 	}
 }
 
-// patienceFor is how long nothing of an answer may arrive, where what is known was the size of
-// the last change: as long as a store takes that serves all daemons before this one. With less, a
-// fleet of 295 daemons read 1.2 MB up to four times each, which takes the store 4.3 s for once.
-func (w *Watcher) patienceFor(known map[string]Record) time.Duration {
-	if w.ReadByAll == nil {
-		return w.Settings.Answer
-	}
-	bytes := 0
-	for _, record := range known {
-		bytes += len(record.Key) + len(record.Value)
-	}
-	return max(w.Settings.Answer, time.Duration(queueMargin*float64(w.ReadByAll(bytes))))
-}
-
 // tell calls OnAdvance, or OnChange without it.
 func (w *Watcher) tell(known map[string]Record, end int64) {
 	if w.OnAdvance != nil {
