Reading: one lookup of the last record under a key, and less state around it

Cause: reading the change once more. recordedHolder was holderUnder's loop over another type; UntilReturned had one caller left, and a goroutine for what a select does; the first run of a name was built twice; openAllowance named the holder in two branches. Change: lastUnder serves both, the other three are simplified. Behaviour unchanged. Measured: tests of store, instance, relaydaemon, ledger and relay pass.

--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -15,6 +15,10 @@
 	doubted, doubtedSequence int64
 }
 
+func newLatestRun(instance *Instance) latestRun {
+	return latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: noIncarnation}
+}
+
 // noIncarnation is that of no run.
 const noIncarnation = -1
 
@@ -37,7 +41,8 @@
 func (p *Pool) noteRun(instance *Instance) (id string, ended *entry) {
 	latest := p.latestRuns[instance.Name()]
 	if latest == nil {
-		p.latestRuns[instance.Name()] = &latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: noIncarnation}
+		first := newLatestRun(instance)
+		p.latestRuns[instance.Name()] = &first
 		return instance.ID, nil
 	}
 	if instance.ID == latest.id || !latest.supersedes(instance) {
@@ -45,7 +50,7 @@
 	}
 	ended = p.byID[latest.id]
 	delete(p.byID, latest.id)
-	*latest = latestRun{id: instance.ID, incarnation: instance.incarnation(), doubted: noIncarnation}
+	*latest = newLatestRun(instance)
 	return instance.ID, ended
 }
 
--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -120,14 +120,14 @@
 // granted before, nil if that is not known.
 func (s *state) openAllowance(holder holderRecord, former *formerState, now time.Time) {
 	s.touch(allowanceKey)
-	if s.restoreFormer(former, now) {
+	restored := s.restoreFormer(former, now) // looks at the holder before this one
+	s.allowance.Holder = holder
+	if restored {
 		if s.allowance.Epoch != 0 {
 			s.allowance.Epoch = holder.Epoch
 		}
-		s.allowance.Holder = holder
 		return
 	}
-	s.allowance.Holder = holder
 	if !s.isAllowanceLost(now) {
 		s.allowance.LostAtMS = 0
 		s.allowance.losses = losses{}
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -275,7 +275,12 @@
 
 // holderUnder returns the holder that the last record under a key names.
 func holderUnder(key string, records []store.Record) holderRecord {
-	var found holderRecord
+	return lastUnder[holderRecord](key, records)
+}
+
+// lastUnder returns what the last record under a key holds, the zero value if there is none. A
+// record that is malformed changes nothing.
+func lastUnder[T any](key string, records []store.Record) (found T) {
 	for _, record := range records {
 		if record.Key == key {
 			_ = json.Unmarshal(record.Value, &found) // one that is malformed is none
--- a/internal/ledger/former_state.go
+++ b/internal/ledger/former_state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -66,24 +65,13 @@
 // lives in this daemon's view does not matter: one that was cut off until now claims shards by a
 // view that is as old as its last word from others.
 func (h *holder) askRecorded(ctx context.Context, records []store.Record, named holderRecord) *formerState {
-	recorded := recordedHolder(records)
+	recorded := lastUnder[allowanceRecord](allowanceKey, records).Holder
 	if recorded.Daemon == named.Daemon {
 		return nil
 	}
 	return h.askGranted(ctx, recorded.Daemon)
 }
 
-// recordedHolder returns the holder that wrote the allowance's record.
-func recordedHolder(records []store.Record) holderRecord {
-	var found allowanceRecord
-	for _, record := range records {
-		if record.Key == allowanceKey {
-			_ = json.Unmarshal(record.Value, &found) // one that is malformed names nobody
-		}
-	}
-	return found.Holder
-}
-
 // askFormer asks the holder before this one what it granted, unless it is dead; nil if it does
 // not tell.
 func (h *holder) askFormer(ctx context.Context, before holderRecord) *formerState {
--- a/internal/store/contact.go
+++ b/internal/store/contact.go
@@ -1,7 +1,5 @@
 package store
 
-import "context"
-
 // Contact tells a store's users when it is worth trying again. It is safe for
 // concurrent use.
 type Contact interface {
@@ -21,21 +19,3 @@
 
 // IsIsolated implements Contact.
 func (NoContact) IsIsolated() bool { return false }
-
-// UntilReturned returns a context that also ends when the store answers again. The caller
-// must call stop.
-func UntilReturned(ctx context.Context, contact Contact) (until context.Context, stop context.CancelFunc) {
-	returned := contact.Returned()
-	until, stop = context.WithCancel(ctx)
-	if returned == nil {
-		return until, stop
-	}
-	go func() {
-		select {
-		case <-returned:
-			stop()
-		case <-until.Done():
-		}
-	}()
-	return until, stop
-}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -104,9 +104,13 @@
 
 // pause waits before the next reading, until the store answers again at most.
 func (w *Watcher) pause(ctx context.Context) {
-	ctx, stop := UntilReturned(ctx, w.contact())
-	defer stop()
-	clock.Sleep(ctx, w.Settings.Retry)
+	retry := time.NewTimer(w.Settings.Retry)
+	defer retry.Stop()
+	select {
+	case <-retry.C:
+	case <-w.contact().Returned():
+	case <-ctx.Done():
+	}
 }
 
 func (w *Watcher) contact() Contact {
