relaydaemon: answers tell for how long a connection may be used again, and no rest ends before

Cause: a planned stop closed connections that rest 2.5 s after its begin, and lower limits at once, while callers might use them for up to four fifths of the operators' limit (12 s of 15): the request that was on its way was lost. The listener was closed with connections that the process had not accepted yet.

Change: each answer's head tells Keep-Alive: timeout=2, or Connection: close while callers are led elsewhere, in one place (answerWriter, which takes the place of the responder's own header); a connection's rest lasts at least for that time and 0.5 s of travel, whoever wants to end it. As a stop says from its begin that connections close, and its notice takes 2.5 s, it takes no longer than before, but for streams that began before it and end during the notice. A drain goes on to accept for 50 ms what the system has accepted.

Not yet measured on the platform.

--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -47,9 +47,6 @@
 	// Identify returns the tenant that a request acts for, nil for none, or why it is
 	// refused. It must be called once the request has arrived.
 	Identify(ctx context.Context, asked KeyQuestion) (*tenant.Tenant, *relay.Refusal)
-	// RedirectsCallers tells whether callers are to connect to another daemon for their next
-	// request.
-	RedirectsCallers() bool
 	// Serve carries a call to its end.
 	Serve(ctx context.Context, call *relay.Call, responder relay.Responder)
 }
--- a/internal/relaydaemon/cutoff.go
+++ b/internal/relaydaemon/cutoff.go
@@ -67,7 +67,7 @@
 	d.reach.Run(ctx)
 }
 
-// expireRestingAfterReroute closes callers' idle connections once new ones are routed to
+// expireRestingAfterReroute closes callers' idle connections that no caller may use again once new ones are routed to
 // other daemons, if this one is still cut off then: their next requests then reach a
 // daemon that can serve them without being refused first.
 func (d *Daemon) expireRestingAfterReroute() {
@@ -100,7 +100,8 @@
 	return d.zones.Isolated()
 }
 
-// RedirectsCallers implements Gateway: new connections of callers are routed to other
+// RedirectsCallers tells whether callers are to make their next request on another
+// connection: new connections of callers are routed to other
 // daemons while this one stops or is cut off.
 func (d *Daemon) RedirectsCallers() bool {
 	_, isCut := d.cutOffSince()
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
@@ -17,6 +18,9 @@
 	// firstRequestTime is how long a new connection may take in a drain until its
 	// first request arrives: callers give a connection a second to come up.
 	firstRequestTime = time.Second
+	// lastAccept is how long a drain goes on to accept connections that the system has
+	// accepted: closing the listener resets them, and the requests that have arrived on them.
+	lastAccept = 50 * time.Millisecond
 )
 
 // frontServer serves callers and can be drained. The Shutdown of http.Server is
@@ -28,6 +32,9 @@
 	served chan struct{}
 	// giveUp ends the contexts of all requests, with their cause.
 	giveUp context.CancelCauseFunc
+	// redirects tells whether new connections of callers are routed to other daemons.
+	redirects func() bool
+	draining  atomic.Bool
 
 	mutex  sync.Mutex
 	limits route.Limits
@@ -38,18 +45,19 @@
 type connectionKey struct{}
 
 // newFrontServer starts to serve on a listener. Times that callers may take are the
-// front server's: server must set none.
-func newFrontServer(server *http.Server, listener net.Listener) *frontServer {
+// front server's: server must set none. While redirects is true, no connection is kept.
+func newFrontServer(server *http.Server, listener net.Listener, redirects func() bool) *frontServer {
 	base, giveUp := context.WithCancelCause(context.Background())
 	s := &frontServer{
-		giveUp:   giveUp,
-		server:   server,
-		listener: listener,
-		served:   make(chan struct{}),
-		limits:   route.Limits{HeadTime: headerTimeout, IdleTime: idleTimeout},
-		open:     map[*frontConnection]struct{}{},
+		giveUp:    giveUp,
+		redirects: redirects,
+		server:    server,
+		listener:  listener,
+		served:    make(chan struct{}),
+		limits:    route.Limits{HeadTime: headerTimeout, IdleTime: idleTimeout},
+		open:      map[*frontConnection]struct{}{},
 	}
-	server.Handler = serving(server.Handler)
+	server.Handler = s.serving(server.Handler)
 	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, connection)
 	}
@@ -62,16 +70,26 @@
 	return s
 }
 
-// serving takes note of each request whose head was read.
-func serving(handler http.Handler) http.Handler {
+// serving takes note of each request whose head was read, and has its answer tell for how
+// long the connection may be used again.
+func (s *frontServer) serving(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if connection, known := r.Context().Value(connectionKey{}).(*frontConnection); known {
-			connection.enter(phaseServing, time.Now())
+		connection, known := r.Context().Value(connectionKey{}).(*frontConnection)
+		if !known {
+			handler.ServeHTTP(w, r)
+			return
 		}
-		handler.ServeHTTP(w, r)
+		connection.enter(phaseServing, time.Now())
+		answer := &answerWriter{ResponseWriter: w, server: s, connection: connection}
+		handler.ServeHTTP(answer, r)
+		answer.tell() // an answer without a body may have no head yet
 	})
 }
 
+// leadsCallersElsewhere tells whether callers are to make their next request on another
+// connection.
+func (s *frontServer) leadsCallersElsewhere() bool { return s.draining.Load() || s.redirects() }
+
 // setLimits puts the operators' limits on callers' time in force, for connections that
 // are open, too. A limit of 0 sets no bound.
 func (s *frontServer) setLimits(limits route.Limits) {
@@ -84,11 +102,11 @@
 }
 
 // drain accepts no connection any more, answers every request that has begun to
-// arrive, and closes connections that rest. It returns once none is open, or
-// with an error when ctx ends.
+// arrive, and closes connections that rest and that no caller may use again. It returns
+// once none is open, or with an error when ctx ends.
 func (s *frontServer) drain(ctx context.Context) error {
-	_ = s.listener.Close()
-	<-s.served
+	s.draining.Store(true)
+	s.stopAccepting()
 	for s.expireResting(time.Now()) > 0 {
 		clock.Sleep(ctx, drainPoll)
 		if ctx.Err() != nil {
@@ -98,6 +116,15 @@
 	return nil
 }
 
+// stopAccepting closes the listener once no connection waits to be accepted.
+func (s *frontServer) stopAccepting() {
+	limited, ok := s.listener.(interface{ SetDeadline(at time.Time) error })
+	if !ok || limited.SetDeadline(time.Now().Add(lastAccept)) != nil {
+		_ = s.listener.Close() // it has none that wait, or is closed
+	}
+	<-s.served
+}
+
 // close closes the listener and cuts all connections.
 func (s *frontServer) close() {
 	s.giveUp(nil)
@@ -111,8 +138,8 @@
 	return len(s.open)
 }
 
-// expireResting ends the wait for a next request on connections that rest, and
-// returns how many connections are open.
+// expireResting ends the wait for a next request on connections that rest and that no
+// caller may use again, and returns how many connections are open.
 func (s *frontServer) expireResting(now time.Time) int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -132,10 +159,9 @@
 	switch state {
 	case http.StateNew:
 		s.add(c)
-		c.enter(phaseResting, now)
-		c.spareUntil(now.Add(firstRequestTime))
+		c.restFor(firstRequestTime, now)
 	case http.StateIdle:
-		c.enter(phaseResting, now)
+		c.restAfterAnswer(now)
 	case http.StateClosed, http.StateHijacked:
 		s.remove(c)
 	}
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -1,19 +1,25 @@
 package relaydaemon
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// frontListener accepts connections as frontConnections.
+// frontListener accepts connections as frontConnections. At its deadline it closes.
 type frontListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l frontListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = l.Close()
+		return nil, net.ErrClosed // the server would try a deadline's error again
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -42,8 +48,10 @@
 	phase  phase
 	// since is when the phase began.
 	since time.Time
-	// sparedUntil is until when a drain does not end the connection's rest.
-	sparedUntil time.Time
+	// reuse is for how long the caller may use the connection again after its latest answer,
+	// and reusableUntil when a request that it sends in time has arrived.
+	reuse         time.Duration
+	reusableUntil time.Time
 	// expired: the wait for the next request was ended.
 	expired bool
 }
@@ -71,18 +79,17 @@
 // phaseEnd is when the phase must have ended; zero if nothing bounds it. The mutex must
 // be held.
 func (c *frontConnection) phaseEnd() time.Time {
-	longest := time.Duration(0)
-	switch c.phase {
-	case phaseResting:
-		longest = c.limits.IdleTime
-	case phaseHead:
-		longest = c.limits.HeadTime
-	case phaseServing:
-	}
-	if longest <= 0 {
-		return time.Time{}
+	switch {
+	case c.phase == phaseResting && c.limits.IdleTime > 0:
+		end := c.since.Add(c.limits.IdleTime)
+		if end.Before(c.reusableUntil) {
+			return c.reusableUntil // the limit is lower than the one that the caller was told by
+		}
+		return end
+	case c.phase == phaseHead && c.limits.HeadTime > 0:
+		return c.since.Add(c.limits.HeadTime)
 	}
-	return c.since.Add(longest)
+	return time.Time{}
 }
 
 // enter begins a phase.
@@ -108,11 +115,33 @@
 	_ = c.Conn.SetReadDeadline(c.phaseEnd()) // fails on a connection that is closed
 }
 
-// spareUntil keeps a drain from ending the connection's rest until then.
-func (c *frontConnection) spareUntil(until time.Time) {
+// grantReuse returns for how long the caller may use the connection again after the answer
+// that begins now.
+func (c *frontConnection) grantReuse() time.Duration {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.sparedUntil = until
+	c.reuse = reuseWithin(c.limits.IdleTime)
+	return c.reuse
+}
+
+// restAfterAnswer begins phaseResting after an answer: it lasts at least for as long as that
+// lets the caller use the connection again.
+func (c *frontConnection) restAfterAnswer(now time.Time) {
+	c.mutex.Lock()
+	reuse := c.reuse
+	c.mutex.Unlock()
+	if reuse > 0 {
+		reuse += requestTravel
+	}
+	c.restFor(reuse, now)
+}
+
+// restFor begins phaseResting, which lasts at least for a while.
+func (c *frontConnection) restFor(least time.Duration, now time.Time) {
+	c.mutex.Lock()
+	c.reusableUntil = now.Add(least)
+	c.mutex.Unlock()
+	c.enter(phaseResting, now)
 }
 
 // noteArrived begins phaseHead when the first bytes of a request arrive, also if the wait
@@ -127,12 +156,13 @@
 	c.bound()
 }
 
-// expire makes the server close the connection if it rests. The server closes it
-// itself when its reading fails: it then has no byte of a request.
+// expire makes the server close the connection if it rests and its caller may not use it
+// again. The server closes it itself when its reading fails: it then has no byte of a
+// request.
 func (c *frontConnection) expire(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != phaseResting || now.Before(c.sparedUntil) {
+	if c.phase != phaseResting || now.Before(c.reusableUntil) {
 		return
 	}
 	c.expired = true
--- /dev/null
+++ b/internal/relaydaemon/front_reuse.go
@@ -0,0 +1,79 @@
+package relaydaemon
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// HTTP/1.1 has no way to close a connection that rests while the caller's next request may be
+// on its way: that request is lost, and where it may not be repeated, it is lost to its caller.
+// So each answer tells for how long the connection may be taken up again, or that it closes,
+// and nothing but the caller ends a connection's rest before that time is over: neither a
+// planned stop, nor a lower limit of the operators, nor a cut.
+
+const (
+	// reuseTime is for how long callers may take up a connection after an answer. It ends,
+	// travel included, within noticeTime: in a planned stop answers say from its begin that
+	// the connection closes, so at the end of the notice no caller may use a connection
+	// that rests. With a link of 3 ms a stop lost a request in some 30 before.
+	reuseTime = 2 * time.Second
+	// requestTravel is how long a request may take to arrive that was sent in time: the
+	// loss of a packet or two, or a processor that is not had for a while.
+	requestTravel = noticeTime - reuseTime
+)
+
+const (
+	headerConnection = "Connection"
+	headerKeepAlive  = "Keep-Alive"
+)
+
+// reuseWithin returns for how long callers may take up a connection again, by the operators'
+// limit on its rest: whole seconds, as callers are told; 0 if the limit leaves none.
+func reuseWithin(idleLimit time.Duration) time.Duration {
+	if idleLimit <= 0 {
+		return reuseTime
+	}
+	return max(min(reuseTime, idleLimit-requestTravel), 0).Truncate(time.Second)
+}
+
+// answerWriter tells with each answer's head for how long the connection may be used again.
+type answerWriter struct {
+	http.ResponseWriter
+	server     *frontServer
+	connection *frontConnection
+	isTold     bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.tell()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(data []byte) (int, error) {
+	w.tell()
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap lets http.ResponseController reach the writer beneath.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// tell sets the headers that tell it, once.
+func (w *answerWriter) tell() {
+	if w.isTold {
+		return
+	}
+	w.isTold = true
+	if w.server.leadsCallersElsewhere() {
+		w.Header().Set(headerConnection, "close")
+		return
+	}
+	reuse := w.connection.grantReuse()
+	if reuse > 0 {
+		w.Header().Set(headerKeepAlive, "timeout="+strconv.Itoa(int(reuse/time.Second)))
+	}
+}
--- a/internal/relaydaemon/front_reuse_test.go
+++ b/internal/relaydaemon/front_reuse_test.go
@@ -116,6 +116,23 @@
 	})
 }
 
+// TestCallersThatAreLedElsewhereAreToldSo: while a daemon is cut off or stops, no connection
+// is kept.
+func TestCallersThatAreLedElsewhereAreToldSo(t *testing.T) {
+	for redirects, want := range map[bool]string{true: "", false: "timeout=2"} {
+		limitsTest(t, func(t *testing.T, d *drainTest) {
+			d.redirects = redirects
+			answer, err := d.dial(t).exchangeAnswer("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := answer.Header.Get("Keep-Alive"); got != want || answer.Close != redirects {
+				t.Errorf("led elsewhere %v: close %v, Keep-Alive %q", redirects, answer.Close, got)
+			}
+		})
+	}
+}
+
 // TestConnectionThatTheSystemAcceptedIsServedInADrain: a connection that the system has
 // accepted, and the daemon has not, is none that was never made.
 func TestConnectionThatTheSystemAcceptedIsServedInADrain(t *testing.T) {
@@ -125,7 +142,7 @@
 	}
 	gate := &gatedListener{Listener: listener, opened: make(chan struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
-	server := newFrontServer(&http.Server{Handler: handler}, gate)
+	server := newFrontServer(&http.Server{Handler: handler}, gate, keepsCallers)
 	defer server.close()
 	connection, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
--- a/internal/relaydaemon/front_test.go
+++ b/internal/relaydaemon/front_test.go
@@ -90,8 +90,13 @@
 	// release lets requests for /slow be answered.
 	release chan struct{}
 	drained chan error
+	// redirects: callers are led to other daemons.
+	redirects bool
 }
 
+// keepsCallers is for servers that never lead callers elsewhere.
+func keepsCallers() bool { return false }
+
 func newDrainTest(t *testing.T) *drainTest {
 	d := &drainTest{pipeListener: newPipeListener(), release: make(chan struct{}), drained: make(chan error, 1)}
 	handler := func(w http.ResponseWriter, r *http.Request) {
@@ -101,7 +106,7 @@
 		body, _ := io.ReadAll(r.Body)
 		_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 	}
-	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(handler)}, d.pipeListener)
+	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(handler)}, d.pipeListener, func() bool { return d.redirects })
 	t.Cleanup(d.server.close)
 	return d
 }
@@ -211,7 +216,7 @@
 	server := newFrontServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		taken.Add(1)
 		_, _ = io.Copy(w, r.Body)
-	})}, listener)
+	})}, listener, keepsCallers)
 	defer server.close()
 	var running sync.WaitGroup
 	for range callers {
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -51,7 +51,7 @@
 	}
 	server := newServer(d.adapter.Front(d), part(d.logger, "http"))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // the front server's own bounds hold
-	d.front = newFrontServer(server, listener)
+	d.front = newFrontServer(server, listener, d.RedirectsCallers)
 	return nil
 }
 
--- a/internal/relaydaemon/logs_test.go
+++ b/internal/relaydaemon/logs_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front := newFrontServer(server, listener)
+	front := newFrontServer(server, listener, keepsCallers)
 	if _, err := http.Get("http://" + listener.Addr().String() + "/a"); err == nil {
 		t.Error("a request that panicked was answered")
 	}
