Connections to engines and the store are probed by TCP keep-alive

Cause: a connection whose other side is gone does not fail while an answer is waited for. Only beliefs ended such a wait, and these are wrong of sound back ends during planned work. Change: keep-alive after a second of silence and each second then. The limit on unacknowledged bytes, which ends the probing, too, is 2.5 s in place of 2 s, so that one probe may be lost. A machine that is silent for 5 s and acknowledges is waited for. The cost in bytes (about 100 a second of a silent connection) is reckoned, not measured.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -2,7 +2,8 @@
 // exchange at a time on each. Unlike net/http's Transport it never repeats a
 // request by itself, tells whether any byte of it was sent, and bounds the
 // connections to each address, so that the caller alone decides what may run
-// twice. Messages are written and parsed by net/http.
+// twice. A connection whose other side is gone fails, also while an answer is
+// waited for: the system probes it. Messages are written and parsed by net/http.
 package httpconn
 
 import (
@@ -34,8 +35,12 @@
 	// hold up a long one.
 	inlineBody = 2 << 10
 	// unacknowledgedTimeout is when the system gives up a connection on which
-	// the other side acknowledges nothing.
-	unacknowledgedTimeout = 2 * time.Second
+	// the other side acknowledges nothing. Two keep-alive probes fit in: one may be lost.
+	unacknowledgedTimeout = 2500 * time.Millisecond
+	// keepAliveInterval is after how long a connection on which nothing comes is probed, and
+	// again. While an answer is waited for nothing else is sent that the other side could fail
+	// to acknowledge. It is the shortest that the system knows.
+	keepAliveInterval = time.Second
 )
 
 // Pool keeps connections by address. It is safe for concurrent use.
@@ -160,7 +165,11 @@
 	if bounds.ConnectTimeout > 0 {
 		timeout = bounds.ConnectTimeout
 	}
-	dialer := net.Dialer{Timeout: timeout, Control: tcpoption.LimitUnacknowledged(unacknowledgedTimeout), KeepAlive: -1}
+	dialer := net.Dialer{
+		Timeout:         timeout,
+		Control:         tcpoption.LimitUnacknowledged(unacknowledgedTimeout),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval},
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		p.release(name)
