A belief that a back end is not reached moves a request, and ends no answer

Cause: GiveUpSilent closed the connection of a silent request on a belief, whatever that was worth to its caller. Change: on a belief a request is given up only if its route allows a further run at a further instance, and one takes requests now (listed, not paused, in no zone that is cut off). Any other is given up only where a later run, of a higher incarnation, has the address; else its connection fails by itself if the other side is gone.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// HasReady tells whether an instance that a query admits takes requests now, and not as a last
+// resort: it is listed, not paused, and not in a zone that is left out.
+func (p *Pool) HasReady(query Query, isLeftOut func(zone string) bool) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(p.byService[query.Service], func(e *entry) bool {
+		isLastResort := now.Before(e.paused) || p.unlistedCost(e, now) >= vanishedCost || isLeftOut(e.Zone)
+		return !isLastResort && p.admits(&query, e, now)
+	})
+}
+
 // cheapest returns the instance with the lowest cost, nil if none is admitted.
 func (p *Pool) cheapest(query *Query, now time.Time) *entry {
 	var best *entry
--- a/internal/instance/outcome.go
+++ b/internal/instance/outcome.go
@@ -47,6 +47,15 @@
 	}
 }
 
+// PassOver passes an instance over for a while where another can be had.
+func (p *Pool) PassOver(id string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if e := p.byID[id]; e != nil {
+		e.pauseUntil(time.Now().Add(failurePause))
+	}
+}
+
 // pauseUntil passes the instance over until then, or later if it is anyhow.
 func (e *entry) pauseUntil(until time.Time) {
 	if until.After(e.paused) {
--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -54,7 +54,9 @@
 	return instance.ID, ended
 }
 
-// HasEnded tells whether a run is over for certain, as a later one of its name is known.
+// HasEnded tells whether another run of a run's name is believed. That is an entry's word, and no
+// proof: a run that leaves goes on with what it has while its successor begins elsewhere, and of two
+// that both write, the one that wrote last may be believed.
 func (p *Pool) HasEnded(id string) bool {
 	run := Instance{ID: id}
 	p.mutex.Lock()
@@ -63,6 +65,18 @@
 	return latest != nil && latest.id != id
 }
 
+// IsReplaced tells whether a run is over for certain: a later one has its address.
+func (p *Pool) IsReplaced(run Instance) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	latest := p.latestRuns[run.Name()]
+	if latest == nil || latest.incarnation <= run.incarnation() {
+		return false
+	}
+	successor := p.byID[latest.id]
+	return successor != nil && successor.Address == run.Address
+}
+
 // forgetRun forgets that an instance is the latest run of its name.
 func (p *Pool) forgetRun(known *entry) {
 	if latest := p.latestRuns[known.Name()]; latest != nil && latest.id == known.ID {
--- a/internal/instance/runs_test.go
+++ b/internal/instance/runs_test.go
@@ -84,6 +84,33 @@
 	}
 }
 
+// TestRunIsOverOnceALaterOneHasItsAddress: of any other, an entry is no proof.
+func TestRunIsOverOnceALaterOneHasItsAddress(t *testing.T) {
+	elsewhere := runOf("b", 300, 1)
+	elsewhere.Address = "elsewhere"
+	for name, test := range map[string]struct {
+		entries    []Instance
+		isReplaced bool
+	}{
+		"a later run":                   {[]Instance{runOf("b", 300, 1)}, true},
+		"a later run, another address":  {[]Instance{elsewhere}, false},
+		"an earlier run that writes on": {[]Instance{runOf("b", 100, 1), runOf("b", 100, 2)}, false},
+		"itself":                        {[]Instance{runOf("b", 200, 2)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newTestPool()
+			run := runOf("b", 200, 1)
+			p.Replace([]Instance{run})
+			for _, entry := range test.entries {
+				p.Replace([]Instance{entry})
+			}
+			if got := p.IsReplaced(run); got != test.isReplaced {
+				t.Errorf("got %t, want %t", got, test.isReplaced)
+			}
+		})
+	}
+}
+
 // TestConnectionsToAFormerAddressAreForgotten: the run goes on elsewhere.
 func TestConnectionsToAFormerAddressAreForgotten(t *testing.T) {
 	p := newTestPool()
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -140,7 +140,8 @@
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
-	c.latest.context, c.latest.watched = c.relay.monitor.startOffer(ctx, target, c.call.Route.Name)
+	c.latest.watched = &pendingOffer{target: target, kind: c.call.Route.Name, elsewhere: c.elsewhere(target)}
+	c.latest.context = c.relay.monitor.startOffer(ctx, c.latest.watched)
 	answer, err := c.relay.Driver.Send(c.latest.context, target, &outgoing)
 	if err == nil {
 		c.relay.monitor.noteProgress(c.latest.watched, time.Now())
--- a/internal/relay/connect_probe.go
+++ b/internal/relay/connect_probe.go
@@ -15,8 +15,8 @@
 	probeTimeout = 200 * time.Millisecond
 	// maxFailedProbes in a row tell that the instance can not be reached: one may be lost.
 	maxFailedProbes = 2
-	// reprobeInterval is after how long an instance that was reached and stays silent is
-	// probed again: a new connection costs it a moment, and a burst makes all silent.
+	// reprobeInterval is after how long an instance that stays silent is probed again, whether
+	// it was reached or not: a new connection costs it a moment, and a burst makes all silent.
 	reprobeInterval = 2 * time.Second
 )
 
@@ -43,7 +43,8 @@
 	if p.failingSince.Before(o.waitingSince) {
 		p.failures = 0 // it was heard since
 	}
-	due := p.failures > 0 || now.Sub(p.endedAt) >= reprobeInterval
+	isUndecided := p.failures > 0 && p.failures < maxFailedProbes
+	due := isUndecided || now.Sub(p.endedAt) >= reprobeInterval
 	if due && !p.running {
 		p.running = true
 		go m.probe(o.target, p, now)
@@ -51,7 +52,8 @@
 	return p.failures < maxFailedProbes
 }
 
-// probe tries to connect to an instance.
+// probe tries to connect to an instance. One that can not be reached gets no new requests for a
+// while, whatever becomes of those that it has.
 func (m *offerMonitor) probe(target instance.Instance, p *connectProbes, began time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -68,6 +70,9 @@
 		p.failingSince = began
 	}
 	p.failures++
+	if p.failures >= maxFailedProbes {
+		m.relay.Pool.PassOver(target.ID)
+	}
 }
 
 // isNamed tells whether the routes in force name a service.
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -88,14 +88,33 @@
 	c.logNotTaken(target, answer.Status)
 }
 
+// mostRuns bounds how often the call may run.
+func (c *carrier) mostRuns() int {
+	if c.call.Route.Kind == kindStream {
+		return streamRuns
+	}
+	return c.call.Route.MaxAttempts
+}
+
+// elsewhere is what another instance must be to get the call while the target may still run it,
+// nil if the route allows no further run or no further instance.
+func (c *carrier) elsewhere(target instance.Instance) *instance.Query {
+	ranOn := len(c.ranOn)
+	if !slices.Contains(c.ranOn, target.ID) {
+		ranOn++
+	}
+	if !c.call.Route.Repeatable() || c.runs+1 >= c.mostRuns() || ranOn >= c.call.Route.MaxAttempts {
+		return nil
+	}
+	query := c.query()
+	query.Only, query.Excluded = "", []string{target.ID}
+	return &query
+}
+
 // mayRunAgain tells whether the route allows another run; if not, the call is
 // ended as one that may have run.
 func (c *carrier) mayRunAgain() bool {
-	limit := c.call.Route.MaxAttempts
-	if c.call.Route.Kind == kindStream {
-		limit = streamRuns
-	}
-	if c.call.Route.Repeatable() && c.runs < limit {
+	if c.call.Route.Repeatable() && c.runs < c.mostRuns() {
 		c.bind()
 		c.relay.Metrics.retry()
 		return true
--- a/internal/relay/offer_monitor.go
+++ b/internal/relay/offer_monitor.go
@@ -39,7 +39,9 @@
 	// started tells that it sent something before.
 	waitingSince time.Time
 	started      bool
-	giveUp       context.CancelCauseFunc
+	// elsewhere is what another instance must be to get the request, nil if none may.
+	elsewhere *instance.Query
+	giveUp    context.CancelCauseFunc
 }
 
 // offerMonitor watches the requests that wait for a back end or for a program's record,
@@ -73,13 +75,13 @@
 }
 
 // startOffer watches an offer until endOffer. The context ends when it is given up.
-func (m *offerMonitor) startOffer(ctx context.Context, target instance.Instance, kind string) (context.Context, *pendingOffer) {
-	ctx, giveUp := context.WithCancelCause(ctx)
-	o := &pendingOffer{target: target, kind: kind, waitingSince: time.Now(), giveUp: giveUp}
+func (m *offerMonitor) startOffer(ctx context.Context, o *pendingOffer) context.Context {
+	ctx, o.giveUp = context.WithCancelCause(ctx)
+	o.waitingSince = time.Now()
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.offers[o] = struct{}{}
-	return ctx, o
+	return ctx
 }
 
 // endOffer ends the watch of an offer.
@@ -175,9 +177,13 @@
 	return longest
 }
 
-// GiveUpSilent ends the wait for silent back ends that can not be connected to, whose zone is
-// cut off or which have started again since, and that of turns for their records while this daemon is isolated.
-// Requests whose back ends still send something go on. It implements reach.Connections.
+// GiveUpSilent ends the wait for silent back ends whose run is over, and the wait for those that
+// are only believed not to be reached, if another takes the request. It also ends that of turns for
+// their records while this daemon is isolated. It implements reach.Connections.
+//
+// The belief is wrong of back ends that leave, are full, or pause while their zone's daemons start
+// again: they go on with the answers that they have. So it ends no answer that only they can give.
+// Where they are really gone the connection fails by itself, as package httpconn has it probed.
 func (r *Relay) GiveUpSilent(now time.Time) {
 	m := r.monitor
 	m.mutex.Lock()
@@ -186,7 +192,8 @@
 		if m.excess(o, now) <= silentMargin {
 			continue
 		}
-		if m.isCut(o.target.Zone) || m.relay.Pool.HasEnded(o.target.ID) || !m.isReachable(o, now) {
+		isDoubted := m.isDoubted(o, now)
+		if isDoubted && m.mayMove(o) || m.relay.Pool.IsReplaced(o.target) {
 			o.giveUp(errCutOff)
 		}
 	}
@@ -198,6 +205,17 @@
 	}
 }
 
+// isDoubted tells whether the instance of a silent offer is believed not to be reached. The mutex
+// must be held.
+func (m *offerMonitor) isDoubted(o *pendingOffer, now time.Time) bool {
+	return m.isCut(o.target.Zone) || m.relay.Pool.HasEnded(o.target.ID) || !m.isReachable(o, now)
+}
+
+// mayMove tells whether another instance takes an offer's request.
+func (m *offerMonitor) mayMove(o *pendingOffer) bool {
+	return o.elsewhere != nil && m.relay.Pool.HasReady(*o.elsewhere, m.isCut)
+}
+
 // WatchSilence calls GiveUpSilent until ctx ends. It is for a fleet of one zone, where no
 // reach.Watch calls it.
 func (r *Relay) WatchSilence(ctx context.Context) {
