Tests of requests that are moved off a back end that listens no more; they fail

Cause: a connection that is refused counts as a try that failed, as if the machine were gone. A back end that leaves refuses new connections at once and goes on with what it has. Change: tests, and the name of the error that tells a refusal from silence (ErrRefused), which nothing returns yet.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -9,6 +9,9 @@
 	// ErrNoConnection: every connection this daemon may have to the address is
 	// in use; no byte left this machine.
 	ErrNoConnection = eris.Wrap(ErrNotSent, "httpconn: no connection is free")
+	// ErrRefused: nobody listens at the address, as its machine said; no byte left this
+	// machine.
+	ErrRefused = eris.Wrap(ErrNotSent, "httpconn: the connection was refused")
 	// ErrLate: Bounds.SendBy was over before the request was sent; no byte left this
 	// machine.
 	ErrLate = eris.Wrap(ErrNotSent, "httpconn: too late to send it")
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -166,8 +166,8 @@
 	}
 	_ = listener.Close()
 	_, err = exchangeBody(t, NewPool(time.Second), listener.Addr().String(), "")
-	if !IsNotSent(err) {
-		t.Errorf("got %v, want %v", err, ErrNotSent)
+	if !IsNotSent(err) || !errors.Is(err, ErrRefused) {
+		t.Errorf("got %v, want %v", err, ErrRefused)
 	}
 }
 
--- a/internal/relay/doubted_test.go
+++ b/internal/relay/doubted_test.go
@@ -69,7 +69,7 @@
 
 func accept(context.Context) error { return nil }
 
-func refuse(context.Context) error { return httpconn.ErrNotSent }
+func refuse(context.Context) error { return httpconn.ErrRefused }
 
 func hang(ctx context.Context) error {
 	<-ctx.Done()
@@ -158,6 +158,20 @@
 	}
 }
 
+// TestRequestStaysAtABackEndThatListensNoMore: requests that may run again were moved off back ends
+// that leave, and their prompts read twice. A machine that refuses connections is there, and closes
+// those of a process that ended.
+func TestRequestStaysAtABackEndThatListensNoMore(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindRepeatable, route.KindStream} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got, driver := serveDoubted(t, newRoute(kind), "it leaves, and listens no more", false)
+				wantWhole(t, got, driver)
+			})
+		})
+	}
+}
+
 // TestDoubtedBackEndGetsNoNewRequests: it keeps what it has, and others get the rest. It is tried
 // only now and then, as each try costs a back end that is full a place in its queue.
 func TestDoubtedBackEndGetsNoNewRequests(t *testing.T) {
