A refused connection tells that a back end's machine is reached

Cause: two refused connections counted as a back end that is gone, and moved requests that may run again off one that leaves and goes on with them. Only tries that the machine says nothing to count as failed. Tests of httpconn, relay and docs pass; those of doubted back ends and of dark machines three times over.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -173,7 +174,7 @@
 	raw, err := dialer.DialContext(ctx, "tcp", name)
 	if err != nil {
 		p.release(name)
-		return nil, eris.Wrapf(ErrNotSent, "dial %s: %v", name, err)
+		return nil, eris.Wrapf(dialError(err), "dial %s: %v", name, err)
 	}
 	return &conn{
 		Conn:   raw,
@@ -182,6 +183,14 @@
 	}, nil
 }
 
+// dialError is the error that stands for one of connecting.
+func dialError(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return ErrRefused
+	}
+	return ErrNotSent
+}
+
 func (p *Pool) takeIdle(name string) *conn {
 	now := time.Now()
 	for {
--- a/internal/relay/connect_probe.go
+++ b/internal/relay/connect_probe.go
@@ -52,8 +52,9 @@
 	return p.failures < maxFailedProbes
 }
 
-// probe tries to connect to an instance. One that can not be reached gets no new requests for a
-// while, whatever becomes of those that it has.
+// probe tries to connect to an instance. One that can not be connected to gets no new requests for a
+// while, whatever becomes of those that it has. If connections are refused it is reached: it may be
+// leaving, and its machine would close the connections of a process that ended.
 func (m *offerMonitor) probe(target instance.Instance, p *connectProbes, began time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -62,17 +63,23 @@
 	defer m.mutex.Unlock()
 	p.running = false
 	p.endedAt = time.Now()
-	if err == nil || errors.Is(err, httpconn.ErrNoConnection) {
+	isRefused := errors.Is(err, httpconn.ErrRefused)
+	if err == nil || isRefused || errors.Is(err, httpconn.ErrNoConnection) {
 		p.failures = 0
-		return
+	} else {
+		p.noteFailure(began)
+	}
+	if isRefused || p.failures >= maxFailedProbes {
+		m.relay.Pool.PassOver(target.ID)
 	}
+}
+
+// noteFailure takes note of a try that failed and began at a time.
+func (p *connectProbes) noteFailure(began time.Time) {
 	if p.failures == 0 {
 		p.failingSince = began
 	}
 	p.failures++
-	if p.failures >= maxFailedProbes {
-		m.relay.Pool.PassOver(target.ID)
-	}
 }
 
 // isNamed tells whether the routes in force name a service.
