Test of a request to a back end that reads it late; it fails

Cause: TCP_USER_TIMEOUT also counts bytes that wait here because the other side has no room, though it acknowledges every probe. A back end that reads a long body late looks dead. Change: tests alone. The test of a dead machine also plays a long request.

--- a/internal/httpconn/silence_linux_test.go
+++ b/internal/httpconn/silence_linux_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -57,8 +58,14 @@
 // it had lost power, or its connection had gone silent while new ones worked; nothing was sent to
 // it any more that it could have failed to acknowledge.
 func TestAnswerOfADeadMachineFails(t *testing.T) {
-	t.Parallel()
-	address := serveOnce(t, func(conn *net.TCPConn, _ *http.Request) {
+	for name, length := range map[string]int{"short request": 10, "long request": 1 << 20} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); testDeadMachine(t, strings.Repeat("x", length)) })
+	}
+}
+
+func testDeadMachine(t *testing.T, request string) {
+	address := serveOnce(t, func(conn *net.TCPConn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart")
 		if err := goDark(conn); err != nil {
 			t.Error(err)
@@ -66,7 +73,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
-	response, err := NewPool(time.Second).Do(ctx, address, Bounds{}, get(""))
+	response, err := NewPool(time.Second).Do(ctx, address, Bounds{}, get(request))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,6 +83,21 @@
 	}
 }
 
+// TestRequestToASlowReaderLasts: a call with a long body that must not run twice ended with 502. Its
+// back end had been busy and read only the head at first; it acknowledged all that it had room for,
+// and the rest waited here. The system counted that as unacknowledged.
+func TestRequestToASlowReaderLasts(t *testing.T) {
+	t.Parallel()
+	address := serveOnce(t, func(conn *net.TCPConn, request *http.Request) {
+		time.Sleep(2 * unacknowledgedTimeout)
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, okAnswer)
+	})
+	if body, err := exchangeBody(t, NewPool(time.Second), address, strings.Repeat("x", 1<<20)); err != nil || body != "ok" {
+		t.Errorf("got %q, %v", body, err)
+	}
+}
+
 // TestAnswerOfASlowMachineLasts: its process says nothing, and the machine acknowledges all it gets.
 func TestAnswerOfASlowMachineLasts(t *testing.T) {
 	t.Parallel()
