Relay: one typed ending for each request, counted by cause and told

Cause: requests that were read whole could end without an answer with little or no trace: Responder.Abort told nobody why, a cut body and a failed write were not noted, a connection cut at the bound of a stop looked like a caller that left, and a handler that returned without an ending gave an empty 200. Change: every request goes through one endingRecorder, begun by the platform's front (Gateway.Watch) or by Relay.Serve. It lets exactly one ending through, counts it in endings_total by kind and cause, and logs all but answers with age, events, whether it may have run, who ended it, and since when the daemon stops. A handler that returns without an ending or panics closes the connection, is logged and counted in handling_faults_total. The line of a refusal is written there, too; 'Stream given up.' became 'Request broken off.', so the test of a stop at its bound looks for that line, with cause, party, events and time of the stop in place of an error's text. Nothing is refused, broken off or waited for otherwise than before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -138,13 +138,15 @@
 	ReasonHeadTooLarge    Reason = "head_too_large"
 	ReasonMalformed       Reason = "malformed"
 	ReasonCallerLeft      Reason = "caller_left"
+	// ReasonBodyCut: the connection ended within the request's body.
+	ReasonBodyCut Reason = "body_cut"
 )
 
 // Responder is the caller's side of a call. Exactly one of Answer, Refuse, End
 // and Abort ends it.
 type Responder interface {
-	// Answer gives a back end's whole answer.
-	Answer(status int, header http.Header, body []byte)
+	// Answer gives a back end's whole answer; the error tells that the caller left.
+	Answer(status int, header http.Header, body []byte) error
 	// Refuse gives an answer of the system's own.
 	Refuse(refusal Refusal)
 	// Head begins a stream with a back end's status and header.
--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -18,7 +18,7 @@
 	call  *Call
 	// turnID names the call's turn apart from those of other tenants.
 	turnID    string
-	responder Responder
+	responder *endingRecorder
 	service   string
 	logger    zerolog.Logger
 	// regions are those that the call is bound to.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/httpconn"
@@ -96,10 +97,14 @@
 	gone    bool
 }
 
-func (r *recorder) Answer(status int, _ http.Header, body []byte) {
+func (r *recorder) Answer(status int, _ http.Header, body []byte) error {
 	r.status = status
 	r.body.Write(body)
 	r.endings++
+	if r.gone {
+		return errCut
+	}
+	return nil
 }
 
 func (r *recorder) Refuse(refusal Refusal) {
@@ -172,6 +177,8 @@
 	ledger *fakeLedger
 	relay  *Relay
 	pool   *instance.Pool
+	// metrics are those of all relays that the test used.
+	metrics []*Metrics
 }
 
 func newHarness(t *testing.T, steps ...step) *harness {
@@ -193,9 +200,39 @@
 		Logger:  zerolog.Nop(),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
+	h.metrics = append(h.metrics, h.relay.Metrics)
+	t.Cleanup(h.checkEndings)
 	return h
 }
 
+// checkEndings makes sure that every request of the run has ended, once, and by what its
+// handler decided.
+func (h *harness) checkEndings() {
+	h.t.Helper()
+	for _, m := range h.metrics {
+		if open := sumOf(m.open); open != 0 {
+			h.t.Errorf("%v requests have no ending", open)
+		}
+		if faults := sumOf(m.faults); faults != 0 {
+			h.t.Errorf("%v requests were left without an ending, ended twice, or by a panic", faults)
+		}
+	}
+}
+
+// sumOf adds up all figures of a metric.
+func sumOf(metric prometheus.Collector) float64 {
+	figures := make(chan prometheus.Metric, 100)
+	metric.Collect(figures)
+	close(figures)
+	sum := 0.0
+	for figure := range figures {
+		var read dto.Metric
+		_ = figure.Write(&read) // fails on no metric of this package
+		sum += read.GetCounter().GetValue() + read.GetGauge().GetValue()
+	}
+	return sum
+}
+
 func newRoute(kind route.Kind) *route.Route {
 	return &route.Route{
 		Name: "r", Kind: kind, MaxAttempts: 3, Resumable: true,
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -14,6 +14,10 @@
 	// failures are never left out.
 	ordinaryBurst = 60
 	ordinaryEvery = 20
+	// closingBurst is how many lines a daemon writes each second of requests that ended
+	// without an answer or a refusal; of those beyond it, every ordinaryEvery-th. It is far
+	// above what faults make: what exceeds it are callers that leave in a crowd.
+	closingBurst = 200
 )
 
 // countingSampler counts the lines that another sampler leaves out.
@@ -31,16 +35,17 @@
 	return false
 }
 
-// ordinaryLogger returns a logger for requests that went the ordinary way.
-func ordinaryLogger(logger zerolog.Logger, leftOut func()) zerolog.Logger {
-	return logger.Sample(countingSampler{
+// newSampler returns a sampler that leaves most lines out that come after a burst within a
+// second.
+func newSampler(burst uint32, leftOut func()) zerolog.Sampler {
+	return countingSampler{
 		Sampler: &zerolog.BurstSampler{
-			Burst:       ordinaryBurst,
+			Burst:       burst,
 			Period:      time.Second,
 			NextSampler: &zerolog.BasicSampler{N: ordinaryEvery},
 		},
 		leftOut: leftOut,
-	})
+	}
 }
 
 // callLogger returns a logger whose lines name the call.
@@ -97,6 +102,18 @@
 	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Msg("Offer not taken.")
 }
 
+// logRefusal adds how far the call got until it was refused, and what held it up.
+func (c *carrier) logRefusal(line *zerolog.Event, refusal Refusal) *zerolog.Event {
+	line = line.Int("offers", c.offers).Int("runs", c.runs).Dur("retry_after", refusal.RetryAfter)
+	if c.quota.verdict.Reason != "" {
+		line = c.logVerdict(line)
+	}
+	if !c.heldUp.Since.IsZero() {
+		line = c.logForecast(line)
+	}
+	return line
+}
+
 // logVerdict adds what the owner of the tenant's limit decided, and on what.
 func (c *carrier) logVerdict(line *zerolog.Event) *zerolog.Event {
 	return line.Str("quota", string(c.quota.verdict.Reason)).Float64("tokens", c.quota.verdict.Tokens).Int("programs", c.quota.verdict.Programs)
--- a/internal/relay/logs_test.go
+++ b/internal/relay/logs_test.go
@@ -19,6 +19,7 @@
 	options := h.relay.Options
 	options.Logger = zerolog.New(output)
 	options.Metrics = NewMetrics(prometheus.NewRegistry())
+	h.metrics = append(h.metrics, options.Metrics)
 	h.relay = New(options)
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -36,6 +36,11 @@
 	// became of them.
 	waits   *prometheus.CounterVec
 	tenants tenantMetrics
+	// endings are requests that ended, by kind and cause, open those that have not, and
+	// faults errors of the code that ends them.
+	endings *prometheus.CounterVec
+	open    prometheus.Gauge
+	faults  *prometheus.CounterVec
 }
 
 // NewMetrics registers the relay's metrics.
@@ -55,6 +60,10 @@
 	m.givenUp = counters("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what")
 	m.leftOut = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
 	m.beliefAges = histograms("belief_age_seconds", "At each offer, since when what it rests on was not confirmed, by what that is.", "of")
+	m.endings = counters("endings_total", "Requests that ended, by kind and cause.", "ending", "cause")
+	m.faults = counters("handling_faults_total", "Requests left without an ending, ended twice, or whose handler panicked.", "fault")
+	m.open = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "open_requests", Help: "Requests that have not ended."})
+	registry.MustRegister(m.endings, m.faults, m.open)
 	registry.MustRegister(m.beliefAges, m.answers, m.refusals, m.offers, m.runs, m.latency, m.begins, m.records, m.firstEvents, m.leftOut, m.waits, m.givenUp, m.tenants.requests)
 	return m
 }
@@ -85,6 +94,15 @@
 	m.tenants.count(call, outcomeOf(reason))
 }
 
+func (m *Metrics) opened() { m.open.Inc() }
+
+func (m *Metrics) ended(ending Ending) {
+	m.open.Dec()
+	m.endings.WithLabelValues(string(ending.Kind), string(ending.Cause)).Inc()
+}
+
+func (m *Metrics) fault(fault handlingFault) { m.faults.WithLabelValues(string(fault)).Inc() }
+
 // Outcomes of requests that were held up.
 const (
 	heldUpServed  = "served"
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -47,7 +47,7 @@
 func (c *carrier) answerOrBreak(answer *Answer, body []byte, target instance.Instance) {
 	if answer.StatusMeansNotRun && !c.call.Route.Repeatable() {
 		c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer promises what its instance did not. It is not passed on.")
-		c.refuse(brokenOff)
+		c.refuseFor(brokenOff, CauseFalsePromise)
 		return
 	}
 	c.answer(answer, body, target)
@@ -57,7 +57,7 @@
 	c.relay.Metrics.answered(c.call, answer.Status)
 	c.noteForecast(heldUpServed)
 	c.logAnswered("Request answered.", target, answer.Status, nil)
-	c.responder.Answer(answer.Status, answer.Header, body)
+	_ = c.responder.Answer(answer.Status, answer.Header, body) // a caller that left is taken note of there
 }
 
 // retryBroken takes note of an answer that broke off and tells whether the
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // brokenOff ends a call whose back end broke off and that may not run again.
@@ -33,36 +34,35 @@
 
 func isStopBound(ctx context.Context) bool { return errors.Is(context.Cause(ctx), ErrStopBound) }
 
-// refuse ends the call with an answer of the system's own. Where the call may
-// have run, no answer may promise the contrary.
+// refuse ends the call with an answer of the system's own.
 func (c *carrier) refuse(refusal Refusal) {
-	cause := refusal.Reason
+	cause := Cause(refusal.Reason)
+	if refusal.Reason == ReasonBroken && c.wasGivenUp() {
+		cause = CauseBackEndGivenUp
+	}
+	c.refuseFor(refusal, cause)
+}
+
+// refuseFor is refuse for a cause of which the refusal tells less. Where the call may have
+// run, no answer may promise the contrary.
+func (c *carrier) refuseFor(refusal Refusal, cause Cause) {
 	if c.mayHaveRun() && refusal.Reason.PromisesNotRun() {
 		refusal = Refusal{Reason: ReasonBroken, Detail: refusal.Detail + " The request may have run before."}
 	}
 	c.relay.Metrics.refused(c.call, refusal.Reason)
 	c.noteForecast(heldUpRefused)
-	line := c.logger.Info().Str("reason", string(refusal.Reason)).Int("offers", c.offers).Int("runs", c.runs).
-		Dur("held", time.Since(c.call.Received)).Dur("retry_after", refusal.RetryAfter)
-	if c.quota.verdict.Reason != "" {
-		line = c.logVerdict(line)
-	}
-	if cause != refusal.Reason {
-		line = line.Str("cause", string(cause))
-	}
-	if !c.heldUp.Since.IsZero() {
-		line = c.logForecast(line)
-	}
-	line.Msg("Request refused.")
 	c.returnQuota()
-	c.responder.Refuse(refusal)
+	c.responder.refuse(refusal, cause, func(line *zerolog.Event) *zerolog.Event { return c.logRefusal(line, refusal) })
 }
 
+// wasGivenUp tells whether the daemon gave the latest offer up as nobody is reached there.
+func (c *carrier) wasGivenUp() bool { return c.latest.context != nil && isGivenUp(c.latest.context) }
+
 // PromisesNotRun tells whether a refusal for this reason says that the request
 // has not run and never will.
 func (r Reason) PromisesNotRun() bool {
 	switch r {
-	case ReasonBroken, ReasonTimeout, ReasonCallerLeft:
+	case ReasonBroken, ReasonTimeout, ReasonCallerLeft, ReasonBodyCut:
 		return false
 	}
 	return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	Evacuations *zone.Evacuations
 	// Zones is which zones this daemon is cut off from; nil in a fleet of one zone.
 	Zones *zone.Reachability
+	// StoppingSince tells whether the daemon stops, and since when; nil if it never does.
+	StoppingSince func() (at time.Time, stopping bool)
 	// RerouteTime is how long it takes until new connections are routed to other daemons
 	// after this one found itself isolated.
 	RerouteTime time.Duration
@@ -106,6 +108,9 @@
 	offered offerTally
 	// ordinary is for lines of requests that went the ordinary way.
 	ordinary zerolog.Logger
+	// frontRefusals bounds the lines of requests that the front refused, and closings those
+	// of requests that ended without an answer or a refusal.
+	frontRefusals, closings zerolog.Sampler
 	// recording counts the text of turns that wait for their record.
 	recording waitingBytes
 	// draining: calls that come now are refused.
@@ -123,14 +128,23 @@
 	r := &Relay{
 		Options:  options,
 		sessions: newSessions(),
-		ordinary: ordinaryLogger(options.Logger, options.Metrics.lineLeftOut),
 	}
+	ordinary := newSampler(ordinaryBurst, options.Metrics.lineLeftOut)
+	r.ordinary = options.Logger.Sample(ordinary)
+	r.frontRefusals = ordinary
+	r.closings = newSampler(closingBurst, options.Metrics.lineLeftOut)
 	r.monitor = newOfferMonitor(r)
 	return r
 }
 
 // Serve carries one call to its end. It returns once the responder was ended.
 func (r *Relay) Serve(ctx context.Context, call *Call, responder Responder) {
+	recorder := r.recorderOf(ctx, call.ID, responder)
+	r.Watch(ctx, call.ID, recorder, func(Responder) { r.carry(ctx, call, recorder) })
+}
+
+// carry carries a call whose ending is taken note of.
+func (r *Relay) carry(ctx context.Context, call *Call, responder *endingRecorder) {
 	if !call.Deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
@@ -146,6 +160,7 @@
 		logger:    callLogger(r.Logger, call),
 		regions:   residency.Bound(call.Route.AllowedRegions, call.Tenant.Regions()),
 	}
+	responder.carriedBy(c)
 	if r.draining.Load() {
 		c.refuse(stopping)
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,7 +50,7 @@
 		c.relay.Metrics.resumed()
 	}
 	if state.turn != nil {
-		c.settle(ctx, state, false)
+		_ = c.settle(ctx, state, false) // nobody goes on from it: it is settled in the background
 	}
 }
 
@@ -88,19 +88,13 @@
 	}
 	if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
 		c.release(target, c.outcomeOfGivingUp())
-		c.breakOff(ctx, state)
+		c.breakOff(ctx, state, CauseWriteFailed)
 		return false
 	}
 	return c.takeUp(target, state, err)
 }
 
 func (c *carrier) offerStream(ctx context.Context, state *streamState, body []byte) (*Answer, instance.Instance) {
-	responder := c.responder
-	if state.hasHead {
-		// A refusal can not be told any more: the stream is broken off.
-		c.responder = abortOnly{responder}
-		defer func() { c.responder = responder }()
-	}
 	return c.offer(ctx, Outgoing{
 		Call:        c.call,
 		Body:        body,
@@ -120,9 +114,9 @@
 	}
 	switch {
 	case state.hasHead:
-		c.breakOff(ctx, state)
+		c.breakOff(ctx, state, CauseBackEndFailed)
 	case err != nil:
-		c.refuse(brokenOff)
+		c.refuseFor(brokenOff, causeOf(ctx, CauseBackEndBroke))
 	default:
 		c.answerOrBreak(answer, body, target)
 	}
@@ -182,19 +176,25 @@
 		return true
 	}
 	if state.hasHead {
-		c.responder.Abort()
+		c.responder.abort(c.causeOfBreak())
 		return false
 	}
 	c.refuse(brokenOff)
 	return false
 }
 
-// breakOff ends a stream that can not be completed.
-func (c *carrier) breakOff(ctx context.Context, state *streamState) {
+// causeOfBreak is why the latest offer broke off.
+func (c *carrier) causeOfBreak() Cause {
+	if c.wasGivenUp() {
+		return CauseBackEndGivenUp
+	}
+	return CauseBackEndBroke
+}
+
+// breakOff ends a stream that can not be completed, for a cause unless its context ended.
+func (c *carrier) breakOff(ctx context.Context, state *streamState, cause Cause) {
 	if state.hasHead {
-		c.logger.Info().Int64("events", state.events).Dur("held", time.Since(c.call.Received)).
-			AnErr("context", context.Cause(ctx)).Msg("Stream given up.")
-		c.responder.Abort()
+		c.responder.abort(causeOf(ctx, cause))
 		return
 	}
 	c.refuseLate(ctx)
@@ -206,9 +206,11 @@
 		c.responder.Head(answer.Status, answer.Header)
 		state.hasHead = true
 	}
-	if state.turn != nil && !c.settle(ctx, state, true) {
-		c.responder.Abort()
-		return
+	if state.turn != nil {
+		if err := c.settle(ctx, state, true); err != nil {
+			c.responder.abort(causeOfUnrecorded(ctx, err))
+			return
+		}
 	}
 	c.relay.Metrics.answered(c.call, answer.Status)
 	c.noteForecast(heldUpServed)
@@ -216,10 +218,4 @@
 	c.responder.End()
 }
 
-// abortOnly breaks a stream off where a refusal comes too late.
-type abortOnly struct{ Responder }
-
-// Refuse implements Responder.
-func (a abortOnly) Refuse(Refusal) { a.Abort() }
-
 var _ Ledger = (*ledger.Service)(nil)
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -109,12 +109,12 @@
 }
 
 // settle tells the ledger what became of the turn. A turn that others may go
-// on from is on record when settle returns true, which may take until ctx ends;
+// on from is on record when settle returns no error, which may take until ctx ends;
 // all others are settled in the background.
-func (c *carrier) settle(ctx context.Context, state *streamState, whole bool) bool {
+func (c *carrier) settle(ctx context.Context, state *streamState, whole bool) error {
 	turn := state.turn
 	if turn.settled {
-		return true
+		return nil
 	}
 	turn.settled = true
 	outcome := ledger.Outcome{
@@ -136,13 +136,12 @@
 		return c.record(ctx, state, outcome)
 	}
 	c.settleLater(outcome)
-	return true
+	return nil
 }
 
 // record waits until a kept turn is on record, for as long as its caller does:
-// the answer is ready, and an outage of the store may end any moment. False
-// means that the caller left, or that too much waits already.
-func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) bool {
+// the answer is ready, and an outage of the store may end any moment.
+func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) error {
 	started := time.Now()
 	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output) + len(state.turn.History))
 	err := errTooMuchWaits
@@ -153,13 +152,32 @@
 	state.turn.recordedAfter = time.Since(started)
 	c.relay.Metrics.recorded(state.turn.recordedAfter, err)
 	if err == nil {
-		return true
+		return nil
 	}
 	c.logger.Warn().Err(err).AnErr("context", context.Cause(ctx)).Dur("waited", state.turn.recordedAfter).
 		Msg("Turn not recorded. The stream is broken off.")
 	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
 	c.settleLater(outcome)
-	return false
+	return err
+}
+
+// causeOfUnrecorded is why the wait for a turn's record ended without it.
+func causeOfUnrecorded(ctx context.Context, err error) Cause {
+	switch {
+	case errors.Is(err, errTooMuchWaits):
+		return CauseRecordMemory
+	case errors.Is(err, ledger.ErrUnknownTurn):
+		return CauseRecordUnknownTurn
+	}
+	switch causeOf(ctx, "") {
+	case CauseStopBound:
+		return CauseRecordStopBound
+	case CauseCallerLeft:
+		return CauseRecordCallerLeft
+	case CauseTimeOver:
+		return CauseRecordTimeOver
+	}
+	return CauseRecordUnavailable
 }
 
 // settleLater settles a turn in the background, until settleTimeout.
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -50,6 +50,9 @@
 	// RedirectsCallers tells whether callers are to connect to another daemon for their next
 	// request.
 	RedirectsCallers() bool
+	// Watch calls serve with a responder that takes note of the request's ending, and
+	// breaks off a request that serve leaves without one.
+	Watch(ctx context.Context, request string, responder relay.Responder, serve func(relay.Responder))
 	// Serve carries a call to its end.
 	Serve(ctx context.Context, call *relay.Call, responder relay.Responder)
 }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -80,7 +80,7 @@
 	// hasTable is closed once routes are known.
 	hasTable  chan struct{}
 	startedAt time.Time
-	stopping  atomic.Bool
+	stopping  stopMark
 	stopOnce  sync.Once
 	cancel    context.CancelFunc
 	workers   sync.WaitGroup
@@ -180,6 +180,11 @@
 	return d.table.Load()
 }
 
+// Watch implements Gateway.
+func (d *Daemon) Watch(ctx context.Context, request string, responder relay.Responder, serve func(relay.Responder)) {
+	d.relay.Watch(ctx, request, responder, serve)
+}
+
 // Serve implements Gateway.
 func (d *Daemon) Serve(ctx context.Context, call *relay.Call, responder relay.Responder) {
 	d.relay.Serve(ctx, call, responder)
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -129,6 +129,9 @@
 		Evacuations: &d.evacuations,
 		Zones:       d.zones,
 		RerouteTime: noticeTime,
+
+		StoppingSince: d.stopping.Since,
+
 		Admission:   d.admission,
 		RecordBytes: int64(recordShare * float64(d.settings.MemoryMegabytes) * megabyte),
 		Logger:      part(d.logger, "relay"),
