Relay simulation: every call's ending is compared with what happened

Cause: whether a request ended without an answer, and who ended it, was looked for case by case. Change: after every run the simulation reads the ending of each call from the log and the metric: one for each call, left only by callers that left, broken off by back ends only where one broke off, at the bound of a stop only where there was one, over only after its time, with the events that its caller got, and not said to be unrun where it ran. One call in ten now meets the bound of a stop.

--- a/internal/relay/simulation_test.go
+++ b/internal/relay/simulation_test.go
@@ -1,18 +1,22 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/route"
@@ -371,6 +375,60 @@
 	}
 }
 
+// simulatedEnd is when a call ended, and why its context had, if it had.
+type simulatedEnd struct {
+	at   time.Time
+	left error
+}
+
+// checkEnding compares what is told of a call's ending with what its caller heard and did,
+// and with what instances did.
+func checkEnding(t *testing.T, d *simulatedDriver, call *Call, heard *recorder, end simulatedEnd, told []loggedEnding) {
+	t.Helper()
+	wasAnswered := heard.status != 0 && !heard.aborted
+	if wasAnswered && !heard.gone {
+		if len(told) != 0 {
+			t.Errorf("%s was answered, told: %+v", call.ID, told)
+		}
+		return
+	}
+	if len(told) != 1 {
+		t.Errorf("%s has %d endings: %+v", call.ID, len(told), told)
+		return
+	}
+	ending, story := told[0], d.story(call.ID)
+	got := 0
+	if call.Route.Kind == route.KindStream && heard.status == http.StatusOK {
+		got = strings.Count(heard.body.String(), "\n\n")
+	}
+	runs, _ := d.ran(call.ID)
+	isOverdue := slices.Contains([]Cause{CauseTimeOver, Cause(ReasonTimeout), Cause(ReasonNotInTime)}, ending.Cause)
+	for fault, is := range map[string]bool{
+		"left by a caller that was there":        ending.By == PartyCaller && !heard.gone && end.left != errCut,
+		"broken off by no back end":              ending.By == PartyBackEnd && !brokeOff(story),
+		"at the bound of no stop":                ending.Cause == CauseStopBound && end.left != ErrStopBound,
+		"over before its time":                   isOverdue && call.Deadline.Sub(end.at) > leastTime,
+		"said not to have run":                   !ending.MayHaveRun && runs > 0,
+		"said to have other events":              ending.Events != got,
+		"told a refusal and broken off":          ending.Ending == EndingRefused && heard.refusal == nil,
+		"closed, and the log tells of a refusal": ending.Ending == EndingRefused && heard.aborted,
+	} {
+		if is {
+			t.Errorf("%s was %s: %+v; events %d, runs %d, %v: %s", call.ID, fault, ending, got, runs, end.left, story)
+		}
+	}
+}
+
+// brokeOff tells whether an instance in a story lost or broke off what it was sent.
+func brokeOff(story string) bool {
+	for _, does := range []behaviour{resetsBeforeRun, losesAnswer, fails, crashesMidway, resetsMidway} {
+		if strings.Contains(story, fmt.Sprintf("behaviour %v ", does)) {
+			return true
+		}
+	}
+	return false
+}
+
 func TestCallersHearWhatInstancesDid(t *testing.T) {
 	for seed := range uint64(*relaySeeds) {
 		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
@@ -404,6 +462,8 @@
 	d := newSimulatedDriver(t, seed)
 	h := newHarness(t)
 	h.relay.Driver = d
+	lines := &bytes.Buffer{}
+	h.relay.Logger = zerolog.New(zerolog.SyncWriter(lines))
 	listing, stop := context.WithCancel(t.Context())
 	var lister sync.WaitGroup
 	lister.Go(func() { h.relist(listing, d) })
@@ -413,26 +473,33 @@
 	random := rand.New(rand.NewPCG(seed, 3))
 	calls := make([]*Call, simulatedCalls)
 	heard := make([]*recorder, simulatedCalls)
+	ended := make([]simulatedEnd, simulatedCalls)
 	var callers sync.WaitGroup
 	for i := range calls {
 		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
 		calls[i], heard[i] = simulatedCall(i, random), &recorder{gone: random.IntN(20) == 0}
-		ctx, leave := context.WithCancel(t.Context())
-		if random.IntN(10) == 0 {
-			time.AfterFunc(time.Duration(random.IntN(300))*time.Millisecond, leave)
+		ctx, end := context.WithCancelCause(t.Context())
+		if cause := []error{errCut, ErrStopBound}[random.IntN(2)]; random.IntN(5) == 0 {
+			time.AfterFunc(time.Duration(random.IntN(300))*time.Millisecond, func() { end(cause) })
 		}
 		callers.Go(func() {
-			defer leave()
+			defer end(nil)
 			h.relay.Serve(ctx, calls[i], heard[i])
+			ended[i] = simulatedEnd{at: time.Now(), left: context.Cause(ctx)}
 		})
 	}
 	callers.Wait()
 	h.relay.Wait(t.Context())
 	stop()
 	time.Sleep(2 * time.Hour) // nothing runs later
+	endings := endingsIn(t, lines)
+	if counted := sumOf(h.relay.Metrics.endings); counted != simulatedCalls {
+		t.Errorf("%v endings of %d calls", counted, simulatedCalls)
+	}
 	answered := 0
 	for i, call := range calls {
 		check(t, d, call, heard[i])
+		checkEnding(t, d, call, heard[i], ended[i], endings[call.ID])
 		if call.Program != nil {
 			checkSettled(t, h.ledger, call, heard[i])
 		}
