--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
@@ -89,6 +90,11 @@
 		kind: route.KindOnce, steps: []step{{hold: true}}, leaves: errCut,
 		want: loggedEnding{Ending: EndingLeft, Cause: CauseCallerLeft, By: PartyCaller, MayHaveRun: true},
 	},
+	"caller leaves before its turn is granted": {
+		kind: route.KindStream, kept: true, leaves: errCut,
+		prepare: func(h *harness) { h.relay.Ledger = &fakeLedger{err: heldUp(admission.ShardMoving, 0)} },
+		want:    loggedEnding{Ending: EndingLeft, Cause: CauseCallerLeft, By: PartyCaller},
+	},
 	"time is over": {
 		kind: route.KindOnce, steps: []step{{hold: true}},
 		want: loggedEnding{Ending: EndingRefused, Cause: Cause(ReasonTimeout), By: PartyDaemon, MayHaveRun: true},
