Test that fails: a turn that alone exceeds the memory for records is broken off

Cause: record() counts history, input and output of the one turn against RecordBytes and breaks the whole answer off if that is more, although no other turn waits; nothing refuses such a turn beforehand, so its caller runs it again for nothing.

--- a/internal/relay/record_test.go
+++ b/internal/relay/record_test.go
@@ -196,3 +196,16 @@
 		}
 	})
 }
+
+// TestTurnThatAloneExceedsTheMemoryForRecordsIsRecorded: its caller sends it again, and it
+// would be broken off each time.
+func TestTurnThatAloneExceedsTheMemoryForRecordsIsRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, slow, call := newRecording(t, time.Second)
+		h.relay.RecordBytes = 200
+		slow.history = strings.Repeat("h", 300)
+		if got := h.serve(call); !got.ended {
+			t.Error("an answer that was ready was broken off although no other waits for its record")
+		}
+	})
+}
