Relay: endings of a broken failure and of a back end that was given up have tests

Cause: go test -race found the buffer of the tests of endings written by a settling turn at the same time; two ways to an ending had no test. Change: a writer that is safe for concurrent use; two cases.

--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -74,6 +74,19 @@
 		kind: route.KindOnce, steps: []step{{body: "half", cut: true}},
 		want: loggedEnding{Ending: EndingRefused, Cause: Cause(ReasonBroken), By: PartyBackEnd, MayHaveRun: true},
 	},
+	"back end breaks a failure off where a stream is due": {
+		kind: route.KindStream, steps: []step{{status: 500, body: "half", cut: true}},
+		want: loggedEnding{Ending: EndingRefused, Cause: CauseBackEndBroke, By: PartyBackEnd, MayHaveRun: true},
+	},
+	"back end has started again": {
+		kind: route.KindOnce, steps: []step{{hold: true}},
+		prepare: func(h *harness) {
+			h.pool.Replace(restartedRun(100))
+			time.AfterFunc(time.Second, func() { h.pool.Replace(restartedRun(200)) })
+			time.AfterFunc(2*time.Second, func() { h.relay.GiveUpSilent(time.Now()) })
+		},
+		want: loggedEnding{Ending: EndingRefused, Cause: CauseBackEndGivenUp, By: PartyDaemon, MayHaveRun: true},
+	},
 	"back end promises falsely": {
 		kind: route.KindOnce, steps: []step{{status: 503, sounds: true}},
 		want: loggedEnding{Ending: EndingRefused, Cause: CauseFalsePromise, By: PartyBackEnd, MayHaveRun: true},
@@ -128,7 +141,7 @@
 	h := newHarness(t, c.steps...)
 	h.relay.StoppingSince = func() (time.Time, bool) { return time.Now(), c.leaves == ErrStopBound }
 	lines := &bytes.Buffer{}
-	h.relay.Logger = zerolog.New(lines)
+	h.relay.Logger = zerolog.New(zerolog.SyncWriter(lines))
 	r := newRoute(c.kind)
 	r.Resumable, r.RetainContext = !c.once, c.kept
 	call := newCall(r)
