--- a/internal/ledger/simulation_store_test.go
+++ b/internal/ledger/simulation_store_test.go
@@ -103,6 +103,14 @@
 	return s.world.breakage.spoil(records), next, err
 }
 
+// Trim implements store.Store.
+func (s *simulatedStore) Trim(ctx context.Context, partition store.Partition, before int64) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	return s.world.store.Trim(ctx, partition, before)
+}
+
 // breakage is a protection that is switched off, to show that the checks see
 // what it protects from.
 type breakage string
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -46,11 +46,17 @@
 	delay      time.Duration
 	appends    int
 	unfenced   bool
+	// capacity bounds the bytes that are kept, 0 for no bound, and full counts the appends
+	// that were refused for it.
+	capacity int
+	full     int
 }
 
 type partition struct {
 	records []store.Record
-	newest  map[string]int
+	// first is the offset of the first record of the history.
+	first  int64
+	newest map[string]int
 	writers map[string]*writer
 }
 
@@ -134,6 +140,45 @@
 	s.unfenced = !fencing
 }
 
+// SetCapacity bounds the bytes that the store keeps: the history of all partitions, and
+// besides it the newest record of each key.
+func (s *Store) SetCapacity(bytes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.capacity = bytes
+}
+
+// Full returns how many appends were refused because the store was full.
+func (s *Store) Full() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.full
+}
+
+// kept returns the bytes that the store keeps.
+func (s *Store) kept() int {
+	bytes := 0
+	for _, p := range s.partitions {
+		bytes += store.SizeOf(p.records[p.first:])
+		for _, index := range p.newest {
+			bytes += store.SizeOf(p.records[index : index+1])
+		}
+	}
+	return bytes
+}
+
+// Trim implements store.Store.
+func (s *Store) Trim(_ context.Context, name store.Partition, before int64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return store.ErrUnavailable
+	}
+	p := s.partition(name)
+	p.first = min(max(p.first, before), int64(len(p.records)))
+	return nil
+}
+
 // Appends returns how many calls to Append were made.
 func (s *Store) Appends() int {
 	s.mutex.Lock()
@@ -172,6 +217,10 @@
 }
 
 func (s *Store) append(name store.Partition, by store.Writer, records []store.Record) error {
+	if s.capacity > 0 && s.kept()+store.SizeOf(records) > s.capacity {
+		s.full++
+		return store.ErrFull
+	}
 	p := s.partition(name)
 	if by.Name != "" && !s.unfenced {
 		repeated, err := p.admit(by)
@@ -183,6 +232,9 @@
 		record.Offset = int64(len(p.records))
 		p.records = append(p.records, record)
 		p.newest[record.Key] = len(p.records) - 1
+		if len(record.Value) == 0 {
+			delete(p.newest, record.Key)
+		}
 	}
 	s.changed.Broadcast()
 	return nil
@@ -250,6 +302,9 @@
 		return nil, 0, store.ErrUnavailable
 	}
 	p := s.partition(name)
+	if from < p.first {
+		return nil, 0, store.ErrTrimmed
+	}
 	expired := false
 	expire := func() {
 		s.mutex.Lock()
--- a/internal/store/meter.go
+++ b/internal/store/meter.go
@@ -105,6 +105,13 @@
 	return records, next, err
 }
 
+// Trim implements Store.
+func (m *Meter) Trim(ctx context.Context, partition Partition, before int64) error {
+	err := m.Store.Trim(ctx, partition, before)
+	m.note(ctx, nil, err)
+	return err
+}
+
 // note counts one call that has ended.
 func (m *Meter) note(ctx context.Context, records []Record, err error) {
 	purpose, now := PurposeOf(ctx), time.Now()
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -127,6 +127,11 @@
 	return got.records, got.next, got.err
 }
 
+// Trim implements store.Store. A daemon that does not reach the store leaves it to others.
+func (s *Service) Trim(ctx context.Context, partition store.Partition, before int64) error {
+	return s.Direct.Trim(ctx, partition, before)
+}
+
 // callWays are the ways by which one call is being made, directly or by a helper.
 type callWays struct {
 	request  *Request
--- a/internal/store/purpose.go
+++ b/internal/store/purpose.go
@@ -14,6 +14,7 @@
 	PurposeHistories Purpose = "histories"
 	PurposeReadAhead Purpose = "read_ahead"
 	PurposeChanges   Purpose = "changes"
+	PurposeTrim      Purpose = "trim"
 )
 
 // IsBulk tells whether calls bring many records, which take long by themselves.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -18,6 +18,9 @@
 var (
 	// ErrUnavailable: the call was refused and nothing was done.
 	ErrUnavailable = eris.New("store: unavailable, nothing was done")
+	// ErrFull: the store keeps as much as it may, so nothing was done. It may keep less
+	// again once records are dropped or history is trimmed.
+	ErrFull = eris.Wrap(ErrUnavailable, "store: full")
 	// ErrOutcomeUnknown: no answer came; the call may have been done, or may
 	// be done later.
 	ErrOutcomeUnknown = eris.New("store: no answer, the outcome is unknown")
@@ -79,4 +82,7 @@
 	// Read returns records from an offset on and the offset to go on from. It
 	// waits up to wait for the first one.
 	Read(ctx context.Context, partition Partition, from int64, wait time.Duration) (records []Record, next int64, err error)
+	// Trim drops the history of a partition before an offset. The newest record of each
+	// key stays in its listing.
+	Trim(ctx context.Context, partition Partition, before int64) error
 }
