Ledger: the holder of a shard trims its history in the store

Cause: see the failing tests. While appends find the store full it trims all of it, each second, so that records can be dropped and turns recorded again; the store's answer 507 is an error of its own.

Measured: without the two calls TestLongDayFitsTheStore and TestFullStoreIsServedAgainOnceItsHistoryIsTrimmed fail, with them they pass, as do the tests of takeovers, rolling stops and expiry.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -127,11 +127,13 @@
 	}
 	switch {
 	case news.underway:
-		h.noteSlowAppend(current)
+		h.noteSlowAppend(ctx, current)
 	case news.err == nil:
 		h.appends.pending = nil
 		h.status.appending.Store(false)
 		h.noteAnswered()
+		h.history.note(current.records, time.Now())
+		h.trimHistory(ctx, time.Now())
 		h.state.confirmHeadroom()
 		h.state.confirmAllowance(current.sentAt)
 		h.answerAll(current.waiting)
@@ -150,7 +152,7 @@
 // noteSlowAppend takes note that the store does not answer. What waits for it goes on
 // to wait: it is answered as soon as the store does. Only a daemon that is cut
 // off from the store and from all that could help sends its callers elsewhere.
-func (h *holder) noteSlowAppend(current *pendingAppend) {
+func (h *holder) noteSlowAppend(ctx context.Context, current *pendingAppend) {
 	if _, known := h.status.silentSince.since(current.sentAt); !known {
 		h.status.silentSince.set(current.sentAt)
 		h.logger.Warn().Uint64("epoch", h.epoch).Int("waiting", len(current.waiting)+len(h.appends.waiting)).
@@ -158,6 +160,9 @@
 		h.metrics.lost(store.ErrUnavailable)
 	}
 	now := time.Now()
+	if h.records.isFull() {
+		h.clearHistory(ctx, now)
+	}
 	current.waiting = h.grantWaiting(current.waiting, now)
 	h.appends.waiting = h.grantWaiting(h.appends.waiting, now)
 	if h.isIsolated() {
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -230,6 +230,7 @@
 			h.logger.Warn().Err(err).Int64("offset", record.Offset).Msg("Record skipped.")
 		}
 	}
+	h.history = newHistory(offsetUnder(holderKey, records)+1, now)
 	h.state.restoreAges(now)
 	h.state.forfeitHeadroom()
 	h.state.openAllowance(holderRecord{Epoch: h.epoch, Daemon: h.daemon}, h.former, now)
@@ -278,6 +279,17 @@
 	return lastUnder[holderRecord](key, records)
 }
 
+// offsetUnder returns the offset of the last record under a key, -1 if there is none.
+func offsetUnder(key string, records []store.Record) int64 {
+	offset := int64(-1)
+	for _, record := range records {
+		if record.Key == key {
+			offset = max(offset, record.Offset)
+		}
+	}
+	return offset
+}
+
 // lastUnder returns what the last record under a key holds, the zero value if there is none. A
 // record that is malformed changes nothing.
 func lastUnder[T any](key string, records []store.Record) (found T) {
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -22,6 +22,7 @@
 	handovers *prometheus.CounterVec
 	// verdicts are those on requests of limited tenants, by reason.
 	verdicts *prometheus.CounterVec
+	trims    *prometheus.CounterVec
 }
 
 // NewMetrics registers the ledger's metrics.
@@ -60,7 +61,11 @@
 		Namespace: "mintpulley", Subsystem: "quota", Name: "verdicts_total",
 		Help: "Requests of limited tenants that this daemon decided as the limit's owner, by reason.",
 	}, []string{"reason"})
-	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts)
+	m.trims = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "history_trims_total",
+		Help: "Calls to trim the history of shards in the store, by outcome.",
+	}, []string{"outcome"})
+	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts, m.trims)
 	return m
 }
 
@@ -82,6 +87,14 @@
 
 func (m *Metrics) silent() { m.silences.Inc() }
 
+func (m *Metrics) trimmed(err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.trims.WithLabelValues(outcome).Inc()
+}
+
 func (m *Metrics) lost(err error) {
 	cause := "store"
 	if isSuperseded(err) {
--- a/internal/ledger/record_append.go
+++ b/internal/ledger/record_append.go
@@ -81,6 +81,7 @@
 	err := r.once(ctx, tryTimeout, func(ctx context.Context) error {
 		return r.Append(ctx, partition, writer, records)
 	})
+	r.noteFull(err)
 	if err == nil {
 		r.note(time.Since(started))
 	}
--- a/internal/ledger/store_reach.go
+++ b/internal/ledger/store_reach.go
@@ -27,6 +27,8 @@
 	failedAt, backAt time.Time
 	// answeredAt is when a call was last answered.
 	answeredAt time.Time
+	// full: the latest append was refused as the store keeps as much as it may.
+	full bool
 	// returned is closed when the store is said to answer again after it failed.
 	returned <-chan struct{}
 }
@@ -50,6 +52,22 @@
 	return false
 }
 
+// isFull tells whether the store takes no append as it keeps as much as it may.
+func (r *recordStore) isFull() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.reach.full
+}
+
+// noteFull takes note of whether an append found the store full.
+func (r *recordStore) noteFull(err error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if err == nil || errors.Is(err, store.ErrFull) {
+		r.reach.full = err != nil
+	}
+}
+
 // isBack tells whether the store answers this daemon again since lately.
 func (r *recordStore) isBack(now time.Time) bool {
 	r.mutex.Lock()
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -55,8 +55,8 @@
 type partition struct {
 	records []store.Record
 	// first is the offset of the first record of the history.
-	first  int64
-	newest map[string]int
+	first   int64
+	newest  map[string]int
 	writers map[string]*writer
 }
 
