--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -51,7 +51,11 @@
 // newHistory returns the history of a shard that was claimed, whose end is known. What
 // was there before the claim counts as worth trimming.
 func newHistory(end int64, now time.Time) *history {
-	return &history{end: end, written: trimBytes, marks: []historyMark{{at: now, end: end, written: trimBytes}}}
+	before := int64(0)
+	if end > 1 {
+		before = trimBytes
+	}
+	return &history{end: end, written: before, marks: []historyMark{{at: now, end: end, written: before}}}
 }
 
 // note takes note of records that were appended.
