Residency: the end of a turn is tried as long as its caller waits

Cause: ledger.Service.End tries until the outcome is durable or its caller leaves; the ledger of regions asked once for the home of a bound turn and for a chain that it must import. A moment without a daemon that is known in the region, or one question that was not answered, broke off an answer that was whole. Change: residency.Ledger.End has the same contract: paced tries until the outcome is durable, is refused for good (ErrUnknownTurn), or ctx ends. A chain that was found is kept between tries.

--- a/internal/residency/ledger.go
+++ b/internal/residency/ledger.go
@@ -15,8 +15,15 @@
 	"github.com/mintpulley/mintpulley/internal/ledger"
 )
 
-// settleTimeout bounds the settling of a turn's budget after its text is on record.
-const settleTimeout = 20 * time.Second
+const (
+	// settleTimeout bounds the settling of a turn's budget after its text is on record.
+	settleTimeout = 20 * time.Second
+	// endPause separates the first tries to end a turn: a daemon of its region is heard of,
+	// or a shard has a holder again, within some tenths of a second. It doubles up to
+	// longestEndPause, as every try may ask all regions.
+	endPause        = 150 * time.Millisecond
+	longestEndPause = 600 * time.Millisecond
+)
 
 // errNoHome: no daemon of this fleet is in a region that may keep the turn's text.
 var errNoHome = eris.Wrap(ledger.ErrUnavailable, "residency: no daemon is in an allowed region")
@@ -25,6 +32,8 @@
 type Service interface {
 	Begin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error)
 	Abandon(turn ledger.Turn)
+	// End settles a turn. It tries until the outcome is durable or ctx ends, or fails
+	// with ErrUnknownTurn if the turn is to be kept and its chain is gone.
 	End(ctx context.Context, outcome ledger.Outcome) error
 	// Find returns a turn of a program with its whole chain as one turn. ErrUnknownTurn
 	// means that no shard keeps it.
@@ -94,14 +103,20 @@
 // Abandon implements relay.Ledger.
 func (l *Ledger) Abandon(turn ledger.Turn) { l.Common.Abandon(turn) }
 
-// End implements relay.Ledger. The text of a bound turn is on record when End returns
-// without an error; its budget is settled in the background, as until then its
-// reservation counts.
+// End implements relay.Ledger, under the contract of Service: it tries until the outcome
+// is durable or ctx ends, since the caller of a whole answer waits for it. The text of a
+// bound turn is on record when End returns without an error; its budget is settled in the
+// background, as until then its reservation counts.
 func (l *Ledger) End(ctx context.Context, outcome ledger.Outcome) error {
-	if outcome.Kept == nil || !l.isKeptApart(outcome.Regions) {
-		return l.endUnbound(ctx, outcome)
+	if outcome.Kept == nil {
+		return l.Common.End(ctx, outcome)
+	}
+	if !l.isKeptApart(outcome.Regions) {
+		return untilEnded(ctx, func() error { return l.endUnbound(ctx, &outcome) })
 	}
-	if err := l.recordText(ctx, outcome); err != nil {
+	text := outcome
+	text.UsedTokens, text.Instance = 0, ""
+	if err := untilEnded(ctx, func() error { return l.recordText(ctx, &text) }); err != nil {
 		return err
 	}
 	outcome.Kept = nil
@@ -109,21 +124,42 @@
 	return nil
 }
 
-// recordText puts the text of a bound turn on record in its home.
-func (l *Ledger) recordText(ctx context.Context, outcome ledger.Outcome) error {
-	home, _, err := l.home(outcome.Program, outcome.Regions)
+// untilEnded tries to end a turn until that succeeds, is refused for good, or ctx ends.
+func untilEnded(ctx context.Context, try func() error) error {
+	for pause := endPause; ; pause = min(2*pause, longestEndPause) {
+		err := try()
+		if err == nil || errors.Is(err, ledger.ErrUnknownTurn) {
+			return err
+		}
+		clock.Sleep(ctx, pause)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// recordText tries to put the text of a bound turn on record in its home.
+func (l *Ledger) recordText(ctx context.Context, text *ledger.Outcome) error {
+	home, _, err := l.home(text.Program, text.Regions)
 	if err != nil {
 		return err
 	}
-	text := outcome
-	text.UsedTokens, text.Instance = 0, ""
-	err = home.End(ctx, text)
-	if errors.Is(err, ledger.ErrUnknownTurn) {
-		if text.Imported, err = l.findBound(ctx, outcome.Program, outcome.Kept.Previous, outcome.Regions); err == nil {
-			err = home.End(ctx, text)
-		}
+	return endWithChain(ctx, home, text, func() (*ledger.KeptTurn, error) {
+		return l.findBound(ctx, text.Program, text.Kept.Previous, text.Regions)
+	})
+}
+
+// endWithChain tries to end a turn at a keeper. One that does not keep the turn before gets
+// it with its chain, which the outcome has from then on: it is found once.
+func endWithChain(ctx context.Context, keeper Service, outcome *ledger.Outcome, find func() (*ledger.KeptTurn, error)) error {
+	err := keeper.End(ctx, *outcome)
+	if outcome.Imported != nil || !errors.Is(err, ledger.ErrUnknownTurn) {
+		return err
+	}
+	if outcome.Imported, err = find(); err != nil {
+		return err
 	}
-	return err
+	return keeper.End(ctx, *outcome)
 }
 
 // settle settles the budget of a turn whose text is on record.
@@ -135,16 +171,11 @@
 	}
 }
 
-// endUnbound ends a turn that is not bound. The one before it may have been.
-func (l *Ledger) endUnbound(ctx context.Context, outcome ledger.Outcome) error {
-	err := l.Common.End(ctx, outcome)
-	if outcome.Kept == nil || !errors.Is(err, ledger.ErrUnknownTurn) {
-		return err
-	}
-	if outcome.Imported, err = l.findUnbound(ctx, outcome.Program, outcome.Kept.Previous); err != nil {
-		return err
-	}
-	return l.Common.End(ctx, outcome)
+// endUnbound tries to end a kept turn that is not bound. The one before it may have been.
+func (l *Ledger) endUnbound(ctx context.Context, outcome *ledger.Outcome) error {
+	return endWithChain(ctx, l.Common, outcome, func() (*ledger.KeptTurn, error) {
+		return l.findUnbound(ctx, outcome.Program, outcome.Kept.Previous)
+	})
 }
 
 // isKeptApart tells whether the text of turns that are bound to regions must not go to
