Regional ledgers: a daemon that is leaving is still its region's

Cause: while all daemons of a small region stop, none counted as living there: bound turns had no home, or another one, and back again once the daemons had started, each time with an import of the whole chain from the region before. Change: any member that is not dead counts, also one that is leaving: it holds its shards until it has passed them on.

--- a/internal/relaydaemon/regional.go
+++ b/internal/relaydaemon/regional.go
@@ -221,9 +221,12 @@
 
 func (r *regionalLedgers) wait(ctx context.Context) { r.ledger.Wait(ctx) }
 
+// hasDaemons tells whether any daemon lives in a region. One that is leaving does: it holds
+// its shards until it has passed them on, and the homes of programs must not move to another
+// region while the daemons of theirs are replaced.
 func (r *regionalLedgers) hasDaemons(region string) bool {
 	view := regionView{View: r.options.View, region: structs.RegionName(region)}
-	return slices.ContainsFunc(view.Members(), func(m membership.Member) bool { return m.State != membership.StateLeaving })
+	return len(view.Members()) > 0
 }
 
 // regionView is membership as the ledger of a region sees it: daemons of other regions
--- a/internal/relaydaemon/regional_test.go
+++ b/internal/relaydaemon/regional_test.go
@@ -57,8 +57,8 @@
 	regional *regionalLedgers
 	joined   *residency.Ledger
 	stop     context.CancelFunc
-	// refused: the store turns it away.
-	refused bool
+	// refused: the store turns it away. leaving: it says that it stops.
+	refused, leaving bool
 }
 
 func newRegionalFleet(t *testing.T) *regionalFleet {
@@ -119,7 +119,11 @@
 	defer f.mutex.Unlock()
 	var members []membership.Member
 	for _, d := range f.daemons {
-		members = append(members, membership.Member{Daemon: d.Daemon, State: membership.StateAlive})
+		state := membership.StateAlive
+		if d.leaving {
+			state = membership.StateLeaving
+		}
+		members = append(members, membership.Member{Daemon: d.Daemon, State: state})
 	}
 	return members
 }
@@ -394,3 +398,66 @@
 		}
 	})
 }
+
+// TestTurnsStayInARegionWhileItsDaemonsStop: all daemons of a region stop shortly after one
+// another, and come back. Its turns are kept there as long as one of them lives, also where
+// another region may keep them, too.
+func TestTurnsStayInARegionWhileItsDaemonsStop(t *testing.T) {
+	const (
+		stopSpacing = 270 * time.Millisecond
+		programs    = 2 * regionalShards // on any shard
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newRegionalFleet(t)
+		front, allowed := f.daemons[2], []string{"east", "north"}
+		text, home := map[string]string{}, map[string]string{}
+		for number := range programs {
+			program := fmt.Sprint("p", number)
+			text[program] = f.turn(front, program, "", "", 0, allowed)
+			home[program] = f.homeOf(program, program+"-0")
+		}
+		for i, d := range f.daemons {
+			if d.Region == "east" {
+				f.leave(i)
+				time.Sleep(stopSpacing)
+			}
+		}
+		for program := range text {
+			text[program] = f.turn(front, program, program+"-0", text[program], 1, allowed)
+			if kept := f.homeOf(program, program+"-1"); kept != home[program] {
+				t.Errorf("%s is kept in %q, want %q, where daemons live", program, kept, home[program])
+			}
+		}
+		for i, d := range f.daemons {
+			if d.Region == "east" {
+				f.replace(i, "east")
+			}
+		}
+		for program := range text {
+			f.turn(front, program, program+"-1", text[program], 2, allowed)
+		}
+	})
+}
+
+// leave makes a daemon say that it stops.
+func (f *regionalFleet) leave(i int) {
+	f.mutex.Lock()
+	f.daemons[i].leaving = true
+	f.mutex.Unlock()
+	f.daemons[i].common.Leave()
+	f.daemons[i].regional.leave()
+}
+
+// homeOf returns the region that keeps a turn, "" if none does.
+func (f *regionalFleet) homeOf(program, turn string) string {
+	for _, region := range testRegions {
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Second)
+		service, _ := f.daemons[2].regional.serviceOf(region)
+		_, err := service.Find(ctx, program, turn)
+		cancel()
+		if err == nil {
+			return region
+		}
+	}
+	return ""
+}
