Relay: a whole answer waits for room for its record

Cause: a kept turn whose text would exceed the memory for records was broken off at once, with its history counted, which its record does not need. A turn that alone is longer was broken off at each try. Change: the room for records is granted in order, to one alone whatever its length, and is waited for as long as the caller waits. What is with the ledger keeps its bound exactly; what waits for room has one as large, or one turn alone, beyond which an answer is broken off as before. Begins stay refused from half of the bound on, by both sums. The history is held once, and dropped when the run is over. A caller that leaves while its answer waits for room counts as one that left.

--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -80,7 +80,7 @@
 		event = event.Int64("events", state.events).Dur("first_event", state.firstAfter)
 		if state.turn != nil {
 			event = event.Dur("granted_after", state.turn.grantedAfter).Dur("recorded_after", state.turn.recordedAfter).Bool("underway", state.turn.Underway).
-				Int("history", len(state.turn.History)).Int64("budget", c.call.Program.BudgetTokens).Int64("most", c.call.MostTokens)
+				Int("history", state.turn.historyBytes).Int64("budget", c.call.Program.BudgetTokens).Int64("most", c.call.MostTokens)
 		}
 	}
 	event.Msg(message)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,8 +88,9 @@
 	// RerouteTime is how long it takes until new connections are routed to other daemons
 	// after this one found itself isolated.
 	RerouteTime time.Duration
-	// RecordBytes bounds the text of turns that wait for their record; 0 sets no
-	// bound. From half of it on no further turns are begun.
+	// RecordBytes bounds the text of turns that the ledger is to put on record, and once
+	// more that of turns which are ready and wait for room there; 0 sets no bound. From
+	// half of it on no further turns are begun.
 	RecordBytes int64
 	Logger      zerolog.Logger
 	Metrics     *Metrics
@@ -111,8 +112,8 @@
 	// frontRefusals bounds the lines of requests that the front refused, and closings those
 	// of requests that ended without an answer or a refusal.
 	frontRefusals, closings zerolog.Sampler
-	// recording counts the text of turns that wait for their record.
-	recording waitingBytes
+	// recording is the room for the text of turns that wait for their record.
+	recording recordRoom
 	// draining: calls that come now are refused.
 	draining atomic.Bool
 	monitor  *offerMonitor
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/eventstream"
@@ -17,6 +18,8 @@
 // streamState is what was passed on of a stream so far.
 type streamState struct {
 	turn *turnState
+	// prompt is the text that an instance gets: a turn's history and its input.
+	prompt []byte
 	// hasHead: the caller has the head of the answer.
 	hasHead bool
 	// firstAfter is how long the caller waited for the first event.
@@ -35,18 +38,18 @@
 // are passed on whole as they come; a stream that breaks is taken up behind
 // the last one, if its route allows that.
 func (c *carrier) carryStream(ctx context.Context) {
-	state := &streamState{lastID: c.call.ResumeAfter}
-	body := c.call.Body
+	state := &streamState{lastID: c.call.ResumeAfter, prompt: c.call.Body}
 	if c.isTurn() {
 		turn, ok := c.beginTurn(ctx)
 		if !ok {
 			return
 		}
 		state.turn = turn
-		body = append(turn.History, c.call.Body...)
+		state.prompt = slices.Concat(turn.History, c.call.Body)
+		turn.History = nil // it is held once
 	}
 	c.preferred = c.sessionInstance(state.turn)
-	for c.runStream(ctx, state, body) {
+	for c.runStream(ctx, state) {
 		c.relay.Metrics.resumed()
 	}
 	if state.turn != nil {
@@ -66,8 +69,8 @@
 
 // runStream runs the stream once. It returns true when the stream broke and
 // may be taken up.
-func (c *carrier) runStream(ctx context.Context, state *streamState, body []byte) bool {
-	answer, target := c.offerStream(ctx, state, body)
+func (c *carrier) runStream(ctx context.Context, state *streamState) bool {
+	answer, target := c.offerStream(ctx, state)
 	if answer == nil {
 		return false
 	}
@@ -83,6 +86,7 @@
 		c.relay.sessions.note(c.call.Program, target.ID)
 		c.relay.serving.note(c.call.Route.Name, servingTime{first: state.servedAfter, whole: time.Since(c.latest.beganAt)})
 		state.instance = target.ID
+		state.prompt = nil // it is sent no more, and the record may be waited for
 		c.endStream(ctx, answer, target, state)
 		return false
 	}
@@ -94,10 +98,10 @@
 	return c.takeUp(target, state, err)
 }
 
-func (c *carrier) offerStream(ctx context.Context, state *streamState, body []byte) (*Answer, instance.Instance) {
+func (c *carrier) offerStream(ctx context.Context, state *streamState) (*Answer, instance.Instance) {
 	return c.offer(ctx, Outgoing{
 		Call:        c.call,
-		Body:        body,
+		Body:        state.prompt,
 		Deadline:    c.call.Deadline,
 		ResumeAfter: state.lastID,
 		Urgency:     c.urgency(state.turn),
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -12,6 +12,8 @@
 type turnState struct {
 	ledger.Grant
 	retain bool
+	// historyBytes is the length of the history.
+	historyBytes int
 	// perEvent is how many tokens each event carries.
 	perEvent int64
 	// grantedAfter is how long the reservation took, and recordedAfter the
@@ -45,7 +47,10 @@
 	took := time.Since(started)
 	c.relay.Metrics.begun(took, err)
 	if err == nil {
-		return &turnState{Grant: grant, retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent(), grantedAfter: took}, true
+		return &turnState{
+			Grant: grant, historyBytes: len(grant.History),
+			retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent(), grantedAfter: took,
+		}, true
 	}
 	switch {
 	case errors.Is(err, ledger.ErrBudgetSpent):
@@ -140,14 +145,15 @@
 }
 
 // record waits until a kept turn is on record, for as long as its caller does:
-// the answer is ready, and an outage of the store may end any moment.
+// the answer is ready, and an outage of the store may end any moment. So may what
+// fills the memory for records.
 func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) error {
 	started := time.Now()
-	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output) + len(state.turn.History))
-	err := errTooMuchWaits
-	if c.relay.recording.add(size, c.relay.RecordBytes) {
+	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output))
+	err := c.relay.recording.acquire(ctx, size, c.relay.RecordBytes)
+	if err == nil {
 		err = c.relay.Ledger.End(ctx, outcome)
-		c.relay.recording.remove(size)
+		c.relay.recording.release(size, c.relay.RecordBytes)
 	}
 	state.turn.recordedAfter = time.Since(started)
 	c.relay.Metrics.recorded(state.turn.recordedAfter, err)
@@ -163,18 +169,17 @@
 
 // causeOfUnrecorded is why the wait for a turn's record ended without it.
 func causeOfUnrecorded(ctx context.Context, err error) Cause {
-	switch {
-	case errors.Is(err, errTooMuchWaits):
-		return CauseRecordMemory
-	case errors.Is(err, ledger.ErrUnknownTurn):
+	if errors.Is(err, ledger.ErrUnknownTurn) {
 		return CauseRecordUnknownTurn
 	}
-	switch causeOf(ctx, "") {
-	case CauseStopBound:
+	switch ended := causeOf(ctx, ""); {
+	case ended == CauseStopBound:
 		return CauseRecordStopBound
-	case CauseCallerLeft:
+	case ended == CauseCallerLeft:
 		return CauseRecordCallerLeft
-	case CauseTimeOver:
+	case errors.Is(err, errTooMuchWaits):
+		return CauseRecordMemory
+	case ended == CauseTimeOver:
 		return CauseRecordTimeOver
 	}
 	return CauseRecordUnavailable
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -24,7 +24,9 @@
 	// ledgerDirectory is the store's space of the directory of the shards' holders.
 	ledgerDirectory = "ledger-holders"
 	// recordShare is the part of the memory that the text of turns may take
-	// which wait for their record: some hundred turns on the smallest machines.
+	// which the ledger is to put on record: some hundred turns on the smallest machines.
+	// As much again may wait for room there: turns that are ready hold less than they did
+	// under way, as their histories are dropped.
 	recordShare = 0.1
 )
 
