Stop: a whole answer waits for its record until its caller is cut off

Cause: at the bound of a stop the contexts of all requests ended, also of those whose answer was ready and waited for its record, though callers are cut 0.2 s later and the ledger settles turns for another 0.25 s. Change: the bound ends a context below the caller's (relay.WithStopBound): offers, queues and begins end as before. The wait for a record goes by the caller's context, which ends when the caller leaves, is cut off, or its time is over.

--- a/internal/relay/bound_test.go
+++ b/internal/relay/bound_test.go
@@ -93,3 +93,60 @@
 		}
 	}
 }
+
+// serveBounded carries a call whose daemon reaches the bound of its stop, and cuts its
+// callers off a while later.
+func (h *harness) serveBounded(call *Call, cutAfter time.Duration) *recorder {
+	h.t.Helper()
+	caller, cut := context.WithCancelCause(h.t.Context())
+	defer cut(nil)
+	bound, reach := context.WithCancel(h.t.Context())
+	defer reach()
+	time.AfterFunc(stopAfter, reach)
+	time.AfterFunc(stopAfter+cutAfter, func() { cut(ErrStopBound) })
+	ctx, cancel := WithStopBound(caller, bound)
+	defer cancel()
+	got := &recorder{}
+	h.relay.Serve(ctx, call, got)
+	return got
+}
+
+// TestAnswerThatIsReadyWaitsForItsRecordUntilItsCallerIsCutOff: the ledger still works for a
+// daemon whose stop is at its bound.
+func TestAnswerThatIsReadyWaitsForItsRecordUntilItsCallerIsCutOff(t *testing.T) {
+	const cutAfter = 200 * time.Millisecond
+	for takes, isRecorded := range map[time.Duration]bool{stopAfter + cutAfter/2: true, stopAfter + 2*cutAfter: false} {
+		synctest.Test(t, func(t *testing.T) {
+			h, _, call := newRecording(t, takes)
+			got := h.serveBounded(call, cutAfter)
+			if got.ended != isRecorded || got.aborted == isRecorded {
+				t.Errorf("record after %s: ended %v, broken off %v", takes, got.ended, got.aborted)
+			}
+			if held, want := time.Since(call.Received), min(takes, stopAfter+cutAfter); held != want {
+				t.Errorf("held for %s, want %s", held, want)
+			}
+			h.relay.Wait(t.Context())
+		})
+	}
+}
+
+// TestBoundOfAStopEndsWhatIsNotReady: only whole answers go on.
+func TestBoundOfAStopEndsWhatIsNotReady(t *testing.T) {
+	for name, prepare := range map[string]func(*harness){
+		"an offer": func(h *harness) { h.driver.steps = []step{{hold: true}} },
+		"a queue":  func(h *harness) { h.driver.steps = []step{{notRun: true, status: 503}} },
+		"a begin":  func(h *harness) { h.relay.Ledger = &fakeLedger{err: ledger.ErrUnavailable} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, _, call := newRecording(t, 0)
+				prepare(h)
+				got := h.serveBounded(call, time.Second)
+				if held := time.Since(call.Received); got.refusal == nil || held != stopAfter {
+					t.Errorf("refused with %+v after %s", got.refusal, held)
+				}
+				h.relay.Wait(t.Context())
+			})
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -212,7 +212,7 @@
 	}
 	if state.turn != nil {
 		if err := c.settle(ctx, state, true); err != nil {
-			c.responder.abort(causeOfUnrecorded(ctx, err))
+			c.responder.abort(state.turn.unrecordedFor)
 			return
 		}
 	}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -20,6 +20,8 @@
 	// record of its end.
 	grantedAfter  time.Duration
 	recordedAfter time.Duration
+	// unrecordedFor is why the wait for that record ended without it.
+	unrecordedFor Cause
 	settled       bool
 }
 
@@ -146,9 +148,12 @@
 
 // record waits until a kept turn is on record, for as long as its caller does:
 // the answer is ready, and an outage of the store may end any moment. So may what
-// fills the memory for records.
+// fills the memory for records. The bound of a stop does not end the wait: the ledger
+// works until the callers are cut off, and longer.
 func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) error {
 	started := time.Now()
+	ctx, cancel := c.untilCallerLeaves(ctx)
+	defer cancel()
 	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output))
 	err := c.relay.recording.acquire(ctx, size, c.relay.RecordBytes)
 	if err == nil {
@@ -162,11 +167,21 @@
 	}
 	c.logger.Warn().Err(err).AnErr("context", context.Cause(ctx)).Dur("waited", state.turn.recordedAfter).
 		Msg("Turn not recorded. The stream is broken off.")
+	state.turn.unrecordedFor = causeOfUnrecorded(ctx, err)
 	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
 	c.settleLater(outcome)
 	return err
 }
 
+// untilCallerLeaves returns a context that ends when the caller leaves, is cut off, or its
+// time is over.
+func (c *carrier) untilCallerLeaves(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.call.Deadline.IsZero() {
+		return context.WithCancel(callerOf(ctx))
+	}
+	return context.WithDeadline(callerOf(ctx), c.call.Deadline)
+}
+
 // causeOfUnrecorded is why the wait for a turn's record ended without it.
 func causeOfUnrecorded(ctx context.Context, err error) Cause {
 	if errors.Is(err, ledger.ErrUnknownTurn) {
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
@@ -30,8 +31,11 @@
 	listener net.Listener
 	// served is closed once no connection is accepted any more.
 	served chan struct{}
-	// giveUp ends the contexts of all requests, with their cause.
-	giveUp context.CancelCauseFunc
+	// bound ends when giveUp gives up what is not ready of all requests, and cut ends the
+	// contexts of all callers, with their cause.
+	bound  context.Context
+	giveUp context.CancelFunc
+	cut    context.CancelCauseFunc
 	// redirects tells whether new connections of callers are routed to other daemons.
 	redirects func() bool
 	draining  atomic.Bool
@@ -47,9 +51,12 @@
 // newFrontServer starts to serve on a listener. Times that callers may take are the
 // front server's: server must set none. While redirects is true, no connection is kept.
 func newFrontServer(server *http.Server, listener net.Listener, redirects func() bool) *frontServer {
-	base, giveUp := context.WithCancelCause(context.Background())
+	bound, giveUp := context.WithCancel(context.Background())
+	callers, cut := context.WithCancelCause(context.Background())
 	s := &frontServer{
+		bound:     bound,
 		giveUp:    giveUp,
+		cut:       cut,
 		redirects: redirects,
 		server:    server,
 		listener:  listener,
@@ -61,7 +68,7 @@
 	server.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, connection)
 	}
-	server.BaseContext = func(net.Listener) context.Context { return base }
+	server.BaseContext = func(net.Listener) context.Context { return callers }
 	server.ConnState = s.noteState
 	go func() {
 		defer close(s.served)
@@ -74,6 +81,9 @@
 // long the connection may be used again.
 func (s *frontServer) serving(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := relay.WithStopBound(r.Context(), s.bound)
+		defer cancel()
+		r = r.WithContext(ctx)
 		connection, known := r.Context().Value(connectionKey{}).(*frontConnection)
 		if !known {
 			handler.ServeHTTP(w, r)
@@ -125,9 +135,11 @@
 	<-s.served
 }
 
-// close closes the listener and cuts all connections.
+// close closes the listener and cuts all connections. Contexts end first: that of a caller
+// that is cut off tells why.
 func (s *frontServer) close() {
-	s.giveUp(nil)
+	s.giveUp()
+	s.cut(relay.ErrStopBound)
 	_ = s.server.Close()
 }
 
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
-	"github.com/mintpulley/mintpulley/internal/relay"
 )
 
 const (
@@ -20,7 +19,7 @@
 	// bound, at which the platform kills the process.
 	exitMargin = 700 * time.Millisecond
 	// refusalTime is the part of it in which callers that still wait are told
-	// that they wait in vain.
+	// that they wait in vain, and in which whole answers still wait for their record.
 	refusalTime = 200 * time.Millisecond
 	// killMargin is kept between the end of everything else, such as settling the
 	// turns that were given up, and the kill.
@@ -57,15 +56,16 @@
 }
 
 // drainFront answers what callers have sent. Who still waits when ctx ends gets
-// a refusal, or where an answer has begun, its visible break; what does not end
-// on that is cut.
+// a refusal, or where an answer has begun, its visible break; only an answer that is
+// whole goes on to wait for its record, since the ledger serves until the end of the
+// stop. What does not end in refusalTime is cut.
 func (d *Daemon) drainFront(ctx context.Context) {
 	defer d.front.close()
 	if d.front.drain(ctx) == nil {
 		return
 	}
 	d.logger.Warn().Int("connections", d.front.count()).Msg("Requests are given up at the bound of the stop.")
-	d.front.giveUp(relay.ErrStopBound)
+	d.front.giveUp()
 	ctx, cancel := context.WithTimeout(context.Background(), refusalTime)
 	defer cancel()
 	if d.front.drain(ctx) != nil {
