Relay: a caller that leaves within a failure says nothing of the back end

Cause: where a back end answered a stream's request with a failure and its body was not read whole, the offer counted as failed, also when the caller had left or the stop was at its bound: a sound back end was passed over. Change: such an offer is released like any other that this side ended. Result: TestCallerThatLeavesWithinAFailureSaysNothingOfTheInstance failed first for streams (the instance got 0 of 60 requests), passes, with the tests of endings and failures, three times.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -35,8 +35,8 @@
 	sounds bool
 	other  bool
 	body   string
-	// cut breaks the body off at its end.
-	cut bool
+	// cut breaks the body off at its end, and stall at the end of the call's context.
+	cut, stall bool
 	// hold waits until the call's context ends.
 	hold bool
 }
@@ -72,6 +72,9 @@
 	if next.cut {
 		body = io.MultiReader(body, cutReader{})
 	}
+	if next.stall {
+		body = io.MultiReader(body, stalledReader{ctx})
+	}
 	status := next.status
 	if status == 0 {
 		status = http.StatusOK
@@ -86,6 +89,14 @@
 
 func (cutReader) Read([]byte) (int, error) { return 0, errCut }
 
+// stalledReader gives nothing until its context ends.
+type stalledReader struct{ context.Context }
+
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r.Done()
+	return 0, r.Err()
+}
+
 // recorder is a caller that notes what it gets.
 type recorder struct {
 	status  int
--- a/internal/relay/health_test.go
+++ b/internal/relay/health_test.go
@@ -54,6 +54,23 @@
 	})
 }
 
+// TestCallerThatLeavesWithinAFailureSaysNothingOfTheInstance: so does the bound of a stop.
+func TestCallerThatLeavesWithinAFailureSaysNothingOfTheInstance(t *testing.T) {
+	for _, kind := range []route.Kind{route.KindStream, route.KindOnce} {
+		for _, cause := range []error{context.Canceled, ErrStopBound} {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, step{status: http.StatusInternalServerError, body: "half", stall: true})
+				ctx, leave := context.WithCancelCause(t.Context())
+				time.AfterFunc(50*time.Millisecond, func() { leave(cause) })
+				h.relay.Serve(ctx, newCall(newRoute(kind)), &recorder{})
+				if got := h.picks()[h.sentTo()[0]]; got == 0 {
+					t.Errorf("%s, %v: the instance is passed over", kind, cause)
+				}
+			})
+		}
+	}
+}
+
 // pacedDriver answers with ten events; those of one instance take longer.
 type pacedDriver struct {
 	slow string
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -111,10 +111,13 @@
 // passFailure passes an answer on that is no stream.
 func (c *carrier) passFailure(ctx context.Context, answer *Answer, target instance.Instance, state *streamState) {
 	body, err := readWhole(answer.Body)
-	if err != nil {
-		c.fail(target)
-	} else {
+	switch {
+	case err == nil:
 		c.release(target, instance.OutcomeAnswered)
+	case ctx.Err() != nil: // the caller left, or the daemon stops
+		c.release(target, c.outcomeOfGivingUp())
+	default:
+		c.fail(target)
 	}
 	switch {
 	case state.hasHead:
