Relay: a panic leaves no offer counted and no turn unsettled

Cause: after a panic while a call was carried, the caller's connection was closed, but its offer stayed counted at the instance and watched by the monitor, its turn's reservation stayed spent, and a panic within the record kept the room for it. Change: a call ends what is still open when it is left, on whatever way: the offer is released, the turn is settled with what its caller got, and room for a record is released by defer. A turn counts as settled only once that was handed over.

--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -37,6 +37,10 @@
 	// offers counts all tries, and latest is the last of them.
 	offers int
 	latest latestOffer
+	// taken is the instance that the call is counted at, nil for none.
+	taken *instance.Instance
+	// stream is what is known of the call's answer if that is a stream, nil before.
+	stream *streamState
 	// refusals counts the offers that were turned down, rounds how often all instances
 	// did, and offeredBefore the offers to the service before the call's first.
 	refusals      int
@@ -110,7 +114,11 @@
 	if c.only != "" && c.relay.Pool.HasEnded(c.only) {
 		c.only = "" // it has started again, so it runs nothing of before
 	}
-	return c.relay.Pool.Take(c.query())
+	target, found := c.relay.Pool.Take(c.query())
+	if found {
+		c.taken = &target
+	}
+	return target, found
 }
 
 // query is what the call needs of an instance.
@@ -160,14 +168,33 @@
 
 // release ends the latest offer with an outcome.
 func (c *carrier) release(target instance.Instance, outcome instance.Outcome) {
-	c.relay.monitor.endOffer(c.latest.watched)
-	c.latest.watched = nil
+	c.endWatch()
+	c.taken = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
 		c.relay.Pool.NoteServiceTime(c.service, time.Since(c.latest.beganAt))
 	}
 }
 
+// endWatch ends the watch of the latest offer.
+func (c *carrier) endWatch() {
+	if c.latest.watched != nil {
+		c.relay.monitor.endOffer(c.latest.watched)
+		c.latest.watched = nil
+	}
+}
+
+// endLeftOpen ends what a panic left open: else the instance would count as loaded, and the
+// turn's reservation as spent, for good.
+func (c *carrier) endLeftOpen() {
+	if c.taken != nil {
+		c.release(*c.taken, instance.OutcomeGivenUp)
+	}
+	if c.stream != nil && c.stream.turn != nil {
+		_ = c.settle(context.Background(), c.stream, false) // in the background, as nobody goes on from it
+	}
+}
+
 // fail ends the latest offer after an error. If the zone is cut off, the error does not
 // count against the instance.
 func (c *carrier) fail(target instance.Instance) {
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -207,3 +207,54 @@
 		h.metrics = nil // their faults are meant
 	}
 }
+
+// panickingLedger fails at the record of a kept turn.
+type panickingLedger struct{ fakeLedger }
+
+func (l *panickingLedger) End(ctx context.Context, outcome ledger.Outcome) error {
+	if outcome.Kept != nil {
+		panic("fault")
+	}
+	return l.fakeLedger.End(ctx, outcome)
+}
+
+// panickingResponder fails at an event.
+type panickingResponder struct{ recorder }
+
+func (*panickingResponder) Event([]byte) error { panic("fault") }
+
+// TestPanicLeavesNothingBehind: the offer under way is released, and the turn is settled.
+func TestPanicLeavesNothingBehind(t *testing.T) {
+	for name, test := range map[string]struct {
+		caller Responder
+		events int64
+		onSend func()
+	}{
+		"in an offer":   {caller: &recorder{}, onSend: func() { panic("fault") }},
+		"in an event":   {caller: &panickingResponder{}, events: 1},
+		"in the record": {caller: &recorder{}, events: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, _, call := newRecording(t, 0)
+				kept := &panickingLedger{}
+				h.relay.Ledger, h.relay.RecordBytes, h.driver.onSend = kept, 100, test.onSend
+				h.relay.Serve(t.Context(), call, test.caller)
+				h.relay.Wait(t.Context())
+				if loads := h.pool.Loads(); len(loads) != 0 || len(h.relay.monitor.offers) != 0 {
+					t.Errorf("an offer is still counted: %v", loads)
+				}
+				if h.relay.recording.held != 0 {
+					t.Error("room for its record is still held")
+				}
+				if len(kept.outcomes) != 1 || kept.outcomes[0].UsedTokens != test.events*4 {
+					t.Errorf("outcomes: %+v", kept.outcomes)
+				}
+				if sumOf(h.relay.Metrics.faults) != 1 {
+					t.Error("the fault is not counted")
+				}
+				h.metrics = nil // it is meant
+			})
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -162,6 +162,7 @@
 		regions:   residency.Bound(call.Route.AllowedRegions, call.Tenant.Regions()),
 	}
 	responder.carriedBy(c)
+	defer c.endLeftOpen()
 	if r.draining.Load() {
 		c.refuse(stopping)
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -39,6 +39,7 @@
 // the last one, if its route allows that.
 func (c *carrier) carryStream(ctx context.Context) {
 	state := &streamState{lastID: c.call.ResumeAfter, prompt: c.call.Body}
+	c.stream = state
 	if c.isTurn() {
 		turn, ok := c.beginTurn(ctx)
 		if !ok {
@@ -52,9 +53,6 @@
 	for c.runStream(ctx, state) {
 		c.relay.Metrics.resumed()
 	}
-	if state.turn != nil {
-		_ = c.settle(ctx, state, false) // nobody goes on from it: it is settled in the background
-	}
 }
 
 // sessionInstance returns the instance that has most of the prompt in its
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -123,7 +123,6 @@
 	if turn.settled {
 		return nil
 	}
-	turn.settled = true
 	outcome := ledger.Outcome{
 		Turn:       c.turnID,
 		Program:    c.call.Program.ID,
@@ -140,9 +139,12 @@
 			Input:    c.call.Body,
 			Output:   state.output,
 		}
-		return c.record(ctx, state, outcome)
+		err := c.record(ctx, state, outcome)
+		turn.settled = true
+		return err
 	}
 	c.settleLater(outcome)
+	turn.settled = true
 	return nil
 }
 
@@ -157,8 +159,7 @@
 	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output))
 	err := c.relay.recording.acquire(ctx, size, c.relay.RecordBytes)
 	if err == nil {
-		err = c.relay.Ledger.End(ctx, outcome)
-		c.relay.recording.release(size, c.relay.RecordBytes)
+		err = c.endWithRoom(ctx, outcome, size)
 	}
 	state.turn.recordedAfter = time.Since(started)
 	c.relay.Metrics.recorded(state.turn.recordedAfter, err)
@@ -173,6 +174,12 @@
 	return err
 }
 
+// endWithRoom ends a turn in the ledger, and releases the room that its text takes.
+func (c *carrier) endWithRoom(ctx context.Context, outcome ledger.Outcome, size int64) error {
+	defer c.relay.recording.release(size, c.relay.RecordBytes) // after a panic, too
+	return c.relay.Ledger.End(ctx, outcome)
+}
+
 // untilCallerLeaves returns a context that ends when the caller leaves, is cut off, or its
 // time is over.
 func (c *carrier) untilCallerLeaves(ctx context.Context) (context.Context, context.CancelFunc) {
