httpconn: a connection that is reset before the first byte was not used

Cause: a back end that takes no more connections resets a new one right after accepting it. Where that came before the request was written, writing failed, and the request counted as one that may have run: one that may not repeat was broken off, though no byte had left the machine. Change: the bytes that the system took are counted; a write that fails by a reset with none taken is ErrTurnedAway, which wraps ErrNotSent. The relay takes it like a back end without a free connection: no failure of the instance, and no proof that a run there has ended, so a stream stays bound to it. Once a byte was taken nothing changes: it may have run.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -15,6 +15,9 @@
 	// ErrLate: Bounds.SendBy was over before the request was sent; no byte left this
 	// machine.
 	ErrLate = eris.Wrap(ErrNotSent, "httpconn: too late to send it")
+	// ErrTurnedAway: the connection was reset before the system took the first byte of the
+	// request, as by a back end that takes no more connections.
+	ErrTurnedAway = eris.Wrap(ErrNotSent, "httpconn: the connection was reset unused")
 	// ErrBroken: the connection broke after some of the request was sent.
 	ErrBroken = eris.New("httpconn: the connection broke")
 	// ErrGivenUp is the cause of a context that ends because the other side is taken to
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -33,8 +34,9 @@
 		e.conn.limitUnacknowledged(0)
 	}
 	if e.inline {
+		before := e.conn.sent
 		if err := e.write(request); err != nil {
-			return nil, eris.Wrapf(ErrBroken, "write: %v", err)
+			return nil, eris.Wrapf(writeError(err, e.conn.sent-before), "write: %v", err)
 		}
 		e.written <- nil
 	} else {
@@ -48,6 +50,15 @@
 	return response, nil
 }
 
+// writeError is the error that stands for one of writing a request, of which the system took
+// some bytes. What it did not take has not left this machine.
+func writeError(err error, taken int64) error {
+	if taken == 0 && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		return ErrTurnedAway
+	}
+	return ErrBroken
+}
+
 func (e *exchange) write(request *http.Request) error {
 	if err := request.Write(e.conn.writer); err != nil {
 		return err
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -70,6 +70,15 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
+	// sent counts the bytes that the system took.
+	sent int64
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(buffer []byte) (int, error) {
+	n, err := c.Conn.Write(buffer)
+	c.sent += int64(n)
+	return n, err
 }
 
 // closeFor closes the connection. If the cause is ErrGivenUp, unsent data is dropped: the
@@ -191,11 +200,9 @@
 		p.release(name)
 		return nil, eris.Wrapf(dialError(err), "dial %s: %v", name, err)
 	}
-	return &conn{
-		Conn:   raw,
-		reader: bufio.NewReaderSize(raw, bufferSize),
-		writer: bufio.NewWriterSize(raw, bufferSize),
-	}, nil
+	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}
+	c.writer = bufio.NewWriterSize(c, bufferSize)
+	return c, nil
 }
 
 // dialError is the error that stands for one of connecting.
--- /dev/null
+++ b/internal/httpconn/reset_linux_test.go
@@ -0,0 +1,36 @@
+package httpconn
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+)
+
+// TestRequestOnAConnectionThatWasResetIsNotSent: a back end that takes no more connections
+// resets a new one, before the first byte is written to it.
+func TestRequestOnAConnectionThatWasResetIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	p := NewPool(time.Second)
+	c, err := p.open(t.Context(), listener.Addr().String(), Bounds{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.(*net.TCPConn).SetLinger(0) // to close resets
+	_ = accepted.Close()
+	for isQuiet(c.Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	e := &exchange{pool: p, address: listener.Addr().String(), conn: c, written: make(chan error, 1)}
+	if _, err := e.start(get("")); !errors.Is(err, ErrTurnedAway) || !IsNotSent(err) {
+		t.Errorf("got %v, want %v", err, ErrTurnedAway)
+	}
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
@@ -30,6 +31,7 @@
 		"refused":        {status: 503, notRun: true},
 		"other instance": {status: 421, other: true},
 		"not sent":       {err: errNotSent},
+		"turned away":    {err: httpconn.ErrTurnedAway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, first, step{body: "ok"})
@@ -233,6 +235,20 @@
 	}
 }
 
+// TestStreamStaysBoundToAnInstanceThatTurnsItsConnectionAway: unlike one that is not
+// reached, it may still run the stream.
+func TestStreamStaysBoundToAnInstanceThatTurnsItsConnectionAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne, cut: true}, step{err: httpconn.ErrTurnedAway}, step{body: eventTwo})
+		r := newRoute(route.KindStream)
+		r.MaxAttempts = 1
+		got := h.serve(newCall(r))
+		if to := h.sentTo(); !got.ended || len(to) != 3 || to[0] != to[1] || to[0] != to[2] {
+			t.Errorf("ended %v; sent to %v, want one instance", got.ended, to)
+		}
+	})
+}
+
 func TestStreamThatMayNotBeTakenUpIsBrokenOff(t *testing.T) {
 	h := newHarness(t, step{body: eventOne, cut: true}, step{body: eventTwo})
 	r := newRoute(route.KindStream)
