--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -131,14 +131,22 @@
 	},
 	"no memory to wait for the record": {
 		kind: route.KindStream, kept: true, steps: []step{{body: eventOne}},
-		prepare: func(h *harness) {
-			h.relay.RecordBytes = 2
-			h.relay.recording.add(1, h.relay.RecordBytes) // another turn waits
-		},
-		want: loggedEnding{Ending: EndingBrokenOff, Cause: CauseRecordMemory, By: PartyDaemon, Events: 1, MayHaveRun: true},
+		prepare: func(h *harness) { h.fillRecordRoom(2) },
+		want:    loggedEnding{Ending: EndingBrokenOff, Cause: CauseRecordMemory, By: PartyDaemon, Events: 1, MayHaveRun: true},
+	},
+	"caller leaves while there is no memory to wait for the record": {
+		kind: route.KindStream, kept: true, steps: []step{{body: eventOne}}, leaves: errCut,
+		prepare: func(h *harness) { h.fillRecordRoom(2) },
+		want:    loggedEnding{Ending: EndingLeft, Cause: CauseRecordCallerLeft, By: PartyCaller, Events: 1, MayHaveRun: true},
 	},
 }
 
+// fillRecordRoom sets the memory for records, so small that the next turn has to wait.
+func (h *harness) fillRecordRoom(limit int64) {
+	h.relay.RecordBytes = limit
+	_ = h.relay.recording.acquire(h.t.Context(), 1, limit) // there is room
+}
+
 // play carries the call and returns what is told of its ending.
 func (c endingCase) play(t *testing.T) []loggedEnding {
 	h := newHarness(t, c.steps...)
@@ -199,3 +207,54 @@
 		h.metrics = nil // their faults are meant
 	}
 }
+
+// panickingLedger fails at the record of a kept turn.
+type panickingLedger struct{ fakeLedger }
+
+func (l *panickingLedger) End(ctx context.Context, outcome ledger.Outcome) error {
+	if outcome.Kept != nil {
+		panic("fault")
+	}
+	return l.fakeLedger.End(ctx, outcome)
+}
+
+// panickingResponder fails at an event.
+type panickingResponder struct{ recorder }
+
+func (*panickingResponder) Event([]byte) error { panic("fault") }
+
+// TestPanicLeavesNothingBehind: the offer under way is released, and the turn is settled.
+func TestPanicLeavesNothingBehind(t *testing.T) {
+	for name, test := range map[string]struct {
+		caller Responder
+		events int64
+		onSend func()
+	}{
+		"in an offer":   {caller: &recorder{}, onSend: func() { panic("fault") }},
+		"in an event":   {caller: &panickingResponder{}, events: 1},
+		"in the record": {caller: &recorder{}, events: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h, _, call := newRecording(t, 0)
+				kept := &panickingLedger{}
+				h.relay.Ledger, h.relay.RecordBytes, h.driver.onSend = kept, 100, test.onSend
+				h.relay.Serve(t.Context(), call, test.caller)
+				h.relay.Wait(t.Context())
+				if loads := h.pool.Loads(); len(loads) != 0 || len(h.relay.monitor.offers) != 0 {
+					t.Errorf("an offer is still counted: %v", loads)
+				}
+				if h.relay.recording.held != 0 {
+					t.Error("room for its record is still held")
+				}
+				if len(kept.outcomes) != 1 || kept.outcomes[0].UsedTokens != test.events*4 {
+					t.Errorf("outcomes: %+v", kept.outcomes)
+				}
+				if sumOf(h.relay.Metrics.faults) != 1 {
+					t.Error("the fault is not counted")
+				}
+				h.metrics = nil // it is meant
+			})
+		})
+	}
+}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -12,12 +12,16 @@
 type turnState struct {
 	ledger.Grant
 	retain bool
+	// historyBytes is the length of the history.
+	historyBytes int
 	// perEvent is how many tokens each event carries.
 	perEvent int64
 	// grantedAfter is how long the reservation took, and recordedAfter the
 	// record of its end.
 	grantedAfter  time.Duration
 	recordedAfter time.Duration
+	// unrecordedFor is why the wait for that record ended without it.
+	unrecordedFor Cause
 	settled       bool
 }
 
@@ -45,7 +49,10 @@
 	took := time.Since(started)
 	c.relay.Metrics.begun(took, err)
 	if err == nil {
-		return &turnState{Grant: grant, retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent(), grantedAfter: took}, true
+		return &turnState{
+			Grant: grant, historyBytes: len(grant.History),
+			retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent(), grantedAfter: took,
+		}, true
 	}
 	switch {
 	case errors.Is(err, ledger.ErrBudgetSpent):
@@ -116,7 +123,6 @@
 	if turn.settled {
 		return nil
 	}
-	turn.settled = true
 	outcome := ledger.Outcome{
 		Turn:       c.turnID,
 		Program:    c.call.Program.ID,
@@ -133,21 +139,27 @@
 			Input:    c.call.Body,
 			Output:   state.output,
 		}
-		return c.record(ctx, state, outcome)
+		err := c.record(ctx, state, outcome)
+		turn.settled = true
+		return err
 	}
 	c.settleLater(outcome)
+	turn.settled = true
 	return nil
 }
 
 // record waits until a kept turn is on record, for as long as its caller does:
-// the answer is ready, and an outage of the store may end any moment.
+// the answer is ready, and an outage of the store may end any moment. So may what
+// fills the memory for records. The bound of a stop does not end the wait: the ledger
+// works until the callers are cut off, and longer.
 func (c *carrier) record(ctx context.Context, state *streamState, outcome ledger.Outcome) error {
 	started := time.Now()
-	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output) + len(state.turn.History))
-	err := errTooMuchWaits
-	if c.relay.recording.add(size, c.relay.RecordBytes) {
-		err = c.relay.Ledger.End(ctx, outcome)
-		c.relay.recording.remove(size)
+	ctx, cancel := c.untilCallerLeaves(ctx)
+	defer cancel()
+	size := int64(len(outcome.Kept.Input) + len(outcome.Kept.Output))
+	err := c.relay.recording.acquire(ctx, size, c.relay.RecordBytes)
+	if err == nil {
+		err = c.endWithRoom(ctx, outcome, size)
 	}
 	state.turn.recordedAfter = time.Since(started)
 	c.relay.Metrics.recorded(state.turn.recordedAfter, err)
@@ -156,25 +168,40 @@
 	}
 	c.logger.Warn().Err(err).AnErr("context", context.Cause(ctx)).Dur("waited", state.turn.recordedAfter).
 		Msg("Turn not recorded. The stream is broken off.")
+	state.turn.unrecordedFor = causeOfUnrecorded(ctx, err)
 	outcome.Kept = nil // nobody goes on from it; what its caller got still counts
 	c.settleLater(outcome)
 	return err
 }
 
+// endWithRoom ends a turn in the ledger, and releases the room that its text takes.
+func (c *carrier) endWithRoom(ctx context.Context, outcome ledger.Outcome, size int64) error {
+	defer c.relay.recording.release(size, c.relay.RecordBytes) // after a panic, too
+	return c.relay.Ledger.End(ctx, outcome)
+}
+
+// untilCallerLeaves returns a context that ends when the caller leaves, is cut off, or its
+// time is over.
+func (c *carrier) untilCallerLeaves(ctx context.Context) (context.Context, context.CancelFunc) {
+	if c.call.Deadline.IsZero() {
+		return context.WithCancel(callerOf(ctx))
+	}
+	return context.WithDeadline(callerOf(ctx), c.call.Deadline)
+}
+
 // causeOfUnrecorded is why the wait for a turn's record ended without it.
 func causeOfUnrecorded(ctx context.Context, err error) Cause {
-	switch {
-	case errors.Is(err, errTooMuchWaits):
-		return CauseRecordMemory
-	case errors.Is(err, ledger.ErrUnknownTurn):
+	if errors.Is(err, ledger.ErrUnknownTurn) {
 		return CauseRecordUnknownTurn
 	}
-	switch causeOf(ctx, "") {
-	case CauseStopBound:
+	switch ended := causeOf(ctx, ""); {
+	case ended == CauseStopBound:
 		return CauseRecordStopBound
-	case CauseCallerLeft:
+	case ended == CauseCallerLeft:
 		return CauseRecordCallerLeft
-	case CauseTimeOver:
+	case errors.Is(err, errTooMuchWaits):
+		return CauseRecordMemory
+	case ended == CauseTimeOver:
 		return CauseRecordTimeOver
 	}
 	return CauseRecordUnavailable
