--- /dev/null
+++ b/internal/store/fanout/fleet_test.go
@@ -0,0 +1,190 @@
+package fanout_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+)
+
+var (
+	routes    = store.Partition{Space: "routes"}
+	instances = store.Partition{Space: "instances"}
+)
+
+// busyStore serves readings one after the other at a rate that all share, also those that
+// nobody waits for any more.
+type busyStore struct {
+	*memory.Store
+	bytesPerSecond int
+	mutex          sync.Mutex
+	freeAt         time.Time
+	served, calls  int
+}
+
+func (s *busyStore) NewestPage(ctx context.Context, p store.Partition, after string) (store.Page, error) {
+	page, err := s.Store.NewestPage(ctx, p, after)
+	if err == nil && !s.pass(ctx, store.SizeOf(page.Records)) {
+		err = store.ErrOutcomeUnknown
+	}
+	return page, err
+}
+
+func (s *busyStore) Read(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	records, next, err := s.Store.Read(ctx, p, from, wait)
+	if err == nil && !s.pass(ctx, store.SizeOf(records)) {
+		return nil, from, store.ErrOutcomeUnknown
+	}
+	return records, next, err
+}
+
+// pass waits until the store has sent so many bytes; false if nobody waits for them.
+func (s *busyStore) pass(ctx context.Context, size int) bool {
+	s.mutex.Lock()
+	if now := time.Now(); s.freeAt.Before(now) {
+		s.freeAt = now
+	}
+	s.freeAt = s.freeAt.Add(time.Duration(size) * time.Second / time.Duration(s.bytesPerSecond))
+	s.served += size
+	s.calls++
+	sent := time.NewTimer(time.Until(s.freeAt))
+	s.mutex.Unlock()
+	defer sent.Stop()
+	select {
+	case <-sent.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *busyStore) count() (served, calls int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.served, s.calls
+}
+
+func (s *busyStore) put(t *testing.T, partition store.Partition, size int) {
+	t.Helper()
+	var value strings.Builder
+	for i := 0; value.Len() < size; i++ {
+		fmt.Fprintf(&value, `{"path":"/later/%d","service":"s%d","timeoutMs":%d},`, i, i*7919%31, 1000+i*104729%977)
+	}
+	record := store.Record{Key: "k", Value: []byte(value.String()[:size])}
+	if err := s.Append(t.Context(), partition, store.Writer{}, []store.Record{record}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// follower is what one daemon has read.
+type follower struct {
+	mutex      sync.Mutex
+	end, lists int64
+	size       int
+	asOf       time.Time
+	wentBack   bool
+}
+
+func (f *follower) takeRoutes(records map[string]store.Record, end int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.wentBack = f.wentBack || end < f.end
+	f.end, f.size = end, len(records["k"].Value)
+}
+
+func (f *follower) takeInstances(_ map[string]store.Record, end int64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lists = end
+}
+
+func (f *follower) confirm(asOf time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
+}
+
+func (f *follower) known() (end, lists int64, asOf time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.end, f.lists, f.asOf
+}
+
+// follow has a daemon read the routes from one store and the instances from another.
+func (f *follower) follow(ctx context.Context, routesStore, instancesStore store.Store) {
+	settings := store.WatchSettings{Wait: 1200 * time.Millisecond, Answer: 400 * time.Millisecond, Retry: 150 * time.Millisecond}
+	watchRoutes := store.Watcher{
+		Store: routesStore, Partition: routes, Settings: settings, OnAdvance: f.takeRoutes, OnRead: f.confirm,
+		OnContact: func(error) {},
+	}
+	settings.Wait, settings.Pause = 600*time.Millisecond, 500*time.Millisecond
+	watchInstances := store.Watcher{
+		Store: instancesStore, Partition: instances, Settings: settings, OnAdvance: f.takeInstances, OnContact: func(error) {},
+	}
+	go watchRoutes.Run(ctx)
+	go watchInstances.Run(ctx)
+}
+
+// behind counts the daemons that lack a version of the routes, and of the instances.
+func behind(followers []*follower, version int64) (ofRoutes, ofInstances int) {
+	for _, f := range followers {
+		end, lists, _ := f.known()
+		if end < version {
+			ofRoutes++
+		}
+		if lists < version {
+			ofInstances++
+		}
+	}
+	return ofRoutes, ofInstances
+}
+
+const (
+	largeSize = 1_200_000
+	storeRate = 20_000_000
+)
+
+// TestInstancesDoNotWaitBehindALargeRecord: a record of 1.2 MB takes the store 3.6 s if each of
+// 60 daemons reads it, and the list of instances, of some bytes, waits behind that.
+func TestInstancesDoNotWaitBehindALargeRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(60)
+		f.store.put(t, routes, largeSize)
+		f.store.put(t, instances, 100)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		f.run(ctx)
+		time.Sleep(20 * time.Second)
+		before, _ := f.store.count()
+		f.store.put(t, routes, largeSize)
+		f.store.put(t, instances, 100)
+		began := time.Now()
+		var routesTook, instancesTook time.Duration
+		for time.Since(began) < 20*time.Second && (routesTook == 0 || instancesTook == 0) {
+			time.Sleep(10 * time.Millisecond)
+			ofRoutes, ofInstances := behind(f.followers, 2)
+			if ofRoutes == 0 && routesTook == 0 {
+				routesTook = time.Since(began)
+			}
+			if ofInstances == 0 && instancesTook == 0 {
+				instancesTook = time.Since(began)
+			}
+		}
+		served, _ := f.store.count()
+		t.Logf("routes known after %s, instances after %s, %.1f MB read", routesTook, instancesTook, float64(served-before)/1e6)
+		if routesTook == 0 || routesTook > time.Second || instancesTook == 0 || instancesTook > time.Second {
+			t.Errorf("routes known after %s, instances after %s, want both within 1s", routesTook, instancesTook)
+		}
+		if most := 12 * largeSize; served-before > most {
+			t.Errorf("%.1f MB read, want at most %.1f", float64(served-before)/1e6, float64(most)/1e6)
+		}
+	})
+}
