Large records are handed on from daemon to daemon

Cause: each daemon of a fleet reads each record from the store, which reads for all at one rate. 1.2 MB for 295 daemons take it 4.3 s at 80 MB/s, readings that are late are made once more beside, and the list of instances waits behind that.

Change: internal/store/fanout stands before the store for the operators' records (docs/design/records.md). The answer tells as of when the neighbour's records were the newest, which rests on the store's answer. Who gets nothing 0.2 s after a reading's wait reads from the store.

Not yet measured on the platform.

--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/fanout"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
@@ -64,7 +65,10 @@
 	// cold limits the requests to cold instances.
 	cold *warmup.Limiter
 	// store is reached by way of other daemons where this one does not reach it.
-	store   *proxy.Service
+	store *proxy.Service
+	// records is where the operators' records are read: at the store, or of a neighbour while
+	// they are large.
+	records *fanout.Service
 	figures *prometheus.Registry
 	// watchMetrics count the readings of what is followed in the store.
 	watchMetrics *store.WatchMetrics
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -13,6 +13,7 @@
 	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/fanout"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -85,6 +86,16 @@
 		Metrics:   proxy.NewMetrics(d.figures),
 	})
 	d.registry.store, d.registry.contact = d.store, d.store
+	d.records = fanout.New(fanout.Options{
+		Store:     d.store,
+		Partition: d.adapter.RoutesPartition(),
+		Self:      d.membership.Self,
+		View:      d.membership,
+		Transport: d.transport,
+		ReadRate:  d.settings.StoreReadMegabytes * 1e6,
+		Logger:    part(d.logger, "records"),
+		Metrics:   fanout.NewMetrics(d.figures),
+	})
 }
 
 // joinLedger prepares the ledger of all daemons; those of regions are started when they
@@ -165,8 +176,8 @@
 	if d == nil {
 		return
 	}
-	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.receiveReach(from, message) &&
-		!d.ledger.Receive(from, message) {
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.records.Receive(from, message) &&
+		!d.receiveReach(from, message) && !d.ledger.Receive(from, message) {
 		d.regional.receive(from, message)
 	}
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -29,7 +29,7 @@
 // watchRoutes follows the operators' routes until ctx ends.
 func (d *Daemon) watchRoutes(ctx context.Context) {
 	watcher := store.Watcher{
-		Store:     d.store,
+		Store:     d.records,
 		Contact:   d.store,
 		Partition: d.adapter.RoutesPartition(),
 		Settings:  routesWatch,
--- a/internal/store/fanout/fleet_test.go
+++ b/internal/store/fanout/fleet_test.go
@@ -26,6 +26,8 @@
 	mutex          sync.Mutex
 	freeAt         time.Time
 	served, calls  int
+	// answeredAt is when the last reading was answered.
+	answeredAt time.Time
 }
 
 func (s *busyStore) NewestPage(ctx context.Context, p store.Partition, after string) (store.Page, error) {
@@ -41,6 +43,11 @@
 	if err == nil && !s.pass(ctx, store.SizeOf(records)) {
 		return nil, from, store.ErrOutcomeUnknown
 	}
+	if err == nil && p == routes {
+		s.mutex.Lock()
+		s.answeredAt = time.Now()
+		s.mutex.Unlock()
+	}
 	return records, next, err
 }
 
@@ -159,9 +166,7 @@
 		f := newFleet(60)
 		f.store.put(t, routes, largeSize)
 		f.store.put(t, instances, 100)
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		f.run(ctx)
+		defer f.run(t)()
 		time.Sleep(20 * time.Second)
 		before, _ := f.store.count()
 		f.store.put(t, routes, largeSize)
--- /dev/null
+++ b/internal/store/fanout/follow.go
@@ -0,0 +1,112 @@
+package fanout
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// silence is how long a neighbour may say nothing beyond the wait: it reads with the same
+	// wait, so its next word is due by then, and half of the 0.4 s after which the watch makes
+	// the reading once more is left for the store's answer.
+	silence = 200 * time.Millisecond
+	// pieceSilence is how long the next piece may take: some of them on a link of 30 Mbit/s that
+	// five other daemons share, and a small machine that is busy.
+	pieceSilence = 300 * time.Millisecond
+	// bundlesTried bounds how often a bundle may be replaced by a newer one while it is fetched.
+	bundlesTried = 3
+)
+
+// follow asks a neighbour for what follows an offset; false if it did not bring it.
+func (s *Service) follow(ctx context.Context, neighbour structs.DaemonID, from int64, wait time.Duration) (reading, bool) {
+	sent := time.Now()
+	request := Request{Partition: s.Partition, From: from}
+	response := s.ask(ctx, neighbour, request, wait+silence)
+	if response == nil {
+		return s.failed(ctx, neighbour, outcomeSilent)
+	}
+	switch response.Result {
+	case resultUnchanged:
+		got := reading{from: from, next: from, asOf: response.asOf(sent, time.Now())}
+		s.Metrics.asked(outcomeUnchanged)
+		s.take(got, nil)
+		return got, true
+	case resultPiece:
+		return s.fetch(ctx, neighbour, request, response, sent)
+	}
+	return s.failed(ctx, neighbour, outcomeUnable)
+}
+
+// fetch gets the rest of a bundle whose first piece a neighbour sent to a request.
+func (s *Service) fetch(ctx context.Context, neighbour structs.DaemonID, request Request, piece *Response, sent time.Time) (reading, bool) {
+	first := piece
+	data := []byte{}
+	for tried := 1; ; {
+		if piece.Result == resultPiece && piece.Bundle != first.Bundle { // a newer one took its place
+			first, data = piece, nil
+			tried++
+		}
+		if !piece.follows(first, len(data)) || tried > bundlesTried {
+			return s.failed(ctx, neighbour, outcomeMalformed)
+		}
+		store.ProgressOf(ctx).Note(len(piece.Data))
+		data = append(data, piece.Data...)
+		if len(data) == first.Size {
+			break
+		}
+		request.Bundle, request.At = first.Bundle, len(data)
+		asked := time.Now()
+		if piece = s.ask(ctx, neighbour, request, pieceSilence); piece == nil {
+			return s.failed(ctx, neighbour, outcomeSilent)
+		}
+		if piece.Bundle != first.Bundle {
+			sent = asked
+		}
+	}
+	packed, records, err := unpackBundle(first.Bundle, data)
+	if err != nil || packed.from > request.From || packed.end <= request.From {
+		return s.failed(ctx, neighbour, outcomeMalformed)
+	}
+	records = slices.DeleteFunc(records, func(r store.Record) bool { return r.Offset < request.From })
+	got := reading{records: records, from: request.From, next: packed.end, asOf: first.asOf(sent, time.Now())}
+	s.Metrics.asked(outcomeBrought)
+	s.take(got, packed)
+	return got, true
+}
+
+// follows tells whether a piece is the one of a bundle that begins at a byte.
+func (r *Response) follows(first *Response, at int) bool {
+	return r.Result == resultPiece && r.At == at && len(r.Data) > 0 && r.Size == first.Size &&
+		r.Size <= bundleLimit && at+len(r.Data) <= r.Size
+}
+
+// failed passes a neighbour over that brought nothing, unless nobody waited for it.
+func (s *Service) failed(ctx context.Context, neighbour structs.DaemonID, how outcome) (reading, bool) {
+	if ctx.Err() == nil {
+		s.sources.avoid(neighbour, time.Now())
+		s.Metrics.asked(how)
+		s.Logger.Info().Str("neighbour", string(neighbour)).Str("why", string(how)).Msg("Records not brought. The store is asked.")
+	}
+	return reading{}, false
+}
+
+// ask sends a request and waits for its answer; nil means none came.
+func (s *Service) ask(ctx context.Context, neighbour structs.DaemonID, request Request, patience time.Duration) *Response {
+	number, answers, forget := s.replies.Expect(1)
+	defer forget()
+	request.Number = number
+	s.Transport.Send(neighbour, &request)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case response := <-answers:
+		return response
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/fanout/main_test.go
@@ -0,0 +1,13 @@
+package fanout
+
+import "testing"
+
+// TestMain prepares the codec, which all share, outside the bubbles of the tests.
+func TestMain(m *testing.M) {
+	if packed, err := packBundle(0, 0, nil); err != nil || packed == nil {
+		panic(err)
+	} else if _, _, err := unpackBundle(packed.name, packed.data); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
--- /dev/null
+++ b/internal/store/fanout/metrics.go
@@ -0,0 +1,40 @@
+package fanout
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// outcome is what became of a reading by way of a neighbour: a label of figures.
+type outcome string
+
+const (
+	outcomeUnchanged outcome = "unchanged"
+	outcomeBrought   outcome = "brought"
+	outcomeUnable    outcome = "unable"
+	outcomeSilent    outcome = "silent"
+	outcomeMalformed outcome = "malformed"
+)
+
+// Metrics counts readings by way of a neighbour.
+type Metrics struct {
+	readings *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(registry prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		readings: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "mintpulley", Subsystem: "store_fanout", Name: "readings_total",
+			Help: "Readings of large records that a neighbour was asked for, by outcome.",
+		}, []string{"outcome"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "mintpulley", Subsystem: "store_fanout", Name: "answers_total",
+			Help: "Answers to other daemons that asked for large records, by result.",
+		}, []string{"result"}),
+	}
+	registry.MustRegister(m.readings, m.answers)
+	return m
+}
+
+func (m *Metrics) asked(how outcome) { m.readings.WithLabelValues(string(how)).Inc() }
+
+func (m *Metrics) served(what result) { m.answers.WithLabelValues(string(what)).Inc() }
--- /dev/null
+++ b/internal/store/fanout/replica.go
@@ -0,0 +1,163 @@
+package fanout
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// waitersLimit bounds the daemons that wait for this one's word: its tree sends fanOut, and as
+// many again while views of the members differ, ten times over.
+const waitersLimit = 64
+
+// leastWait is how long a request waits at least for a word that there is nothing new. A daemon
+// whose callers make it confirm their keys reads ten times a second, and all that follow it
+// would. It is below silence, so that the next word comes in time.
+const leastWait = 150 * time.Millisecond
+
+// reading is what a reading brought: the records of a range of offsets, newest as of a time.
+type reading struct {
+	records    []store.Record
+	from, next int64
+	asOf       time.Time
+}
+
+// replica is what this daemon has read, as far as it can hand it on. It is safe for concurrent
+// use.
+type replica struct {
+	mutex sync.Mutex
+	// sizes are those of the newest values by key.
+	sizes map[string]int
+	// follows tells whether a reading was made; newest are the newest records, deletions too, of
+	// the keys that changed in offsets from start to end, as of asOf.
+	follows    bool
+	start, end int64
+	newest     map[string]store.Record
+	asOf       time.Time
+	// packed is the last bundle, received or made.
+	packed  *bundle
+	waiters map[structs.DaemonID]waiter
+}
+
+// waiter is a daemon that waits for news.
+type waiter struct {
+	request *Request
+	arrived time.Time
+}
+
+// noteSizes takes note of the sizes of listed records.
+func (r *replica) noteSizes(records []store.Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.setSizes(records)
+}
+
+func (r *replica) setSizes(records []store.Record) {
+	for _, record := range records {
+		r.sizes[record.Key] = len(record.Value)
+	}
+}
+
+// size returns the bytes of the newest values.
+func (r *replica) size() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	size := 0
+	for _, one := range r.sizes {
+		size += one
+	}
+	return size
+}
+
+// take takes what a reading brought, with the bundle that brought it, if one did, and returns
+// who waited for it.
+func (r *replica) take(got reading, packed *bundle) map[structs.DaemonID]waiter {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.follows || got.from > r.end { // what lies between is not known
+		r.follows, r.start, r.end, r.newest, r.packed = true, got.from, got.from, map[string]store.Record{}, nil
+	}
+	if got.next > r.end {
+		r.setSizes(got.records)
+		for _, record := range got.records {
+			r.newest[record.Key] = record
+		}
+		r.end = got.next
+		r.packed = packed
+	}
+	if got.asOf.After(r.asOf) {
+		r.asOf = got.asOf
+	}
+	return r.due(time.Now())
+}
+
+// due removes the requests that are to be answered now, and returns them by who sent them.
+func (r *replica) due(now time.Time) map[structs.DaemonID]waiter {
+	due := map[structs.DaemonID]waiter{}
+	for from, w := range r.waiters {
+		if r.end > w.request.From || now.Sub(w.arrived) >= leastWait {
+			due[from] = w
+			delete(r.waiters, from)
+		}
+	}
+	return due
+}
+
+// await keeps a request until the next reading, unless newer records are there by now or too
+// many wait.
+func (r *replica) await(from structs.DaemonID, w waiter) (kept bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.follows || r.end > w.request.From || len(r.waiters) >= waitersLimit {
+		return false
+	}
+	if r.waiters == nil {
+		r.waiters = map[structs.DaemonID]waiter{}
+	}
+	r.waiters[from] = w
+	return true
+}
+
+// since returns a bundle of what follows an offset, nil if nothing does; false if that is not
+// known.
+func (r *replica) since(from int64) (packed *bundle, asOf time.Time, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	switch {
+	case !r.follows:
+		return nil, time.Time{}, false
+	case from >= r.end:
+		return nil, r.asOf, true
+	case r.packed != nil && r.packed.end == r.end && r.packed.from <= from:
+		return r.packed, r.asOf, true
+	case from < r.start:
+		return nil, time.Time{}, false
+	}
+	var records []store.Record
+	for _, record := range r.newest {
+		if record.Offset >= from {
+			records = append(records, record)
+		}
+	}
+	slices.SortFunc(records, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+	packed, err := packBundle(from, r.end, records)
+	if err != nil {
+		return nil, time.Time{}, false
+	}
+	r.packed = packed
+	return packed, r.asOf, true
+}
+
+// bundleOf returns the bundle of a name; false if this daemon has it no more.
+func (r *replica) bundleOf(name string) (*bundle, time.Time, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.packed == nil || r.packed.name != name {
+		return nil, time.Time{}, false
+	}
+	return r.packed, r.asOf, true
+}
--- /dev/null
+++ b/internal/store/fanout/serve.go
@@ -0,0 +1,80 @@
+package fanout
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// Receive takes a message that arrived; false means it is another part's.
+func (s *Service) Receive(from structs.DaemonID, message peer.Message) bool {
+	switch message := message.(type) {
+	case *Request:
+		s.serve(from, waiter{request: message, arrived: time.Now()})
+	case *Response:
+		s.replies.Deliver(message.Number, message)
+	default:
+		return false
+	}
+	return true
+}
+
+// serve answers a request, now or after the next reading.
+func (s *Service) serve(from structs.DaemonID, w waiter) {
+	if w.request.Partition != s.Partition || w.request.At < 0 {
+		s.answer(from, w, &Response{Result: resultUnable})
+		return
+	}
+	if w.request.Bundle != "" {
+		if packed, asOf, has := s.replica.bundleOf(w.request.Bundle); has {
+			s.answer(from, w, pieceOf(packed, w.request.At, asOf, w.arrived))
+			return
+		}
+	}
+	if w.request.Bundle == "" && s.replica.await(from, w) {
+		return
+	}
+	if response := s.wordFor(w); response.Result != resultUnchanged {
+		s.answer(from, w, response)
+		return
+	}
+	s.answer(from, w, &Response{Result: resultUnable}) // too many wait
+}
+
+// take takes what a reading brought, and answers those that waited for it.
+func (s *Service) take(got reading, packed *bundle) {
+	due := s.replica.take(got, packed)
+	for _, from := range slices.Sorted(maps.Keys(due)) {
+		s.answer(from, due[from], s.wordFor(due[from]))
+	}
+}
+
+// wordFor returns the answer to a request by what this daemon has read by now.
+func (s *Service) wordFor(w waiter) *Response {
+	packed, asOf, known := s.replica.since(w.request.From)
+	switch {
+	case !known:
+		return &Response{Result: resultUnable}
+	case packed == nil:
+		return &Response{Result: resultUnchanged, AsOfMS: ageAt(asOf, w.arrived)}
+	}
+	return pieceOf(packed, 0, asOf, w.arrived)
+}
+
+// pieceOf returns the piece of a bundle that begins at a byte.
+func pieceOf(packed *bundle, at int, asOf, arrived time.Time) *Response {
+	at = min(at, len(packed.data))
+	return &Response{
+		Result: resultPiece, AsOfMS: ageAt(asOf, arrived), Bundle: packed.name, Size: len(packed.data),
+		At: at, Data: packed.data[at:min(at+pieceBytes, len(packed.data))],
+	}
+}
+
+func (s *Service) answer(to structs.DaemonID, w waiter, response *Response) {
+	response.Number = w.request.Number
+	s.Metrics.served(response.Result)
+	s.Transport.Send(to, response)
+}
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 )
 
 // Progress tells the caller of a reading how much of the store's answer has arrived. It
 // is safe for concurrent use.
-type Progress struct{ bytes atomic.Int64 }
+type Progress struct {
+	bytes atomic.Int64
+	// asOf is when the answer was the newest, nil if that follows from when it was asked for.
+	asOf atomic.Pointer[time.Time]
+}
 
 // progressKey is the key of a context's Progress.
 type progressKey struct{}
@@ -43,6 +48,18 @@
 // Bytes returns how many bytes arrived so far.
 func (p *Progress) Bytes() int64 { return p.bytes.Load() }
 
+// NoteAsOf takes note of the time as of which the answer is the newest: it rests on another
+// daemon's reading, which may be older than the call.
+func (p *Progress) NoteAsOf(asOf time.Time) { p.asOf.Store(&asOf) }
+
+// AsOf returns what NoteAsOf was told last; false if it was told nothing.
+func (p *Progress) AsOf() (asOf time.Time, told bool) {
+	if noted := p.asOf.Load(); noted != nil {
+		return *noted, true
+	}
+	return time.Time{}, false
+}
+
 // freshKey is the key of a context whose calls want a fresh connection.
 type freshKey struct{}
 
--- a/internal/store/reading.go
+++ b/internal/store/reading.go
@@ -77,13 +77,22 @@
 // isChange tells whether an answer brought something new.
 func (a *readingAnswer) isChange() bool { return a.listed || len(a.records) > 0 }
 
-// asOf is the time as of which the answer is the newest: a record that came before the end
-// of a wait would have been the answer.
+// asOf is the time as of which the answer is the newest.
 func (a *readingAnswer) asOf() time.Time {
-	if !a.isChange() && a.endedAt.Sub(a.call.began) >= a.call.wait {
-		return a.call.began.Add(a.call.wait)
+	if asOf, told := a.call.progress.AsOf(); told {
+		return asOf
 	}
-	return a.call.began
+	return AsOf(a.call.began, a.call.wait, a.endedAt, a.isChange())
+}
+
+// AsOf is the time as of which the store's answer to a reading is the newest, which began and
+// ended at some times and let the store wait: a record that came before the end of a wait would
+// have been the answer.
+func AsOf(began time.Time, wait time.Duration, ended time.Time, isChange bool) time.Time {
+	if !isChange && ended.Sub(began) >= wait {
+		return began.Add(wait)
+	}
+	return began
 }
 
 func newReading(w *Watcher, from int64, contact *watchContact) *reading {
