Stop: a connection that only rests is no request that is given up at the bound

Change: at the bound what rests is closed, and only the others count. Measured: TestRestingConnectionIsNoRequestThatIsGivenUp, go test ./internal/relaydaemon ok.

--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -143,6 +143,20 @@
 	_ = s.server.Close()
 }
 
+// endRests lets connections that rest be closed although their callers may use them, and
+// returns how many others are open: at the bound of a stop the process ends in any case.
+func (s *frontServer) endRests() (busy int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	for connection := range s.open {
+		if !connection.endRest(now) {
+			busy++
+		}
+	}
+	return busy
+}
+
 // count returns how many connections are open.
 func (s *frontServer) count() int {
 	s.mutex.Lock()
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -169,6 +169,16 @@
 	_ = c.Conn.SetReadDeadline(now) // fails on a connection that is closed
 }
 
+// endRest is expire, whatever the caller was told; false if the connection does not rest.
+func (c *frontConnection) endRest(now time.Time) bool {
+	c.mutex.Lock()
+	rests := c.phase == phaseResting
+	c.reusableUntil = now
+	c.mutex.Unlock()
+	c.expire(now)
+	return rests
+}
+
 // CloseWrite closes the writing side only: net/http looks for this method and uses it
 // where closing at once would reset the connection.
 func (c *frontConnection) CloseWrite() error {
--- a/internal/relaydaemon/front_reuse.go
+++ b/internal/relaydaemon/front_reuse.go
@@ -16,7 +16,8 @@
 	// reuseTime is for how long callers may take up a connection after an answer. It ends,
 	// travel included, within noticeTime: in a planned stop answers say from its begin that
 	// the connection closes, so at the end of the notice no caller may use a connection
-	// that rests. With a link of 3 ms a stop lost a request in some 30 before.
+	// that rests but those of answers that began before it: these hold it for as long as
+	// they may be used. With a link of 3 ms a stop lost a request in some 30 before.
 	reuseTime = 2 * time.Second
 	// requestTravel is how long a request may take to arrive that was sent in time: the
 	// loss of a packet or two, or a processor that is not had for a while.
--- a/internal/relaydaemon/front_reuse_test.go
+++ b/internal/relaydaemon/front_reuse_test.go
@@ -133,6 +133,27 @@
 	}
 }
 
+// TestRestingConnectionIsNoRequestThatIsGivenUp: at the bound of a stop one that still may be
+// used is closed.
+func TestRestingConnectionIsNoRequestThatIsGivenUp(t *testing.T) {
+	limitsTest(t, func(t *testing.T, d *drainTest) {
+		c := d.dial(t)
+		if _, err := c.exchangeAnswer("GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), reuseTime/2)
+		defer cancel()
+		d.drain(ctx)
+		if err := <-d.drained; err == nil {
+			t.Fatal("the drain ended before the connection's time was over")
+		}
+		if busy := d.server.endRests(); busy != 0 {
+			t.Errorf("%d connections have a request", busy)
+		}
+		c.expectClosed()
+	})
+}
+
 // TestConnectionThatTheSystemAcceptedIsServedInADrain: a connection that the system has
 // accepted, and the daemon has not, is none that was never made.
 func TestConnectionThatTheSystemAcceptedIsServedInADrain(t *testing.T) {
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -61,7 +61,7 @@
 // stop. What does not end in refusalTime is cut.
 func (d *Daemon) drainFront(ctx context.Context) {
 	defer d.front.close()
-	if d.front.drain(ctx) == nil {
+	if d.front.drain(ctx) == nil || d.front.endRests() == 0 {
 		return
 	}
 	d.logger.Warn().Int("connections", d.front.count()).Msg("Requests are given up at the bound of the stop.")
