--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -41,7 +41,9 @@
 	c.fail(target)
 	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
 	if httpconn.IsNotSent(err) {
-		c.only = "" // it cannot be reached, so it runs nothing any more
+		// It can not be connected to: nearly always because it is gone, and most back ends drop a
+		// run whose connection broke. One that leaves may still run it, and nothing tells.
+		c.only = ""
 		return true
 	}
 	c.noteRun(target)
@@ -107,7 +109,7 @@
 		return nil
 	}
 	query := c.query()
-	query.Only, query.Excluded = "", []string{target.ID}
+	query.Only, query.Excluded = "", append(slices.Clone(c.excluded), target.ID)
 	return &query
 }
 
