Ledger, store: a full store is an answer, and what cannot be kept begins nowhere

Cause: with the newest records alone beyond what the store keeps, turns began from headroom, ran, and were broken off when they were whole. Change: a holder that finds the store full refuses turns whose text must be kept at once, with the forecast of an outage; the word is an answer, also by way of another daemon, as trimming is; a new holder takes the age of history from the turns' records. Measured: TestTurnThatCanNotBeKeptIsRefusedAtOnce and TestShardThatMovesOftenIsTrimmed fail without it and pass; tests of internal/store and the shard tests of internal/ledger pass.

--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -61,7 +61,7 @@
 		}
 		s.known.noteAnswer(shard, response)
 		s.noteAnswer(shard, response.Result, time.Now())
-		if response.Result.isFinal() || response.gaveUp {
+		if response.Result.isFinal() || response.Result == resultFull || response.gaveUp {
 			return response
 		}
 		if response.Result == resultMoved {
--- a/internal/ledger/history.go
+++ b/internal/ledger/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -48,14 +49,33 @@
 	end, written int64
 }
 
-// newHistory returns the history of a shard that was claimed, whose end is known. What
-// was there before the claim counts as worth trimming.
-func newHistory(end int64, now time.Time) *history {
-	before := int64(0)
-	if end > 1 {
-		before = trimBytes
+// newHistory returns the history of a shard that was claimed, whose end is known, and
+// what of it is old. Both count as worth trimming, the rest once it is old, too.
+func newHistory(end, old int64, now time.Time) *history {
+	h := &history{end: end}
+	if old > 0 {
+		h.written += trimBytes
+		h.marks = append(h.marks, historyMark{at: now.Add(-historyKept), end: old, written: h.written})
 	}
-	return &history{end: end, written: before, marks: []historyMark{{at: now, end: end, written: before}}}
+	if end > 1 { // else there is nothing but this claim
+		h.written += trimBytes
+	}
+	h.marks = append(h.marks, historyMark{at: now, end: end, written: h.written})
+	return h
+}
+
+// oldHistory returns the offset before which a shard's history is older than historyKept, by
+// the records that were read of it; 0 if none is known to be. A turn's record was appended
+// when the turn was last used as the record tells. So a shard that moves more often than
+// historyKept is trimmed, too.
+func (s *state) oldHistory(records []store.Record, now time.Time) (before int64) {
+	for _, record := range records {
+		id, isTurn := strings.CutPrefix(record.Key, turnPrefix)
+		if entry := s.turns[id]; isTurn && entry != nil && now.Sub(entry.usedAt) >= historyKept {
+			before = max(before, record.Offset+1)
+		}
+	}
+	return before
 }
 
 // note takes note of records that were appended.
--- a/internal/ledger/history_test.go
+++ b/internal/ledger/history_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -35,18 +38,23 @@
 	longDayCapacity = 2_200_000
 )
 
+// takeLongTurns lets one program complete turns for a while, whose names begin with a prefix.
+func (f *testFleet) takeLongTurns(prefix string, length time.Duration) {
+	for started, turn := time.Now(), 0; time.Since(started) < length; turn++ {
+		s := f.service(f.ids()[0])
+		id := fmt.Sprint(prefix, "-", turn)
+		begin(f.t, s, Turn{ID: id, Program: "p", Retention: longDayRetention})
+		end(f.t, s, Outcome{Turn: id, Program: "p", Kept: &KeptTurn{ID: id, Input: bytes.Repeat([]byte("x"), longDayText)}})
+		time.Sleep(longDayPause)
+	}
+}
+
 // TestLongDayFitsTheStore: what the store keeps does not grow with the day.
 func TestLongDayFitsTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 2)
 		f.store.SetCapacity(longDayCapacity)
-		s := f.service(f.ids()[0])
-		for started, turn := time.Now(), 0; time.Since(started) < longDay; turn++ {
-			id := fmt.Sprint("turn-", turn)
-			begin(t, s, Turn{ID: id, Program: "p", Retention: longDayRetention})
-			end(t, s, Outcome{Turn: id, Program: "p", Kept: &KeptTurn{ID: id, Input: bytes.Repeat([]byte("x"), longDayText)}})
-			time.Sleep(longDayPause)
-		}
+		f.takeLongTurns("turn", longDay)
 		if full := f.store.Full(); full > 0 {
 			t.Errorf("%d appends found the store full", full)
 		}
@@ -75,9 +83,57 @@
 	})
 }
 
+// TestShardThatMovesOftenIsTrimmed: two daemons pass the shards to each other more often than
+// history is kept.
+func TestShardThatMovesOftenIsTrimmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		f.store.SetCapacity(longDayCapacity)
+		for run := range uint64(longDay / (8 * time.Second)) {
+			f.takeLongTurns(fmt.Sprint("run-", run), 8*time.Second)
+			f.start(daemonID(int(run), 2))
+			for _, id := range f.ids() {
+				if id != daemonID(int(run), 2) {
+					f.kill(id)
+				}
+			}
+		}
+		if full := f.store.Full(); full > 0 {
+			t.Errorf("%d appends found the store full", full)
+		}
+	})
+}
+
+// TestTurnThatCanNotBeKeptIsRefusedAtOnce: while the newest records alone fill the store, a turn
+// whose text must be kept begins nowhere, as its end could not be recorded; others do.
+func TestTurnThatCanNotBeKeptIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 2)
+		s := f.service(f.ids()[0])
+		for turn := range 4 { // headroom is set aside for the program's next turns
+			id := fmt.Sprint("turn-", turn)
+			begin(t, s, Turn{ID: id, Program: "p", Retention: time.Minute, MostTokens: 10, BudgetTokens: 10_000})
+			end(t, s, Outcome{Turn: id, Program: "p", Kept: &KeptTurn{ID: id, Input: []byte("text")}})
+		}
+		f.store.SetCapacity(1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_ = s.End(ctx, Outcome{Turn: "finds-it-full", Program: "p", Kept: &KeptTurn{ID: "finds-it-full"}})
+		asked := time.Now()
+		_, err := s.Begin(t.Context(), Turn{ID: "kept", Program: "p", Retention: time.Minute, MostTokens: 10, BudgetTokens: 10_000})
+		var heldUp *HeldUpError
+		if !errors.As(err, &heldUp) || heldUp.Kind != admission.StoreOut || time.Since(asked) > 100*time.Millisecond {
+			t.Errorf("after %s: %v", time.Since(asked), err)
+		}
+		if _, err := s.Begin(t.Context(), Turn{ID: "not-kept", Program: "p", MostTokens: 10, BudgetTokens: 10_000}); err != nil {
+			t.Errorf("a turn that needs no record of its text: %v", err)
+		}
+	})
+}
+
 // TestSuccessorThatReadsAheadFindsTheHistory: trimming leaves what a successor goes on from.
 func TestSuccessorThatReadsAheadFindsTheHistory(t *testing.T) {
-	h := newHistory(10, time.Time{})
+	h := newHistory(10, 0, time.Time{})
 	now := time.Time{}
 	for range 300 {
 		now = now.Add(longDayPause)
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -19,6 +19,13 @@
 // else with an append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
+	if turn.Retention > 0 && h.records.isFull() {
+		// An engine would run it, and its caller would wait in vain for the end: nothing
+		// makes room sooner than what is refused.
+		h.metrics.refusedFull()
+		h.refuse(o, resultFull)
+		return
+	}
 	if h.isIsolated() && !h.state.canGrant(turn, now) {
 		h.refuse(o, resultImpaired)
 		return
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -19,6 +19,9 @@
 	resultMoved result = "moved"
 	// resultImpaired: the daemon cannot reach the shard's partition now.
 	resultImpaired result = "impaired"
+	// resultFull: the store keeps as much as it may, so a turn whose text must be kept can not
+	// be recorded, whichever daemon holds the shard.
+	resultFull result = "full"
 	// resultPending: the request was heard and takes a while.
 	resultPending result = "pending"
 	// resultSilent: no answer came. It is never sent.
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -23,6 +23,8 @@
 	// verdicts are those on requests of limited tenants, by reason.
 	verdicts *prometheus.CounterVec
 	trims    *prometheus.CounterVec
+	// unkept are turns that were refused as the store was full.
+	unkept prometheus.Counter
 }
 
 // NewMetrics registers the ledger's metrics.
@@ -65,7 +67,11 @@
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "history_trims_total",
 		Help: "Calls to trim the history of shards in the store, by outcome.",
 	}, []string{"outcome"})
-	registry.MustRegister(m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts, m.trims)
+	m.unkept = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "turns_store_full_total",
+		Help: "Turns that were refused as the store was full.",
+	})
+	registry.MustRegister(m.unkept, m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts, m.trims)
 	return m
 }
 
@@ -87,6 +93,8 @@
 
 func (m *Metrics) silent() { m.silences.Inc() }
 
+func (m *Metrics) refusedFull() { m.unkept.Inc() }
+
 func (m *Metrics) trimmed(err error) {
 	outcome := "done"
 	if err != nil {
--- a/internal/ledger/store_reach.go
+++ b/internal/ledger/store_reach.go
@@ -81,7 +81,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
-	case err == nil || isFinal(err):
+	case err == nil || isFinal(err) || errors.Is(err, store.ErrFull):
 		if r.reach.failedAt.Sub(r.reach.failingSince) >= downAfter && !r.reach.failingSince.IsZero() {
 			r.reach.backAt = time.Now()
 		}
--- a/internal/ledger/trouble.go
+++ b/internal/ledger/trouble.go
@@ -70,7 +70,7 @@
 
 // trouble is what an answer that is not final tells of its shard.
 func (r result) trouble() admission.Kind {
-	if r == resultImpaired {
+	if r == resultImpaired || r == resultFull {
 		return admission.StoreOut
 	}
 	return admission.ShardMoving
--- a/internal/store/proxy/messages.go
+++ b/internal/store/proxy/messages.go
@@ -18,6 +18,7 @@
 	callAppend call = "append"
 	callNewest call = "newest"
 	callRead   call = "read"
+	callTrim   call = "trim"
 )
 
 // Request asks another daemon to make a call to the store.
@@ -29,7 +30,8 @@
 	Partition store.Partition `json:"p"`
 	Writer    store.Writer    `json:"w,omitzero"`
 	Records   []store.Record  `json:"r,omitempty"`
-	From      int64           `json:"f,omitempty"`
+	// From is the offset that a reading begins at, or before which history is trimmed.
+	From int64 `json:"f,omitempty"`
 	// After is the key behind which a page of newest records begins.
 	After string `json:"a,omitempty"`
 	// WaitMS is how long a reading waits at the store, and WithinMS how long
@@ -69,7 +71,7 @@
 
 // isKnown tells whether a request names a call.
 func (r *Request) isKnown() bool {
-	return r.Call == callAppend || r.Call == callNewest || r.Call == callRead
+	return r.Call == callAppend || r.Call == callNewest || r.Call == callRead || r.Call == callTrim
 }
 
 // wait is how long the store itself may let the call wait.
@@ -88,6 +90,8 @@
 		got.records, got.next, got.more = page.Records, page.End, page.More
 	case callRead:
 		got.records, got.next, got.err = s.Read(ctx, r.Partition, r.From, r.wait())
+	case callTrim:
+		got.err = s.Trim(ctx, r.Partition, r.From)
 	}
 	return got
 }
@@ -98,6 +102,7 @@
 const (
 	resultOK          result = "ok"
 	resultUnavailable result = "unavailable"
+	resultFull        result = "full"
 	resultUnknown     result = "unknown"
 	resultFenced      result = "fenced"
 	resultSequence    result = "sequence"
@@ -108,6 +113,7 @@
 // errorOf gives the error of each result but resultOK.
 var errorOf = map[result]error{
 	resultUnavailable: store.ErrUnavailable,
+	resultFull:        store.ErrFull,
 	resultUnknown:     store.ErrOutcomeUnknown,
 	resultFenced:      store.ErrFenced,
 	resultSequence:    store.ErrSequence,
@@ -119,6 +125,9 @@
 	if err == nil {
 		return resultOK
 	}
+	if errors.Is(err, store.ErrFull) { // it wraps ErrUnavailable
+		return resultFull
+	}
 	for result, known := range errorOf {
 		if errors.Is(err, known) {
 			return result
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -105,9 +105,10 @@
 	err     error
 }
 
-// isAnswered tells whether the store itself answered a call.
+// isAnswered tells whether the store itself answered a call, also that it is full: another
+// daemon would hear the same.
 func isAnswered(err error) bool {
-	return !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown)
+	return errors.Is(err, store.ErrFull) || !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown)
 }
 
 // Append implements store.Store.
@@ -127,9 +128,9 @@
 	return got.records, got.next, got.err
 }
 
-// Trim implements store.Store. A daemon that does not reach the store leaves it to others.
+// Trim implements store.Store.
 func (s *Service) Trim(ctx context.Context, partition store.Partition, before int64) error {
-	return s.Direct.Trim(ctx, partition, before)
+	return s.do(ctx, &Request{Call: callTrim, Partition: partition, From: before}).err
 }
 
 // callWays are the ways by which one call is being made, directly or by a helper.
