Ledger simulation: a broken protection is looked for in 150 courses

TestEachBrokenProtectionIsNoticed/headroom failed once (go test ./internal/ledger beside other load). Its verdict must not be chance: with 150 courses that is one in 10 million. What is demanded is as before, that the check sees the break.

--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -26,7 +26,7 @@
 	recoveryTime = 6 * time.Second
 	// provocationSeeds is how many courses may be played until a broken
 	// protection must have been noticed.
-	provocationSeeds = 30
+	provocationSeeds = 150
 	// rollingPause separates the planned stops of daemons one after the other.
 	rollingPause = 270 * time.Millisecond
 )
