Fan-out: a bundle that arrives in pieces is a type of its own

A reader of fetch met four jobs in one loop of 45 lines: restarting when a newer bundle came, checking a piece, asking for the next, and unpacking the whole. And two names stood close together for unrelated things: Service.follow (asks a neighbour) and Response.follows (a piece continues a bundle).

partialBundle (partial_bundle.go) now takes the pieces and begins anew with a newer bundle; fetch asks for them, unpack takes the records. Response.follows is Response.continues. Behaviour is unchanged: the same checks in the same order of effect, the same outcomes counted, the same bound of three bundles.

Tests: go vet and go test ./internal/store/fanout pass.

--- a/internal/store/fanout/follow.go
+++ b/internal/store/fanout/follow.go
@@ -17,8 +17,6 @@
 	// pieceSilence is how long the next piece may take: some of them on a link of 30 Mbit/s that
 	// five other daemons share, and a small machine that is busy.
 	pieceSilence = 300 * time.Millisecond
-	// bundlesTried bounds how often a bundle may be replaced by a newer one while it is fetched.
-	bundlesTried = 3
 )
 
 // follow asks a neighbour for what follows an offset; false if it did not bring it.
@@ -41,49 +39,36 @@
 	return s.failed(ctx, neighbour, outcomeUnable)
 }
 
-// fetch gets the rest of a bundle whose first piece a neighbour sent to a request.
-func (s *Service) fetch(ctx context.Context, neighbour structs.DaemonID, request Request, piece *Response, sent time.Time) (reading, bool) {
-	first := piece
-	data := []byte{}
-	for tried := 1; ; {
-		if piece.Result == resultPiece && piece.Bundle != first.Bundle { // a newer one took its place
-			first, data = piece, nil
-			tried++
-		}
-		if !piece.follows(first, len(data)) || tried > bundlesTried {
-			return s.failed(ctx, neighbour, outcomeMalformed)
-		}
+// fetch gets the rest of a bundle whose first piece a neighbour sent to a request made at a time.
+func (s *Service) fetch(ctx context.Context, neighbour structs.DaemonID, request Request, piece *Response, askedAt time.Time) (reading, bool) {
+	var partial partialBundle
+	for partial.add(piece, askedAt) {
 		store.ProgressOf(ctx).Note(len(piece.Data))
-		data = append(data, piece.Data...)
-		if len(data) == first.Size {
-			break
+		if partial.isWhole() {
+			return s.unpack(ctx, neighbour, request.From, &partial)
 		}
-		request.Bundle, request.At = first.Bundle, len(data)
-		asked := time.Now()
+		request.Bundle, request.At = partial.first.Bundle, len(partial.data)
+		askedAt = time.Now()
 		if piece = s.ask(ctx, neighbour, request, pieceSilence); piece == nil {
 			return s.failed(ctx, neighbour, outcomeSilent)
 		}
-		if piece.Bundle != first.Bundle {
-			sent = asked
-		}
 	}
-	packed, records, err := unpackBundle(first.Bundle, data)
-	if err != nil || packed.from > request.From || packed.end <= request.From {
+	return s.failed(ctx, neighbour, outcomeMalformed)
+}
+
+// unpack takes the records from an offset on that a neighbour's whole bundle holds.
+func (s *Service) unpack(ctx context.Context, neighbour structs.DaemonID, from int64, whole *partialBundle) (reading, bool) {
+	packed, records, err := unpackBundle(whole.first.Bundle, whole.data)
+	if err != nil || packed.from > from || packed.end <= from {
 		return s.failed(ctx, neighbour, outcomeMalformed)
 	}
-	records = slices.DeleteFunc(records, func(r store.Record) bool { return r.Offset < request.From })
-	got := reading{records: records, from: request.From, next: packed.end, asOf: first.asOf(sent, time.Now())}
+	records = slices.DeleteFunc(records, func(r store.Record) bool { return r.Offset < from })
+	got := reading{records: records, from: from, next: packed.end, asOf: whole.first.asOf(whole.askedAt, time.Now())}
 	s.Metrics.asked(outcomeBrought)
 	s.take(got, packed)
 	return got, true
 }
 
-// follows tells whether a piece is the one of a bundle that begins at a byte.
-func (r *Response) follows(first *Response, at int) bool {
-	return r.Result == resultPiece && r.At == at && len(r.Data) > 0 && r.Size == first.Size &&
-		r.Size <= bundleLimit && at+len(r.Data) <= r.Size
-}
-
 // failed passes a neighbour over that brought nothing, unless nobody waited for it.
 func (s *Service) failed(ctx context.Context, neighbour structs.DaemonID, how outcome) (reading, bool) {
 	if ctx.Err() == nil {
