Front: say that an answer announces its connection's close

A reader of the front met 'leads callers elsewhere' for two mechanisms (a drain, and routing of new connections), and 'tell' for setting the Keep-Alive or Connection header; front_connection.go held the listener as well as the connection; a comment told what a stop lost before the change.

Behaviour is unchanged.

Tests: go vet and go test ./internal/relaydaemon pass.

--- a/internal/relaydaemon/cutoff_test.go
+++ b/internal/relaydaemon/cutoff_test.go
@@ -109,7 +109,7 @@
 	})
 }
 
-func TestRestingConnectionsAreClosedOnceCallersAreLedElsewhere(t *testing.T) {
+func TestRestingConnectionsAreClosedOnceCallersAreRedirected(t *testing.T) {
 	for name, cutFor := range map[string]time.Duration{"long": 2 * noticeTime, "short": noticeTime / 2} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -92,13 +92,13 @@
 		connection.enter(phaseServing, time.Now())
 		answer := &answerWriter{ResponseWriter: w, server: s, connection: connection}
 		handler.ServeHTTP(answer, r)
-		answer.tell() // an answer without a body may have no head yet
+		answer.announceReuse() // an answer without a body may have no head yet
 	})
 }
 
-// leadsCallersElsewhere tells whether callers are to make their next request on another
-// connection.
-func (s *frontServer) leadsCallersElsewhere() bool { return s.draining.Load() || s.redirects() }
+// announcesClose tells whether answers say that their connection closes: in a drain, and while
+// new connections of callers are routed to other daemons.
+func (s *frontServer) announcesClose() bool { return s.draining.Load() || s.redirects() }
 
 // setLimits puts the operators' limits on callers' time in force, for connections that
 // are open, too. A limit of 0 sets no bound.
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -1,31 +1,13 @@
 package relaydaemon
 
 import (
-	"errors"
 	"net"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
-// frontListener accepts connections as frontConnections. At its deadline it closes.
-type frontListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l frontListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		_ = l.Close()
-		return nil, net.ErrClosed // the server would try a deadline's error again
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &frontConnection{Conn: connection}, nil
-}
-
 // phase is the state of a caller's connection.
 type phase int
 
@@ -52,7 +34,7 @@
 	// and reusableUntil when a request that it sends in time has arrived.
 	reuse         time.Duration
 	reusableUntil time.Time
-	// expired: the wait for the next request was ended.
+	// expired: the wait for the next request was ended, to make the server close the connection.
 	expired bool
 }
 
@@ -83,7 +65,7 @@
 	case c.phase == phaseResting && c.limits.IdleTime > 0:
 		end := c.since.Add(c.limits.IdleTime)
 		if end.Before(c.reusableUntil) {
-			return c.reusableUntil // the limit is lower than the one that the caller was told by
+			return c.reusableUntil // the caller was told a longer time, by an earlier limit
 		}
 		return end
 	case c.phase == phaseHead && c.limits.HeadTime > 0:
--- a/internal/relaydaemon/front_reuse.go
+++ b/internal/relaydaemon/front_reuse.go
@@ -16,7 +16,7 @@
 	// reuseTime is for how long callers may take up a connection after an answer. It ends,
 	// travel included, within noticeTime: in a planned stop answers say from its begin that
 	// the connection closes, so at the end of the notice no caller may use a connection
-	// that rests. With a link of 3 ms a stop lost a request in some 30 before.
+	// that rests.
 	reuseTime = 2 * time.Second
 	// requestTravel is how long a request may take to arrive that was sent in time: the
 	// loss of a packet or two, or a processor that is not had for a while.
@@ -42,33 +42,34 @@
 	http.ResponseWriter
 	server     *frontServer
 	connection *frontConnection
-	isTold     bool
+	// isAnnounced: the headers are set.
+	isAnnounced bool
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *answerWriter) WriteHeader(status int) {
 	if status >= http.StatusOK {
-		w.tell()
+		w.announceReuse()
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (w *answerWriter) Write(data []byte) (int, error) {
-	w.tell()
+	w.announceReuse()
 	return w.ResponseWriter.Write(data)
 }
 
 // Unwrap lets http.ResponseController reach the writer beneath.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// tell sets the headers that tell it, once.
-func (w *answerWriter) tell() {
-	if w.isTold {
+// announceReuse sets the headers that tell it, once.
+func (w *answerWriter) announceReuse() {
+	if w.isAnnounced {
 		return
 	}
-	w.isTold = true
-	if w.server.leadsCallersElsewhere() {
+	w.isAnnounced = true
+	if w.server.announcesClose() {
 		w.Header().Set(headerConnection, "close")
 		return
 	}
--- a/internal/relaydaemon/front_reuse_test.go
+++ b/internal/relaydaemon/front_reuse_test.go
@@ -116,9 +116,9 @@
 	})
 }
 
-// TestCallersThatAreLedElsewhereAreToldSo: while a daemon is cut off or stops, no connection
+// TestAnswersAnnounceTheCloseWhileCallersAreRedirected: while a daemon is cut off or stops, no connection
 // is kept.
-func TestCallersThatAreLedElsewhereAreToldSo(t *testing.T) {
+func TestAnswersAnnounceTheCloseWhileCallersAreRedirected(t *testing.T) {
 	for redirects, want := range map[bool]string{true: "", false: "timeout=2"} {
 		limitsTest(t, func(t *testing.T, d *drainTest) {
 			d.redirects = redirects
@@ -127,7 +127,7 @@
 				t.Fatal(err)
 			}
 			if got := answer.Header.Get("Keep-Alive"); got != want || answer.Close != redirects {
-				t.Errorf("led elsewhere %v: close %v, Keep-Alive %q", redirects, answer.Close, got)
+				t.Errorf("redirects %v: close %v, Keep-Alive %q", redirects, answer.Close, got)
 			}
 		})
 	}
--- a/internal/relaydaemon/front_test.go
+++ b/internal/relaydaemon/front_test.go
@@ -90,11 +90,11 @@
 	// release lets requests for /slow be answered.
 	release chan struct{}
 	drained chan error
-	// redirects: callers are led to other daemons.
+	// redirects: new connections of callers are routed to other daemons.
 	redirects bool
 }
 
-// keepsCallers is for servers that never lead callers elsewhere.
+// keepsCallers is for servers whose new connections are never routed to other daemons.
 func keepsCallers() bool { return false }
 
 func newDrainTest(t *testing.T) *drainTest {
