Peer: one piece asks another daemon and waits for its answer

What is sent, the patience and the answer taken are as they were: behaviour is unchanged.

Tests: go vet; go test ./internal/peer/... ./internal/store/... pass.

--- a/internal/peer/replies.go
+++ b/internal/peer/replies.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Replies hands answers that arrive from other daemons to who waits for them,
@@ -44,3 +46,21 @@
 	default:
 	}
 }
+
+// Ask has a request sent under a number of its own, and waits for its first answer. It returns
+// false if none came within the patience or before ctx ended. It waits by the process's own time:
+// it is not for code that takes time from a clock.Clock.
+func (r *Replies[R]) Ask(ctx context.Context, patience time.Duration, send func(number uint64)) (answer R, arrived bool) {
+	number, answers, forget := r.Expect(1)
+	defer forget()
+	send(number)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case answer = <-answers:
+		return answer, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return answer, false
+}
--- a/internal/peer/replies_test.go
+++ b/internal/peer/replies_test.go
@@ -1,6 +1,11 @@
 package peer
 
-import "testing"
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
 
 func TestAnswersReachWhoWaitsAndNobodyElse(t *testing.T) {
 	var replies Replies[string]
@@ -30,3 +35,33 @@
 	default:
 	}
 }
+
+func TestAskWaitsForTheAnswerAsLongAsItMay(t *testing.T) {
+	const patience = time.Second
+	synctest.Test(t, func(t *testing.T) {
+		leaving, leave := context.WithTimeout(t.Context(), patience/2)
+		defer leave()
+		for name, c := range map[string]struct {
+			ctx          context.Context
+			answersAfter time.Duration
+			want         string
+			wantWait     time.Duration
+		}{
+			"answered":     {t.Context(), patience / 4, "a", patience / 4},
+			"silent":       {t.Context(), 2 * patience, "", patience},
+			"asker leaves": {leaving, 2 * patience, "", 0},
+		} {
+			if c.ctx == leaving {
+				<-leaving.Done()
+			}
+			var replies Replies[string]
+			began := time.Now()
+			answer, arrived := replies.Ask(c.ctx, patience, func(number uint64) {
+				time.AfterFunc(c.answersAfter, func() { replies.Deliver(number, "a") })
+			})
+			if answer != c.want || arrived != (c.want != "") || time.Since(began) != c.wantWait {
+				t.Errorf("%s: got %q, %v after %s", name, answer, arrived, time.Since(began))
+			}
+		}
+	})
+}
--- a/internal/store/fanout/follow.go
+++ b/internal/store/fanout/follow.go
@@ -81,17 +81,9 @@
 
 // ask sends a request and waits for its answer; nil means none came.
 func (s *Service) ask(ctx context.Context, neighbour structs.DaemonID, request Request, patience time.Duration) *Response {
-	number, answers, forget := s.replies.Expect(1)
-	defer forget()
-	request.Number = number
-	s.Transport.Send(neighbour, &request)
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case response := <-answers:
-		return response
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return nil
+	response, _ := s.replies.Ask(ctx, patience, func(number uint64) { // nil if none came
+		request.Number = number
+		s.Transport.Send(neighbour, &request)
+	})
+	return response
 }
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -193,19 +193,11 @@
 func (s *Service) ask(ctx context.Context, helper structs.DaemonID, request *Request) *Response {
 	patience := helperPatience(ctx, request)
 	sent := *request
-	number, answers, forget := s.replies.Expect(1)
-	defer forget()
-	sent.Number = number
 	sent.Purpose = helpedPrefix + request.Purpose
 	sent.WithinMS = patience.Milliseconds()
-	s.Transport.Send(helper, &sent)
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case response := <-answers:
-		return response
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return nil
+	response, _ := s.replies.Ask(ctx, patience, func(number uint64) { // nil if none came
+		sent.Number = number
+		s.Transport.Send(helper, &sent)
+	})
+	return response
 }
