Peer: daemons that are not asked for a while are one type

The times (avoidSilent, avoidTime) stay with their users, and so do the mutexes: behaviour is unchanged.

--- a/internal/store/fanout/sources.go
+++ b/internal/store/fanout/sources.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -16,8 +17,9 @@
 
 // sources is what is known of the neighbours that may be asked. It is safe for concurrent use.
 type sources struct {
-	mutex   sync.Mutex
-	avoided map[structs.DaemonID]time.Time
+	mutex sync.Mutex
+	// avoided neighbours brought nothing.
+	avoided peer.Avoided
 	// asked is the neighbour that was asked last, "" for the store.
 	asked structs.DaemonID
 }
@@ -29,7 +31,7 @@
 	usable := make([]membership.Member, 0, len(members))
 	for _, member := range members {
 		id := member.Daemon.ID
-		if id == self || member.State == membership.StateAlive && !now.Before(s.avoided[id]) {
+		if id == self || member.State == membership.StateAlive && !s.avoided.Has(id, now) {
 			usable = append(usable, member)
 		}
 	}
@@ -40,15 +42,7 @@
 func (s *sources) avoid(neighbour structs.DaemonID, now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.avoided == nil {
-		s.avoided = map[structs.DaemonID]time.Time{}
-	}
-	for id, until := range s.avoided {
-		if now.After(until) {
-			delete(s.avoided, id)
-		}
-	}
-	s.avoided[neighbour] = now.Add(avoidTime)
+	s.avoided.Add(neighbour, now, avoidTime)
 }
 
 // note logs a change of the neighbour that is asked.
--- a/internal/store/proxy/helper.go
+++ b/internal/store/proxy/helper.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -44,8 +45,8 @@
 	mutex sync.Mutex
 	// chosen is the helper that answered last, "" for none.
 	chosen structs.DaemonID
-	// avoided helpers said nothing; they are asked again from then on.
-	avoided map[structs.DaemonID]time.Time
+	// avoided helpers said nothing.
+	avoided peer.Avoided
 	// outUntil is until when no helper is asked.
 	outUntil time.Time
 	// unansweredSince is when a helper was first asked since one answered; zero
@@ -91,7 +92,7 @@
 func (h *helpers) usable(found []candidate, withOtherRegions bool, now time.Time) []structs.DaemonID {
 	var usable []structs.DaemonID
 	for _, c := range found {
-		if (withOtherRegions || c.near) && !now.Before(h.avoided[c.id]) {
+		if (withOtherRegions || c.near) && !h.avoided.Has(c.id, now) {
 			usable = append(usable, c.id)
 		}
 	}
@@ -115,15 +116,7 @@
 func (h *helpers) noteSilent(id structs.DaemonID, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if h.avoided == nil {
-		h.avoided = map[structs.DaemonID]time.Time{}
-	}
-	for other, until := range h.avoided {
-		if now.After(until) {
-			delete(h.avoided, other)
-		}
-	}
-	h.avoided[id] = now.Add(avoidSilent)
+	h.avoided.Add(id, now, avoidSilent)
 	h.otherRegionsUntil = now.Add(otherRegionsTime)
 	if h.chosen == id {
 		h.chosen = ""
