Relay: giving offers up has a file of its own and plain names

offer_monitor.go measured how long back ends are waited for and also decided which waits end. errCutOff ended waits whose back end was not cut off at all, while isGivenUp asked for it; 'elsewhere' and 'mayMove' stood for 'another instance that may get the request'.

give_up.go has the decision; errCutOff is errGivenUp, elsewhere alternative, mayMove hasAlternative. Behaviour is unchanged.

Tests: go vet, staticcheck and go test ./internal/relay pass.

--- a/internal/relay/carrier.go
+++ b/internal/relay/carrier.go
@@ -148,7 +148,7 @@
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
-	c.latest.watched = &pendingOffer{target: target, kind: c.call.Route.Name, elsewhere: c.elsewhere(target)}
+	c.latest.watched = &pendingOffer{target: target, kind: c.call.Route.Name, alternative: c.alternativeTo(target)}
 	c.latest.context = c.relay.monitor.startOffer(ctx, c.latest.watched)
 	answer, err := c.relay.Driver.Send(c.latest.context, target, &outgoing)
 	if err == nil {
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -96,9 +96,9 @@
 	return c.call.Route.MaxAttempts
 }
 
-// elsewhere is what another instance must be to get the call while the target may still run it,
+// alternativeTo is what another instance must be to get the call while the target may still run it,
 // nil if the route allows no further run or no further instance.
-func (c *carrier) elsewhere(target instance.Instance) *instance.Query {
+func (c *carrier) alternativeTo(target instance.Instance) *instance.Query {
 	ranOn := len(c.ranOn)
 	if !slices.Contains(c.ranOn, target.ID) {
 		ranOn++
--- a/internal/relay/offer_monitor.go
+++ b/internal/relay/offer_monitor.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
-	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
@@ -26,9 +24,6 @@
 	cutConnectTimeout = 100 * time.Millisecond
 )
 
-// errCutOff ends what waits for a zone, or for records, that can not be reached.
-var errCutOff = httpconn.ErrGivenUp
-
 // pendingOffer is an offer that a back end has not answered to its end. The monitor's
 // mutex guards it.
 type pendingOffer struct {
@@ -39,9 +34,9 @@
 	// started tells that it sent something before.
 	waitingSince time.Time
 	started      bool
-	// elsewhere is what another instance must be to get the request, nil if none may.
-	elsewhere *instance.Query
-	giveUp    context.CancelCauseFunc
+	// alternative is what another instance must be to get the request, nil if none may.
+	alternative *instance.Query
+	giveUp      context.CancelCauseFunc
 }
 
 // offerMonitor watches the requests that wait for a back end or for a program's record,
@@ -177,77 +172,6 @@
 	return longest
 }
 
-// GiveUpSilent ends the wait for silent back ends whose run is over, and the wait for those that
-// are only believed not to be reached, if another takes the request. It also ends that of turns for
-// their records while this daemon is isolated. It implements reach.Connections.
-//
-// The belief is wrong of back ends that leave, are full, or pause while their zone's daemons start
-// again: they go on with the answers that they have. So it ends no answer that only they can give.
-// Where they are really gone the connection fails by itself, as package httpconn has it probed.
-func (r *Relay) GiveUpSilent(now time.Time) {
-	m := r.monitor
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	for o := range m.offers {
-		if m.excess(o, now) <= silentMargin {
-			continue
-		}
-		isDoubted := m.isDoubted(o, now)
-		if isDoubted && m.mayMove(o) || m.relay.Pool.IsReplaced(o.target) {
-			o.giveUp(errCutOff)
-		}
-	}
-	m.dropOldProbes(now)
-	if _, isolated := m.isolatedSince(); isolated {
-		for giveUp := range m.pendingBegins {
-			(*giveUp)(errCutOff)
-		}
-	}
-}
-
-// isDoubted tells whether the instance of a silent offer is believed not to be reached. The mutex
-// must be held.
-func (m *offerMonitor) isDoubted(o *pendingOffer, now time.Time) bool {
-	return m.isCut(o.target.Zone) || m.relay.Pool.HasEnded(o.target.ID) || !m.isReachable(o, now)
-}
-
-// mayMove tells whether another instance takes an offer's request.
-func (m *offerMonitor) mayMove(o *pendingOffer) bool {
-	return o.elsewhere != nil && m.relay.Pool.HasReady(*o.elsewhere, m.isCut)
-}
-
-// WatchSilence calls GiveUpSilent until ctx ends. It is for a fleet of one zone, where no
-// reach.Watch calls it.
-func (r *Relay) WatchSilence(ctx context.Context) {
-	ticker := time.NewTicker(zone.StepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			r.GiveUpSilent(now)
-		}
-	}
-}
-
-// untilIsolated returns a context that also ends when this daemon is isolated.
-func (m *offerMonitor) untilIsolated(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, giveUp := context.WithCancelCause(ctx)
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.pendingBegins[&giveUp] = struct{}{}
-	return ctx, func() {
-		m.mutex.Lock()
-		delete(m.pendingBegins, &giveUp)
-		m.mutex.Unlock()
-		giveUp(nil)
-	}
-}
-
-// isGivenUp tells whether a context ended because something is cut off.
-func isGivenUp(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errCutOff) }
-
 // connectTimeout bounds the connecting to an instance; 0 for the driver's own bound.
 func (m *offerMonitor) connectTimeout(target instance.Instance) time.Duration {
 	if !m.isCut(target.Zone) {
