Fan-out's tests: faults of neighbours in a table of their own

TestRecordArrivesWhateverNeighboursDo had 61 lines, of which the table was 35, and two tests waited for a version and judged every daemon's by the same lines.

neighbourFaults is the table, spoiler its type, awaitRoutes and expectRoutes the wait and the check. The nine faults, the bounds and what is compared are as they were.

Tests: go vet, staticcheck, go test ./internal/store/fanout pass.

--- a/internal/store/fanout/faults_test.go
+++ b/internal/store/fanout/faults_test.go
@@ -9,46 +9,54 @@
 	"github.com/mintpulley/mintpulley/internal/store/fanout"
 )
 
-// TestRecordArrivesWhateverNeighboursDo: the store is asked by whoever gets nothing of use.
-func TestRecordArrivesWhateverNeighboursDo(t *testing.T) {
-	// most: a reading waits, its neighbour is silent, and all read 1.2 MB from the store, some twice.
-	const daemons, most = 40, 10 * time.Second
-	onData := func(change func(*fanout.Response)) func(int, int, peer.Message) peer.Message {
-		return func(_, _ int, message peer.Message) peer.Message {
-			if response, is := message.(*fanout.Response); is && len(response.Data) > 0 {
-				changed := *response
-				change(&changed)
-				return &changed
-			}
-			return message
+// spoiler returns what arrives of a message between two daemons, nil for nothing.
+type spoiler func(from, to int, message peer.Message) peer.Message
+
+// onData changes the pieces of bundles.
+func onData(change func(*fanout.Response)) spoiler {
+	return func(_, _ int, message peer.Message) peer.Message {
+		if response, is := message.(*fanout.Response); is && len(response.Data) > 0 {
+			changed := *response
+			change(&changed)
+			return &changed
 		}
+		return message
 	}
-	for name, spoil := range map[string]func(from, to int, message peer.Message) peer.Message{
-		"nothing arrives": func(int, int, peer.Message) peer.Message { return nil },
-		"a third is cut off": func(from, to int, message peer.Message) peer.Message {
-			if from%zones == 0 || to%zones == 0 {
-				return nil
-			}
-			return message
-		},
-		"requests arrive, answers do not": func(_, _ int, message peer.Message) peer.Message {
-			if _, is := message.(*fanout.Request); is {
-				return message
-			}
+}
+
+// neighbourFaults is what neighbours may do to a bundle, by name.
+var neighbourFaults = map[string]spoiler{
+	"nothing arrives": func(int, int, peer.Message) peer.Message { return nil },
+	"a third is cut off": func(from, to int, message peer.Message) peer.Message {
+		if from%zones == 0 || to%zones == 0 {
 			return nil
-		},
-		"pieces are garbled":    onData(func(r *fanout.Response) { r.Data = append([]byte{'x'}, r.Data[1:]...) }),
-		"pieces are cut":        onData(func(r *fanout.Response) { r.Data = r.Data[:len(r.Data)/2] }),
-		"pieces never end":      onData(func(r *fanout.Response) { r.Size = 1 << 40 }),
-		"pieces are of no size": onData(func(r *fanout.Response) { r.Size = -1 }),
-		"each has its own hash": onData(func(r *fanout.Response) { r.Bundle += "0" }),
-		"pieces but the first are lost": func(_, _ int, message peer.Message) peer.Message {
-			if response, is := message.(*fanout.Response); is && response.At > 0 {
-				return nil
-			}
+		}
+		return message
+	},
+	"requests arrive, answers do not": func(_, _ int, message peer.Message) peer.Message {
+		if _, is := message.(*fanout.Request); is {
 			return message
-		},
-	} {
+		}
+		return nil
+	},
+	"pieces are garbled":    onData(func(r *fanout.Response) { r.Data = append([]byte{'x'}, r.Data[1:]...) }),
+	"pieces are cut":        onData(func(r *fanout.Response) { r.Data = r.Data[:len(r.Data)/2] }),
+	"pieces never end":      onData(func(r *fanout.Response) { r.Size = 1 << 40 }),
+	"pieces are of no size": onData(func(r *fanout.Response) { r.Size = -1 }),
+	"each has its own hash": onData(func(r *fanout.Response) { r.Bundle += "0" }),
+	"pieces but the first are lost": func(_, _ int, message peer.Message) peer.Message {
+		if response, is := message.(*fanout.Response); is && response.At > 0 {
+			return nil
+		}
+		return message
+	},
+}
+
+// TestRecordArrivesWhateverNeighboursDo: the store is asked by whoever gets nothing of use.
+func TestRecordArrivesWhateverNeighboursDo(t *testing.T) {
+	// most: a reading waits, its neighbour is silent, and all read 1.2 MB from the store, some twice.
+	const daemons, most = 40, 10 * time.Second
+	for name, spoil := range neighbourFaults {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFleet(daemons)
@@ -57,16 +65,8 @@
 				time.Sleep(20 * time.Second)
 				f.setSpoil(spoil)
 				f.store.put(t, routes, largeSize-1)
-				began := time.Now()
-				for missing := daemons; missing > 0 && time.Since(began) < most; time.Sleep(10 * time.Millisecond) {
-					missing, _ = behind(f.followers, 2)
-				}
-				t.Logf("known to all after %s", time.Since(began))
-				for i, follower := range f.followers {
-					if end, _, _ := follower.known(); end != 2 || follower.size != largeSize-1 || follower.wentBack {
-						t.Errorf("daemon %d: end %d, %d bytes, went back: %v", i, end, follower.size, follower.wentBack)
-					}
-				}
+				t.Logf("known to all after %s", f.awaitRoutes(2, most))
+				f.expectRoutes(t, 2, largeSize-1)
 			})
 		})
 	}
@@ -138,21 +138,13 @@
 			f.store.put(t, routes, largeSize-version)
 			time.Sleep(70 * time.Millisecond)
 		}
-		began := time.Now()
-		for missing := 1; missing > 0 && time.Since(began) < 10*time.Second; time.Sleep(10 * time.Millisecond) {
-			missing, _ = behind(f.followers, versions)
-		}
-		took := time.Since(began)
+		took := f.awaitRoutes(versions, 10*time.Second)
 		after, _ := f.store.count()
 		// Two of each zone read each version, and some of them again with the next.
 		if most := 2 * 2 * zones * versions * largeSize; took > time.Second || after-before > most {
 			t.Errorf("known to all after %s, %.1f MB read, want 1s and %.1f", took, float64(after-before)/1e6, float64(most)/1e6)
 		}
 		t.Logf("known to all after %s, %.1f MB read", took, float64(after-before)/1e6)
-		for i, follower := range f.followers {
-			if end, _, _ := follower.known(); end != versions || follower.size != largeSize-versions || follower.wentBack {
-				t.Errorf("daemon %d: end %d, %d bytes, went back: %v", i, end, follower.size, follower.wentBack)
-			}
-		}
+		f.expectRoutes(t, versions, largeSize-versions)
 	})
 }
--- a/internal/store/fanout/fleet_test.go
+++ b/internal/store/fanout/fleet_test.go
@@ -155,6 +155,26 @@
 	return ofRoutes, ofInstances
 }
 
+// awaitRoutes waits until all daemons have a version of the routes, and returns for how long: most
+// at most.
+func (f *fleet) awaitRoutes(version int64, most time.Duration) time.Duration {
+	began := time.Now()
+	for missing := len(f.followers); missing > 0 && time.Since(began) < most; time.Sleep(10 * time.Millisecond) {
+		missing, _ = behind(f.followers, version)
+	}
+	return time.Since(began)
+}
+
+// expectRoutes checks that each daemon has exactly a version of the routes, and never went back.
+func (f *fleet) expectRoutes(t *testing.T, version int64, size int) {
+	t.Helper()
+	for i, follower := range f.followers {
+		if end, _, _ := follower.known(); end != version || follower.size != size || follower.wentBack {
+			t.Errorf("daemon %d: end %d, %d bytes, went back: %v", i, end, follower.size, follower.wentBack)
+		}
+	}
+}
+
 const (
 	largeSize = 1_200_000
 	storeRate = 20_000_000
--- a/internal/store/fanout/network_test.go
+++ b/internal/store/fanout/network_test.go
@@ -36,7 +36,7 @@
 	freeAt []time.Time
 	sent   int
 	// spoil, if set, changes a message on its way, or loses it with nil.
-	spoil func(from, to int, message peer.Message) peer.Message
+	spoil spoiler
 }
 
 func newFleet(daemons int) *fleet {
@@ -84,7 +84,7 @@
 	return f.sent
 }
 
-func (f *fleet) setSpoil(spoil func(from, to int, message peer.Message) peer.Message) {
+func (f *fleet) setSpoil(spoil spoiler) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.spoil = spoil
