Fan-out: answers are answers, and a replica that has read says so

'word' stood for the answer of a neighbour (wordFor, 'waits for this one's word'), and replica.follows told whether a reading was made, beside Service.follow, which asks a neighbour.

wordFor is responseTo, replica.follows hasRead; comments say answer. Names and comments only; behaviour is unchanged.

--- a/internal/store/fanout/fanout.go
+++ b/internal/store/fanout/fanout.go
@@ -92,7 +92,7 @@
 	return s.readStore(ctx, from, wait)
 }
 
-// readStore reads from the store, and tells those that wait for this daemon's word.
+// readStore reads from the store, and answers those that wait for this daemon.
 func (s *Service) readStore(ctx context.Context, from int64, wait time.Duration) ([]store.Record, int64, error) {
 	began := time.Now()
 	records, next, err := s.Store.Read(ctx, s.Partition, from, wait)
--- a/internal/store/fanout/follow.go
+++ b/internal/store/fanout/follow.go
@@ -11,7 +11,7 @@
 
 const (
 	// silence is how long a neighbour may say nothing beyond the wait: it reads with the same
-	// wait, so its next word is due by then, and half of the 0.4 s after which the watch makes
+	// wait, so its next answer is due by then, and half of the 0.4 s after which the watch makes
 	// the reading once more is left for the store's answer.
 	silence = 200 * time.Millisecond
 	// pieceSilence is how long the next piece may take: some of them on a link of 30 Mbit/s that
--- a/internal/store/fanout/messages.go
+++ b/internal/store/fanout/messages.go
@@ -47,7 +47,7 @@
 }
 
 // asOf turns the answer's age into a time of the asker, who sent the request at a time: not
-// later than it arrived, so the age is not told too low. No word is of the time to come.
+// later than it arrived, so the age is not told too low. No answer is of the time to come.
 func (r *Response) asOf(sent, now time.Time) time.Time {
 	asOf := sent.Add(time.Duration(r.AsOfMS) * time.Millisecond)
 	if asOf.After(now) {
--- a/internal/store/fanout/replica.go
+++ b/internal/store/fanout/replica.go
@@ -10,13 +10,13 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// waitersLimit bounds the daemons that wait for this one's word: ten times as many as the tree
+// waitersLimit bounds the daemons that wait for this one's answer: ten times as many as the tree
 // has ask it, for views of the members differ for a while.
 const waitersLimit = 10 * fanOut
 
-// leastWait is how long a request waits at least for a word that there is nothing new. A daemon
+// leastWait is how long a request waits at least for the answer that there is nothing new. A daemon
 // whose callers make it confirm their keys reads ten times a second, and all that follow it
-// would. It is below silence, so that the next word comes in time.
+// would. It is below silence, so that the next answer comes in time.
 const leastWait = 150 * time.Millisecond
 
 // bundlesKept are the bundles that a daemon keeps: neighbours may be fetching one while the next
@@ -36,9 +36,9 @@
 	mutex sync.Mutex
 	// sizes are those of the newest values by key.
 	sizes map[string]int
-	// follows tells whether a reading was made; newest are the newest records, deletions too, of
+	// hasRead tells whether a reading was made; newest are the newest records, deletions too, of
 	// the keys that changed in offsets from start to end, as of asOf.
-	follows    bool
+	hasRead    bool
 	start, end int64
 	newest     map[string]store.Record
 	asOf       time.Time
@@ -82,8 +82,8 @@
 func (r *replica) take(got reading, packed *bundle) map[structs.DaemonID]waiter {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.follows || got.from > r.end { // what lies between is not known
-		r.follows, r.start, r.end, r.newest, r.bundles = true, got.from, got.from, map[string]store.Record{}, nil
+	if !r.hasRead || got.from > r.end { // what lies between is not known
+		r.hasRead, r.start, r.end, r.newest, r.bundles = true, got.from, got.from, map[string]store.Record{}, nil
 	}
 	if got.next > r.end {
 		r.setSizes(got.records)
@@ -116,7 +116,7 @@
 func (r *replica) await(from structs.DaemonID, w waiter) (kept bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.follows || r.end > w.request.From || len(r.waiters) >= waitersLimit {
+	if !r.hasRead || r.end > w.request.From || len(r.waiters) >= waitersLimit {
 		return false
 	}
 	if r.waiters == nil {
@@ -132,7 +132,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	switch {
-	case !r.follows:
+	case !r.hasRead:
 		return nil, time.Time{}, false
 	case from >= r.end:
 		return nil, r.asOf, true
--- a/internal/store/fanout/serve.go
+++ b/internal/store/fanout/serve.go
@@ -35,7 +35,7 @@
 	if w.request.Bundle == "" && s.replica.await(from, w) {
 		return
 	}
-	if response := s.wordFor(w); response.Result != resultUnchanged {
+	if response := s.responseTo(w); response.Result != resultUnchanged {
 		s.answer(from, w, response)
 		return
 	}
@@ -46,12 +46,12 @@
 func (s *Service) take(got reading, packed *bundle) {
 	due := s.replica.take(got, packed)
 	for _, from := range slices.Sorted(maps.Keys(due)) {
-		s.answer(from, due[from], s.wordFor(due[from]))
+		s.answer(from, due[from], s.responseTo(due[from]))
 	}
 }
 
-// wordFor returns the answer to a request by what this daemon has read by now.
-func (s *Service) wordFor(w waiter) *Response {
+// responseTo returns the answer to a request by what this daemon has read by now.
+func (s *Service) responseTo(w waiter) *Response {
 	packed, asOf, known := s.replica.since(w.request.From)
 	switch {
 	case !known:
