Ledger: say what a caller that is sent on is told

'Sends callers elsewhere' stood for two answers: that a shard has moved (resultMoved, in a handover) and that the holder is isolated. findElsewhere looked in all other shards.

The comments name the answers; findElsewhere is findInOtherShards. A name and comments only; behaviour is unchanged.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -151,7 +151,7 @@
 
 // noteSlowAppend takes note that the store does not answer. What waits for it goes on
 // to wait: it is answered as soon as the store does. Only a daemon that is cut
-// off from the store and from all that could help sends its callers elsewhere.
+// off from the store and from all that could help has its callers ask another daemon.
 func (h *holder) noteSlowAppend(ctx context.Context, current *pendingAppend) {
 	if _, known := h.status.silentSince.since(current.sentAt); !known {
 		h.status.silentSince.set(current.sentAt)
--- a/internal/ledger/find.go
+++ b/internal/ledger/find.go
@@ -17,15 +17,15 @@
 	case response.Result != resultUnknownTurn:
 		return nil, s.heldUp(shard, response.Result)
 	}
-	return s.findElsewhere(ctx, noShard, turn)
+	return s.findInOtherShards(ctx, noShard, turn)
 }
 
 // noShard stands where no shard is left out.
 const noShard = -1
 
-// findElsewhere looks for a turn in all other shards. ErrUnknownTurn means
+// findInOtherShards looks for a turn in all other shards. ErrUnknownTurn means
 // that every one of them is sure not to keep it.
-func (s *Service) findElsewhere(ctx context.Context, except int, turn string) (*KeptTurn, error) {
+func (s *Service) findInOtherShards(ctx context.Context, except int, turn string) (*KeptTurn, error) {
 	if found, _ := s.findAll(ctx, except, Find{Turn: turn}); found != nil {
 		return found, nil
 	}
--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -29,8 +29,8 @@
 	// successorTries bounds the daemons that are asked to read a shard ahead: the
 	// first may be stopping, too.
 	successorTries = 3
-	// takeTime bounds how long a former holder sends callers elsewhere until it
-	// knows that the successor took the shard.
+	// takeTime bounds how long a former holder answers that the shard has moved, until it
+	// knows that the successor took it.
 	takeTime = time.Second
 )
 
@@ -108,7 +108,7 @@
 }
 
 // passTo tells the successor to claim the shard that was given up. Until it has,
-// callers that come here are sent elsewhere.
+// callers that come here are told that the shard has moved.
 func (h *holder) passTo(ctx context.Context, successor string, epoch uint64) {
 	h.givenTo = successor
 	go func() {
--- a/internal/ledger/turns.go
+++ b/internal/ledger/turns.go
@@ -30,7 +30,7 @@
 	turn.HistoryKnown = known
 	response := s.ask(ctx, shard, Request{Begin: &turn})
 	if response.Result == resultUnknownTurn && turn.Imported == nil {
-		found, err := s.findElsewhere(ctx, shard, turn.Previous)
+		found, err := s.findInOtherShards(ctx, shard, turn.Previous)
 		if err != nil {
 			return Grant{}, err
 		}
@@ -88,7 +88,7 @@
 			}
 			return nil
 		case resultUnknownTurn:
-			chain, err := s.findElsewhere(ctx, shard, outcome.Kept.Previous)
+			chain, err := s.findInOtherShards(ctx, shard, outcome.Kept.Previous)
 			if errors.Is(err, ErrUnknownTurn) {
 				return err
 			}
