--- a/internal/ledger/history_test.go
+++ b/internal/ledger/append_history_test.go
@@ -133,7 +133,7 @@
 
 // TestSuccessorThatReadsAheadFindsTheHistory: trimming leaves what a successor goes on from.
 func TestSuccessorThatReadsAheadFindsTheHistory(t *testing.T) {
-	h := newHistory(10, 0, time.Time{})
+	h := newAppendHistory(10, 0, time.Time{})
 	now := time.Time{}
 	for range 300 {
 		now = now.Add(longDayPause)
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -231,7 +231,7 @@
 		}
 	}
 	h.state.restoreAges(now)
-	h.history = newHistory(offsetUnder(holderKey, records)+1, h.state.oldHistory(records, now), now)
+	h.appended = newAppendHistory(offsetUnder(holderKey, records)+1, h.state.oldAppends(records, now), now)
 	h.state.forfeitHeadroom()
 	h.state.openAllowance(holderRecord{Epoch: h.epoch, Daemon: h.daemon}, h.former, now)
 	h.former = nil
