Front: connections that wait are accepted although the process did not get the processor

Cause: a drain bounded the last look for connections by a time that could pass while the process stood still; Accept then failed without looking, and the listener was closed with 23 connections that waited. Change: a deadline that is over is set once more, so that the last look begins with one that is made.

--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -28,7 +28,7 @@
 // no drain: a request that is read whole after its begin gets no answer.
 type frontServer struct {
 	server   *http.Server
-	listener net.Listener
+	listener *frontListener
 	// served is closed once no connection is accepted any more.
 	served chan struct{}
 	// bound ends when giveUp gives up what is not ready of all requests, and cut ends the
@@ -59,7 +59,7 @@
 		cut:       cut,
 		redirects: redirects,
 		server:    server,
-		listener:  listener,
+		listener:  &frontListener{Listener: listener},
 		served:    make(chan struct{}),
 		limits:    route.Limits{HeadTime: headerTimeout, IdleTime: idleTimeout},
 		open:      map[*frontConnection]struct{}{},
@@ -72,7 +72,7 @@
 	server.ConnState = s.noteState
 	go func() {
 		defer close(s.served)
-		_ = server.Serve(frontListener{listener}) // ends when the listener is closed
+		_ = server.Serve(s.listener) // ends when the listener is closed
 	}()
 	return s
 }
@@ -128,10 +128,7 @@
 
 // stopAccepting closes the listener once no connection waits to be accepted.
 func (s *frontServer) stopAccepting() {
-	limited, ok := s.listener.(interface{ SetDeadline(at time.Time) error })
-	if !ok || limited.SetDeadline(time.Now().Add(lastAccept)) != nil {
-		_ = s.listener.Close() // it has none that wait, or is closed
-	}
+	s.listener.finish()
 	<-s.served
 }
 
--- a/internal/relaydaemon/front_reuse_test.go
+++ b/internal/relaydaemon/front_reuse_test.go
@@ -183,8 +183,8 @@
 	}
 }
 
-// gatedListener accepts nothing until its end begins, as a process that does not get the
-// processor.
+// gatedListener accepts nothing until its end began and its deadline is over, as a process
+// that does not get the processor for a while.
 type gatedListener struct {
 	net.Listener
 	open   sync.Once
@@ -205,7 +205,7 @@
 
 // SetDeadline implements what a drain may use of a TCP listener.
 func (l *gatedListener) SetDeadline(at time.Time) error {
-	defer l.openGate()
+	defer time.AfterFunc(2*lastAccept, l.openGate)
 	limited, ok := l.Listener.(interface{ SetDeadline(at time.Time) error })
 	if !ok {
 		return errors.ErrUnsupported
