--- a/internal/relaydaemon/front_listener.go
+++ b/internal/relaydaemon/front_listener.go
@@ -35,12 +35,12 @@
 
 // Accept implements net.Listener. A deadline that was over when it was called says nothing of
 // connections that wait: a process that did not get the processor meanwhile has not looked for
-// any. So the deadline is set once more, and the look that follows is the last.
+// any. So the deadline is set once more, and what is accepted until then is the last, however
+// many go on to come.
 func (l *frontListener) Accept() (net.Conn, error) {
 	for {
 		connection, err := l.Listener.Accept()
 		if err == nil {
-			l.isLastLook = false
 			return &frontConnection{Conn: connection}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
