--- /dev/null
+++ b/internal/ledger/store_space_test.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// What callers saw: under a load that keeps more than the store holds, service ended within
+// seconds, for everybody. It did not come back when the load did, nor after all machines had
+// lost power and were back: 15 s later none of 320 requests was served.
+//
+// The order of events: turns were let in until the store took no append. Then no whole answer
+// could be recorded, no program that was under way could go on, and, as a claim and the dropping
+// of a record are appends, too, no shard could be claimed and nothing be dropped.
+
+const (
+	// spaceTurns is how many turns a program takes, each of spaceText bytes.
+	spaceTurns = 4
+	spaceText  = 1000
+	// spaceRetention is that of all turns, and spacePause passes between those of a program.
+	spaceRetention = time.Minute
+	spacePause     = 100 * time.Millisecond
+	// usualPrograms is how many programs begin each second, and heavyFactor times as many
+	// are a load that keeps twice what the store holds.
+	usualPrograms = 6
+	heavyFactor   = 3
+	// spaceCapacity is 1.6 times what the usual load keeps: 24 turns a second of 1,100 bytes
+	// and their programs' accounts, newest for 70 s and as history for 10 s.
+	spaceCapacity = 4_000_000
+)
+
+// spaceLoad is a load of programs, and what became of them by the second they began in.
+type spaceLoad struct {
+	fleet   *testFleet
+	started time.Time
+	callers sync.WaitGroup
+	mutex   sync.Mutex
+	// ended are programs all of whose turns were served, refused those whose first turn was
+	// not granted, and broken those that were let in and did not end.
+	ended, refused, broken map[int]int
+	next                   atomic.Int64
+}
+
+func newSpaceLoad(f *testFleet) *spaceLoad {
+	return &spaceLoad{fleet: f, started: time.Now(), ended: map[int]int{}, refused: map[int]int{}, broken: map[int]int{}}
+}
+
+// run lets programs begin for a while, so many each second.
+func (l *spaceLoad) run(length time.Duration, perSecond int) {
+	for started := time.Now(); time.Since(started) < length; {
+		l.callers.Go(l.program)
+		time.Sleep(time.Duration(float64(time.Second) / float64(perSecond)))
+	}
+}
+
+// program runs one program, with the patience of a caller for each turn.
+func (l *spaceLoad) program() {
+	second := int(time.Since(l.started) / time.Second)
+	name := fmt.Sprint("program-", l.next.Add(1))
+	outcome := l.ended
+	previous := ""
+	for turn := range spaceTurns {
+		id := fmt.Sprint(name, "-", turn)
+		if !l.turn(name, id, previous) {
+			outcome = l.broken
+			if turn == 0 {
+				outcome = l.refused
+			}
+			break
+		}
+		previous = id
+		time.Sleep(spacePause)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	outcome[second]++
+}
+
+// turn runs one turn; false if it was not served.
+func (l *spaceLoad) turn(program, id, previous string) bool {
+	ids := l.fleet.ids()
+	if len(ids) == 0 {
+		return false
+	}
+	s := l.fleet.service(ids[rand.IntN(len(ids))])
+	if s == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if _, err := s.Begin(ctx, Turn{ID: id, Program: program, Previous: previous, MostTokens: 10, BudgetTokens: 100, Retention: spaceRetention}); err != nil {
+		s.Abandon(Turn{ID: id, Program: program})
+		return false
+	}
+	kept := &KeptTurn{ID: id, Previous: previous, Input: bytes.Repeat([]byte("x"), spaceText)}
+	return s.End(ctx, Outcome{Turn: id, Program: program, Retention: spaceRetention, UsedTokens: 1, Kept: kept}) == nil
+}
+
+// count adds an outcome up over the seconds from one to another.
+func (l *spaceLoad) count(outcome map[int]int, from, to time.Duration) (count int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for second := int(from / time.Second); second < int(to/time.Second); second++ {
+		count += outcome[second]
+	}
+	return count
+}
+
+// TestLoadThatKeepsMoreThanTheStoreHolds: what can not be kept is refused at its first turn. The
+// store never fills, programs that were let in end, as much is served as the store can keep, and
+// the usual load is served at once when it is back, also after the loss of all daemons.
+func TestLoadThatKeepsMoreThanTheStoreHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const usual, heavy, back, lost = 4 * time.Second, 70 * time.Second, 80 * time.Second, 100 * time.Second
+		f := newTestFleet(t, 3)
+		f.shards = 8
+		f.killAll()
+		for i := range 3 {
+			f.start(daemonID(i, 2))
+		}
+		f.store.SetCapacity(spaceCapacity)
+		l := newSpaceLoad(f)
+		l.run(usual, usualPrograms)
+		l.run(heavy-usual, heavyFactor*usualPrograms)
+		l.run(back-heavy, usualPrograms)
+		l.callers.Wait()
+		f.killAll()
+		for i := range 3 {
+			f.start(daemonID(i, 3))
+		}
+		resumed := time.Since(l.started)
+		l.run(lost-back, usualPrograms)
+		l.callers.Wait()
+
+		if full := f.store.Full(); full > 0 {
+			t.Errorf("%d appends found the store full", full)
+		}
+		if broken := l.count(l.broken, 0, back); broken > 0 {
+			t.Errorf("%d programs that were let in did not end", broken)
+		}
+		first, last := l.count(l.ended, usual, 40*time.Second), l.count(l.ended, 40*time.Second, heavy)
+		if last < first/2 {
+			t.Errorf("%d programs ended in the first half of the heavy load, and %d in the second", first, last)
+		}
+		if refused := l.count(l.refused, heavy+5*time.Second, back); refused > 0 {
+			t.Errorf("%d programs were refused more than 5 s after the load was the usual again", refused)
+		}
+		if served := l.count(l.ended, resumed+2*time.Second, lost); served < 9*usualPrograms*int((lost-resumed)/time.Second-3)/10 {
+			t.Errorf("%d programs ended of those that began 2 s after all daemons were back", served)
+		}
+		t.Logf("ended %v, refused %v, broken %v", l.ended, l.refused, l.broken)
+	})
+}
+
+// TestShardIsClaimedFromAFullStore: all daemons are lost while the store is full. Who comes back
+// makes room by trimming history, which needs no claim, and serves.
+func TestShardIsClaimedFromAFullStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		s := f.service(f.ids()[0])
+		text := bytes.Repeat([]byte("x"), spaceText)
+		previous := ""
+		for turn := range 100 {
+			id := fmt.Sprint("turn-", turn)
+			begin(t, s, Turn{ID: id, Program: "p", Retention: time.Minute, Previous: previous})
+			end(t, s, Outcome{Turn: id, Program: "p", Kept: &KeptTurn{ID: id, Previous: previous, Input: text}})
+			previous = id
+		}
+		f.killAll()
+		f.store.SetCapacity(150 * spaceText) // the newest records fit, and half of the history does not
+		s = f.start(daemonID(0, 2))
+		asked := time.Now()
+		begin(t, s, Turn{ID: "last", Program: "p", Retention: time.Minute, Previous: previous})
+		end(t, s, Outcome{Turn: "last", Program: "p", Kept: &KeptTurn{ID: "last", Previous: previous, Input: text}})
+		if took := time.Since(asked); took > 2*time.Second {
+			t.Errorf("served after %s", took)
+		}
+	})
+}
