Ledger: a claim makes room in a full store

Callers saw: after the loss of all daemons nobody was served, though all were back. Cause: a claim is an append, and a full store takes none. Only a shard's holder trimmed its history, and without a claim there is no holder: the fleet that lost everything could not make room. Change: a claimant that finds the store full trims all history of its shard, which needs no claim, and claims once more. A store that refused an append counts as full for a second, so that what fits in goes to claims and drops and not to the next turn.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -160,7 +160,7 @@
 		h.metrics.lost(store.ErrUnavailable)
 	}
 	now := time.Now()
-	if h.records.isFull() {
+	if h.records.isFull(now) {
 		h.clearHistory(ctx, now)
 	}
 	current.waiting = h.grantWaiting(current.waiting, now)
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -191,7 +191,12 @@
 	h.epoch = epoch
 	h.sequence = 1
 	ctx = store.WithPurpose(ctx, store.PurposeClaim)
-	return h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), []store.Record{h.holderRecord(holderKey)})
+	claim := []store.Record{h.holderRecord(holderKey)}
+	err := h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), claim)
+	if errors.Is(err, store.ErrFull) && h.makeRoom(ctx) {
+		err = h.records.appendWithin(ctx, giveUpAfter, h.partition, h.writer(), claim)
+	}
+	return err
 }
 
 // readDirectory reads who holds the shard.
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -19,7 +19,7 @@
 // else with an append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
-	if turn.Retention > 0 && h.records.isFull() {
+	if turn.Retention > 0 && h.records.isFull(now) {
 		// An engine would run it, and its caller would wait in vain for the end: nothing
 		// makes room sooner than what is refused.
 		h.metrics.refusedFull()
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -14,6 +14,8 @@
 	// accountPrefix and turnPrefix precede the program's and the turn's ID.
 	accountPrefix = "account/"
 	turnPrefix    = "turn/"
+	// lastKey follows all others.
+	lastKey = "~"
 )
 
 const (
--- a/internal/ledger/store_reach.go
+++ b/internal/ledger/store_reach.go
@@ -13,6 +13,9 @@
 	// are made all the same to see whether it is back.
 	downAfter  = 300 * time.Millisecond
 	probePause = 250 * time.Millisecond
+	// fullLife is how long the store counts as full after it refused an append so: what fits
+	// in meanwhile is to be claims and the dropping of records, and not the next turn.
+	fullLife = time.Second
 )
 
 // storeReach is what the outcome of calls tells of whether this daemon reaches the store.
@@ -27,8 +30,8 @@
 	failedAt, backAt time.Time
 	// answeredAt is when a call was last answered.
 	answeredAt time.Time
-	// full: the latest append was refused as the store keeps as much as it may.
-	full bool
+	// fullAt is when an append was last refused as the store keeps as much as it may.
+	fullAt time.Time
 	// returned is closed when the store is said to answer again after it failed.
 	returned <-chan struct{}
 }
@@ -52,20 +55,21 @@
 	return false
 }
 
-// isFull tells whether the store takes no append as it keeps as much as it may.
-func (r *recordStore) isFull() bool {
+// isFull tells whether the store took no append lately as it keeps as much as it may.
+func (r *recordStore) isFull(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.reach.full
+	return !r.reach.fullAt.IsZero() && now.Sub(r.reach.fullAt) < fullLife
 }
 
 // noteFull takes note of whether an append found the store full.
 func (r *recordStore) noteFull(err error) {
+	if !errors.Is(err, store.ErrFull) {
+		return
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if err == nil || errors.Is(err, store.ErrFull) {
-		r.reach.full = err != nil
-	}
+	r.reach.fullAt = time.Now()
 }
 
 // isBack tells whether the store answers this daemon again since lately.
--- a/internal/ledger/trim.go
+++ b/internal/ledger/trim.go
@@ -40,6 +40,20 @@
 	go h.trim(ctx, h.appended.end)
 }
 
+// makeRoom trims all history of a shard that is to be claimed from a full store, and tells whether
+// it could: a claim is an append, and after the loss of all daemons nobody else makes room. Trimming
+// needs no claim.
+func (h *holder) makeRoom(ctx context.Context) bool {
+	page, err := h.records.page(ctx, h.partition, lastKey, func() {})
+	if err != nil {
+		h.logger.Warn().Err(err).Msg("The store is full, and the end of the shard's history is not known.")
+		return false
+	}
+	h.logger.Warn().Int64("before", page.End).Msg("The store is full. All history of the shard is trimmed for a claim.")
+	h.trim(ctx, page.End)
+	return true
+}
+
 // trim trims the shard's history before an offset.
 func (h *holder) trim(ctx context.Context, before int64) {
 	ctx, cancel := context.WithTimeout(store.WithPurpose(ctx, store.PurposeTrim), trimTimeout)
