Ledger: programs are turned away before the store is full

Callers saw: under a load that keeps more than the store holds, service ended within seconds for everybody, and came back neither with the load nor after a restart of all machines. Cause: turns were let in until the store took no append. What programs leave behind stays for 70 s, so a store that is full stays full; whole answers, drops and claims are all appends. Change: package space weighs what is kept, and when it is dropped, against the bound of the store (store_megabytes). Holders report their shards along with grants. A program whose first turn would not fit beside what others need is refused at once, with a time to come back; what was let in goes on. History goes first. Records are dropped each second, also where all that comes is refused. A store that is full below its bound teaches the bound. Gauges by purpose, a line as each step of the bound is passed.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -133,6 +133,7 @@
 		h.status.appending.Store(false)
 		h.noteAnswered()
 		h.appended.note(current.records, time.Now())
+		h.gate.Kept(store.SizeOf(current.records))
 		h.trimHistory(ctx, time.Now())
 		h.state.confirmHeadroom()
 		h.state.confirmAllowance(current.sentAt)
@@ -161,6 +162,7 @@
 	}
 	now := time.Now()
 	if h.records.isFull(now) {
+		h.space.foundFull(now)
 		h.clearHistory(ctx, now)
 	}
 	current.waiting = h.grantWaiting(current.waiting, now)
--- a/internal/ledger/append_history.go
+++ b/internal/ledger/append_history.go
@@ -11,9 +11,12 @@
 	// historyKept is how long a shard's history is kept: a successor has prepareTime to read
 	// it ahead, and what it read can be gone on from for readAheadLife, until its claim.
 	historyKept = prepareTime + readAheadLife + takeTime
+	// tightHistoryKept is the same while room in the store is tight: a successor that reads for
+	// longer begins anew, and an eighth more programs are let in.
+	tightHistoryKept = 2 * time.Second
 	// trimBytes is the least history, in bytes, that is worth a call to the store: a shard of
-	// the busiest deployment measured appends that much in two to four seconds.
-	trimBytes = 256 << 10
+	// the busiest deployment measured appends that much in one to two seconds.
+	trimBytes = 128 << 10
 	// markInterval separates the marks by which a holder knows how old history is.
 	markInterval = time.Second
 )
@@ -24,6 +27,9 @@
 	// first is the offset from which on history was not trimmed by this holder, and end the
 	// one after the latest record.
 	first, end int64
+	// inherited is the offset after the history of before the claim, whose bytes are not
+	// known: it counts as worth trimming.
+	inherited int64
 	// written are the bytes appended so far, and trimmedBytes how many of them the trimmings
 	// took.
 	written, trimmedBytes int64
@@ -42,14 +48,13 @@
 // what of it is old. Both count as worth trimming, the rest once it is old, too.
 func newAppendHistory(end, old int64, now time.Time) *appendHistory {
 	h := &appendHistory{end: end}
-	if old > 0 {
-		h.written += trimBytes
-		h.marks = append(h.marks, historyMark{at: now.Add(-historyKept), end: old, written: h.written})
-	}
 	if end > 1 { // else there is nothing but this claim
-		h.written += trimBytes
+		h.inherited = end
 	}
-	h.marks = append(h.marks, historyMark{at: now, end: end, written: h.written})
+	if old > 0 {
+		h.marks = append(h.marks, historyMark{at: now.Add(-historyKept), end: old})
+	}
+	h.marks = append(h.marks, historyMark{at: now, end: end})
 	return h
 }
 
@@ -76,10 +81,11 @@
 	}
 }
 
-// due returns the offset before which history is to be trimmed; false if it is not worth it.
-func (h *appendHistory) due(now time.Time) (before int64, due bool) {
+// due returns the offset before which history that is older than kept is to be trimmed; false if
+// it is not worth it.
+func (h *appendHistory) due(kept time.Duration, now time.Time) (before int64, due bool) {
 	oldMarks := 0
-	for oldMarks < len(h.marks) && now.Sub(h.marks[oldMarks].at) >= historyKept {
+	for oldMarks < len(h.marks) && now.Sub(h.marks[oldMarks].at) >= kept {
 		oldMarks++
 	}
 	if oldMarks == 0 {
@@ -87,7 +93,25 @@
 	}
 	mark := h.marks[oldMarks-1]
 	h.marks = h.marks[oldMarks-1:]
-	return mark.end, mark.end > h.first && mark.written-h.trimmedBytes >= trimBytes
+	isWorthIt := mark.written-h.trimmedBytes >= trimBytes || h.first < h.inherited
+	return mark.end, mark.end > h.first && isWorthIt
+}
+
+// needed returns how many bytes of history are left once room in the store is tight.
+func (h *appendHistory) needed(now time.Time) int64 {
+	return min(h.bytes(), int64(float64(h.rate(now))*tightHistoryKept.Seconds())+trimBytes)
+}
+
+// bytes returns how many bytes of history this holder appended and did not trim.
+func (h *appendHistory) bytes() int64 { return h.written - h.trimmedBytes }
+
+// rate returns how many bytes a second were appended lately.
+func (h *appendHistory) rate(now time.Time) int64 {
+	if len(h.marks) == 0 {
+		return 0
+	}
+	oldest := h.marks[0]
+	return int64(float64(h.written-oldest.written) / max(now.Sub(oldest.at), markInterval).Seconds())
 }
 
 // trimmed takes note that history before an offset is being trimmed.
--- a/internal/ledger/append_history_test.go
+++ b/internal/ledger/append_history_test.go
@@ -138,7 +138,7 @@
 	for range 300 {
 		now = now.Add(longDayPause)
 		h.note([]store.Record{{Key: "k", Value: bytes.Repeat([]byte("x"), trimBytes/10)}}, now)
-		before, due := h.due(now)
+		before, due := h.due(historyKept, now)
 		if !due {
 			continue
 		}
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -41,6 +41,8 @@
 	viewOf  func(structs.DaemonID) View
 	storeOf func(structs.DaemonID) store.Store
 	severed func(from, to structs.DaemonID) bool
+	// storeBytes is how many bytes the store keeps, as daemons are told.
+	storeBytes float64
 	// readBytes is what the store reads in a second, as daemons are told.
 	readBytes float64
 
@@ -96,6 +98,7 @@
 		SettleTime: f.settleTime,
 
 		StoreReadBytes: f.readBytes,
+		StoreBytes:     f.storeBytes,
 
 		Machine: testMachine(id),
 		Quota:   testTerms,
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -7,18 +7,20 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/space"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 const (
 	// operationQueue bounds the operations that wait for one shard.
 	operationQueue = 1024
-	// expireInterval separates looks for records that nobody needs any more.
-	expireInterval = 5 * time.Second
-	// expireLimit bounds the records that are dropped at a time, 200 a second: a
-	// shard of the busiest deployment measured takes 17 new ones a second. Each
-	// costs some 40 bytes of the next append, which may have two megabytes.
-	expireLimit = 1000
+	// expireInterval separates looks for records that nobody needs any more: what they take
+	// is not there for others, a seventieth of the store for each second.
+	expireInterval = time.Second
+	// expireLimit bounds the records that are dropped at a time: a shard of the busiest
+	// deployment measured takes 17 new ones a second. Each costs some 40 bytes of the
+	// next append, which may have two megabytes.
+	expireLimit = 200
 )
 
 // operation is one request to a shard, with the way back.
@@ -39,7 +41,9 @@
 	daemon    string
 	records   *recordStore
 	known     *holderTable
-	fleet     fleet
+	// space is what is known of the room in the store.
+	space *storeSpace
+	fleet fleet
 	// machine is the clock of the machine that this daemon runs on.
 	machine MachineClock
 	// quotaTerms are the terms on which the holder of a tenant's shard owns its limit.
@@ -77,6 +81,10 @@
 	appends  appendQueue
 	// appended is the shard's history in the store, nil while the shard is not held.
 	appended *appendHistory
+	// gate decides whether programs begin while the store is crowded.
+	gate space.Gate
+	// told is what was last told of the shard's room in the store.
+	told tellSpace
 	// histories is the reading of the turns' texts after a claim, nil once all are read.
 	histories *historyReading
 	tenure    tenure
@@ -171,7 +179,11 @@
 		return
 	}
 	h.expiredAt = now
-	h.state.expire(now, expireLimit)
+	dropped := h.state.expire(now, expireLimit)
+	if dropped > 0 && h.appends.pending == nil && len(h.appends.waiting) == 0 {
+		h.appends.flush.Reset(settleDelay) // also where all that comes is refused
+	}
+	h.reportSpace(now)
 }
 
 // post lets run do a task.
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -19,11 +19,7 @@
 // else with an append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
-	if turn.Retention > 0 && h.records.isFull(now) {
-		// An engine would run it, and its caller would wait in vain for the end: nothing
-		// makes room sooner than what is refused.
-		h.metrics.refusedFull()
-		h.refuse(o, resultFull)
+	if !h.keepsTurn(o, turn, now) {
 		return
 	}
 	if h.isIsolated() && !h.state.canGrant(turn, now) {
@@ -105,6 +101,9 @@
 
 func (h *holder) answer(o operation, answer Response) {
 	answer.Number = o.request.Number
+	if o.request.Begin != nil && h.told.profile.LifeMS > 0 {
+		answer.Space = &h.told.profile
+	}
 	answer.Epoch = h.epoch
 	answer.Holder = h.daemon
 	o.reply(answer)
--- a/internal/ledger/holder_release.go
+++ b/internal/ledger/holder_release.go
@@ -125,6 +125,7 @@
 	if h.state != nil {
 		h.former = &formerState{epoch: h.epoch, lostAt: time.Now(), accounts: h.state.accounts}
 	}
+	h.forgetSpace()
 	h.status.stampedAt.clear()
 	if h.histories != nil {
 		for _, o := range h.histories.waiting {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -55,6 +55,19 @@
 	return ErrUnavailable
 }
 
+// CrowdedError: a program can not begin, as the store has no room for what it would leave
+// behind. Nothing of the turn was reserved.
+type CrowdedError struct {
+	Shard int
+	// Back is when the caller had better come back.
+	Back time.Duration
+}
+
+// Error implements error.
+func (e *CrowdedError) Error() string {
+	return fmt.Sprintf("ledger: the store has no room for another program: shard %d, back in %s", e.Shard, e.Back)
+}
+
 // Turn is a turn that is about to run.
 type Turn struct {
 	// ID names the caller's try; every try has its own.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/space"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
@@ -22,6 +23,9 @@
 	// resultFull: the store keeps as much as it may, so a turn whose text must be kept can not
 	// be recorded, whichever daemon holds the shard.
 	resultFull result = "full"
+	// resultCrowded: a program can not begin, as what it leaves behind would take the room in
+	// the store that others need.
+	resultCrowded result = "crowded"
 	// resultPending: the request was heard and takes a while.
 	resultPending result = "pending"
 	// resultSilent: no answer came. It is never sent.
@@ -31,7 +35,7 @@
 // isFinal tells whether another daemon would answer alike.
 func (r result) isFinal() bool {
 	switch r {
-	case resultOK, resultBudgetSpent, resultUnknownTurn, resultOver:
+	case resultOK, resultBudgetSpent, resultUnknownTurn, resultOver, resultCrowded:
 		return true
 	}
 	return false
@@ -107,6 +111,11 @@
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
 	Verdict *quota.Verdict `json:"q,omitempty"`
+	// Space is what the shard's records take in the store, told with a turn that begins.
+	Space *space.Profile `json:"space,omitempty"`
+	// BackInMS tells, with resultCrowded, in how many milliseconds the program had better
+	// come back.
+	BackInMS int64 `json:"back_ms,omitempty"`
 	// Former answers Superseded, nil if the daemon did not hold the shard lately.
 	Former *FormerAccounts `json:"former,omitempty"`
 }
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/space"
 )
 
 // Metrics counts what the ledger does.
@@ -23,8 +24,13 @@
 	// verdicts are those on requests of limited tenants, by reason.
 	verdicts *prometheus.CounterVec
 	trims    *prometheus.CounterVec
-	// unkept are turns that were refused as the store was full.
-	unkept prometheus.Counter
+	// unkept are turns that were refused as the store was full, and crowded programs that
+	// were as it is crowded.
+	unkept, crowded prometheus.Counter
+	// taken are the bytes that held shards take in the store, by purpose.
+	taken *prometheus.GaugeVec
+	// fill is what the whole fleet is taken to keep there, against its bound.
+	fill *prometheus.GaugeVec
 }
 
 // NewMetrics registers the ledger's metrics.
@@ -71,7 +77,19 @@
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "turns_store_full_total",
 		Help: "Turns that were refused as the store was full.",
 	})
-	registry.MustRegister(m.unkept, m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts, m.trims)
+	m.crowded = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "programs_store_crowded_total",
+		Help: "Programs that were turned away as the store has no room for what they leave behind.",
+	})
+	m.taken = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "store_bytes",
+		Help: "Bytes that the shards held here take in the store, by purpose.",
+	}, []string{"purpose"})
+	m.fill = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: "mintpulley", Subsystem: "ledger", Name: "store_fill_bytes",
+		Help: "What the whole fleet keeps in the store as this daemon takes it (kept), the store's bound (bound), and what could be kept beside (spare; below 0 programs are held back).",
+	}, []string{"what"})
+	registry.MustRegister(m.crowded, m.taken, m.fill, m.unkept, m.claims, m.losses, m.skipped, m.silences, m.confirms, m.grants, m.handovers, m.verdicts, m.trims)
 	return m
 }
 
@@ -95,6 +113,22 @@
 
 func (m *Metrics) refusedFull() { m.unkept.Inc() }
 
+func (m *Metrics) refusedCrowded() { m.crowded.Inc() }
+
+// tookSpace takes note that what a held shard takes in the store has changed.
+func (m *Metrics) tookSpace(before, now shardSizes) {
+	m.taken.WithLabelValues("turns").Add(float64(now.turns - before.turns))
+	m.taken.WithLabelValues("accounts").Add(float64(now.accounts - before.accounts))
+	m.taken.WithLabelValues("history").Add(float64(now.history - before.history))
+}
+
+// planned tells what the whole fleet keeps.
+func (m *Metrics) planned(kept space.Profile, bound float64, plan space.Plan) {
+	m.fill.WithLabelValues("kept").Set(float64(kept.Bytes()))
+	m.fill.WithLabelValues("bound").Set(bound)
+	m.fill.WithLabelValues("spare").Set(plan.Spare)
+}
+
 func (m *Metrics) trimmed(err error) {
 	outcome := "done"
 	if err != nil {
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -57,6 +57,9 @@
 	// StoreReadBytes is how many bytes the store reads in a second for the whole fleet;
 	// 0 if that is not known: then nothing is paced by it.
 	StoreReadBytes float64
+	// StoreBytes is how many bytes the store keeps at most for the whole fleet; 0 if that is
+	// not known: then nothing is refused to spare it, until it refuses an append itself.
+	StoreBytes float64
 	// AsksOnly: the daemon holds no shard, whoever asks it to.
 	AsksOnly bool
 	// Machine is the steady clock of the machine that the daemon runs on.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -33,10 +33,12 @@
 	pace      handoverPacer
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
-	leaving  chan struct{}
-	left     sync.Once
-	replies  peer.Replies[Response]
-	settled  chan struct{}
+	// space is what is known of the room in the store.
+	space   *storeSpace
+	leaving chan struct{}
+	left    sync.Once
+	replies peer.Replies[Response]
+	settled chan struct{}
 }
 
 // NewService returns a service; Run makes it work.
@@ -46,6 +48,7 @@
 		known:   newHolderTable(len(options.Partitions)),
 		settled: make(chan struct{}),
 		leaving: make(chan struct{}),
+		space:   newStoreSpace(options),
 	}
 	if s.Admission == nil {
 		s.Admission = &admission.Admission{}
@@ -75,6 +78,7 @@
 				daemon:        string(s.Self),
 				records:       s.records,
 				known:         s.known,
+				space:         s.space,
 				fleet:         s,
 				machine:       s.Machine,
 				quotaTerms:    s.Quota,
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -184,27 +184,24 @@
 	return &KeptTurn{ID: id, Input: text}
 }
 
-// expire drops up to limit records that nobody used for their retention.
-func (s *state) expire(now time.Time, limit int) {
+// expire drops up to limit records that nobody used for their retention, and returns how many.
+func (s *state) expire(now time.Time, limit int) (dropped int) {
 	maps.DeleteFunc(s.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedLife })
 	for id, entry := range s.accounts {
-		if len(s.dirty) >= limit {
-			return
-		}
-		if isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
+		if dropped < limit && isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
 			delete(s.accounts, id)
 			s.touch(accountPrefix + id)
+			dropped++
 		}
 	}
 	for id, entry := range s.turns {
-		if len(s.dirty) >= limit {
-			return
-		}
-		if isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
+		if dropped < limit && isOver(now.Sub(entry.usedAt), entry.RetentionMS) {
 			delete(s.turns, id)
 			s.touch(turnPrefix + id)
+			dropped++
 		}
 	}
+	return dropped
 }
 
 // isOver tells whether what was not used for so long is past its retention.
--- a/internal/ledger/state_records.go
+++ b/internal/ledger/state_records.go
@@ -75,14 +75,18 @@
 	return nil, nil
 }
 
-// accountBytes is about what the record of an account takes.
-const accountBytes = 300
+const (
+	// accountBytes is about what the record of an account takes, and turnHeadBytes what that
+	// of a turn takes besides its texts.
+	accountBytes  = 300
+	turnHeadBytes = 120
+)
 
 // size is about how many bytes the shard's records take in the store.
 func (s *state) size() int {
 	size := len(s.accounts) * accountBytes
 	for _, turn := range s.turns {
-		size += len(turn.Input) + len(turn.Output)
+		size += len(turn.Input) + len(turn.Output) + turnHeadBytes
 	}
 	return size
 }
--- /dev/null
+++ b/internal/ledger/store_space.go
@@ -0,0 +1,109 @@
+package ledger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/space"
+)
+
+const (
+	// planInterval is how long a plan counts: at three times the usual load of the busiest
+	// deployment measured, a four-hundredth of the store is kept meanwhile.
+	planInterval = 100 * time.Millisecond
+	// learnedShare is the part of what was kept when the store was found full that counts as
+	// its bound from then on, if that is lower than the one in the settings.
+	learnedShare = 0.98
+)
+
+// spaceSteps are the parts of the store's bound of which a line tells that they were passed.
+var spaceSteps = []float64{0.5, 0.75, 0.9, 1}
+
+// storeSpace is what a daemon knows of the room in the store, by the reports of shards that it
+// holds or asked for. It is safe for concurrent use.
+type storeSpace struct {
+	estimate *space.Estimate
+	shards   int
+	logger   zerolog.Logger
+	metrics  *Metrics
+
+	mutex sync.Mutex
+	// bound is the most that the store keeps, in bytes; 0 if that is not known.
+	bound float64
+	// current is the latest plan, made at plannedAt.
+	current   space.Plan
+	plannedAt time.Time
+	// step is how many of spaceSteps are passed.
+	step int
+}
+
+func newStoreSpace(options Options) *storeSpace {
+	return &storeSpace{
+		estimate: space.NewEstimate(len(options.Partitions)),
+		shards:   len(options.Partitions),
+		bound:    options.StoreBytes,
+		logger:   options.Logger,
+		metrics:  options.Metrics,
+	}
+}
+
+// note takes the report of a shard.
+func (s *storeSpace) note(shard int, kept space.Profile, now time.Time) {
+	s.estimate.Note(shard, kept, now)
+}
+
+// plan returns what the store can still take.
+func (s *storeSpace) plan(now time.Time) space.Plan {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.bound <= 0 || now.Sub(s.plannedAt) < planInterval {
+		return s.current
+	}
+	s.plannedAt = now
+	kept, known := s.estimate.Sum(now)
+	if !known {
+		s.current = space.Plan{}
+		return s.current
+	}
+	wasCrowded := s.current.IsCrowded
+	s.current = space.PlanFor(kept, s.bound)
+	s.metrics.planned(kept, s.bound, s.current)
+	s.tellStep(kept)
+	if s.current.IsCrowded != wasCrowded {
+		s.logger.Info().Bool("crowded", s.current.IsCrowded).Int64("bytes", kept.Bytes()).Float64("bound", s.bound).
+			Int64("rate", kept.Rate).Float64("floor", s.current.Floor).Float64("pace", s.current.Pace).
+			Msg("Whether programs are held back for want of room in the store has changed.")
+	}
+	return s.current
+}
+
+// tellStep logs that a step of the store's bound was passed, in either direction.
+func (s *storeSpace) tellStep(kept space.Profile) {
+	step := 0
+	for step < len(spaceSteps) && float64(kept.Bytes()) >= spaceSteps[step]*s.bound {
+		step++
+	}
+	if step == s.step {
+		return
+	}
+	s.logger.Info().Int("step", step).Int("before", s.step).Int64("bytes", kept.Bytes()).Float64("bound", s.bound).
+		Int64("rate", kept.Rate).Dur("full_in", kept.FullIn(s.bound)).Msg("The store has passed a step of its bound.")
+	s.step = step
+}
+
+// foundFull takes note that the store refused an append as full: if less is kept than its bound,
+// the bound is lower.
+func (s *storeSpace) foundFull(now time.Time) {
+	kept, known := s.estimate.Sum(now)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	learned := learnedShare * float64(kept.Bytes())
+	if !known || s.bound <= 0 || learned <= 0 || learned >= s.bound {
+		return
+	}
+	s.logger.Warn().Int64("bytes", kept.Bytes()).Float64("bound", s.bound).Float64("learned", learned).
+		Msg("The store is full below its bound. What was kept counts as the bound.")
+	s.bound = learned
+}
--- a/internal/ledger/store_space_test.go
+++ b/internal/ledger/store_space_test.go
@@ -10,6 +10,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mintpulley/mintpulley/internal/space"
+	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 // What callers saw: under a load that keeps more than the store holds, service ended within
@@ -19,11 +24,15 @@
 // The order of events: turns were let in until the store took no append. Then no whole answer
 // could be recorded, no program that was under way could go on, and, as a claim and the dropping
 // of a record are appends, too, no shard could be claimed and nothing be dropped.
+//
+// The cause: nobody weighed what programs leave behind, which is kept for 70 s, against what the
+// store holds. The evidence: the same load with a store that holds twice as much is served, and
+// with the bound known to the daemons as much is let in as it can keep, and nothing refused later.
 
 const (
 	// spaceTurns is how many turns a program takes, each of spaceText bytes.
 	spaceTurns = 4
-	spaceText  = 1000
+	spaceText  = 8000
 	// spaceRetention is that of all turns, and spacePause passes between those of a program.
 	spaceRetention = time.Minute
 	spacePause     = 100 * time.Millisecond
@@ -31,9 +40,9 @@
 	// are a load that keeps twice what the store holds.
 	usualPrograms = 6
 	heavyFactor   = 3
-	// spaceCapacity is 1.6 times what the usual load keeps: 24 turns a second of 1,100 bytes
-	// and their programs' accounts, newest for 70 s and as history for 10 s.
-	spaceCapacity = 4_000_000
+	// spaceCapacity is 1.6 times what the usual load keeps: 24 turns a second of 8,500 bytes
+	// with their programs' accounts, newest for 70 s and as history for 10 s.
+	spaceCapacity = 26_000_000
 )
 
 // spaceLoad is a load of programs, and what became of them by the second they began in.
@@ -121,6 +130,7 @@
 		const usual, heavy, back, lost = 4 * time.Second, 70 * time.Second, 80 * time.Second, 100 * time.Second
 		f := newTestFleet(t, 3)
 		f.shards = 8
+		f.storeBytes = spaceCapacity
 		f.killAll()
 		for i := range 3 {
 			f.start(daemonID(i, 2))
@@ -184,3 +194,73 @@
 		}
 	})
 }
+
+// TestBoundIsLearnedFromAStoreThatIsFullBelowIt: the store holds less than the settings say.
+func TestBoundIsLearnedFromAStoreThatIsFullBelowIt(t *testing.T) {
+	space := newStoreSpace(Options{StoreBytes: 1000, Partitions: make([]store.Partition, 1), Metrics: NewMetrics(prometheus.NewRegistry())})
+	now := time.Now()
+	space.note(0, profileOf(100), now)
+	if plan := space.plan(now); plan.IsCrowded {
+		t.Errorf("crowded before: %+v", plan)
+	}
+	space.foundFull(now)
+	if space.bound != 98 {
+		t.Errorf("bound %v", space.bound)
+	}
+	if plan := space.plan(now.Add(planInterval)); !plan.IsLast {
+		t.Errorf("more may be kept: %+v", plan)
+	}
+	space.note(0, profileOf(400), now.Add(time.Second)) // a bound does not rise by what is kept
+	space.foundFull(now.Add(time.Second))
+	if space.bound != 98 {
+		t.Errorf("bound %v", space.bound)
+	}
+}
+
+// profileOf is of bytes that are dropped in half a minute.
+func profileOf(bytes int64) space.Profile {
+	profile := space.Profile{LifeMS: 30_000}
+	profile.Add(bytes, 30*time.Second)
+	return profile
+}
+
+// TestShardTellsWhatItKeeps: by its records, also after they were read again, and what goes.
+func TestShardTellsWhatItKeeps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		fill := func(s *Service, run string) {
+			for turn := range 20 {
+				id := fmt.Sprint(run, turn)
+				begin(t, s, Turn{ID: id, Program: id, Retention: spaceRetention})
+				end(t, s, Outcome{Turn: id, Program: id, Kept: &KeptTurn{ID: id, Input: bytes.Repeat([]byte("x"), spaceText)}})
+			}
+		}
+		mustKeep := func(s *Service, turns int64) {
+			t.Helper()
+			time.Sleep(time.Second) // texts are read behind a claim
+			told := make(chan int64)
+			sum := int64(0)
+			for _, h := range s.holders {
+				h.post(t.Context(), func(context.Context) {
+					h.state.expire(time.Now(), expireLimit)
+					h.reportSpace(time.Now())
+					told <- h.told.sizes.turns
+				})
+				sum += <-told
+			}
+			if want := turns * (spaceText + turnHeadBytes); sum != want {
+				t.Errorf("%d bytes, want %d", sum, want)
+			}
+		}
+		s := f.service(f.ids()[0])
+		fill(s, "first")
+		mustKeep(s, 20)
+		f.killAll()
+		s = f.start(daemonID(0, 2))
+		fill(s, "second")
+		mustKeep(s, 40)
+		time.Sleep(spaceRetention + keepMargin)
+		fill(s, "third")
+		mustKeep(s, 20)
+	})
+}
--- a/internal/ledger/trim.go
+++ b/internal/ledger/trim.go
@@ -21,7 +21,11 @@
 
 // trimHistory trims the shard's history, if that is due.
 func (h *holder) trimHistory(ctx context.Context, now time.Time) {
-	if before, due := h.appended.due(now); due {
+	kept := historyKept
+	if h.space.plan(now).IsTight {
+		kept = tightHistoryKept
+	}
+	if before, due := h.appended.due(kept, now); due {
 		h.appended.trimmed(before)
 		go h.trim(ctx, before)
 	}
--- a/internal/ledger/turns.go
+++ b/internal/ledger/turns.go
@@ -49,6 +49,8 @@
 		return Grant{}, ErrBudgetSpent
 	case resultUnknownTurn:
 		return Grant{}, ErrUnknownTurn
+	case resultCrowded:
+		return Grant{}, &CrowdedError{Shard: shard, Back: time.Duration(response.BackInMS) * time.Millisecond}
 	}
 	return Grant{}, s.heldUp(shard, response.Result)
 }
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -39,6 +39,26 @@
 	})
 }
 
+// TestProgramWithoutRoomInTheStoreIsRefusedAtOnce: it hears when there may be room, and nothing of it
+// is reserved.
+func TestProgramWithoutRoomInTheStoreIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: eventOne})
+		h.ledger.err = &ledger.CrowdedError{Back: 3 * time.Second}
+		call := newTurn(newRoute(route.KindStream))
+		got := h.serve(call)
+		if held := time.Since(call.Received); held > 0 || len(h.driver.sent) > 0 || len(h.ledger.turns) != 1 {
+			t.Errorf("held for %s, sent %d times, asked for %d times", held, len(h.driver.sent), len(h.ledger.turns))
+		}
+		if got.refusal == nil || got.refusal.Reason != ReasonStoreCrowded || !got.refusal.Reason.PromisesNotRun() || got.refusal.RetryAfter < 3*time.Second {
+			t.Errorf("refused with %+v", got.refusal)
+		}
+		if len(h.ledger.abandoned) != 0 {
+			t.Errorf("abandoned %v", h.ledger.abandoned)
+		}
+	})
+}
+
 func TestTurnIsRefusedOnceItsHopeIsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHarness(t, step{body: eventOne})
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -114,8 +114,10 @@
 	ReasonEvacuated Reason = "evacuated"
 	ReasonFull      Reason = "full"
 	ReasonLedger    Reason = "ledger_unavailable"
-	ReasonStarting  Reason = "starting"
-	ReasonStopping  Reason = "stopping"
+	// ReasonStoreCrowded: the store has no room for what the program would leave behind.
+	ReasonStoreCrowded Reason = "store_crowded"
+	ReasonStarting     Reason = "starting"
+	ReasonStopping     Reason = "stopping"
 	// ReasonCutOff: this daemon reaches neither the store nor most of the fleet.
 	ReasonCutOff      Reason = "cut_off"
 	ReasonNotInTime   Reason = "not_in_time"
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -54,7 +54,11 @@
 			retain: c.call.Route.RetainContext, perEvent: c.tokensPerEvent(), grantedAfter: took,
 		}, true
 	}
+	var crowded *ledger.CrowdedError
 	switch {
+	case errors.As(err, &crowded):
+		c.forecast.Remaining = crowded.Back
+		c.refuse(Refusal{Reason: ReasonStoreCrowded, RetryAfter: c.returnAfter(), Detail: "The store has no room for another program."})
 	case errors.Is(err, ledger.ErrBudgetSpent):
 		c.refuse(Refusal{Reason: ReasonBudgetSpent, Detail: "The program's token budget has no room for this turn."})
 	case errors.Is(err, ledger.ErrUnknownTurn):
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -118,6 +118,7 @@
 		Machine:    machineClock(d.settings.PeerAddress),
 
 		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
+		StoreBytes:     d.settings.StoreMegabytes * 1e6,
 
 		Confirmations: d,
 		Evacuations:   d,
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -74,6 +74,9 @@
 	// StoreReadMegabytes is how many megabytes a second the store reads for the whole
 	// fleet; 0 if that is not known.
 	StoreReadMegabytes float64 `yaml:"store_read_megabytes"`
+	// StoreMegabytes is how many megabytes the store keeps at most for the whole fleet; 0 if
+	// that is not known: then nothing is refused to spare it.
+	StoreMegabytes float64 `yaml:"store_megabytes"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
 }
@@ -195,6 +198,9 @@
 	if s.StoreReadMegabytes < 0 {
 		add("store_read_megabytes", "must not be negative")
 	}
+	if s.StoreMegabytes < 0 {
+		add("store_megabytes", "must not be negative")
+	}
 	if region, named := s.Zones[s.Zone]; named && region != s.Region {
 		add("zones", "names another region for the daemon's own zone than region does")
 	}
--- /dev/null
+++ b/internal/space/profile.go
@@ -0,0 +1,107 @@
+// Package space decides how much may be kept in a store that holds a bounded number of bytes.
+//
+// What programs leave behind is kept for a while and dropped then. Each part of the fleet
+// reports what it keeps and when that is dropped, a Profile; the profiles of some parts are an
+// estimate of the whole, an Estimate. From that a Gate decides whether a program may begin. The
+// rate at which programs begin at any load is never pressed below a floor, and programs that
+// were let in go on: a program is turned away before the store is full, and not after.
+//
+// The package is pure: it has no clock, no goroutine and no network.
+package space
+
+import (
+	"slices"
+	"time"
+)
+
+// SlotLength is the length of time that one entry of Profile.Leaving stands for: a twelfth of
+// the shortest retention that users ask for.
+const SlotLength = 5 * time.Second
+
+// slotsLimit bounds the entries of Profile.Leaving. The last one stands for all that is dropped
+// later, of which PlanFor takes nothing to be dropped.
+const slotsLimit = 60
+
+// Profile is what is kept at some moment, and when it is dropped. It travels between daemons.
+type Profile struct {
+	// Leaving are the bytes that are dropped within each SlotLength from then on.
+	Leaving []int64 `json:"leaving,omitempty"`
+	// Fixed are the bytes of which it is not known when they are dropped.
+	Fixed int64 `json:"fixed,omitempty"`
+	// Rate is how many bytes a second were kept lately, and Life for how many milliseconds
+	// such bytes are kept.
+	Rate   int64 `json:"rate,omitempty"`
+	LifeMS int64 `json:"life_ms,omitempty"`
+}
+
+// Add adds bytes that are dropped after a while.
+func (p *Profile) Add(bytes int64, dropped time.Duration) {
+	slot := int(min(max(dropped, 0)/SlotLength, slotsLimit-1))
+	for len(p.Leaving) <= slot {
+		p.Leaving = append(p.Leaving, 0)
+	}
+	p.Leaving[slot] += bytes
+}
+
+// IsValid tells whether a profile that came from another daemon can be reckoned with.
+func (p Profile) IsValid() bool {
+	return len(p.Leaving) <= slotsLimit && p.Fixed >= 0 && p.Rate >= 0 && p.LifeMS > 0 &&
+		!slices.ContainsFunc(p.Leaving, func(bytes int64) bool { return bytes < 0 })
+}
+
+// Bytes returns all bytes that are kept.
+func (p Profile) Bytes() int64 {
+	sum := p.Fixed
+	for _, bytes := range p.Leaving {
+		sum += bytes
+	}
+	return sum
+}
+
+// FullIn is when so many bytes are kept, if bytes are kept and dropped on as they were; 0 if that
+// is not within the life of what is kept now.
+func (p Profile) FullIn(bound float64) time.Duration {
+	for passed := time.Duration(0); passed < time.Duration(p.LifeMS)*time.Millisecond; passed += time.Second {
+		if float64(p.after(passed).Bytes()) >= bound {
+			return passed
+		}
+	}
+	return 0
+}
+
+// after returns the profile as it is some time later, if bytes are kept and dropped on as
+// they were.
+func (p Profile) after(passed time.Duration) Profile {
+	later := Profile{Leaving: make([]int64, len(p.Leaving)), Fixed: p.Fixed, Rate: p.Rate, LifeMS: p.LifeMS}
+	whole, part := int(passed/SlotLength), float64(passed%SlotLength)/float64(SlotLength)
+	for slot, bytes := range p.Leaving {
+		moved := int64(part * float64(bytes))
+		if to := slot - whole; to >= 0 {
+			later.Leaving[to] += bytes - moved
+		}
+		if to := slot - whole - 1; to >= 0 {
+			later.Leaving[to] += moved
+		}
+	}
+	later.Add(int64(float64(p.Rate)*passed.Seconds()), time.Duration(p.LifeMS)*time.Millisecond)
+	return later
+}
+
+// include adds another part's profile.
+func (p *Profile) include(other Profile) {
+	for slot, bytes := range other.Leaving {
+		p.Add(bytes, time.Duration(slot)*SlotLength)
+	}
+	p.Fixed += other.Fixed
+	p.Rate += other.Rate
+	p.LifeMS = max(p.LifeMS, other.LifeMS)
+}
+
+// times multiplies all bytes.
+func (p Profile) times(factor float64) Profile {
+	scaled := Profile{Fixed: int64(factor * float64(p.Fixed)), Rate: int64(factor * float64(p.Rate)), LifeMS: p.LifeMS}
+	for _, bytes := range p.Leaving {
+		scaled.Leaving = append(scaled.Leaving, int64(factor*float64(bytes)))
+	}
+	return scaled
+}
--- /dev/null
+++ b/internal/space/space_test.go
@@ -0,0 +1,213 @@
+package space
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, time.December, 3, 5, 0, 0, 0, time.UTC)
+
+const (
+	testBound = 400e6
+	testLife  = 70 * time.Second
+	// programBytes are kept by a program, half of it at its start and half a second later.
+	programBytes = 100_000
+	step         = 100 * time.Millisecond
+	testParts    = 8
+)
+
+// model is a store with programs that begin at some rate, in one part of the fleet as in any
+// other: what it keeps is what all parts keep.
+type model struct {
+	gate Gate
+	// kept holds the bytes that were kept in each step, and refused counts programs.
+	kept             []int64
+	begun, refused   int
+	most, total      int64
+	reported, second Profile
+}
+
+// profile returns what is kept now.
+func (m *model) profile() Profile {
+	p := Profile{LifeMS: testLife.Milliseconds()}
+	for i, bytes := range m.kept {
+		if left := testLife - time.Duration(len(m.kept)-i)*step; bytes > 0 && left > 0 {
+			p.Add(bytes, left)
+		}
+	}
+	return p
+}
+
+// run offers bytes a second for a while, with a report each second that is a second old, and
+// returns the programs that began.
+func (m *model) run(offered float64, length time.Duration) (begun int) {
+	due := 0.0
+	for range length / step {
+		now := start.Add(time.Duration(len(m.kept)) * step)
+		if len(m.kept)%int(time.Second/step) == 0 {
+			m.reported, m.second = m.second, m.profile()
+		}
+		m.kept = append(m.kept, 0)
+		for due += offered * step.Seconds(); due >= programBytes; due -= programBytes {
+			admitted, back := m.gate.Admits(PlanFor(m.reported, testBound), 1, now)
+			if !admitted {
+				m.refused++
+				if back <= 0 || back > burstTime+debtTime {
+					panic(back)
+				}
+				continue
+			}
+			m.gate.Kept(programBytes)
+			m.kept[len(m.kept)-1] += programBytes
+			begun++
+		}
+		m.most = max(m.most, m.profile().Bytes())
+	}
+	return begun
+}
+
+// TestStoreNeverFills: at any loads in any order less is kept than the store holds, with room for
+// what makes room, and programs begin at the floor's rate at least.
+func TestStoreNeverFills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{}
+		for range rapid.IntRange(1, 6).Draw(t, "loads") {
+			offered := rapid.Float64Range(0.5e6, 15e6).Draw(t, "offered")
+			length := time.Duration(rapid.IntRange(5, 60).Draw(t, "seconds")) * time.Second
+			before := m.refused
+			begun := m.run(offered, length)
+			floor := floorShare * (1 - reservedShare) * testBound / testLife.Seconds()
+			least := 0.8 * min(offered, floor) * (length - 4*time.Second).Seconds() / programBytes
+			if float64(begun) < least {
+				t.Fatalf("%d programs began and %d were refused of %.1f MB/s in %s, floor %.1f MB/s", begun, m.refused-before, offered/1e6, length, floor/1e6)
+			}
+		}
+		if float64(m.most) > lastShare*testBound {
+			t.Fatalf("%d bytes were kept", m.most)
+		}
+	})
+}
+
+// TestLoadBeyondTheStoreIsServedAsTheStoreAllows: of three times what can be kept in the long run
+// nine tenths of that are served, and two thirds in each span of five seconds. The usual load is
+// served as soon as it is back.
+func TestLoadBeyondTheStoreIsServedAsTheStoreAllows(t *testing.T) {
+	m := &model{}
+	m.run(3e6, 30*time.Second)
+	best := (1 - reservedShare) * testBound / testLife.Seconds() / programBytes
+	least, sum, spans := 1<<30, 0, 36
+	for range spans {
+		begun := m.run(15e6, 5*time.Second)
+		least, sum = min(least, begun), sum+begun
+	}
+	if float64(sum) < 0.9*best*5*float64(spans) {
+		t.Errorf("%d programs began, %.0f could", sum, best*5*float64(spans))
+	}
+	if float64(least) < best*5*2/3 {
+		t.Errorf("%d programs began in some five seconds, %.0f could", least, best*5)
+	}
+	m.run(3e6, 5*time.Second)
+	if refused := m.refusedIn(3e6, 20*time.Second); refused > 0 {
+		t.Errorf("%d programs were refused after the load was the usual again", refused)
+	}
+}
+
+func (m *model) refusedIn(offered float64, length time.Duration) int {
+	before := m.refused
+	m.run(offered, length)
+	return m.refused - before
+}
+
+// TestUsualLoadAndBurstsAreLetIn: a load that the store can keep is never refused, nor one of
+// twice that for some seconds.
+func TestUsualLoadAndBurstsAreLetIn(t *testing.T) {
+	m := &model{}
+	for range 4 {
+		m.run(3e6, 40*time.Second)
+		m.run(6.3e6, 4*time.Second)
+	}
+	if m.refused > 0 {
+		t.Errorf("%d programs were refused", m.refused)
+	}
+}
+
+func TestGateWithoutAPlanAdmits(t *testing.T) {
+	var g Gate
+	g.Kept(1 << 30)
+	if admitted, _ := g.Admits(PlanFor(Profile{}, testBound), testParts, start); !admitted {
+		t.Error("refused where nothing is known")
+	}
+}
+
+func TestProfileGoesOn(t *testing.T) {
+	p := Profile{Leaving: []int64{100, 200, 400}, Fixed: 7, Rate: 10, LifeMS: 12_000}
+	got := p.after(SlotLength / 2)
+	want := Profile{Leaving: []int64{150, 300, 200 + 25}, Fixed: 7, Rate: 10, LifeMS: 12_000}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+	if got := p.after(time.Minute).Bytes(); got != 7+600 {
+		t.Errorf("%d bytes a minute later", got)
+	}
+}
+
+func TestFullIn(t *testing.T) {
+	p := Profile{Leaving: make([]int64, 14), Rate: 1000, LifeMS: 60_000}
+	p.Add(10_000, 50*time.Second)
+	if got := p.FullIn(30_000); got != 20*time.Second {
+		t.Errorf("full in %s", got)
+	}
+	if got := p.FullIn(1e9); got != 0 {
+		t.Errorf("full in %s", got)
+	}
+}
+
+func TestEstimateSpeaksForPartsThatWereNotHeardOf(t *testing.T) {
+	e := NewEstimate(testParts)
+	if _, known := e.Sum(start); known {
+		t.Error("known from nothing")
+	}
+	e.Note(0, Profile{Leaving: []int64{0, 0, 100}, LifeMS: 1}, start)
+	e.Note(0, Profile{Leaving: []int64{0, 0, 900}, LifeMS: 1}, start.Add(-time.Second)) // older
+	e.Note(5, Profile{Leaving: []int64{0, 0, 300}, LifeMS: 1}, start)
+	e.Note(6, Profile{Leaving: []int64{-1}, LifeMS: 1}, start)
+	e.Note(7, Profile{Leaving: make([]int64, slotsLimit+1), LifeMS: 1}, start)
+	sum, known := e.Sum(start)
+	if want := int64(testParts / 2 * 400); !known || sum.Bytes() != want {
+		t.Errorf("%d bytes, want %d", sum.Bytes(), want)
+	}
+	if _, known := e.Sum(start.Add(reportLife + time.Second)); known {
+		t.Error("reports count for ever")
+	}
+}
+
+// TestWhatIsKeptForLongIsNotTakenToBeDropped: nothing is let in on the strength of what is only
+// dropped beyond the slots.
+func TestWhatIsKeptForLongIsNotTakenToBeDropped(t *testing.T) {
+	p := Profile{LifeMS: time.Hour.Milliseconds()}
+	p.Add(int64(0.85*testBound), time.Hour)
+	if len(p.Leaving) != slotsLimit {
+		t.Errorf("%d slots", len(p.Leaving))
+	}
+	if plan := PlanFor(p, testBound); !plan.IsCrowded || plan.Spare > 0.03*testBound {
+		t.Errorf("%+v", plan)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	e := NewEstimate(48)
+	for part := range 48 {
+		p := Profile{Rate: 60_000, LifeMS: testLife.Milliseconds()}
+		for second := range 70 {
+			p.Add(60_000, time.Duration(second)*time.Second)
+		}
+		e.Note(part, p, start)
+	}
+	for b.Loop() {
+		sum, _ := e.Sum(start.Add(time.Second))
+		PlanFor(sum, testBound)
+	}
+}
