Peer links: a link that nobody uses ends

Cause: a daemon keeps a link to each address it ever spoke to. One whose daemon is gone for good (replaced at another address) tries to connect five times a second until the process ends; one that went dark keeps its connection. Change: a link that nothing is sent on for a minute ends, and the next message makes another.

--- a/internal/peer/tcp/link.go
+++ b/internal/peer/tcp/link.go
@@ -32,12 +32,20 @@
 	// counts as failed: daemons that start together miss each other by some milliseconds.
 	firstRedialPause   = 50 * time.Millisecond
 	longestRedialPause = 200 * time.Millisecond
+	// linkLife is how long a link is kept that nothing is sent on: several rounds of
+	// membership, which speaks to each daemon that lives every 10 s or so. Without it a daemon
+	// that is replaced at another address costs five tries to connect a second for good.
+	linkLife = time.Minute
+	// idleLook separates looks at that on a connection.
+	idleLook = 10 * time.Second
 )
 
 // link is the outgoing side towards one address.
 type link struct {
 	address string
 	lines   chan *bytes.Buffer
+	// usedAt is when something was last to be sent. The transport's mutex guards it.
+	usedAt time.Time
 }
 
 // dial opens a connection to a daemon.
@@ -62,11 +70,31 @@
 	}
 }
 
-// writeLink connects and writes until the transport closes.
+// isIdle tells whether nothing was sent on a link for linkLife.
+func (t *Transport) isIdle(l *link) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return l.isIdle()
+}
+
+func (l *link) isIdle() bool { return len(l.lines) == 0 && time.Since(l.usedAt) >= linkLife }
+
+// endIdle ends a link that is idle, and tells whether it did. The next message makes another.
+func (t *Transport) endIdle(l *link) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !l.isIdle() {
+		return false
+	}
+	delete(t.links, l.address)
+	return true
+}
+
+// writeLink connects and writes until the transport closes, or nothing is sent for long.
 func (t *Transport) writeLink(l *link) {
 	defer t.workers.Done()
 	pause := firstRedialPause
-	for t.context.Err() == nil {
+	for t.context.Err() == nil && !t.endIdle(l) {
 		started := time.Now()
 		conn, err := t.connect(l)
 		if err != nil {
@@ -103,16 +131,23 @@
 	}
 }
 
-// writeTo writes messages to a connection until it ends or the transport closes.
+// writeTo writes messages to a connection until it ends, nothing is sent for long or the transport
+// closes.
 func (t *Transport) writeTo(l *link, conn net.Conn) {
 	gone := make(chan struct{})
 	go watchClosed(conn, gone)
 	writer := bufio.NewWriterSize(conn, bufferSize)
+	look := time.NewTicker(idleLook)
+	defer look.Stop()
 	for {
 		select {
 		case <-t.context.Done():
 			writeRest(l, conn, writer)
 			return
+		case <-look.C:
+			if t.isIdle(l) {
+				return
+			}
 		case <-gone:
 			return
 		case line := <-l.lines:
--- a/internal/peer/tcp/link_test.go
+++ b/internal/peer/tcp/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -80,3 +81,59 @@
 		})
 	}
 }
+
+// linksOf returns how many links a transport has.
+func linksOf(t *Transport) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.links)
+}
+
+// TestLinkToADaemonThatIsGoneEnds: daemons are replaced at other addresses all day long. A link
+// that nobody uses any more costs neither a goroutine nor tries to connect.
+func TestLinkToADaemonThatIsGoneEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dials atomic.Int64
+		gone := func(context.Context, string) (net.Conn, error) { dials.Add(1); return nil, net.ErrClosed }
+		transport := serve(&quietListener{closed: make(chan struct{})}, gone, structs.NewDaemonID("10.0.0.1:1", 1), &counting{}, nil, zerolog.Nop())
+		defer transport.Close()
+		for number := range 50 {
+			transport.Send(structs.NewDaemonID(fmt.Sprintf("10.0.1.%d:1", number), 1), &membership.UpdatePush{})
+		}
+		time.Sleep(linkLife + time.Second)
+		if left := linksOf(transport); left != 0 {
+			t.Errorf("%d links are left", left)
+		}
+		before := dials.Load()
+		time.Sleep(10 * time.Second)
+		if more := dials.Load() - before; more != 0 {
+			t.Errorf("%d tries to connect in ten seconds", more)
+		}
+		transport.Send(structs.NewDaemonID("10.0.1.1:1", 1), &membership.UpdatePush{})
+		synctest.Wait()
+		if dials.Load() == before {
+			t.Error("a link that ended is not made again")
+		}
+	})
+}
+
+// TestConnectionThatIsNotUsedEnds: a daemon that is dark says nothing, nor closes.
+func TestConnectionThatIsNotUsedEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &cutNetwork{arrived: make(chan struct{}, 1)}
+		transport := serve(&quietListener{closed: make(chan struct{})}, network.dial, structs.NewDaemonID("10.0.0.1:1", 1), &counting{}, nil, zerolog.Nop())
+		defer transport.Close()
+		for range 3 {
+			transport.Send(structs.NewDaemonID("10.0.0.2:1", 1), &membership.UpdatePush{})
+			<-network.arrived
+			time.Sleep(linkLife / 2)
+			if left := linksOf(transport); left != 1 {
+				t.Fatalf("%d links while one is used", left)
+			}
+		}
+		time.Sleep(linkLife + idleLook)
+		if left := linksOf(transport); left != 0 {
+			t.Errorf("%d links are left", left)
+		}
+	})
+}
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -152,6 +153,7 @@
 			go t.writeLink(l)
 		}
 	}
+	l.usedAt = time.Now()
 	return l
 }
 
