Ledger: what is known of former runs and lost shards is forgotten

Cause: bad news of a daemon is kept under the name of its run, which nobody asks for once it has started again; the accounts of a lost shard were kept until the shard came back.

--- a/internal/ledger/candidates.go
+++ b/internal/ledger/candidates.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -119,6 +120,8 @@
 	mutex   sync.Mutex
 	shards  map[avoidedShard]badNews
 	daemons map[structs.DaemonID]badNews
+	// lookedAt is when what is over was last dropped.
+	lookedAt time.Time
 }
 
 type avoidedShard struct {
@@ -137,6 +140,20 @@
 	return now.Before(b.until) && !b.at.Before(since)
 }
 
+// avoidedLook separates looks at which bad news is over: daemons that start again have other names
+// each time, so nobody asks for what is known of their former runs.
+const avoidedLook = 10 * time.Second
+
+// forget drops bad news that is over.
+func (a *avoided) forget(now time.Time) {
+	if now.Sub(a.lookedAt) < avoidedLook {
+		return
+	}
+	a.lookedAt = now
+	maps.DeleteFunc(a.shards, func(_ avoidedShard, news badNews) bool { return !now.Before(news.until) })
+	maps.DeleteFunc(a.daemons, func(_ structs.DaemonID, news badNews) bool { return !now.Before(news.until) })
+}
+
 // note takes a daemon's answer.
 func (a *avoided) note(shard int, daemon structs.DaemonID, answer result) {
 	a.mutex.Lock()
@@ -146,6 +163,7 @@
 		a.shards = map[avoidedShard]badNews{}
 		a.daemons = map[structs.DaemonID]badNews{}
 	}
+	a.forget(now)
 	key := avoidedShard{shard, daemon}
 	switch {
 	case answer == resultSilent:
--- a/internal/ledger/candidates_test.go
+++ b/internal/ledger/candidates_test.go
@@ -1,7 +1,10 @@
 package ledger
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -36,3 +39,49 @@
 		}
 	}
 }
+
+// TestBadNewsOfRunsThatAreOverIsForgotten: daemons start again all day long, each time under another
+// name; what was heard of their former runs must not add up.
+func TestBadNewsOfRunsThatAreOverIsForgotten(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		var a avoided
+		most := 0
+		for run := range uint64(3600) {
+			a.note(int(run%48), daemonID(0, run), resultSilent)
+			a.note(int(run%48), daemonID(1, run), resultImpaired)
+			time.Sleep(time.Second)
+			most = max(most, len(a.daemons), len(a.shards))
+		}
+		if bound := int((avoidedLook + avoidSilent) / time.Second); most > bound {
+			t.Errorf("bad news of %d runs was remembered, want %d at most", most, bound)
+		}
+	})
+}
+
+// TestWhatWasKnownOfALostShardIsForgotten: a daemon that lost a shard keeps its accounts for as long
+// as a successor may ask for them.
+func TestWhatWasKnownOfALostShardIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		s := f.service(daemonID(0, 1))
+		complete(t, s, "p", "one", "")
+		h := s.holders[s.shardOf("p")]
+		look := func(task func()) {
+			done := make(chan struct{})
+			h.post(t.Context(), func(context.Context) { task(); close(done) })
+			<-done
+		}
+		look(h.drop)
+		look(func() {
+			if h.former == nil {
+				t.Error("not known right after the loss")
+			}
+		})
+		time.Sleep(formerLife + time.Second)
+		look(func() {
+			if h.former != nil {
+				t.Error("known for ever")
+			}
+		})
+	})
+}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -98,8 +98,10 @@
 	// ahead is what was or is being read of a shard that another daemon is to pass
 	// on, nil if there is none.
 	ahead *readAhead
-	// former is what this daemon knew of the shard when it last lost it.
-	former *formerState
+	// former is what this daemon knew of the shard when it last lost it, until formerOver
+	// fires: its accounts are as many as a shard has.
+	former     *formerState
+	formerOver *time.Timer
 	// confirmed is the latest word of another daemon that it holds the shard.
 	confirmed holderConfirmation
 	retry     claimRetry
@@ -111,6 +113,8 @@
 	h.tasks = make(chan func(context.Context), 1)
 	h.appends.flush = time.NewTimer(time.Hour)
 	h.appends.flush.Stop()
+	h.formerOver = time.NewTimer(formerLife)
+	defer h.formerOver.Stop()
 	defer h.status.appending.Store(false)
 	leaving := h.leaving
 	for {
@@ -126,6 +130,8 @@
 			h.noteAppend(ctx, news)
 		case <-h.appends.flush.C:
 			h.startAppend(ctx)
+		case <-h.formerOver.C:
+			h.former = nil
 		case task := <-h.tasks:
 			task(ctx)
 		}
--- a/internal/ledger/holder_release.go
+++ b/internal/ledger/holder_release.go
@@ -124,6 +124,7 @@
 func (h *holder) drop() {
 	if h.state != nil {
 		h.former = &formerState{epoch: h.epoch, lostAt: time.Now(), accounts: h.state.accounts}
+		h.formerOver.Reset(formerLife)
 	}
 	h.forgetSpace()
 	h.status.stampedAt.clear()
