--- a/internal/instance/health.go
+++ b/internal/instance/health.go
@@ -31,7 +31,7 @@
 	// slownessCost is what slowness beyond that counts against an instance, as a
 	// share of its slots.
 	slownessCost = 0.8
-	// kindLimit bounds the kinds of work whose pace is remembered.
+	// kindLimit bounds the kinds of work, and the services, whose pace is remembered.
 	kindLimit = 4096
 )
 
@@ -121,6 +121,9 @@
 	defer p.mutex.Unlock()
 	usual, known := p.serviceTimes[service]
 	if !known {
+		if len(p.serviceTimes) >= kindLimit {
+			clear(p.serviceTimes)
+		}
 		p.serviceTimes[service] = took
 		return
 	}
--- a/internal/relay/full.go
+++ b/internal/relay/full.go
@@ -28,9 +28,7 @@
 		known.since = now
 	}
 	known.seenAt = now
-	if f.services == nil {
-		f.services = map[string]fullService{}
-	}
+	f.services = withRoom(f.services)
 	f.services[service] = known
 	return known.since
 }
--- a/internal/relay/serving.go
+++ b/internal/relay/serving.go
@@ -8,8 +8,9 @@
 const (
 	// servingWeight is the weight of the newest sample in a route's serving time.
 	servingWeight = 0.1
-	// servingLimit bounds the routes whose serving times are remembered.
-	servingLimit = 4096
+	// namesLimit bounds the routes or services of which something is remembered: operators
+	// rename them all day long, and what is forgotten is learned anew within some requests.
+	namesLimit = 4096
 )
 
 // servingTime is what serving a request takes from when an instance gets it.
@@ -40,8 +41,15 @@
 	}
 	usual.first += time.Duration(servingWeight * float64(sample.first-usual.first))
 	usual.whole += time.Duration(servingWeight * float64(sample.whole-usual.whole))
-	if s.routes == nil || len(s.routes) >= servingLimit {
-		s.routes = map[string]servingTime{}
-	}
+	s.routes = withRoom(s.routes)
 	s.routes[route] = usual
 }
+
+// withRoom returns a map by the names of routes or services that has room for another: the same, or
+// an empty one if there are namesLimit.
+func withRoom[T any](byName map[string]T) map[string]T {
+	if byName == nil || len(byName) >= namesLimit {
+		return map[string]T{}
+	}
+	return byName
+}
--- a/internal/relay/split.go
+++ b/internal/relay/split.go
@@ -28,9 +28,7 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.routes == nil {
-		s.routes = map[string]*split{}
-	}
+	s.routes = withRoom(s.routes)
 	state := s.routes[r.Name]
 	if state == nil || state.version != r {
 		state = &split{version: r, credit: make([]float64, len(r.Services))}
--- a/internal/relay/turned_down.go
+++ b/internal/relay/turned_down.go
@@ -41,9 +41,7 @@
 func (t *offerTally) note(service string, taken bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if t.services == nil {
-		t.services = map[string]offerCounts{}
-	}
+	t.services = withRoom(t.services)
 	counts := t.services[service]
 	counts.offered++
 	if taken {
