--- a/internal/space/space_test.go
+++ b/internal/space/space_test.go
@@ -23,10 +23,11 @@
 // other: what it keeps is what all parts keep.
 type model struct {
 	gate Gate
-	// kept holds the bytes that were kept in each step, and refused counts programs.
+	// kept holds the bytes that were kept in each step, most the most of them at a time, and
+	// refused counts programs. The gate sees the profile of the second before the latest.
 	kept             []int64
-	begun, refused   int
-	most, total      int64
+	refused          int
+	most             int64
 	reported, second Profile
 }
 
