Room in the store: what programs under way still leave behind counts

Cause: programs keep most of what they keep seconds after they begin, and a part saved the pace up for four seconds, so programs were let in for seconds after the room was spoken for; then none was. Change: holders learn what a program usually leaves behind, report what is still to come of those under way, and a program that begins is charged at once; what is saved up is of the floor alone.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -142,7 +142,6 @@
 	h.status.appending.Store(false)
 	h.noteAnswered(now)
 	h.appended.note(done.records, now)
-	h.gate.Kept(store.SizeOf(done.records))
 	h.trimHistory(ctx, now)
 	h.state.confirmHeadroom()
 	h.state.confirmAllowance(done.sentAt)
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -83,6 +83,8 @@
 	appended *appendHistory
 	// gate decides whether programs begin while the store is crowded.
 	gate space.Gate
+	// programs is what programs usually leave behind.
+	programs programSizes
 	// told is what was last told of the shard's room in the store.
 	told tellSpace
 	// histories is the reading of the turns' texts after a claim, nil once all are read.
--- a/internal/ledger/store_space_test.go
+++ b/internal/ledger/store_space_test.go
@@ -35,7 +35,7 @@
 	spaceText  = 8000
 	// spaceRetention is that of all turns, and spacePause passes between those of a program.
 	spaceRetention = time.Minute
-	spacePause     = 100 * time.Millisecond
+	spacePause     = time.Second
 	// usualPrograms is how many programs begin each second, and heavyFactor times as many
 	// are a load that keeps twice what the store holds.
 	usualPrograms = 6
@@ -160,6 +160,11 @@
 		if last < int(halfBest)*2/3 {
 			t.Errorf("%d programs ended in the second half of the heavy load, the store could keep %d", last, halfBest)
 		}
+		for from := usual + time.Second; from+5*time.Second <= heavy; from += time.Second {
+			if ended := l.count(l.ended, from, from+5*time.Second); ended < 5*usualPrograms {
+				t.Errorf("%d programs ended of those that began from %s on for 5 s, less than of the usual load", ended, from)
+			}
+		}
 		if refused := l.count(l.refused, heavy+5*time.Second, back); refused > 0 {
 			t.Errorf("%d programs were refused more than 5 s after the load was the usual again", refused)
 		}
--- a/internal/space/gate.go
+++ b/internal/space/gate.go
@@ -4,9 +4,8 @@
 
 const (
 	// reservedShare is the part of the store that programs' records leave free: for claims,
-	// for the dropping of records, for programs that were let in before the store was found
-	// crowded (three seconds of a load of three times the usual), and for the error of the
-	// estimate (6% by 16 of 48 shards).
+	// for the dropping of records, for what is let in by reports that are a second old, and for
+	// the error of the estimate (6% by 16 of 48 shards).
 	reservedShare = 0.12
 	// tightShare is the part of the store from which on what is of least value goes at once: the
 	// usual load of the busiest deployment measured keeps just above that.
@@ -22,16 +21,13 @@
 	// correctionShare is by which part of the store what is kept may pass the plan until no
 	// program begins any more, and with how much less than that to spare it counts as crowded.
 	correctionShare = 0.05
-	// spendTime is over what time the bytes beyond the floor may be kept: several times what
-	// passes until a program that was let in is seen in what is kept. At once, loads beyond the
-	// floor would be let in and turned away by turns.
+	// spendTime is over what time the bytes beyond the floor may be kept: several times the age
+	// of reports. At once, loads beyond the floor would be let in and turned away by turns.
 	spendTime = 5 * time.Second
-	// burstTime is for how long the floor may be saved up by a part in which few programs
-	// begin, and debtTime for how long one that keeps much more may be held back.
+	// burstTime is for how long the floor may be saved up by a part in which few programs begin.
 	burstTime = 4 * time.Second
-	debtTime  = 8 * time.Second
 	// leastReturn is the least time after which a program that was turned away is told to come
-	// back: what a program keeps is known once its first turn has ended.
+	// back: plans are some hundred milliseconds old.
 	leastReturn = 200 * time.Millisecond
 )
 
@@ -75,26 +71,23 @@
 
 // Gate decides for one part of the fleet whether programs begin there. The zero value is ready.
 type Gate struct {
-	// saved are the bytes that may be kept at once, less than 0 for a debt.
+	// saved are the bytes that may be let in at once, less than 0 for a debt.
 	saved float64
 	at    time.Time
 }
 
-// Kept takes note of bytes that are kept in the part.
-func (g *Gate) Kept(bytes int) { g.saved -= float64(bytes) }
-
-// Admits tells whether a program may begin in one of so many parts, and if not, when it had
-// better come back. Without a plan all may.
-func (g *Gate) Admits(plan Plan, parts int, now time.Time) (admitted bool, back time.Duration) {
+// Admits tells whether a program that is expected to leave some bytes behind may begin in one of
+// so many parts, and if not, when it had better come back. Without a plan all may.
+func (g *Gate) Admits(plan Plan, parts int, expected float64, now time.Time) (admitted bool, back time.Duration) {
 	passed := now.Sub(g.at)
 	g.at = now
 	floor, pace := plan.Floor/float64(parts), plan.Pace/float64(parts)
 	if floor <= 0 {
 		return true, 0
 	}
-	g.saved = max(g.saved, -floor*debtTime.Seconds()) + pace*passed.Seconds()
-	g.saved = min(g.saved, floor*burstTime.Seconds())
-	if g.saved > 0 && pace > 0 {
+	g.saved = min(g.saved+pace*passed.Seconds(), floor*burstTime.Seconds())
+	if g.saved >= 0 && pace > 0 {
+		g.saved -= expected
 		return true, 0
 	}
 	return false, max(time.Duration(-g.saved/floor*float64(time.Second)), leastReturn)
--- a/internal/space/space_test.go
+++ b/internal/space/space_test.go
@@ -13,59 +13,74 @@
 const (
 	testBound = 400e6
 	testLife  = 70 * time.Second
-	// programBytes are kept by a program, half of it at its start and half a second later.
-	programBytes = 100_000
-	step         = 100 * time.Millisecond
-	testParts    = 8
+	// programBytes are kept by a program, an equal part in each of the steps of programLength.
+	programBytes  = 100_000
+	programLength = 4 * time.Second
+	programSteps  = int(programLength / step)
+	step          = 100 * time.Millisecond
+	testParts     = 8
 )
 
 // model is a store with programs that begin at some rate, in one part of the fleet as in any
 // other: what it keeps is what all parts keep.
 type model struct {
 	gate Gate
-	// kept holds the bytes that were kept in each step, most the most of them at a time, and
-	// refused counts programs. The gate sees the profile of the second before the latest.
-	kept             []int64
+	// kept holds the bytes that were kept in each step, and are to be by programs under way; now
+	// is the number of the current step.
+	kept []int64
+	now  int
+	// most are the most bytes that were kept at a time, and refused counts programs. The gate
+	// sees the profile of the second before the latest.
 	refused          int
 	most             int64
 	reported, second Profile
 }
 
-// profile returns what is kept now.
-func (m *model) profile() Profile {
+// profile returns what is kept now, and what is to come of programs under way.
+func (m *model) profile(coming bool) Profile {
 	p := Profile{LifeMS: testLife.Milliseconds()}
 	for i, bytes := range m.kept {
-		if left := testLife - time.Duration(len(m.kept)-i)*step; bytes > 0 && left > 0 {
-			p.Add(bytes, left)
+		age := time.Duration(m.now-i) * step
+		if bytes > 0 && testLife > age && (i <= m.now || coming) {
+			p.Add(bytes, min(testLife-age, testLife))
 		}
 	}
 	return p
 }
 
+// begin lets a program begin now.
+func (m *model) begin() {
+	for len(m.kept) < m.now+programSteps+1 {
+		m.kept = append(m.kept, 0)
+	}
+	for i := range programSteps {
+		m.kept[m.now+i] += int64(programBytes / programSteps)
+	}
+}
+
 // run offers bytes a second for a while, with a report each second that is a second old, and
 // returns the programs that began.
 func (m *model) run(offered float64, length time.Duration) (begun int) {
 	due := 0.0
 	for range length / step {
-		now := start.Add(time.Duration(len(m.kept)) * step)
-		if len(m.kept)%int(time.Second/step) == 0 {
-			m.reported, m.second = m.second, m.profile()
+		m.now++
+		now := start.Add(time.Duration(m.now) * step)
+		if m.now%int(time.Second/step) == 0 {
+			m.reported, m.second = m.second, m.profile(true)
 		}
-		m.kept = append(m.kept, 0)
 		for due += offered * step.Seconds(); due >= programBytes; due -= programBytes {
-			admitted, back := m.gate.Admits(PlanFor(m.reported, testBound), 1, now)
-			if !admitted {
+			admitted, back := m.gate.Admits(PlanFor(m.reported, testBound), 1, programBytes, now)
+			switch {
+			case admitted:
+				m.begin()
+				begun++
+			case back <= 0 || back > 10*time.Second:
+				panic(back)
+			default:
 				m.refused++
-				if back <= 0 || back > burstTime+debtTime {
-					panic(back)
-				}
-				continue
 			}
-			m.gate.Kept(programBytes)
-			m.kept[len(m.kept)-1] += programBytes
-			begun++
 		}
-		m.most = max(m.most, m.profile().Bytes())
+		m.most = max(m.most, m.profile(false).Bytes())
 	}
 	return begun
 }
@@ -137,9 +152,10 @@
 
 func TestGateWithoutAPlanAdmits(t *testing.T) {
 	var g Gate
-	g.Kept(1 << 30)
-	if admitted, _ := g.Admits(PlanFor(Profile{}, testBound), testParts, start); !admitted {
-		t.Error("refused where nothing is known")
+	for range 3 {
+		if admitted, _ := g.Admits(PlanFor(Profile{}, testBound), testParts, 1e9, start); !admitted {
+			t.Error("refused where nothing is known")
+		}
 	}
 }
 
