Room in the store: reports are passed on, and a restart loses nothing that is reckoned with

Cause: seen in a simulated fleet of 48 daemons. What programs leave behind was learned from those that ended, so nothing was known of it for six seconds after a restart and all were let in; history counted by its present size, which a restart empties; reports of up to ten seconds were reckoned on with a rate of before; and a daemon hears of few shards by itself.

--- a/internal/ledger/append_history.go
+++ b/internal/ledger/append_history.go
@@ -17,6 +17,8 @@
 	// trimBytes is the least history, in bytes, that is worth a call to the store: a shard of
 	// the busiest deployment measured appends that much in one to two seconds.
 	trimBytes = 128 << 10
+	// rateTime is over what time the rate of appends is taken: about the age of reports of it.
+	rateTime = 2 * time.Second
 	// markInterval separates the marks by which a holder knows how old history is.
 	markInterval = time.Second
 )
@@ -97,21 +99,21 @@
 	return mark.end, mark.end > h.first && isWorthIt
 }
 
-// needed returns how many bytes of history are left once room in the store is tight.
-func (h *appendHistory) needed(now time.Time) int64 {
-	return min(h.bytes(), int64(float64(h.rate(now))*tightHistoryKept.Seconds())+trimBytes)
-}
-
 // bytes returns how many bytes of history this holder appended and did not trim.
 func (h *appendHistory) bytes() int64 { return h.written - h.trimmedBytes }
 
-// rate returns how many bytes a second were appended lately.
+// rate returns how many bytes a second were appended in the last rateTime or so.
 func (h *appendHistory) rate(now time.Time) int64 {
 	if len(h.marks) == 0 {
 		return 0
 	}
-	oldest := h.marks[0]
-	return int64(float64(h.written-oldest.written) / max(now.Sub(oldest.at), markInterval).Seconds())
+	from := h.marks[0]
+	for _, mark := range h.marks {
+		if now.Sub(mark.at) >= rateTime {
+			from = mark
+		}
+	}
+	return int64(float64(h.written-from.written) / max(now.Sub(from.at), markInterval).Seconds())
 }
 
 // trimmed takes note that history before an offset is being trimmed.
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -83,10 +83,8 @@
 	appended *appendHistory
 	// gate decides whether programs begin while the store is crowded.
 	gate space.Gate
-	// programs is what programs usually leave behind.
-	programs programSizes
-	// told is what was last told of the shard's room in the store.
-	told tellSpace
+	// sizes is what the shard was last told to take in the store.
+	sizes shardSizes
 	// histories is the reading of the turns' texts after a claim, nil once all are read.
 	histories *historyReading
 	tenure    tenure
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -101,9 +101,8 @@
 
 func (h *holder) answer(o operation, answer Response) {
 	answer.Number = o.request.Number
-	if o.request.Begin != nil && h.told.profile.LifeMS > 0 {
-		told := h.told.profile // the holder's own changes while this is read
-		answer.Space = &told
+	if o.request.Begin != nil {
+		answer.Space = h.space.tell(h.shard, time.Now())
 	}
 	answer.Epoch = h.epoch
 	answer.Holder = h.daemon
--- a/internal/ledger/holder_space.go
+++ b/internal/ledger/holder_space.go
@@ -13,12 +13,6 @@
 // in the second half; without it 619 end, 53 of them in the second half, and 342 are broken off
 // (simulated fleet and time).
 
-// tellSpace is what a holder last said of its shard's room in the store.
-type tellSpace struct {
-	profile space.Profile
-	sizes   shardSizes
-}
-
 // shardSizes are the bytes that a shard takes in the store, by purpose.
 type shardSizes struct{ turns, accounts, history int64 }
 
@@ -26,36 +20,11 @@
 	// programIdle is after how long without a turn a program counts as ended: several times the
 	// pauses for tools of the deployments measured.
 	programIdle = 3 * time.Second
-	// programWeight is the weight of the newest program in what they usually leave behind.
-	programWeight = 0.1
+	// leftShare is the part of what programs leave behind that those under way are still to keep:
+	// they keep it evenly, and are met at any moment.
+	leftShare = 0.5
 )
 
-// programSizes is what programs of a shard leave behind. Programs under way keep most of it later:
-// at three times the usual load a sixth of the store, so that programs were let in for seconds
-// after it was spoken for, and then none for as long.
-type programSizes struct {
-	// usual are the bytes of a program; 0 if none has ended yet.
-	usual float64
-}
-
-// weigh takes note of a program that may have ended, and returns how many bytes are still to come
-// of it.
-func (p *programSizes) weigh(entry *accountEntry, now time.Time) (coming float64) {
-	if now.Sub(entry.usedAt) < programIdle {
-		return max(p.usual-float64(entry.kept), 0)
-	}
-	if entry.weighed || entry.kept == 0 {
-		return 0
-	}
-	entry.weighed = true
-	if p.usual == 0 {
-		p.usual = float64(entry.kept)
-		return 0
-	}
-	p.usual += programWeight * (float64(entry.kept) - p.usual)
-	return 0
-}
-
 // keepsTurn tells whether a turn whose text must be kept may begin. If not, it was answered.
 func (h *holder) keepsTurn(o operation, turn Turn, now time.Time) bool {
 	if turn.Retention <= 0 {
@@ -72,7 +41,7 @@
 	if _, underway := h.state.accounts[turn.Program]; underway || turn.Previous != "" {
 		return true // what was let in ends
 	}
-	admitted, back := h.gate.Admits(plan, h.space.shards, h.programs.usual, now)
+	admitted, back := h.gate.Admits(plan, h.space.shards, now)
 	if !admitted {
 		h.metrics.refusedCrowded()
 		h.answer(o, Response{Result: resultCrowded, BackInMS: back.Milliseconds()})
@@ -80,26 +49,35 @@
 	return admitted
 }
 
+// underway returns how many programs of the shard are under way. What they are still to keep counts as
+// kept: at three times the usual load it is a sixth of the store, and without it programs were let in
+// for seconds after the room was spoken for, and then hardly any for as long.
+func (s *state) underway(now time.Time) (count int) {
+	for _, entry := range s.accounts {
+		if now.Sub(entry.usedAt) < programIdle {
+			count++
+		}
+	}
+	return count
+}
+
 // reportSpace makes known what the shard's records take in the store.
 func (h *holder) reportSpace(now time.Time) {
 	profile, sizes := h.state.kept(now)
 	sizes.history = h.appended.bytes()
-	profile.Fixed += h.appended.needed(now)
-	coming := 0.0
-	for _, entry := range h.state.accounts {
-		coming += h.programs.weigh(entry, now)
-	}
+	profile.Program = sizes.turns / int64(max(len(h.state.accounts), 1))
+	coming := leftShare * float64(profile.Program) * float64(h.state.underway(now))
 	profile.Add(int64(coming), time.Duration(profile.LifeMS)*time.Millisecond)
 	profile.Rate = h.appended.rate(now)
-	h.metrics.tookSpace(h.told.sizes, sizes)
-	h.told = tellSpace{profile: profile, sizes: sizes}
+	h.metrics.tookSpace(h.sizes, sizes)
+	h.sizes = sizes
 	h.space.note(h.shard, profile, now)
 }
 
 // forgetSpace takes back what was told of a shard that is held no more.
 func (h *holder) forgetSpace() {
-	h.metrics.tookSpace(h.told.sizes, shardSizes{})
-	h.told = tellSpace{}
+	h.metrics.tookSpace(h.sizes, shardSizes{})
+	h.sizes = shardSizes{}
 }
 
 // kept returns what the shard's newest records take, and when they are dropped.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -114,8 +114,8 @@
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
 	Verdict *quota.Verdict `json:"q,omitempty"`
-	// Space is what the shard's records take in the store, told with a turn that begins.
-	Space *space.Profile `json:"space,omitempty"`
+	// Space is what the shard, and some others, take in the store, told with a turn that begins.
+	Space []space.Report `json:"space,omitempty"`
 	// BackInMS tells, with resultCrowded, in how many milliseconds the program had better
 	// come back.
 	BackInMS int64 `json:"back_ms,omitempty"`
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -66,10 +66,6 @@
 	// the allowance granted in all.
 	isOnRecord bool
 	allowed    int64
-	// kept are the bytes of the turns that this holder kept for the program, and weighed tells
-	// that they count among those of programs that have ended.
-	kept    int64
-	weighed bool
 	// unrecorded turns were granted from headroom, and no record that was sent has
 	// their reservation.
 	unrecorded map[string]struct{}
@@ -157,9 +153,6 @@
 		return resultUnknownTurn
 	}
 	s.keep(outcome.Kept, retention, now)
-	if entry != nil {
-		entry.kept += int64(len(outcome.Kept.Input) + len(outcome.Kept.Output) + turnHeadBytes)
-	}
 	return resultOK
 }
 
--- a/internal/ledger/store_space.go
+++ b/internal/ledger/store_space.go
@@ -13,6 +13,9 @@
 	// planInterval is how long a plan counts: at three times the usual load of the busiest
 	// deployment measured, a four-hundredth of the store is kept meanwhile.
 	planInterval = 100 * time.Millisecond
+	// notableShare is the part of the store's bound from which on daemons pass reports on, some
+	// 0.5 KB with each turn that begins: below it nothing is decided by them.
+	notableShare = 0.1
 	// learnedShare is the part of what was kept when the store was found full that counts as
 	// its bound from then on, if that is lower than the one in the settings.
 	learnedShare = 0.98
@@ -35,6 +38,8 @@
 	// current is the latest plan, made at plannedAt.
 	current   space.Plan
 	plannedAt time.Time
+	// isNotable: so much is kept that daemons pass reports on.
+	isNotable bool
 	// step is how many of spaceSteps are passed.
 	step int
 }
@@ -54,6 +59,17 @@
 	s.estimate.Note(shard, kept, now)
 }
 
+// tell returns the report of a shard that this daemon holds, and once much is kept those of some
+// others; nothing where no bound is known.
+func (s *storeSpace) tell(shard int, now time.Time) []space.Report {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.bound <= 0 {
+		return nil
+	}
+	return s.estimate.Tell(shard, s.isNotable, now)
+}
+
 // plan returns what the store can still take.
 func (s *storeSpace) plan(now time.Time) space.Plan {
 	s.mutex.Lock()
@@ -69,6 +85,7 @@
 	}
 	wasCrowded := s.current.IsCrowded
 	s.current = space.PlanFor(kept, s.bound)
+	s.isNotable = float64(kept.Bytes()) >= notableShare*s.bound
 	s.metrics.planned(kept, s.bound, s.current)
 	s.tellStep(kept)
 	if s.current.IsCrowded != wasCrowded {
--- a/internal/space/gate.go
+++ b/internal/space/gate.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// reservedShare is the part of the store that programs' records leave free: for claims,
-	// for the dropping of records, for what is let in by reports that are a second old, and for
-	// the error of the estimate (6% by 16 of 48 shards).
-	reservedShare = 0.12
+	// reservedShare is the part of the store that programs' newest records leave free: for
+	// claims, for the dropping of records, for history (two seconds of what is kept and 128 KB
+	// for each of 48 shards: 4 in 100), for what is let in by reports that are a second old, and
+	// for the error of the estimate (6% by 16 of 48 shards).
+	reservedShare = 0.15
 	// tightShare is the part of the store from which on what is of least value goes at once: the
 	// usual load of the busiest deployment measured keeps just above that.
 	tightShare = 0.5
@@ -20,7 +21,7 @@
 	floorShare = 0.75
 	// correctionShare is by which part of the store what is kept may pass the plan until no
 	// program begins any more, and with how much less than that to spare it counts as crowded.
-	correctionShare = 0.05
+	correctionShare = 0.08
 	// spendTime is over what time the bytes beyond the floor may be kept: several times the age
 	// of reports. At once, loads beyond the floor would be let in and turned away by turns.
 	spendTime = 5 * time.Second
@@ -39,6 +40,8 @@
 	// Floor is how many bytes a second may be kept at any time, and Pace how many now: more
 	// while there is something to spare, less if more was kept than planned.
 	Floor, Pace float64
+	// Program is how many bytes a program usually leaves behind.
+	Program float64
 	// IsTight: what can be done without goes. IsCrowded: not much more than the floor may be
 	// kept. IsLast: nothing at all.
 	IsTight, IsCrowded, IsLast bool
@@ -64,7 +67,7 @@
 		pace = floor * max(1+spare/(correctionShare*usable), 0)
 	}
 	return Plan{
-		Spare: spare, Floor: floor, Pace: pace,
+		Spare: spare, Floor: floor, Pace: pace, Program: float64(kept.Program),
 		IsTight: bytes >= tightShare*bound, IsCrowded: spare < correctionShare*usable, IsLast: bytes >= lastShare*bound,
 	}
 }
@@ -76,9 +79,9 @@
 	at    time.Time
 }
 
-// Admits tells whether a program that is expected to leave some bytes behind may begin in one of
-// so many parts, and if not, when it had better come back. Without a plan all may.
-func (g *Gate) Admits(plan Plan, parts int, expected float64, now time.Time) (admitted bool, back time.Duration) {
+// Admits tells whether a program may begin in one of so many parts, and if not, when it had
+// better come back. Without a plan all may.
+func (g *Gate) Admits(plan Plan, parts int, now time.Time) (admitted bool, back time.Duration) {
 	passed := now.Sub(g.at)
 	g.at = now
 	floor, pace := plan.Floor/float64(parts), plan.Pace/float64(parts)
@@ -87,7 +90,7 @@
 	}
 	g.saved = min(g.saved+pace*passed.Seconds(), floor*burstTime.Seconds())
 	if g.saved >= 0 && pace > 0 {
-		g.saved -= expected
+		g.saved -= plan.Program
 		return true, 0
 	}
 	return false, max(time.Duration(-g.saved/floor*float64(time.Second)), leastReturn)
--- a/internal/space/profile.go
+++ b/internal/space/profile.go
@@ -26,12 +26,12 @@
 type Profile struct {
 	// Leaving are the bytes that are dropped within each SlotLength from then on.
 	Leaving []int64 `json:"leaving,omitempty"`
-	// Fixed are the bytes of which it is not known when they are dropped.
-	Fixed int64 `json:"fixed,omitempty"`
 	// Rate is how many bytes a second were kept lately, and Life for how many milliseconds
 	// such bytes are kept.
 	Rate   int64 `json:"rate,omitempty"`
 	LifeMS int64 `json:"life_ms,omitempty"`
+	// Program is how many bytes a program usually leaves behind, 0 if that is not known.
+	Program int64 `json:"program,omitempty"`
 }
 
 // Add adds bytes that are dropped after a while.
@@ -45,13 +45,13 @@
 
 // IsValid tells whether a profile that came from another daemon can be reckoned with.
 func (p Profile) IsValid() bool {
-	return len(p.Leaving) <= slotsLimit && p.Fixed >= 0 && p.Rate >= 0 && p.LifeMS > 0 &&
+	return len(p.Leaving) <= slotsLimit && p.Rate >= 0 && p.LifeMS > 0 && p.Program >= 0 &&
 		!slices.ContainsFunc(p.Leaving, func(bytes int64) bool { return bytes < 0 })
 }
 
 // Bytes returns all bytes that are kept.
 func (p Profile) Bytes() int64 {
-	sum := p.Fixed
+	sum := int64(0)
 	for _, bytes := range p.Leaving {
 		sum += bytes
 	}
@@ -72,7 +72,8 @@
 // after returns the profile as it is some time later, if bytes are kept and dropped on as
 // they were.
 func (p Profile) after(passed time.Duration) Profile {
-	later := Profile{Leaving: make([]int64, len(p.Leaving)), Fixed: p.Fixed, Rate: p.Rate, LifeMS: p.LifeMS}
+	later := p
+	later.Leaving = make([]int64, len(p.Leaving))
 	whole, part := int(passed/SlotLength), float64(passed%SlotLength)/float64(SlotLength)
 	for slot, bytes := range p.Leaving {
 		moved := int64(part * float64(bytes))
@@ -92,16 +93,18 @@
 	for slot, bytes := range other.Leaving {
 		p.Add(bytes, time.Duration(slot)*SlotLength)
 	}
-	p.Fixed += other.Fixed
 	p.Rate += other.Rate
 	p.LifeMS = max(p.LifeMS, other.LifeMS)
+	p.Program += other.Program
 }
 
-// times multiplies all bytes.
+// times multiplies the bytes of all programs.
 func (p Profile) times(factor float64) Profile {
-	scaled := Profile{Fixed: int64(factor * float64(p.Fixed)), Rate: int64(factor * float64(p.Rate)), LifeMS: p.LifeMS}
-	for _, bytes := range p.Leaving {
-		scaled.Leaving = append(scaled.Leaving, int64(factor*float64(bytes)))
+	scaled := p
+	scaled.Rate = int64(factor * float64(p.Rate))
+	scaled.Leaving = make([]int64, len(p.Leaving))
+	for slot, bytes := range p.Leaving {
+		scaled.Leaving[slot] = int64(factor * float64(bytes))
 	}
 	return scaled
 }
