Room in the store: what is learned of the bound passes, and a wait that ends

A store found full below its bound, as when history could not be trimmed for a while, counted as smaller until the daemon's end. A report of things kept for years made a daemon reckon on second by second for as long. A program turned away while none may begin was told to come back in 0.2 s. And tests of the load ended with abandoned turns under way: 1 of 6 runs of TestTenTimesTheDayKeepsNoMore ended with a deadlock of the virtual clock. Change: the learned bound counts for a minute; a report's life is bounded by a year and reckoned on for five minutes; the time to come back is that of the pace, four seconds where there is none; tests wait for what they abandoned.

--- a/internal/ledger/long_day_test.go
+++ b/internal/ledger/long_day_test.go
@@ -84,6 +84,7 @@
 	short := f.keptOf()
 	live(tenDays - shortDay)
 	long := f.keptOf()
+	l.wait()
 	for what, before := range short {
 		// Loads differ by their programs' turn of the moment, and how long ago a restart was.
 		if after := long[what]; after > before+before/4+10 {
--- a/internal/ledger/store_space.go
+++ b/internal/ledger/store_space.go
@@ -17,8 +17,10 @@
 	// 0.5 KB with each turn that begins: below it nothing is decided by them.
 	notableShare = 0.1
 	// learnedShare is the part of what was kept when the store was found full that counts as
-	// its bound from then on, if that is lower than the one in the settings.
+	// its bound for learnedLife, if that is lower than the one in the settings. By then what
+	// was kept is dropped, and history that could not be trimmed has been.
 	learnedShare = 0.98
+	learnedLife  = time.Minute
 )
 
 // spaceSteps are the parts of the store's bound of which a line tells that they were passed.
@@ -33,8 +35,11 @@
 	metrics  *Metrics
 
 	mutex sync.Mutex
-	// bound is the most that the store keeps, in bytes; 0 if that is not known.
-	bound float64
+	// bound is the most that the store keeps, in bytes, by the settings; 0 if that is not
+	// known. learned is what was kept when it was last found full, at learnedAt.
+	bound     float64
+	learned   float64
+	learnedAt time.Time
 	// current is the latest plan, made at plannedAt.
 	current   space.Plan
 	plannedAt time.Time
@@ -83,44 +88,53 @@
 		s.current = space.Plan{}
 		return s.current
 	}
+	bound := s.boundAt(now)
 	wasCrowded := s.current.IsCrowded
-	s.current = space.PlanFor(kept, s.bound)
-	s.isNotable = float64(kept.Bytes()) >= notableShare*s.bound
-	s.metrics.planned(kept, s.bound, s.current)
-	s.tellStep(kept)
+	s.current = space.PlanFor(kept, bound)
+	s.isNotable = float64(kept.Bytes()) >= notableShare*bound
+	s.metrics.planned(kept, bound, s.current)
+	s.tellStep(kept, bound)
 	if s.current.IsCrowded != wasCrowded {
-		s.logger.Info().Bool("crowded", s.current.IsCrowded).Int64("bytes", kept.Bytes()).Float64("bound", s.bound).
+		s.logger.Info().Bool("crowded", s.current.IsCrowded).Int64("bytes", kept.Bytes()).Float64("bound", bound).
 			Int64("rate", kept.Rate).Float64("floor", s.current.Floor).Float64("pace", s.current.Pace).
 			Msg("Whether programs are held back for want of room in the store has changed.")
 	}
 	return s.current
 }
 
+// boundAt returns the bound that counts at a time. The mutex must be held.
+func (s *storeSpace) boundAt(now time.Time) float64 {
+	if s.learned > 0 && now.Sub(s.learnedAt) < learnedLife {
+		return min(s.learned, s.bound)
+	}
+	return s.bound
+}
+
 // tellStep logs that a step of the store's bound was passed, in either direction.
-func (s *storeSpace) tellStep(kept space.Profile) {
+func (s *storeSpace) tellStep(kept space.Profile, bound float64) {
 	step := 0
-	for step < len(spaceSteps) && float64(kept.Bytes()) >= spaceSteps[step]*s.bound {
+	for step < len(spaceSteps) && float64(kept.Bytes()) >= spaceSteps[step]*bound {
 		step++
 	}
 	if step == s.step {
 		return
 	}
-	s.logger.Info().Int("step", step).Int("before", s.step).Int64("bytes", kept.Bytes()).Float64("bound", s.bound).
-		Int64("rate", kept.Rate).Dur("full_in", kept.FullIn(s.bound)).Msg("The store has passed a step of its bound.")
+	s.logger.Info().Int("step", step).Int("before", s.step).Int64("bytes", kept.Bytes()).Float64("bound", bound).
+		Int64("rate", kept.Rate).Dur("full_in", kept.FullIn(bound)).Msg("The store has passed a step of its bound.")
 	s.step = step
 }
 
 // foundFull takes note that the store refused an append as full: if less is kept than its bound,
-// the bound is lower.
+// something else fills it, or the bound is lower.
 func (s *storeSpace) foundFull(now time.Time) {
 	kept, known := s.estimate.Sum(now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	learned := learnedShare * float64(kept.Bytes())
-	if !known || s.bound <= 0 || learned <= 0 || learned >= s.bound {
+	learned, bound := learnedShare*float64(kept.Bytes()), s.boundAt(now)
+	if !known || bound <= 0 || learned <= 0 || learned >= bound {
 		return
 	}
-	s.logger.Warn().Int64("bytes", kept.Bytes()).Float64("bound", s.bound).Float64("learned", learned).
-		Msg("The store is full below its bound. What was kept counts as the bound.")
-	s.bound = learned
+	s.logger.Warn().Int64("bytes", kept.Bytes()).Float64("bound", bound).Float64("learned", learned).
+		Msg("The store is full below its bound. What was kept counts as the bound for a while.")
+	s.learned, s.learnedAt = learned, now
 }
--- a/internal/ledger/store_space_test.go
+++ b/internal/ledger/store_space_test.go
@@ -112,6 +112,13 @@
 	return s.End(ctx, Outcome{Turn: id, Program: program, Retention: spaceRetention, UsedTokens: 1, Kept: kept}) == nil
 }
 
+// wait waits until all programs have ended, and what they abandoned is settled: on a virtual clock
+// nothing goes on after the test.
+func (l *spaceLoad) wait() {
+	l.callers.Wait()
+	time.Sleep(endedLife)
+}
+
 // count adds an outcome up over the seconds from one to another.
 func (l *spaceLoad) count(outcome map[int]int, from, to time.Duration) (count int) {
 	l.mutex.Lock()
@@ -147,7 +154,7 @@
 		}
 		resumed := time.Since(l.started)
 		l.run(lost-back, usualPrograms)
-		l.callers.Wait()
+		l.wait()
 
 		if full := f.store.Full(); full > 0 {
 			t.Errorf("%d appends found the store full", full)
@@ -211,16 +218,19 @@
 		t.Errorf("crowded before: %+v", plan)
 	}
 	space.foundFull(now)
-	if space.bound != 98 {
-		t.Errorf("bound %v", space.bound)
+	if bound := space.boundAt(now); bound != 98 {
+		t.Errorf("bound %v", bound)
 	}
 	if plan := space.plan(now.Add(planInterval)); !plan.IsLast {
 		t.Errorf("more may be kept: %+v", plan)
 	}
 	space.note(0, profileOf(400), now.Add(time.Second)) // a bound does not rise by what is kept
 	space.foundFull(now.Add(time.Second))
-	if space.bound != 98 {
-		t.Errorf("bound %v", space.bound)
+	if bound := space.boundAt(now.Add(time.Second)); bound != 98 {
+		t.Errorf("bound %v", bound)
+	}
+	if bound := space.boundAt(now.Add(learnedLife)); bound != 1000 {
+		t.Errorf("bound %v after what was kept then is gone", bound)
 	}
 }
 
@@ -297,7 +307,7 @@
 		f.killAll()
 		startAll(3)
 		l.run(end-lost, 2*scale*usualPrograms)
-		l.callers.Wait()
+		l.wait()
 		for from := lost + 2*time.Second; from+5*time.Second <= end; from += time.Second {
 			if ended := l.count(l.ended, from, from+5*time.Second); ended < 5*scale*usualPrograms*2/3 {
 				t.Errorf("%d programs ended of those that began from %s on for 5 s, of the usual load it would be %d", ended, from, 5*scale*usualPrograms)
--- a/internal/space/gate.go
+++ b/internal/space/gate.go
@@ -55,7 +55,7 @@
 	}
 	usable := bound * (1 - reservedShare)
 	bytes := float64(kept.Bytes())
-	floor := floorShare * usable / (time.Duration(kept.LifeMS) * time.Millisecond).Seconds()
+	floor := floorShare * usable / kept.life().Seconds()
 	spare := usable - bytes
 	left := spare
 	for _, leaving := range kept.Leaving[:min(len(kept.Leaving), slotsLimit-1)] {
@@ -93,5 +93,9 @@
 		g.saved -= plan.Program
 		return true, 0
 	}
-	return false, max(time.Duration(-g.saved/floor*float64(time.Second)), leastReturn)
+	if pace <= 0 {
+		return false, burstTime // more was kept than planned, and some of it must be dropped first
+	}
+	wait := time.Duration(-g.saved / pace * float64(time.Second))
+	return false, min(max(wait, leastReturn), burstTime)
 }
--- a/internal/space/profile.go
+++ b/internal/space/profile.go
@@ -18,6 +18,9 @@
 // the shortest retention that users ask for.
 const SlotLength = 5 * time.Second
 
+// longestLife bounds for how long anything is said to be kept.
+const longestLife = 366 * 24 * time.Hour
+
 // slotsLimit bounds the entries of Profile.Leaving. The last one stands for all that is dropped
 // later, of which PlanFor takes nothing to be dropped.
 const slotsLimit = 60
@@ -45,10 +48,14 @@
 
 // IsValid tells whether a profile that came from another daemon can be reckoned with.
 func (p Profile) IsValid() bool {
-	return len(p.Leaving) <= slotsLimit && p.Rate >= 0 && p.LifeMS > 0 && p.Program >= 0 &&
+	return len(p.Leaving) <= slotsLimit && p.Rate >= 0 && p.Program >= 0 &&
+		p.LifeMS > 0 && p.LifeMS <= longestLife.Milliseconds() &&
 		!slices.ContainsFunc(p.Leaving, func(bytes int64) bool { return bytes < 0 })
 }
 
+// life is for how long bytes are kept.
+func (p Profile) life() time.Duration { return time.Duration(p.LifeMS) * time.Millisecond }
+
 // Bytes returns all bytes that are kept.
 func (p Profile) Bytes() int64 {
 	sum := int64(0)
@@ -59,9 +66,10 @@
 }
 
 // FullIn is when so many bytes are kept, if bytes are kept and dropped on as they were; 0 if that
-// is not within the life of what is kept now.
+// is not within the life of what is kept now, or within all slots.
 func (p Profile) FullIn(bound float64) time.Duration {
-	for passed := time.Duration(0); passed < time.Duration(p.LifeMS)*time.Millisecond; passed += time.Second {
+	life := min(p.life(), slotsLimit*SlotLength)
+	for passed := time.Duration(0); passed < life; passed += time.Second {
 		if float64(p.after(passed).Bytes()) >= bound {
 			return passed
 		}
@@ -84,7 +92,7 @@
 			later.Leaving[to] += moved
 		}
 	}
-	later.Add(int64(float64(p.Rate)*passed.Seconds()), time.Duration(p.LifeMS)*time.Millisecond)
+	later.Add(int64(float64(p.Rate)*passed.Seconds()), p.life())
 	return later
 }
 
--- a/internal/space/space_test.go
+++ b/internal/space/space_test.go
@@ -74,7 +74,7 @@
 			case admitted:
 				m.begin()
 				begun++
-			case back <= 0 || back > 10*time.Second:
+			case back < leastReturn || back > burstTime:
 				panic(back)
 			default:
 				m.refused++
@@ -180,6 +180,13 @@
 	if got := p.FullIn(1e9); got != 0 {
 		t.Errorf("full in %s", got)
 	}
+	p.LifeMS = longestLife.Milliseconds()
+	if got := p.FullIn(1e9); got != 0 || !p.IsValid() {
+		t.Errorf("full in %s where things are kept for a year", got)
+	}
+	if p.LifeMS++; p.IsValid() {
+		t.Error("kept for longer than anything is")
+	}
 }
 
 func TestEstimateSpeaksForPartsThatWereNotHeardOf(t *testing.T) {
