--- /dev/null
+++ b/internal/ledger/return_world_test.go
@@ -0,0 +1,153 @@
+package ledger
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// returnView is a daemon's view: of the other side of the cut it hears nothing.
+type returnView struct {
+	*returnFleet
+	self structs.DaemonID
+}
+
+// State implements membership.View.
+func (v *returnView) State(id structs.DaemonID) membership.State {
+	if v.runAt(id.Address()) != id {
+		return membership.StateDead
+	}
+	cut := v.isCutOff(id) != v.isCutOff(v.self) && v.isDuringCut(spreadOf("view", v.self, id, viewBack))
+	if cut || v.isKilled(id.Address()) && id.Incarnation() == 1 {
+		silent := v.now() - returnCutAt - spreadOf("dead", v.self, id, suspectAfter/2)
+		switch {
+		case silent >= deadAfter:
+			return membership.StateDead
+		case silent >= suspectAfter:
+			return membership.StateSuspect
+		}
+	}
+	return membership.StateAlive
+}
+
+// runAt returns the latest run at an address that this daemon has heard of.
+func (v *returnView) runAt(address string) structs.DaemonID {
+	heard := returnCutAt + restartAfter + spreadOf("run", v.self, structs.DaemonID(address), runHeard)
+	if v.isKilled(address) && (v.now() >= heard || v.self.Address() == address && v.self.Incarnation() == 2) {
+		return structs.NewDaemonID(address, 2)
+	}
+	return structs.NewDaemonID(address, 1)
+}
+
+// Members implements membership.View.
+func (v *returnView) Members() []membership.Member {
+	var members []membership.Member
+	for address := range zoneOfDaemon {
+		if member, _ := v.Lookup(address); member.State != membership.StateDead {
+			members = append(members, member)
+		}
+	}
+	return members
+}
+
+// Lookup implements View.
+func (v *returnView) Lookup(address string) (membership.Member, bool) {
+	id := v.runAt(address)
+	zone := structs.ZoneName("zone-" + strconv.Itoa(zoneOfDaemon[address]))
+	return membership.Member{Daemon: structs.Daemon{ID: id, Zone: zone}, State: v.State(id)}, true
+}
+
+// returnStore is a daemon's way to the store, whose reading all share.
+type returnStore struct {
+	store.Store
+	fleet *returnFleet
+	self  structs.DaemonID
+}
+
+// reach lets a call get to the store; an error tells that it does not.
+func (s *returnStore) reach(ctx context.Context) error {
+	if (s.fleet.outage || s.fleet.isCutOff(s.self)) && s.fleet.isDuringCut(spreadOf("store", s.self, "", storeBack)) {
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	clock.Sleep(ctx, 2*returnWay)
+	return nil
+}
+
+// Append implements store.Store.
+func (s *returnStore) Append(ctx context.Context, partition store.Partition, by store.Writer, records []store.Record) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	err := s.Store.Append(ctx, partition, by, records)
+	if err == nil && partition.Space == "ledger" && by.Sequence == 1 && by.Name == writerName {
+		s.fleet.noteClaim(partition.Number, s.self)
+	}
+	return err
+}
+
+// NewestPage implements store.Store.
+func (s *returnStore) NewestPage(ctx context.Context, partition store.Partition, after string) (store.Page, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Page{}, err
+	}
+	page, err := s.Store.NewestPage(ctx, partition, after)
+	if err != nil {
+		return page, err
+	}
+	size := 0
+	for i, record := range page.Records {
+		if size += len(record.Key) + len(record.Value); size > returnPage {
+			page.Records, page.More = page.Records[:i+1], i+1 < len(page.Records) || page.More
+			break
+		}
+	}
+	return page, s.fleet.transfer(ctx, s.self, 4*store.SizeOf(page.Records)/3)
+}
+
+// Read implements store.Store.
+func (s *returnStore) Read(ctx context.Context, partition store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return nil, from, err
+	}
+	records, next, err := s.Store.Read(ctx, partition, from, wait)
+	if err != nil {
+		return records, next, err
+	}
+	for i, size := 0, 0; i < len(records); i++ {
+		if size += len(records[i].Key) + len(records[i].Value); size > returnPage {
+			records, next = records[:i+1], from+int64(i+1)
+		}
+	}
+	return records, next, s.fleet.transfer(ctx, s.self, store.SizeOf(records))
+}
+
+// transfer lets the time pass that the store takes to read some bytes after all that
+// it was asked for before, and the daemon's link to carry them. What nobody waits for
+// any more is read all the same.
+func (f *returnFleet) transfer(ctx context.Context, to structs.DaemonID, size int) error {
+	f.mutex.Lock()
+	f.bytes[f.second()] += size
+	now := time.Now()
+	f.readBusyUntil = later(f.readBusyUntil, now).Add(time.Duration(size) * time.Second / returnReadRate)
+	f.linkBusyUntil[to] = later(f.linkBusyUntil[to], now).Add(time.Duration(size) * time.Second / returnLinkRate)
+	until := later(f.readBusyUntil, f.linkBusyUntil[to])
+	f.mutex.Unlock()
+	clock.Sleep(ctx, time.Until(until))
+	if ctx.Err() != nil {
+		return store.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
