Ledger: what weighs the store's room is called capacity

Cause: a space is a group of the store's partitions everywhere else in the code, so package space and its fields read as that. Change: package storecapacity, storeCapacity and names after them; the field of the answer is StoreReports.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -166,7 +166,7 @@
 	}
 	now := time.Now()
 	if h.records.isFull(now) {
-		h.space.foundFull(now)
+		h.capacity.foundFull(now)
 		h.clearHistory(ctx, now)
 	}
 	current.waiting = h.grantWaiting(current.waiting, now)
--- a/internal/ledger/ask.go
+++ b/internal/ledger/ask.go
@@ -60,7 +60,7 @@
 			s.avoided.note(shard, target, response.Result)
 		}
 		s.known.noteAnswer(shard, response)
-		s.space.estimate.Hear(response.Space, time.Now())
+		s.capacity.estimate.Hear(response.StoreReports, time.Now())
 		s.noteAnswer(shard, response.Result, time.Now())
 		if response.Result.endsAsking() || response.gaveUp {
 			return response
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -7,8 +7,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
-	"github.com/mintpulley/mintpulley/internal/space"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 )
 
 const (
@@ -41,9 +41,9 @@
 	daemon    string
 	records   *recordStore
 	known     *holderTable
-	// space is what is known of the room in the store.
-	space *storeSpace
-	fleet fleet
+	// capacity is what is known of the room in the store.
+	capacity *storeCapacity
+	fleet    fleet
 	// machine is the clock of the machine that this daemon runs on.
 	machine MachineClock
 	// quotaTerms are the terms on which the holder of a tenant's shard owns its limit.
@@ -82,7 +82,7 @@
 	// appended is the shard's history in the store, nil while the shard is not held.
 	appended *appendHistory
 	// gate decides whether programs begin while the store is crowded.
-	gate space.Gate
+	gate storecapacity.Gate
 	// sizes is what the shard was last told to take in the store.
 	sizes shardSizes
 	// histories is the reading of the turns' texts after a claim, nil once all are read.
@@ -189,7 +189,7 @@
 	if dropped > 0 && h.appends.pending == nil && len(h.appends.waiting) == 0 {
 		h.appends.flush.Reset(settleDelay) // also where all that comes is refused
 	}
-	h.reportSpace(now)
+	h.reportCapacity(now)
 }
 
 // post lets run do a task.
--- a/internal/ledger/holder_space.go
+++ b/internal/ledger/holder_capacity.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mintpulley/mintpulley/internal/space"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 )
 
 // A store that is full serves nobody: no whole answer can be recorded, nothing be dropped and no
@@ -30,7 +30,7 @@
 	if turn.Retention <= 0 {
 		return true
 	}
-	plan := h.space.plan(now)
+	plan := h.capacity.plan(now)
 	if h.records.isFull(now) || plan.IsLast {
 		// An engine would run it, and its caller would wait in vain for the end: nothing
 		// makes room sooner than what is refused.
@@ -41,7 +41,7 @@
 	if _, underway := h.state.accounts[turn.Program]; underway || turn.Previous != "" {
 		return true // what was let in ends
 	}
-	admitted, back := h.gate.Admits(plan, h.space.shards, now)
+	admitted, back := h.gate.Admits(plan, h.capacity.shards, now)
 	if !admitted {
 		h.metrics.refusedCrowded()
 		h.answer(o, Response{Result: resultCrowded, BackInMS: back.Milliseconds()})
@@ -61,27 +61,27 @@
 	return count
 }
 
-// reportSpace makes known what the shard's records take in the store.
-func (h *holder) reportSpace(now time.Time) {
+// reportCapacity makes known what the shard's records take in the store.
+func (h *holder) reportCapacity(now time.Time) {
 	profile, sizes := h.state.kept(now)
 	sizes.history = h.appended.bytes()
 	profile.Program = sizes.turns / int64(max(len(h.state.accounts), 1))
 	coming := leftShare * float64(profile.Program) * float64(h.state.underway(now))
 	profile.Add(int64(coming), time.Duration(profile.LifeMS)*time.Millisecond)
 	profile.Rate = h.appended.rate(now)
-	h.metrics.tookSpace(h.sizes, sizes)
+	h.metrics.tookBytes(h.sizes, sizes)
 	h.sizes = sizes
-	h.space.note(h.shard, profile, now)
+	h.capacity.note(h.shard, profile, now)
 }
 
-// forgetSpace takes back what was told of a shard that is held no more.
-func (h *holder) forgetSpace() {
-	h.metrics.tookSpace(h.sizes, shardSizes{})
+// forgetSizes takes back what was told of a shard that is held no more.
+func (h *holder) forgetSizes() {
+	h.metrics.tookBytes(h.sizes, shardSizes{})
 	h.sizes = shardSizes{}
 }
 
 // kept returns what the shard's newest records take, and when they are dropped.
-func (s *state) kept(now time.Time) (profile space.Profile, sizes shardSizes) {
+func (s *state) kept(now time.Time) (profile storecapacity.Profile, sizes shardSizes) {
 	add := func(sum *int64, bytes int64, usedAt time.Time, retentionMS int64) {
 		life := time.Duration(retentionMS)*time.Millisecond + keepMargin
 		*sum += bytes
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -102,7 +102,7 @@
 func (h *holder) answer(o operation, answer Response) {
 	answer.Number = o.request.Number
 	if o.request.Begin != nil {
-		answer.Space = h.space.tell(h.shard, time.Now())
+		answer.StoreReports = h.capacity.tell(h.shard, time.Now())
 	}
 	answer.Epoch = h.epoch
 	answer.Holder = h.daemon
--- a/internal/ledger/holder_release.go
+++ b/internal/ledger/holder_release.go
@@ -126,7 +126,7 @@
 		h.former = &formerState{epoch: h.epoch, lostAt: time.Now(), accounts: h.state.accounts}
 		h.formerOver.Reset(formerLife)
 	}
-	h.forgetSpace()
+	h.forgetSizes()
 	h.status.stampedAt.clear()
 	if h.histories != nil {
 		for _, o := range h.histories.waiting {
--- a/internal/ledger/long_day_test.go
+++ b/internal/ledger/long_day_test.go
@@ -66,8 +66,8 @@
 
 func testTenTimesTheDay(t *testing.T, restarts bool) {
 	f := newTestFleet(t, 3)
-	f.storeBytes = spaceCapacity
-	l := newSpaceLoad(f)
+	f.storeBytes = loadedCapacity
+	l := newProgramLoad(f)
 	run := uint64(1)
 	live := func(length time.Duration) {
 		for started := time.Now(); time.Since(started) < length; {
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/quota"
-	"github.com/mintpulley/mintpulley/internal/space"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 	"github.com/mintpulley/mintpulley/internal/zone"
 )
 
@@ -114,8 +114,8 @@
 	Grant   Grant          `json:"g,omitzero"`
 	Found   *KeptTurn      `json:"f,omitempty"`
 	Verdict *quota.Verdict `json:"q,omitempty"`
-	// Space is what the shard, and some others, take in the store, told with a turn that begins.
-	Space []space.Report `json:"space,omitempty"`
+	// StoreReports tell what the shard, and some others, take in the store, told with a turn that begins.
+	StoreReports []storecapacity.Report `json:"sr,omitempty"`
 	// BackInMS tells, with resultCrowded, in how many milliseconds the program had better
 	// come back.
 	BackInMS int64 `json:"back_ms,omitempty"`
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -6,7 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
-	"github.com/mintpulley/mintpulley/internal/space"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 )
 
 // Metrics counts what the ledger does.
@@ -115,15 +115,15 @@
 
 func (m *Metrics) refusedCrowded() { m.crowded.Inc() }
 
-// tookSpace takes note that what a held shard takes in the store has changed.
-func (m *Metrics) tookSpace(before, now shardSizes) {
+// tookBytes takes note that what a held shard takes in the store has changed.
+func (m *Metrics) tookBytes(before, now shardSizes) {
 	m.taken.WithLabelValues("turns").Add(float64(now.turns - before.turns))
 	m.taken.WithLabelValues("accounts").Add(float64(now.accounts - before.accounts))
 	m.taken.WithLabelValues("history").Add(float64(now.history - before.history))
 }
 
 // planned tells what the whole fleet keeps.
-func (m *Metrics) planned(kept space.Profile, bound float64, plan space.Plan) {
+func (m *Metrics) planned(kept storecapacity.Profile, bound float64, plan storecapacity.Plan) {
 	m.fill.WithLabelValues("kept").Set(float64(kept.Bytes()))
 	m.fill.WithLabelValues("bound").Set(bound)
 	m.fill.WithLabelValues("spare").Set(plan.Spare)
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -33,22 +33,22 @@
 	pace      handoverPacer
 	// troubles are those of shards that this daemon asked for.
 	troubles troubles
-	// space is what is known of the room in the store.
-	space   *storeSpace
-	leaving chan struct{}
-	left    sync.Once
-	replies peer.Replies[Response]
-	settled chan struct{}
+	// capacity is what is known of the room in the store.
+	capacity *storeCapacity
+	leaving  chan struct{}
+	left     sync.Once
+	replies  peer.Replies[Response]
+	settled  chan struct{}
 }
 
 // NewService returns a service; Run makes it work.
 func NewService(options Options) *Service {
 	s := &Service{
-		Options: options,
-		known:   newHolderTable(len(options.Partitions)),
-		settled: make(chan struct{}),
-		leaving: make(chan struct{}),
-		space:   newStoreSpace(options),
+		Options:  options,
+		known:    newHolderTable(len(options.Partitions)),
+		settled:  make(chan struct{}),
+		leaving:  make(chan struct{}),
+		capacity: newStoreCapacity(options),
 	}
 	if s.Admission == nil {
 		s.Admission = &admission.Admission{}
@@ -78,7 +78,7 @@
 				daemon:        string(s.Self),
 				records:       s.records,
 				known:         s.known,
-				space:         s.space,
+				capacity:      s.capacity,
 				fleet:         s,
 				machine:       s.Machine,
 				quotaTerms:    s.Quota,
--- a/internal/ledger/store_space.go
+++ b/internal/ledger/store_capacity.go
@@ -6,7 +6,7 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/mintpulley/mintpulley/internal/space"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 )
 
 const (
@@ -23,13 +23,13 @@
 	learnedLife  = time.Minute
 )
 
-// spaceSteps are the parts of the store's bound of which a line tells that they were passed.
-var spaceSteps = []float64{0.5, 0.75, 0.9, 1}
+// capacitySteps are the parts of the store's bound of which a line tells that they were passed.
+var capacitySteps = []float64{0.5, 0.75, 0.9, 1}
 
-// storeSpace is what a daemon knows of the room in the store, by the reports of shards that it
+// storeCapacity is what a daemon knows of the room in the store, by the reports of shards that it
 // holds or asked for. It is safe for concurrent use.
-type storeSpace struct {
-	estimate *space.Estimate
+type storeCapacity struct {
+	estimate *storecapacity.Estimate
 	shards   int
 	logger   zerolog.Logger
 	metrics  *Metrics
@@ -41,17 +41,17 @@
 	learned   float64
 	learnedAt time.Time
 	// current is the latest plan, made at plannedAt.
-	current   space.Plan
+	current   storecapacity.Plan
 	plannedAt time.Time
 	// isNotable: so much is kept that daemons pass reports on.
 	isNotable bool
-	// step is how many of spaceSteps are passed.
+	// step is how many of capacitySteps are passed.
 	step int
 }
 
-func newStoreSpace(options Options) *storeSpace {
-	return &storeSpace{
-		estimate: space.NewEstimate(len(options.Partitions)),
+func newStoreCapacity(options Options) *storeCapacity {
+	return &storeCapacity{
+		estimate: storecapacity.NewEstimate(len(options.Partitions)),
 		shards:   len(options.Partitions),
 		bound:    options.StoreBytes,
 		logger:   options.Logger,
@@ -60,13 +60,13 @@
 }
 
 // note takes the report of a shard.
-func (s *storeSpace) note(shard int, kept space.Profile, now time.Time) {
+func (s *storeCapacity) note(shard int, kept storecapacity.Profile, now time.Time) {
 	s.estimate.Note(shard, kept, now)
 }
 
 // tell returns the report of a shard that this daemon holds, and once much is kept those of some
 // others; nothing where no bound is known.
-func (s *storeSpace) tell(shard int, now time.Time) []space.Report {
+func (s *storeCapacity) tell(shard int, now time.Time) []storecapacity.Report {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.bound <= 0 {
@@ -76,7 +76,7 @@
 }
 
 // plan returns what the store can still take.
-func (s *storeSpace) plan(now time.Time) space.Plan {
+func (s *storeCapacity) plan(now time.Time) storecapacity.Plan {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.bound <= 0 || now.Sub(s.plannedAt) < planInterval {
@@ -85,12 +85,12 @@
 	s.plannedAt = now
 	kept, known := s.estimate.Sum(now)
 	if !known {
-		s.current = space.Plan{}
+		s.current = storecapacity.Plan{}
 		return s.current
 	}
 	bound := s.boundAt(now)
 	wasCrowded := s.current.IsCrowded
-	s.current = space.PlanFor(kept, bound)
+	s.current = storecapacity.PlanFor(kept, bound)
 	s.isNotable = float64(kept.Bytes()) >= notableShare*bound
 	s.metrics.planned(kept, bound, s.current)
 	s.tellStep(kept, bound)
@@ -103,7 +103,7 @@
 }
 
 // boundAt returns the bound that counts at a time. The mutex must be held.
-func (s *storeSpace) boundAt(now time.Time) float64 {
+func (s *storeCapacity) boundAt(now time.Time) float64 {
 	if s.learned > 0 && now.Sub(s.learnedAt) < learnedLife {
 		return min(s.learned, s.bound)
 	}
@@ -111,9 +111,9 @@
 }
 
 // tellStep logs that a step of the store's bound was passed, in either direction.
-func (s *storeSpace) tellStep(kept space.Profile, bound float64) {
+func (s *storeCapacity) tellStep(kept storecapacity.Profile, bound float64) {
 	step := 0
-	for step < len(spaceSteps) && float64(kept.Bytes()) >= spaceSteps[step]*bound {
+	for step < len(capacitySteps) && float64(kept.Bytes()) >= capacitySteps[step]*bound {
 		step++
 	}
 	if step == s.step {
@@ -126,7 +126,7 @@
 
 // foundFull takes note that the store refused an append as full: if less is kept than its bound,
 // something else fills it, or the bound is lower.
-func (s *storeSpace) foundFull(now time.Time) {
+func (s *storeCapacity) foundFull(now time.Time) {
 	kept, known := s.estimate.Sum(now)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/ledger/store_space_test.go
+++ b/internal/ledger/store_capacity_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/mintpulley/mintpulley/internal/space"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/storecapacity"
 )
 
 // What callers saw: under a load that keeps more than the store holds, service ended within
@@ -30,23 +30,23 @@
 // with the bound known to the daemons as much is let in as it can keep, and nothing refused later.
 
 const (
-	// spaceTurns is how many turns a program takes, each of spaceText bytes.
-	spaceTurns = 4
-	spaceText  = 8000
-	// spaceRetention is that of all turns, and spacePause passes between those of a program.
-	spaceRetention = time.Minute
-	spacePause     = time.Second
+	// loadTurns is how many turns a program takes, each of loadText bytes.
+	loadTurns = 4
+	loadText  = 8000
+	// loadRetention is that of all turns, and loadPause passes between those of a program.
+	loadRetention = time.Minute
+	loadPause     = time.Second
 	// usualPrograms is how many programs begin each second, and heavyFactor times as many
 	// are a load that keeps twice what the store holds.
 	usualPrograms = 6
 	heavyFactor   = 3
-	// spaceCapacity is 1.6 times what the usual load keeps: 24 turns a second of 8,500 bytes
+	// loadedCapacity is 1.6 times what the usual load keeps: 24 turns a second of 8,500 bytes
 	// with their programs' accounts, newest for 70 s and as history for 10 s.
-	spaceCapacity = 26_000_000
+	loadedCapacity = 26_000_000
 )
 
-// spaceLoad is a load of programs, and what became of them by the second they began in.
-type spaceLoad struct {
+// programLoad is a load of programs, and what became of them by the second they began in.
+type programLoad struct {
 	fleet   *testFleet
 	started time.Time
 	callers sync.WaitGroup
@@ -57,12 +57,12 @@
 	next                   atomic.Int64
 }
 
-func newSpaceLoad(f *testFleet) *spaceLoad {
-	return &spaceLoad{fleet: f, started: time.Now(), ended: map[int]int{}, refused: map[int]int{}, broken: map[int]int{}}
+func newProgramLoad(f *testFleet) *programLoad {
+	return &programLoad{fleet: f, started: time.Now(), ended: map[int]int{}, refused: map[int]int{}, broken: map[int]int{}}
 }
 
 // run lets programs begin for a while, so many each second.
-func (l *spaceLoad) run(length time.Duration, perSecond int) {
+func (l *programLoad) run(length time.Duration, perSecond int) {
 	for started := time.Now(); time.Since(started) < length; {
 		l.callers.Go(l.program)
 		time.Sleep(time.Duration(float64(time.Second) / float64(perSecond)))
@@ -70,12 +70,12 @@
 }
 
 // program runs one program, with the patience of a caller for each turn.
-func (l *spaceLoad) program() {
+func (l *programLoad) program() {
 	second := int(time.Since(l.started) / time.Second)
 	name := fmt.Sprint("program-", l.next.Add(1))
 	outcome := l.ended
 	previous := ""
-	for turn := range spaceTurns {
+	for turn := range loadTurns {
 		id := fmt.Sprint(name, "-", turn)
 		if !l.turn(name, id, previous) {
 			outcome = l.broken
@@ -85,7 +85,7 @@
 			break
 		}
 		previous = id
-		time.Sleep(spacePause)
+		time.Sleep(loadPause)
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -93,7 +93,7 @@
 }
 
 // turn runs one turn; false if it was not served.
-func (l *spaceLoad) turn(program, id, previous string) bool {
+func (l *programLoad) turn(program, id, previous string) bool {
 	ids := l.fleet.ids()
 	if len(ids) == 0 {
 		return false
@@ -104,23 +104,23 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	if _, err := s.Begin(ctx, Turn{ID: id, Program: program, Previous: previous, MostTokens: 10, BudgetTokens: 100, Retention: spaceRetention}); err != nil {
+	if _, err := s.Begin(ctx, Turn{ID: id, Program: program, Previous: previous, MostTokens: 10, BudgetTokens: 100, Retention: loadRetention}); err != nil {
 		s.Abandon(Turn{ID: id, Program: program})
 		return false
 	}
-	kept := &KeptTurn{ID: id, Previous: previous, Input: bytes.Repeat([]byte("x"), spaceText)}
-	return s.End(ctx, Outcome{Turn: id, Program: program, Retention: spaceRetention, UsedTokens: 1, Kept: kept}) == nil
+	kept := &KeptTurn{ID: id, Previous: previous, Input: bytes.Repeat([]byte("x"), loadText)}
+	return s.End(ctx, Outcome{Turn: id, Program: program, Retention: loadRetention, UsedTokens: 1, Kept: kept}) == nil
 }
 
 // wait waits until all programs have ended, and what they abandoned is settled: on a virtual clock
 // nothing goes on after the test.
-func (l *spaceLoad) wait() {
+func (l *programLoad) wait() {
 	l.callers.Wait()
 	time.Sleep(endedLife)
 }
 
 // count adds an outcome up over the seconds from one to another.
-func (l *spaceLoad) count(outcome map[int]int, from, to time.Duration) (count int) {
+func (l *programLoad) count(outcome map[int]int, from, to time.Duration) (count int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for second := int(from / time.Second); second < int(to/time.Second); second++ {
@@ -137,13 +137,13 @@
 		const usual, heavy, back, lost = 4 * time.Second, 70 * time.Second, 80 * time.Second, 100 * time.Second
 		f := newTestFleet(t, 3)
 		f.shards = 8
-		f.storeBytes = spaceCapacity
+		f.storeBytes = loadedCapacity
 		f.killAll()
 		for i := range 3 {
 			f.start(daemonID(i, 2))
 		}
-		f.store.SetCapacity(spaceCapacity)
-		l := newSpaceLoad(f)
+		f.store.SetCapacity(loadedCapacity)
+		l := newProgramLoad(f)
 		l.run(usual, usualPrograms)
 		l.run(heavy-usual, heavyFactor*usualPrograms)
 		l.run(back-heavy, usualPrograms)
@@ -163,7 +163,7 @@
 			t.Errorf("%d programs that were let in did not end", broken)
 		}
 		first, last := l.count(l.ended, usual, 40*time.Second), l.count(l.ended, 40*time.Second, heavy)
-		const halfBest = (heavy - 40*time.Second) / time.Second * spaceCapacity * 9 / 10 / 70 / (spaceTurns*(spaceText+turnHeadBytes) + accountBytes)
+		const halfBest = (heavy - 40*time.Second) / time.Second * loadedCapacity * 9 / 10 / 70 / (loadTurns*(loadText+turnHeadBytes) + accountBytes)
 		if last < int(halfBest)*2/3 {
 			t.Errorf("%d programs ended in the second half of the heavy load, the store could keep %d", last, halfBest)
 		}
@@ -189,7 +189,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, 1)
 		s := f.service(f.ids()[0])
-		text := bytes.Repeat([]byte("x"), spaceText)
+		text := bytes.Repeat([]byte("x"), loadText)
 		previous := ""
 		for turn := range 100 {
 			id := fmt.Sprint("turn-", turn)
@@ -198,7 +198,7 @@
 			previous = id
 		}
 		f.killAll()
-		f.store.SetCapacity(150 * spaceText) // the newest records fit, and half of the history does not
+		f.store.SetCapacity(150 * loadText) // the newest records fit, and half of the history does not
 		s = f.start(daemonID(0, 2))
 		asked := time.Now()
 		begin(t, s, Turn{ID: "last", Program: "p", Retention: time.Minute, Previous: previous})
@@ -211,32 +211,32 @@
 
 // TestBoundIsLearnedFromAStoreThatIsFullBelowIt: the store holds less than the settings say.
 func TestBoundIsLearnedFromAStoreThatIsFullBelowIt(t *testing.T) {
-	space := newStoreSpace(Options{StoreBytes: 1000, Partitions: make([]store.Partition, 1), Metrics: NewMetrics(prometheus.NewRegistry())})
+	capacity := newStoreCapacity(Options{StoreBytes: 1000, Partitions: make([]store.Partition, 1), Metrics: NewMetrics(prometheus.NewRegistry())})
 	now := time.Now()
-	space.note(0, profileOf(100), now)
-	if plan := space.plan(now); plan.IsCrowded {
+	capacity.note(0, profileOf(100), now)
+	if plan := capacity.plan(now); plan.IsCrowded {
 		t.Errorf("crowded before: %+v", plan)
 	}
-	space.foundFull(now)
-	if bound := space.boundAt(now); bound != 98 {
+	capacity.foundFull(now)
+	if bound := capacity.boundAt(now); bound != 98 {
 		t.Errorf("bound %v", bound)
 	}
-	if plan := space.plan(now.Add(planInterval)); !plan.IsLast {
+	if plan := capacity.plan(now.Add(planInterval)); !plan.IsLast {
 		t.Errorf("more may be kept: %+v", plan)
 	}
-	space.note(0, profileOf(400), now.Add(time.Second)) // a bound does not rise by what is kept
-	space.foundFull(now.Add(time.Second))
-	if bound := space.boundAt(now.Add(time.Second)); bound != 98 {
+	capacity.note(0, profileOf(400), now.Add(time.Second)) // a bound does not rise by what is kept
+	capacity.foundFull(now.Add(time.Second))
+	if bound := capacity.boundAt(now.Add(time.Second)); bound != 98 {
 		t.Errorf("bound %v", bound)
 	}
-	if bound := space.boundAt(now.Add(learnedLife)); bound != 1000 {
+	if bound := capacity.boundAt(now.Add(learnedLife)); bound != 1000 {
 		t.Errorf("bound %v after what was kept then is gone", bound)
 	}
 }
 
 // profileOf is of bytes that are dropped in half a minute.
-func profileOf(bytes int64) space.Profile {
-	profile := space.Profile{LifeMS: 30_000}
+func profileOf(bytes int64) storecapacity.Profile {
+	profile := storecapacity.Profile{LifeMS: 30_000}
 	profile.Add(bytes, 30*time.Second)
 	return profile
 }
@@ -248,8 +248,8 @@
 		fill := func(s *Service, run string) {
 			for turn := range 20 {
 				id := fmt.Sprint(run, turn)
-				begin(t, s, Turn{ID: id, Program: id, Retention: spaceRetention})
-				end(t, s, Outcome{Turn: id, Program: id, Kept: &KeptTurn{ID: id, Input: bytes.Repeat([]byte("x"), spaceText)}})
+				begin(t, s, Turn{ID: id, Program: id, Retention: loadRetention})
+				end(t, s, Outcome{Turn: id, Program: id, Kept: &KeptTurn{ID: id, Input: bytes.Repeat([]byte("x"), loadText)}})
 			}
 		}
 		mustKeep := func(s *Service, turns int64) {
@@ -260,12 +260,12 @@
 			for _, h := range s.holders {
 				h.post(t.Context(), func(context.Context) {
 					h.state.expire(time.Now(), expireLimit)
-					h.reportSpace(time.Now())
+					h.reportCapacity(time.Now())
 					told <- h.sizes.turns
 				})
 				sum += <-told
 			}
-			if want := turns * (spaceText + turnHeadBytes); sum != want {
+			if want := turns * (loadText + turnHeadBytes); sum != want {
 				t.Errorf("%d bytes, want %d", sum, want)
 			}
 		}
@@ -276,7 +276,7 @@
 		s = f.start(daemonID(0, 2))
 		fill(s, "second")
 		mustKeep(s, 40)
-		time.Sleep(spaceRetention + keepMargin)
+		time.Sleep(loadRetention + keepMargin)
 		fill(s, "third")
 		mustKeep(s, 20)
 	})
@@ -293,8 +293,8 @@
 		)
 		f := newTestFleet(t, 1)
 		f.shards = fleet
-		f.storeBytes = scale * spaceCapacity
-		f.store.SetCapacity(scale * spaceCapacity)
+		f.storeBytes = scale * loadedCapacity
+		f.store.SetCapacity(scale * loadedCapacity)
 		f.killAll()
 		startAll := func(run uint64) {
 			for i := range fleet {
@@ -302,7 +302,7 @@
 			}
 		}
 		startAll(2)
-		l := newSpaceLoad(f)
+		l := newProgramLoad(f)
 		l.run(lost, 2*scale*usualPrograms)
 		f.killAll()
 		startAll(3)
--- a/internal/ledger/trim.go
+++ b/internal/ledger/trim.go
@@ -22,7 +22,7 @@
 // trimHistory trims the shard's history, if that is due.
 func (h *holder) trimHistory(ctx context.Context, now time.Time) {
 	kept := historyKept
-	if h.space.plan(now).IsTight {
+	if h.capacity.plan(now).IsTight {
 		kept = tightHistoryKept
 	}
 	if before, due := h.appended.due(kept, now); due {
--- a/internal/space/gate.go
+++ b/internal/storecapacity/gate.go
@@ -1,4 +1,4 @@
-package space
+package storecapacity
 
 import "time"
 
--- a/internal/space/profile.go
+++ b/internal/storecapacity/profile.go
@@ -1,4 +1,4 @@
-// Package space decides how much may be kept in a store that holds a bounded number of bytes.
+// Package storecapacity decides how much may be kept in a store that holds a bounded number of bytes.
 //
 // What programs leave behind is kept for a while and dropped then. Each part of the fleet
 // reports what it keeps and when that is dropped, a Profile; the profiles of some parts are an
@@ -7,7 +7,7 @@
 // were let in go on: a program is turned away before the store is full, and not after.
 //
 // The package is pure: it has no clock, no goroutine and no network.
-package space
+package storecapacity
 
 import (
 	"slices"
