peer: a link takes memory for the messages that wait

Cause: the queue of each link was a channel of 8,192 places, allocated before the first message: 64 KB for each daemon that a daemon talks to. Ruled out: the two buffers of 8 KB, which a link has only while it is connected. Change: a queue that grows with what waits, with the same bound.

--- a/internal/peer/tcp/link.go
+++ b/internal/peer/tcp/link.go
@@ -39,7 +39,7 @@
 // link is the outgoing connection to one address, with its queue.
 type link struct {
 	address string
-	lines   chan *bytes.Buffer
+	queue   *messageQueue
 	// usedAt is when a message was last queued. It is guarded by the transport's mutex.
 	usedAt time.Time
 }
@@ -73,7 +73,7 @@
 	return l.isIdle()
 }
 
-func (l *link) isIdle() bool { return len(l.lines) == 0 && time.Since(l.usedAt) >= linkIdleTimeout }
+func (l *link) isIdle() bool { return l.queue.isEmpty() && time.Since(l.usedAt) >= linkIdleTimeout }
 
 // removeIfIdle removes a link if it is idle, and reports whether it did. The next message creates
 // another.
@@ -123,7 +123,8 @@
 			return
 		case <-timer.C:
 			return
-		case <-l.lines:
+		case <-l.queue.added:
+			l.queue.discard()
 		}
 	}
 }
@@ -135,6 +136,9 @@
 	writer := bufio.NewWriterSize(conn, bufferSize)
 	check := time.NewTicker(idleCheckInterval)
 	defer check.Stop()
+	if !writeQueue(l.queue, conn, writer) { // what an earlier connection left
+		return
+	}
 	for {
 		select {
 		case <-t.context.Done():
@@ -146,29 +150,33 @@
 			}
 		case <-closed:
 			return
-		case line := <-l.lines:
-			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // if that fails, so does the write
-			_, err := writer.Write(line.Bytes())
-			recycle(line)
-			if err != nil {
-				return
-			}
-			if len(l.lines) > 0 {
-				continue
-			}
-			if err := writer.Flush(); err != nil {
+		case <-l.queue.added:
+			if !writeQueue(l.queue, conn, writer) {
 				return
 			}
 		}
 	}
 }
 
+// writeQueue writes and flushes the queued messages; false if the connection has failed.
+func writeQueue(queue *messageQueue, conn net.Conn, writer *bufio.Writer) bool {
+	for line, found := queue.pop(); found; line, found = queue.pop() {
+		_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // if that fails, so does the write
+		_, err := writer.Write(line.Bytes())
+		recycle(line)
+		if err != nil {
+			return false
+		}
+	}
+	return writer.Flush() == nil
+}
+
 // flushQueue writes the messages that were queued before the transport closed, such as the
 // announcement that this daemon has left.
 func flushQueue(l *link, conn net.Conn, writer *bufio.Writer) {
 	_ = conn.SetWriteDeadline(time.Now().Add(closeTimeout)) // if that fails, so does the write
-	for len(l.lines) > 0 {
-		if _, err := writer.Write((<-l.lines).Bytes()); err != nil {
+	for line, found := l.queue.pop(); found; line, found = l.queue.pop() {
+		if _, err := writer.Write(line.Bytes()); err != nil {
 			return
 		}
 	}
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -17,14 +17,9 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-const (
-	// queueLength is the maximum number of messages queued for one daemon.
-	queueLength = 8192
-	// bufferSize is the initial size of read and write buffers in bytes; a read buffer grows with
-	// longer lines. It is small, because a daemon has one buffer per direction for every other
-	// daemon.
-	bufferSize = 8 << 10
-)
+// bufferSize is the initial size of read and write buffers in bytes; a read buffer grows with longer
+// lines. It is small, because a daemon has one buffer per direction for every other daemon.
+const bufferSize = 8 << 10
 
 // Counter is called for every message that was sent to another daemon.
 type Counter func(to structs.DaemonID, kind peer.Kind, bytes int)
@@ -116,9 +111,7 @@
 	if to.Address() != t.self.Address() && t.counter != nil {
 		t.counter(to, message.MessageKind(), line.Len())
 	}
-	select {
-	case l.lines <- line:
-	default:
+	if !l.queue.push(line) {
 		t.logger.Warn().Str("to", to.Address()).Msg("Message dropped. The queue is full.")
 	}
 }
@@ -142,7 +135,7 @@
 	}
 	l := t.links[address]
 	if l == nil {
-		l = &link{address: address, lines: make(chan *bytes.Buffer, queueLength)}
+		l = &link{address: address, queue: newMessageQueue()}
 		t.links[address] = l
 		t.workers.Add(1)
 		if address == t.self.Address() {
@@ -162,9 +155,11 @@
 		select {
 		case <-t.context.Done():
 			return
-		case line := <-l.lines:
-			t.receive(&decoder, line.Bytes())
-			recycle(line)
+		case <-l.queue.added:
+			for line, found := l.queue.pop(); found && t.context.Err() == nil; line, found = l.queue.pop() {
+				t.receive(&decoder, line.Bytes())
+				recycle(line)
+			}
 		}
 	}
 }
