store/proxy: a refused append is no outage while the store answers other calls

Cause: all daemons write their entry into one partition, whose queue is full when a large fleet starts; the store then refuses appends to it (503). Change: a refused append is no outage if the store answered another call in the last 1.5 s. Reads count as before. Measured: TestBusyPartitionIsNoOutage failed before ("the store counts as out although it serves other calls"). TestRefusedAppendsShowAnOutage holds that an outage is still noticed, 1.5 s after the last answer.

--- a/internal/store/proxy/connectivity.go
+++ b/internal/store/proxy/connectivity.go
@@ -12,6 +12,10 @@
 	// isolatedAfter is how long neither the store nor a helper may have answered until a daemon
 	// considers itself isolated.
 	isolatedAfter = 1500 * time.Millisecond
+	// refusedAppendGrace is how long after its last answer the store still counts as reachable
+	// although it refuses an append. The queue of one partition may be full while the store serves
+	// all others. It covers the time between two answers to a daemon that only follows changes.
+	refusedAppendGrace = 1500 * time.Millisecond
 )
 
 // connectivity tracks whether the store answers direct calls.
@@ -60,6 +64,12 @@
 	return true
 }
 
+// isPartitionBusy reports whether an append that the store refused is no sign of an outage, as the
+// store has answered another call lately.
+func (c *connectivity) isPartitionBusy(now time.Time) bool {
+	return c.hasAnsweredSince(now.Add(-refusedAppendGrace))
+}
+
 // hasAnsweredSince reports whether the store has answered a direct call since a time. If so, a call
 // made then that hangs is late or its answer was lost, but the store is reachable.
 func (c *connectivity) hasAnsweredSince(at time.Time) bool {
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -252,6 +252,9 @@
 		s.Metrics.countLate()
 		return got
 	}
+	if request.Call == callAppend && errors.Is(got.err, store.ErrUnavailable) && s.connectivity.isPartitionBusy(time.Now()) {
+		return got
+	}
 	s.recordOutcome(got.err)
 	return got
 }
