store/proxy: the end of an outage is passed on, not told to all by each

Change: eight others are told; a daemon that was in the outage and hears of its end for the first time tells eight, too.

--- a/internal/store/proxy/connectivity.go
+++ b/internal/store/proxy/connectivity.go
@@ -106,18 +106,21 @@
 	return true
 }
 
-// recordRecoveryNotice handles another daemon's notice that the store answers. It reports whether
-// this daemon was in an outage; if so, the callers that wait for the store retry at once.
-func (c *connectivity) recordRecoveryNotice(now time.Time) bool {
+// recordRecoveryNotice handles another daemon's notice that the store answers. wasOut reports
+// whether this daemon was in an outage; if so, the callers that wait for the store retry at once.
+// passOn reports whether it is to tell others: it was in the outage, too, and has not told or heard
+// of its end yet.
+func (c *connectivity) recordRecoveryNotice(now time.Time) (wasOut, passOn bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	isFirst := now.Sub(c.noticeAt) >= noticeInterval
 	c.noticeAt = now
 	if c.failingSince.IsZero() {
-		return false
+		return false, false
 	}
 	c.probeAt = now
 	c.signalRecovery()
-	return true
+	return true, isFirst
 }
 
 func (c *connectivity) signalRecovery() {
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -19,6 +19,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/sample"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -44,10 +45,14 @@
 	// pageTimeDecay is the factor by which the recorded duration of a page decays with each shorter
 	// page. The last page of a listing is short.
 	pageTimeDecay = 0.9
-	// minOutageForNotice is the minimum length of an outage whose end is announced to the other
-	// daemons, and noticeInterval the minimum time between announcements.
+	// minOutageForNotice is the minimum length of an outage whose end is announced to other daemons,
+	// and noticeInterval the minimum time between announcements.
 	minOutageForNotice = 300 * time.Millisecond
 	noticeInterval     = time.Second
+	// noticeFanout is the number of daemons that a daemon tells of the end of an outage. Those that
+	// were in it tell as many: all of a fleet hear of it in a few steps, and none has to connect to
+	// all others.
+	noticeFanout = 8
 )
 
 // Options configure a Service.
@@ -290,13 +295,31 @@
 	}
 }
 
-// announceRecovery announces to the other daemons that the store answers again.
+// announceRecovery tells noticeFanout other daemons that the store answers again.
 func (s *Service) announceRecovery() {
+	var others []structs.DaemonID
 	for _, member := range s.View.Members() {
 		if member.Daemon.ID != s.Self {
-			s.Transport.Send(member.Daemon.ID, &RecoveryNotice{})
+			others = append(others, member.Daemon.ID)
 		}
 	}
+	s.mutex.Lock()
+	told := sample.Of(s.Random, noticeFanout, others)
+	s.mutex.Unlock()
+	for _, id := range told {
+		s.Transport.Send(id, &RecoveryNotice{})
+	}
+}
+
+// receiveRecoveryNotice handles another daemon's notice that the store answers again.
+func (s *Service) receiveRecoveryNotice(from structs.DaemonID) {
+	wasOut, passOn := s.connectivity.recordRecoveryNotice(time.Now())
+	if wasOut {
+		s.Logger.Info().Str("from", string(from)).Bool("passed_on", passOn).Msg("Another daemon reports that the store answers again.")
+	}
+	if passOn {
+		s.announceRecovery()
+	}
 }
 
 // Recovered implements store.Connectivity.
@@ -316,9 +339,7 @@
 	case *Response:
 		s.replies.Deliver(message.Number, message)
 	case *RecoveryNotice:
-		if s.connectivity.recordRecoveryNotice(time.Now()) {
-			s.Logger.Info().Str("from", string(from)).Msg("Another daemon reports that the store answers again.")
-		}
+		s.receiveRecoveryNotice(from)
 	default:
 		return false
 	}
--- a/internal/store/proxy/proxy_test.go
+++ b/internal/store/proxy/proxy_test.go
@@ -103,10 +103,12 @@
 	mutex        sync.Mutex
 	disconnected map[structs.DaemonID]bool
 	sent         int
+	// sentBy counts the messages by sender.
+	sentBy map[string]int
 }
 
 func newFleet(daemons int) *fleet {
-	f := &fleet{store: memory.New(), disconnected: map[structs.DaemonID]bool{}}
+	f := &fleet{store: memory.New(), disconnected: map[structs.DaemonID]bool{}, sentBy: map[string]int{}}
 	for i := range daemons {
 		id := structs.NewDaemonID(fmt.Sprintf("10.0.0.%d:7000", i+1), 1)
 		f.ids = append(f.ids, id)
@@ -154,6 +156,7 @@
 	}
 	t.fleet.mutex.Lock()
 	t.fleet.sent++
+	t.fleet.sentBy[string(t.self)]++
 	lost := t.fleet.disconnected[to] || t.fleet.disconnected[t.self]
 	t.fleet.mutex.Unlock()
 	for i, id := range t.fleet.ids {
