relaydaemon: the registry is written once by each daemon, however many start at once

Cause: an append to the registry's partition takes the store 2 ms, 1.97 s for 984 daemons. So from some 300 daemons on the queue stays full and no attempt ends in time: it never ends by itself. It no longer delays the reading of the registry; the listing of the start names daemons to ask for tables.

--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -5,12 +5,15 @@
 	"encoding/json"
 	"iter"
 	"maps"
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 	"github.com/mintpulley/mintpulley/internal/warmup"
@@ -19,10 +22,19 @@
 const (
 	// daemonsSpace is the store's space for the daemons' addresses.
 	daemonsSpace = "daemons"
-	// registryTimeout is the timeout of one call for the registry.
-	registryTimeout = 600 * time.Millisecond
-	// registryRetryInterval is the time between attempts to write this daemon's entry.
-	registryRetryInterval = 300 * time.Millisecond
+	// registryReadTimeout is the timeout of the listing of the registry at the start.
+	registryReadTimeout = 600 * time.Millisecond
+	// registryAppendTimeout is the timeout of one attempt to write this daemon's entry. All daemons
+	// write to one partition, and after a loss of all they write at once. The store queues two
+	// seconds of appends before it refuses more, and makes those that nobody waits for any more all
+	// the same, so a shorter timeout would fill the queue with repeated attempts.
+	registryAppendTimeout = 3 * time.Second
+	// The pause between attempts to write this daemon's entry doubles from minRegistryPause to
+	// maxRegistryPause.
+	minRegistryPause = 300 * time.Millisecond
+	maxRegistryPause = 5 * time.Second
+	// withdrawTimeout is the timeout of the attempt to mark this daemon's entry as left.
+	withdrawTimeout = 600 * time.Millisecond
 )
 
 // registryWatch polls rarely: daemons seldom come and go, and gossip spreads such changes sooner.
@@ -42,6 +54,10 @@
 	coldLimiter *warmup.Limiter
 	// listedCount is the number of listed daemons at the last read.
 	listedCount atomic.Int64
+	// listed is the listing that was made at the start, nil if it failed.
+	listed []store.Record
+	// withdrawn is set once this daemon's entry is to be marked as left.
+	withdrawn atomic.Bool
 }
 
 // memberRecord is the value of a daemon's entry; its key is the peer address. After a planned
@@ -85,13 +101,14 @@
 		Zone:        r.settings.Zone,
 		Region:      r.settings.Region,
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), registryTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), registryReadTimeout)
 	defer cancel()
 	records, _, err := store.Newest(ctx, r.store, registryPartition())
 	if err != nil {
 		r.logger.Warn().Err(err).Msg("Registry of daemons not read. The incarnation is the current time.")
 		return r.ownRecord.Incarnation
 	}
+	r.listed = records
 	r.listedCount.Store(int64(len(presentAddresses(slices.Values(records)))))
 	for _, record := range records {
 		var former memberRecord
@@ -104,8 +121,10 @@
 
 // run writes this daemon's entry, and passes on the addresses of the others until ctx ends.
 func (r *memberRegistry) run(ctx context.Context, onListed func([]structs.Machine)) {
-	onListed(r.machines(nil))
-	r.write(ctx)
+	onListed(r.machines(r.listedAddresses()))
+	var writing sync.WaitGroup
+	defer writing.Wait()
+	writing.Go(func() { r.write(ctx) })
 	watcher := store.Watcher{
 		Store:        r.store,
 		Connectivity: r.connectivity,
@@ -124,21 +143,30 @@
 	watcher.Run(ctx)
 }
 
+// listedAddresses returns the addresses of the listing at the start.
+func (r *memberRegistry) listedAddresses() []string {
+	return presentAddresses(slices.Values(r.listed))
+}
+
+// write writes this daemon's entry. Attempts get rarer, as all daemons may be writing theirs.
 func (r *memberRegistry) write(ctx context.Context) {
-	for ctx.Err() == nil {
-		if r.append(ctx, r.ownRecord) == nil {
+	pause := minRegistryPause
+	for ctx.Err() == nil && !r.withdrawn.Load() {
+		if r.append(store.WithPatience(ctx), r.ownRecord, registryAppendTimeout) == nil {
 			return
 		}
-		time.Sleep(registryRetryInterval)
+		clock.Sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, maxRegistryPause)
 	}
 }
 
-func (r *memberRegistry) append(ctx context.Context, own memberRecord) error {
+// append writes an entry of this daemon.
+func (r *memberRegistry) append(ctx context.Context, own memberRecord, timeout time.Duration) error {
 	value, err := json.Marshal(own)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
+	ctx, cancel := context.WithTimeout(store.WithPurpose(ctx, store.PurposeRegistry), timeout)
 	defer cancel()
 	record := store.Record{Key: r.settings.PeerAddress, Value: value}
 	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
@@ -146,9 +174,10 @@
 
 // withdraw marks this daemon's entry as left.
 func (r *memberRegistry) withdraw(ctx context.Context) {
+	r.withdrawn.Store(true)
 	ownRecord := r.ownRecord
 	ownRecord.Left = true
-	if err := r.append(ctx, ownRecord); err != nil {
+	if err := r.append(ctx, ownRecord, withdrawTimeout); err != nil {
 		r.logger.Warn().Err(err).Msg("Entry in the registry of daemons not withdrawn.")
 	}
 }
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -72,3 +72,18 @@
 	fresh, _ := ctx.Value(freshConnectionKey{}).(bool)
 	return fresh
 }
+
+// patientKey is the context key that marks calls which nobody waits for.
+type patientKey struct{}
+
+// WithPatience marks calls that nobody waits for: they are repeated by way of another daemon only
+// once they have failed and the store answers nothing else, so that a busy store gets each once.
+func WithPatience(ctx context.Context) context.Context {
+	return context.WithValue(ctx, patientKey{}, true)
+}
+
+// IsPatient reports whether WithPatience marked ctx.
+func IsPatient(ctx context.Context) bool {
+	patient, _ := ctx.Value(patientKey{}).(bool)
+	return patient
+}
--- a/internal/store/proxy/proxy.go
+++ b/internal/store/proxy/proxy.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -170,7 +171,7 @@
 		s.askHelper(ctx, attempts)
 	}
 	started := time.Now()
-	overdue := time.NewTimer(s.overdueTime(request))
+	overdue := time.NewTimer(s.overdueTime(ctx, request))
 	defer overdue.Stop()
 	failed := outcome{next: request.From}
 	arrived := progress.Bytes()
@@ -182,7 +183,9 @@
 				return got
 			}
 			failed.err = mergeErrors(failed.err, got.err)
-			s.askHelper(ctx, attempts)
+			if !store.IsPatient(ctx) || !s.connectivity.isPartitionBusy(time.Now()) {
+				s.askHelper(ctx, attempts)
+			}
 			if attempts.inFlight == 0 {
 				return failed
 			}
@@ -202,7 +205,10 @@
 }
 
 // overdueTime returns how long a direct call may take until a helper makes it, too.
-func (s *Service) overdueTime(request *Request) time.Duration {
+func (s *Service) overdueTime(ctx context.Context, request *Request) time.Duration {
+	if store.IsPatient(ctx) {
+		return math.MaxInt64
+	}
 	switch request.Call {
 	case callAppend:
 		return overdueAfter
--- a/internal/store/purpose.go
+++ b/internal/store/purpose.go
@@ -15,6 +15,7 @@
 	PurposeReadAhead Purpose = "read_ahead"
 	PurposeChanges   Purpose = "changes"
 	PurposeTrim      Purpose = "trim"
+	PurposeRegistry  Purpose = "registry"
 )
 
 // IsBulk reports whether calls of this purpose read many records, and are therefore slow even on a
