membership: a large fleet that starts at once knows itself within seconds

Cause: a daemon that starts asks random listed daemons for their tables. Replies share a budget of 96 KB and 300 bytes a second, one table of 870 members; beyond it each reply says 48 records of parts that differ in one; after 5 s it asks each 20 s. Change: the budget grows with the fleet and is looked at first; a daemon that lacks more than 32 and 2% of the listed names up to 192 addresses, goes to the same eight daemons, and goes on at 0.3 s for up to 30 s; the fast search of the start ends at 128 members. The list of members is shared, not copied for each request. Wire: one field (w) more in the request; a build before passes over it and answers with parts of its table.

--- a/internal/membership/api.go
+++ b/internal/membership/api.go
@@ -41,7 +41,7 @@
 // concurrent use.
 type View interface {
 	// Members returns all members that are not dead, ordered by identifier,
-	// this daemon included.
+	// this daemon included. Callers share the list and must not change it.
 	Members() []Member
 	// State returns the believed state of a daemon; an unknown run is dead.
 	State(daemon structs.DaemonID) State
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -178,7 +178,7 @@
 			return strings.Compare(string(a.Daemon.ID), string(b.Daemon.ID))
 		})
 	}
-	return slices.Clone(m.cachedMembers)
+	return m.cachedMembers
 }
 
 // State implements View.
@@ -271,6 +271,6 @@
 	case *SyncRequest:
 		m.receiveSyncRequest(from, message)
 	case *SyncReply:
-		m.receiveSyncReply(message)
+		m.receiveSyncReply(from, message)
 	}
 }
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -70,6 +70,9 @@
 	// LiveOnly is set after a partition has ended: only members that are
 	// neither suspected nor dead are requested.
 	LiveOnly bool `json:"l,omitempty"`
+	// Wanted are addresses of listed daemons that the sender does not know. If
+	// there are any, only their records are requested.
+	Wanted []string `json:"w,omitempty"`
 }
 
 // SyncReply carries the parts of a table that differ.
--- a/internal/membership/ring.go
+++ b/internal/membership/ring.go
@@ -54,6 +54,7 @@
 	m.ring.successors = slices.Concat(members[start+1:], members[:start])
 	m.ring.neighbours = neighboursOf(m.ring.successors)
 	m.settings = m.Settings.Scaled(len(members))
+	m.syncer.resize(m.settings)
 }
 
 // neighboursOf returns the members at distances of powers of two, both ways.
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -63,11 +63,13 @@
 	// SyncInterval is the shortest delay between syncs of tables.
 	SyncInterval time.Duration
 	// SyncBytesPerSecond and SyncBurst limit the bytes of tables sent in
-	// replies.
+	// replies. Scaled lets SyncBurst grow with the fleet: after a loss of all
+	// daemons each sends as many records as it needs, and some twice.
 	SyncBytesPerSecond int
 	SyncBurst          int
 	// SyncRecords limits the records in a reply to a daemon that already has a
-	// table.
+	// table. Scaled lets it grow with the fleet, so that a table is complete
+	// after a number of replies that does not.
 	SyncRecords int
 	// VerifyPerSecond limits the probes of daemons about which tables differ.
 	VerifyPerSecond int
@@ -143,9 +145,19 @@
 	s.HealCooldown = scale(s.HealCooldown, factor*factor)
 	s.SyncAfter = scale(s.SyncAfter, factor)
 	s.SyncInterval = scale(s.SyncInterval, factor)
+	s.SyncBurst = max(s.SyncBurst, burstTables*fleet*recordSize)
+	s.SyncRecords = max(s.SyncRecords, fleet/tableReplies)
 	return s
 }
 
+const (
+	// burstTables is how many whole tables SyncBurst covers in a large fleet.
+	burstTables = 3
+	// tableReplies is the number of replies that hold a whole table in a large
+	// fleet.
+	tableReplies = 4
+)
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -21,6 +21,22 @@
 	syncSpeedup         = 4
 )
 
+// A daemon that has started looks for others at JoinInterval while it lacks more
+// than maxMissing of the listed daemons, and more than missingShare of them. Its
+// requests then name up to maxWanted of those that it lacks: the parts of a large
+// table differ in few records each, and would be sent whole.
+const (
+	maxMissing   = 32
+	missingShare = 0.02
+	maxWanted    = 192
+	// maxPartners is the number of daemons to which such requests go in turn, so
+	// that they need few connections.
+	maxPartners = 8
+	// maxFirstJoinMembers is the number of members from which on a daemon no
+	// longer asks at FirstJoinInterval, as it knows whom to ask.
+	maxFirstJoinMembers = 128
+)
+
 // syncer compares this daemon's table with others', finds other daemons after
 // the start, and keeps looking for lost ones.
 type syncer struct {
@@ -29,15 +45,13 @@
 	// readAt is when another's table was last requested.
 	readAt  time.Time
 	replies tokenbucket.Bucket
+	// partners are the addresses of daemons that sent tables, the latest last.
+	partners []string
 	// pending are the runs to probe, and verifying is set while one is probed.
 	pending   []pendingVerification
 	verifying bool
 }
 
-// minSyncRecords are sent regardless of the rate limit: this run and the
-// sender's.
-const minSyncRecords = 2
-
 // maxTrackedDifferences limits the entries of differsSince.
 const maxTrackedDifferences = 64
 
@@ -46,6 +60,14 @@
 	s.replies = tokenbucket.NewFull(float64(settings.SyncBytesPerSecond), float64(settings.SyncBurst))
 }
 
+// resize adapts the burst of replies to the settings. A burst that has grown is
+// to be had at once.
+func (s *syncer) resize(settings Settings) {
+	capacity := float64(settings.SyncBurst)
+	s.replies.Tokens = min(s.replies.Tokens+max(capacity-s.replies.Capacity, 0), capacity)
+	s.replies.Capacity = capacity
+}
+
 // compareTable requests a daemon's table when it has differed for SyncAfter,
 // which means that updates were missed.
 func (m *Membership) compareTable(from structs.DaemonID, digest uint64) {
@@ -81,16 +103,21 @@
 	m.pruneTombstones()
 	absent := m.absentAddresses()
 	interval, fanout := m.joinSchedule()
-	for _, address := range sample.Of(m.Random, fanout, absent) {
-		m.requestSyncAt(address)
+	if m.lacksMany() && len(m.syncer.partners) == maxPartners {
+		partner := m.syncer.partners[m.Random.IntN(maxPartners)]
+		m.requestSyncAt(partner, sample.Of(m.Random, maxWanted, absent))
+	} else {
+		for _, address := range sample.Of(m.Random, fanout, absent) {
+			m.requestSyncAt(address, nil)
+		}
 	}
 	m.after(interval/2+m.jitter(interval), m.joinTick)
 }
 
 // requestSyncAt requests the table of the daemon at an address. If that daemon is
 // dead in this table, the request says so, so that it can refute that.
-func (m *Membership) requestSyncAt(address string) {
-	request := &SyncRequest{Self: m.self.update(), Buckets: m.buckets}
+func (m *Membership) requestSyncAt(address string, wanted []string) {
+	request := &SyncRequest{Self: m.self.update(), Buckets: m.buckets, Wanted: wanted}
 	if r := m.records[address]; r != nil && r.status == statusDead {
 		about := r.shortUpdate()
 		request.About = &about
@@ -98,19 +125,37 @@
 	m.Transport.Send(structs.NewDaemonID(address, structs.AnyIncarnation), request)
 }
 
+// notePartner remembers a daemon that sent a table, in place of the oldest one.
+func (s *syncer) notePartner(address string) {
+	if slices.Contains(s.partners, address) {
+		return
+	}
+	s.partners = append(s.partners, address)
+	if len(s.partners) > maxPartners {
+		s.partners = s.partners[1:]
+	}
+}
+
 // joinSchedule returns the delay between rounds of looking for others, and how
 // many are asked in each.
 func (m *Membership) joinSchedule() (interval time.Duration, fanout int) {
 	age := m.Clock.Now().Sub(m.startedAt)
 	switch {
-	case age < m.settings.FirstJoinTime:
+	case age < m.settings.FirstJoinTime && m.fleetSize() < maxFirstJoinMembers:
 		return m.settings.FirstJoinInterval, m.settings.FirstJoinFanout
-	case m.fleetSize() == 1 || age < joinDuration:
+	case m.fleetSize() == 1 || age < joinDuration || (age < syncSpeedupDuration && m.lacksMany()):
 		return m.settings.JoinInterval, 1
 	}
 	return m.settings.ReconnectInterval, 1
 }
 
+// lacksMany reports whether many of the listed daemons are not among the
+// members.
+func (m *Membership) lacksMany() bool {
+	missing := len(m.listed) + 1 - m.fleetSize()
+	return missing > maxMissing && float64(missing) > missingShare*float64(len(m.listed))
+}
+
 // absentAddresses lists, sorted, the addresses where a daemon may run that is
 // not a member.
 func (m *Membership) absentAddresses() []string {
@@ -170,21 +215,45 @@
 		updates = append(updates, sender.update())
 	}
 	size := recordSize
+	if request.LiveOnly {
+		size = updateSize
+	}
+	m.refreshRing() // the budget follows the size of the fleet
+	m.syncer.replies.Refill(m.Clock.Now())
+	if granted := int(m.syncer.replies.Tokens) / size; granted > len(updates) {
+		updates = append(updates, m.tableFor(request, granted-len(updates))...)
+	}
+	m.syncer.replies.Take(m.Clock.Now(), size*len(updates))
+	m.Transport.Send(from, &SyncReply{Updates: updates, LiveOnly: request.LiveOnly})
+}
+
+// tableFor returns up to limit records of the parts of the table that differ
+// from the sender's.
+func (m *Membership) tableFor(request *SyncRequest, limit int) []Update {
+	var updates []Update
 	switch {
 	case request.LiveOnly:
-		updates = append(updates, m.livingRecords(request.Buckets)...)
-		size = updateSize
+		updates = m.livingRecords(request.Buckets)
 	case request.isJoining():
-		updates = append(updates, m.differingUpdates(request.Buckets)...)
+		updates = m.differingUpdates(request.Buckets)
+	case len(request.Wanted) > 0:
+		updates = m.membersAt(request.Wanted)
 	default:
-		updates = append(updates, m.differingUpdates(request.Buckets)...)
-		updates = updates[:min(len(updates), m.settings.SyncRecords)]
+		updates = m.differingUpdates(request.Buckets)
+		limit = min(limit, m.settings.SyncRecords)
 	}
-	granted := m.syncer.replies.Take(m.Clock.Now(), size*len(updates)) / size
-	m.Transport.Send(from, &SyncReply{
-		Updates:  updates[:min(len(updates), max(granted, minSyncRecords))],
-		LiveOnly: request.LiveOnly,
-	})
+	return updates[:min(len(updates), limit)]
+}
+
+// membersAt returns the records of the members at the given addresses.
+func (m *Membership) membersAt(addresses []string) []Update {
+	var updates []Update
+	for _, address := range addresses[:min(len(addresses), maxWanted)] {
+		if r := m.records[address]; r != nil && !r.isGone() {
+			updates = append(updates, r.update())
+		}
+	}
+	return updates
 }
 
 // joiningEmptyBuckets is the number of empty buckets above which the sender
@@ -228,7 +297,8 @@
 // receiveSyncReply merges another's table. Its suspicions and deaths are not
 // applied: it may have been cut off together with few others. Runs on which the
 // tables disagree are probed.
-func (m *Membership) receiveSyncReply(reply *SyncReply) {
+func (m *Membership) receiveSyncReply(from structs.DaemonID, reply *SyncReply) {
+	m.syncer.notePartner(from.Address())
 	m.healer.synced = m.healer.synced || reply.LiveOnly
 	for _, update := range reply.Updates {
 		if update.Status.rank() < 0 || update.Address == "" {
--- a/internal/relaydaemon/regional.go
+++ b/internal/relaydaemon/regional.go
@@ -234,7 +234,13 @@
 
 // Members implements membership.View.
 func (v regionView) Members() []membership.Member {
-	return slices.DeleteFunc(v.View.Members(), func(m membership.Member) bool { return m.Daemon.Region != v.region })
+	var members []membership.Member
+	for _, member := range v.View.Members() {
+		if member.Daemon.Region == v.region {
+			members = append(members, member)
+		}
+	}
+	return members
 }
 
 // Lookup implements ledger.View. A daemon of another region at the address of a former holder
