store/fanout: entries of back ends, the registry and whole lists are handed on in large fleets

Cause: each daemon read every entry of every back end from the store. 10,000 entries of 213 bytes for 984 daemons are 2.1 GB, 26 s at the store's 80 MB/s; then it refuses reads of the routes and of the shards' directory as well, and repeated reads keep it so. Listing anew after a lost page did the same. Change: the readings that hand large records on do so for entries and the registry, too, and for whole lists (From -1); always from 250 daemons on, since a fleet cannot know how much comes next. A neighbour answers after the reading's wait at the latest, with the true age; who has none that delivers reads from the store 2 ms x daemons apart, not all at once; a read by one of many is limited to its part of 0.2 s of the store's rate (a record above it is read in a second call). Watchers get what changed and keep no copy of all. Wire: From -1 and one field (w); a build before answers "unable", and the asker reads from the store.

--- a/internal/ledger/discovery.go
+++ b/internal/ledger/discovery.go
@@ -63,5 +63,8 @@
 	return expected > 0 && float64(count) >= discoveredShare*float64(expected)
 }
 
+// Discovered returns a channel that is closed once the daemon had time to discover the others.
+func (s *Service) Discovered() <-chan struct{} { return s.discovered }
+
 // DiscoveryDone reports whether the daemon had time to discover the others.
 func (s *Service) DiscoveryDone() bool { return isClosed(s.discovered) }
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -64,10 +64,9 @@
 	coldLimiter *warmup.Limiter
 	// store calls the store by way of other daemons where this one does not reach it.
 	store *proxy.Service
-	// operatorRecords reads the operators' records: from the store, or from a neighbour while they
-	// are large.
-	operatorRecords *fanout.Service
-	metrics         *prometheus.Registry
+	// records reads what all daemons follow: from the store, or from a neighbour in a large fleet.
+	records *fanout.Service
+	metrics *prometheus.Registry
 	// watchMetrics count the reads of watched partitions.
 	watchMetrics *store.WatchMetrics
 	// servers are all HTTP servers except front, which serves callers.
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -85,17 +85,20 @@
 		Logger:    componentLogger(d.logger, "store"),
 		Metrics:   proxy.NewMetrics(d.metrics),
 	})
-	d.registry.store, d.registry.connectivity = d.store, d.store
-	d.operatorRecords = fanout.New(fanout.Options{
-		Store:     d.store,
-		Partition: d.adapter.RoutesPartition(),
-		Self:      d.membership.Self,
-		View:      d.membership,
-		Transport: d.transport,
-		ReadRate:  d.settings.StoreReadMegabytes * 1e6,
-		Logger:    componentLogger(d.logger, "records"),
-		Metrics:   fanout.NewMetrics(d.metrics),
+	d.records = fanout.New(fanout.Options{
+		Store:           d.store,
+		Partitions:      []store.Partition{d.adapter.RoutesPartition(), d.adapter.InstancesPartition(), registryPartition()},
+		SmallRecords:    []store.Partition{d.adapter.InstancesPartition(), registryPartition()},
+		Self:            d.membership.Self,
+		View:            d.membership,
+		Transport:       d.transport,
+		ExpectedDaemons: d.registry.count,
+		Discovered:      func() <-chan struct{} { return d.ledger.Discovered() },
+		ReadRate:        d.settings.StoreReadMegabytes * 1e6,
+		Logger:          componentLogger(d.logger, "records"),
+		Metrics:         fanout.NewMetrics(d.metrics),
 	})
+	d.registry.store, d.registry.connectivity, d.registry.lister = d.store, d.store, d.records
 }
 
 // joinLedger creates the ledger of the whole fleet. The ledgers of regions are started when they
@@ -180,7 +183,7 @@
 	if d == nil {
 		return
 	}
-	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.operatorRecords.Receive(from, message) &&
+	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.records.Receive(from, message) &&
 		!d.receiveReach(from, message) && !d.ledger.Receive(from, message) {
 		d.regional.receive(from, message)
 	}
--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -45,7 +45,9 @@
 // memberRegistry is the list of daemons in the store, by which daemons find each other without
 // seeds.
 type memberRegistry struct {
-	store        store.Store
+	store store.Store
+	// lister lists the registry, and is also the store by which it is followed.
+	lister       lister
 	connectivity store.Connectivity
 	settings     Settings
 	logger       zerolog.Logger
@@ -55,11 +57,27 @@
 	// listedCount is the number of listed daemons at the last read.
 	listedCount atomic.Int64
 	// listed is the listing that was made at the start, nil if it failed.
-	listed []store.Record
+	listed *store.Listing
 	// withdrawn is set once this daemon's entry is to be marked as left.
 	withdrawn atomic.Bool
 }
 
+// lister is a store that lists whole partitions.
+type lister interface {
+	store.Store
+	List(ctx context.Context, partition store.Partition) (store.Listing, error)
+}
+
+// directLister lists partitions from the store.
+type directLister struct{ store.Store }
+
+// List implements lister.
+func (d directLister) List(ctx context.Context, partition store.Partition) (store.Listing, error) {
+	began := time.Now()
+	records, end, err := store.Newest(ctx, d.Store, partition)
+	return store.Listing{Records: records, End: end, AsOf: began}, err
+}
+
 // memberRecord is the value of a daemon's entry; its key is the peer address. After a planned
 // shutdown the entry remains with left set, since the next process at the address needs a higher
 // incarnation.
@@ -88,7 +106,7 @@
 }
 
 func newMemberRegistry(s store.Store, settings Settings, coldLimiter *warmup.Limiter, logger zerolog.Logger) *memberRegistry {
-	return &memberRegistry{store: s, settings: settings, coldLimiter: coldLimiter, logger: logger}
+	return &memberRegistry{store: s, lister: directLister{s}, settings: settings, coldLimiter: coldLimiter, logger: logger}
 }
 
 func registryPartition() store.Partition { return store.Partition{Space: daemonsSpace} }
@@ -103,12 +121,13 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), registryReadTimeout)
 	defer cancel()
-	records, _, err := store.Newest(ctx, r.store, registryPartition())
+	began := time.Now()
+	records, end, err := store.Newest(ctx, r.store, registryPartition())
 	if err != nil {
 		r.logger.Warn().Err(err).Msg("Registry of daemons not read. The incarnation is the current time.")
 		return r.ownRecord.Incarnation
 	}
-	r.listed = records
+	r.listed = &store.Listing{Records: records, End: end, AsOf: began}
 	r.listedCount.Store(int64(len(presentAddresses(slices.Values(records)))))
 	for _, record := range records {
 		var former memberRecord
@@ -126,7 +145,8 @@
 	defer writing.Wait()
 	writing.Go(func() { r.write(ctx) })
 	watcher := store.Watcher{
-		Store:        r.store,
+		List:         r.list,
+		Store:        r.lister,
 		Connectivity: r.connectivity,
 		Partition:    registryPartition(),
 		Settings:     registryWatch,
@@ -143,9 +163,21 @@
 	watcher.Run(ctx)
 }
 
+// list returns the listing that was made at the start once, and lists the registry otherwise.
+func (r *memberRegistry) list(ctx context.Context) (store.Listing, error) {
+	if listing := r.listed; listing != nil {
+		r.listed = nil
+		return *listing, nil
+	}
+	return r.lister.List(ctx, registryPartition())
+}
+
 // listedAddresses returns the addresses of the listing at the start.
 func (r *memberRegistry) listedAddresses() []string {
-	return presentAddresses(slices.Values(r.listed))
+	if r.listed == nil {
+		return nil
+	}
+	return presentAddresses(slices.Values(r.listed.Records))
 }
 
 // write writes this daemon's entry. Attempts get rarer, as all daemons may be writing theirs.
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -29,7 +29,8 @@
 // watchRoutes follows the operators' records until ctx ends.
 func (d *Daemon) watchRoutes(ctx context.Context) {
 	watcher := store.Watcher{
-		Store:          d.operatorRecords,
+		Store:          d.records,
+		List:           d.lister(d.adapter.RoutesPartition()),
 		Connectivity:   d.store,
 		Partition:      d.adapter.RoutesPartition(),
 		Settings:       routesWatch,
@@ -93,7 +94,8 @@
 // watchInstances follows the list of back ends until ctx ends.
 func (d *Daemon) watchInstances(ctx context.Context) {
 	watcher := store.Watcher{
-		Store:        d.store,
+		Store:        d.records,
+		List:         d.lister(d.adapter.InstancesPartition()),
 		Connectivity: d.store,
 		Partition:    d.adapter.InstancesPartition(),
 		Settings:     instancesWatch,
@@ -115,6 +117,11 @@
 	watcher.Run(ctx)
 }
 
+// lister returns a function that lists a partition.
+func (d *Daemon) lister(partition store.Partition) func(context.Context) (store.Listing, error) {
+	return func(ctx context.Context) (store.Listing, error) { return d.records.List(ctx, partition) }
+}
+
 // logConnectivity returns a function that logs when the store becomes unreachable for a watcher,
 // and when it answers again.
 func (d *Daemon) logConnectivity(what string) func(error) {
--- a/internal/store/fanout/fleet_test.go
+++ b/internal/store/fanout/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/fanout"
 	"github.com/mintpulley/mintpulley/internal/store/memory"
 )
 
@@ -94,8 +95,10 @@
 	mutex                   sync.Mutex
 	routesEnd, instancesEnd int64
 	size                    int
-	asOf                    time.Time
-	wentBack                bool
+	// keys is the number of keys of the routes' partition.
+	keys     int
+	asOf     time.Time
+	wentBack bool
 }
 
 // locked wraps a function so that it runs under the mutex.
@@ -128,10 +131,13 @@
 		Store: routesStore, Partition: routes, Settings: settings, OnConnectivity: func(error) {},
 		OnAdvance: f.locked(func(records map[string]store.Record, end int64) {
 			f.wentBack = f.wentBack || end < f.routesEnd
-			f.routesEnd, f.size = end, len(records["k"].Value)
+			f.routesEnd, f.size, f.keys = end, len(records["k"].Value), len(records)
 		}),
 		OnRead: f.confirm,
 	}
+	if service, distributes := routesStore.(*fanout.Service); distributes {
+		watchRoutes.List = func(ctx context.Context) (store.Listing, error) { return service.List(ctx, routes) }
+	}
 	settings.Wait, settings.Pause = 600*time.Millisecond, 500*time.Millisecond
 	watchInstances := store.Watcher{
 		Store: instancesStore, Partition: instances, Settings: settings, OnConnectivity: func(error) {},
--- a/internal/store/fanout/messages.go
+++ b/internal/store/fanout/messages.go
@@ -12,14 +12,27 @@
 type Request struct {
 	Number    uint64          `json:"n"`
 	Partition store.Partition `json:"p"`
-	// From is the first offset wanted.
+	// From is the first offset wanted, or fromAll for the newest records of all keys.
 	From int64 `json:"f"`
 	// Bundle is the hash of a bundle, and At the position in it from which the next piece is
 	// wanted. If Bundle is empty, the neighbour answers once it has newer records.
 	Bundle string `json:"b,omitempty"`
 	At     int    `json:"a,omitempty"`
+	// WaitMS is how long the answer may be held while there are no newer records, in milliseconds; 0
+	// if the sender does not limit it.
+	WaitMS int64 `json:"w,omitempty"`
 }
 
+// fromAll requests the newest records of all keys. A daemon that does not know of it answers that it
+// is unable.
+const fromAll = -1
+
+// wantsAll reports whether the newest records of all keys are wanted.
+func (r *Request) wantsAll() bool { return r.From < 0 }
+
+// wait returns how long the answer may be held, 0 for no limit.
+func (r *Request) wait() time.Duration { return time.Duration(r.WaitMS) * time.Millisecond }
+
 // result is what a Response contains.
 type result string
 
--- a/internal/store/fanout/metrics.go
+++ b/internal/store/fanout/metrics.go
@@ -10,6 +10,8 @@
 	outcomeDelivered outcome = "brought"
 	outcomeUnable    outcome = "unable"
 	outcomeSilent    outcome = "silent"
+	outcomeStale     outcome = "stale"
+	outcomeDelayed   outcome = "delayed"
 	outcomeMalformed outcome = "malformed"
 )
 
--- a/internal/store/fanout/neighbours.go
+++ b/internal/store/fanout/neighbours.go
@@ -8,6 +8,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -46,7 +47,7 @@
 }
 
 // logChange logs when another neighbour is asked than before.
-func (s *neighbours) logChange(neighbour structs.DaemonID, logger *zerolog.Logger) {
+func (s *neighbours) logChange(neighbour structs.DaemonID, partition store.Partition, logger *zerolog.Logger) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if neighbour == s.current {
@@ -54,8 +55,8 @@
 	}
 	s.current = neighbour
 	if neighbour == "" {
-		logger.Info().Msg("Large records are read from the store.")
+		logger.Info().Str("space", partition.Space).Msg("Records are read from the store.")
 		return
 	}
-	logger.Info().Str("from", string(neighbour)).Msg("Large records are fetched from a neighbour.")
+	logger.Info().Str("space", partition.Space).Str("from", string(neighbour)).Msg("Records are fetched from a neighbour.")
 }
--- a/internal/store/fanout/network_test.go
+++ b/internal/store/fanout/network_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/fanout"
 	"github.com/mintpulley/mintpulley/internal/store/memory"
 	"github.com/mintpulley/mintpulley/internal/structs"
@@ -60,7 +61,7 @@
 	}
 	for i, member := range f.members {
 		f.services = append(f.services, fanout.New(fanout.Options{
-			Store: f.store, Partition: routes, Self: member.Daemon, View: f, Transport: &transport{f, i},
+			Store: f.store, Partitions: []store.Partition{routes}, Self: member.Daemon, View: f, Transport: &transport{f, i},
 			ReadRate: storeRate, Logger: zerolog.Nop(), Metrics: fanout.NewMetrics(prometheus.NewRegistry()),
 		}))
 	}
--- a/internal/store/fanout/replica.go
+++ b/internal/store/fanout/replica.go
@@ -10,18 +10,23 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// maxWaiters limits the daemons that may wait for this one's answer: ten times the number of
-// children in the tree, since views of the membership may differ for a while.
-const maxWaiters = 10 * fanOut
-
-// minHoldTime is the minimum time that a request is held before it is answered with "unchanged".
-// Without it, a daemon that refreshes ten times a second would make all its descendants do the
-// same. It is less than neighbourTimeout, so that the answer is in time.
-const minHoldTime = 150 * time.Millisecond
-
-// maxCachedBundles is the number of bundles that are cached, as neighbours may still fetch one
-// while newer versions arrive.
-const maxCachedBundles = 4
+const (
+	// maxWaiters limits the daemons that may wait for this one's answer: ten times the number of
+	// children in the tree, since views of the membership may differ for a while.
+	maxWaiters = 10 * fanOut
+	// minHoldTime is the minimum time that a request is held before it is answered with "unchanged".
+	// Without it, a daemon that refreshes ten times a second would make all its descendants do the
+	// same. It is less than neighbourTimeout, so that the answer is in time.
+	minHoldTime = 150 * time.Millisecond
+	// maxCachedBundles is the number of bundles of changes that are cached, as neighbours may still
+	// fetch one while newer versions arrive.
+	maxCachedBundles = 4
+	// maxRecentChanges is the number of changes that are kept for daemons that are behind.
+	maxRecentChanges = 4096
+	// wholeLagShare is the share of the keys that may have changed since the cached bundle of all
+	// records was packed, until another is packed. Who gets an older one reads the changes after it.
+	wholeLagShare = 0.1
+)
 
 // readResult is the result of a read: the records of a range of offsets, current as of a time.
 type readResult struct {
@@ -30,51 +35,67 @@
 	asOf       time.Time
 }
 
-// replica caches what this daemon has read, so that it can serve its neighbours. It is safe for
-// concurrent use.
+// replica caches what this daemon has read of a partition, so that it can serve its neighbours. It
+// is safe for concurrent use.
 type replica struct {
 	mutex sync.Mutex
-	// sizes are the sizes of the newest values by key.
-	sizes map[string]int
-	// hasRead is set after the first read. newest holds the newest record, or deletion, of each key
-	// that changed in the offsets from start to end, current as of asOf.
+	// newest holds the newest record of each key that is known, and size the size of their values
+	// in bytes. isComplete is set if these are all keys.
+	newest     map[string]store.Record
+	size       int
+	isComplete bool
+	// hasRead is set after the first read. changes holds the newest record, or deletion, of each key
+	// that changed in the offsets from start to end, ordered by offset and current as of asOf. One
+	// that a later change superseded has no key.
 	hasRead    bool
 	start, end int64
-	newest     map[string]store.Record
+	changes    []store.Record
 	asOf       time.Time
-	// bundles are the last bundles received or packed, oldest first.
+	// bundles are the last bundles of changes received or packed, oldest first, and whole is the
+	// last bundle of all records, nil if there is none.
 	bundles []*bundle
+	whole   *bundle
 	waiters map[structs.DaemonID]waiter
 }
 
-// waiter is a request of another daemon that waits for newer records.
+// waiter is a request of another daemon that waits for newer records, or for all of them.
 type waiter struct {
 	request *Request
 	arrived time.Time
 }
 
-// recordSizes updates the sizes with the records of a listing.
-func (r *replica) recordSizes(records []store.Record) {
+func newReplica() *replica { return &replica{newest: map[string]store.Record{}} }
+
+// totalSize returns the total size of the newest values in bytes.
+func (r *replica) totalSize() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.setSizes(records)
+	return r.size
 }
 
-func (r *replica) setSizes(records []store.Record) {
-	for _, record := range records {
-		r.sizes[record.Key] = len(record.Value)
+// setListing replaces everything by a listing, with the bundle that contained it if there is one,
+// and returns the requests that can now be answered.
+func (r *replica) setListing(listing store.Listing, packed *bundle) map[structs.DaemonID]waiter {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.newest, r.size, r.isComplete = make(map[string]store.Record, len(listing.Records)), 0, true
+	for _, record := range listing.Records {
+		r.setNewest(record)
 	}
+	r.hasRead, r.start, r.end, r.changes, r.bundles = true, listing.End, listing.End, nil, nil
+	r.whole = packed
+	r.asOf = listing.AsOf
+	return r.takeDue(time.Now())
 }
 
-// size returns the total size of the newest values in bytes.
-func (r *replica) size() int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	size := 0
-	for _, one := range r.sizes {
-		size += one
+// setNewest applies the newest record of a key; one without a value deletes the key.
+func (r *replica) setNewest(record store.Record) {
+	r.size += len(record.Value) - len(r.newest[record.Key].Value)
+	if len(record.Value) == 0 {
+		delete(r.newest, record.Key)
+		return
 	}
-	return size
+	r.newest[record.Key] = record
 }
 
 // apply adds the result of a read, with the bundle that contained it if there is one, and returns
@@ -83,14 +104,17 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.hasRead || got.from > r.end { // the records in between are not known
-		r.hasRead, r.start, r.end, r.newest, r.bundles = true, got.from, got.from, map[string]store.Record{}, nil
+		r.hasRead, r.isComplete = true, false
+		r.start, r.end, r.changes, r.bundles, r.whole = got.from, got.from, nil, nil, nil
 	}
 	if got.next > r.end {
-		r.setSizes(got.records)
 		for _, record := range got.records {
-			r.newest[record.Key] = record
+			if record.Offset >= r.end {
+				r.addChange(record)
+			}
 		}
 		r.end = got.next
+		r.forgetOldChanges()
 		r.cacheBundle(packed)
 	}
 	if got.asOf.After(r.asOf) {
@@ -99,11 +123,36 @@
 	return r.takeDue(time.Now())
 }
 
+// addChange appends a change, which supersedes an earlier one of the same key.
+func (r *replica) addChange(record store.Record) {
+	if former, known := r.newest[record.Key]; known && former.Offset >= r.start {
+		if place, found := r.changeAt(former.Offset); found {
+			r.changes[place] = store.Record{Offset: former.Offset}
+		}
+	}
+	r.changes = append(r.changes, record)
+	r.setNewest(record)
+}
+
+// changeAt returns the place of the first change at or after an offset.
+func (r *replica) changeAt(offset int64) (place int, found bool) {
+	return slices.BinarySearchFunc(r.changes, offset, func(change store.Record, at int64) int { return cmp.Compare(change.Offset, at) })
+}
+
+// forgetOldChanges keeps between maxRecentChanges and twice as many changes.
+func (r *replica) forgetOldChanges() {
+	if len(r.changes) <= 2*maxRecentChanges {
+		return
+	}
+	r.changes = slices.Clone(r.changes[len(r.changes)-maxRecentChanges:])
+	r.start = r.changes[0].Offset
+}
+
 // takeDue removes and returns the requests that are to be answered now, by sender.
 func (r *replica) takeDue(now time.Time) map[structs.DaemonID]waiter {
 	due := map[structs.DaemonID]waiter{}
 	for from, w := range r.waiters {
-		if r.end > w.request.From || now.Sub(w.arrived) >= minHoldTime {
+		if r.isDue(w, now) {
 			due[from] = w
 			delete(r.waiters, from)
 		}
@@ -111,12 +160,42 @@
 	return due
 }
 
-// hold holds a request until the next read. It returns false if newer records are available by now
-// or too many requests wait.
+// isDue reports whether a request can be answered.
+func (r *replica) isDue(w waiter, now time.Time) bool {
+	if w.request.wantsAll() {
+		return r.isComplete
+	}
+	return r.end > w.request.From || now.Sub(w.arrived) >= minHoldTime
+}
+
+// takeHeld removes a request that is still held; false if it was answered.
+func (r *replica) takeHeld(from structs.DaemonID, request *Request) (w waiter, held bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if w = r.waiters[from]; w.request != request {
+		return waiter{}, false
+	}
+	delete(r.waiters, from)
+	return w, true
+}
+
+// confirmedAt returns the time as of which the records are known to be the newest.
+func (r *replica) confirmedAt() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.asOf
+}
+
+// hold holds a request until the next read. It returns false if it can be answered by now or too
+// many requests wait.
 func (r *replica) hold(from structs.DaemonID, w waiter) (held bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if !r.hasRead || r.end > w.request.From || len(r.waiters) >= maxWaiters {
+	mustWait := r.hasRead && r.end <= w.request.From
+	if w.request.wantsAll() {
+		mustWait = !r.isComplete
+	}
+	if !mustWait || len(r.waiters) >= maxWaiters {
 		return false
 	}
 	if r.waiters == nil {
@@ -126,7 +205,7 @@
 	return true
 }
 
-// bundleSince returns a bundle of the records from an offset on, nil if there are none; known is
+// bundleSince returns a bundle of the changes from an offset on, nil if there are none; known is
 // false if this daemon does not know them.
 func (r *replica) bundleSince(from int64) (packed *bundle, asOf time.Time, known bool) {
 	r.mutex.Lock()
@@ -145,13 +224,13 @@
 	if from < r.start {
 		return nil, time.Time{}, false
 	}
+	place, _ := r.changeAt(from)
 	var records []store.Record
-	for _, record := range r.newest {
-		if record.Offset >= from {
-			records = append(records, record)
+	for _, change := range r.changes[place:] {
+		if change.Key != "" {
+			records = append(records, change)
 		}
 	}
-	slices.SortFunc(records, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
 	packed, err := packBundle(from, r.end, records)
 	if err != nil {
 		return nil, time.Time{}, false
@@ -160,7 +239,31 @@
 	return packed, r.asOf, true
 }
 
-// cacheBundle caches a bundle, if it is not nil, and drops the oldest if there are too many.
+// bundleOfAll returns a bundle of the newest records of all keys; known is false if this daemon does
+// not know them.
+func (r *replica) bundleOfAll() (packed *bundle, asOf time.Time, known bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.isComplete {
+		return nil, time.Time{}, false
+	}
+	if r.whole == nil || r.whole.end < r.start || float64(r.end-r.whole.end) > wholeLagShare*float64(len(r.newest)) {
+		records := make([]store.Record, 0, len(r.newest))
+		for _, record := range r.newest {
+			records = append(records, record)
+		}
+		slices.SortFunc(records, func(a, b store.Record) int { return cmp.Compare(a.Offset, b.Offset) })
+		packed, err := packBundle(fromAll, r.end, records)
+		if err != nil {
+			return nil, time.Time{}, false
+		}
+		r.whole = packed
+	}
+	return r.whole, r.asOf, true
+}
+
+// cacheBundle caches a bundle of changes, if it is not nil, and drops the oldest if there are too
+// many.
 func (r *replica) cacheBundle(packed *bundle) {
 	if packed == nil {
 		return
@@ -175,6 +278,9 @@
 func (r *replica) bundleByHash(hash string) (*bundle, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.whole != nil && r.whole.hash == hash {
+		return r.whole, true
+	}
 	i := slices.IndexFunc(r.bundles, func(packed *bundle) bool { return packed.hash == hash })
 	if i < 0 {
 		return nil, false
--- a/internal/store/fanout/serve.go
+++ b/internal/store/fanout/serve.go
@@ -24,35 +24,57 @@
 
 // serve answers a request, now or after the next read.
 func (s *Service) serve(from structs.DaemonID, w waiter) {
-	if w.request.Partition != s.Partition || w.request.At < 0 {
+	f := s.followed[w.request.Partition]
+	if f == nil || w.request.At < 0 {
 		s.answer(from, w, &Response{Result: resultUnable})
 		return
 	}
-	if packed, has := s.replica.bundleByHash(w.request.Bundle); has {
+	if packed, has := f.replica.bundleByHash(w.request.Bundle); has {
 		s.answer(from, w, pieceOf(packed, w.request.At))
 		return
 	}
-	if w.request.Bundle == "" && s.replica.hold(from, w) {
+	if w.request.Bundle == "" && f.replica.hold(from, w) {
+		s.answerInTime(from, w.request, f)
 		return
 	}
-	if response := s.responseTo(w); response.Result != resultUnchanged {
+	if response := responseTo(w, f); response.Result != resultUnchanged {
 		s.answer(from, w, response)
 		return
 	}
 	s.answer(from, w, &Response{Result: resultUnable}) // too many requests wait
 }
 
-// apply stores the result of a read, and answers the requests that waited for it.
-func (s *Service) apply(got readResult, packed *bundle) {
-	due := s.replica.apply(got, packed)
+// answerInTime answers a held request shortly after the end of its wait, with what is known by then:
+// a daemon that gets no answer takes this one for dead, and may read from the store. By then a read
+// by this daemon with the same wait has ended.
+func (s *Service) answerInTime(from structs.DaemonID, request *Request, f *followed) {
+	if request.wait() <= 0 {
+		return
+	}
+	time.AfterFunc(request.wait()+minHoldTime, func() {
+		if w, held := f.replica.takeHeld(from, request); held {
+			s.answer(from, w, responseTo(w, f))
+		}
+	})
+}
+
+// answerAll answers requests that waited for a read of a partition.
+func (s *Service) answerAll(due map[structs.DaemonID]waiter, f *followed) {
 	for _, from := range slices.Sorted(maps.Keys(due)) {
-		s.answer(from, due[from], s.responseTo(due[from]))
+		s.answer(from, due[from], responseTo(due[from], f))
 	}
 }
 
 // responseTo builds the answer to a request from what this daemon has read so far.
-func (s *Service) responseTo(w waiter) *Response {
-	packed, asOf, known := s.replica.bundleSince(w.request.From)
+func responseTo(w waiter, f *followed) *Response {
+	var packed *bundle
+	var asOf time.Time
+	var known bool
+	if w.request.wantsAll() {
+		packed, asOf, known = f.replica.bundleOfAll()
+	} else {
+		packed, asOf, known = f.replica.bundleSince(w.request.From)
+	}
 	switch {
 	case !known:
 		return &Response{Result: resultUnable}
--- a/internal/store/listing.go
+++ b/internal/store/listing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -9,6 +11,38 @@
 // maxPages is the maximum number of pages of one listing.
 const maxPages = 1000
 
+// Listing holds the newest record of each key of a partition.
+type Listing struct {
+	Records []Record
+	// End is the offset up to which the listing is guaranteed to be complete.
+	End int64
+	// AsOf is the time as of which the records are known to be the newest.
+	AsOf time.Time
+}
+
+// Update is what a Watcher has read.
+type Update struct {
+	// Records holds the newest record of each key that changed, at most one for each key; one
+	// without a value deletes its key.
+	Records []Record
+	// Complete: these are all keys, and all others are gone.
+	Complete bool
+}
+
+// newestOfEach returns the last record of each key, in order.
+func newestOfEach(records []Record) []Record {
+	seen := make(map[string]bool, len(records))
+	newest := make([]Record, 0, len(records))
+	for _, record := range slices.Backward(records) {
+		if !seen[record.Key] {
+			seen[record.Key] = true
+			newest = append(newest, record)
+		}
+	}
+	slices.Reverse(newest)
+	return newest
+}
+
 // Newest reads the newest record of each key, page by page. end is the offset up to which the
 // listing is guaranteed to be complete. A caller that continues to read from end misses nothing,
 // but may see some of the listed records again.
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -13,6 +13,8 @@
 	// asOf is the time as of which the answer is current; nil if that follows from when the call
 	// was made.
 	asOf atomic.Pointer[time.Time]
+	// pause is the time to wait before the next read; nil for the caller's own.
+	pause atomic.Pointer[time.Duration]
 }
 
 // progressKey is the context key of a Progress.
@@ -58,6 +60,17 @@
 	return time.Time{}, false
 }
 
+// SetPause sets the time to wait before the next read, in place of the caller's own.
+func (p *Progress) SetPause(pause time.Duration) { p.pause.Store(&pause) }
+
+// Pause returns the time that SetPause set last, or otherwise if it was never called.
+func (p *Progress) Pause(otherwise time.Duration) time.Duration {
+	if set := p.pause.Load(); set != nil {
+		return *set
+	}
+	return otherwise
+}
+
 // freshConnectionKey is the context key that marks calls which need a new connection.
 type freshConnectionKey struct{}
 
@@ -87,3 +100,18 @@
 	patient, _ := ctx.Value(patientKey{}).(bool)
 	return patient
 }
+
+// readLimitKey is the context key of the limit of a read.
+type readLimitKey struct{}
+
+// WithReadLimit limits the answers to reads to about the given number of bytes; the next read
+// returns what follows. A record that is larger is returned all the same.
+func WithReadLimit(ctx context.Context, bytes int) context.Context {
+	return context.WithValue(ctx, readLimitKey{}, bytes)
+}
+
+// ReadLimit returns the limit that WithReadLimit set, 0 for none.
+func ReadLimit(ctx context.Context) int {
+	limit, _ := ctx.Value(readLimitKey{}).(int)
+	return limit
+}
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -33,6 +33,12 @@
 	// OnAdvance, if set, is called instead of OnChange and also gets the offset after the last
 	// record read: the higher it is, the newer are the records.
 	OnAdvance func(records map[string]Record, end int64)
+	// OnUpdate, if set, is called instead of both, with what was read. The newest records of all keys
+	// are then not kept.
+	OnUpdate func(update Update)
+	// List, if set, lists all keys at the start and after records were trimmed. It may take long and
+	// repeats its calls itself. Otherwise they are listed from Store.
+	List func(ctx context.Context) (Listing, error)
 	// OnRead, if set, is called after each read that the store answered, with or without a change,
 	// and after OnChange. asOf is the time as of which the records are known to be the newest; see
 	// AsOf.
@@ -60,6 +66,10 @@
 	next := int64(-1)
 	state := connectivityState{onChange: w.OnConnectivity}
 	for ctx.Err() == nil {
+		if next < 0 && w.List != nil {
+			next = w.list(ctx, known, &state)
+			continue
+		}
 		wait := w.Settings.Wait
 		if state.unreachable {
 			wait = 0 // only check whether the store answers
@@ -78,22 +88,45 @@
 		if next < 0 {
 			continue // the records that follow were trimmed: list all keys again
 		}
-		if answer.listed {
-			clear(known)
-		}
-		ApplyNewest(known, answer.records)
 		if answer.isChange() {
-			w.notify(known, next)
+			w.apply(known, answer.records, answer.listed, next)
 		}
 		if w.OnRead != nil {
 			w.OnRead(answer.asOf())
 		}
-		clock.Sleep(ctx, w.Settings.Pause)
+		clock.Sleep(ctx, answer.call.progress.Pause(w.Settings.Pause))
 	}
 }
 
-// notify calls OnAdvance, or OnChange if OnAdvance is not set.
-func (w *Watcher) notify(known map[string]Record, end int64) {
+// list lists all keys by List. It returns the offset to continue from, negative if it failed.
+func (w *Watcher) list(ctx context.Context, known map[string]Record, state *connectivityState) (next int64) {
+	listing, err := w.List(ctx)
+	if ctx.Err() != nil {
+		return -1
+	}
+	if err != nil {
+		state.setUnreachable(err)
+		w.waitForRetry(ctx)
+		return -1
+	}
+	state.setReachable()
+	w.apply(known, listing.Records, true, listing.End)
+	if w.OnRead != nil {
+		w.OnRead(listing.AsOf)
+	}
+	return listing.End
+}
+
+// apply passes what was read to OnUpdate, OnAdvance or OnChange, the first that is set.
+func (w *Watcher) apply(known map[string]Record, records []Record, listed bool, end int64) {
+	if w.OnUpdate != nil {
+		w.OnUpdate(Update{Records: newestOfEach(records), Complete: listed})
+		return
+	}
+	if listed {
+		clear(known)
+	}
+	ApplyNewest(known, records)
 	if w.OnAdvance != nil {
 		w.OnAdvance(known, end)
 		return
