instance: a change costs what has changed, a choice does not follow the fleet

Cause: one changed entry was decoded, looked up and sorted with all others under the lock that decisions need; a choice weighed every instance (two passes and a string each where requests have a key). Change: entries are applied as they change; instances are indexed by service, zone and hash. Up to 256 instances of a service all are candidates, as before; beyond, eight that follow the query's position on the zone's ring (affinity key, or the daemon's address), more while none has a free slot, all if none is admitted. An instance that a request finds gone comes back with the next change of the list, as before.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Parts of the cost of an instance; see Pool.cost.
@@ -64,11 +62,12 @@
 	p.currentQuery = requested
 	query := &p.currentQuery
 	query.ServiceTime = p.serviceTimes[query.Service]
-	if query.Preferred == "" && query.AffinityKey != "" {
+	isLarge := query.Only == "" && len(p.instancesOf(query.Service)) > scanLimit
+	if query.Preferred == "" && query.AffinityKey != "" && !isLarge {
 		query.Preferred = p.rendezvousInstance(query, now)
 	}
 	for {
-		best := p.cheapest(query, now)
+		best := p.choose(query, isLarge, now)
 		if best == nil {
 			return Instance{}, false
 		}
@@ -88,26 +87,45 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
-	return slices.ContainsFunc(p.byService[query.Service], func(e *entry) bool {
+	return slices.ContainsFunc(p.instancesOf(query.Service), func(e *entry) bool {
 		isLastResort := now.Before(e.backoffUntil) || p.unlistedCost(e, now) >= lastResortCost || isExcludedZone(e.Zone)
 		return !isLastResort && p.admits(&query, e, now)
 	})
 }
 
-// cheapest returns the instance with the lowest cost, nil if none is admitted.
-func (p *Pool) cheapest(query *Query, now time.Time) *entry {
-	var best *entry
-	bestCost := 0.0
-	for _, e := range p.byService[query.Service] {
-		if !p.admits(query, e, now) {
-			continue
-		}
-		cost := p.cost(e, query, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+// choose returns the instance with the lowest cost among the candidates, nil if none is admitted.
+// The candidates are all instances, or a part of them if there are many.
+func (p *Pool) choose(query *Query, isLarge bool, now time.Time) *entry {
+	if isLarge {
+		return p.chooseNear(query, now)
+	}
+	var best cheapest
+	if query.Only != "" {
+		if only := p.byID[query.Only]; only != nil && only.Service == query.Service {
+			p.consider(&best, only, query, now)
 		}
+		return best.entry
+	}
+	for _, e := range p.instancesOf(query.Service) {
+		p.consider(&best, e, query, now)
+	}
+	return best.entry
+}
+
+// cheapest is the candidate with the lowest cost so far.
+type cheapest struct {
+	entry *entry
+	cost  float64
+}
+
+// consider makes an instance the best candidate if it is admitted and cheaper.
+func (p *Pool) consider(best *cheapest, e *entry, query *Query, now time.Time) {
+	if !p.admits(query, e, now) {
+		return
+	}
+	if cost := p.cost(e, query, now); best.entry == nil || cost < best.cost {
+		*best = cheapest{entry: e, cost: cost}
 	}
-	return best
 }
 
 // rendezvousInstance returns the ID of the instance that rendezvous hashing selects for the
@@ -115,17 +133,26 @@
 // or loses move.
 func (p *Pool) rendezvousInstance(query *Query, now time.Time) string {
 	best, highest := "", uint64(0)
-	for _, e := range p.byService[query.Service] {
+	for _, e := range p.instancesOf(query.Service) {
 		if !p.mayServe(e, now) || p.plugins.filteredBy(query, &e.Instance, now) != nil {
 			continue
 		}
-		if hash := xxhash.Sum64String(e.ID + "/" + query.AffinityKey); best == "" || hash > highest {
+		if hash := p.affinityHash(e.ID, query.AffinityKey); best == "" || hash > highest {
 			best, highest = e.ID, hash
 		}
 	}
 	return best
 }
 
+// affinityHash returns the score of an instance for an affinity key.
+func (p *Pool) affinityHash(id, key string) uint64 {
+	p.digest.Reset()
+	_, _ = p.digest.WriteString(id) // never fails
+	_, _ = p.digest.WriteString("/")
+	_, _ = p.digest.WriteString(key)
+	return p.digest.Sum64()
+}
+
 // cost returns an instance's load per slot plus all corrections, as a fraction of its
 // slots.
 func (p *Pool) cost(e *entry, query *Query, now time.Time) float64 {
--- a/internal/instance/listing.go
+++ b/internal/instance/listing.go
@@ -15,18 +15,18 @@
 	// used: entries of running instances expire in an outage and are written again within
 	// about two seconds of its end.
 	recoveryTime = 2200 * time.Millisecond
-	// minOutage is the shortest time without a confirmed list in which the entry of a
-	// running instance can expire: entries are written every 1.2 s and expire after three
-	// missed writes, the first of which may have been due when the outage began. After a
-	// shorter time the daemon's own read was late, and an instance that is missing has
-	// left.
-	minOutage = 2400 * time.Millisecond
+	// outageHeartbeats is the number of heartbeats of the instances in the shortest time
+	// without a confirmed list in which the entry of a running instance can expire: entries
+	// expire after three missed writes, the first of which may have been due when the
+	// outage began. After a shorter time the daemon's own read was late, and an instance
+	// that is missing has left.
+	outageHeartbeats = 2
 )
 
 // mayServe reports whether an instance may get requests.
 func (p *Pool) mayServe(e *entry, now time.Time) bool {
 	switch {
-	case e.State != StateReady:
+	case e.State != StateReady, e.presumedGone:
 		return false
 	case e.unlistedSince.IsZero(), p.mayHaveExpired(e, now):
 		return true
@@ -110,7 +110,7 @@
 	defer p.mutex.Unlock()
 	now := time.Now()
 	p.listUnavailable = false
-	if now.Sub(p.outageSince) >= minOutage {
+	if now.Sub(p.outageSince) >= outageHeartbeats*p.options.Heartbeat {
 		p.recoveryUntil = now.Add(recoveryTime)
 	}
 }
--- a/internal/instance/outcome.go
+++ b/internal/instance/outcome.go
@@ -44,7 +44,7 @@
 	case OutcomeFailed, OutcomeTimeout:
 		e.extendBackoff(now.Add(e.health.recordFailure(now)))
 	case OutcomeGone:
-		e.State = StateDraining
+		p.presumeGone(e)
 	}
 }
 
--- a/internal/instance/pool_test.go
+++ b/internal/instance/pool_test.go
@@ -268,14 +268,14 @@
 }
 
 // TestLateReadIsNotAnOutage guards against using removed instances for recoveryTime after a
-// late read: no entry of a running instance expires in less than minOutage.
+// late read: no entry of a running instance expires in less than outageHeartbeats*DefaultHeartbeat.
 func TestLateReadIsNotAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newTestPool("a", "b")
 		p.ConfirmList(time.Now())
 		time.Sleep(500 * time.Millisecond)
 		p.MarkListUnavailable()
-		time.Sleep(minOutage - 600*time.Millisecond)
+		time.Sleep(outageHeartbeats*DefaultHeartbeat - 600*time.Millisecond)
 		p.MarkListAvailable()
 		p.Replace(listOf(StateReady, "a"))
 		p.ConfirmList(time.Now())
@@ -285,6 +285,25 @@
 	})
 }
 
+// TestShortOutageIsNoReasonToKeepInstancesThatBeatRarely checks that the heartbeat decides how long
+// an outage must last for entries of running instances to expire in it.
+func TestShortOutageIsNoReasonToKeepInstancesThatBeatRarely(t *testing.T) {
+	for heartbeat, kept := range map[time.Duration]bool{time.Second: true, 5 * time.Second: false} {
+		synctest.Test(t, func(t *testing.T) {
+			p := NewPoolWith(Options{Heartbeat: heartbeat}, rand.New(rand.NewPCG(1, 1)), Plugins{})
+			p.Replace(listOf(StateReady, "a", "b"))
+			p.MarkListUnavailable()
+			time.Sleep(6 * time.Second)
+			p.MarkListAvailable()
+			p.Replace(listOf(StateReady, "a"))
+			p.ConfirmList(time.Now())
+			if got := p.isUsable("b"); got != kept {
+				t.Errorf("heartbeat %s: a missing instance is usable after an outage of 6s: %t", heartbeat, got)
+			}
+		})
+	}
+}
+
 // The store may list instances that do not belong to this fleet; no connection to them is
 // opened.
 func TestAnyInReturnsOnlyNamedServices(t *testing.T) {
--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -37,8 +37,8 @@
 }
 
 // resolveRun returns the ID of the run that an entry counts for. If the entry starts a new
-// run, it also returns the entry of the run that ended. A rejected entry counts for the
-// latest run.
+// run, it also returns the entry of the run that ended, which the caller removes. A rejected
+// entry counts for the latest run.
 func (p *Pool) resolveRun(instance *Instance) (id string, ended *entry) {
 	latest := p.latestRuns[instance.Name()]
 	if latest == nil {
@@ -50,7 +50,6 @@
 		return latest.id, nil
 	}
 	ended = p.byID[latest.id]
-	delete(p.byID, latest.id)
 	*latest = newLatestRun(instance)
 	return instance.ID, ended
 }
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -64,11 +64,12 @@
 	Ready(isReady func() bool) http.Handler
 	// RoutesPartition and InstancesPartition are the partitions to which operators and back ends
 	// write; Routes and Instances parse their records. Routes returns nil if none were written yet.
+	// Instances gets only the records that changed.
 	RoutesPartition() store.Partition
 	InstancesPartition() store.Partition
 	Routes(records map[string]store.Record) (*route.Table, error)
 	// Evacuations parses the operators' orders to evacuate zones from the same records as Routes.
 	// The result is partial if records are not all of the operators' records.
 	Evacuations(records map[string]store.Record, end int64) zone.OrderSnapshot
-	Instances(records map[string]store.Record) []instance.Instance
+	Instances(update store.Update) instance.Update
 }
--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -39,6 +39,7 @@
 	if len(d.topology.Zones()) > 1 {
 		d.reachability = zone.NewReachability(d.topology)
 	}
-	d.pool = instance.NewPool(newRandom(), d.placementPlugins())
+	options := instance.Options{Zone: d.settings.Zone, Address: d.settings.PeerAddress}
+	d.pool = instance.NewPoolWith(options, newRandom(), d.placementPlugins())
 	d.registerZones(d.metrics)
 }
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -101,8 +101,8 @@
 		Settings:     instancesWatch,
 		Metrics:      d.watchMetrics,
 		Logger:       &d.logger,
-		OnChange: func(records map[string]store.Record) {
-			d.adapter.CloseIdle(d.pool.Replace(d.adapter.Instances(records)))
+		OnUpdate: func(update store.Update) {
+			d.adapter.CloseIdle(d.pool.Apply(d.adapter.Instances(update)))
 		},
 		OnRead: d.pool.ConfirmList,
 		OnConnectivity: func(err error) {
