relaydaemon: the heartbeat of back ends is read from the settings

Cause: what rests on the heartbeat of back ends was fixed at 1.2 s; it is 5 s where the fleet is large. An entry was believed to be at most 2 s old when read (it may be 5.8 s: a cold limit after a zone's return could end too early), and entries to lapse in an outage of 2.4 s (they do after 10). Change: heartbeat_milliseconds, from the platform's settings; an invalid value is named with its field.

--- a/internal/relaydaemon/placement.go
+++ b/internal/relaydaemon/placement.go
@@ -32,6 +32,7 @@
 	d.coldLimiter = warmup.NewLimiter(warmup.Options{
 		Tolerance:   d.settings.coldTolerance(),
 		OwnAddress:  d.settings.PeerAddress,
+		Heartbeat:   d.settings.heartbeat(),
 		ZoneReturns: &d.evacuations,
 		Logger:      componentLogger(d.logger, "warmup"),
 		Metrics:     warmup.NewMetrics(d.metrics),
@@ -39,7 +40,7 @@
 	if len(d.topology.Zones()) > 1 {
 		d.reachability = zone.NewReachability(d.topology)
 	}
-	options := instance.Options{Zone: d.settings.Zone, Address: d.settings.PeerAddress}
+	options := instance.Options{Zone: d.settings.Zone, Address: d.settings.PeerAddress, Heartbeat: d.settings.heartbeat()}
 	d.pool = instance.NewPoolWith(options, newRandom(), d.placementPlugins())
 	d.registerZones(d.metrics)
 }
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -3,6 +3,7 @@
 package relaydaemon
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/yamlfile"
@@ -19,6 +21,10 @@
 // ErrUnreadable: the settings file cannot be read.
 var ErrUnreadable = eris.New("relaydaemon: cannot read the settings")
 
+// maxHeartbeat is the longest interval of heartbeats that the settings may name: it would take
+// longer to notice a back end that is gone than any caller waits.
+const maxHeartbeat = 10 * time.Minute
+
 // Settings is the content of a relay daemon's settings file.
 type Settings struct {
 	// Adapter is the name of the platform's adapter.
@@ -56,6 +62,8 @@
 	// StopSeconds is the stop time: how many seconds after the begin of a planned shutdown the
 	// platform kills the process. The shutdown deadline is exitMargin before the kill.
 	StopSeconds float64 `yaml:"stop_seconds"`
+	// HeartbeatMS is the interval in milliseconds at which running back ends write their entries.
+	HeartbeatMS float64 `yaml:"heartbeat_milliseconds"`
 	// RevocationMS is the time in milliseconds after the revocation of a key from which no request
 	// sent with it may run.
 	RevocationMS float64 `yaml:"revocation_milliseconds"`
@@ -89,6 +97,7 @@
 		LedgerPartitions: 12,
 		StopSeconds:      8,
 		RevocationMS:     5000,
+		HeartbeatMS:      milliseconds(instance.DefaultHeartbeat),
 
 		QuotaWindowSeconds: quota.DefaultTolerance().Window.Seconds(),
 		EvacuationMS:       5000,
@@ -176,6 +185,9 @@
 
 // checkBounds checks the limits that operators promise to others.
 func (s *Settings) checkBounds(add func(field, reason string)) {
+	if s.HeartbeatMS <= 0 || s.HeartbeatMS > milliseconds(maxHeartbeat) {
+		add("heartbeat_milliseconds", fmt.Sprintf("is %v, must be above 0 and at most %v", s.HeartbeatMS, milliseconds(maxHeartbeat)))
+	}
 	if s.RevocationMS <= milliseconds(revocationMargin) {
 		add("revocation_milliseconds", "must be above 100")
 	}
@@ -222,6 +234,10 @@
 
 func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
 
+func (s *Settings) heartbeat() time.Duration {
+	return time.Duration(s.HeartbeatMS * float64(time.Millisecond))
+}
+
 func (s *Settings) revocationTime() time.Duration {
 	return time.Duration(s.RevocationMS * float64(time.Millisecond))
 }
--- a/internal/relaydaemon/settings_test.go
+++ b/internal/relaydaemon/settings_test.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// TestInvalidHeartbeatIsNamed checks that the error names the field and its value.
+func TestInvalidHeartbeatIsNamed(t *testing.T) {
+	for _, value := range []string{"0", "-5", "1e9"} {
+		_, err := ParseSettings("boot.yaml", []byte("heartbeat_milliseconds: "+value+"\n"))
+		if err == nil || !strings.Contains(err.Error(), "heartbeat_milliseconds: is "+strings.Replace(value, "1e9", "1e+09", 1)) {
+			t.Errorf("%s: %v", value, err)
+		}
+	}
+}
+
 func TestMissingSettingsFile(t *testing.T) {
 	if _, err := ReadSettings("/nowhere/boot.yaml"); !errors.Is(err, ErrUnreadable) {
 		t.Errorf("got %v, want %v", err, ErrUnreadable)
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -33,9 +33,9 @@
 )
 
 const (
-	// maxEntryAge is the maximum age of an instance's entry when it is read: entries are
-	// written at least every 1.2 s, and read twice a second.
-	maxEntryAge = 2 * time.Second
+	// maxReadDelay is how long after it was written an entry may be read: entries are read
+	// twice a second.
+	maxReadDelay = 800 * time.Millisecond
 	// coldCost is the cost of a cold instance of a service without a rate limit, in
 	// requests in flight, as the instance is slow. With a rate limit nothing is added: each
 	// daemon knows only its own load, which in a large fleet is below one request at most
@@ -60,6 +60,9 @@
 	Tolerance Tolerance
 	// OwnAddress is the address of this daemon in the registry.
 	OwnAddress string
+	// Heartbeat is the interval at which instances write their entries; 0 for
+	// instance.DefaultHeartbeat.
+	Heartbeat time.Duration
 	// ZoneReturns may be nil if no zone is ever evacuated.
 	ZoneReturns ZoneReturns
 	Logger      zerolog.Logger
@@ -83,6 +86,9 @@
 
 // NewLimiter returns a limiter without services and daemons.
 func NewLimiter(options Options) *Limiter {
+	if options.Heartbeat == 0 {
+		options.Heartbeat = instance.DefaultHeartbeat
+	}
 	return &Limiter{
 		options: options,
 		refresh: clock.NewRateLimitedSignal(minRefreshInterval),
@@ -203,7 +209,7 @@
 		return until
 	}
 	returnedAt, returned := l.options.ZoneReturns.ReturnedAt(candidate.Zone)
-	if !returned || !candidate.ReceivedAt.Before(returnedAt.Add(maxEntryAge)) {
+	if !returned || !candidate.ReceivedAt.Before(returnedAt.Add(l.options.Heartbeat+maxReadDelay)) {
 		return until
 	}
 	if until.Before(returnedAt.Add(bound.coldFor)) {
