relaydaemon: a caller that takes nothing of its answer is cut off

Change: a caller's connection ends once it has taken nothing for 30 s; one that reads slowly goes on. Left: a budget of bytes over all callers; engines that read slowly; the soak has no such callers.

--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -1,13 +1,20 @@
 package relaydaemon
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
+// writeStallTimeout is how long a caller may take nothing of its answer until its connection is
+// closed: an answer is held in memory until it was taken. It exceeds the time that callers wait for
+// an answer.
+const writeStallTimeout = 30 * time.Second
+
 // phase is the state of a caller's connection.
 type phase int
 
@@ -47,6 +54,21 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails once the caller has taken nothing for writeStallTimeout.
+func (c *frontConnection) Write(buffer []byte) (written int, err error) {
+	for {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeStallTimeout)) // if that fails, so does the write
+		n, err := c.Conn.Write(buffer[written:])
+		written += n
+		if written == len(buffer) {
+			return written, nil
+		}
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
+}
+
 // SetReadDeadline implements net.Conn. When the server clears its deadline, that of the phase
 // applies.
 func (c *frontConnection) SetReadDeadline(at time.Time) error {
