--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -54,7 +54,7 @@
 
 		Capacity: d.settings.capacity(),
 	}
-	sent := newTraffic(d.topology, d.metrics)
+	sent := newTraffic(d.topology, d.metrics, componentLogger(d.logger, "peer"))
 	transport, err := tcp.Listen(self.ID, receiver, sent.count, componentLogger(d.logger, "peer"))
 	if err != nil {
 		return err
--- a/internal/relaydaemon/traffic_test.go
+++ b/internal/relaydaemon/traffic_test.go
@@ -1,6 +1,7 @@
 package relaydaemon
 
 import (
+	"github.com/rs/zerolog"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,7 +14,7 @@
 
 func TestTrafficIsCountedByKindAndDistance(t *testing.T) {
 	zones := map[string]structs.ZoneName{"10.0.0.1:7000": "north-a", "10.0.0.2:7000": "north-b", "10.0.0.3:7000": "south-a"}
-	sent := newTraffic(zone.NewTopology("north-a", "north", map[string]string{"north-b": "north", "south-a": "south"}), prometheus.NewRegistry())
+	sent := newTraffic(zone.NewTopology("north-a", "north", map[string]string{"north-b": "north", "south-a": "south"}), prometheus.NewRegistry(), zerolog.Nop())
 	sent.members = func(address string) (membership.Member, bool) {
 		name, known := zones[address]
 		return membership.Member{Daemon: structs.Daemon{Zone: name}}, known
