relaydaemon: a daemon that starts reads its part of the registry

Cause: each daemon listed the whole registry at its start, for its former incarnation: 74 kB of keys and values for each of 1,000 (as JSON and base64 some 180 MB for a fleet of 984, over two seconds of the store's rate, where the reading may take 0.6 s). So after a loss of all most would know neither how many they are nor whom to ask, and list the entries of all back ends from the store. Change: the latest incarnation at each address stands in a space of its own, spread over its partitions by address. A daemon that finds itself there and takes the fleet for more than 256 reads no more at its start; the list comes from a neighbour. Smaller fleets read as before, and one whose address is not there (its former build wrote only the registry), too. Entries of the registry are as they were. A daemon that knows less than half of a large fleet waits up to two seconds before it takes itself for one that reads for others.

--- a/internal/relaydaemon/members.go
+++ b/internal/relaydaemon/members.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/clock"
@@ -22,8 +23,15 @@
 const (
 	// daemonsSpace is the store's space for the daemons' addresses.
 	daemonsSpace = "daemons"
-	// registryReadTimeout is the timeout of the listing of the registry at the start.
+	// runsSpace is the store's space for the latest incarnation at each address, spread over its
+	// partitions by address: a daemon that starts reads the part that has its own, also while all
+	// daemons of a large fleet start.
+	runsSpace = "daemon-runs"
+	// registryReadTimeout is the timeout of the readings of the registry at the start.
 	registryReadTimeout = 600 * time.Millisecond
+	// maxListedAtStart is the number of daemons up to which a daemon that starts lists the whole
+	// registry at once. In a larger fleet it gets the list from a neighbour later.
+	maxListedAtStart = 256
 	// registryAppendTimeout is the timeout of one attempt to write this daemon's entry. All daemons
 	// write to one partition, and after a loss of all they write at once. The store queues two
 	// seconds of appends before it refuses more, and makes those that nobody waits for any more all
@@ -111,8 +119,14 @@
 
 func registryPartition() store.Partition { return store.Partition{Space: daemonsSpace} }
 
-// incarnation reads the registry and returns an incarnation above that of the former process at
-// this address, even if the wall clock was set back since.
+// runsPartition returns the partition with the latest incarnation at this daemon's address.
+func (r *memberRegistry) runsPartition() store.Partition {
+	number := xxhash.Sum64String(r.settings.PeerAddress) % uint64(max(r.settings.LedgerPartitions, 1))
+	return store.Partition{Space: runsSpace, Number: int(number)}
+}
+
+// incarnation returns an incarnation above that of the former process at this address, even if the
+// wall clock was set back since.
 func (r *memberRegistry) incarnation() uint64 {
 	r.ownRecord = memberRecord{
 		Incarnation: uint64(time.Now().UnixNano()),
@@ -121,21 +135,44 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), registryReadTimeout)
 	defer cancel()
+	if found, daemons := r.readRuns(ctx); found && daemons > maxListedAtStart {
+		r.listedCount.Store(int64(daemons))
+		return r.ownRecord.Incarnation
+	}
 	began := time.Now()
-	records, end, err := store.Newest(ctx, r.store, registryPartition())
+	records, end, err := store.Newest(store.WithPurpose(ctx, store.PurposeRegistry), r.store, registryPartition())
 	if err != nil {
 		r.logger.Warn().Err(err).Msg("Registry of daemons not read. The incarnation is the current time.")
 		return r.ownRecord.Incarnation
 	}
 	r.listed = &store.Listing{Records: records, End: end, AsOf: began}
 	r.listedCount.Store(int64(len(presentAddresses(slices.Values(records)))))
+	r.riseAbove(records)
+	return r.ownRecord.Incarnation
+}
+
+// readRuns reads the part of the latest incarnations that has this address, and estimates the number
+// of daemons from it. It returns false if this address is not there: its former process, if there was
+// one, was of a build that wrote only to the registry.
+func (r *memberRegistry) readRuns(ctx context.Context) (found bool, daemons int) {
+	records, _, err := store.Newest(store.WithPurpose(ctx, store.PurposeRegistry), r.store, r.runsPartition())
+	if err != nil {
+		return false, 0
+	}
+	return r.riseAbove(records), len(records) * max(r.settings.LedgerPartitions, 1)
+}
+
+// riseAbove raises the own incarnation above that of the record of this address; false if there is
+// none.
+func (r *memberRegistry) riseAbove(records []store.Record) (found bool) {
 	for _, record := range records {
 		var former memberRecord
 		if record.Key == r.settings.PeerAddress && json.Unmarshal(record.Value, &former) == nil {
 			r.ownRecord.Incarnation = max(r.ownRecord.Incarnation, former.Incarnation+1)
+			found = true
 		}
 	}
-	return r.ownRecord.Incarnation
+	return found
 }
 
 // run writes this daemon's entry, and passes on the addresses of the others until ctx ends.
@@ -180,11 +217,18 @@
 	return presentAddresses(slices.Values(r.listed.Records))
 }
 
-// write writes this daemon's entry. Attempts get rarer, as all daemons may be writing theirs.
+// write writes this daemon's entries, first that of its incarnation.
 func (r *memberRegistry) write(ctx context.Context) {
+	r.writeTo(ctx, r.runsPartition())
+	r.writeTo(ctx, registryPartition())
+}
+
+// writeTo writes this daemon's entry to a partition. Attempts get rarer, as all daemons may be writing
+// theirs.
+func (r *memberRegistry) writeTo(ctx context.Context, partition store.Partition) {
 	pause := minRegistryPause
 	for ctx.Err() == nil && !r.withdrawn.Load() {
-		if r.append(store.WithPatience(ctx), r.ownRecord, registryAppendTimeout) == nil {
+		if r.append(store.WithPatience(ctx), partition, r.ownRecord, registryAppendTimeout) == nil {
 			return
 		}
 		clock.Sleep(ctx, pause/2+rand.N(pause))
@@ -192,8 +236,8 @@
 	}
 }
 
-// append writes an entry of this daemon.
-func (r *memberRegistry) append(ctx context.Context, own memberRecord, timeout time.Duration) error {
+// append writes an entry of this daemon to a partition.
+func (r *memberRegistry) append(ctx context.Context, partition store.Partition, own memberRecord, timeout time.Duration) error {
 	value, err := json.Marshal(own)
 	if err != nil {
 		return err
@@ -201,7 +245,7 @@
 	ctx, cancel := context.WithTimeout(store.WithPurpose(ctx, store.PurposeRegistry), timeout)
 	defer cancel()
 	record := store.Record{Key: r.settings.PeerAddress, Value: value}
-	return r.store.Append(ctx, registryPartition(), store.Writer{}, []store.Record{record})
+	return r.store.Append(ctx, partition, store.Writer{}, []store.Record{record})
 }
 
 // withdraw marks this daemon's entry as left.
@@ -209,7 +253,7 @@
 	r.withdrawn.Store(true)
 	ownRecord := r.ownRecord
 	ownRecord.Left = true
-	if err := r.append(ctx, ownRecord, withdrawTimeout); err != nil {
+	if err := r.append(ctx, registryPartition(), ownRecord, withdrawTimeout); err != nil {
 		r.logger.Warn().Err(err).Msg("Entry in the registry of daemons not withdrawn.")
 	}
 }
--- a/internal/store/fanout/listing.go
+++ b/internal/store/fanout/listing.go
@@ -15,6 +15,10 @@
 	// listTimeout is how long a neighbour may take to send the first piece of all records: it may
 	// have to wait for its own neighbour.
 	listTimeout = 2 * time.Second
+	// maxViewTime is how long a daemon that has started waits until it knows minViewShare of the
+	// daemons, before it takes itself for one that reads for others.
+	maxViewTime  = 2 * time.Second
+	minViewShare = 0.5
 	// pageTries is the number of tries at one page of a listing, as a busy store refuses some. The
 	// pause between them doubles from pagePause on.
 	pageTries = 5
@@ -30,8 +34,12 @@
 		return s.listStore(ctx, partition)
 	}
 	s.awaitDiscovery(ctx)
-	for ctx.Err() == nil {
+	for began := time.Now(); ctx.Err() == nil; {
 		neighbour, found := s.neighbour(f, time.Now())
+		if !found && s.knowsFew() && time.Since(began) < maxViewTime {
+			clock.Sleep(ctx, retryPause)
+			continue
+		}
 		if !found {
 			break
 		}
@@ -50,6 +58,12 @@
 	return listing, err
 }
 
+// knowsFew reports whether this daemon knows a small part of a large fleet.
+func (s *Service) knowsFew() bool {
+	count := s.daemonCount()
+	return count > minDaemonsToWait && float64(len(s.View.Members())) < minViewShare*float64(count)
+}
+
 // awaitDiscovery waits until this daemon had time to discover the others, if they are many. One
 // that has started knows no neighbours yet.
 func (s *Service) awaitDiscovery(ctx context.Context) {
