membership: a daemon that looks for many also asks the missing ones themselves

Cause: while it lacks many of the listed daemons, a daemon asked its eight partners alone for up to 30 s; after a loss of some for good, or in a cut, they may be gone or know nothing. Change: every fourth round asks a missing daemon itself. Measured: the tests of internal/membership pass (TestFleetThatStartsAtOnceKnowsItself: 300 and 1,000 within its 6 s); no case in which it failed before was seen: found by reading.

--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -30,8 +30,10 @@
 	missingShare = 0.02
 	maxWanted    = 192
 	// maxPartners is the number of daemons to which such requests go in turn, so
-	// that they need few connections.
+	// that they need few connections. Every absentRound-th round asks one of the
+	// missing daemons itself: the partners may not know it, or be gone.
 	maxPartners = 8
+	absentRound = 4
 	// maxFirstJoinMembers is the number of members from which on a daemon no
 	// longer asks at FirstJoinInterval, as it knows whom to ask.
 	maxFirstJoinMembers = 128
@@ -47,6 +49,8 @@
 	replies tokenbucket.Bucket
 	// partners are the addresses of daemons that sent tables, the latest last.
 	partners []string
+	// rounds counts the rounds of looking for others.
+	rounds int
 	// pending are the runs to probe, and verifying is set while one is probed.
 	pending   []pendingVerification
 	verifying bool
@@ -103,7 +107,8 @@
 	m.pruneTombstones()
 	absent := m.absentAddresses()
 	interval, fanout := m.joinSchedule()
-	if m.lacksMany() && len(m.syncer.partners) == maxPartners {
+	m.syncer.rounds++
+	if m.lacksMany() && len(m.syncer.partners) == maxPartners && m.syncer.rounds%absentRound != 0 {
 		partner := m.syncer.partners[m.Random.IntN(maxPartners)]
 		m.requestSyncAt(partner, sample.Of(m.Random, maxWanted, absent))
 	} else {
