store/fanout: a fleet that starts at once does not list the store all together

A daemon whose neighbour had no list yet could list from the store 2 ms x daemons after the last time, as for a read: 500 lists of 2.1 MB a second where the store reads 80 MB, so those that read for others waited as well. And these waited two seconds first, to know half of the fleet. Change: listings have a spacing of their own, 50 ms x daemons; a neighbour may take 3 s in place of 2, the first wait 1 s in place of 2. Ruled out: the registry (read at once, fleet's size known) and the holders of shards (known after 0.05 s). Measured: TestFleetWithoutNeighboursLeavesRoomInTheStore failed before (181.8 MB asked of a store that reads 200 in that time, at most 160 wanted). The whole fleet was not played again with it before this commit.

--- a/internal/store/fanout/fanout.go
+++ b/internal/store/fanout/fanout.go
@@ -83,7 +83,8 @@
 
 	replica    *replica
 	neighbours neighbours
-	fallback   fallback
+	// fallback limits this daemon's reads in place of a neighbour, and listFallback its listings.
+	fallback, listFallback fallback
 }
 
 // Service is a store.Store that reads some partitions by way of a neighbour if that relieves the
--- a/internal/store/fanout/large_fleet_test.go
+++ b/internal/store/fanout/large_fleet_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/store"
 )
 
@@ -109,3 +110,24 @@
 		f.expectAllKnow(t, entryCount-100, end, 4*time.Second, 0, 25*entryCount*entrySize)
 	})
 }
+
+// TestFleetWithoutNeighboursLeavesRoomInTheStore checks that daemons which all start while no daemon
+// delivers leave the store time for those that read for others: if all list it at once, nobody gets a
+// list.
+func TestFleetWithoutNeighboursLeavesRoomInTheStore(t *testing.T) {
+	const span = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(300)
+		f.setTamper(func(int, int, peer.Message) peer.Message { return nil })
+		putEntries(t, f.store, entryCount)
+		defer f.run(t)()
+		time.Sleep(span)
+		served, _ := f.store.count()
+		if most := int(0.8 * storeRate * span.Seconds()); served > most {
+			t.Errorf("%.1f MB were asked of the store in %s, want at most %.1f", float64(served)/1e6, span, float64(most)/1e6)
+		}
+		if known := f.knowAll(entryCount, entryCount); known < 2*zones {
+			t.Errorf("%d daemons know the entries, want those that read for others", known)
+		}
+	})
+}
--- a/internal/store/fanout/listing.go
+++ b/internal/store/fanout/listing.go
@@ -14,10 +14,14 @@
 const (
 	// listTimeout is how long a neighbour may take to send the first piece of all records: it may
 	// have to wait for its own neighbour.
-	listTimeout = 2 * time.Second
+	listTimeout = 3 * time.Second
+	// listSpacing times the number of daemons is the time between two listings of the store by a
+	// daemon whose neighbours do not deliver. It is longer than fallbackSpacing, as a list is large:
+	// all daemons together may be without one, and those that read for others need the store.
+	listSpacing = 50 * time.Millisecond
 	// maxViewTime is how long a daemon that has started waits until it knows minViewShare of the
 	// daemons, before it takes itself for one that reads for others.
-	maxViewTime  = 2 * time.Second
+	maxViewTime  = time.Second
 	minViewShare = 0.5
 	// pageTries is the number of tries at one page of a listing, as a busy store refuses some. The
 	// pause between them doubles from pagePause on.
@@ -46,7 +50,7 @@
 		if listing, delivered := s.listFromNeighbour(ctx, f, neighbour); delivered {
 			return listing, nil
 		}
-		if f.fallback.await(ctx, s.fallbackInterval()) {
+		if f.listFallback.await(ctx, time.Duration(s.daemonCount())*listSpacing) {
 			break
 		}
 		clock.Sleep(ctx, retryPause)
