store/fanout: a daemon that starts waits for others only where records are distributed

Listing waited for the discovery of others, and up to a second until half of them were known, in every fleet of more than 64 daemons, also where all read from the store: sites of 65 to 114 machines would have had their routes and back ends up to two seconds later after a restart. Change: both waits only where the records are distributed (some 250 daemons on, or records that are large).

--- a/internal/store/fanout/fanout.go
+++ b/internal/store/fanout/fanout.go
@@ -34,9 +34,6 @@
 	// defaultReadRate is the read rate of the store in bytes per second if it is not configured:
 	// low enough for a store with ordinary disks and links.
 	defaultReadRate = 80e6
-	// minDaemonsToWait is the number of daemons from which on a daemon that has started waits until
-	// it knows neighbours before it lists records.
-	minDaemonsToWait = 64
 	// minReadLimit is the smallest limit of a read in bytes.
 	minReadLimit = 8 << 10
 	// fallbackSpacing times the number of daemons is the time between two reads of the store by a
--- a/internal/store/fanout/listing.go
+++ b/internal/store/fanout/listing.go
@@ -37,10 +37,10 @@
 	if f == nil {
 		return s.listStore(ctx, partition)
 	}
-	s.awaitDiscovery(ctx)
+	s.awaitDiscovery(ctx, f)
 	for began := time.Now(); ctx.Err() == nil; {
 		neighbour, found := s.neighbour(f, time.Now())
-		if !found && s.knowsFew() && time.Since(began) < maxViewTime {
+		if !found && s.knowsFew(f) && time.Since(began) < maxViewTime {
 			clock.Sleep(ctx, retryPause)
 			continue
 		}
@@ -62,16 +62,15 @@
 	return listing, err
 }
 
-// knowsFew reports whether this daemon knows a small part of a large fleet.
-func (s *Service) knowsFew() bool {
-	count := s.daemonCount()
-	return count > minDaemonsToWait && float64(len(s.View.Members())) < minViewShare*float64(count)
+// knowsFew reports whether this daemon knows a small part of a fleet that distributes the records.
+func (s *Service) knowsFew(f *followed) bool {
+	return s.isDistributed(f) && float64(len(s.View.Members())) < minViewShare*float64(s.daemonCount())
 }
 
-// awaitDiscovery waits until this daemon had time to discover the others, if they are many. One
-// that has started knows no neighbours yet.
-func (s *Service) awaitDiscovery(ctx context.Context) {
-	if s.Discovered == nil || s.daemonCount() <= minDaemonsToWait {
+// awaitDiscovery waits until this daemon had time to discover the others, if they distribute the
+// records. One that has started knows no neighbours yet.
+func (s *Service) awaitDiscovery(ctx context.Context, f *followed) {
+	if s.Discovered == nil || !s.isDistributed(f) {
 		return
 	}
 	select {
