relay: the software version of back ends, and what a resumption resumes, in logs and metrics

Cause: of the incident's hypotheses (joined over a caller's tries, within an answer, at a back end that restarted) logs and metrics could tell none apart: no line names a version or the request that is resumed, the entry's version is not decoded. No decision uses any of it.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -27,6 +27,8 @@
 	// Address is "IP:PORT"; another instance may get it later.
 	Address string
 	Zone    string
+	// Version is the version of the back end's software; "" if its entry does not tell.
+	Version string
 	// Slots is how many requests the instance processes concurrently.
 	Slots int
 	State State
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -40,6 +40,9 @@
 	Object string
 	// ResumeAfter is the ID of the last event that the caller received of a broken stream.
 	ResumeAfter string
+	// Resumes is the ID of the request that brought the caller the first event of that
+	// stream, "" if the caller does not say.
+	Resumes string
 	// MaxTokens is the most tokens that the answer may have; 0 if not stated.
 	MaxTokens int64
 	// Tenant is the tenant that sent the request; nil if there are no tenants.
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -67,7 +67,7 @@
 	if event == nil {
 		return
 	}
-	event = event.Str("instance", target.ID).Int("status", status).Int("offers", c.offers).Int("runs", c.runs).
+	event = event.Str("instance", target.ID).Str("version", target.Version).Int("status", status).Int("offers", c.offers).Int("runs", c.runs).
 		Dur("held", time.Since(c.call.Received)).Dur("instances_age", c.relay.Pool.ListAge()).Int64("routes_version", c.routesVersion())
 	if !c.heldUp.Since.IsZero() {
 		event = c.logForecast(event)
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,7 +26,10 @@
 	firstEvents    prometheus.Histogram
 	begins         *prometheus.HistogramVec
 	records        *prometheus.HistogramVec
-	droppedLines   prometheus.Counter
+	// resumptions counts the streams that an instance went on with, by where they were begun
+	// and by the software version compared with the one that began them.
+	resumptions  *prometheus.CounterVec
+	droppedLines prometheus.Counter
 	// beliefAges observes, at each offer, how long ago the data that it is based on was
 	// confirmed, by kind of data.
 	beliefAges *prometheus.HistogramVec
@@ -56,6 +59,7 @@
 		records:        newHistogramVec("turn_record_seconds", "Time until the end of a kept turn was on record, by outcome.", "outcome"),
 		firstEvents:    prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
 	}
+	m.resumptions = newCounterVec("streams_resumed_total", "Streams that a back end went on with, by where they were begun and by its software version compared with the one that began them.", "begun_by", "version")
 	m.heldUpRequests = newCounterVec("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome")
 	m.tenants = newTenantMetrics()
 	m.givenUp = newCounterVec("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what")
@@ -65,7 +69,7 @@
 	m.faults = newCounterVec("handling_faults_total", "Requests left without an ending, ended twice, or whose handler panicked.", "fault")
 	m.open = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "open_requests", Help: "Requests that have not ended."})
 	registry.MustRegister(m.endings, m.faults, m.open)
-	registry.MustRegister(m.beliefAges, m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.latency, m.begins, m.records, m.firstEvents, m.droppedLines, m.heldUpRequests, m.givenUp, m.tenants.requests)
+	registry.MustRegister(m.resumptions, m.beliefAges, m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.latency, m.begins, m.records, m.firstEvents, m.droppedLines, m.heldUpRequests, m.givenUp, m.tenants.requests)
 	return m
 }
 
@@ -140,6 +144,10 @@
 
 func (m *Metrics) resumed() { m.furtherRuns.WithLabelValues("resumed").Inc() }
 
+func (m *Metrics) resumedAt(begunBy, version string) {
+	m.resumptions.WithLabelValues(begunBy, version).Inc()
+}
+
 func (m *Metrics) notRun(misdirected bool) {
 	cause := "full"
 	if misdirected {
--- /dev/null
+++ b/internal/relay/resumption_logs.go
@@ -0,0 +1,37 @@
+package relay
+
+import "github.com/mintpulley/mintpulley/internal/instance"
+
+// Where a stream was begun that is resumed: by the same answer, or by another request of
+// the caller.
+const (
+	resumedInAnswer = "answer"
+	resumedByCaller = "caller"
+)
+
+// Software versions of a resumed stream, compared with the one that began it.
+const (
+	resumedAtSame    = "same"
+	resumedAtOther   = "other"
+	resumedAtUnknown = "unknown"
+)
+
+// noteResumption logs and counts that an instance goes on with a stream that has sent events
+// before. For a new stream it does nothing.
+func (c *callHandler) noteResumption(target instance.Instance, state *streamState) {
+	if state.lastID == "" {
+		return
+	}
+	line := c.logger.Info().Str("after", state.lastID).Str("instance", target.ID).Str("version", target.Version)
+	if state.beganAt == nil {
+		line.Str("resumes", c.call.Resumes).Msg("Stream is resumed for its caller.")
+		c.relay.Metrics.resumedAt(resumedByCaller, resumedAtUnknown)
+		return
+	}
+	line.Str("began_at", state.beganAt.ID).Str("began_at_version", state.beganAt.Version).Msg("Stream is resumed within its answer.")
+	versions := resumedAtSame
+	if state.beganAt.Version != target.Version {
+		versions = resumedAtOther
+	}
+	c.relay.Metrics.resumedAt(resumedInAnswer, versions)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -30,6 +30,8 @@
 	lastID string
 	events int64
 	output []byte
+	// beganAt is the instance that sent the first event of this answer, nil before.
+	beganAt *instance.Instance
 	// instance is the one that completed the stream, "" while none has.
 	instance string
 }
@@ -76,6 +78,7 @@
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.noteResumption(target, state)
 	err := c.forwardEvents(answer, target, state)
 	if errors.Is(err, io.EOF) {
 		_ = answer.Body.Close() // frees the connection while the turn is being stored
@@ -146,6 +149,7 @@
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
+			state.beganAt = &target
 			state.firstEventAfter = time.Since(c.call.Received)
 			c.relay.Metrics.firstEvent(c.call)
 		}
@@ -171,7 +175,7 @@
 // canResume reports whether a stream that broke may be resumed. If not, the call is ended.
 func (c *callHandler) canResume(target instance.Instance, state *streamState, err error) bool {
 	c.releaseFailed(target)
-	c.logger.Info().Str("instance", target.ID).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
+	c.logger.Info().Str("instance", target.ID).Str("version", target.Version).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
 	if c.call.Route.Resumable && c.runs < maxStreamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
 		c.bindToLastInstance()
