relay, instance: one answer holds events of one software version

Callers saw: whole, timely answers whose events came from two software versions, after the back end broke off. Cause: the rest of a broken stream was offered to any back end of the service; the class is 'what is passed on in parts is bound to less than the first part was made with'. Change: the first event that is passed on binds the call to its back end's version, as text; the choice, its alternatives and the bound of one attempt look only among the back ends of it, by an index of each service by version, so few among thousands cost what few cost. If none is left (all listed gone, or did not accept a connection for this call) the answer is broken off at once instead of waiting; a list that may be incomplete, or back ends that are full, are waited for as before. A stream whose events carry no IDs is not resumed: nobody could tell where to go on.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -34,6 +34,8 @@
 	AffinityKey string
 	// Only is the ID of the only instance that may be chosen, "" for no restriction.
 	Only string
+	// Version is the software version that the instance must run, nil for any.
+	Version *string
 	// Regions are the regions to which the request is restricted, nil for no restriction.
 	Regions []string
 	// Excluded holds the IDs of instances that must not be chosen.
@@ -45,9 +47,12 @@
 	ServiceTime time.Duration
 }
 
+// admitsVersion reports whether an instance with a software version may be chosen.
+func (q *Query) admitsVersion(version string) bool { return q.Version == nil || *q.Version == version }
+
 // admits reports whether an instance may be chosen for a query.
 func (p *Pool) admits(q *Query, e *entry, now time.Time) bool {
-	if q.Only != "" && e.ID != q.Only {
+	if q.Only != "" && e.ID != q.Only || !q.admitsVersion(e.Version) {
 		return false
 	}
 	return p.mayServe(e, now) && !slices.Contains(q.Excluded, e.ID) && p.plugins.filteredBy(q, &e.Instance, now) == nil
@@ -62,7 +67,7 @@
 	p.currentQuery = requested
 	query := &p.currentQuery
 	query.ServiceTime = p.serviceTimes[query.Service]
-	isLarge := query.Only == "" && len(p.instancesOf(query.Service)) > scanLimit
+	isLarge := query.Only == "" && len(p.instancesOf(query)) > scanLimit
 	if query.Preferred == "" && query.AffinityKey != "" && !isLarge {
 		query.Preferred = p.rendezvousInstance(query, now)
 	}
@@ -87,12 +92,28 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	now := time.Now()
-	return slices.ContainsFunc(p.instancesOf(query.Service), func(e *entry) bool {
+	return slices.ContainsFunc(p.instancesOf(&query), func(e *entry) bool {
 		isLastResort := now.Before(e.backoffUntil) || p.unlistedCost(e, now) >= lastResortCost || isExcludedZone(e.Zone)
 		return !isLastResort && p.admits(&query, e, now)
 	})
 }
 
+// MayAdmit reports whether an instance that is not excluded may get a query's request now or,
+// if only a TemporaryFilter rejects it, soon.
+func (p *Pool) MayAdmit(query Query) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(p.instancesOf(&query), func(e *entry) bool {
+		if !p.mayServe(e, now) || slices.Contains(query.Excluded, e.ID) {
+			return false
+		}
+		filter := p.plugins.filteredBy(&query, &e.Instance, now)
+		_, temporary := filter.(TemporaryFilter)
+		return filter == nil || temporary
+	})
+}
+
 // choose returns the instance with the lowest cost among the candidates, nil if none is admitted.
 // The candidates are all instances, or a part of them if there are many.
 func (p *Pool) choose(query *Query, isLarge bool, now time.Time) *entry {
@@ -106,7 +127,7 @@
 		}
 		return best.entry
 	}
-	for _, e := range p.instancesOf(query.Service) {
+	for _, e := range p.instancesOf(query) {
 		p.consider(&best, e, query, now)
 	}
 	return best.entry
@@ -133,7 +154,7 @@
 // or loses move.
 func (p *Pool) rendezvousInstance(query *Query, now time.Time) string {
 	best, highest := "", uint64(0)
-	for _, e := range p.instancesOf(query.Service) {
+	for _, e := range p.instancesOf(query) {
 		if !p.mayServe(e, now) || p.plugins.filteredBy(query, &e.Instance, now) != nil {
 			continue
 		}
--- a/internal/instance/index.go
+++ b/internal/instance/index.go
@@ -16,9 +16,29 @@
 	// the rings, ordered.
 	rings map[string][]*entry
 	zones []string
+	// versions are the indexes of the instances with each software version; nil in these indexes
+	// themselves.
+	versions map[string]*serviceIndex
 }
 
-func newServiceIndex() *serviceIndex { return &serviceIndex{rings: map[string][]*entry{}} }
+func newServiceIndex() *serviceIndex {
+	index := newVersionIndex()
+	index.versions = map[string]*serviceIndex{}
+	return index
+}
+
+func newVersionIndex() *serviceIndex { return &serviceIndex{rings: map[string][]*entry{}} }
+
+// ofVersion returns the index of the instances with a software version, which it adds if there is
+// none.
+func (s *serviceIndex) ofVersion(version string) *serviceIndex {
+	index := s.versions[version]
+	if index == nil {
+		index = newVersionIndex()
+		s.versions[version] = index
+	}
+	return index
+}
 
 func compareIDs(a, b *entry) int { return strings.Compare(a.ID, b.ID) }
 
@@ -36,9 +56,13 @@
 		s.zones = slices.Insert(s.zones, place, e.Zone)
 	}
 	s.rings[e.Zone] = insertSorted(s.rings[e.Zone], e, compareHashes)
+	if s.versions != nil {
+		s.ofVersion(e.Version).add(e)
+	}
 }
 
 func (s *serviceIndex) remove(e *entry) {
+	s.removeFromVersion(e)
 	s.entries = deleteSorted(s.entries, e, compareIDs)
 	ring := deleteSorted(s.rings[e.Zone], e, compareHashes)
 	if len(ring) > 0 {
@@ -51,6 +75,17 @@
 	}
 }
 
+func (s *serviceIndex) removeFromVersion(e *entry) {
+	index := s.versions[e.Version]
+	if index == nil {
+		return
+	}
+	index.remove(e)
+	if len(index.entries) == 0 {
+		delete(s.versions, e.Version)
+	}
+}
+
 func insertSorted(list []*entry, e *entry, compare func(a, b *entry) int) []*entry {
 	place, _ := slices.BinarySearchFunc(list, e, compare)
 	return slices.Insert(list, place, e)
@@ -73,6 +108,15 @@
 	return first, ring[:count-len(first)]
 }
 
+// append adds an entry whose place sort finds.
+func (s *serviceIndex) append(e *entry) {
+	s.entries = append(s.entries, e)
+	s.rings[e.Zone] = append(s.rings[e.Zone], e)
+	if s.versions != nil {
+		s.ofVersion(e.Version).append(e)
+	}
+}
+
 // sort orders entries that were appended.
 func (s *serviceIndex) sort() {
 	slices.SortFunc(s.entries, compareIDs)
@@ -81,6 +125,9 @@
 		s.zones = append(s.zones, zone)
 	}
 	slices.Sort(s.zones)
+	for _, index := range s.versions {
+		index.sort()
+	}
 }
 
 // suspendIndex stops the upkeep of the index until rebuildIndex.
@@ -96,8 +143,7 @@
 			p.byService[e.Service] = service
 		}
 		e.hash = hashOfID(e.ID)
-		service.entries = append(service.entries, e)
-		service.rings[e.Zone] = append(service.rings[e.Zone], e)
+		service.append(e)
 	}
 	for _, service := range p.byService {
 		service.sort()
@@ -130,9 +176,18 @@
 	}
 }
 
-// instancesOf returns all instances of a service, ordered by ID.
-func (p *Pool) instancesOf(service string) []*entry {
-	if index := p.byService[service]; index != nil {
+// indexOf returns the index of the instances among which a query chooses, nil if there are none.
+func (p *Pool) indexOf(query *Query) *serviceIndex {
+	index := p.byService[query.Service]
+	if index == nil || query.Version == nil {
+		return index
+	}
+	return index.versions[*query.Version]
+}
+
+// instancesOf returns the instances among which a query chooses, ordered by ID.
+func (p *Pool) instancesOf(query *Query) []*entry {
+	if index := p.indexOf(query); index != nil {
 		return index.entries
 	}
 	return nil
--- a/internal/instance/near.go
+++ b/internal/instance/near.go
@@ -28,7 +28,7 @@
 // chooseNear returns the instance with the lowest cost near the query's position, nil if no instance
 // of the service is admitted.
 func (p *Pool) chooseNear(query *Query, now time.Time) *entry {
-	service := p.byService[query.Service]
+	service := p.indexOf(query)
 	position := p.position(query)
 	var best cheapest
 	if preferred := p.byID[query.Preferred]; preferred != nil && preferred.Service == query.Service {
--- a/internal/instance/near_test.go
+++ b/internal/instance/near_test.go
@@ -198,7 +198,8 @@
 				next := Instance{
 					ID: RunID(name, rapid.Int64Range(0, 2).Draw(t, "run")), Service: rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"),
 					Zone: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"), Address: fmt.Sprint("a:", rapid.IntRange(1, 12).Draw(t, "address")),
-					Slots: 1, State: rapid.SampledFrom([]State{StateReady, StateDraining}).Draw(t, "state"), Sequence: int64(step),
+					Version: rapid.SampledFrom([]string{"", "v1", "v1.1"}).Draw(t, "version"),
+					Slots:   1, State: rapid.SampledFrom([]State{StateReady, StateDraining}).Draw(t, "state"), Sequence: int64(step),
 				}
 				entries[name] = next
 				update.Instances = append(update.Instances, next)
@@ -239,6 +240,7 @@
 				t.Fatalf("index of %s is not consistent", name)
 			}
 			indexed += inRings
+			expectIndexOfVersions(t, service)
 		}
 		if indexed != len(pool.byID) {
 			t.Fatalf("%d instances are indexed, want %d", indexed, len(pool.byID))
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -222,7 +222,7 @@
 		p.releaseAddress(e.Address)
 		p.addresses[instance.Address]++
 	}
-	isMoved := e.Service != instance.Service || e.Zone != instance.Zone
+	isMoved := e.Service != instance.Service || e.Zone != instance.Zone || e.Version != instance.Version
 	if isMoved {
 		p.unindex(e)
 	}
@@ -313,9 +313,9 @@
 // restricted.
 func (p *Pool) candidates(query *Query) []*entry {
 	if query.Only == "" {
-		return p.instancesOf(query.Service)
+		return p.instancesOf(query)
 	}
-	if only := p.byID[query.Only]; only != nil && only.Service == query.Service {
+	if only := p.byID[query.Only]; only != nil && only.Service == query.Service && query.admitsVersion(only.Version) {
 		return []*entry{only}
 	}
 	return nil
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -127,6 +127,8 @@
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
+	// ReasonVersionGone: no instance has the software version that began the stream.
+	ReasonVersionGone Reason = "version_gone"
 	// ReasonTurnedDown: instances refuse this request while they accept others.
 	ReasonTurnedDown Reason = "turned_down"
 	// ReasonQuota: the tenant's limit is exhausted; ReasonQuotaUnknown: the daemon that
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -30,6 +30,11 @@
 	// boundTo is the only one that may run it again, "" for any: see bindToLastInstance.
 	ranOn   []string
 	boundTo string
+	// version is the software version that alone may go on with the call, nil for any. It is
+	// set with the first event.
+	version *string
+	// notReached are the instances that did not accept a connection for the call.
+	notReached []string
 	// preferred is the instance that has the call's session in its cache, "" if unknown.
 	preferred string
 	// runs counts the runs that may have happened.
@@ -82,6 +87,9 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.pickInstance()
+		if !found && c.refuseIfVersionGone() {
+			return nil, instance.Instance{}
+		}
 		if !found && c.boundTo != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).TemporarilyFiltered == 0 {
 			c.refuseBoundCall()
 			return nil, instance.Instance{}
@@ -130,6 +138,7 @@
 		Preferred:   c.preferred,
 		AffinityKey: c.affinityKey(),
 		Only:        c.boundTo,
+		Version:     c.version,
 		Regions:     c.regions,
 		Excluded:    c.excluded,
 		Bytes:       c.sentBytes,
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -45,6 +45,7 @@
 		// ends stop a run when its connection breaks. A back end that is shutting down may
 		// still run the call, which cannot be detected.
 		c.boundTo = ""
+		c.notReached = append(c.notReached, target.ID)
 		return true
 	}
 	c.noteRun(target)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -10,6 +10,10 @@
 // brokenOffRefusal ends a call whose back end broke off and that may not run again.
 var brokenOffRefusal = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
 
+// versionGoneRefusal ends a call that only one software version may go on with, which no
+// back end has any more. A retry of the same would not help.
+var versionGoneRefusal = Refusal{Reason: ReasonVersionGone, Detail: "No back end has the software version that began this stream."}
+
 // stoppingRefusal ends a call because the daemon is shutting down and would not be there
 // for the answer.
 var stoppingRefusal = Refusal{Reason: ReasonStopping, RetryAfter: shortRetryAfter, Detail: "This daemon stops."}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -150,6 +150,7 @@
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
 			state.beganAt = &target
+			c.bindToVersion(target.Version)
 			state.firstEventAfter = time.Since(c.call.Received)
 			c.relay.Metrics.firstEvent(c.call)
 		}
@@ -172,11 +173,14 @@
 	}
 }
 
+// isResumable reports whether a back end can be told where to go on.
+func (s *streamState) isResumable() bool { return s.events == 0 || s.lastID != "" }
+
 // canResume reports whether a stream that broke may be resumed. If not, the call is ended.
 func (c *callHandler) canResume(target instance.Instance, state *streamState, err error) bool {
 	c.releaseFailed(target)
 	c.logger.Info().Str("instance", target.ID).Str("version", target.Version).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
-	if c.call.Route.Resumable && c.runs < maxStreamRuns && c.hasTime() {
+	if c.call.Route.Resumable && state.isResumable() && c.runs < maxStreamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
 		c.bindToLastInstance()
 		return true
