relay, ledger, instance: a stream that its caller resumes goes on at the version that began it

Cause: a daemon that is asked to resume a stream knows nothing of where it began; placement treated it like a new one, also over the services of a split or moved route. Change: a stream's origin (service, software version) is chosen before the turn is reserved and goes with the reservation to the shard's holder, into the account's record and to a successor: no message and no call more. A request that resumes names the first one (Resumes) and gets the origin with its own reservation. If no instance of the version takes a new stream, another version may, but its events are passed on only once the store has the change. Streams without a program are recorded in the background, one message each. Unknown origins: the service's only version, if it had one for longer than streams last, as of a list newer than the request; otherwise refused at once, not run (stream_origin_unknown); a version or service that is gone likewise (stream_origin_gone), both without Retry-After, as the same call would not fare better.

--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -67,12 +67,8 @@
 	p.currentQuery = requested
 	query := &p.currentQuery
 	query.ServiceTime = p.serviceTimes[query.Service]
-	isLarge := query.Only == "" && len(p.instancesOf(query)) > scanLimit
-	if query.Preferred == "" && query.AffinityKey != "" && !isLarge {
-		query.Preferred = p.rendezvousInstance(query, now)
-	}
 	for {
-		best := p.choose(query, isLarge, now)
+		best := p.prefer(query, now)
 		if best == nil {
 			return Instance{}, false
 		}
@@ -86,6 +82,15 @@
 	}
 }
 
+// prefer returns the instance to choose for a query, nil if none is admitted.
+func (p *Pool) prefer(query *Query, now time.Time) *entry {
+	isLarge := query.Only == "" && len(p.instancesOf(query)) > scanLimit
+	if query.Preferred == "" && query.AffinityKey != "" && !isLarge {
+		query.Preferred = p.rendezvousInstance(query, now)
+	}
+	return p.choose(query, isLarge, now)
+}
+
 // HasReady reports whether an instance that the query admits is more than a last resort: it
 // is listed, not in backoff, and not in an excluded zone.
 func (p *Pool) HasReady(query Query, isExcludedZone func(zone string) bool) bool {
--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -28,6 +28,8 @@
 	// serviceTimes holds, by service, a moving average of how long instances take to serve
 	// a request.
 	serviceTimes map[string]time.Duration
+	// soleVersions holds the services whose instances all have one software version.
+	soleVersions map[string]soleVersion
 	// currentQuery is the query that Take is processing. It is a field because a local
 	// variable whose address is passed to the plug-ins would be allocated for each request.
 	currentQuery Query
@@ -101,6 +103,7 @@
 		presumedGone:     map[string]*entry{},
 		typicalLatencies: typicalLatencies{},
 		serviceTimes:     map[string]time.Duration{},
+		soleVersions:     map[string]soleVersion{},
 	}
 }
 
@@ -159,7 +162,9 @@
 		p.rebuildIndex()
 	}
 	p.restorePresumedGone()
-	return append(gone, p.dropUnlisted(now)...)
+	gone = append(gone, p.dropUnlisted(now)...)
+	p.noteVersions(now)
+	return gone
 }
 
 // update applies a listed entry, unless a newer one is known. It returns the ID of the run
--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -39,6 +39,8 @@
 	// Instances maps each session to the back-end instance that ran its latest turn, and ""
 	// to that of the program's latest turn.
 	Instances map[string]string `json:"instances,omitempty"`
+	// Origins holds the origins of the program's streams that may be resumed, by turn.
+	Origins map[string]streamOrigin `json:"origins,omitempty"`
 	// RetentionMS is how long the account is kept after its last use, in milliseconds.
 	RetentionMS int64 `json:"retention_ms,omitempty"`
 	// UsedAtMS is the reading of the shard's clock when the account was last used, in
--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -108,7 +108,7 @@
 		s := f.start(daemonID(0, 2))
 		begin(t, s, allowanceTurn(names[1], "early", 100))
 		refusedWith(t, s, allowanceTurn(names[1], "early-rest", 451), ErrBudgetSpent)
-		time.Sleep(allowanceTTL + time.Minute + retentionMargin + time.Second)
+		time.Sleep(allowanceTTL + time.Minute + RetentionMargin + time.Second)
 		begin(t, s, allowanceTurn(names[2], "late", 100))
 		begin(t, s, allowanceTurn(names[2], "late-rest", 900))
 	})
--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -27,8 +27,12 @@
 	waiting []pendingReply
 	// barrier: the next append must take place even without a change.
 	barrier bool
-	// flush fires when changes that no caller waits for are due after settleDelay.
-	flush *time.Timer
+	// flush fires at flushAt, when changes that no caller waits for are due; flushAt is zero
+	// if none are.
+	flush   *time.Timer
+	flushAt time.Time
+	// isDue: they are due, but an append is under way.
+	isDue bool
 }
 
 // pendingAppend is an append under way, with the operations that wait for it.
@@ -51,12 +55,38 @@
 	return store.Writer{Name: writerName, Epoch: h.epoch, Sequence: h.sequence}
 }
 
+// flushWithin makes the changes so far be appended within a delay.
+func (h *holder) flushWithin(delay time.Duration) {
+	at := time.Now().Add(delay)
+	if !h.appends.flushAt.IsZero() && !at.Before(h.appends.flushAt) {
+		return
+	}
+	h.appends.flushAt = at
+	h.appends.flush.Reset(delay)
+}
+
+// flushDue appends the changes that are due. If an append is under way, they are due at its
+// end.
+func (h *holder) flushDue(ctx context.Context) {
+	if h.appends.pending != nil {
+		h.appends.isDue = true
+		return
+	}
+	h.startAppend(ctx)
+}
+
+// stopFlush cancels the flush.
+func (h *holder) stopFlush() {
+	h.appends.flushAt, h.appends.isDue = time.Time{}, false
+	h.appends.flush.Stop()
+}
+
 // startAppend appends all changes. If an append is under way, they go with the next one.
 func (h *holder) startAppend(ctx context.Context) {
 	if h.state == nil || h.appends.pending != nil {
 		return
 	}
-	h.appends.flush.Stop()
+	h.stopFlush()
 	records, err := h.takeChanges()
 	if err != nil {
 		h.logger.Error().Err(err).Msg("Changes could not be encoded. The shard is dropped.")
@@ -150,7 +180,7 @@
 	switch {
 	case h.handover != nil && h.handover.prepared:
 		h.relinquish(ctx)
-	case len(h.appends.waiting) > 0:
+	case len(h.appends.waiting) > 0, h.appends.isDue:
 		h.startAppend(ctx)
 	}
 }
@@ -187,8 +217,7 @@
 func (h *holder) grantWaiting(waiting []pendingReply, now time.Time) []pendingReply {
 	var left []pendingReply
 	for _, a := range waiting {
-		if begin := a.request.Begin; begin != nil && a.answer.Result == resultOK && h.state.takeHeadroom(*begin, now) {
-			h.metrics.granted("headroom")
+		if begin := a.request.Begin; begin != nil && a.answer.Result == resultOK && h.grantFromHeadroom(*begin, now) {
 			h.answer(a.operation, a.answer)
 			continue
 		}
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -130,7 +130,7 @@
 		case event := <-h.appends.events:
 			h.handleAppendEvent(ctx, event)
 		case <-h.appends.flush.C:
-			h.startAppend(ctx)
+			h.flushDue(ctx)
 		case <-h.formerTimer.C:
 			h.former = nil
 		case task := <-h.tasks:
@@ -188,7 +188,7 @@
 	h.expiredAt = now
 	dropped := h.state.expire(now, expireLimit)
 	if dropped > 0 && h.appends.pending == nil && len(h.appends.waiting) == 0 {
-		h.appends.flush.Reset(settleDelay) // even if all new programs are refused
+		h.flushWithin(settleDelay) // even if all new programs are refused
 	}
 	h.reportCapacity(now)
 }
--- a/internal/ledger/holder_capacity.go
+++ b/internal/ledger/holder_capacity.go
@@ -82,7 +82,7 @@
 // usage returns the sizes of the shard's newest records and when they expire.
 func (s *state) usage(now time.Time) (profile storecapacity.Profile, sizes shardSizes) {
 	add := func(sum *int64, bytes int64, usedAt time.Time, retentionMS int64) {
-		life := time.Duration(retentionMS)*time.Millisecond + retentionMargin
+		life := time.Duration(retentionMS)*time.Millisecond + RetentionMargin
 		*sum += bytes
 		profile.Add(bytes, life-now.Sub(usedAt))
 		profile.RetentionMS = max(profile.RetentionMS, life.Milliseconds())
--- a/internal/ledger/holder_operations.go
+++ b/internal/ledger/holder_operations.go
@@ -20,6 +20,10 @@
 // append.
 func (h *holder) begin(ctx context.Context, o operation, now time.Time) {
 	turn := *o.request.Begin
+	if turn.OriginOnly {
+		h.answer(o, Response{Result: resultOK, Grant: Grant{Origin: h.state.originOf(turn)}})
+		return
+	}
 	if !h.admitTurn(o, turn, now) {
 		return
 	}
@@ -29,9 +33,9 @@
 	}
 	grant, outcome := h.state.begin(turn, now)
 	answer := Response{Result: outcome, Grant: grant}
-	if outcome == resultOK && h.state.takeHeadroom(turn, now) {
-		h.metrics.granted("headroom")
+	if outcome == resultOK && h.grantFromHeadroom(turn, now) {
 		h.answer(o, answer)
+		h.flushOrigin(turn)
 		return
 	}
 	if outcome != resultOK {
@@ -42,6 +46,16 @@
 	h.replyWhenDurable(ctx, o, answer)
 }
 
+// grantFromHeadroom grants a reserved turn from headroom, if there is room. A revised origin
+// must be durable before its stream begins.
+func (h *holder) grantFromHeadroom(turn Turn, now time.Time) bool {
+	if turn.isRevised() || !h.state.takeHeadroom(turn, now) {
+		return false
+	}
+	h.metrics.granted("headroom")
+	return true
+}
+
 // logRefusal logs a refused turn with the state of its account.
 func (h *holder) logRefusal(turn Turn, outcome result) {
 	event := h.logger.Info().Str("request", turn.ID).Str("program", turn.Program).Str("result", string(outcome)).
@@ -95,9 +109,7 @@
 		h.startAppend(ctx)
 		return
 	}
-	if len(h.appends.waiting) == 1 {
-		h.appends.flush.Reset(settleDelay)
-	}
+	h.flushWithin(settleDelay)
 }
 
 func (h *holder) answer(o operation, answer Response) {
--- a/internal/ledger/holder_release.go
+++ b/internal/ledger/holder_release.go
@@ -143,7 +143,7 @@
 	h.appends.barrier = false
 	h.refuseAll(h.appends.waiting, resultMoved)
 	h.appends.waiting = nil
-	h.appends.flush.Stop()
+	h.stopFlush()
 }
 
 // noteLoss records why the shard could not be claimed or was lost, and returns the result
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -84,6 +84,16 @@
 	Previous string `json:"previous,omitempty"`
 	// Retention is how long the program and its turns are kept after their last use.
 	Retention time.Duration `json:"retention,omitempty"`
+	// Origin is where the turn's stream is to begin, nil if the stream cannot be resumed by
+	// another turn. It is kept for OriginTTLMS, in milliseconds. RecordSoon: the store should
+	// have it within some tens of milliseconds.
+	Origin      *Origin `json:"origin,omitempty"`
+	OriginTTLMS int64   `json:"origin_ttl_ms,omitempty"`
+	RecordSoon  bool    `json:"soon,omitempty"`
+	// Resumes is the turn that began the stream which this one goes on with, "" for none.
+	// OriginOnly: the caller wants to know that stream's origin, and nothing is reserved.
+	Resumes    string `json:"resumes,omitempty"`
+	OriginOnly bool   `json:"origin_only,omitempty"`
 	// HistoryKnown: the caller has the text of the chain, so the grant can omit it.
 	HistoryKnown bool `json:"known,omitempty"`
 	// Imported is the previous turn as kept by another shard, nil if this shard keeps it
@@ -102,6 +112,10 @@
 	HistoryOmitted bool `json:"left_out,omitempty"`
 	// Underway: the program has had turns before.
 	Underway bool `json:"underway,omitempty"`
+	// Origin is that of the stream that the turn resumes, nil if it is not known.
+	Origin *Origin `json:"origin,omitempty"`
+	// OriginKept: the holder keeps the origin of the turn's own stream.
+	OriginKept bool `json:"origin_kept,omitempty"`
 	// Instance ran the previous turn of the session or, if there is none, the program's
 	// latest turn. It has most of the prompt in its cache. "" if it is not known.
 	Instance string `json:"instance,omitempty"`
--- a/internal/ledger/retention_test.go
+++ b/internal/ledger/retention_test.go
@@ -46,7 +46,7 @@
 
 // retentionSlack is how much longer than its retention a turn may be kept: the margin and
 // some sweeps.
-const retentionSlack = retentionMargin + 3*expireInterval
+const retentionSlack = RetentionMargin + 3*expireInterval
 
 // TestTakeoverDoesNotRestartRetention: a shard that moves more often than its turns'
 // retention must still drop them. Otherwise its records, and with them the time of each
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// retentionMargin is added to every retention: a turn that continues another just
+	// RetentionMargin is added to every retention: a turn that continues another just
 	// before the end of its retention ends some seconds later.
-	retentionMargin = 10 * time.Second
+	RetentionMargin = 10 * time.Second
 	// chainLimit bounds the turns of one chain.
 	chainLimit = 10000
 	// endedTurnTTL is how long the end of a turn without a reservation is remembered, so
@@ -119,7 +119,11 @@
 	}
 	s.accounts[turn.Program] = entry
 	s.markDirty(accountPrefix + turn.Program)
-	grant := Grant{History: history, Underway: underway, Instance: entry.instanceOf(turn.Session)}
+	entry.noteOrigin(turn, s.clock.showMS(now))
+	grant := Grant{
+		History: history, Underway: underway, Instance: entry.instanceOf(turn.Session),
+		Origin: entry.originOf(turn.Resumes), OriginKept: turn.Origin != nil,
+	}
 	if turn.HistoryKnown {
 		grant.History, grant.HistoryOmitted = nil, true
 	}
@@ -208,5 +212,5 @@
 
 // isExpired reports whether a record that was not used for a time is past its retention.
 func isExpired(unusedFor time.Duration, retentionMS int64) bool {
-	return unusedFor > time.Duration(retentionMS)*time.Millisecond+retentionMargin
+	return unusedFor > time.Duration(retentionMS)*time.Millisecond+RetentionMargin
 }
--- a/internal/ledger/state_records.go
+++ b/internal/ledger/state_records.go
@@ -61,6 +61,7 @@
 	if id, isAccount := strings.CutPrefix(key, accountPrefix); isAccount {
 		if entry := s.accounts[id]; entry != nil {
 			s.setHeadroom(entry)
+			entry.dropOrigins(s.clock.showMS(time.Now()))
 			entry.UsedAtMS = s.clock.showMS(entry.usedAt)
 			return json.Marshal(entry.account)
 		}
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -45,11 +45,11 @@
 	s.begin(Turn{ID: "a", Program: "p", Retention: time.Minute}, start)
 	s.end(Outcome{Turn: "a", Program: "p", Kept: &KeptTurn{ID: "a", Input: []byte("x")}}, start)
 	s.begin(Turn{ID: "b", Program: "p", Previous: "a"}, start.Add(50*time.Second))
-	s.expire(start.Add(time.Minute+retentionMargin+time.Second), 100)
+	s.expire(start.Add(time.Minute+RetentionMargin+time.Second), 100)
 	if s.turns["a"] == nil || s.accounts["p"] == nil {
 		t.Fatal("a record was dropped that was used 21 s ago")
 	}
-	s.expire(start.Add(50*time.Second+time.Minute+retentionMargin+time.Second), 100)
+	s.expire(start.Add(50*time.Second+time.Minute+RetentionMargin+time.Second), 100)
 	if s.turns["a"] != nil || s.accounts["p"] != nil {
 		t.Error("a record was kept beyond its retention")
 	}
--- a/internal/ledger/store_capacity_test.go
+++ b/internal/ledger/store_capacity_test.go
@@ -270,7 +270,7 @@
 		s = f.start(daemonID(0, 2))
 		fill(s, "second")
 		mustKeep(s, 40)
-		time.Sleep(loadRetention + retentionMargin)
+		time.Sleep(loadRetention + RetentionMargin)
 		fill(s, "third")
 		mustKeep(s, 20)
 	})
--- a/internal/ledger/text_cache_test.go
+++ b/internal/ledger/text_cache_test.go
@@ -64,7 +64,7 @@
 		f := newTestFleet(t, 2)
 		s := f.service(daemonID(0, 1))
 		last, _ := chainOf(t, s, "p", 2)
-		time.Sleep(2*time.Minute + retentionMargin)
+		time.Sleep(2*time.Minute + RetentionMargin)
 		chainOf(t, s, "q", 1) // makes the holder sweep expired records
 		time.Sleep(expireInterval)
 		_, err := s.Begin(testContext(t), Turn{ID: "late", Program: "p", Previous: last, Retention: time.Minute})
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -43,6 +43,9 @@
 	// Resumes is the ID of the request that brought the caller the first event of that
 	// stream, "" if the caller does not say.
 	Resumes string
+	// ResumableUntil is until when the caller may resume the stream of the answer at any
+	// daemon; zero if it does not say.
+	ResumableUntil time.Time
 	// MaxTokens is the most tokens that the answer may have; 0 if not stated.
 	MaxTokens int64
 	// Tenant is the tenant that sent the request; nil if there are no tenants.
@@ -127,8 +130,10 @@
 	ReasonNotInTime   Reason = "not_in_time"
 	ReasonBudgetSpent Reason = "budget_spent"
 	ReasonUnknownTurn Reason = "unknown_turn"
-	// ReasonVersionGone: no instance has the software version that began the stream.
-	ReasonVersionGone Reason = "version_gone"
+	// ReasonOriginGone: no instance of the route has the software version that began the
+	// stream; ReasonOriginUnknown: that version is not known.
+	ReasonOriginGone    Reason = "stream_origin_gone"
+	ReasonOriginUnknown Reason = "stream_origin_unknown"
 	// ReasonTurnedDown: instances refuse this request while they accept others.
 	ReasonTurnedDown Reason = "turned_down"
 	// ReasonQuota: the tenant's limit is exhausted; ReasonQuotaUnknown: the daemon that
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -30,9 +30,8 @@
 	// boundTo is the only one that may run it again, "" for any: see bindToLastInstance.
 	ranOn   []string
 	boundTo string
-	// version is the software version that alone may go on with the call, nil for any. It is
-	// set with the first event.
-	version *string
+	// origin is what a stream may come from.
+	origin streamOrigin
 	// notReached are the instances that did not accept a connection for the call.
 	notReached []string
 	// preferred is the instance that has the call's session in its cache, "" if unknown.
@@ -87,7 +86,10 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.pickInstance()
-		if !found && c.refuseIfVersionGone() {
+		if !found && c.liftVersion() {
+			continue
+		}
+		if !found && c.refuseIfOriginGone() {
 			return nil, instance.Instance{}
 		}
 		if !found && c.boundTo != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).TemporarilyFiltered == 0 {
@@ -138,7 +140,7 @@
 		Preferred:   c.preferred,
 		AffinityKey: c.affinityKey(),
 		Only:        c.boundTo,
-		Version:     c.version,
+		Version:     c.origin.version,
 		Regions:     c.regions,
 		Excluded:    c.excluded,
 		Bytes:       c.sentBytes,
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -112,6 +112,9 @@
 		return nil
 	}
 	query := c.query()
+	if !c.origin.isBound {
+		query.Version = nil
+	}
 	query.Only, query.Excluded = "", append(slices.Clone(c.excluded), target.ID)
 	return &query
 }
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -103,6 +103,9 @@
 
 // logRefusal adds the fields of a refused call: how far it got, and what held it up.
 func (c *callHandler) logRefusal(line *zerolog.Event, refusal Refusal) *zerolog.Event {
+	if c.isResumption() {
+		line = line.Str("resumes", c.call.Resumes).Str("after", c.call.ResumeAfter)
+	}
 	line = line.Int("offers", c.offers).Int("runs", c.runs).Dur("retry_after", refusal.RetryAfter)
 	if c.quota.verdict.Reason != "" {
 		line = c.logVerdict(line)
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -1,20 +1,243 @@
 package relay
 
-// The events of a stream come from one software version of one service's back ends: what
-// another version would send does not continue it, and back ends do not check that. So a
-// stream of which events were passed on is bound to the version that sent the first of them.
+import (
+	"context"
+	"slices"
+	"time"
 
-// isBoundToVersion reports whether only one software version may go on with the call.
-func (c *callHandler) isBoundToVersion() bool { return c.version != nil }
+	"github.com/rotisserie/eris"
 
-// bindToVersion binds the call to a software version.
-func (c *callHandler) bindToVersion(version string) { c.version = &version }
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/route"
+	"github.com/mintpulley/mintpulley/internal/tenant"
+)
 
-// refuseIfVersionGone ends a call that is bound to a software version which no instance has
+// The events of a stream come from one software version of one service's back ends, its
+// origin: what another version would send does not continue it, and back ends do not check
+// that. So a stream of which events were passed on is bound to the version that sent the
+// first of them.
+//
+// A caller may resume a stream at any daemon, which learns the origin from the ledger. So
+// the version is chosen before the turn is reserved, and recorded with the reservation. If
+// no instance of that version accepts the stream, one of another version may, but its events
+// are passed on only after the record was changed in the store.
+
+const (
+	// defaultOriginTTL is how long the origin of a stream is kept whose caller does not say
+	// how long it waits. originTTLMargin is added for callers that do.
+	defaultOriginTTL = 30 * time.Second
+	originTTLMargin  = 2 * time.Second
+	// reviseTimeout bounds the change of a recorded origin.
+	reviseTimeout = time.Second
+	// minSoleTime is for how long a service must have had a single software version for a
+	// stream whose origin is not recorded to be resumed: longer than callers wait for a
+	// stream. soleTimeouts is the same in timeouts of the route, if these are longer.
+	minSoleTime  = 30 * time.Second
+	soleTimeouts = 3
+	// soleWait bounds the wait for a list of instances that is newer than the request, and
+	// solePause is the time between two looks at the list.
+	soleWait  = 1200 * time.Millisecond
+	solePause = 50 * time.Millisecond
+	// streamProgramPrefix precedes the ID of the request that began a stream without a
+	// program, in place of a program's ID.
+	streamProgramPrefix = "stream:"
+)
+
+// errOriginNotKept: the shard's holder does not keep origins, as builds before them.
+var errOriginNotKept = eris.New("relay: the shard's holder does not keep the origin")
+
+// streamOrigin is what a call's stream may come from.
+type streamOrigin struct {
+	// recorded is what the ledger was told, nil for nothing.
+	recorded *ledger.Origin
+	// version is the software version to which the choice of an instance is restricted, nil
+	// for none. isBound: no other may go on, as events were passed on.
+	version *string
+	isBound bool
+	// isMixed: the service's instances had several versions when the version was chosen.
+	isMixed bool
+}
+
+// bind binds a stream to a software version.
+func (o *streamOrigin) bind(version string) { o.version, o.isBound = &version, true }
+
+// isResumption reports whether the call goes on with a stream that another request began.
+func (c *callHandler) isResumption() bool { return c.call.ResumeAfter != "" }
+
+// chooseOrigin chooses the software version of a new stream that may be resumed.
+func (c *callHandler) chooseOrigin() {
+	if !c.call.Route.Resumable || c.isResumption() {
+		return
+	}
+	query := c.query()
+	query.Preferred = c.sessionInstance(nil)
+	preview, isMixed, found := c.relay.Pool.Preview(query)
+	if !found {
+		return
+	}
+	c.origin.recorded = &ledger.Origin{Service: c.service, Version: preview.Version}
+	c.origin.version = &preview.Version
+	c.origin.isMixed = isMixed
+}
+
+// liftVersion lets instances of all versions be chosen if the call is not bound to one, and
+// reports whether that changes anything.
+func (c *callHandler) liftVersion() bool {
+	if c.origin.version == nil || c.origin.isBound {
+		return false
+	}
+	c.origin.version = nil
+	return true
+}
+
+// describeOrigin adds what the ledger is told of the stream's origin, and asked of that of
+// the stream which the call resumes, to a turn.
+func (c *callHandler) describeOrigin(turn *ledger.Turn) {
+	if c.isResumption() {
+		turn.Resumes = tenant.Scoped(c.call.tenantName(), c.call.Resumes)
+		return
+	}
+	if c.origin.recorded == nil {
+		return
+	}
+	ttl := c.originTTL()
+	turn.Origin, turn.OriginTTLMS, turn.RecordSoon = c.origin.recorded, ttl.Milliseconds(), c.origin.isMixed
+	turn.Retention = max(turn.Retention, ttl-ledger.RetentionMargin)
+}
+
+// originTTL returns how long the call's caller may resume the stream.
+func (c *callHandler) originTTL() time.Duration {
+	if c.call.ResumableUntil.IsZero() {
+		return defaultOriginTTL
+	}
+	return time.Until(c.call.ResumableUntil) + originTTLMargin
+}
+
+// streamTurn returns the turn that stands for a stream without a program in the ledger.
+func (c *callHandler) streamTurn() ledger.Turn {
+	turn := ledger.Turn{ID: c.turnID, Program: streamProgramPrefix + c.turnID}
+	c.describeOrigin(&turn)
+	if c.isResumption() {
+		turn.Program, turn.OriginOnly = streamProgramPrefix+turn.Resumes, true
+	}
+	return turn
+}
+
+// recordOriginLater records the origin of a stream without a program in the background.
+func (c *callHandler) recordOriginLater() {
+	if c.origin.recorded == nil || len(c.turnID) > ledger.MaxIDBytes {
+		return
+	}
+	turn := c.streamTurn()
+	c.relay.settling.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(turn.OriginTTLMS)*time.Millisecond)
+		defer cancel()
+		if _, err := c.relay.Ledger.Begin(ctx, turn); err != nil {
+			c.logger.Warn().Err(err).Msg("Origin of a stream not recorded. It can not be resumed elsewhere.")
+		}
+	})
+}
+
+// findOrigin asks the ledger for the origin of a stream without a program; nil if it is not
+// known.
+func (c *callHandler) findOrigin(ctx context.Context) (*ledger.Origin, error) {
+	if len(c.call.Resumes) == 0 || len(c.call.Resumes) > ledger.MaxIDBytes {
+		return nil, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.beginDeadline(time.Now()))
+	defer cancel()
+	grant, err := c.tryBegin(ctx, c.streamTurn())
+	return grant.Origin, err
+}
+
+// bindToOrigin binds a call that resumes a stream to the stream's origin, and reports whether
+// it may go on. If not, the call was ended. recorded is the origin according to the ledger,
+// nil if that does not know it.
+func (c *callHandler) bindToOrigin(ctx context.Context, recorded *ledger.Origin) bool {
+	origin := recorded
+	if origin == nil {
+		origin = c.soleOrigin(ctx)
+	}
+	if origin == nil {
+		c.refuse(originUnknownRefusal)
+		return false
+	}
+	isOnRoute := func(part route.WeightedService) bool { return part.Service == origin.Service }
+	if !slices.ContainsFunc(c.call.Route.Services, isOnRoute) {
+		c.refuse(originGoneRefusal)
+		return false
+	}
+	c.service = origin.Service
+	c.origin.recorded = origin
+	c.origin.bind(origin.Version)
+	return true
+}
+
+// soleOrigin returns the origin of a stream if its service had a single software version
+// since before the stream can have begun until after this request came; nil otherwise.
+func (c *callHandler) soleOrigin(ctx context.Context) *ledger.Origin {
+	if len(c.call.Route.Services) != 1 {
+		return nil
+	}
+	from := c.call.Received.Add(-max(minSoleTime, soleTimeouts*c.call.Route.Timeout))
+	for deadline := time.Now().Add(soleWait); ; {
+		version, asOf, isSole := c.relay.Pool.SoleVersion(c.service, from)
+		switch {
+		case !isSole:
+			return nil
+		case !asOf.Before(c.call.Received):
+			return &ledger.Origin{Service: c.service, Version: version}
+		case ctx.Err() != nil || time.Now().After(deadline):
+			return nil
+		}
+		clock.Sleep(ctx, solePause)
+	}
+}
+
+// confirmOrigin makes sure, before the first event of a new stream is passed on, that the
+// ledger does not name another software version than that of the instance which sends it.
+func (c *callHandler) confirmOrigin(ctx context.Context, target instance.Instance) bool {
+	if !c.call.Route.Resumable || c.origin.isBound {
+		return true
+	}
+	before := c.origin.recorded
+	if before != nil && before.Version == target.Version {
+		return true
+	}
+	revised := &ledger.Origin{Service: c.service, Version: target.Version}
+	if before != nil {
+		revised.Revision = before.Revision + 1
+	}
+	c.origin.recorded = revised
+	if err := c.reviseOrigin(ctx); err != nil {
+		c.logger.Warn().Err(err).Str("instance", target.ID).Str("version", target.Version).Msg("Origin of a stream not changed in its record.")
+		return before == nil // nothing names another version
+	}
+	return true
+}
+
+// reviseOrigin replaces the recorded origin. It returns nil once that is durable.
+func (c *callHandler) reviseOrigin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, reviseTimeout)
+	defer cancel()
+	turn := c.streamTurn()
+	if c.isTurn() {
+		turn = c.ledgerTurn()
+	}
+	grant, err := c.relay.Ledger.Begin(ctx, turn)
+	if err == nil && !grant.OriginKept {
+		return errOriginNotKept
+	}
+	return err
+}
+
+// refuseIfOriginGone ends a call that is bound to a software version which no instance has
 // any more, and reports whether it did. A list of instances that may be incomplete proves
 // nothing. An instance that did not accept a connection is nearly always gone.
-func (c *callHandler) refuseIfVersionGone() bool {
-	if !c.isBoundToVersion() || c.relay.Pool.MayBeIncomplete() {
+func (c *callHandler) refuseIfOriginGone() bool {
+	if !c.origin.isBound || c.relay.Pool.MayBeIncomplete() {
 		return false
 	}
 	query := c.query()
@@ -22,6 +245,6 @@
 	if c.relay.Pool.MayAdmit(query) {
 		return false
 	}
-	c.refuse(versionGoneRefusal)
+	c.refuse(originGoneRefusal)
 	return true
 }
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -10,9 +10,13 @@
 // brokenOffRefusal ends a call whose back end broke off and that may not run again.
 var brokenOffRefusal = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
 
-// versionGoneRefusal ends a call that only one software version may go on with, which no
-// back end has any more. A retry of the same would not help.
-var versionGoneRefusal = Refusal{Reason: ReasonVersionGone, Detail: "No back end has the software version that began this stream."}
+// originGoneRefusal ends a call that only one software version of one service may go on with,
+// which no back end of its route has any more; originUnknownRefusal ends one for which nobody
+// knows that version. Retrying the same call would not help, only a new stream.
+var (
+	originGoneRefusal    = Refusal{Reason: ReasonOriginGone, Detail: "No back end of this route has the software version that began the stream."}
+	originUnknownRefusal = Refusal{Reason: ReasonOriginUnknown, Detail: "The software version that began the stream is not known."}
+)
 
 // stoppingRefusal ends a call because the daemon is shutting down and would not be there
 // for the answer.
--- a/internal/relay/resumption_logs.go
+++ b/internal/relay/resumption_logs.go
@@ -23,15 +23,19 @@
 		return
 	}
 	line := c.logger.Info().Str("after", state.lastID).Str("instance", target.ID).Str("version", target.Version)
+	versions := resumedAtUnknown
+	if version := c.origin.version; version != nil {
+		line = line.Str("began_at_version", *version)
+		versions = resumedAtSame
+		if *version != target.Version {
+			versions = resumedAtOther
+		}
+	}
 	if state.beganAt == nil {
 		line.Str("resumes", c.call.Resumes).Msg("Stream is resumed for its caller.")
-		c.relay.Metrics.resumedAt(resumedByCaller, resumedAtUnknown)
+		c.relay.Metrics.resumedAt(resumedByCaller, versions)
 		return
 	}
-	line.Str("began_at", state.beganAt.ID).Str("began_at_version", state.beganAt.Version).Msg("Stream is resumed within its answer.")
-	versions := resumedAtSame
-	if state.beganAt.Version != target.Version {
-		versions = resumedAtOther
-	}
+	line.Str("began_at", state.beganAt.ID).Msg("Stream is resumed within its answer.")
 	c.relay.Metrics.resumedAt(resumedInAnswer, versions)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,19 +42,38 @@
 func (c *callHandler) handleStream(ctx context.Context) {
 	state := &streamState{lastID: c.call.ResumeAfter, prompt: c.call.Body}
 	c.stream = state
+	c.chooseOrigin()
+	if !c.beginStream(ctx, state) {
+		return
+	}
+	c.preferred = c.sessionInstance(state.turn)
+	for c.runStream(ctx, state) {
+		c.relay.Metrics.resumed()
+	}
+}
+
+// beginStream reserves the tokens of a turn, and learns or records the origin of a stream that
+// may be resumed. If it returns false, the call was ended.
+func (c *callHandler) beginStream(ctx context.Context, state *streamState) bool {
 	if c.isTurn() {
 		turn, ok := c.beginTurn(ctx)
 		if !ok {
-			return
+			return false
 		}
 		state.turn = turn
 		state.prompt = slices.Concat(turn.History, c.call.Body)
 		turn.History = nil // the prompt contains it
+		return !c.isResumption() || c.bindToOrigin(ctx, turn.Origin)
 	}
-	c.preferred = c.sessionInstance(state.turn)
-	for c.runStream(ctx, state) {
-		c.relay.Metrics.resumed()
+	if !c.isResumption() {
+		c.recordOriginLater()
+		return true
+	}
+	origin, err := c.findOrigin(ctx)
+	if err != nil {
+		c.logger.Warn().Err(err).Str("resumes", c.call.Resumes).Msg("Origin of a stream could not be looked up.")
 	}
+	return c.bindToOrigin(ctx, origin)
 }
 
 // sessionInstance returns the instance that has most of the prompt in its cache, "" if
@@ -78,6 +97,11 @@
 		return false
 	}
 	defer func() { _ = answer.Body.Close() }()
+	if !c.confirmOrigin(ctx, target) {
+		c.release(target, instance.OutcomeCanceled)
+		c.refuse(brokenOffRefusal)
+		return false
+	}
 	c.noteResumption(target, state)
 	err := c.forwardEvents(answer, target, state)
 	if errors.Is(err, io.EOF) {
@@ -150,7 +174,7 @@
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
 			state.beganAt = &target
-			c.bindToVersion(target.Version)
+			c.origin.bind(target.Version)
 			state.firstEventAfter = time.Since(c.call.Received)
 			c.relay.Metrics.firstEvent(c.call)
 		}
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -46,7 +46,7 @@
 		defer stopWatching()
 		ctx = watched
 	}
-	grant, err := c.tryBegin(ctx)
+	grant, err := c.tryBegin(ctx, c.ledgerTurn())
 	took := time.Since(started)
 	c.relay.Metrics.beginEnded(took, err)
 	if err == nil {
@@ -76,17 +76,7 @@
 
 // tryBegin repeats the reservation until it is granted, refused for good, or unlikely to be
 // granted in time: an outage of the store or a shard takeover may end at any moment.
-func (c *callHandler) tryBegin(ctx context.Context) (ledger.Grant, error) {
-	turn := ledger.Turn{
-		ID:           c.turnID,
-		Program:      c.call.Program.ID,
-		Session:      c.call.Program.Session,
-		BudgetTokens: c.call.Program.BudgetTokens,
-		MaxTokens:    c.maxTokens(),
-		Previous:     c.call.Program.Previous,
-		Retention:    c.call.Route.Retention,
-		Regions:      c.regions,
-	}
+func (c *callHandler) tryBegin(ctx context.Context, turn ledger.Turn) (ledger.Grant, error) {
 	started := time.Now()
 	if c.call.Route.RetainContext && c.relay.pendingRecords.isNearlyFull(c.relay.MaxPendingRecordBytes) {
 		c.decideTurn(errRecordMemoryFull, started, started)
@@ -104,6 +94,22 @@
 	}
 }
 
+// ledgerTurn returns the call's turn as the ledger gets it.
+func (c *callHandler) ledgerTurn() ledger.Turn {
+	turn := ledger.Turn{
+		ID:           c.turnID,
+		Program:      c.call.Program.ID,
+		Session:      c.call.Program.Session,
+		BudgetTokens: c.call.Program.BudgetTokens,
+		MaxTokens:    c.maxTokens(),
+		Previous:     c.call.Program.Previous,
+		Retention:    c.call.Route.Retention,
+		Regions:      c.regions,
+	}
+	c.describeOrigin(&turn)
+	return turn
+}
+
 func (c *callHandler) tokensPerEvent() int64 {
 	service := c.relay.configuredService(c.service)
 	if service == nil || service.Model == nil {
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -51,6 +51,9 @@
 	engines *versionedEngines
 	route   *route.Route
 
+	// toHolder changes what is sent to the holders of shards, if it is set.
+	toHolder func(*ledger.Request)
+
 	mutex   sync.Mutex
 	daemons map[structs.DaemonID]*versionDaemon
 	// list are the engines as the daemons see them.
@@ -93,20 +96,28 @@
 }
 
 // startEngine starts an engine and lists it.
-func (f *versionFleet) startEngine(id, version string) {
-	e := instance.Instance{ID: id, Service: "s", Address: id, Zone: "z", Version: version, Slots: 64, State: instance.StateReady}
+func (f *versionFleet) startEngine(id, version string) { f.startEngineOf("s", id, version) }
+
+// startEngineOf is startEngine for another service.
+func (f *versionFleet) startEngineOf(service, id, version string) {
+	e := instance.Instance{ID: id, Service: service, Address: id, Zone: "z", Version: version, Slots: 64, State: instance.StateReady}
 	f.engines.start(e)
 	f.list = append(f.list, e)
 	f.relist()
 }
 
-// removeEngines ends the engines of a version and removes their entries.
-func (f *versionFleet) removeEngines(version string) {
+// crashEngines ends the engines of a version.
+func (f *versionFleet) crashEngines(version string) {
 	for _, e := range f.list {
 		if e.Version == version {
 			f.engines.crash(e.ID)
 		}
 	}
+}
+
+// removeEngines ends the engines of a version and removes their entries.
+func (f *versionFleet) removeEngines(version string) {
+	f.crashEngines(version)
 	f.list = slices.DeleteFunc(f.list, func(e instance.Instance) bool { return e.Version == version })
 	f.relist()
 	time.Sleep(5 * time.Second) // until all daemons have dropped them
@@ -230,6 +241,9 @@
 	if from == nil || target == nil {
 		return
 	}
+	if request, isRequest := message.(*ledger.Request); isRequest && t.fleet.toHolder != nil {
+		t.fleet.toHolder(request)
+	}
 	time.AfterFunc(peerDelay, func() {
 		if target.alive.Err() == nil {
 			target.ledger.Receive(t.self, message)
@@ -244,6 +258,10 @@
 	// breakAfter is after how many events the first run of each call breaks off, 0 for never.
 	breakAfter int
 	ran        map[string]int
+	// full are the engines that refuse requests.
+	full map[string]bool
+	// onRun is called when an engine accepts a request, if it is set.
+	onRun func()
 }
 
 func (e *versionedEngines) start(started instance.Instance) {
@@ -258,6 +276,24 @@
 	delete(e.running, id)
 }
 
+// setFull makes engines refuse requests, or accept them again.
+func (e *versionedEngines) setFull(isFull bool, ids ...string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.full == nil {
+		e.full = map[string]bool{}
+	}
+	for _, id := range ids {
+		e.full[id] = isFull
+	}
+}
+
+func (e *versionedEngines) isFull(id string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.full[id]
+}
+
 // Send implements Driver.
 func (e *versionedEngines) Send(ctx context.Context, to instance.Instance, outgoing *OutgoingCall) (*Answer, error) {
 	e.mutex.Lock()
@@ -273,6 +309,12 @@
 	if !isRunning {
 		return nil, httpconn.ErrNotSent
 	}
+	if e.isFull(to.ID) {
+		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+	}
+	if e.onRun != nil {
+		e.onRun()
+	}
 	reader, writer := io.Pipe()
 	go e.run(ctx, writer, engine, outgoing.ResumeAfter, breaks)
 	return &Answer{Status: http.StatusOK, Header: http.Header{}, Body: reader}, nil
@@ -311,7 +353,9 @@
 	firstRequest string
 	versions     []string
 	requests     int
-	refusal      *Refusal
+	// resumes is named in place of the first request, if it is set.
+	resumes *string
+	refusal *Refusal
 	// refusedAfter is how long the last request took if it was refused.
 	refusedAfter time.Duration
 }
@@ -330,7 +374,11 @@
 	}
 	if len(s.versions) > 0 {
 		call.ResumeAfter, call.Resumes = strconv.Itoa(len(s.versions)), s.firstRequest
+		if s.resumes != nil {
+			call.Resumes = *s.resumes
+		}
 	}
+	call.ResumableUntil = call.Deadline
 	ctx, leave := context.WithCancel(d.alive)
 	defer leave()
 	answer := &versionRecorder{recorder: &recorder{}, caller: s, request: call.ID, leaveAfter: leaveAfter, leave: leave, isAlive: func() bool { return d.alive.Err() == nil }}
--- a/internal/relay/version_test.go
+++ b/internal/relay/version_test.go
@@ -117,41 +117,34 @@
 // TestStreamWithoutItsVersionIsRefusedAtOnce guards against waiting for a version that no
 // engine has any more, and against going on at another one.
 func TestStreamWithoutItsVersionIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newVersionFleet(t, "v1", "v1", "v1")
-		streams := newStreams(f, true)
-		callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number), passedOn) })
-		f.startEngine("e9", "v1.10")
-		f.removeEngines("v1")
-		callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number+1), 0) })
-		wrong := 0
-		for _, s := range streams {
-			if s.refusal == nil || !s.refusal.Reason.PromisesNotRun() || s.refusedAfter > promptRefusal {
-				wrong++
-			}
-		}
-		if wrong > 0 {
-			t.Errorf("%d of %d streams are not refused with the promise that they have not run, within %v", wrong, versionStreams, promptRefusal)
-		}
-	})
+	for name, end := range map[string]func(f *versionFleet){
+		"entries removed": func(f *versionFleet) { f.removeEngines("v1") },
+		"still listed":    func(f *versionFleet) { f.crashEngines("v1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionFleet(t, "v1", "v1", "v1")
+				streams := newStreams(f, true)
+				callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number), passedOn) })
+				f.startEngine("e9", "v1.10")
+				end(f)
+				callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number+1), 0) })
+				if got, want := countStreams(streams), (counts{refusedNotRun: versionStreams}); got != want {
+					t.Errorf("got %+v, want %+v: refused within %v with the promise that they have not run", got, want, promptRefusal)
+				}
+			})
+		})
+	}
 }
 
 // run plays the case at engines of two versions.
 func (c *versionCase) run(t *testing.T, ofPrograms bool) {
-	f := newVersionFleet(t, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+	f := newVersionFleet(t, mixedVersions...)
 	streams := newStreams(f, ofPrograms)
 	c.play(f, streams)
-	mixed, whole := 0, 0
-	for _, s := range streams {
-		if s.isMixed() {
-			mixed++
-		}
-		if s.isWhole() {
-			whole++
-		}
-	}
-	if mixed > 0 || whole < c.least {
-		t.Errorf("%d of %d streams hold events of two versions, %d are whole, want 0 and %d or more", mixed, versionStreams, whole, c.least)
+	got := countStreams(streams)
+	if got.mixed > 0 || got.whole < c.least {
+		t.Errorf("%d of %d streams hold events of two versions, %d are whole, want 0 and %d or more", got.mixed, versionStreams, got.whole, c.least)
 	}
 }
 
