relay: callers that do not name the first request are served where one version is seen

Cause: one version had to be known for 30 s, which no daemon has that started later. Change: 10 s or two timeouts of the route, which the answer and its resumption cannot exceed, as of a list of at most 1.5 s, without waiting for a newer one; and for callers that name no request, at a daemon that has seen no other version since it started. Named requests stay strict. TestCallerWithoutANameIsServedByDaemonsThatHaveJustStarted failed before; a release seen within the 10 s is refused as before (TestStreamOfUnknownOriginIsRefusedSoonAfterARelease).

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -29,7 +29,7 @@
 	// a request.
 	serviceTimes map[string]time.Duration
 	// soleVersions holds the services whose instances all have one software version.
-	soleVersions map[string]soleVersion
+	soleVersions map[string]SoleVersion
 	// currentQuery is the query that Take is processing. It is a field because a local
 	// variable whose address is passed to the plug-ins would be allocated for each request.
 	currentQuery Query
@@ -103,7 +103,7 @@
 		presumedGone:     map[string]*entry{},
 		typicalLatencies: typicalLatencies{},
 		serviceTimes:     map[string]time.Duration{},
-		soleVersions:     map[string]soleVersion{},
+		soleVersions:     map[string]SoleVersion{},
 	}
 }
 
--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -19,11 +19,25 @@
 	return best.Instance, len(p.byService[query.Service].versions) > 1, true
 }
 
-// soleVersion is the only software version of a service's instances, and since when it has
-// been. It is the zero value while there are several.
-type soleVersion struct {
-	version string
-	since   time.Time
+// SoleVersion is the only software version of a service's instances.
+type SoleVersion struct {
+	Version string
+	// Since is since when it has been the only one as far as this daemon knows. IsSinceStart:
+	// that is when it read its first list, so there may have been others just before.
+	Since        time.Time
+	IsSinceStart bool
+	// AsOf is the time as of which the list was last known to be current.
+	AsOf time.Time
+}
+
+// SoleVersion returns the only software version of a service's instances, including those that
+// leave and those that may have left; false if there are several or none.
+func (p *Pool) SoleVersion(service string) (sole SoleVersion, isSole bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known, isSole := p.soleVersions[service]
+	known.AsOf = p.listedAt
+	return known, isSole
 }
 
 // noteVersions records which services have a single software version.
@@ -39,22 +53,9 @@
 			continue
 		}
 		for version := range index.versions {
-			if known := p.soleVersions[name]; known.since.IsZero() || known.version != version {
-				p.soleVersions[name] = soleVersion{version, now}
+			if known, isKnown := p.soleVersions[name]; !isKnown || known.Version != version {
+				p.soleVersions[name] = SoleVersion{Version: version, Since: now, IsSinceStart: now.Equal(p.firstListedAt)}
 			}
 		}
 	}
 }
-
-// SoleVersion returns the software version that all instances of a service had from a time
-// on, as of the latest confirmation of the list, which it also returns; false if this daemon
-// knows of several versions or does not know the list for that long.
-func (p *Pool) SoleVersion(service string, from time.Time) (version string, asOf time.Time, isSole bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	known, isKnown := p.soleVersions[service]
-	if !isKnown || known.since.After(from) {
-		return "", time.Time{}, false
-	}
-	return known.version, p.listedAt, true
-}
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/route"
@@ -32,14 +31,13 @@
 	// reviseTimeout bounds the change of a recorded origin.
 	reviseTimeout = time.Second
 	// minSoleTime is for how long a service must have had a single software version for a
-	// stream whose origin is not recorded to be resumed: longer than callers wait for a
-	// stream. soleTimeouts is the same in timeouts of the route, if these are longer.
-	minSoleTime  = 30 * time.Second
-	soleTimeouts = 3
-	// soleWait bounds the wait for a list of instances that is newer than the request, and
-	// solePause is the time between two looks at the list.
-	soleWait  = 1200 * time.Millisecond
-	solePause = 50 * time.Millisecond
+	// stream whose origin is not recorded to be resumed: longer than the answer that began it
+	// and its resumption last. soleTimeouts is the same in timeouts of the route.
+	minSoleTime  = 10 * time.Second
+	soleTimeouts = 2
+	// maxSoleListAge is how long ago the list of instances may have been confirmed that
+	// shows it. It is longer than two reads of the list are apart.
+	maxSoleListAge = 1500 * time.Millisecond
 	// streamProgramPrefix precedes the ID of the request that began a stream without a
 	// program, in place of a program's ID.
 	streamProgramPrefix = "stream:"
@@ -155,10 +153,10 @@
 // bindToOrigin binds a call that resumes a stream to the stream's origin, and reports whether
 // it may go on. If not, the call was ended. recorded is the origin according to the ledger,
 // nil if that does not know it.
-func (c *callHandler) bindToOrigin(ctx context.Context, recorded *ledger.Origin) bool {
+func (c *callHandler) bindToOrigin(recorded *ledger.Origin) bool {
 	origin := recorded
 	if origin == nil {
-		origin = c.soleOrigin(ctx)
+		origin = c.soleOrigin()
 	}
 	if origin == nil {
 		c.refuse(originUnknownRefusal)
@@ -175,25 +173,24 @@
 	return true
 }
 
-// soleOrigin returns the origin of a stream if its service had a single software version
-// since before the stream can have begun until after this request came; nil otherwise.
-func (c *callHandler) soleOrigin(ctx context.Context) *ledger.Origin {
+// soleOrigin returns the origin of a stream if its service has had a single software version
+// since before the stream can have begun; nil otherwise. It is for streams that a former build
+// began, whose record is lost, or whose caller does not name the first request. For the last
+// it is enough that this daemon has seen no other version since it started: nothing will ever
+// tell more.
+func (c *callHandler) soleOrigin() *ledger.Origin {
 	if len(c.call.Route.Services) != 1 {
 		return nil
 	}
+	sole, isSole := c.relay.Pool.SoleVersion(c.service)
+	if !isSole || time.Since(sole.AsOf) > maxSoleListAge {
+		return nil
+	}
 	from := c.call.Received.Add(-max(minSoleTime, soleTimeouts*c.call.Route.Timeout))
-	for deadline := time.Now().Add(soleWait); ; {
-		version, asOf, isSole := c.relay.Pool.SoleVersion(c.service, from)
-		switch {
-		case !isSole:
-			return nil
-		case !asOf.Before(c.call.Received):
-			return &ledger.Origin{Service: c.service, Version: version}
-		case ctx.Err() != nil || time.Now().After(deadline):
-			return nil
-		}
-		clock.Sleep(ctx, solePause)
+	if sole.Since.After(from) && !(sole.IsSinceStart && c.call.Resumes == "") {
+		return nil
 	}
+	return &ledger.Origin{Service: c.service, Version: sole.Version}
 }
 
 // confirmOrigin makes sure, before the first event of a new stream is passed on, that the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -63,7 +63,7 @@
 		state.turn = turn
 		state.prompt = slices.Concat(turn.History, c.call.Body)
 		turn.History = nil // the prompt contains it
-		return !c.isResumption() || c.bindToOrigin(ctx, turn.Origin)
+		return !c.isResumption() || c.bindToOrigin(turn.Origin)
 	}
 	if !c.isResumption() {
 		c.recordOriginLater()
@@ -73,7 +73,7 @@
 	if err != nil {
 		c.logger.Warn().Err(err).Str("resumes", c.call.Resumes).Msg("Origin of a stream could not be looked up.")
 	}
-	return c.bindToOrigin(ctx, origin)
+	return c.bindToOrigin(origin)
 }
 
 // sessionInstance returns the instance that has most of the prompt in its cache, "" if
