platform, httpconn: a resumable stream reaches only the run of a back end whose version is known

Cause: the back end had started again under its name with other software; the list showed its former run for some tenths of a second longer, and the name that a request must name is the same. Change: a connection belongs to one process. Before the first resumable stream on it, the engine is asked on that connection when it started (its report, no slot, priced as a probe); a request meant for another run is not sent and counts as misdirected. Engines whose entries do not tell their start are not asked, and one whose report does not tell is believed.

--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -17,6 +17,9 @@
 	// ErrResetUnused: the connection was reset before the kernel accepted the first byte of the
 	// request, for example by a back end that is out of connections.
 	ErrResetUnused = eris.Wrap(ErrNotSent, "httpconn: the connection was reset before use")
+	// ErrOtherPeer: another process than Bounds.Peer is at the address; no byte of the request left
+	// this machine.
+	ErrOtherPeer = eris.Wrap(ErrNotSent, "httpconn: another process is at the address")
 	// ErrBroken: the connection broke after some of the request was sent.
 	ErrBroken = eris.New("httpconn: the connection broke")
 	// ErrPeerCutOff is the cause of a context that is canceled because the peer is considered cut
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -70,6 +70,8 @@
 	expires time.Time
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
+	// peer is the identity of the process at the other end, "" before it was asked.
+	peer string
 }
 
 // Write implements net.Conn.
@@ -137,25 +139,20 @@
 	Fresh bool
 	// ConnectTimeout is the timeout of dialling; 0 for that of the pool.
 	ConnectTimeout time.Duration
+	// Peer, if not nil, is the process that must be at the other end.
+	Peer *Peer
 }
 
 // Do sends a request to an address and reads the response header. The response body must be closed;
 // if it was read to its end, the connection is kept. The error wraps ErrNotSent or ErrBroken. When
 // ctx ends, the connection is closed; if the cause is ErrPeerCutOff, undelivered data is dropped.
 func (p *Pool) Do(ctx context.Context, name string, bounds Bounds, request *http.Request) (*http.Response, error) {
-	var c *conn
-	if !bounds.Fresh {
-		c = p.takeIdle(name)
-	}
-	if c == nil {
-		var err error
-		if c, err = p.open(ctx, name, bounds); err != nil {
-			return nil, err
-		}
+	c, err := p.take(ctx, name, bounds)
+	if err != nil {
+		return nil, err
 	}
 	if !bounds.SendBy.IsZero() && time.Now().After(bounds.SendBy) {
-		_ = c.Close() // nothing was sent on it
-		p.release(name)
+		p.drop(name, c)
 		return nil, ErrSendTooLate
 	}
 	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
@@ -168,6 +165,34 @@
 	return response, nil
 }
 
+// take returns a connection to an address: an idle one, or a new one. An idle one may have been
+// closed meanwhile, so it is not the last word.
+func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
+	if !bounds.Fresh {
+		if c := p.takeIdle(name); c != nil {
+			if p.identify(ctx, c, bounds.Peer) == nil {
+				return c, nil
+			}
+			p.drop(name, c)
+		}
+	}
+	c, err := p.open(ctx, name, bounds)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.identify(ctx, c, bounds.Peer); err != nil {
+		p.drop(name, c)
+		return nil, eris.Wrap(err, name)
+	}
+	return c, nil
+}
+
+// drop closes a connection on which no request was sent.
+func (p *Pool) drop(name string, c *conn) {
+	_ = c.Close() // nothing waits to be sent
+	p.release(name)
+}
+
 // Connect opens a connection to an address and keeps it for a later request. The error wraps
 // ErrNotSent.
 func (p *Pool) Connect(ctx context.Context, name string, bounds Bounds) error {
@@ -225,8 +250,7 @@
 		if now.Before(c.expires) && isReusable(c.Conn) {
 			return c
 		}
-		_ = c.Close()
-		p.release(name)
+		p.drop(name, c)
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -68,8 +68,8 @@
 	return name
 }
 
-// incarnation returns the run's incarnation; 0 if the ID has none.
-func (i *Instance) incarnation() int64 {
+// Incarnation returns the run's incarnation; 0 if the ID has none.
+func (i *Instance) Incarnation() int64 {
 	_, text, found := strings.Cut(i.ID, RunSeparator)
 	if !found {
 		return 0
--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -17,7 +17,7 @@
 
 // newLatestRun returns the latestRun for an entry.
 func newLatestRun(instance *Instance) latestRun {
-	return latestRun{id: instance.ID, incarnation: instance.incarnation(), lowerIncarnation: noIncarnation}
+	return latestRun{id: instance.ID, incarnation: instance.Incarnation(), lowerIncarnation: noIncarnation}
 }
 
 // noIncarnation is a value that no run has.
@@ -25,7 +25,7 @@
 
 // accepts reports whether an entry belongs to the latest run or replaces it.
 func (r *latestRun) accepts(instance *Instance) bool {
-	incarnation := instance.incarnation()
+	incarnation := instance.Incarnation()
 	if incarnation >= r.incarnation {
 		return true
 	}
@@ -71,7 +71,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	latest := p.latestRuns[run.Name()]
-	if latest == nil || latest.incarnation <= run.incarnation() {
+	if latest == nil || latest.incarnation <= run.Incarnation() {
 		return false
 	}
 	successor := p.byID[latest.id]
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -189,6 +189,9 @@
 	ConnectionLimit int
 	// ConnectTimeout bounds the opening of a connection; 0 for the driver's default.
 	ConnectTimeout time.Duration
+	// ThisRunOnly: the call must not reach a later run of the back end at the same address, as
+	// far as runs tell who they are. Such an answer is Misdirected.
+	ThisRunOnly bool
 }
 
 // Answer is an instance's answer, with its body unread.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -129,6 +129,7 @@
 		Deadline:    c.call.Deadline,
 		ResumeAfter: state.lastID,
 		Urgency:     c.urgency(state.turn),
+		ThisRunOnly: c.call.Route.Resumable || c.origin.isBound,
 	})
 }
 
