relay: a stream for which no version could be chosen begins without waiting for the ledger

Cause: found on reading the diff: where no instance was known when the turn was reserved, the origin was told to the holder at acceptance, and the first event waited up to 1 s for that while the store was out, though no record named another version. Change: nothing is recorded then; such a stream is resumed as one of unknown origin.

--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -196,21 +196,14 @@
 // confirmOrigin makes sure, before the first event of a new stream is passed on, that the
 // ledger does not name another software version than that of the instance which sends it.
 func (c *callHandler) confirmOrigin(ctx context.Context, target instance.Instance) bool {
-	if !c.call.Route.Resumable || c.origin.isBound {
-		return true
-	}
 	before := c.origin.recorded
-	if before != nil && before.Version == target.Version {
+	if before == nil || before.Version == target.Version || c.origin.isBound {
 		return true
 	}
-	revised := &ledger.Origin{Service: c.service, Version: target.Version}
-	if before != nil {
-		revised.Revision = before.Revision + 1
-	}
-	c.origin.recorded = revised
+	c.origin.recorded = &ledger.Origin{Service: c.service, Version: target.Version, Revision: before.Revision + 1}
 	if err := c.reviseOrigin(ctx); err != nil {
 		c.logger.Warn().Err(err).Str("instance", target.ID).Str("version", target.Version).Msg("Origin of a stream not changed in its record.")
-		return before == nil // nothing names another version
+		return false
 	}
 	return true
 }
