relay: a stream whose record cannot be reached is not refused as one that nobody knows

Callers of streams without a program would have heard stream_origin_unknown, without a time to come back, while the store is out after the loss of all daemons, though their origin is on record (found on reading the diff). Change: ledger_unavailable with the forecast, unless one version serves alone. Evidence: TestStreamWhoseRecordCannotBeReachedMayComeBack failed before for streams without a program (reason stream_origin_unknown); with the store back, none mixed and at least half go on.

--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -181,6 +181,35 @@
 	})
 }
 
+// TestStreamWhoseRecordCannotBeReachedMayComeBack: all daemons are killed, and the store is out.
+// The record is there once it is back, so the caller is told when to come again.
+func TestStreamWhoseRecordCannotBeReachedMayComeBack(t *testing.T) {
+	forBothKinds(t, func(t *testing.T, ofPrograms bool) {
+		f := newVersionFleet(t, mixedVersions...)
+		streams := newStreams(f, ofPrograms)
+		callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number), passedOn) })
+		time.Sleep(time.Second)
+		f.killAll()
+		f.store.SetDown(true)
+		for number := range fleetDaemons {
+			f.start(number)
+		}
+		time.Sleep(5 * time.Second)
+		callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number), 0) })
+		for _, s := range streams {
+			if s.refusal == nil || s.refusal.Reason != ReasonLedgerUnavailable || s.refusal.RetryAfter == 0 {
+				t.Fatalf("%s: refused %+v", s.name, s.refusal)
+			}
+		}
+		f.store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		callAll(streams, func(s *streamCaller, number int) { s.call(f.daemonAt(number), 0) })
+		if got := countStreams(streams); got.mixed > 0 || got.whole < versionStreams/2 {
+			t.Errorf("got %+v, want none mixed and half of them whole", got)
+		}
+	})
+}
+
 // TestStreamGoesOnAtTheServiceThatBeganIt guards against a route with several services, or one
 // that was moved to another, going on with a stream at the other service.
 func TestStreamGoesOnAtTheServiceThatBeganIt(t *testing.T) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -70,8 +70,10 @@
 		return true
 	}
 	origin, err := c.findOrigin(ctx)
-	if err != nil {
+	if err != nil && c.soleOrigin() == nil {
 		c.logger.Warn().Err(err).Str("resumes", c.call.Resumes).Msg("Origin of a stream could not be looked up.")
+		c.refuse(Refusal{Reason: ReasonLedgerUnavailable, RetryAfter: c.retryAfter(), Detail: "The stream's record can not be reached."})
+		return false
 	}
 	return c.bindToOrigin(origin)
 }
