--- a/internal/instance/choice.go
+++ b/internal/instance/choice.go
@@ -91,34 +91,6 @@
 	return p.choose(query, isLarge, now)
 }
 
-// HasReady reports whether an instance that the query admits is more than a last resort: it
-// is listed, not in backoff, and not in an excluded zone.
-func (p *Pool) HasReady(query Query, isExcludedZone func(zone string) bool) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	now := time.Now()
-	return slices.ContainsFunc(p.instancesOf(&query), func(e *entry) bool {
-		isLastResort := now.Before(e.backoffUntil) || p.unlistedCost(e, now) >= lastResortCost || isExcludedZone(e.Zone)
-		return !isLastResort && p.admits(&query, e, now)
-	})
-}
-
-// MayAdmit reports whether an instance that is not excluded may get a query's request now or,
-// if only a TemporaryFilter rejects it, soon.
-func (p *Pool) MayAdmit(query Query) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	now := time.Now()
-	return slices.ContainsFunc(p.instancesOf(&query), func(e *entry) bool {
-		if !p.mayServe(e, now) || slices.Contains(query.Excluded, e.ID) {
-			return false
-		}
-		filter := p.plugins.filteredBy(&query, &e.Instance, now)
-		_, temporary := filter.(TemporaryFilter)
-		return filter == nil || temporary
-	})
-}
-
 // choose returns the instance with the lowest cost among the candidates, nil if none is admitted.
 // The candidates are all instances, or a part of them if there are many.
 func (p *Pool) choose(query *Query, isLarge bool, now time.Time) *entry {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -55,21 +55,30 @@
 		offersNotTaken: newCounterVec("offers_not_taken_total", "Offers that an instance did not run, by cause.", "cause"),
 		furtherRuns:    newCounterVec("further_runs_total", "Requests run again or streams taken up.", "cause"),
 		latency:        newHistogramVec("answer_seconds", "From a request read to its answer ended.", "kind"),
-		begins:         newHistogramVec("turn_begin_seconds", "Time to reserve a turn's tokens, by outcome.", "outcome"),
-		records:        newHistogramVec("turn_record_seconds", "Time until the end of a kept turn was on record, by outcome.", "outcome"),
-		firstEvents:    prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets()}),
+		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets(),
+		}),
+		begins:  newHistogramVec("turn_begin_seconds", "Time to reserve a turn's tokens, by outcome.", "outcome"),
+		records: newHistogramVec("turn_record_seconds", "Time until the end of a kept turn was on record, by outcome.", "outcome"),
+		resumptions: newCounterVec("streams_resumed_total",
+			"Streams that a back end went on with, by where they were begun and by its software version compared with the one that began them.", "begun_by", "version"),
+		droppedLines: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out.",
+		}),
+		beliefAges:     newHistogramVec("belief_age_seconds", "At each offer, since when what it rests on was not confirmed, by what that is.", "of"),
+		givenUp:        newCounterVec("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what"),
+		heldUpRequests: newCounterVec("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome"),
+		tenants:        newTenantMetrics(),
+		endings:        newCounterVec("endings_total", "Requests that ended, by kind and cause.", "ending", "cause"),
+		open: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Subsystem: subsystem, Name: "open_requests", Help: "Requests that have not ended.",
+		}),
+		faults: newCounterVec("handling_faults_total", "Requests left without an ending, ended twice, or whose handler panicked.", "fault"),
 	}
-	m.resumptions = newCounterVec("streams_resumed_total", "Streams that a back end went on with, by where they were begun and by its software version compared with the one that began them.", "begun_by", "version")
-	m.heldUpRequests = newCounterVec("held_up_total", "Requests that were held up, by what held them up last and by what became of them.", "by", "outcome")
-	m.tenants = newTenantMetrics()
-	m.givenUp = newCounterVec("offers_given_up_total", "Offers given up as their back end is not reached, by its zone and by what is not reached.", "zone", "what")
-	m.droppedLines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: subsystem, Name: "log_lines_left_out_total", Help: "Log lines of the ordinary way that sampling left out."})
-	m.beliefAges = newHistogramVec("belief_age_seconds", "At each offer, since when what it rests on was not confirmed, by what that is.", "of")
-	m.endings = newCounterVec("endings_total", "Requests that ended, by kind and cause.", "ending", "cause")
-	m.faults = newCounterVec("handling_faults_total", "Requests left without an ending, ended twice, or whose handler panicked.", "fault")
-	m.open = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Subsystem: subsystem, Name: "open_requests", Help: "Requests that have not ended."})
-	registry.MustRegister(m.endings, m.faults, m.open)
-	registry.MustRegister(m.resumptions, m.beliefAges, m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.latency, m.begins, m.records, m.firstEvents, m.droppedLines, m.heldUpRequests, m.givenUp, m.tenants.requests)
+	registry.MustRegister(
+		m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.latency, m.firstEvents, m.begins, m.records, m.resumptions,
+		m.droppedLines, m.beliefAges, m.givenUp, m.heldUpRequests, m.tenants.requests, m.endings, m.open, m.faults,
+	)
 	return m
 }
 
