relay: a caller's patience does not keep its program for ever

Cause, found on reading the diff: the origin of a stream is kept as long as its caller says that it waits, which may be ten years, and the retention of its program's account was raised to that without the ledger's bound. Such an account would have stayed in the store, and a lost allowance of its shard would have counted, for as long. Change: ten minutes at most, where the time is worked out.

--- a/internal/ledger/origin.go
+++ b/internal/ledger/origin.go
@@ -19,8 +19,8 @@
 	originFlushDelay = 30 * time.Millisecond
 	// originsLimit bounds the streams of a program whose origins are kept.
 	originsLimit = 64
-	// maxOriginTTL bounds how long the origin of a stream is kept.
-	maxOriginTTL = 10 * time.Minute
+	// MaxOriginTTL bounds how long the origin of a stream is kept.
+	MaxOriginTTL = 10 * time.Minute
 )
 
 // Origin is what alone may go on with a stream.
@@ -62,7 +62,7 @@
 	if len(a.Origins) >= originsLimit {
 		a.dropFirstOrigin()
 	}
-	kept := min(time.Duration(turn.OriginTTLMS)*time.Millisecond, maxOriginTTL)
+	kept := min(time.Duration(turn.OriginTTLMS)*time.Millisecond, MaxOriginTTL)
 	a.Origins[turn.ID] = streamOrigin{Origin: *turn.Origin, UntilMS: nowMS + kept.Milliseconds()}
 }
 
--- a/internal/ledger/origin_test.go
+++ b/internal/ledger/origin_test.go
@@ -96,7 +96,7 @@
 	long := streamOf("long", "v1", 0)
 	long.OriginTTLMS = int64(24 * time.Hour / time.Millisecond)
 	a.noteOrigin(long, 0)
-	if until := a.Origins["long"].UntilMS; until > maxOriginTTL.Milliseconds() {
+	if until := a.Origins["long"].UntilMS; until > MaxOriginTTL.Milliseconds() {
 		t.Errorf("an origin is kept until %d ms", until)
 	}
 }
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -43,7 +43,7 @@
 	streamProgramPrefix = "stream:"
 )
 
-// errOriginNotKept: the shard's holder does not keep origins, as builds before them.
+// errOriginNotKept: the shard's holder does not know origins.
 var errOriginNotKept = eris.New("relay: the shard's holder does not keep the origin")
 
 // streamOrigin is what a call's stream may come from.
@@ -105,12 +105,13 @@
 	turn.Retention = max(turn.Retention, ttl-ledger.RetentionMargin)
 }
 
-// originTTL returns how long the call's caller may resume the stream.
+// originTTL returns how long the origin of the call's stream is kept: as long as its caller may
+// resume it, within the ledger's bound.
 func (c *callHandler) originTTL() time.Duration {
 	if c.call.ResumableUntil.IsZero() {
 		return defaultOriginTTL
 	}
-	return time.Until(c.call.ResumableUntil) + originTTLMargin
+	return min(time.Until(c.call.ResumableUntil)+originTTLMargin, ledger.MaxOriginTTL)
 }
 
 // streamTurn returns the turn that stands for a stream without a program in the ledger.
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -260,3 +260,15 @@
 		}
 	})
 }
+
+// TestPatienceOfACallerDoesNotKeepItsProgramForEver: callers may say that they wait for years.
+func TestPatienceOfACallerDoesNotKeepItsProgramForEver(t *testing.T) {
+	h := newHarness(t, step{body: "id: 1\ndata: a\n\n"})
+	call := newTurn(newRoute(route.KindStream))
+	call.ResumableUntil = time.Now().Add(10 * 365 * 24 * time.Hour)
+	h.serve(call)
+	turn := h.ledger.turns[0]
+	if kept := time.Duration(turn.OriginTTLMS) * time.Millisecond; turn.Retention > ledger.MaxOriginTTL || kept > ledger.MaxOriginTTL || kept == 0 {
+		t.Errorf("the program is kept for %v and the origin for %v, want %v at most", turn.Retention, kept, ledger.MaxOriginTTL)
+	}
+}
