relay: the content of runs that break off, and what became of their back end, in logs and metrics

Change: each run that breaks off is logged with the digest of its content (package poison) and whether its back end accepts connections, found out in the background.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -28,6 +28,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Model is the model that the request names, "" for none.
+	Model string
 	// Received is when the request had been read completely.
 	Received time.Time
 	// Deadline is when the caller stops waiting or the route's timeout ends; the zero time
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -65,6 +65,8 @@
 	// heardAt is when the instance last sent something; initially beganAt.
 	heardAt time.Time
 	context context.Context
+	// body is what the instance was sent, nil once it has answered.
+	body []byte
 	// pending is the offer as tracked by the monitor, nil once the instance sends nothing
 	// more.
 	pending *pendingOffer
@@ -158,7 +160,7 @@
 	c.offers++
 	c.observeBeliefAges()
 	now := time.Now()
-	c.latest = latestOffer{beganAt: now, heardAt: now}
+	c.latest = latestOffer{beganAt: now, heardAt: now, body: outgoing.Body}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
 	c.latest.pending = &pendingOffer{target: target, kind: c.call.Route.Name, alternative: c.alternativeTo(target)}
@@ -186,6 +188,7 @@
 	c.countedAt = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
+		c.latest.body = nil // frees the memory while the turn is being stored
 		c.relay.Pool.RecordServiceTime(c.service, time.Since(c.latest.beganAt))
 	}
 }
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -30,6 +30,7 @@
 		c.release(target, c.canceledOutcome())
 		if !httpconn.IsNotSent(err) {
 			c.noteRun(target)
+			c.examineIfSilent(target)
 		}
 		c.refuseEnded(ctx)
 		return false
@@ -49,6 +50,7 @@
 		return true
 	}
 	c.noteRun(target)
+	c.examineBrokenRun(target)
 	return c.mayRunAgain()
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -22,6 +22,7 @@
 	refusals       *prometheus.CounterVec
 	offersNotTaken *prometheus.CounterVec
 	furtherRuns    *prometheus.CounterVec
+	brokenRuns     *prometheus.CounterVec
 	latency        *prometheus.HistogramVec
 	firstEvents    prometheus.Histogram
 	begins         *prometheus.HistogramVec
@@ -54,6 +55,7 @@
 		refusals:       newCounterVec("refusals_total", "Requests ended by the system itself, by reason.", "reason"),
 		offersNotTaken: newCounterVec("offers_not_taken_total", "Offers that an instance did not run, by cause.", "cause"),
 		furtherRuns:    newCounterVec("further_runs_total", "Requests run again or streams taken up.", "cause"),
+		brokenRuns:     newCounterVec("runs_broken_total", "Runs that broke off, by what became of their back end.", "back_end"),
 		latency:        newHistogramVec("answer_seconds", "From a request read to its answer ended.", "kind"),
 		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "first_event_seconds", Help: "From a request read to its first event.", Buckets: buckets(),
@@ -76,7 +78,7 @@
 		faults: newCounterVec("handling_faults_total", "Requests left without an ending, ended twice, or whose handler panicked.", "fault"),
 	}
 	registry.MustRegister(
-		m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.latency, m.firstEvents, m.begins, m.records, m.resumptions,
+		m.answers, m.refusals, m.offersNotTaken, m.furtherRuns, m.brokenRuns, m.latency, m.firstEvents, m.begins, m.records, m.resumptions,
 		m.droppedLines, m.beliefAges, m.givenUp, m.heldUpRequests, m.tenants.requests, m.endings, m.open, m.faults,
 	)
 	return m
@@ -153,6 +155,8 @@
 
 func (m *Metrics) resumed() { m.furtherRuns.WithLabelValues("resumed").Inc() }
 
+func (m *Metrics) runBroke(state backEndState) { m.brokenRuns.WithLabelValues(string(state)).Inc() }
+
 func (m *Metrics) resumedAt(begunBy, version string) {
 	m.resumptions.WithLabelValues(begunBy, version).Inc()
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -118,6 +118,7 @@
 	}
 	if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
 		c.release(target, c.canceledOutcome())
+		c.examineIfSilent(target)
 		c.breakOff(ctx, state, CauseWriteFailed)
 		return false
 	}
@@ -145,6 +146,7 @@
 		c.release(target, c.canceledOutcome())
 	default:
 		c.releaseFailed(target)
+		c.examineBrokenRun(target)
 	}
 	switch {
 	case state.hasHead:
@@ -207,6 +209,7 @@
 func (c *callHandler) canResume(target instance.Instance, state *streamState, err error) bool {
 	c.releaseFailed(target)
 	c.logger.Info().Str("instance", target.ID).Str("version", target.Version).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
+	c.examineBrokenRun(target)
 	if c.call.Route.Resumable && state.isResumable() && c.runs < maxStreamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
 		c.bindToLastInstance()
