relay: failing test of the incident: one content ends as many back ends as it is sent to

Cause: shown by the test, not mended here. Beside it a test that passes and has to go on: contents are served while a third of the engines ends three times.

--- /dev/null
+++ b/internal/relay/poison_fleet_test.go
@@ -0,0 +1,280 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/route"
+)
+
+const (
+	// mostEnded is how many back ends one content may end.
+	mostEnded = 3
+	// retryPause is the time between two requests of a caller.
+	retryPause = 100 * time.Millisecond
+	// bystanders is the number of callers whose contents harm nothing.
+	bystanders = 12
+)
+
+func newFragileFleet(t *testing.T, kind route.Kind, attempts int) *fragileFleet {
+	f := &fragileFleet{fragile: newFragileEngines()}
+	f.versionFleet = newVersionFleetOf(t, f.fragile)
+	f.route.Kind, f.route.MaxAttempts = kind, attempts
+	f.route.Resumable = kind == kindStream
+	for number := range fragileCount {
+		id := fmt.Sprint("f", number)
+		f.fragile.start(id)
+		f.addToList(id)
+	}
+	f.relist()
+	return f
+}
+
+// poisonCase sends one content, under which engines end, again and again.
+type poisonCase struct {
+	name     string
+	kind     route.Kind
+	attempts int
+	tries    int
+	// prepare changes the fleet before the first try, and beforeTry before each; both may be nil.
+	prepare   func(f *fragileFleet)
+	beforeTry func(f *fragileFleet, try int)
+	makeCall  func(f *fragileFleet, try int) *Call
+	// isTogether: all tries but the first are sent at the same moment.
+	isTogether bool
+	// losesCallers: requests in progress are lost, as daemons are killed.
+	losesCallers bool
+}
+
+// asTurn returns the next try as a turn of a program.
+func asTurn(f *fragileFleet, try int) *Call {
+	call := newTurn(f.route)
+	call.Program.ID = fmt.Sprint("program-", try%2)
+	call.Program.BudgetTokens = 1000
+	return call
+}
+
+var poisonCases = []poisonCase{
+	{name: "repeatable, three attempts", kind: route.KindRepeatable, attempts: 3, tries: 4},
+	{name: "repeatable, one attempt", kind: route.KindRepeatable, attempts: 1, tries: 6},
+	{name: "repeatable, five attempts", kind: route.KindRepeatable, attempts: 5, tries: 3},
+	{name: "not repeatable", kind: route.KindOnce, attempts: 1, tries: 6},
+	{name: "resumable stream", kind: kindStream, attempts: 3, tries: 4},
+	{name: "resumable stream, one attempt", kind: kindStream, attempts: 1, tries: 4},
+	{
+		name: "resumable stream that had events", kind: kindStream, attempts: 3, tries: 4,
+		prepare: func(f *fragileFleet) { f.fragile.eventBeforeEnd = true },
+	},
+	{
+		name: "resumed by its caller", kind: kindStream, attempts: 1, tries: 6,
+		prepare: func(f *fragileFleet) { f.fragile.eventBeforeEnd = true },
+		makeCall: func(f *fragileFleet, try int) *Call {
+			call := newCall(f.route)
+			if try > 0 {
+				call.ResumeAfter = "1"
+			}
+			return call
+		},
+	},
+	{name: "turns of two programs", kind: kindStream, attempts: 1, tries: 6, makeCall: asTurn},
+	{
+		name: "routes that are not resumable", kind: kindStream, attempts: 1, tries: 6,
+		prepare: func(f *fragileFleet) { f.route.Resumable = false },
+	},
+	{
+		name: "engines that start again under their ID", kind: route.KindRepeatable, attempts: 3, tries: 4,
+		prepare: func(f *fragileFleet) { f.fragile.restartAfter = 500 * time.Millisecond },
+	},
+	{
+		name: "engines that end silently", kind: route.KindRepeatable, attempts: 1, tries: 5,
+		prepare: func(f *fragileFleet) { f.fragile.endsSilently = true },
+	},
+	{name: "all at the same moment, after the first", kind: route.KindRepeatable, attempts: 1, tries: 9, isTogether: true},
+	{name: "the same as turns", kind: kindStream, attempts: 1, tries: 9, isTogether: true, makeCall: asTurn},
+	{
+		name: "the daemon that saw each end is killed", kind: route.KindRepeatable, attempts: 1, tries: 6, losesCallers: true,
+		beforeTry: func(f *fragileFleet, try int) {
+			if try > 0 {
+				f.killDaemon(f.daemonAt(try - 1))
+				f.start((try - 1) % fleetDaemons)
+			}
+		},
+	},
+	{
+		name: "all daemons are killed", kind: route.KindRepeatable, attempts: 1, tries: 6, losesCallers: true,
+		beforeTry: func(f *fragileFleet, try int) {
+			if try == 2 || try == 4 {
+				f.killAll()
+				for number := range fleetDaemons {
+					f.start(number)
+				}
+				time.Sleep(time.Second)
+			}
+		},
+	},
+	{
+		name: "the store is out", kind: route.KindRepeatable, attempts: 3, tries: 4,
+		prepare: func(f *fragileFleet) { f.store.SetDown(true) },
+	},
+	{
+		name: "the store goes out between two tries", kind: route.KindRepeatable, attempts: 1, tries: 6,
+		beforeTry: func(f *fragileFleet, try int) { f.store.SetDown(try == 1 || try == 3) },
+	},
+	{
+		name: "the store is slow", kind: route.KindRepeatable, attempts: 3, tries: 4,
+		prepare: func(f *fragileFleet) { f.store.SetDelay(200 * time.Millisecond) },
+	},
+}
+
+func TestOneContentEndsAtMostThreeBackEnds(t *testing.T) {
+	for _, c := range poisonCases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { c.play(t) })
+		})
+	}
+}
+
+// play sends the content, with callers of other contents beside it.
+func (c *poisonCase) play(t *testing.T) {
+	f := newFragileFleet(t, c.kind, c.attempts)
+	if c.prepare != nil {
+		c.prepare(f)
+	}
+	stop := f.startBystanders(t, c.losesCallers)
+	body := deadlyMark + " text"
+	tries := c.sendAll(f, body)
+	stop()
+	received, ended := f.fragile.counts(body)
+	t.Logf("%d tries: sent to engines %d times, which ended %d", len(tries), received, ended)
+	if ended > mostEnded || received > mostEnded {
+		t.Errorf("sent to engines %d times, which ended %d; want at most %d", received, ended, mostEnded)
+	}
+}
+
+// sendAll sends a content as often as the case says, each time to the next daemon.
+func (c *poisonCase) sendAll(f *fragileFleet, body string) []contentAnswer {
+	answers := make([]contentAnswer, c.tries)
+	send := func(try int) {
+		caller := &contentCaller{fleet: f, body: body}
+		if c.makeCall != nil {
+			caller.makeCall = func() *Call { return c.makeCall(f, try) }
+		}
+		answers[try] = caller.send(f.daemonAt(try))
+	}
+	var together sync.WaitGroup
+	for try := range c.tries {
+		if c.beforeTry != nil {
+			c.beforeTry(f, try)
+		}
+		if c.isTogether && try > 0 {
+			together.Go(func() { send(try) })
+			continue
+		}
+		send(try)
+		time.Sleep(retryPause)
+	}
+	together.Wait()
+	return answers
+}
+
+// startBystanders starts callers whose contents harm nothing. The returned function stops them,
+// and checks that each of their requests was answered in the end.
+func (f *fragileFleet) startBystanders(t *testing.T, loseCallers bool) (stop func()) {
+	var stopping atomic.Bool
+	var callers sync.WaitGroup
+	var served, unserved atomic.Int64
+	for number := range bystanders {
+		callers.Go(func() {
+			for round := 0; !stopping.Load(); round++ {
+				caller := &contentCaller{fleet: f, body: fmt.Sprintf("harmless %d %d", number, round)}
+				if f.isServed(caller, number) {
+					served.Add(1)
+				} else {
+					unserved.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	return func() {
+		stopping.Store(true)
+		callers.Wait()
+		t.Logf("others: %d served, %d not", served.Load(), unserved.Load())
+		if unserved.Load() > 0 && !loseCallers {
+			t.Errorf("%d requests of other contents were not answered, %d were", unserved.Load(), served.Load())
+		}
+	}
+}
+
+// bystanderTries is how often a caller sends a content whose back ends end.
+const bystanderTries = 3
+
+// isServed sends a content to one daemon after the other until it is answered.
+func (f *fragileFleet) isServed(caller *contentCaller, daemon int) bool {
+	for try := range bystanderTries {
+		for len(f.living()) == 0 {
+			time.Sleep(retryPause)
+		}
+		answer := caller.send(f.daemonAt(daemon + try))
+		if answer.status == http.StatusOK && !answer.aborted {
+			return true
+		}
+		time.Sleep(retryPause)
+	}
+	return false
+}
+
+// In each of three failures a third of the engines ends, with whatever they run.
+func TestContentsAreServedWhileBackEndsEnd(t *testing.T) {
+	const contents, failures, perFailure = 40, 3, 10
+	synctest.Test(t, func(t *testing.T) {
+		f := newFragileFleet(t, route.KindRepeatable, 3)
+		var stopping atomic.Bool
+		var callers sync.WaitGroup
+		var served, unserved atomic.Int64
+		for number := range contents {
+			callers.Go(func() {
+				caller := &contentCaller{fleet: f, body: fmt.Sprint("content ", number)}
+				for !stopping.Load() {
+					if f.isServed(caller, number) {
+						served.Add(1)
+					} else {
+						unserved.Add(1)
+					}
+				}
+			})
+		}
+		for failure := range failures {
+			time.Sleep(500 * time.Millisecond)
+			for _, id := range f.fragile.runningIDs()[:perFailure] {
+				f.fragile.end(id)
+			}
+			time.Sleep(500 * time.Millisecond)
+			for number := range perFailure {
+				f.fragile.start(fmt.Sprint("g", failure, "-", number))
+			}
+			f.relistRunning()
+		}
+		stopping.Store(true)
+		callers.Wait()
+		t.Logf("%d requests served, %d not", served.Load(), unserved.Load())
+		if unserved.Load() > 0 {
+			t.Errorf("%d requests were not served, %d were", unserved.Load(), served.Load())
+		}
+	})
+}
+
+// relistRunning lists the engines that run.
+func (f *fragileFleet) relistRunning() {
+	f.list = []instance.Instance{}
+	for _, id := range f.fragile.runningIDs() {
+		f.addToList(id)
+	}
+	f.relist()
+}
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -49,7 +49,9 @@
 	t       *testing.T
 	store   *memory.Store
 	engines *versionedEngines
-	route   *route.Route
+	// driver is how daemons reach back ends: engines, unless a test replaces it.
+	driver Driver
+	route  *route.Route
 
 	// toHolder changes what is sent to the holders of shards, if it is set.
 	toHolder func(*ledger.Request)
@@ -73,10 +75,19 @@
 	kill  context.CancelFunc
 }
 
+// newVersionFleet returns a fleet with one engine of each version.
 func newVersionFleet(t *testing.T, versions ...string) *versionFleet {
+	return newVersionFleetOf(t, nil, versions...)
+}
+
+// newVersionFleetOf is newVersionFleet with a driver in place of the engines.
+func newVersionFleetOf(t *testing.T, driver Driver, versions ...string) *versionFleet {
 	f := &versionFleet{
 		t: t, store: memory.New(), engines: &versionedEngines{running: map[string]instance.Instance{}},
-		route: newRoute(route.KindStream), daemons: map[structs.DaemonID]*versionDaemon{},
+		driver: driver, route: newRoute(route.KindStream), daemons: map[structs.DaemonID]*versionDaemon{},
+	}
+	if driver == nil {
+		f.driver = f.engines
 	}
 	f.route.MaxAttempts = 1
 	f.route.Timeout = 3 * time.Second
@@ -150,7 +161,7 @@
 	d.pool = instance.NewPool(rand.New(rand.NewPCG(f.started, 1)), instance.Plugins{})
 	table := route.NewTable(1, nil, []*route.Service{{Name: "s", Model: &route.Model{TokensPerEvent: 4}}})
 	d.relay = New(Options{
-		Pool: d.pool, Driver: f.engines, Ledger: d.ledger, Table: func() *route.Table { return table },
+		Pool: d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
 		Daemons: func() int { return fleetDaemons }, Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	f.mutex.Lock()
