poison, relay: one content ends at most three back ends, over all tries, callers and daemons

Cause: what limits runs (MaxAttempts, maxStreamRuns) is kept per try, in the memory of one daemon, and ends as soon as the last back end accepts no connection; nothing knew that a back end had ended, or which content it ran. Change: package poison. After a run broke, its back end is connected to; if that is refused or hangs, the end is recorded under the content's digest in the store, which all daemons follow, before the content is sent again or the caller is told. From then on each send is reserved there first, one at a time in the order of the log, on a new connection and apart from other suspects; the third end refuses the content (503 ends_back_ends, not run), an answer clears it for good, also against records that the store takes late. Without the store: once more after one end, other daemons are told. Why it works: reservations that are never resolved count as ends, so a daemon's death hides none but that of a first send. Contents that are not suspected: no call, no append, one allocation (the Attempt).

--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,265 @@
+package poison
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+const (
+	// pausePerDaemon times the number of daemons is the time between two reads of the store by one
+	// daemon, up to maxPause: while back ends end, each append is read by all.
+	pausePerDaemon = time.Millisecond
+	maxPause       = 100 * time.Millisecond
+	// listWait is how long a request waits for the first list of suspects after the start.
+	listWait = time.Second
+	// sweepInterval is the mean time between two removals of contents whose lifetime is over. It
+	// varies by half, so that not all daemons remove the same.
+	sweepInterval = time.Minute
+	// maxNotified is the most daemons that a daemon tells of a send that the store does not take,
+	// and keepers the number of them that store it, too.
+	maxNotified = 128
+	keepers     = 2
+)
+
+// watchSettings: reads are rarely answered, as sends are rarely stored.
+var watchSettings = store.WatchSettings{
+	Wait: 10 * time.Second, AnswerTimeout: 400 * time.Millisecond, RetryInterval: 150 * time.Millisecond,
+}
+
+// Options configure a Guard.
+type Options struct {
+	Self structs.DaemonID
+	// Store takes the sends, and Records is where they are read. List lists them.
+	Store   store.Store
+	Records store.Store
+	List    func(context.Context) (store.Listing, error)
+	// Connectivity reports when the store answers again; nil if that is not known.
+	Connectivity store.Connectivity
+	Transport    peer.Transport
+	View         membership.View
+	Logger       zerolog.Logger
+	Metrics      *Metrics
+}
+
+// Guard decides whether a content may be sent to a back end. The contents under which back ends
+// ended are in the store, which all daemons follow: a daemon that sends one of them reserves that
+// first, and the reservations take turns in the order of the store's log. It is safe for concurrent
+// use.
+type Guard struct {
+	Options
+	table  table
+	writer *writer
+	// refresh requests a read of the store that does not wait.
+	refresh chan struct{}
+	// listed is closed once the suspects were listed.
+	listed     chan struct{}
+	listedOnce sync.Once
+
+	mutex sync.Mutex
+	// reserving holds the contents for which a request of this daemon has a reservation, or waits
+	// for one. Other requests with the same content wait for that.
+	reserving map[Digest]*Attempt
+	// released holds this daemon's reservations that it has released lately.
+	released map[sendKey]released
+}
+
+// released is a reservation that was released.
+type released struct {
+	at time.Time
+	// write is the latest write that deletes the reservation.
+	write *write
+}
+
+// lateAppendTime is how long after its call an append may still take effect.
+const lateAppendTime = time.Minute
+
+// NewGuard returns a Guard. It knows no suspects until Run is called.
+func NewGuard(options Options) *Guard {
+	if options.Connectivity == nil {
+		options.Connectivity = store.UnknownConnectivity{}
+	}
+	g := &Guard{
+		Options: options, table: newTable(), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
+		writer:    newWriter(options.Store, options.Logger, options.Metrics),
+		reserving: map[Digest]*Attempt{}, released: map[sendKey]released{},
+	}
+	options.Metrics.observe(&g.table)
+	return g
+}
+
+// Run follows the suspects in the store, and stores what this daemon sees, until ctx ends.
+func (g *Guard) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	workers.Go(func() { g.writer.run(ctx, g.Connectivity.Recovered) })
+	workers.Go(func() { g.sweep(ctx) })
+	watcher := store.Watcher{
+		Store: pacedReads{Store: g.Records, view: g.View}, Partition: Partition(), Settings: watchSettings, List: g.List,
+		Connectivity: g.Connectivity, Refresh: g.refresh, OnUpdate: g.apply,
+		OnConnectivity: func(err error) {
+			if err != nil {
+				g.Logger.Warn().Err(err).Msg("Suspected contents can not be read. Those read last stay suspected.")
+			}
+		},
+	}
+	watcher.Run(ctx)
+	workers.Wait()
+}
+
+// Flush waits until everything that this daemon saw is stored, or ctx ends.
+func (g *Guard) Flush(ctx context.Context) { g.writer.flush(ctx) }
+
+// pacedReads is a store whose reads by all daemons together do not follow each other too fast.
+type pacedReads struct {
+	store.Store
+	view membership.View
+}
+
+// Read implements store.Store.
+func (p pacedReads) Read(ctx context.Context, partition store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	store.ProgressOf(ctx).SetPause(spreadTime(p.view))
+	return p.Store.Read(ctx, partition, from, wait)
+}
+
+// spreadTime returns how long after the store has taken a send the last daemon may begin to read it.
+func spreadTime(view membership.View) time.Duration {
+	return min(time.Duration(len(view.Members()))*pausePerDaemon, maxPause)
+}
+
+// apply applies what was read from the store.
+func (g *Guard) apply(update store.Update) {
+	now := time.Now()
+	update.Records = slices.DeleteFunc(update.Records, g.isReleased)
+	for _, key := range g.table.apply(update, now) {
+		g.Logger.Warn().Str("key", key).Msg("Record of a suspected content skipped. It is malformed.")
+	}
+	g.listedOnce.Do(func() { close(g.listed) })
+}
+
+// isReleased reports whether a record is a reservation that this daemon has released. One that the
+// store took late, after its release, is released again.
+func (g *Guard) isReleased(record store.Record) bool {
+	if len(record.Value) == 0 {
+		return false
+	}
+	key := sendKey(record.Key)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	known, isReleased := g.released[key]
+	if isReleased && isClosed(known.write.taken) {
+		known.write = g.writer.append(store.Record{Key: record.Key})
+		g.released[key] = known
+	}
+	return isReleased
+}
+
+// release drops a reservation.
+func (g *Guard) release(key sendKey) {
+	g.mutex.Lock()
+	g.released[key] = released{at: time.Now(), write: g.writer.append(store.Record{Key: string(key)})}
+	g.mutex.Unlock()
+	g.table.drop(key)
+}
+
+// forgetReleased forgets the reservations that were released long ago.
+func (g *Guard) forgetReleased(now time.Time) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	maps.DeleteFunc(g.released, func(_ sendKey, r released) bool { return now.Sub(r.at) > lateAppendTime })
+}
+
+// Receive handles a message; it returns false if the message belongs to another component.
+func (g *Guard) Receive(_ structs.DaemonID, message peer.Message) bool {
+	notice, isNotice := message.(*Notice)
+	if !isNotice {
+		return false
+	}
+	now := time.Now()
+	for text, send := range notice.Sends {
+		key := sendKey(text)
+		if send.State == StateReserved || key.content().shape() == "" {
+			g.Logger.Warn().Str("key", text).Msg("Notice of a suspected content skipped. It is malformed.")
+			continue
+		}
+		g.table.put(key, send, notLogged, now)
+		if notice.Keep {
+			g.store(key, send)
+		}
+	}
+	return true
+}
+
+// tell tells other daemons of an end or an answer that the store has not taken.
+func (g *Guard) tell(key sendKey, send Send) {
+	g.Metrics.told.Inc()
+	others := g.others()
+	for number, to := range others[:min(len(others), maxNotified)] {
+		g.Transport.Send(to, &Notice{Sends: map[string]Send{string(key): send}, Keep: number < keepers})
+	}
+	g.Logger.Info().Str("content", string(key.content())).Str("state", string(send.State)).Int("daemons", len(others)).
+		Msg("Other daemons are told of a suspected content. The store has not taken that.")
+}
+
+// others returns the other daemons, those that follow this one in the order of their IDs first.
+func (g *Guard) others() []structs.DaemonID {
+	var before, after []structs.DaemonID
+	for _, member := range g.View.Members() {
+		switch id := member.Daemon.ID; {
+		case id > g.Self:
+			after = append(after, id)
+		case id < g.Self:
+			before = append(before, id)
+		}
+	}
+	return append(after, before...)
+}
+
+// sweep removes contents whose lifetime is over, until ctx ends.
+func (g *Guard) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		clock.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval))
+		now := time.Now()
+		g.forgetReleased(now)
+		keys := g.table.removable(now)
+		if len(keys) == 0 {
+			continue
+		}
+		g.table.drop(keys...)
+		g.writer.append(deletions(keys)...)
+		g.Logger.Info().Int("sends", len(keys)).Msg("Suspected contents removed. Their lifetime is over, or there are too many.")
+	}
+}
+
+// deletions returns the records that delete sends.
+func deletions(keys []sendKey) []store.Record {
+	records := make([]store.Record, 0, len(keys))
+	for _, key := range keys {
+		records = append(records, store.Record{Key: string(key)})
+	}
+	return records
+}
+
+// awaitList waits until the suspects were listed after the start.
+func (g *Guard) awaitList(ctx context.Context) {
+	if isClosed(g.listed) {
+		return
+	}
+	timer := time.NewTimer(listWait)
+	defer timer.Stop()
+	select {
+	case <-g.listed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/poison/simulation_test.go
@@ -0,0 +1,270 @@
+package poison
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/store/memory"
+)
+
+var simulationSeeds = flag.Int("poison.seeds", 30, "number of seeds of the simulation")
+
+const (
+	// simulatedDaemons share deadly contents, under which each back end ends, and harmless ones,
+	// whose back ends end with endChance in a run.
+	simulatedDaemons = 4
+	deadlyContents   = 3
+	harmlessContents = 12
+	endChance        = 0.2
+	// simulatedTries is how often each content is sent.
+	simulatedTries = 12
+	// patience is how long a caller waits for one request.
+	patience = 3 * time.Second
+)
+
+// simulation plays callers of several contents at daemons that are killed, with a store that fails.
+type simulation struct {
+	*fleet
+	random *rand.Rand
+	// runs counts the runs of each daemon.
+	runs  [simulatedDaemons]uint64
+	mutex sync.Mutex
+	// ends counts the back ends that ended under a content since it was answered last, and unseen
+	// those of them that no daemon could tell of, as the daemon that sent it was killed. unknown
+	// counts the sends that no daemon could tell of for the same reason.
+	ends, unseen, unknown map[string]int
+	// instances numbers the back ends.
+	instances int
+	// journal holds what happened, by content; it is shown if a check fails.
+	journal map[string][]string
+	began   time.Time
+}
+
+// note adds an event to the journal of a content. The mutex must be held.
+func (s *simulation) note(content, format string, arguments ...any) {
+	line := fmt.Sprintf("%6d ms ", time.Since(s.began).Milliseconds()) + fmt.Sprintf(format, arguments...)
+	s.journal[content] = append(s.journal[content], line)
+}
+
+// show shows the journal of a content, and what daemons know of it. The mutex must be held.
+func (s *simulation) show(t *testing.T, content string) {
+	for _, line := range s.journal[content] {
+		t.Log(line)
+	}
+	digest := (&Content{Method: "POST", Target: "/", Body: []byte(content)}).Digest()
+	for _, d := range s.living() {
+		d.table.mutex.Lock()
+		if known := d.table.suspects[digest]; known != nil {
+			for key, send := range known.sends {
+				t.Logf("%s generation %d: %s %+v", d.Self, known.generation, key[len(digest):], *send)
+			}
+		}
+		d.table.mutex.Unlock()
+	}
+}
+
+func (s *simulation) chance(probability float64) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.Float64() < probability
+}
+
+func (s *simulation) between(least, most time.Duration) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+func (s *simulation) anyDaemon() *guardDaemon {
+	living := s.living()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return living[s.random.IntN(len(living))]
+}
+
+func (s *simulation) newInstance() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.instances++
+	return fmt.Sprint("e", s.instances)
+}
+
+// call sends a content to a daemon, up to three times, and reports why it was refused, nil if it was
+// not.
+func (s *simulation) call(content string, isDeadly bool) error {
+	d := s.anyDaemon()
+	s.mutex.Lock()
+	s.note(content, "sent to %s", d.Self)
+	s.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(d.alive, patience)
+	defer cancel()
+	attempt := d.attempt(content)
+	defer func() {
+		if d.alive.Err() == nil {
+			attempt.Close()
+		}
+	}()
+	for range 3 {
+		if err := attempt.Admit(ctx, noPreference); err != nil {
+			if d.alive.Err() != nil {
+				s.answered(content, true) // it may have been sent, for all that others know
+			}
+			return err
+		}
+		instance, isReserved := s.newInstance(), attempt.IsSuspect()
+		time.Sleep(s.between(5*time.Millisecond, 60*time.Millisecond))
+		if !isDeadly && !s.chance(endChance) {
+			s.answered(content, d.alive.Err() != nil)
+			if d.alive.Err() == nil {
+				attempt.Whole()
+			}
+			return nil
+		}
+		s.ended(content, d.alive.Err() != nil && !isReserved)
+		if d.alive.Err() != nil {
+			return nil
+		}
+		attempt.Ended(ctx, instance, noPreference)
+	}
+	return nil
+}
+
+func (s *simulation) answered(content string, isUnseen bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if isUnseen {
+		s.unknown[content]++
+		s.note(content, "answered or not sent, unseen")
+		return
+	}
+	s.note(content, "answered")
+	s.ends[content], s.unseen[content], s.unknown[content] = 0, 0, 0
+}
+
+func (s *simulation) ended(content string, isUnseen bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ends[content]++
+	s.note(content, "a back end ended, unseen: %v", isUnseen)
+	if isUnseen {
+		s.unseen[content]++
+	}
+}
+
+// fail lets the store fail and kills daemons until ctx ends. At least two daemons live.
+func (s *simulation) fail(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(s.between(50*time.Millisecond, 600*time.Millisecond))
+		switch s.between(0, 5) {
+		case 0:
+			s.store.SetFault(func(store.Partition, store.Writer) memory.Fault {
+				if s.chance(0.4) {
+					return memory.FaultAnswerLost
+				}
+				return memory.FaultNone
+			})
+		case 1:
+			s.store.SetFault(func(store.Partition, store.Writer) memory.Fault {
+				if s.chance(0.3) {
+					return memory.FaultDelayed
+				}
+				return memory.FaultNone
+			})
+		case 2:
+			s.store.SetFault(nil)
+			s.noteAll("late appends")
+			s.store.ApplyDelayed()
+		case 3:
+			s.noteAll("the store is out")
+			s.store.SetDown(true)
+			time.Sleep(s.between(100*time.Millisecond, 2*time.Second))
+			s.store.SetDown(false)
+			s.noteAll("the store is back")
+		case 4:
+			s.replaceDaemon()
+		}
+	}
+	s.store.SetFault(nil)
+}
+
+// noteAll adds an event to the journals of all contents.
+func (s *simulation) noteAll(format string, arguments ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for content := range s.journal {
+		s.note(content, format, arguments...)
+	}
+}
+
+func (s *simulation) replaceDaemon() {
+	number := int(s.between(0, simulatedDaemons))
+	for _, d := range s.living() {
+		if d.Self.Address() == fmt.Sprintf("10.0.0.%d:7000", number+1) {
+			s.noteAll("%s is killed", d.Self)
+			s.end(d)
+		}
+	}
+	time.Sleep(s.between(20*time.Millisecond, 300*time.Millisecond))
+	s.runs[number]++
+	s.start(number, s.runs[number]+1)
+}
+
+// Each content has one caller, so every request is sent after the one before has ended.
+func TestLimitHoldsWhileDaemonsAndTheStoreFail(t *testing.T) {
+	for seed := range *simulationSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playSimulation(t, uint64(seed)) })
+		})
+	}
+}
+
+func playSimulation(t *testing.T, seed uint64) {
+	s := &simulation{
+		fleet: newFleet(t, simulatedDaemons), random: rand.New(rand.NewPCG(seed, 1)),
+		ends: map[string]int{}, unseen: map[string]int{}, unknown: map[string]int{},
+		journal: map[string][]string{}, began: time.Now(),
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	var faults, callers sync.WaitGroup
+	faults.Go(func() { s.fail(ctx) })
+	for number := range deadlyContents + harmlessContents {
+		isDeadly := number < deadlyContents
+		content := fmt.Sprint("content ", number)
+		callers.Go(func() {
+			for range simulatedTries {
+				s.checkRefusal(t, content, s.call(content, isDeadly))
+				time.Sleep(s.between(100*time.Millisecond, 400*time.Millisecond))
+			}
+		})
+	}
+	callers.Wait()
+	stop()
+	faults.Wait()
+	for content, ends := range s.ends {
+		if ends > Limit+s.unseen[content] {
+			t.Errorf("%d back ends ended under %s, of which %d could not be seen", ends, content, s.unseen[content])
+			s.show(t, content)
+		}
+	}
+}
+
+// checkRefusal checks that a content is refused for its ends only if there may have been so many.
+func (s *simulation) checkRefusal(t *testing.T, content string, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err != nil {
+		s.note(content, "refused: %v", err)
+	}
+	if errors.Is(err, ErrLimitReached) && s.ends[content]+s.unknown[content] < Limit {
+		t.Errorf("%s is refused after %d ends", content, s.ends[content])
+		s.show(t, content)
+	}
+}
--- a/internal/relay/broken_run.go
+++ b/internal/relay/broken_run.go
@@ -7,7 +7,6 @@
 
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
-	"github.com/mintpulley/mintpulley/internal/poison"
 )
 
 // backEndState is what became of a back end whose run of a call broke off.
@@ -18,23 +17,49 @@
 	backEndAlive backEndState = "alive"
 	// backEndEnded: it refuses connections, or a later run has its address.
 	backEndEnded backEndState = "ended"
-	// backEndUnreachable: connecting fails without a refusal. It may have ended silently.
+	// backEndUnreachable: it was silent, or connecting fails without a refusal. It may have ended
+	// silently, and started again since.
 	backEndUnreachable backEndState = "unreachable"
 	// backEndCutOff: it is in a zone that this daemon does not reach.
 	backEndCutOff backEndState = "cut_off"
 )
 
-// stateAfterBreak finds out what became of an instance whose run broke off, by connecting to it.
-// A connection that is opened is kept for the next request.
-func (r *Relay) stateAfterBreak(target instance.Instance, wasGivenUp bool) backEndState {
+// mayHaveEnded reports whether the back end may have ended under the run.
+func (s backEndState) mayHaveEnded() bool { return s == backEndEnded || s == backEndUnreachable }
+
+// brokenRun is a run of a call that broke off.
+type brokenRun struct {
+	target instance.Instance
+	// wasSilent: nothing had come for long, or the run was given up as its back end was presumed
+	// unreachable.
+	wasSilent bool
+	ranFor    time.Duration
+}
+
+// brokenRunAt returns the latest run, which was at an instance.
+func (c *callHandler) brokenRunAt(target instance.Instance) brokenRun {
+	return brokenRun{
+		target: target, ranFor: time.Since(c.latest.beganAt),
+		wasSilent: c.wasGivenUp() || time.Since(c.latest.heardAt) >= silentThreshold,
+	}
+}
+
+// stateAfterBreak finds out what became of the instance whose run broke off. Unless that is known,
+// it connects to the instance; a connection that is opened is kept for the next request.
+func (r *Relay) stateAfterBreak(broken brokenRun) backEndState {
 	switch {
-	case r.Pool.IsReplaced(target):
+	case r.Pool.IsReplaced(broken.target):
 		return backEndEnded
-	case r.monitor.isCutOff(target.Zone):
+	case r.monitor.isCutOff(broken.target.Zone):
 		return backEndCutOff
-	case wasGivenUp:
+	case broken.wasSilent:
 		return backEndUnreachable
 	}
+	return r.connectAfterBreak(broken.target)
+}
+
+// connectAfterBreak returns the state of an instance by connecting to it.
+func (r *Relay) connectAfterBreak(target instance.Instance) backEndState {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := r.Driver.Connect(ctx, target, 0)
@@ -49,28 +74,45 @@
 	return backEndUnreachable
 }
 
-// content returns what the call asks a back end to do, with the body that the latest one got.
-func (c *callHandler) content() poison.Content {
-	return poison.Content{Method: c.call.Method, Host: c.call.Host, Target: c.call.Target, Model: c.call.Model, Body: c.latest.body}
+// noteBrokenRun finds out what became of the instance whose run of the call broke off. If that may
+// have ended, it records so before the content is sent again or the caller is told.
+func (c *callHandler) noteBrokenRun(ctx context.Context, target instance.Instance) {
+	broken := c.brokenRunAt(target)
+	state := c.relay.stateAfterBreak(broken)
+	c.logBrokenRun(broken, state)
+	if state.mayHaveEnded() {
+		c.recordEnd(ctx, target)
+	}
 }
 
-// examineBrokenRun finds out in the background what became of the instance whose run of the call
-// broke off, and logs and counts it.
-func (c *callHandler) examineBrokenRun(target instance.Instance) {
-	wasGivenUp, ranFor := c.wasGivenUp(), time.Since(c.latest.beganAt)
-	content, runs := c.content(), c.runs
+// noteCanceledRun is noteBrokenRun for a run that this side ended, because its caller left or the time
+// was over. If the instance was silent, it may have ended. Unless it is known to be unreachable, that is
+// found out in the background.
+func (c *callHandler) noteCanceledRun(ctx context.Context, target instance.Instance) {
+	broken := c.brokenRunAt(target)
+	if !broken.wasSilent {
+		return
+	}
+	if c.relay.monitor.isCutOff(target.Zone) {
+		c.logBrokenRun(broken, backEndCutOff)
+		return
+	}
+	if c.relay.monitor.hasFailedProbes(target.ID) {
+		c.logBrokenRun(broken, backEndUnreachable)
+		c.attempt.Ended(ctx, target.ID, nil)
+		return
+	}
+	attempt := c.attempt.Detached()
 	go func() {
-		state := c.relay.stateAfterBreak(target, wasGivenUp)
-		c.relay.Metrics.runBroke(state)
-		c.logger.Info().Str("instance", target.ID).Str("back_end", string(state)).Str("content", string(content.Digest())).
-			Dur("ran_for", ranFor).Int("runs", runs).Msg("Run broke off.")
+		state := c.relay.connectAfterBreak(target)
+		c.logBrokenRun(broken, state)
+		if state.mayHaveEnded() {
+			attempt.Ended(context.Background(), target.ID, nil)
+		}
 	}()
 }
 
-// examineIfSilent is examineBrokenRun for a run that this side ended, if its instance was silent
-// for long.
-func (c *callHandler) examineIfSilent(target instance.Instance) {
-	if c.canceledOutcome() == instance.OutcomeTimeout {
-		c.examineBrokenRun(target)
-	}
+func (c *callHandler) logBrokenRun(broken brokenRun, state backEndState) {
+	c.relay.Metrics.runBroke(state)
+	c.logger.Info().Str("instance", broken.target.ID).Str("back_end", string(state)).Dur("ran_for", broken.ranFor).Msg("Run broke off.")
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -136,6 +136,10 @@
 	// stream; ReasonOriginUnknown: that version is not known.
 	ReasonOriginGone    Reason = "stream_origin_gone"
 	ReasonOriginUnknown Reason = "stream_origin_unknown"
+	// ReasonEndsBackEnds: too many back ends ended under the request's content;
+	// ReasonEndsUnconfirmed: some did, and the store does not tell how many.
+	ReasonEndsBackEnds    Reason = "ends_back_ends"
+	ReasonEndsUnconfirmed Reason = "ends_unconfirmed"
 	// ReasonTurnedDown: instances refuse this request while they accept others.
 	ReasonTurnedDown Reason = "turned_down"
 	// ReasonQuota: the tenant's limit is exhausted; ReasonQuotaUnknown: the daemon that
@@ -191,6 +195,9 @@
 	ConnectionLimit int
 	// ConnectTimeout bounds the opening of a connection; 0 for the driver's default.
 	ConnectTimeout time.Duration
+	// NewConnection: the call must be sent on a connection of its own, which proves that the back
+	// end ran when it was opened.
+	NewConnection bool
 	// ThisRunOnly: the call must not reach a later run of the back end at the same address, as
 	// far as runs tell who they are. Such an answer is Misdirected.
 	ThisRunOnly bool
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/admission"
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/residency"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
@@ -45,6 +46,9 @@
 	countedAt *instance.Instance
 	// stream is the state of an answer that is a stream, nil before.
 	stream *streamState
+	// attempt is the call's use of the guard against contents that end back ends, nil before the
+	// first send.
+	attempt *poison.Attempt
 	// refusals counts the offers that were turned down, rounds the rounds in which all
 	// instances did, and offeredBefore holds the service's offer counts before the call's
 	// first offer.
@@ -65,8 +69,6 @@
 	// heardAt is when the instance last sent something; initially beganAt.
 	heardAt time.Time
 	context context.Context
-	// body is what the instance was sent, nil once it has answered.
-	body []byte
 	// pending is the offer as tracked by the monitor, nil once the instance sends nothing
 	// more.
 	pending *pendingOffer
@@ -83,6 +85,9 @@
 		c.offeredBefore = c.relay.offered.get(c.service)
 	}
 	for {
+		if !c.admitContent(ctx, outgoing.Body) {
+			return nil, instance.Instance{}
+		}
 		if !c.hasTime() {
 			c.refuseEnded(ctx)
 			return nil, instance.Instance{}
@@ -128,7 +133,7 @@
 	if c.boundTo != "" && c.relay.Pool.IsSuperseded(c.boundTo) {
 		c.boundTo = "" // it has restarted, so its earlier runs are over
 	}
-	target, found := c.relay.Pool.Take(c.query())
+	target, found := c.takeInstance()
 	if found {
 		c.countedAt = &target
 	}
@@ -160,8 +165,9 @@
 	c.offers++
 	c.observeBeliefAges()
 	now := time.Now()
-	c.latest = latestOffer{beganAt: now, heardAt: now, body: outgoing.Body}
+	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
+	outgoing.NewConnection = c.attempt.IsSuspect()
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
 	c.latest.pending = &pendingOffer{target: target, kind: c.call.Route.Name, alternative: c.alternativeTo(target)}
 	c.latest.context = c.relay.monitor.startOffer(ctx, c.latest.pending)
@@ -188,7 +194,7 @@
 	c.countedAt = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
-		c.latest.body = nil // frees the memory while the turn is being stored
+		c.attempt.Whole()
 		c.relay.Pool.RecordServiceTime(c.service, time.Since(c.latest.beganAt))
 	}
 }
@@ -201,9 +207,10 @@
 	}
 }
 
-// releaseLeftovers releases what a panic left open: otherwise the instance would count as
+// releaseLeftovers releases what the call has reserved, and what a panic left open: otherwise the instance would count as
 // loaded, and the turn's tokens as reserved, forever.
 func (c *callHandler) releaseLeftovers() {
+	c.attempt.Close()
 	if c.countedAt != nil {
 		c.release(*c.countedAt, instance.OutcomeCanceled)
 	}
--- a/internal/relay/connect_probe.go
+++ b/internal/relay/connect_probe.go
@@ -54,6 +54,14 @@
 	return p.failures < maxFailedProbes
 }
 
+// hasFailedProbes reports whether an instance was probed while it was silent, and is unreachable.
+func (m *offerMonitor) hasFailedProbes(id string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	p := m.probes[id]
+	return p != nil && p.failures >= maxFailedProbes
+}
+
 // probe tries to connect to an instance. One that cannot be connected to gets no new
 // requests for a while; those that it has are not affected. If it refuses connections it is
 // reachable: it may be shutting down, and its machine would reset the connections of a
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -30,7 +30,7 @@
 		c.release(target, c.canceledOutcome())
 		if !httpconn.IsNotSent(err) {
 			c.noteRun(target)
-			c.examineIfSilent(target)
+			c.noteCanceledRun(ctx, target)
 		}
 		c.refuseEnded(ctx)
 		return false
@@ -50,7 +50,7 @@
 		return true
 	}
 	c.noteRun(target)
-	c.examineBrokenRun(target)
+	c.noteBrokenRun(ctx, target)
 	return c.mayRunAgain()
 }
 
@@ -121,10 +121,13 @@
 	return &query
 }
 
+// hasRunsLeft reports whether the route allows the call to run once more.
+func (c *callHandler) hasRunsLeft() bool { return c.call.Route.Repeatable() && c.runs < c.maxRuns() }
+
 // mayRunAgain reports whether the route allows another run. If not, the call is ended as
 // one that may have run.
 func (c *callHandler) mayRunAgain() bool {
-	if c.call.Route.Repeatable() && c.runs < c.maxRuns() {
+	if c.hasRunsLeft() {
 		c.bindToLastInstance()
 		c.relay.Metrics.retry()
 		return true
--- a/internal/relay/fragile_engines_test.go
+++ b/internal/relay/fragile_engines_test.go
@@ -194,6 +194,13 @@
 	return e.received[body], e.ended[body]
 }
 
+// hasRun reports whether an engine began to run a request.
+func (e *fragileEngines) hasRun(request string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.requests[request]
+}
+
 // fragileFleet is a fleet of relays in front of fragileEngines.
 type fragileFleet struct {
 	*versionFleet
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -106,6 +106,9 @@
 	if c.isResumption() {
 		line = line.Str("resumes", c.call.Resumes).Str("after", c.call.ResumeAfter)
 	}
+	if refusal.Reason == ReasonEndsBackEnds || refusal.Reason == ReasonEndsUnconfirmed {
+		line = line.Str("content", string(c.attempt.Digest()))
+	}
 	line = line.Int("offers", c.offers).Int("runs", c.runs).Dur("retry_after", refusal.RetryAfter)
 	if c.quota.verdict.Reason != "" {
 		line = c.logVerdict(line)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -64,14 +64,14 @@
 func (c *callHandler) canRetryBroken(ctx context.Context, target instance.Instance, err error) bool {
 	if ctx.Err() != nil {
 		c.release(target, c.canceledOutcome())
-		c.examineIfSilent(target)
+		c.noteCanceledRun(ctx, target)
 		c.refuseEnded(ctx)
 		return false
 	}
 	c.releaseFailed(target)
 	c.logger.Info().Str("instance", target.ID).Err(err).Int("runs", c.runs).Msg("Answer broke off.")
-	c.examineBrokenRun(target)
 	c.excluded = append(c.excluded, target.ID)
+	c.noteBrokenRun(ctx, target)
 	return c.mayRunAgain()
 }
 
--- a/internal/relay/poison_fleet_test.go
+++ b/internal/relay/poison_fleet_test.go
@@ -155,6 +155,42 @@
 	if ended > mostEnded || received > mostEnded {
 		t.Errorf("sent to engines %d times, which ended %d; want at most %d", received, ended, mostEnded)
 	}
+	f.checkAnswers(t, tries)
+	if ended == mostEnded {
+		f.checkFurtherTries(t, c, body)
+	}
+}
+
+// checkAnswers checks that no try was answered, and that none which ran was told that it did not.
+func (f *fragileFleet) checkAnswers(t *testing.T, tries []contentAnswer) {
+	for number, answer := range tries {
+		if answer.status == http.StatusOK && answer.ended {
+			t.Errorf("try %d was answered", number)
+		}
+		if answer.refusal != nil && answer.refusal.Reason.PromisesNotRun() && f.fragile.hasRun(answer.request) {
+			t.Errorf("try %d ran and was refused with %s", number, answer.refusal.Reason)
+		}
+	}
+}
+
+// checkFurtherTries checks that a content which is not sent any more is refused at once, with the
+// same answer by each daemon.
+func (f *fragileFleet) checkFurtherTries(t *testing.T, c *poisonCase, body string) {
+	f.store.SetDown(false)
+	time.Sleep(5 * time.Second) // until a store that was out or slow has shown all ends
+	for number := range 2 * fleetDaemons {
+		caller := &contentCaller{fleet: f, body: body}
+		if c.makeCall != nil {
+			caller.makeCall = func() *Call { return c.makeCall(f, 0) }
+		}
+		answer := caller.send(f.daemonAt(number))
+		if answer.refusal == nil || *answer.refusal != endsBackEndsRefusal {
+			t.Errorf("a further try is answered with %d, refused with %+v", answer.status, answer.refusal)
+		}
+		if answer.took > promptRefusal {
+			t.Errorf("a further try is refused after %s", answer.took)
+		}
+	}
 }
 
 // sendAll sends a content as often as the case says, each time to the next daemon.
@@ -225,6 +261,9 @@
 		if answer.status == http.StatusOK && !answer.aborted {
 			return true
 		}
+		if answer.refusal != nil && answer.refusal.Reason == ReasonEndsBackEnds {
+			f.t.Errorf("%s is refused as if it ended back ends", caller.body)
+		}
 		time.Sleep(retryPause)
 	}
 	return false
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -118,11 +118,11 @@
 	}
 	if errors.Is(err, errCallerLeft) || ctx.Err() != nil {
 		c.release(target, c.canceledOutcome())
-		c.examineIfSilent(target)
+		c.noteCanceledRun(ctx, target)
 		c.breakOff(ctx, state, CauseWriteFailed)
 		return false
 	}
-	return c.canResume(target, state, err)
+	return c.canResume(ctx, target, state, err)
 }
 
 func (c *callHandler) offerStream(ctx context.Context, state *streamState) (*Answer, instance.Instance) {
@@ -146,7 +146,7 @@
 		c.release(target, c.canceledOutcome())
 	default:
 		c.releaseFailed(target)
-		c.examineBrokenRun(target)
+		c.noteBrokenRun(ctx, target)
 	}
 	switch {
 	case state.hasHead:
@@ -206,10 +206,10 @@
 func (s *streamState) isResumable() bool { return s.events == 0 || s.lastID != "" }
 
 // canResume reports whether a stream that broke may be resumed. If not, the call is ended.
-func (c *callHandler) canResume(target instance.Instance, state *streamState, err error) bool {
+func (c *callHandler) canResume(ctx context.Context, target instance.Instance, state *streamState, err error) bool {
 	c.releaseFailed(target)
 	c.logger.Info().Str("instance", target.ID).Str("version", target.Version).Int64("events", state.events).Int("runs", c.runs).Err(err).Msg("Stream broke off.")
-	c.examineBrokenRun(target)
+	c.noteBrokenRun(ctx, target)
 	if c.call.Route.Resumable && state.isResumable() && c.runs < maxStreamRuns && c.hasTime() {
 		c.excluded = append(c.excluded[:0], target.ID)
 		c.bindToLastInstance()
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -70,6 +71,7 @@
 	relay  *Relay
 	pool   *instance.Pool
 	ledger *ledger.Service
+	guard  *poison.Guard
 	// alive ends when the daemon is killed.
 	alive context.Context
 	kill  context.CancelFunc
@@ -160,14 +162,21 @@
 	})
 	d.pool = instance.NewPool(rand.New(rand.NewPCG(f.started, 1)), instance.Plugins{})
 	table := route.NewTable(1, nil, []*route.Service{{Name: "s", Model: &route.Model{TokensPerEvent: 4}}})
+	d.guard = poison.NewGuard(poison.Options{
+		Self: d.id, Store: f.store, Records: f.store, Transport: &fleetTransport{fleet: f, self: d.id}, View: f,
+		Logger: zerolog.Nop(), Metrics: poison.NewMetrics(prometheus.NewRegistry()),
+	})
 	d.relay = New(Options{
-		Pool: d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
+		Poison: d.guard,
+		Pool:   d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
 		Daemons: func() int { return fleetDaemons }, Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	f.mutex.Lock()
 	f.daemons[d.id] = d
 	f.mutex.Unlock()
 	go d.ledger.Run(d.alive)
+	go d.guard.Run(d.alive)
+	go d.relay.WatchSilence(d.alive)
 	f.relist()
 	return d
 }
@@ -256,7 +265,7 @@
 		t.fleet.toHolder(request)
 	}
 	time.AfterFunc(peerDelay, func() {
-		if target.alive.Err() == nil {
+		if target.alive.Err() == nil && !target.guard.Receive(t.self, message) {
 			target.ledger.Receive(t.self, message)
 		}
 	})
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer/tcp"
+	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -47,7 +48,9 @@
 	relay     *relay.Relay
 	ledger    *ledger.Service
 	// regional are the ledgers of the regions.
-	regional   *regionalLedgers
+	regional *regionalLedgers
+	// guard limits the back ends that one content may end.
+	guard      *poison.Guard
 	membership *membership.Membership
 	transport  *tcp.Transport
 	pool       *instance.Pool
@@ -159,6 +162,7 @@
 	d.workers.Go(func() { d.registry.run(ctx, d.membership.MachinesListed) })
 	d.workers.Go(func() { d.ledger.Run(ctx) })
 	d.regional.setRunner(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
+	d.workers.Go(func() { d.guard.Run(ctx) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
 	d.workers.Go(func() { d.runReachMonitor(ctx) })
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -10,6 +10,7 @@
 	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/peer/tcp"
+	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/quota"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -38,6 +39,7 @@
 	}
 	d.joinStore()
 	d.joinLedger()
+	d.joinGuard()
 	d.joinRelay()
 	d.prepareReachMonitor()
 	receiver.daemon.Store(d)
@@ -87,8 +89,8 @@
 	})
 	d.records = fanout.New(fanout.Options{
 		Store:           d.store,
-		Partitions:      []store.Partition{d.adapter.RoutesPartition(), d.adapter.InstancesPartition(), registryPartition()},
-		SmallRecords:    []store.Partition{d.adapter.InstancesPartition(), registryPartition()},
+		Partitions:      []store.Partition{d.adapter.RoutesPartition(), d.adapter.InstancesPartition(), registryPartition(), poison.Partition()},
+		SmallRecords:    []store.Partition{d.adapter.InstancesPartition(), registryPartition(), poison.Partition()},
 		Self:            d.membership.Self,
 		View:            d.membership,
 		Transport:       d.transport,
@@ -130,12 +132,28 @@
 	d.regional = newRegionalLedgers(d.topology, options)
 }
 
+// joinGuard creates the guard against contents that end back ends.
+func (d *Daemon) joinGuard() {
+	d.guard = poison.NewGuard(poison.Options{
+		Self:         d.membership.Self.ID,
+		Store:        d.store,
+		Records:      d.records,
+		List:         d.lister(poison.Partition()),
+		Connectivity: d.store,
+		Transport:    d.transport,
+		View:         d.membership,
+		Logger:       componentLogger(d.logger, "poison"),
+		Metrics:      poison.NewMetrics(d.metrics),
+	})
+}
+
 // joinRelay creates the relay for callers' requests.
 func (d *Daemon) joinRelay() {
 	d.relay = relay.New(relay.Options{
 		Pool:      d.pool,
 		Driver:    d.adapter.Driver(),
 		Ledger:    d.regional.combinedLedger(d.ledger),
+		Poison:    d.guard,
 		Quota:     quota.NewGate(d.ledger, d.settings.quotaTolerance()),
 		Table:     d.table.Load,
 		RoutesAge: d.routesAge,
@@ -184,7 +202,7 @@
 		return
 	}
 	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.records.Receive(from, message) &&
-		!d.receiveReach(from, message) && !d.ledger.Receive(from, message) {
+		!d.receiveReach(from, message) && !d.guard.Receive(from, message) && !d.ledger.Receive(from, message) {
 		d.regional.receive(from, message)
 	}
 }
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -85,7 +85,7 @@
 	d.regional.waitForHandover(ctx)
 }
 
-// settleAndWithdraw settles turns and withdraws this daemon's registry entry, until end, which is
+// settleAndWithdraw settles turns, stores which back ends ended, and withdraws this daemon's registry entry, until end, which is
 // killMargin before the kill. Some of exitMargin is left for it even if requests ran until the
 // shutdown deadline.
 func (d *Daemon) settleAndWithdraw(end time.Time) {
@@ -95,5 +95,6 @@
 	withdrawing.Go(func() { d.registry.withdraw(ctx) })
 	d.relay.Wait(ctx)
 	d.regional.wait(ctx)
+	d.guard.Flush(ctx)
 	withdrawing.Wait()
 }
