relay, httpconn, soak: a back end that is ending does not pass for one that is alive

In an outage of the store a suspect is admitted, logged and counted once, not at each offer. The soak sends contents that end engines, alone and several at the same moment, and judges how many ended (ENDEDBY), and whether other contents are refused for it (INNOCENT).

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -19,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/tcpoption"
 )
 
@@ -204,6 +205,22 @@
 	return err
 }
 
+// ConnectAndHold is Connect without a limit of connections, for a peer that may be ending: it returns
+// ErrResetUnused if the peer closes the connection within a time.
+func (p *Pool) ConnectAndHold(ctx context.Context, name string, hold time.Duration) error {
+	c, err := p.open(ctx, name, Bounds{})
+	if err != nil {
+		return err
+	}
+	clock.Sleep(ctx, hold)
+	if !isReusable(c.Conn) {
+		p.drop(name, c)
+		return ErrResetUnused
+	}
+	p.putIdle(name, c, defaultIdleTime)
+	return nil
+}
+
 // open opens a connection within the limits on connections and connect time.
 func (p *Pool) open(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !p.reserve(name, bounds.Connections) {
--- a/internal/poison/attempt.go
+++ b/internal/poison/attempt.go
@@ -66,6 +66,8 @@
 	until time.Time
 	// write stores it.
 	write *write
+	// isUnconfirmed is set once the content was admitted without it.
+	isUnconfirmed bool
 }
 
 // endedSend is a send under which a back end ended.
@@ -189,6 +191,10 @@
 
 // sendUnconfirmed lets the content be sent although the store has not taken the reservation.
 func (a *Attempt) sendUnconfirmed() {
+	if a.reserved.isUnconfirmed {
+		return
+	}
+	a.reserved.isUnconfirmed = true
 	a.awaitEndKnown()
 	a.guard.Metrics.unconfirmed.Inc()
 	a.guard.Logger.Warn().Str("content", string(a.Digest())).Str("request", a.about.Request).
--- a/internal/relay/broken_run.go
+++ b/internal/relay/broken_run.go
@@ -58,11 +58,12 @@
 	return r.connectAfterBreak(broken.target)
 }
 
-// connectAfterBreak returns the state of an instance by connecting to it.
+// connectAfterBreak returns the state of an instance by connecting to it. A process that ends may still
+// accept connections for a moment, but closes them with the others.
 func (r *Relay) connectAfterBreak(target instance.Instance) backEndState {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := r.Driver.Connect(ctx, target, 0)
+	err := r.Driver.ConnectToLiving(ctx, target)
 	switch {
 	case err == nil:
 		return backEndAlive
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -226,4 +226,7 @@
 	// Connect opens a connection to an instance that a later request may use. The error
 	// wraps httpconn.ErrNoConnection if the limit of connections is reached.
 	Connect(ctx context.Context, to instance.Instance, connections int) error
+	// ConnectToLiving is Connect without a limit of connections, to an instance that may be ending.
+	// It returns nil only if the instance keeps the connection open.
+	ConnectToLiving(ctx context.Context, to instance.Instance) error
 }
--- a/internal/relay/fragile_engines_test.go
+++ b/internal/relay/fragile_engines_test.go
@@ -29,6 +29,8 @@
 	restartAfter time.Duration
 	// endsSilently: connections to an engine that has ended hang.
 	endsSilently bool
+	// acceptsAfterEnd is how long an engine accepts connections after its runs have ended.
+	acceptsAfterEnd time.Duration
 	// eventBeforeEnd: an engine sends an event of a stream before a body ends it.
 	eventBeforeEnd bool
 
@@ -44,8 +46,9 @@
 // fragileEngine is one run of an engine.
 type fragileEngine struct {
 	// over is closed when the run ends.
-	over   chan struct{}
-	isOver bool
+	over    chan struct{}
+	isOver  bool
+	endedAt time.Time
 }
 
 func newFragileEngines() *fragileEngines {
@@ -70,7 +73,7 @@
 	if engine.isOver {
 		return false
 	}
-	engine.isOver = true
+	engine.isOver, engine.endedAt = true, time.Now()
 	close(engine.over)
 	if e.restartAfter > 0 {
 		time.AfterFunc(e.restartAfter, func() { e.start(id) })
@@ -78,6 +81,14 @@
 	return true
 }
 
+// hasJustEnded reports whether an engine still accepts connections.
+func (e *fragileEngines) hasJustEnded(id string) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	engine := e.engines[id]
+	return engine != nil && engine.isOver && time.Since(engine.endedAt) < e.acceptsAfterEnd
+}
+
 // running returns the current run of an engine, nil if it has none.
 func (e *fragileEngines) running(id string) *fragileEngine {
 	e.mutex.Lock()
@@ -102,9 +113,21 @@
 	return ids
 }
 
+// ConnectToLiving implements Driver.
+func (e *fragileEngines) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	if err := e.Connect(ctx, to, 0); err != nil {
+		return err
+	}
+	time.Sleep(2 * e.acceptsAfterEnd)
+	if e.running(to.ID) == nil {
+		return httpconn.ErrResetUnused
+	}
+	return nil
+}
+
 // Connect implements Driver.
 func (e *fragileEngines) Connect(ctx context.Context, to instance.Instance, _ int) error {
-	if e.running(to.ID) != nil {
+	if e.running(to.ID) != nil || e.hasJustEnded(to.ID) {
 		return nil
 	}
 	if e.endsSilently {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -82,6 +82,11 @@
 	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, StatusMeansNotRun: next.impliesNotRun, Misdirected: next.misdirected}, nil
 }
 
+// ConnectToLiving implements Driver.
+func (d *scriptedDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *scriptedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
 
--- a/internal/relay/health_test.go
+++ b/internal/relay/health_test.go
@@ -109,5 +109,10 @@
 	})
 }
 
+// ConnectToLiving implements Driver.
+func (d *pacedDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *pacedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relay/offer_monitor_test.go
+++ b/internal/relay/offer_monitor_test.go
@@ -89,6 +89,11 @@
 	pause(ctx, connectionTimeout)
 }
 
+// ConnectToLiving implements Driver.
+func (d *farDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *farDriver) Connect(ctx context.Context, to instance.Instance, _ int) error {
 	d.connects.Add(1)
--- a/internal/relay/poison_fleet_test.go
+++ b/internal/relay/poison_fleet_test.go
@@ -95,6 +95,10 @@
 		name: "engines that end silently", kind: route.KindRepeatable, attempts: 1, tries: 5,
 		prepare: func(f *fragileFleet) { f.fragile.endsSilently = true },
 	},
+	{
+		name: "engines that accept connections for a moment after their end", kind: route.KindRepeatable, attempts: 1, tries: 6,
+		prepare: func(f *fragileFleet) { f.fragile.acceptsAfterEnd = 2 * time.Millisecond },
+	},
 	{name: "all at the same moment, after the first", kind: route.KindRepeatable, attempts: 1, tries: 9, isTogether: true},
 	{name: "the same as turns", kind: kindStream, attempts: 1, tries: 9, isTogether: true, makeCall: asTurn},
 	{
--- a/internal/relay/presumed_unreachable_test.go
+++ b/internal/relay/presumed_unreachable_test.go
@@ -40,6 +40,11 @@
 	return answer, nil
 }
 
+// ConnectToLiving implements Driver.
+func (d *pausingDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *pausingDriver) Connect(ctx context.Context, _ instance.Instance, _ int) error {
 	return d.connect(ctx)
--- a/internal/relay/simulated_driver_test.go
+++ b/internal/relay/simulated_driver_test.go
@@ -266,5 +266,10 @@
 	}
 }
 
+// ConnectToLiving implements Driver.
+func (d *simulatedDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *simulatedDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relay/turned_down_test.go
+++ b/internal/relay/turned_down_test.go
@@ -125,5 +125,10 @@
 	})
 }
 
+// ConnectToLiving implements Driver.
+func (d *rejectingDriver) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return d.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (d *rejectingDriver) Connect(context.Context, instance.Instance, int) error { return nil }
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -361,6 +361,11 @@
 	_ = writer.Close()
 }
 
+// ConnectToLiving implements Driver.
+func (e *versionedEngines) ConnectToLiving(ctx context.Context, to instance.Instance) error {
+	return e.Connect(ctx, to, 0)
+}
+
 // Connect implements Driver.
 func (e *versionedEngines) Connect(context.Context, instance.Instance, int) error { return nil }
 
