poison, mintpulley-relay: operators list the contents under which back ends ended, and let one through again

Change: the command contents list, contents allow; it reads and writes the store alone, so it needs no daemon. Ends under one name are told apart by the time they were noted, so that a daemon that starts anew counts as many.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -35,7 +35,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
 		Action:   run,
-		Commands: []*cli.Command{traceCommand()},
+		Commands: []*cli.Command{traceCommand(), contentsCommand()},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mintpulley-relay:", err)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -289,3 +289,28 @@
 		t.Errorf("the peer got %v", err)
 	}
 }
+
+func TestPeerThatIsEndingIsNotTakenForAlive(t *testing.T) {
+	const hold = 50 * time.Millisecond
+	living := newRawServer(t, "")
+	pool := NewPool(time.Second)
+	if err := pool.ConnectAndHold(t.Context(), living.address, hold); err != nil {
+		t.Errorf("a peer that keeps the connection: %v", err)
+	}
+	ending, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		if conn, err := ending.Accept(); err == nil {
+			_ = conn.Close()
+		}
+	}()
+	if err := pool.ConnectAndHold(t.Context(), ending.Addr().String(), time.Second); !errors.Is(err, ErrResetUnused) {
+		t.Errorf("a peer that closes the connection: %v", err)
+	}
+	_ = ending.Close()
+	if err := pool.ConnectAndHold(t.Context(), ending.Addr().String(), hold); !errors.Is(err, ErrRefused) {
+		t.Errorf("a peer that has ended: %v", err)
+	}
+}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -158,8 +158,13 @@
 			f.living()[number%2].endOnce("x", "e0")
 			time.Sleep(sameEndWindow)
 		}
-		if ends := f.living()[0].ends("x"); ends != Limit {
-			t.Errorf("%d ends are counted, want %d", ends, Limit)
+		f.end(f.living()[1])
+		restarted := f.start(1, 2)
+		time.Sleep(settled)
+		for _, d := range []*guardDaemon{f.living()[0], restarted} {
+			if ends := d.ends("x"); ends != Limit {
+				t.Errorf("%s counts %d ends, want %d", d.Self, ends, Limit)
+			}
 		}
 	})
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -81,11 +81,11 @@
 			presumed++
 		}
 	}
-	slices.SortFunc(ended, func(a, b *knownSend) int { return a.heardAt.Compare(b.heardAt) })
+	slices.SortFunc(ended, func(a, b *knownSend) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	distinct := 0
 	for number, send := range ended {
 		isSame := func(earlier *knownSend) bool {
-			return earlier.Instance == send.Instance && send.heardAt.Sub(earlier.heardAt) < sameEndWindow
+			return earlier.Instance == send.Instance && send.AtMS-earlier.AtMS < sameEndWindow.Milliseconds()
 		}
 		if !slices.ContainsFunc(ended[:number], isSame) {
 			distinct++
