poison: requests wait for the first list of suspects only in the first second of a daemon

Cause, found by a trial with the store out from the start: each request waited up to a second for the list. Change: the wait ends one second after the start for all. Measured: TestRequestsDoNotWaitLongForAListThatCannotBeRead failed before for the second request (1 s), passes now.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -22,7 +22,7 @@
 	// daemon, up to maxPause: while back ends end, each append is read by all.
 	pausePerDaemon = time.Millisecond
 	maxPause       = 100 * time.Millisecond
-	// listWait is how long a request waits for the first list of suspects after the start.
+	// listWait is how long after the start requests wait for the first list of suspects.
 	listWait = time.Second
 	// sweepInterval is the mean time between two removals of contents whose lifetime is over. It
 	// varies by half, so that not all daemons remove the same.
@@ -63,7 +63,7 @@
 	writer *writer
 	// refresh requests a read of the store that does not wait.
 	refresh chan struct{}
-	// listed is closed once the suspects were listed.
+	// listed is closed once the suspects were listed, or requests do not wait for that any more.
 	listed     chan struct{}
 	listedOnce sync.Once
 
@@ -104,6 +104,7 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { g.writer.run(ctx, g.Connectivity.Recovered) })
 	workers.Go(func() { g.sweep(ctx) })
+	defer time.AfterFunc(listWait, g.stopListWait).Stop()
 	watcher := store.Watcher{
 		Store: pacedReads{Store: g.Records, view: g.View}, Partition: Partition(), Settings: watchSettings, List: g.List,
 		Connectivity: g.Connectivity, Refresh: g.refresh, OnUpdate: g.apply,
@@ -144,9 +145,12 @@
 	for _, key := range g.table.apply(update, now) {
 		g.Logger.Warn().Str("key", key).Msg("Record of a suspected content skipped. It is malformed.")
 	}
-	g.listedOnce.Do(func() { close(g.listed) })
+	g.stopListWait()
 }
 
+// stopListWait lets requests go that wait for the first list.
+func (g *Guard) stopListWait() { g.listedOnce.Do(func() { close(g.listed) }) }
+
 // isReleased reports whether a record is a reservation that this daemon has released. One that the
 // store took late, after its release, is released again.
 func (g *Guard) isReleased(record store.Record) bool {
@@ -252,14 +256,8 @@
 
 // awaitList waits until the suspects were listed after the start.
 func (g *Guard) awaitList(ctx context.Context) {
-	if isClosed(g.listed) {
-		return
-	}
-	timer := time.NewTimer(listWait)
-	defer timer.Stop()
 	select {
 	case <-g.listed:
-	case <-timer.C:
 	case <-ctx.Done():
 	}
 }
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -368,3 +368,17 @@
 		}
 	})
 }
+
+func TestRequestsDoNotWaitLongForAListThatCannotBeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.store.SetDown(true)
+		d := f.start(1, 1)
+		for number, most := range []time.Duration{listWait, 0} {
+			began := time.Now()
+			if err := d.attempt("x").Admit(d.alive, noPreference); err != nil || time.Since(began) > most {
+				t.Errorf("request %d waited %s: %v", number, time.Since(began), err)
+			}
+		}
+	})
+}
