--- a/internal/poison/content.go
+++ b/internal/poison/content.go
@@ -11,7 +11,7 @@
 )
 
 // Content is what a request asks a back end to do, whoever sends it and as often as it is sent.
-// It has no IDs, deadlines or credentials, which differ between the attempts of one caller.
+// It has no IDs, deadlines or credentials, which differ between the tries of one caller.
 type Content struct {
 	Method string
 	Host   string
--- a/internal/poison/doc.go
+++ b/internal/poison/doc.go
@@ -2,6 +2,6 @@
 //
 // A request may make the back end that runs it end, for example by a bug in the back end's
 // code. Sent once more, it ends the next one. Callers retry, programs repeat their turns, and
-// each attempt has an ID of its own and may reach another daemon. So the limit holds for the
-// content of a request, over all attempts, callers and daemons.
+// each try has an ID of its own and may reach another daemon. So the limit holds for the
+// content of a request, over all tries, callers and daemons.
 package poison
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -131,22 +131,22 @@
 // contentOf returns a content whose body is a text.
 func contentOf(text string) Content { return Content{Method: "POST", Target: "/", Body: []byte(text)} }
 
-// attempt returns an attempt of a daemon at a content.
-func (d *guardDaemon) attempt(text string) *Attempt {
-	return d.NewAttempt(contentOf(text), About{Request: "q"})
+// track returns the tracker of a request of a daemon at a content.
+func (d *guardDaemon) track(text string) *Tracker {
+	return d.NewTracker(contentOf(text), About{Request: "q"})
 }
 
-// noPreference is an Attempt's prefer that prefers no back end.
+// noPreference is a Tracker's prefer that prefers no back end.
 func noPreference() string { return "" }
 
 // endOnce lets a back end end under a content at a daemon, as seen by a request that is not sent again.
 func (d *guardDaemon) endOnce(text, instance string) {
-	attempt := d.attempt(text)
-	defer attempt.Close()
-	if err := attempt.Admit(d.alive, noPreference); err != nil {
+	tracker := d.track(text)
+	defer tracker.Close()
+	if err := tracker.Admit(d.alive, noPreference); err != nil {
 		panic(err)
 	}
-	attempt.Ended(d.alive, instance, nil)
+	tracker.Ended(d.alive, instance, nil)
 }
 
 // ends returns how many ends of back ends a daemon knows of a content.
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -70,7 +70,7 @@
 	mutex sync.Mutex
 	// reserving holds the contents for which a request of this daemon has a reservation, or waits
 	// for one. Other requests with the same content wait for that.
-	reserving map[Digest]*Attempt
+	reserving map[Digest]*Tracker
 	// released holds this daemon's reservations that it has released lately.
 	released map[sendKey]released
 }
@@ -93,7 +93,7 @@
 	g := &Guard{
 		Options: options, table: newTable(), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
 		writer:    newWriter(options.Store, options.Logger, options.Metrics),
-		reserving: map[Digest]*Attempt{}, released: map[sendKey]released{},
+		reserving: map[Digest]*Tracker{}, released: map[sendKey]released{},
 	}
 	options.Metrics.observe(&g.table)
 	return g
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -26,9 +26,9 @@
 		for number := range 20 {
 			callers.Go(func() {
 				d := f.living()[number%5]
-				attempt := d.attempt("x")
-				defer attempt.Close()
-				if err := attempt.Admit(d.alive, noPreference); err != nil {
+				tracker := d.track("x")
+				defer tracker.Close()
+				if err := tracker.Admit(d.alive, noPreference); err != nil {
 					if !errors.Is(err, ErrLimitReached) {
 						t.Errorf("refused with %v", err)
 					}
@@ -41,7 +41,7 @@
 				sent.Add(1)
 				time.Sleep(40 * time.Millisecond)
 				sending.Add(-1)
-				attempt.Ended(d.alive, fmt.Sprint("e", number+1), nil)
+				tracker.Ended(d.alive, fmt.Sprint("e", number+1), nil)
 			})
 		}
 		callers.Wait()
@@ -60,13 +60,13 @@
 		for number := range 30 {
 			callers.Go(func() {
 				d := f.living()[number%3]
-				attempt := d.attempt("x")
-				defer attempt.Close()
-				if err := attempt.Admit(d.alive, noPreference); err != nil {
+				tracker := d.track("x")
+				defer tracker.Close()
+				if err := tracker.Admit(d.alive, noPreference); err != nil {
 					t.Errorf("refused with %v", err)
 				}
 				time.Sleep(50 * time.Millisecond)
-				attempt.Whole()
+				tracker.Answered()
 			})
 		}
 		callers.Wait()
@@ -94,10 +94,10 @@
 			}
 		}
 		d := f.living()[0]
-		if err := d.attempt("x").Admit(d.alive, noPreference); !errors.Is(err, ErrLimitReached) {
+		if err := d.track("x").Admit(d.alive, noPreference); !errors.Is(err, ErrLimitReached) {
 			t.Errorf("admitted after all daemons were replaced: %v", err)
 		}
-		if err := d.attempt("y").Admit(d.alive, noPreference); err != nil {
+		if err := d.track("y").Admit(d.alive, noPreference); err != nil {
 			t.Errorf("another content is refused: %v", err)
 		}
 	})
@@ -111,13 +111,13 @@
 		first.endOnce("x", "e0")
 		ctx, cancel := context.WithTimeout(first.alive, 3*time.Second)
 		defer cancel()
-		if err := first.attempt("x").Admit(ctx, noPreference); err != nil {
+		if err := first.track("x").Admit(ctx, noPreference); err != nil {
 			t.Fatal(err)
 		}
 		f.end(first)
 		began := time.Now()
-		attempt := second.attempt("x")
-		if err := attempt.Admit(second.alive, noPreference); err != nil {
+		tracker := second.track("x")
+		if err := tracker.Admit(second.alive, noPreference); err != nil {
 			t.Fatal(err)
 		}
 		if waited := time.Since(began); waited < 3*time.Second || waited > 6*time.Second {
@@ -137,7 +137,7 @@
 		for number := range 12 {
 			callers.Go(func() {
 				d := f.living()[number%3]
-				d.attempt("x").Ended(d.alive, "e0", nil)
+				d.track("x").Ended(d.alive, "e0", nil)
 			})
 		}
 		callers.Wait()
@@ -178,7 +178,7 @@
 		second.endOnce("x", "e1")
 		for _, d := range f.living() {
 			began := time.Now()
-			if err := d.attempt("x").Admit(d.alive, noPreference); !errors.Is(err, ErrUnconfirmed) {
+			if err := d.track("x").Admit(d.alive, noPreference); !errors.Is(err, ErrUnconfirmed) {
 				t.Errorf("%s: a content that has ended two back ends: %v", d.Self, err)
 			}
 			if took := time.Since(began); took > 2*outageWait {
@@ -204,18 +204,18 @@
 		first, second := f.living()[0], f.living()[1]
 		first.endOnce("x", "e0")
 		f.store.SetFault(func(store.Partition, store.Writer) memory.Fault { return memory.FaultDelayed })
-		attempt := first.attempt("x")
-		if err := attempt.Admit(first.alive, noPreference); err != nil {
+		tracker := first.track("x")
+		if err := tracker.Admit(first.alive, noPreference); err != nil {
 			t.Fatal(err) // the store seems to be out
 		}
-		attempt.Close()
+		tracker.Close()
 		time.Sleep(time.Second)
 		f.store.SetFault(nil)
 		time.Sleep(time.Second)
 		f.store.ApplyDelayed()
 		time.Sleep(settled)
 		began := time.Now()
-		if err := second.attempt("x").Admit(second.alive, noPreference); err != nil || time.Since(began) > settled {
+		if err := second.track("x").Admit(second.alive, noPreference); err != nil || time.Since(began) > settled {
 			t.Errorf("another daemon's request waited %s: %v", time.Since(began), err)
 		}
 	})
@@ -227,7 +227,7 @@
 		first, second := f.living()[0], f.living()[1]
 		first.endOnce("x", "e0")
 		first.endOnce("y", "e0")
-		x, y := first.attempt("x"), second.attempt("y")
+		x, y := first.track("x"), second.track("y")
 		if err := x.Admit(first.alive, func() string { return "e7" }); err != nil {
 			t.Fatal(err)
 		}
@@ -240,7 +240,7 @@
 		if avoided := x.Avoid(); len(avoided) != 0 {
 			t.Errorf("the earlier one avoids %v", avoided)
 		}
-		x.Whole()
+		x.Answered()
 		time.Sleep(settled)
 		if avoided := y.Avoid(); len(avoided) != 0 {
 			t.Errorf("after the end of the earlier one it avoids %v", avoided)
@@ -323,29 +323,29 @@
 		d := f.living()[0]
 		body := make([]byte, 1<<20)
 		serve := func() {
-			attempt := Attempt{guard: d.Guard, content: Content{Method: "POST", Target: "/", Body: body}}
-			if err := attempt.Admit(d.alive, nil); err != nil {
+			tracker := Tracker{guard: d.Guard, content: Content{Method: "POST", Target: "/", Body: body}}
+			if err := tracker.Admit(d.alive, nil); err != nil {
 				t.Error(err)
 			}
-			attempt.Whole()
-			attempt.Close()
+			tracker.Answered()
+			tracker.Close()
 		}
-		if allocations := testing.AllocsPerRun(100, serve); allocations > 1 { // the Attempt itself
+		if allocations := testing.AllocsPerRun(100, serve); allocations > 1 { // the Tracker itself
 			t.Errorf("a request allocates %v times", allocations)
 		}
 		d.endOnce("x", "e0")
 		appends := f.store.Appends()
-		var attempt Attempt
+		var tracker Tracker
 		for range 100 {
-			attempt = Attempt{guard: d.Guard, content: Content{Method: "POST", Target: "/", Body: body}}
-			if err := attempt.Admit(d.alive, nil); err != nil {
+			tracker = Tracker{guard: d.Guard, content: Content{Method: "POST", Target: "/", Body: body}}
+			if err := tracker.Admit(d.alive, nil); err != nil {
 				t.Error(err)
 			}
-			attempt.Whole()
-			attempt.Close()
+			tracker.Answered()
+			tracker.Close()
 		}
-		if attempt.digest != "" || f.store.Appends() != appends {
-			t.Errorf("beside a suspect of another shape the digest is %q, %d appends are made", attempt.digest, f.store.Appends()-appends)
+		if tracker.digest != "" || f.store.Appends() != appends {
+			t.Errorf("beside a suspect of another shape the digest is %q, %d appends are made", tracker.digest, f.store.Appends()-appends)
 		}
 	})
 }
@@ -376,7 +376,7 @@
 		d := f.start(1, 1)
 		for number, most := range []time.Duration{listWait, 0} {
 			began := time.Now()
-			if err := d.attempt("x").Admit(d.alive, noPreference); err != nil || time.Since(began) > most {
+			if err := d.track("x").Admit(d.alive, noPreference); err != nil || time.Since(began) > most {
 				t.Errorf("request %d waited %s: %v", number, time.Since(began), err)
 			}
 		}
--- a/internal/poison/operator_test.go
+++ b/internal/poison/operator_test.go
@@ -32,9 +32,9 @@
 		}
 		time.Sleep(settled)
 		for _, d := range f.living() {
-			attempt := d.attempt("refused")
-			if err := attempt.Admit(d.alive, noPreference); err != nil || attempt.IsSuspect() {
-				t.Errorf("%s: let through with %v, suspected: %v", d.Self, err, attempt.IsSuspect())
+			tracker := d.track("refused")
+			if err := tracker.Admit(d.alive, noPreference); err != nil || tracker.IsSuspect() {
+				t.Errorf("%s: let through with %v, suspected: %v", d.Self, err, tracker.IsSuspect())
 			}
 		}
 		if err := Allow(t.Context(), f.store, listed[0].Digest, time.Now()); !errors.Is(err, ErrUnknownContent) {
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -106,25 +106,25 @@
 	s.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(d.alive, patience)
 	defer cancel()
-	attempt := d.attempt(content)
+	tracker := d.track(content)
 	defer func() {
 		if d.alive.Err() == nil {
-			attempt.Close()
+			tracker.Close()
 		}
 	}()
 	for range 3 {
-		if err := attempt.Admit(ctx, noPreference); err != nil {
+		if err := tracker.Admit(ctx, noPreference); err != nil {
 			if d.alive.Err() != nil {
 				s.answered(content, true) // it may have been sent, for all that others know
 			}
 			return err
 		}
-		instance, isReserved := s.newInstance(), attempt.IsSuspect()
+		instance, isReserved := s.newInstance(), tracker.IsSuspect()
 		time.Sleep(s.between(5*time.Millisecond, 60*time.Millisecond))
 		if !isDeadly && !s.chance(endChance) {
 			s.answered(content, d.alive.Err() != nil)
 			if d.alive.Err() == nil {
-				attempt.Whole()
+				tracker.Answered()
 			}
 			return nil
 		}
@@ -132,7 +132,7 @@
 		if d.alive.Err() != nil {
 			return nil
 		}
-		attempt.Ended(ctx, instance, noPreference)
+		tracker.Ended(ctx, instance, noPreference)
 	}
 	return nil
 }
--- a/internal/poison/attempt.go
+++ b/internal/poison/tracker.go
@@ -32,7 +32,7 @@
 	unconfirmedLimit = 1
 )
 
-// Errors of Attempt.Admit.
+// Errors of Tracker.Admit.
 var (
 	// ErrLimitReached: as many back ends as allowed ended under the content.
 	ErrLimitReached = eris.New("poison: too many back ends ended under the content")
@@ -40,9 +40,9 @@
 	ErrUnconfirmed = eris.New("poison: the store does not tell whether the content may be sent")
 )
 
-// Attempt is one request's use of a Guard. Its methods are called by one goroutine. A nil Attempt
+// Tracker is one request's use of a Guard. Its methods are called by one goroutine. A nil Tracker
 // admits everything.
-type Attempt struct {
+type Tracker struct {
 	guard   *Guard
 	about   About
 	content Content
@@ -56,7 +56,7 @@
 	ended *endedSend
 }
 
-// reservation is a reserved send of an Attempt.
+// reservation is a reserved send of a Tracker.
 type reservation struct {
 	key sendKey
 	// instance is the back end that it is meant for, "" if unknown.
@@ -80,142 +80,142 @@
 	isKnown bool
 }
 
-// NewAttempt returns an Attempt for a request with a content, whose body must not change. Close must
+// NewTracker returns a Tracker for a request with a content, whose body must not change. Close must
 // be called in the end.
-func (g *Guard) NewAttempt(content Content, about About) *Attempt {
-	return &Attempt{guard: g, content: content, about: about}
+func (g *Guard) NewTracker(content Content, about About) *Tracker {
+	return &Tracker{guard: g, content: content, about: about}
 }
 
 // Digest returns the digest of the content.
-func (a *Attempt) Digest() Digest {
-	if a.digest == "" {
-		a.digest = a.content.Digest()
+func (t *Tracker) Digest() Digest {
+	if t.digest == "" {
+		t.digest = t.content.Digest()
 	}
-	return a.digest
+	return t.digest
 }
 
 // Admit returns nil once the content may be sent to a back end: at once for nearly all contents. For a
 // suspected one it first reserves the send in the store, and waits while others send the same. prefer
 // returns the back end that it will probably be sent to, "" if unknown. Errors that do not wrap those
 // of this package are the context's.
-func (a *Attempt) Admit(ctx context.Context, prefer func() string) error {
-	if a == nil {
+func (t *Tracker) Admit(ctx context.Context, prefer func() string) error {
+	if t == nil {
 		return nil
 	}
-	a.guard.awaitList(ctx)
-	if !a.guard.table.mayContain(&a.content) {
-		a.forget()
+	t.guard.awaitList(ctx)
+	if !t.guard.table.mayContain(&t.content) {
+		t.forget()
 		return nil
 	}
-	err := a.takeTurn(ctx, prefer)
+	err := t.takeTurn(ctx, prefer)
 	if err != nil {
-		a.awaitEndKnown()
-		a.forget()
+		t.awaitEndKnown()
+		t.forget()
 	}
 	return err
 }
 
 // takeTurn is Admit for a content that may be suspected.
-func (a *Attempt) takeTurn(ctx context.Context, prefer func() string) error {
+func (t *Tracker) takeTurn(ctx context.Context, prefer func() string) error {
 	began := time.Now()
 	for {
 		now := time.Now()
-		known, isSuspect, changed := a.guard.table.standing(a.Digest(), now)
-		a.generation = known.generation
+		known, isSuspect, changed := t.guard.table.standing(t.Digest(), now)
+		t.generation = known.generation
 		switch {
 		case !isSuspect:
-			a.forget()
+			t.forget()
 			return nil
 		case known.ends >= Limit:
 			return ErrLimitReached
-		case a.reserved == nil || now.After(a.reserved.until):
-			a.forget()
-			a.reserve(ctx, prefer)
-		case known.first == a.reserved.key:
-			a.guard.Metrics.waits.Observe(time.Since(began).Seconds())
+		case t.reserved == nil || now.After(t.reserved.until):
+			t.forget()
+			t.reserve(ctx, prefer)
+		case known.first == t.reserved.key:
+			t.guard.Metrics.waits.Observe(time.Since(began).Seconds())
 			return nil
 		}
-		if a.isStoreOut(now) && known.first == "" {
+		if t.isStoreOut(now) && known.first == "" {
 			if known.ends <= unconfirmedLimit {
-				a.sendUnconfirmed()
+				t.sendUnconfirmed()
 				return nil
 			}
 			if now.Sub(began) > outageWait {
 				return ErrUnconfirmed
 			}
 		}
-		if err := a.awaitChange(ctx, changed); err != nil {
+		if err := t.awaitChange(ctx, changed); err != nil {
 			return err
 		}
 	}
 }
 
 // reserve reserves a send, unless another request of this daemon reserves the same content.
-func (a *Attempt) reserve(ctx context.Context, prefer func() string) {
-	if !a.guard.claim(a) {
+func (t *Tracker) reserve(ctx context.Context, prefer func() string) {
+	if !t.guard.claim(t) {
 		return
 	}
-	send := a.newReservation(ctx, prefer())
-	a.reserved.write = a.guard.store(a.reserved.key, send)
+	send := t.newReservation(ctx, prefer())
+	t.reserved.write = t.guard.store(t.reserved.key, send)
 }
 
 // newReservation creates a reservation that holds until ctx ends, and returns it as a send to be
 // stored.
-func (a *Attempt) newReservation(ctx context.Context, instance string) Send {
+func (t *Tracker) newReservation(ctx context.Context, instance string) Send {
 	now := time.Now()
 	hold := maxHold
 	if deadline, limited := ctx.Deadline(); limited {
 		hold = min(max(deadline.Sub(now), 0), maxHold)
 	}
-	a.reserved = &reservation{key: newSendKey(a.Digest(), rand.Uint64()), instance: instance, at: now, until: now.Add(hold)}
-	send := a.newSend(StateReserved, instance)
+	t.reserved = &reservation{key: newSendKey(t.Digest(), rand.Uint64()), instance: instance, at: now, until: now.Add(hold)}
+	send := t.newSend(StateReserved, instance)
 	send.HoldMS = hold.Milliseconds()
 	return send
 }
 
-func (a *Attempt) newSend(state State, instance string) Send {
+func (t *Tracker) newSend(state State, instance string) Send {
 	return Send{
-		State: state, Daemon: a.guard.Self, Instance: instance, About: a.about, AtMS: time.Now().UnixMilli(), Generation: a.generation,
+		State: state, Daemon: t.guard.Self, Instance: instance, About: t.about, AtMS: time.Now().UnixMilli(), Generation: t.generation,
 	}
 }
 
 // isStoreOut reports whether the store has refused the reservation or is late with it.
-func (a *Attempt) isStoreOut(now time.Time) bool {
-	if a.reserved == nil || a.isReservationLogged() {
+func (t *Tracker) isStoreOut(now time.Time) bool {
+	if t.reserved == nil || t.isReservationLogged() {
 		return false
 	}
-	return isClosed(a.reserved.write.failed) || now.Sub(a.reserved.at) >= confirmTimeout
+	return isClosed(t.reserved.write.failed) || now.Sub(t.reserved.at) >= confirmTimeout
 }
 
-func (a *Attempt) isReservationLogged() bool { return a.guard.table.isLogged(a.reserved.key) }
+func (t *Tracker) isReservationLogged() bool { return t.guard.table.isLogged(t.reserved.key) }
 
 // sendUnconfirmed lets the content be sent although the store has not taken the reservation.
-func (a *Attempt) sendUnconfirmed() {
-	if a.reserved.isUnconfirmed {
+func (t *Tracker) sendUnconfirmed() {
+	if t.reserved.isUnconfirmed {
 		return
 	}
-	a.reserved.isUnconfirmed = true
-	a.awaitEndKnown()
-	a.guard.Metrics.unconfirmed.Inc()
-	a.guard.Logger.Warn().Str("content", string(a.Digest())).Str("request", a.about.Request).
+	t.reserved.isUnconfirmed = true
+	t.awaitEndKnown()
+	t.guard.Metrics.unconfirmed.Inc()
+	t.guard.Logger.Warn().Str("content", string(t.Digest())).Str("request", t.about.Request).
 		Msg("Suspected content sent once more. The store does not take the reservation.")
 }
 
 // awaitChange waits until the table has changed, or something else may have.
-func (a *Attempt) awaitChange(ctx context.Context, changed <-chan struct{}) error {
+func (t *Tracker) awaitChange(ctx context.Context, changed <-chan struct{}) error {
 	var failed <-chan struct{}
-	if a.reserved != nil && !isClosed(a.reserved.write.failed) {
-		failed = a.reserved.write.failed
+	if t.reserved != nil && !isClosed(t.reserved.write.failed) {
+		failed = t.reserved.write.failed
 	}
-	timer := time.NewTimer(a.nextCheck())
+	timer := time.NewTimer(t.nextCheck())
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-failed:
 	case <-timer.C:
-		a.refreshIfUnread()
+		t.refreshIfUnread()
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && a.isStoreOut(time.Now()) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && t.isStoreOut(time.Now()) {
 			return ErrUnconfirmed
 		}
 		return ctx.Err()
@@ -224,166 +224,166 @@
 }
 
 // nextCheck returns how long awaitChange waits without a change.
-func (a *Attempt) nextCheck() time.Duration {
+func (t *Tracker) nextCheck() time.Duration {
 	switch {
-	case a.reserved == nil || a.isReservationLogged() || isClosed(a.reserved.write.failed):
+	case t.reserved == nil || t.isReservationLogged() || isClosed(t.reserved.write.failed):
 		return recheckInterval
-	case isClosed(a.reserved.write.taken):
+	case isClosed(t.reserved.write.taken):
 		return refreshAfter
 	}
-	return min(max(time.Until(a.reserved.at.Add(confirmTimeout)), refreshAfter), recheckInterval)
+	return min(max(time.Until(t.reserved.at.Add(confirmTimeout)), refreshAfter), recheckInterval)
 }
 
 // refreshIfUnread reads the store if it has taken the reservation and the watch does not show that.
-func (a *Attempt) refreshIfUnread() {
-	if a.reserved == nil || a.isReservationLogged() || !isClosed(a.reserved.write.taken) {
+func (t *Tracker) refreshIfUnread() {
+	if t.reserved == nil || t.isReservationLogged() || !isClosed(t.reserved.write.taken) {
 		return
 	}
 	select {
-	case a.guard.refresh <- struct{}{}:
+	case t.guard.refresh <- struct{}{}:
 	default: // a read is requested already
 	}
 }
 
 // Avoid returns the back ends to which the content should not be sent if there are others: they run
 // other suspected contents.
-func (a *Attempt) Avoid() []string {
-	if a == nil || a.reserved == nil {
+func (t *Tracker) Avoid() []string {
+	if t == nil || t.reserved == nil {
 		return nil
 	}
-	return a.guard.table.occupied(a.reserved.key, time.Now())
+	return t.guard.table.occupied(t.reserved.key, time.Now())
 }
 
 // IsSuspect reports whether the content is sent under a reservation.
-func (a *Attempt) IsSuspect() bool { return a != nil && a.reserved != nil }
+func (t *Tracker) IsSuspect() bool { return t != nil && t.reserved != nil }
 
 // Ended records that the back end to which the content was sent ended while it ran it. If the request
 // may be sent again, prefer returns the back end that it will probably be sent to; otherwise it is nil,
 // and Ended returns once the store has the end, or, if that takes long, other daemons were told.
-func (a *Attempt) Ended(ctx context.Context, instance string, prefer func() string) {
-	if a == nil {
+func (t *Tracker) Ended(ctx context.Context, instance string, prefer func() string) {
+	if t == nil {
 		return
 	}
-	a.guard.Metrics.ends.Inc()
-	key := endKey(a.Digest(), instance)
-	if a.reserved != nil {
-		key = a.reserved.key // the reservation becomes the end
+	t.guard.Metrics.ends.Inc()
+	key := endKey(t.Digest(), instance)
+	if t.reserved != nil {
+		key = t.reserved.key // the reservation becomes the end
 	}
-	a.reserved = nil
-	a.ended = &endedSend{key: key, send: a.newSend(StateEnded, instance)}
-	a.guard.table.put(key, a.ended.send, notLogged, time.Now())
-	known, _, _ := a.guard.table.standing(a.Digest(), time.Now())
-	a.guard.Logger.Warn().Str("content", string(a.Digest())).Str("request", a.about.Request).Str("route", a.about.Route).
+	t.reserved = nil
+	t.ended = &endedSend{key: key, send: t.newSend(StateEnded, instance)}
+	t.guard.table.put(key, t.ended.send, notLogged, time.Now())
+	known, _, _ := t.guard.table.standing(t.Digest(), time.Now())
+	t.guard.Logger.Warn().Str("content", string(t.Digest())).Str("request", t.about.Request).Str("route", t.about.Route).
 		Str("instance", instance).Int("ends", known.ends).Msg("Back end ended under a request.")
-	if prefer == nil || known.ends >= Limit || !a.guard.claim(a) {
-		a.ended.write = a.guard.store(key, a.ended.send)
-		a.awaitEndKnown()
+	if prefer == nil || known.ends >= Limit || !t.guard.claim(t) {
+		t.ended.write = t.guard.store(key, t.ended.send)
+		t.awaitEndKnown()
 		return
 	}
-	a.storeEndAndReserve(ctx, prefer())
+	t.storeEndAndReserve(ctx, prefer())
 }
 
 // storeEndAndReserve stores the latest end and a reservation for the next send together.
-func (a *Attempt) storeEndAndReserve(ctx context.Context, instance string) {
-	next := a.newReservation(ctx, instance)
-	record, err := next.record(a.reserved.key)
+func (t *Tracker) storeEndAndReserve(ctx context.Context, instance string) {
+	next := t.newReservation(ctx, instance)
+	record, err := next.record(t.reserved.key)
 	if err != nil {
-		a.guard.logUnencodable(a.reserved.key, err)
+		t.guard.logUnencodable(t.reserved.key, err)
 	}
-	a.ended.write = a.guard.store(a.ended.key, a.ended.send, record)
-	a.reserved.write = a.ended.write
+	t.ended.write = t.guard.store(t.ended.key, t.ended.send, record)
+	t.reserved.write = t.ended.write
 }
 
 // awaitEndKnown waits until the store has the latest end and other daemons have read it. If that takes
 // long, it tells them.
-func (a *Attempt) awaitEndKnown() {
-	if a.ended == nil || a.ended.isKnown {
+func (t *Tracker) awaitEndKnown() {
+	if t.ended == nil || t.ended.isKnown {
 		return
 	}
-	a.ended.isKnown = true
-	if a.guard.storeOrTell(a.ended.write, a.ended.key, a.ended.send) {
-		time.Sleep(spreadTime(a.guard.View))
+	t.ended.isKnown = true
+	if t.guard.storeOrTell(t.ended.write, t.ended.key, t.ended.send) {
+		time.Sleep(spreadTime(t.guard.View))
 	}
 }
 
-// Whole records that a back end answered the request completely: the content is not suspected any
+// Answered records that a back end answered the request completely: the content is not suspected any
 // more. The body is not needed from then on.
-func (a *Attempt) Whole() {
-	if a == nil {
+func (t *Tracker) Answered() {
+	if t == nil {
 		return
 	}
-	defer func() { a.content.Body = nil }()
-	if !a.guard.table.mayContain(&a.content) {
+	defer func() { t.content.Body = nil }()
+	if !t.guard.table.mayContain(&t.content) {
 		return
 	}
-	known, isSuspect, _ := a.guard.table.standing(a.Digest(), time.Now())
-	a.forget()
+	known, isSuspect, _ := t.guard.table.standing(t.Digest(), time.Now())
+	t.forget()
 	if !isSuspect {
 		return
 	}
-	a.generation = known.generation + 1
-	a.storeAnswer()
-	a.guard.Metrics.cleared.Inc()
-	a.guard.Logger.Info().Str("content", string(a.Digest())).Str("request", a.about.Request).
+	t.generation = known.generation + 1
+	t.storeAnswer()
+	t.guard.Metrics.cleared.Inc()
+	t.guard.Logger.Info().Str("content", string(t.Digest())).Str("request", t.about.Request).
 		Msg("Content is not suspected any more. A back end answered it.")
 }
 
 // storeAnswer stores that a back end answered, and deletes the sends that do not count any more.
-func (a *Attempt) storeAnswer() {
-	key, answered := answeredKey(a.Digest(), a.generation), a.newSend(StateAnswered, "")
-	voided := slices.DeleteFunc(a.guard.table.keysOf(a.Digest()), func(other sendKey) bool { return other == key })
-	a.guard.table.put(key, answered, notLogged, time.Now())
-	a.guard.table.drop(voided...)
-	stored := a.guard.store(key, answered, deletions(voided)...)
-	go a.guard.storeOrTell(stored, key, answered)
+func (t *Tracker) storeAnswer() {
+	key, answered := answeredKey(t.Digest(), t.generation), t.newSend(StateAnswered, "")
+	voided := slices.DeleteFunc(t.guard.table.keysOf(t.Digest()), func(other sendKey) bool { return other == key })
+	t.guard.table.put(key, answered, notLogged, time.Now())
+	t.guard.table.drop(voided...)
+	stored := t.guard.store(key, answered, deletions(voided)...)
+	go t.guard.storeOrTell(stored, key, answered)
 }
 
-// Detached returns an Attempt at the same content for what becomes known of the latest send after the
+// Detached returns a Tracker at the same content for what becomes known of the latest send after the
 // request has ended. The request's reservation stays with the request.
-func (a *Attempt) Detached() *Attempt {
-	if a == nil {
+func (t *Tracker) Detached() *Tracker {
+	if t == nil {
 		return nil
 	}
-	return &Attempt{guard: a.guard, about: a.about, content: a.content, digest: a.digest, generation: a.generation}
+	return &Tracker{guard: t.guard, about: t.about, content: t.content, digest: t.digest, generation: t.generation}
 }
 
 // Close releases what the request has reserved.
-func (a *Attempt) Close() {
-	if a != nil {
-		a.forget()
+func (t *Tracker) Close() {
+	if t != nil {
+		t.forget()
 	}
 }
 
 // forget releases the reservation, if there is one, and lets other requests of this daemon reserve the
 // content.
-func (a *Attempt) forget() {
-	if a.reserved != nil {
-		a.guard.release(a.reserved.key)
-		a.reserved = nil
+func (t *Tracker) forget() {
+	if t.reserved != nil {
+		t.guard.release(t.reserved.key)
+		t.reserved = nil
 	}
-	if a.digest != "" {
-		a.guard.unclaim(a)
+	if t.digest != "" {
+		t.guard.unclaim(t)
 	}
 }
 
-// claim makes a the request of this daemon that reserves sends of its content; false if there is
+// claim makes t the request of this daemon that reserves sends of its content; false if there is
 // another one.
-func (g *Guard) claim(a *Attempt) bool {
+func (g *Guard) claim(t *Tracker) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if other := g.reserving[a.Digest()]; other != nil && other != a {
+	if other := g.reserving[t.Digest()]; other != nil && other != t {
 		return false
 	}
-	g.reserving[a.Digest()] = a
+	g.reserving[t.Digest()] = t
 	return true
 }
 
 // unclaim undoes claim.
-func (g *Guard) unclaim(a *Attempt) {
+func (g *Guard) unclaim(t *Tracker) {
 	g.mutex.Lock()
-	isOwn := g.reserving[a.digest] == a
+	isOwn := g.reserving[t.digest] == t
 	if isOwn {
-		delete(g.reserving, a.digest)
+		delete(g.reserving, t.digest)
 	}
 	g.mutex.Unlock()
 	if isOwn {
--- a/internal/relay/broken_run.go
+++ b/internal/relay/broken_run.go
@@ -100,15 +100,15 @@
 	}
 	if c.relay.monitor.hasFailedProbes(target.ID) {
 		c.logBrokenRun(broken, backEndUnreachable)
-		c.attempt.Ended(ctx, target.ID, nil)
+		c.tracker.Ended(ctx, target.ID, nil)
 		return
 	}
-	attempt := c.attempt.Detached()
+	tracker := c.tracker.Detached()
 	go func() {
 		state := c.relay.connectAfterBreak(target)
 		c.logBrokenRun(broken, state)
 		if state.mayHaveEnded() {
-			attempt.Ended(context.Background(), target.ID, nil)
+			tracker.Ended(context.Background(), target.ID, nil)
 		}
 	}()
 }
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -46,9 +46,9 @@
 	countedAt *instance.Instance
 	// stream is the state of an answer that is a stream, nil before.
 	stream *streamState
-	// attempt is the call's use of the guard against contents that end back ends, nil before the
+	// tracker is the call's use of the guard against contents that end back ends, nil before the
 	// first send.
-	attempt *poison.Attempt
+	tracker *poison.Tracker
 	// refusals counts the offers that were turned down, rounds the rounds in which all
 	// instances did, and offeredBefore holds the service's offer counts before the call's
 	// first offer.
@@ -167,7 +167,7 @@
 	now := time.Now()
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
-	outgoing.NewConnection = c.attempt.IsSuspect()
+	outgoing.NewConnection = c.tracker.IsSuspect()
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
 	c.latest.pending = &pendingOffer{target: target, kind: c.call.Route.Name, alternative: c.alternativeTo(target)}
 	c.latest.context = c.relay.monitor.startOffer(ctx, c.latest.pending)
@@ -194,7 +194,7 @@
 	c.countedAt = nil
 	c.relay.Pool.Release(target.ID, outcome)
 	if outcome == instance.OutcomeAnswered {
-		c.attempt.Whole()
+		c.tracker.Answered()
 		c.relay.Pool.RecordServiceTime(c.service, time.Since(c.latest.beganAt))
 	}
 }
@@ -210,7 +210,7 @@
 // releaseLeftovers releases what the call has reserved, and what a panic left open: otherwise the instance would count as
 // loaded, and the turn's tokens as reserved, forever.
 func (c *callHandler) releaseLeftovers() {
-	c.attempt.Close()
+	c.tracker.Close()
 	if c.countedAt != nil {
 		c.release(*c.countedAt, instance.OutcomeCanceled)
 	}
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -107,7 +107,7 @@
 		line = line.Str("resumes", c.call.Resumes).Str("after", c.call.ResumeAfter)
 	}
 	if refusal.Reason == ReasonEndsBackEnds || refusal.Reason == ReasonEndsUnconfirmed {
-		line = line.Str("content", string(c.attempt.Digest()))
+		line = line.Str("content", string(c.tracker.Digest()))
 	}
 	line = line.Int("offers", c.offers).Int("runs", c.runs).Dur("retry_after", refusal.RetryAfter)
 	if c.quota.verdict.Reason != "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,8 +70,8 @@
 	Ledger Ledger
 	// Quota admits the requests of tenants that have a limit; nil if no tenant has one.
 	Quota Quota
-	// Poison decides which contents may be sent after back ends ended under them; nil for all.
-	Poison *poison.Guard
+	// ContentGuard decides which contents may be sent after back ends ended under them; nil for all.
+	ContentGuard *poison.Guard
 	// Admission decides how long requests wait; nil for a new controller.
 	Admission *admission.Controller
 	// Table returns the current routes, nil while none are known.
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -15,9 +15,9 @@
 // would not help.
 var endsBackEndsRefusal = Refusal{Reason: ReasonEndsBackEnds, Detail: "Back ends ended each time they ran this content."}
 
-// newAttempt returns the call's use of the guard. body is what back ends get.
-func (c *callHandler) newAttempt(body []byte) *poison.Attempt {
-	return c.relay.Poison.NewAttempt(
+// newTracker returns the call's use of the guard. body is what back ends get.
+func (c *callHandler) newTracker(body []byte) *poison.Tracker {
+	return c.relay.ContentGuard.NewTracker(
 		poison.Content{Method: c.call.Method, Host: c.call.Host, Target: c.call.Target, Model: c.call.Model, Body: body},
 		poison.About{Request: c.call.ID, Route: c.call.Route.Name, Tenant: c.call.tenantName()},
 	)
@@ -26,13 +26,13 @@
 // admitContent waits until the call's content may be sent to an instance, and reports whether it may.
 // If not, the call was ended.
 func (c *callHandler) admitContent(ctx context.Context, body []byte) bool {
-	if c.relay.Poison == nil {
+	if c.relay.ContentGuard == nil {
 		return true
 	}
-	if c.attempt == nil {
-		c.attempt = c.newAttempt(body)
+	if c.tracker == nil {
+		c.tracker = c.newTracker(body)
 	}
-	err := c.attempt.Admit(ctx, c.previewInstance)
+	err := c.tracker.Admit(ctx, c.previewInstance)
 	switch {
 	case err == nil:
 		return true
@@ -59,7 +59,7 @@
 // contents if there is one.
 func (c *callHandler) takeInstance() (instance.Instance, bool) {
 	query := c.query()
-	if avoided := c.attempt.Avoid(); len(avoided) > 0 && query.Only == "" {
+	if avoided := c.tracker.Avoid(); len(avoided) > 0 && query.Only == "" {
 		apart := query
 		apart.Excluded = slices.Concat(query.Excluded, avoided)
 		if target, found := c.relay.Pool.Take(apart); found {
@@ -72,12 +72,12 @@
 // recordEnd records that an instance ended while it ran the call, and reserves the next send of the
 // content if the call may run again.
 func (c *callHandler) recordEnd(ctx context.Context, target instance.Instance) {
-	if c.attempt == nil {
+	if c.tracker == nil {
 		return
 	}
 	var next func() string
 	if c.hasRunsLeft() {
 		next = c.previewInstance
 	}
-	c.attempt.Ended(ctx, target.ID, next)
+	c.tracker.Ended(ctx, target.ID, next)
 }
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -167,8 +167,8 @@
 		Logger: zerolog.Nop(), Metrics: poison.NewMetrics(prometheus.NewRegistry()),
 	})
 	d.relay = New(Options{
-		Poison: d.guard,
-		Pool:   d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
+		ContentGuard: d.guard,
+		Pool:         d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
 		Daemons: func() int { return fleetDaemons }, Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	f.mutex.Lock()
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -150,14 +150,14 @@
 // joinRelay creates the relay for callers' requests.
 func (d *Daemon) joinRelay() {
 	d.relay = relay.New(relay.Options{
-		Pool:      d.pool,
-		Driver:    d.adapter.Driver(),
-		Ledger:    d.regional.combinedLedger(d.ledger),
-		Poison:    d.guard,
-		Quota:     quota.NewGate(d.ledger, d.settings.quotaTolerance()),
-		Table:     d.table.Load,
-		RoutesAge: d.routesAge,
-		Daemons:   func() int { return len(d.membership.Members()) },
+		Pool:         d.pool,
+		Driver:       d.adapter.Driver(),
+		Ledger:       d.regional.combinedLedger(d.ledger),
+		ContentGuard: d.guard,
+		Quota:        quota.NewGate(d.ledger, d.settings.quotaTolerance()),
+		Table:        d.table.Load,
+		RoutesAge:    d.routesAge,
+		Daemons:      func() int { return len(d.membership.Members()) },
 
 		Evacuations: &d.evacuations,
 		Zones:       d.reachability,
