poison, fanout: what daemons are told in an outage does not cost older builds their connections

Cause, found on reading: the notice was a message of a new kind, upon which a build before closes the connection that it came on. Change: it rides in a request for records, whose new fields that build passes over; it answers that it is unable.

--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/membership"
-	"github.com/mintpulley/mintpulley/internal/peer"
+	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/memory"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -32,8 +32,6 @@
 
 	mutex  sync.Mutex
 	guards map[structs.DaemonID]*guardDaemon
-	// notices counts the messages between daemons.
-	notices int
 }
 
 // guardDaemon is a daemon of a fleet.
@@ -64,7 +62,7 @@
 	self := structs.NewDaemonID(fmt.Sprintf("10.0.0.%d:7000", number+1), run)
 	d.alive, d.kill = context.WithCancel(context.Background())
 	d.Guard = NewGuard(Options{
-		Self: self, Store: f.store, Records: f.store, Transport: fleetTransport{f}, View: f,
+		Self: self, Store: f.store, Records: f.store, Teller: fleetTeller{f}, View: f,
 		Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	f.mutex.Lock()
@@ -114,17 +112,16 @@
 // Subscribe implements membership.View.
 func (f *fleet) Subscribe(func(membership.Member)) {}
 
-// fleetTransport delivers messages between the daemons of a fleet.
-type fleetTransport struct{ fleet *fleet }
+// fleetTeller delivers what the daemons of a fleet tell each other.
+type fleetTeller struct{ fleet *fleet }
 
-// Send implements peer.Transport.
-func (t fleetTransport) Send(to structs.DaemonID, message peer.Message) {
+// Tell implements Teller.
+func (t fleetTeller) Tell(to structs.DaemonID, _ store.Partition, records []store.Record, keep bool) {
 	t.fleet.mutex.Lock()
 	target := t.fleet.guards[to]
-	t.fleet.notices++
 	t.fleet.mutex.Unlock()
 	if target != nil {
-		time.AfterFunc(messageDelay, func() { target.Receive("", message) })
+		time.AfterFunc(messageDelay, func() { target.ReceiveTold(records, keep) })
 	}
 }
 
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -12,7 +12,6 @@
 
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/membership"
-	"github.com/mintpulley/mintpulley/internal/peer"
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -47,12 +46,17 @@
 	List    func(context.Context) (store.Listing, error)
 	// Connectivity reports when the store answers again; nil if that is not known.
 	Connectivity store.Connectivity
-	Transport    peer.Transport
+	Teller       Teller
 	View         membership.View
 	Logger       zerolog.Logger
 	Metrics      *Metrics
 }
 
+// Teller tells other daemons of records that the store has not taken; they get them by ReceiveTold.
+type Teller interface {
+	Tell(to structs.DaemonID, partition store.Partition, records []store.Record, keep bool)
+}
+
 // Guard decides whether a content may be sent to a back end. The contents under which back ends
 // ended are in the store, which all daemons follow: a daemon that sends one of them reserves that
 // first, and the reservations take turns in the order of the store's log. It is safe for concurrent
@@ -183,33 +187,34 @@
 	maps.DeleteFunc(g.released, func(_ sendKey, r released) bool { return now.Sub(r.at) > lateAppendTime })
 }
 
-// Receive handles a message; it returns false if the message belongs to another component.
-func (g *Guard) Receive(_ structs.DaemonID, message peer.Message) bool {
-	notice, isNotice := message.(*Notice)
-	if !isNotice {
-		return false
-	}
+// ReceiveTold handles sends that another daemon tells of, as the store has not taken them. With keep,
+// this daemon stores them, too.
+func (g *Guard) ReceiveTold(records []store.Record, keep bool) {
 	now := time.Now()
-	for text, send := range notice.Sends {
-		key := sendKey(text)
-		if send.State == StateReserved || key.content().shape() == "" {
-			g.Logger.Warn().Str("key", text).Msg("Notice of a suspected content skipped. It is malformed.")
+	for _, record := range records {
+		key, send, err := parseSend(record)
+		if err != nil || send.State == StateReserved {
+			g.Logger.Warn().Err(err).Str("key", record.Key).Msg("Send of a suspected content skipped, as told by another daemon. It is malformed.")
 			continue
 		}
 		g.table.put(key, send, notLogged, now)
-		if notice.Keep {
-			g.store(key, send)
+		if keep {
+			g.writer.append(store.Record{Key: record.Key, Value: record.Value})
 		}
 	}
-	return true
 }
 
 // tell tells other daemons of an end or an answer that the store has not taken.
 func (g *Guard) tell(key sendKey, send Send) {
+	record, err := send.record(key)
+	if err != nil {
+		g.logUnencodable(key, err)
+		return
+	}
 	g.Metrics.told.Inc()
 	others := g.others()
 	for number, to := range others[:min(len(others), maxNotified)] {
-		g.Transport.Send(to, &Notice{Sends: map[string]Send{string(key): send}, Keep: number < keepers})
+		g.Teller.Tell(to, Partition(), []store.Record{record}, number < keepers)
 	}
 	g.Logger.Info().Str("content", string(key.content())).Str("state", string(send.State)).Int("daemons", len(others)).
 		Msg("Other daemons are told of a suspected content. The store has not taken that.")
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -163,7 +163,7 @@
 	d.pool = instance.NewPool(rand.New(rand.NewPCG(f.started, 1)), instance.Plugins{})
 	table := route.NewTable(1, nil, []*route.Service{{Name: "s", Model: &route.Model{TokensPerEvent: 4}}})
 	d.guard = poison.NewGuard(poison.Options{
-		Self: d.id, Store: f.store, Records: f.store, Transport: &fleetTransport{fleet: f, self: d.id}, View: f,
+		Self: d.id, Store: f.store, Records: f.store, Teller: f, View: f,
 		Logger: zerolog.Nop(), Metrics: poison.NewMetrics(prometheus.NewRegistry()),
 	})
 	d.relay = New(Options{
@@ -247,6 +247,16 @@
 // Subscribe implements membership.View.
 func (f *versionFleet) Subscribe(func(membership.Member)) {}
 
+// Tell implements poison.Teller.
+func (f *versionFleet) Tell(to structs.DaemonID, _ store.Partition, records []store.Record, keep bool) {
+	f.mutex.Lock()
+	target := f.daemons[to]
+	f.mutex.Unlock()
+	if target != nil {
+		time.AfterFunc(peerDelay, func() { target.guard.ReceiveTold(records, keep) })
+	}
+}
+
 // fleetTransport delivers messages between the daemons of a versionFleet.
 type fleetTransport struct {
 	fleet *versionFleet
@@ -265,7 +275,7 @@
 		t.fleet.toHolder(request)
 	}
 	time.AfterFunc(peerDelay, func() {
-		if target.alive.Err() == nil && !target.guard.Receive(t.self, message) {
+		if target.alive.Err() == nil {
 			target.ledger.Receive(t.self, message)
 		}
 	})
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -97,6 +97,7 @@
 		ExpectedDaemons: d.registry.count,
 		Discovered:      func() <-chan struct{} { return d.ledger.Discovered() },
 		ReadRate:        d.settings.StoreReadMegabytes * 1e6,
+		OnTold:          d.receiveTold,
 		Logger:          componentLogger(d.logger, "records"),
 		Metrics:         fanout.NewMetrics(d.metrics),
 	})
@@ -140,13 +141,20 @@
 		Records:      d.records,
 		List:         d.lister(poison.Partition()),
 		Connectivity: d.store,
-		Transport:    d.transport,
+		Teller:       d.records,
 		View:         d.membership,
 		Logger:       componentLogger(d.logger, "poison"),
 		Metrics:      poison.NewMetrics(d.metrics),
 	})
 }
 
+// receiveTold handles records that another daemon tells of, as the store has not taken them.
+func (d *Daemon) receiveTold(partition store.Partition, records []store.Record, keep bool) {
+	if partition == poison.Partition() {
+		d.guard.ReceiveTold(records, keep)
+	}
+}
+
 // joinRelay creates the relay for callers' requests.
 func (d *Daemon) joinRelay() {
 	d.relay = relay.New(relay.Options{
@@ -202,7 +210,7 @@
 		return
 	}
 	if !d.membership.Receive(from, message) && !d.store.Receive(from, message) && !d.records.Receive(from, message) &&
-		!d.receiveReach(from, message) && !d.guard.Receive(from, message) && !d.ledger.Receive(from, message) {
+		!d.receiveReach(from, message) && !d.ledger.Receive(from, message) {
 		d.regional.receive(from, message)
 	}
 }
--- a/internal/store/fanout/fanout.go
+++ b/internal/store/fanout/fanout.go
@@ -68,8 +68,10 @@
 	// ReadRate is the number of bytes per second that the store serves to all daemons together; 0
 	// if unknown.
 	ReadRate float64
-	Logger   zerolog.Logger
-	Metrics  *Metrics
+	// OnTold is called with what other daemons tell by Tell; it may be nil.
+	OnTold  func(partition store.Partition, records []store.Record, keep bool)
+	Logger  zerolog.Logger
+	Metrics *Metrics
 }
 
 // followed is a partition whose records are distributed.
--- a/internal/store/fanout/messages.go
+++ b/internal/store/fanout/messages.go
@@ -21,6 +21,10 @@
 	// WaitMS is how long the answer may be held while there are no newer records, in milliseconds; 0
 	// if the sender does not limit it.
 	WaitMS int64 `json:"w,omitempty"`
+	// Told are records that the store has not taken. A request with them wants no answer; a daemon
+	// that does not know of them answers that it is unable. Keep asks the receiver to store them.
+	Told []store.Record `json:"told,omitempty"`
+	Keep bool           `json:"keep,omitempty"`
 }
 
 // fromAll requests the newest records of all keys. A daemon that does not know of it answers that it
--- a/internal/store/fanout/serve.go
+++ b/internal/store/fanout/serve.go
@@ -24,6 +24,10 @@
 
 // serve answers a request, now or after the next read.
 func (s *Service) serve(from structs.DaemonID, w waiter) {
+	if len(w.request.Told) > 0 {
+		s.receiveTold(w.request)
+		return
+	}
 	f := s.followed[w.request.Partition]
 	if f == nil || w.request.At < 0 {
 		s.answer(from, w, &Response{Result: resultUnable})
