relay, poison: one step a function where an offer fails and where a back end has ended

Cause: offer and handleFailedOffer had four and five jobs each, and so had Tracker.Ended. Measured: the tests of both packages pass as before.

--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -135,14 +135,13 @@
 			t.guard.Metrics.waits.Observe(time.Since(began).Seconds())
 			return nil
 		}
-		if t.isStoreOut(now) && known.first == "" {
-			if known.ends <= unconfirmedLimit {
-				t.sendUnconfirmed()
-				return nil
-			}
-			if now.Sub(began) > outageWait {
-				return ErrUnconfirmed
-			}
+		isOut := known.first == "" && t.isStoreOut(now)
+		switch {
+		case isOut && known.ends <= unconfirmedLimit:
+			t.sendUnconfirmed()
+			return nil
+		case isOut && now.Sub(began) > outageWait:
+			return ErrUnconfirmed
 		}
 		if err := t.awaitChange(ctx, changed); err != nil {
 			return err
@@ -264,7 +263,18 @@
 	if t == nil {
 		return
 	}
-	t.guard.Metrics.ends.Inc()
+	ends := t.noteEnd(instance)
+	if prefer == nil || ends >= Limit || !t.guard.claim(t) {
+		t.ended.write = t.guard.store(t.ended.key, t.ended.send)
+		t.awaitEndKnown()
+		return
+	}
+	t.storeEndAndReserve(ctx, prefer())
+}
+
+// noteEnd makes the latest send one under which a back end ended, and returns how many ends of the content
+// are known now.
+func (t *Tracker) noteEnd(instance string) (ends int) {
 	key := endKey(t.Digest(), instance)
 	if t.reserved != nil {
 		key = t.reserved.key // the reservation becomes the end
@@ -273,14 +283,10 @@
 	t.ended = &endedSend{key: key, send: t.newSend(StateEnded, instance)}
 	t.guard.table.put(key, t.ended.send, notLogged, time.Now())
 	known, _, _ := t.guard.table.standing(t.Digest(), time.Now())
+	t.guard.Metrics.ends.Inc()
 	t.guard.Logger.Warn().Str("content", string(t.Digest())).Str("request", t.about.Request).Str("route", t.about.Route).
 		Str("instance", instance).Int("ends", known.ends).Msg("Back end ended under a request.")
-	if prefer == nil || known.ends >= Limit || !t.guard.claim(t) {
-		t.ended.write = t.guard.store(key, t.ended.send)
-		t.awaitEndKnown()
-		return
-	}
-	t.storeEndAndReserve(ctx, prefer())
+	return known.ends
 }
 
 // storeEndAndReserve stores the latest end and a reservation for the next send together.
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -93,18 +93,8 @@
 			return nil, instance.Instance{}
 		}
 		target, found := c.pickInstance()
-		if !found && c.liftVersion() {
-			continue
-		}
-		if !found && c.refuseIfOriginGone() {
-			return nil, instance.Instance{}
-		}
-		if !found && c.boundTo != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).TemporarilyFiltered == 0 {
-			c.refuseBoundCall()
-			return nil, instance.Instance{}
-		}
 		if !found {
-			if !c.nextRound(ctx) {
+			if !c.retryWithoutInstance(ctx) {
 				return nil, instance.Instance{}
 			}
 			continue
@@ -122,6 +112,22 @@
 	}
 }
 
+// retryWithoutInstance handles that no instance may get the call now, and reports whether to look for
+// one again. If not, the call was ended.
+func (c *callHandler) retryWithoutInstance(ctx context.Context) bool {
+	if c.liftVersion() {
+		return true
+	}
+	if c.refuseIfOriginGone() {
+		return false
+	}
+	if c.boundTo != "" && len(c.excluded) == 0 && c.relay.Pool.Count(c.query()).TemporarilyFiltered == 0 {
+		c.refuseBoundCall()
+		return false
+	}
+	return c.nextRound(ctx)
+}
+
 func (c *callHandler) hasTime() bool {
 	return c.call.Deadline.IsZero() || time.Until(c.call.Deadline) > minTimeLeft
 }
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -17,25 +17,13 @@
 // be offered to another instance. If not, the call was ended.
 func (c *callHandler) handleFailedOffer(ctx context.Context, target instance.Instance, answer *Answer, err error) bool {
 	c.excluded = append(c.excluded, target.ID)
-	if err == nil {
-		drainAndClose(answer.Body)
-		c.noteNotRun(target, answer)
-		if isCallAtFault(c.refusals, c.others()) {
-			c.refuseTurnedDown()
-			return false
-		}
-		return true
-	}
-	if ctx.Err() != nil {
-		c.release(target, c.canceledOutcome())
-		if !httpconn.IsNotSent(err) {
-			c.noteRun(target)
-			c.noteCanceledRun(ctx, target)
-		}
-		c.refuseEnded(ctx)
+	switch {
+	case err == nil:
+		return c.handleNotRun(target, answer)
+	case ctx.Err() != nil:
+		c.handleCanceledOffer(ctx, target, err)
 		return false
-	}
-	if errors.Is(err, httpconn.ErrNoConnection) || errors.Is(err, httpconn.ErrSendTooLate) || errors.Is(err, httpconn.ErrResetUnused) {
+	case errors.Is(err, httpconn.ErrNoConnection) || errors.Is(err, httpconn.ErrSendTooLate) || errors.Is(err, httpconn.ErrResetUnused):
 		c.release(target, instance.OutcomeFull)
 		return true
 	}
@@ -54,6 +42,28 @@
 	return c.mayRunAgain()
 }
 
+// handleNotRun handles the answer of an instance that did not run the call, and reports whether the
+// call may be offered to another one. If not, the call was ended.
+func (c *callHandler) handleNotRun(target instance.Instance, answer *Answer) bool {
+	drainAndClose(answer.Body)
+	c.noteNotRun(target, answer)
+	if isCallAtFault(c.refusals, c.others()) {
+		c.refuseTurnedDown()
+		return false
+	}
+	return true
+}
+
+// handleCanceledOffer ends a call whose context ended during an offer.
+func (c *callHandler) handleCanceledOffer(ctx context.Context, target instance.Instance, err error) {
+	c.release(target, c.canceledOutcome())
+	if !httpconn.IsNotSent(err) {
+		c.noteRun(target)
+		c.noteCanceledRun(ctx, target)
+	}
+	c.refuseEnded(ctx)
+}
+
 // canceledOutcome returns the outcome of an offer that this side ended. It counts against
 // the instance only if that was silent for long.
 func (c *callHandler) canceledOutcome() instance.Outcome {
