poison: a daemon's death does not count against contents whose back end runs on

Change: nothing is presumed of a reservation that named no back end, or one that still has an entry; presumed ends do not keep a content refused for longer than ten minutes.

--- a/internal/instance/runs.go
+++ b/internal/instance/runs.go
@@ -66,6 +66,14 @@
 	return latest != nil && latest.id != id
 }
 
+// IsListed reports whether a run has an entry.
+func (p *Pool) IsListed(id string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := p.byID[id]
+	return known != nil && known.unlistedSince.IsZero()
+}
+
 // IsReplaced reports whether a run is certainly over: a later one has its address.
 func (p *Pool) IsReplaced(run Instance) bool {
 	p.mutex.Lock()
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -32,6 +32,8 @@
 
 	mutex  sync.Mutex
 	guards map[structs.DaemonID]*guardDaemon
+	// isRunning reports whether a back end runs; nil for none.
+	isRunning func(instance string) bool
 }
 
 // guardDaemon is a daemon of a fleet.
@@ -63,7 +65,8 @@
 	d.alive, d.kill = context.WithCancel(context.Background())
 	d.Guard = NewGuard(Options{
 		Self: self, Store: f.store, Records: f.store, Teller: fleetTeller{f}, View: f,
-		Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
+		IsRunning: func(instance string) bool { return f.isRunning != nil && f.isRunning(instance) },
+		Logger:    zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	f.mutex.Lock()
 	f.guards[self] = d
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -47,9 +46,11 @@
 	// Connectivity reports when the store answers again; nil if that is not known.
 	Connectivity store.Connectivity
 	Teller       Teller
-	View         membership.View
-	Logger       zerolog.Logger
-	Metrics      *Metrics
+	// IsRunning reports whether a back end is known to run, by its ID; nil if that is not known.
+	IsRunning func(instance string) bool
+	View      membership.View
+	Logger    zerolog.Logger
+	Metrics   *Metrics
 }
 
 // Teller tells other daemons of records that the store has not taken; they get them by ReceiveTold.
@@ -95,7 +96,7 @@
 		options.Connectivity = store.UnknownConnectivity{}
 	}
 	g := &Guard{
-		Options: options, table: newTable(), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
+		Options: options, table: newTable(options.IsRunning), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
 		writer:    newWriter(options.Store, options.Logger, options.Metrics),
 		reserving: map[Digest]*Tracker{}, released: map[sendKey]released{},
 	}
@@ -145,7 +146,7 @@
 // apply applies what was read from the store.
 func (g *Guard) apply(update store.Update) {
 	now := time.Now()
-	update.Records = slices.DeleteFunc(update.Records, g.isReleased)
+	update.Records = g.withoutReleased(update.Records)
 	for _, key := range g.table.apply(update, now) {
 		g.Logger.Warn().Str("key", key).Msg("Record of a suspected content skipped. It is malformed.")
 	}
@@ -155,21 +156,23 @@
 // stopListWait lets requests go that wait for the first list.
 func (g *Guard) stopListWait() { g.listedOnce.Do(func() { close(g.listed) }) }
 
-// isReleased reports whether a record is a reservation that this daemon has released. One that the
-// store took late, after its release, is released again.
-func (g *Guard) isReleased(record store.Record) bool {
-	if len(record.Value) == 0 {
-		return false
-	}
-	key := sendKey(record.Key)
+// withoutReleased returns the records without the reservations that this daemon has released.
+func (g *Guard) withoutReleased(records []store.Record) []store.Record {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	known, isReleased := g.released[key]
-	if isReleased && isClosed(known.write.taken) {
-		known.write = g.writer.append(store.Record{Key: record.Key})
-		g.released[key] = known
+	kept := make([]store.Record, 0, len(records))
+	for _, record := range records {
+		known, isReleased := g.released[sendKey(record.Key)]
+		if !isReleased || len(record.Value) == 0 {
+			kept = append(kept, record)
+			continue
+		}
+		if isClosed(known.write.taken) { // the store took the reservation late, after its release
+			known.write = g.writer.append(store.Record{Key: record.Key})
+			g.released[sendKey(record.Key)] = known
+		}
 	}
-	return isReleased
+	return kept
 }
 
 // release drops a reservation.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -47,6 +47,8 @@
 	// sends holds the latest state of all sends. Those of an earlier generation do not count.
 	sends      map[sendKey]*knownSend
 	generation int64
+	// isRunning reports whether a back end is known to run.
+	isRunning func(instance string) bool
 }
 
 // counts reports whether a send counts.
@@ -67,20 +69,31 @@
 	return first
 }
 
-// ends returns how many back ends have ended under the content. The holder of a reservation that is
-// over is gone, so the back end that it had is counted as ended.
-func (s *suspect) ends(now time.Time) int {
-	var ended []*knownSend
+// ends returns how many back ends have ended under the content: those that a daemon saw, and those
+// that are presumed to have.
+func (s *suspect) ends(now time.Time) int { return s.seenEnds() + s.presumedEnds(now) }
+
+// presumedEnds counts the reservations whose holder is gone, so that nobody tells what became of the
+// back end, unless that is known to run.
+func (s *suspect) presumedEnds(now time.Time) int {
 	presumed := 0
 	for _, send := range s.sends {
-		switch {
-		case !s.counts(send):
-		case send.State == StateEnded:
-			ended = append(ended, send)
-		case send.State == StateReserved && send.wasFirst && send.isOver(now):
+		isOpen := send.State == StateReserved && s.counts(send) && send.wasFirst && send.isOver(now)
+		if isOpen && send.Instance != "" && !s.isRunning(send.Instance) {
 			presumed++
 		}
 	}
+	return presumed
+}
+
+// seenEnds counts the back ends that a daemon saw end.
+func (s *suspect) seenEnds() int {
+	var ended []*knownSend
+	for _, send := range s.sends {
+		if send.State == StateEnded && s.counts(send) {
+			ended = append(ended, send)
+		}
+	}
 	slices.SortFunc(ended, func(a, b *knownSend) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	distinct := 0
 	for number, send := range ended {
@@ -91,7 +104,7 @@
 			distinct++
 		}
 	}
-	return distinct + presumed
+	return distinct
 }
 
 // newestAt returns the time of day of the latest change.
@@ -133,10 +146,17 @@
 	shapes map[shape]int
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// isRunning reports whether a back end is known to run.
+	isRunning func(instance string) bool
 }
 
-func newTable() table {
-	return table{suspects: map[Digest]*suspect{}, shapes: map[shape]int{}, changed: make(chan struct{})}
+// newTable returns an empty table. isRunning reports whether a back end is known to run; nil if that is
+// not known of any.
+func newTable(isRunning func(instance string) bool) table {
+	if isRunning == nil {
+		isRunning = func(string) bool { return false }
+	}
+	return table{suspects: map[Digest]*suspect{}, shapes: map[shape]int{}, changed: make(chan struct{}), isRunning: isRunning}
 }
 
 // mayContain reports whether a content may be suspected. It does not read the content's body.
@@ -206,7 +226,7 @@
 	content := key.content()
 	s := t.suspects[content]
 	if s == nil {
-		s = &suspect{sends: map[sendKey]*knownSend{}}
+		s = &suspect{sends: map[sendKey]*knownSend{}, isRunning: t.isRunning}
 		t.suspects[content] = s
 		t.shapes[content.shape()]++
 		t.count.Add(1)
@@ -341,7 +361,7 @@
 	var kept []candidate
 	for _, s := range t.suspects {
 		c := candidate{suspect: s, ends: s.ends(now), at: s.newestAt()}
-		if now.Sub(c.at) > lifetime(c.ends) {
+		if now.Sub(c.at) > s.lifetime() {
 			keys = append(keys, s.keys()...)
 			continue
 		}
@@ -366,9 +386,10 @@
 	maxContents = 4096
 )
 
-// lifetime returns for how long a content with so many ends is kept after the last change.
-func lifetime(ends int) time.Duration {
-	if ends >= Limit {
+// lifetime returns for how long a content is kept after the last change. Ends that are only presumed
+// do not keep it for longer.
+func (s *suspect) lifetime() time.Duration {
+	if s.seenEnds() >= Limit {
 		return refusalLifetime
 	}
 	return suspectLifetime
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -142,6 +142,7 @@
 		List:         d.lister(poison.Partition()),
 		Connectivity: d.store,
 		Teller:       d.records,
+		IsRunning:    d.pool.IsListed,
 		View:         d.membership,
 		Logger:       componentLogger(d.logger, "poison"),
 		Metrics:      poison.NewMetrics(d.metrics),
