poison: a wrong clock or a malformed hold does not keep a content suspected for ever

Cause, found on reading the diff: a send's age was counted from the time of day that its daemon noted, so one by a clock years ahead never aged, nor did its content; and a record may name any hold. Measured: TestSendsOfAWrongClockHaveALifetime failed before (0 of 2 sends removed), passes now; the tests of the guard and the fleet pass.

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -394,3 +394,18 @@
 		}
 	})
 }
+
+// The clock of the daemon that stored a send may be years ahead, and the record may be another writer's.
+func TestSendsOfAWrongClockHaveALifetime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := newTable(nil)
+	digest := (&Content{Target: "x"}).Digest()
+	table.put(endKey(digest, "e0"), Send{State: StateEnded, Instance: "e0", AtMS: now.AddDate(9, 0, 0).UnixMilli()}, 1, now)
+	table.put(newSendKey(digest, 1), Send{State: StateReserved, HoldMS: 1 << 62, AtMS: now.UnixMilli()}, 2, now)
+	if known, _, _ := table.standing(digest, now.Add(maxHold+2*holdMargin)); known.first != "" {
+		t.Error("the reservation holds for longer than any")
+	}
+	if keys := table.removable(now.Add(suspectLifetime + time.Second)); len(keys) != 2 {
+		t.Errorf("%d sends are removed after the lifetime of suspects, want 2", len(keys))
+	}
+}
--- a/internal/poison/send.go
+++ b/internal/poison/send.go
@@ -59,8 +59,10 @@
 	Tenant  string `json:"tenant,omitempty"`
 }
 
-// hold returns for how long a reservation holds.
-func (s *Send) hold() time.Duration { return time.Duration(s.HoldMS) * time.Millisecond }
+// hold returns for how long a reservation holds, at most maxHold.
+func (s *Send) hold() time.Duration {
+	return time.Duration(min(max(s.HoldMS, 0), maxHold.Milliseconds())) * time.Millisecond
+}
 
 // sendKey identifies a send in the store: the content's digest and a part that differs between its
 // sends.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -18,6 +18,8 @@
 	// sameEndWindow is for how long the end of a back end is told by several sends: a request may
 	// still be sent on a connection whose end has not arrived yet.
 	sameEndWindow = 250 * time.Millisecond
+	// maxClockSkew is by how much the clock of another daemon may be ahead.
+	maxClockSkew = time.Minute
 	// notLogged is the offset of a send that was not read from the store yet.
 	notLogged = math.MaxInt64
 )
@@ -107,13 +109,25 @@
 	return distinct
 }
 
+// changedAt returns the time of day of the send's last change, as its daemon noted it. If that is far
+// ahead of this daemon's clock, it is when this daemon heard of it.
+func (k *knownSend) changedAt() time.Time {
+	noted := time.UnixMilli(k.AtMS)
+	if noted.Sub(k.heardAt) > maxClockSkew {
+		return k.heardAt
+	}
+	return noted
+}
+
 // newestAt returns the time of day of the latest change.
 func (s *suspect) newestAt() time.Time {
-	newest := int64(0)
+	var newest time.Time
 	for _, send := range s.sends {
-		newest = max(newest, send.AtMS)
+		if at := send.changedAt(); at.After(newest) {
+			newest = at
+		}
 	}
-	return time.UnixMilli(newest)
+	return newest
 }
 
 // keys returns the keys of all sends, sorted.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -295,6 +295,9 @@
 	record, err := next.record(t.reserved.key)
 	if err != nil {
 		t.guard.logUnencodable(t.reserved.key, err)
+		t.reserved = nil
+		t.ended.write = t.guard.store(t.ended.key, t.ended.send)
+		return
 	}
 	t.ended.write = t.guard.store(t.ended.key, t.ended.send, record)
 	t.reserved.write = t.ended.write
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -213,8 +213,8 @@
 	}
 }
 
-// releaseLeftovers releases what the call has reserved, and what a panic left open: otherwise the instance would count as
-// loaded, and the turn's tokens as reserved, forever.
+// releaseLeftovers releases what the call has reserved, and what a panic left open:
+// otherwise the instance would count as loaded, and the turn's tokens as reserved, forever.
 func (c *callHandler) releaseLeftovers() {
 	c.tracker.Close()
 	if c.countedAt != nil {
