ledger: handovers that were held back are spread again

Cause: each daemon spaces its planned handovers by an interval whose beginning is drawn once. A handover that is held back, as its successor has not been alive for long enough, does not ask for its turn meanwhile, and its time passes. Ruled out: the code of contents that end back ends, which the ledger does not use. Change: a daemon that has not asked for two rank intervals draws its next time anew, never an earlier one. Result: TestHandoversThatWereHeldBackAreSpreadAgain failed before (116 MB in one second, want 40 at most; 624 MB in a minute, want 528) and passes.

--- a/internal/ledger/handover_pacer.go
+++ b/internal/ledger/handover_pacer.go
@@ -19,14 +19,18 @@
 	handoverShare = 0.1
 	// encodedShare is the number of bytes that the store sends per byte of a listed value.
 	encodedShare = 4.0 / 3
+	// heldBackAfter is how long after a daemon last asked for a handover it counts as held back.
+	heldBackAfter = 2 * rankInterval
 )
 
 // handoverPacer spaces the planned handovers of one daemon. It is safe for concurrent use;
 // the zero value is ready.
 type handoverPacer struct {
 	mutex sync.Mutex
-	// nextAt is when the next handover may begin; zero if there was none recently.
+	// nextAt is when the next handover may begin.
 	nextAt time.Time
+	// askedAt is when a handover was last asked for; zero if never.
+	askedAt time.Time
 }
 
 // handoverInterval returns the mean interval between a daemon's planned handovers at which
@@ -41,16 +45,18 @@
 }
 
 // allow reports whether a handover may begin now. Daemons that start to hand shards over at
-// the same moment begin at times spread over the interval; chance returns a number in [0,
-// 1).
+// the same moment begin at times spread over the interval, also if their handovers were held back
+// until then, as the successors were away; chance returns a number in [0, 1).
 func (p *handoverPacer) allow(now time.Time, interval time.Duration, chance func() float64) bool {
 	if interval <= 0 {
 		return true
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.nextAt.IsZero() || now.Sub(p.nextAt) > interval {
-		p.nextAt = now.Add(time.Duration(chance() * float64(interval)))
+	wasHeldBack := now.Sub(p.askedAt) > heldBackAfter
+	p.askedAt = now
+	if wasHeldBack {
+		p.postpone(now.Add(time.Duration(chance() * float64(interval))))
 	}
 	if now.Before(p.nextAt) {
 		return false
@@ -59,6 +65,13 @@
 	return true
 }
 
+// postpone lets no handover begin before a time.
+func (p *handoverPacer) postpone(until time.Time) {
+	if until.After(p.nextAt) {
+		p.nextAt = until
+	}
+}
+
 // mayHandOver implements fleet.
 func (s *Service) mayHandOver(successor string, shardBytes int) bool {
 	if !s.isolation.isSteady(structs.DaemonID(successor), time.Now()) {
--- a/internal/ledger/handover_pacer_test.go
+++ b/internal/ledger/handover_pacer_test.go
@@ -12,43 +12,74 @@
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
-// TestPlannedHandoversKeepWithinTheirShare: all daemons of a fleet want to hand shards over
-// from the same moment on, for a minute. In no second may they read more than half of the
-// store's read capacity, and over the minute no more than handoverShare.
-func TestPlannedHandoversKeepWithinTheirShare(t *testing.T) {
-	const daemons, shardBytes, readBytes, seconds = 76, 3_000_000, 80e6, 60
-	random := rand.New(rand.NewPCG(1, 2))
-	interval := handoverInterval(daemons, shardBytes, readBytes)
-	pacers := make([]handoverPacer, daemons)
-	began := time.Now()
-	read, worst := 0.0, 0.0
-	for second := range seconds {
-		inSecond := 0.0
-		for tick := range 10 {
-			now := began.Add(time.Duration(second)*time.Second + time.Duration(tick)*100*time.Millisecond)
-			for i := range pacers {
-				if pacers[i].allow(now, interval, random.Float64) {
-					inSecond += encodedShare * shardBytes
-				}
+// A fleet of pacerDaemons, each with shards of pacerShardBytes, whose store reads pacerReadBytes a second.
+const pacerDaemons, pacerShardBytes, pacerReadBytes = 76, 3_000_000, 80e6
+
+// pacedFleet is a fleet in which all daemons want to hand shards over.
+type pacedFleet struct {
+	pacers []handoverPacer
+	random *rand.Rand
+	began  time.Time
+}
+
+func newPacedFleet() *pacedFleet {
+	return &pacedFleet{pacers: make([]handoverPacer, pacerDaemons), random: rand.New(rand.NewPCG(1, 2)), began: time.Now()}
+}
+
+// read returns how many bytes are read from the store in each second from one time to another, in
+// which all daemons want to hand shards over.
+func (f *pacedFleet) read(from, to time.Duration) []float64 {
+	const tick = 100 * time.Millisecond
+	interval := handoverInterval(pacerDaemons, pacerShardBytes, pacerReadBytes)
+	bytes := make([]float64, int((to-from+time.Second-1)/time.Second))
+	for at := from; at < to; at += tick {
+		for i := range f.pacers {
+			if f.pacers[i].allow(f.began.Add(at), interval, f.random.Float64) {
+				bytes[int((at-from)/time.Second)] += encodedShare * pacerShardBytes
 			}
 		}
+	}
+	return bytes
+}
+
+// expectWithinShare: in no second may the daemons read more than half of the store's read capacity,
+// and over all seconds no more than handoverShare.
+func expectWithinShare(t *testing.T, bytes []float64) {
+	t.Helper()
+	read, worst := 0.0, 0.0
+	for _, inSecond := range bytes {
 		read += inSecond
 		worst = max(worst, inSecond)
 	}
-	if most := handoverShare * readBytes * seconds * 1.1; read > most {
-		t.Errorf("%.0f MB were read in %d s, want %.0f at most", read/1e6, seconds, most/1e6)
+	if most := handoverShare * pacerReadBytes * float64(len(bytes)) * 1.1; read > most {
+		t.Errorf("%.0f MB were read in %d s, want %.0f at most", read/1e6, len(bytes), most/1e6)
 	}
 	if read == 0 {
 		t.Error("no shard moved")
 	}
-	if most := 0.5 * readBytes; worst > most {
+	if most := 0.5 * pacerReadBytes; worst > most {
 		t.Errorf("%.0f MB were read in one second, want %.0f at most", worst/1e6, most/1e6)
 	}
-	if interval := handoverInterval(daemons, shardBytes, 0); interval != 0 {
+}
+
+// TestPlannedHandoversKeepWithinTheirShare: all daemons of a fleet want to hand shards over
+// from the same moment on, for a minute.
+func TestPlannedHandoversKeepWithinTheirShare(t *testing.T) {
+	expectWithinShare(t, newPacedFleet().read(0, time.Minute))
+	if interval := handoverInterval(pacerDaemons, pacerShardBytes, 0); interval != 0 {
 		t.Errorf("handovers are %s apart though the store's read capacity is not known", interval)
 	}
 }
 
+// TestHandoversThatWereHeldBackAreSpreadAgain: the successors of all daemons are away for a while,
+// and back at the same moment.
+func TestHandoversThatWereHeldBackAreSpreadAgain(t *testing.T) {
+	f := newPacedFleet()
+	f.read(0, time.Second)
+	back := handoverInterval(pacerDaemons, pacerShardBytes, pacerReadBytes) / 2
+	expectWithinShare(t, f.read(back, back+time.Minute))
+}
+
 // TestClaimsThatNobodyWaitsForAreSpread: turns that only have to be settled must not make
 // daemons read all lost shards at once, whereas a turn that begins gets its shard at once.
 func TestClaimsThatNobodyWaitsForAreSpread(t *testing.T) {
