poison: ends that come at once count as one if the content had been answered before

Cause: before the first end is known nothing holds a content back, and each such end counted in full, whatever was answered before. A daemon that hears of an end under a content it knows writes that to the store; then all ends of sends without a reservation count as one. Reserved sends, one at a time, count as ever, so a request that is sent again and again still ends three. Within 0.25 s of the first end a content is not refused yet, as that record may be on its way. Price: a content that was answered lately and now ends every back end it gets ends those that run it at one moment, and two more.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -65,6 +65,8 @@
 type Guard struct {
 	Options
 	table table
+	// answers are the contents that were answered through this daemon.
+	answers answers
 	// detached are the Trackers whose requests have ended.
 	detached detachedTrackers
 	writer   *writer
@@ -149,7 +151,9 @@
 func (g *Guard) apply(update store.Update) {
 	now := time.Now()
 	update.Records = g.withoutReleased(update.Records)
-	for _, key := range g.table.apply(update, now) {
+	ended, malformed := g.table.apply(update, now)
+	g.tellIfAnswered(ended)
+	for _, key := range malformed {
 		g.Logger.Warn().Str("key", key).Msg("Record of a suspected content skipped. It is malformed.")
 	}
 	g.stopListWait()
@@ -206,6 +210,9 @@
 		if keep {
 			g.writer.append(store.Record{Key: record.Key, Value: record.Value})
 		}
+		if send.State == StateEnded {
+			g.tellIfAnswered([]Digest{key.content()})
+		}
 	}
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -316,7 +316,7 @@
 func TestRecordsOfOtherBuildsAreRead(t *testing.T) {
 	table := newTable(nil)
 	digest := (&Content{Target: "x"}).Digest()
-	malformed := table.apply(store.Update{Records: []store.Record{
+	_, malformed := table.apply(store.Update{Records: []store.Record{
 		{Key: string(endKey(digest, "e0")), Value: []byte(`{"state":"ended","instance":"e0","later":{"a":1}}`)},
 		{Key: string(endKey(digest, "e1")), Value: []byte(`{"state":"another"}`)},
 		{Key: string(endKey(digest, "e2")), Value: []byte(`{"state":7}`)},
--- a/internal/poison/operator.go
+++ b/internal/poison/operator.go
@@ -20,6 +20,8 @@
 	// Ends is how many back ends ended under it, and IsRefused whether it is not sent any more.
 	Ends      int  `json:"ends"`
 	IsRefused bool `json:"refused"`
+	// WasAnsweredBefore: it had been answered before the ends, so those that came at once count as one.
+	WasAnsweredBefore bool `json:"answered_before,omitempty"`
 	// Sends are its sends that count, the earliest first.
 	Sends []Send `json:"sends"`
 }
@@ -37,6 +39,7 @@
 			continue
 		}
 		listed.IsRefused = listed.Ends >= Limit
+		listed.WasAnsweredBefore = suspect.wasAnsweredBefore()
 		listed.Sends = suspect.countedSends()
 		contents = append(contents, listed)
 	}
@@ -53,7 +56,7 @@
 func (s *suspect) countedSends() []Send {
 	var sends []Send
 	for _, send := range s.sends {
-		if s.counts(send) && send.State != StateAnswered {
+		if s.counts(send) && (send.State == StateReserved || send.State == StateEnded) {
 			sends = append(sends, send.Send)
 		}
 	}
--- a/internal/poison/send.go
+++ b/internal/poison/send.go
@@ -33,6 +33,8 @@
 	// StateAnswered: a back end answered. Sends of earlier generations do not count any more,
 	// whenever the store takes them.
 	StateAnswered State = "answered"
+	// StateAnsweredBefore: back ends had answered the content shortly before the first of the ends.
+	StateAnsweredBefore State = "answered_before"
 )
 
 // Send is one send of a suspected content to a back end, as the store keeps it.
@@ -71,9 +73,12 @@
 // keySeparator separates the parts of a sendKey. No digest contains it.
 const keySeparator = "/"
 
+// reservedMark begins the second part of a reserved send's key.
+const reservedMark = "r"
+
 // newSendKey returns the key of a reserved send with a random number.
 func newSendKey(content Digest, number uint64) sendKey {
-	return sendKey(string(content) + keySeparator + "r" + strconv.FormatUint(number, shapeBase))
+	return sendKey(string(content) + keySeparator + reservedMark + strconv.FormatUint(number, shapeBase))
 }
 
 // endKey returns the key of a send without a reservation. It is the same for all such sends to one
@@ -88,6 +93,18 @@
 	return sendKey(string(content) + keySeparator + "a" + strconv.FormatInt(generation, shapeBase))
 }
 
+// answeredBeforeKey returns the key of the fact that the content had been answered before a generation's
+// ends.
+func answeredBeforeKey(content Digest, generation int64) sendKey {
+	return sendKey(string(content) + keySeparator + "b" + strconv.FormatInt(generation, shapeBase))
+}
+
+// isReserved reports whether the send was reserved before it was sent.
+func (k sendKey) isReserved() bool {
+	_, rest, _ := strings.Cut(string(k), keySeparator)
+	return strings.HasPrefix(rest, reservedMark)
+}
+
 // content returns the digest in the key, "" if it has none.
 func (k sendKey) content() Digest {
 	digest, _, found := strings.Cut(string(k), keySeparator)
@@ -120,7 +137,7 @@
 		return "", Send{}, eris.Wrapf(ErrMalformed, "%.80q: %v", record.Key, err)
 	}
 	switch send.State {
-	case StateReserved, StateEnded, StateAnswered:
+	case StateReserved, StateEnded, StateAnswered, StateAnsweredBefore:
 	default:
 		return "", Send{}, eris.Wrapf(ErrMalformed, "%.80q: state %.20q", record.Key, send.State)
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -88,14 +88,37 @@
 	return presumed
 }
 
-// seenEnds counts the back ends that a daemon saw end.
+// seenEnds counts the back ends that a daemon saw end. Those that ended before any of it was known count as
+// one if the content had been answered before.
 func (s *suspect) seenEnds() int {
-	var ended []*knownSend
+	var reserved, unreserved []*knownSend
+	for key, send := range s.sends {
+		switch {
+		case send.State != StateEnded || !s.counts(send):
+		case key.isReserved():
+			reserved = append(reserved, send)
+		default:
+			unreserved = append(unreserved, send)
+		}
+	}
+	if len(unreserved) > 0 && s.wasAnsweredBefore() {
+		return distinctEnds(reserved) + 1
+	}
+	return distinctEnds(append(reserved, unreserved...))
+}
+
+// wasAnsweredBefore reports whether the content had been answered before the ends that count.
+func (s *suspect) wasAnsweredBefore() bool {
 	for _, send := range s.sends {
-		if send.State == StateEnded && s.counts(send) {
-			ended = append(ended, send)
+		if send.State == StateAnsweredBefore && s.counts(send) {
+			return true
 		}
 	}
+	return false
+}
+
+// distinctEnds counts ends of back ends; several sends may tell of one.
+func distinctEnds(ended []*knownSend) int {
 	slices.SortFunc(ended, func(a, b *knownSend) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	distinct := 0
 	for number, send := range ended {
@@ -109,6 +132,18 @@
 	return distinct
 }
 
+// endedAt returns when this daemon heard of the earliest end that counts; zero if there is none.
+func (s *suspect) endedAt() time.Time {
+	var earliest time.Time
+	for _, send := range s.sends {
+		isEarlier := earliest.IsZero() || send.heardAt.Before(earliest)
+		if send.State == StateEnded && s.counts(send) && isEarlier {
+			earliest = send.heardAt
+		}
+	}
+	return earliest
+}
+
 // changedAt returns the time of day of the send's last change, as its daemon noted it. If that is far
 // ahead of this daemon's clock, it is when this daemon heard of it.
 func (k *knownSend) changedAt() time.Time {
@@ -148,6 +183,10 @@
 	first sendKey
 	// generation is the generation of new sends.
 	generation int64
+	// endedAt is when this daemon heard of the earliest of the ends, and wasAnsweredBefore is set if
+	// the content had been answered before that.
+	endedAt           time.Time
+	wasAnsweredBefore bool
 }
 
 // table holds the suspected contents that this daemon knows. It is safe for concurrent use.
@@ -194,7 +233,8 @@
 		return standing{}, false, t.changed
 	}
 	first, ends := s.first(now), s.ends(now)
-	return standing{ends: ends, first: first, generation: s.generation}, ends > 0, t.changed
+	known = standing{ends: ends, first: first, generation: s.generation, endedAt: s.endedAt(), wasAnsweredBefore: s.wasAnsweredBefore()}
+	return known, ends > 0, t.changed
 }
 
 // isLogged reports whether a send was read from the store.
@@ -288,8 +328,9 @@
 	}
 }
 
-// apply applies what was read from the store. It returns the keys of malformed records.
-func (t *table) apply(update store.Update, now time.Time) (malformed []string) {
+// apply applies what was read from the store. It returns the contents under which back ends ended, and
+// the keys of malformed records.
+func (t *table) apply(update store.Update, now time.Time) (ended []Digest, malformed []string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	listed := map[sendKey]bool{}
@@ -305,12 +346,15 @@
 		}
 		listed[key] = true
 		t.putLocked(key, send, record.Offset, now)
+		if send.State == StateEnded {
+			ended = append(ended, key.content())
+		}
 	}
 	if update.Complete {
 		t.dropUnlisted(listed)
 	}
 	t.signal()
-	return malformed
+	return ended, malformed
 }
 
 // dropUnlisted removes the sends that the store has no more.
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -28,6 +28,9 @@
 	outageWait = time.Second
 	// maxHold is for how long the reservation of a request without a deadline holds.
 	maxHold = 10 * time.Minute
+	// burstWait is how long after the first end a content is not refused yet: other daemons may know
+	// that it had been answered before.
+	burstWait = 250 * time.Millisecond
 	// unconfirmedLimit is how many back ends may have ended under a content that is sent while the
 	// store is out. The daemons that know of one end may all send it once more.
 	unconfirmedLimit = 1
@@ -131,8 +134,13 @@
 		case !isSuspect:
 			t.forget()
 			return nil
-		case known.ends >= Limit:
+		case known.ends >= Limit && now.Sub(known.endedAt) >= burstWait:
 			return ErrLimitReached
+		case known.ends >= Limit:
+			if err := awaitChangeUntil(ctx, known.endedAt.Add(burstWait), changed); err != nil {
+				return err
+			}
+			continue
 		case t.reserved == nil || now.After(t.reserved.until):
 			t.forget()
 			t.reserve(ctx, prefer)
@@ -205,6 +213,19 @@
 		Msg("Suspected content sent once more. The store does not take the reservation.")
 }
 
+// awaitChangeUntil waits until the table has changed, or a time.
+func awaitChangeUntil(ctx context.Context, until time.Time, changed <-chan struct{}) error {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
 // awaitChange waits until the table has changed, or something else may have.
 func (t *Tracker) awaitChange(ctx context.Context, changed <-chan struct{}) error {
 	var failed <-chan struct{}
@@ -269,6 +290,7 @@
 		return
 	}
 	ends := t.noteEnd(instance)
+	t.guard.tellIfAnswered([]Digest{t.Digest()})
 	if prefer == nil || ends >= Limit || !t.guard.claim(t) {
 		t.ended.write = t.guard.store(t.ended.key, t.ended.send)
 		t.awaitEndKnown()
@@ -326,6 +348,7 @@
 	if t == nil {
 		return
 	}
+	t.guard.noteAnswered(&t.content)
 	t.guard.detached.noteAnswered(&t.content)
 	defer func() { t.content.Body = nil }()
 	if !t.guard.table.mayContain(&t.content) {
--- a/internal/relay/poison_fleet_test.go
+++ b/internal/relay/poison_fleet_test.go
@@ -307,8 +307,11 @@
 // left.
 func TestContentsAreServedWhileBackEndsEnd(t *testing.T) {
 	for name, c := range map[string]failureCase{
-		"callers wait":                      {contents: 40},
-		"callers leave each second request": {contents: 40, patience: usualRun / 2},
+		"callers wait":                                              {contents: 40},
+		"callers leave each second request":                         {contents: 40, patience: usualRun / 2},
+		"contents with many callers":                                {contents: 3},
+		"contents with many callers that leave each second request": {contents: 3, patience: usualRun / 2},
+		"contents with many callers, long runs":                     {contents: 3, runTime: 400 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { c.play(t) })
