poison: files of one job each

The tracker's file had claims and storing, the table's the counting of one suspect, the guard's the messages to other daemons. Moved, not changed; internal/poison passes.

--- a/internal/poison/detached.go
+++ b/internal/poison/detached.go
@@ -73,12 +73,3 @@
 	t.guard.detached.add(detached)
 	return detached
 }
-
-// passOn makes one request that reserves sends of its content be followed by another.
-func (g *Guard) passOn(from, to *Tracker) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if from.digest != "" && g.reserving[from.digest] == from {
-		g.reserving[from.digest] = to
-	}
-}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -25,10 +25,6 @@
 	// sweepInterval is the mean time between two removals of contents whose lifetime is over. It
 	// varies by half, so that not all daemons remove the same.
 	sweepInterval = time.Minute
-	// maxNotified is the most daemons that a daemon tells of a send that the store does not take,
-	// and keepers the number of them that store it, too.
-	maxNotified = 128
-	keepers     = 2
 )
 
 // watchSettings: reads are rarely answered, as sends are rarely stored.
@@ -196,56 +192,6 @@
 	maps.DeleteFunc(g.released, func(_ sendKey, r released) bool { return now.Sub(r.at) > lateAppendTime })
 }
 
-// ReceiveTold handles sends that another daemon tells of, as the store has not taken them. With keep,
-// this daemon stores them, too.
-func (g *Guard) ReceiveTold(records []store.Record, keep bool) {
-	now := time.Now()
-	for _, record := range records {
-		key, send, err := parseSend(record)
-		if err != nil || send.State == StateReserved {
-			g.Logger.Warn().Err(err).Str("key", record.Key).Msg("Send of a suspected content skipped, as told by another daemon. It is malformed.")
-			continue
-		}
-		g.table.put(key, send, notLogged, now)
-		if keep {
-			g.writer.append(store.Record{Key: record.Key, Value: record.Value})
-		}
-		if send.State == StateEnded {
-			g.tellIfAnswered([]Digest{key.content()})
-		}
-	}
-}
-
-// tell tells other daemons of an end or an answer that the store has not taken.
-func (g *Guard) tell(key sendKey, send Send) {
-	record, err := send.record(key)
-	if err != nil {
-		g.logUnencodable(key, err)
-		return
-	}
-	g.Metrics.told.Inc()
-	others := g.others()
-	for number, to := range others[:min(len(others), maxNotified)] {
-		g.Teller.Tell(to, Partition(), []store.Record{record}, number < keepers)
-	}
-	g.Logger.Info().Str("content", string(key.content())).Str("state", string(send.State)).Int("daemons", len(others)).
-		Msg("Other daemons are told of a suspected content. The store has not taken that.")
-}
-
-// others returns the other daemons, those that follow this one in the order of their IDs first.
-func (g *Guard) others() []structs.DaemonID {
-	var before, after []structs.DaemonID
-	for _, member := range g.View.Members() {
-		switch id := member.Daemon.ID; {
-		case id > g.Self:
-			after = append(after, id)
-		case id < g.Self:
-			before = append(before, id)
-		}
-	}
-	return append(after, before...)
-}
-
 // sweep removes contents whose lifetime is over, until ctx ends.
 func (g *Guard) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 const (
@@ -397,57 +395,3 @@
 		t.guard.unclaim(t)
 	}
 }
-
-// claim makes t the request of this daemon that reserves sends of its content; false if there is
-// another one.
-func (g *Guard) claim(t *Tracker) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if other := g.reserving[t.Digest()]; other != nil && other != t {
-		return false
-	}
-	g.reserving[t.Digest()] = t
-	return true
-}
-
-// unclaim undoes claim.
-func (g *Guard) unclaim(t *Tracker) {
-	g.mutex.Lock()
-	isOwn := g.reserving[t.digest] == t
-	if isOwn {
-		delete(g.reserving, t.digest)
-	}
-	g.mutex.Unlock()
-	if isOwn {
-		g.table.wake()
-	}
-}
-
-// store queues a send to be stored, in one append with further records.
-func (g *Guard) store(key sendKey, send Send, further ...store.Record) *write {
-	record, err := send.record(key)
-	if err != nil {
-		g.logUnencodable(key, err)
-		return g.writer.append(further...)
-	}
-	return g.writer.append(append([]store.Record{record}, further...)...)
-}
-
-// storeOrTell waits until the store has taken a send. If that takes long, it tells other daemons and
-// returns false.
-func (g *Guard) storeOrTell(stored *write, key sendKey, send Send) bool {
-	timer := time.NewTimer(tellAfter)
-	defer timer.Stop()
-	select {
-	case <-stored.taken:
-		return true
-	case <-stored.failed:
-	case <-timer.C:
-	}
-	g.tell(key, send)
-	return false
-}
-
-func (g *Guard) logUnencodable(key sendKey, err error) {
-	g.Logger.Error().Err(err).Str("key", string(key)).Msg("Send of a suspected content not stored.")
-}
