--- a/internal/poison/answers_test.go
+++ b/internal/poison/answers_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 )
 
 func TestEndsThatComeAtOnceCountAsOneIfTheContentWasAnsweredBefore(t *testing.T) {
@@ -134,3 +137,28 @@
 		t.Errorf("%d digests are computed in a second, want 1 to %d", due, most)
 	}
 }
+
+// BenchmarkAnsweredRequests: requests with bodies of 100 KB that are answered, all of one shape or each of
+// its own.
+func BenchmarkAnsweredRequests(b *testing.B) {
+	for name, shapes := range map[string]int{"one shape": 1, "many shapes": 1 << 20} {
+		b.Run(name, func(b *testing.B) {
+			g := NewGuard(Options{Metrics: NewMetrics(prometheus.NewRegistry()), Logger: zerolog.Nop()})
+			g.stopListWait()
+			body := make([]byte, 100<<10)
+			targets := make([]string, min(shapes, 1<<16))
+			for number := range targets {
+				targets[number] = fmt.Sprint("/v1/models/", number)
+			}
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				tracker := g.NewTracker(Content{Method: "POST", Target: targets[number%len(targets)], Body: body}, About{})
+				if err := tracker.Admit(b.Context(), nil); err != nil {
+					b.Fatal(err)
+				}
+				tracker.Answered()
+				tracker.Close()
+			}
+		})
+	}
+}
--- a/internal/relay/canceled_run.go
+++ b/internal/relay/canceled_run.go
@@ -106,15 +106,15 @@
 		if !isWatched {
 			return
 		}
-		if w.hasEnded(target, until) {
+		if w.endsUntil(target, until) {
 			w.recordEnd(target)
 			return
 		}
 	}
 }
 
-// hasEnded reports whether an instance ends until a time, for other reasons than a planned shutdown.
-func (w *canceledRuns) hasEnded(target instance.Instance, until time.Time) bool {
+// endsUntil reports whether an instance ends until a time, for other reasons than a planned shutdown.
+func (w *canceledRuns) endsUntil(target instance.Instance, until time.Time) bool {
 	ctx, cancel := context.WithDeadline(context.Background(), until)
 	defer cancel()
 	err := w.relay.Driver.HoldConnection(ctx, target)
