--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -132,9 +132,10 @@
 		case !isSuspect:
 			t.forget()
 			return nil
-		case known.ends >= Limit && now.Sub(known.endedAt) >= burstWait:
-			return ErrLimitReached
 		case known.ends >= Limit:
+			if now.Sub(known.endedAt) >= burstWait {
+				return ErrLimitReached
+			}
 			if err := awaitChangeUntil(ctx, known.endedAt.Add(burstWait), changed); err != nil {
 				return err
 			}
