--- a/internal/poison/answers.go
+++ b/internal/poison/answers.go
@@ -99,9 +99,9 @@
 	go func() { g.answers.add(answered.Digest(), time.Now()) }()
 }
 
-// tellIfAnswered tells the other daemons that contents under which back ends ended had been answered
-// before, if this daemon knows that and no other daemon has told it. It waits a random time until then.
-func (g *Guard) tellIfAnswered(ended []Digest) {
+// reportIfAnswered stores that contents under which back ends ended had been answered before, if this daemon
+// knows that. It does so after a random time, unless another daemon was faster.
+func (g *Guard) reportIfAnswered(ended []Digest) {
 	now := time.Now()
 	for _, content := range ended {
 		if g.answers.contains(content, now) {
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -148,7 +148,7 @@
 	now := time.Now()
 	update.Records = g.withoutReleased(update.Records)
 	ended, malformed := g.table.apply(update, now)
-	g.tellIfAnswered(ended)
+	g.reportIfAnswered(ended)
 	for _, key := range malformed {
 		g.Logger.Warn().Str("key", key).Msg("Record of a suspected content skipped. It is malformed.")
 	}
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -61,7 +61,7 @@
 			g.writer.append(store.Record{Key: record.Key, Value: record.Value})
 		}
 		if send.State == StateEnded {
-			g.tellIfAnswered([]Digest{key.content()})
+			g.reportIfAnswered([]Digest{key.content()})
 		}
 	}
 }
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -289,7 +289,7 @@
 		return
 	}
 	ends := t.noteEnd(instance)
-	t.guard.tellIfAnswered([]Digest{t.Digest()})
+	t.guard.reportIfAnswered([]Digest{t.Digest()})
 	if prefer == nil || ends >= Limit || !t.guard.claim(t) {
 		t.ended.write = t.guard.store(t.ended.key, t.ended.send)
 		t.awaitEndKnown()
--- a/internal/relay/canceled_run.go
+++ b/internal/relay/canceled_run.go
@@ -14,7 +14,8 @@
 )
 
 // Runs that this side cancels, as the caller leaves or the daemon stops, may still end their back end a
-// moment later. Nobody reads from it then, so a connection to it is watched.
+// moment later. Nobody reads its answer then, so a connection to the back end is held for a while, which
+// closes if that ends.
 
 const (
 	// canceledRunWatch is how long after its cancellation a run may still end its back end.
@@ -45,7 +46,7 @@
 	watches workCounter
 
 	mutex sync.Mutex
-	// byInstance holds the runs by the ID of their instance, in the order of their ends.
+	// byInstance holds the runs by the ID of their instance, those whose watch ends first in front.
 	byInstance map[string][]canceledRun
 	count      int
 	bytes      int64
@@ -168,7 +169,7 @@
 	}
 }
 
-// remove removes runs at an instance, at which the rest is left. The mutex must be held.
+// remove removes runs at an instance, of which the rest stays. The mutex must be held.
 func (w *canceledRuns) remove(id string, removed, rest []canceledRun) {
 	w.count -= len(removed)
 	for _, run := range removed {
