relaydaemon: new limits do not hold up the close of an aborted answer

What callers saw: a stream that the daemon broke off did not end; its caller waited until its own time was over. Cause: net/http ends a pending read by a read deadline in the past before it closes the connection of an aborted answer. New limits of a configuration set the read deadline of every open connection to that of its phase, and took this one back when they came in between: the daemon logs the request as broken off at 35.799 s and the routes in force at 35.800. Change: a deadline that the server has set itself applies until the server clears it. Result: TestNewLimitsDoNotHoldUpTheCloseOfAnAbortedAnswer failed before ("the read goes on") and passes; internal/relaydaemon passes.

--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -41,6 +41,9 @@
 	// to it. Until reusableUntil, a request that the caller sends in time may still arrive.
 	reuse         time.Duration
 	reusableUntil time.Time
+	// serverDeadline is the read deadline that the server has set itself, zero if none: it ends a
+	// pending read by one in the past.
+	serverDeadline time.Time
 	// expired: the read deadline was set to the past, so that the server closes the connection.
 	expired bool
 }
@@ -74,10 +77,16 @@
 func (c *frontConnection) SetReadDeadline(at time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if at.IsZero() {
-		at = c.phaseEnd()
+	c.serverDeadline = at
+	return c.Conn.SetReadDeadline(c.readDeadline())
+}
+
+// readDeadline returns the deadline that applies. The caller must hold the mutex.
+func (c *frontConnection) readDeadline() time.Time {
+	if !c.serverDeadline.IsZero() {
+		return c.serverDeadline
 	}
-	return c.Conn.SetReadDeadline(at)
+	return c.phaseEnd()
 }
 
 // phaseEnd returns the deadline of the phase, zero if there is none. The caller must hold the
@@ -119,9 +128,9 @@
 	}
 }
 
-// applyDeadline sets the read deadline to the end of the phase. The caller must hold the mutex.
+// applyDeadline sets the read deadline that applies. The caller must hold the mutex.
 func (c *frontConnection) applyDeadline() {
-	_ = c.Conn.SetReadDeadline(c.phaseEnd()) // fails if the connection is closed
+	_ = c.Conn.SetReadDeadline(c.readDeadline()) // fails if the connection is closed
 }
 
 // grantReuse returns how long the caller may reuse the connection after the answer that begins now,
