--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -247,7 +247,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Now()) }) // fails if it is closed
 	_, _ = c.reader.Peek(1)                                                      // what ended it, isReusable tells
 	if !stop() {
-		_ = c.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{}) // fails if it is closed
 	}
 }
 
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -85,7 +85,8 @@
 	d.regional.waitForHandover(ctx)
 }
 
-// settleAndWithdraw settles turns, stores which back ends ended, and withdraws this daemon's registry entry, until end, which is
+// settleAndWithdraw waits for calls in progress, settles turns, watches the back ends of runs that were
+// cut, stores which of them ended, and withdraws this daemon's registry entry, until end, which is
 // killMargin before the kill. Some of exitMargin is left for it even if requests ran until the
 // shutdown deadline.
 func (d *Daemon) settleAndWithdraw(end time.Time) {
