relay: the bodies of canceled runs are let go with their watch

Cause, found on reading: runs whose watch is over were sliced off the front, and their array, with the bodies that they keep, lived on while the same instance was watched without a break; the bound on bytes did not count them any more. Change: they are cleared. Result: TestEndAfterACanceledRunCounts, TestWatchOfCanceledRunsIsBounded and the fleet tests pass with -race.

--- a/internal/relay/canceled_run.go
+++ b/internal/relay/canceled_run.go
@@ -148,6 +148,7 @@
 	for _, run := range expired {
 		run.tracker.Close()
 	}
+	clear(expired) // the rest shares their array, which would keep the bodies
 	if len(rest) == 0 {
 		return time.Time{}, false
 	}
