Review case 3: a chain is dropped before the turn that keeps it

Cause: a turn is dropped by the retention under which it was kept, although a later turn of its chain is kept for longer (internal/ledger/state.go, expire). Change: review/3 is now this case, as a lost history is graver than a limit that is passed; the owners of a limit stay as a play of the stand-ins.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
 for program in target/mintpulley-relay target/review/standins; do
   [ -x "$program" ] || { echo "$program is missing: run the deploy file's build and review/build.sh first"; exit 2; }
 done
-exec target/review/standins -relay target/mintpulley-relay -record "$folder/record.txt" owners
+exec target/review/standins -relay target/mintpulley-relay -record "$folder/record.txt" chain
--- a/review/standins/owners.go
+++ b/review/standins/owners.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// The case "owners": the daemons are frozen one after the other, while a tenant sends more than its
+// The play "owners" is beside the cases: the daemons are frozen one after the other, while a tenant sends more than its
 // limit by way of all of them.
 
 const (
