--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -22,6 +24,14 @@
 	stateReady     = "ready"
 )
 
+// A body that begins with deadlyBody ends an engine that can be ended, deadlyAfter it began to run.
+const (
+	deadlyBody  = "deadly "
+	deadlyAfter = 40 * time.Millisecond
+)
+
+var errEnded = errors.New("the engine has ended")
+
 // engineKind is how the engines of a service work.
 type engineKind struct {
 	service string
@@ -52,6 +62,9 @@
 
 	mutex    sync.Mutex
 	garbling garbling
+	// open are the open connections. onDeadly, if set, is called when a body ends the engine.
+	open     map[net.Conn]struct{}
+	onDeadly func(request string)
 }
 
 // run is one run of a request at an engine.
@@ -116,6 +129,7 @@
 	e := &engine{
 		engineKind: kind, id: id, zone: zone, address: listener.Addr().String(), listener: listener, journal: journal,
 		places: make(chan struct{}, kind.slots+kind.queue), working: make(chan struct{}, kind.slots), stop: make(chan struct{}),
+		open: map[net.Conn]struct{}{},
 	}
 	journal.slots += kind.slots
 	go e.accept()
@@ -129,6 +143,9 @@
 		if err != nil {
 			return
 		}
+		e.mutex.Lock()
+		e.open[connection] = struct{}{}
+		e.mutex.Unlock()
 		go e.serve(connection)
 	}
 }
@@ -151,6 +168,16 @@
 	_ = e.listener.Close()
 }
 
+// crash ends the engine as a process ends: its listener and connections close, and its entry stays.
+func (e *engine) crash() {
+	e.close()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for connection := range e.open {
+		_ = connection.Close()
+	}
+}
+
 func (e *engine) setGarbling(g garbling) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -182,7 +209,12 @@
 
 func (e *engine) serve(raw net.Conn) {
 	connection := &lockedConn{Conn: raw}
-	defer func() { _ = raw.Close() }()
+	defer func() {
+		_ = raw.Close()
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.open, raw)
+	}()
 	reader := bufio.NewReader(raw)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -223,6 +255,11 @@
 	defer func() { <-e.working }()
 	e.journal.begin(e, id, request.URL.Path)
 	defer e.journal.end()
+	if bytes.HasPrefix(body, []byte(deadlyBody)) && e.onDeadly != nil {
+		time.Sleep(deadlyAfter)
+		e.onDeadly(id)
+		return errEnded
+	}
 	if usage := request.Header.Get("Token-Usage"); usage != "" {
 		return e.stream(c, id, usage, len(body))
 	}
--- a/review/standins/excess.go
+++ b/review/standins/excess.go
@@ -13,11 +13,11 @@
 const (
 	unsafePath = "/puxa403/2f"
 	// unsafeRate is how many requests a second clients send.
-	unsafeRate = 150.0
+	unsafeRate = 160.0
 	// garbleTime and garblePause are the times with and without the disruption, garbleSpans their number.
 	garbleTime  = 5 * time.Second
 	garblePause = time.Second
-	garbleSpans = 12
+	garbleSpans = 14
 	// garbleShare is the share of answers that are sent again.
 	garbleShare    = 0.03
 	unsafeDeadline = 2 * time.Second
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -37,6 +37,7 @@
 		"backlog": {[]string{"zilina", "martin", "banska-bystrica", "zvolen"}, playBacklog},
 		"large":   {[]string{"zilina", "martin", "banska-bystrica", "zvolen"}, playLarge},
 		"chain":   {[]string{"zilina", "martin"}, playChain},
+		"deadly":  {[]string{"zilina", "martin", "banska-bystrica", "zvolen"}, playDeadly},
 		"excess":  {[]string{"zilina", "martin"}, playExcess},
 		"owners":  {[]string{"akl-a", "akl-b", "akl-c"}, playOwners},
 	}
