relay, httpconn: logs name the connection of an offer

The log could not tell four hypotheses apart: a late copy of an earlier refusal on the same connection, an engine that refuses and runs, a request written twice, a second daemon.

Each connection of a pool has a number now, a request has the list of those that it was sent on, and the lines "Offer not taken.", "Offer failed." and "Request answered." name the last of them; "Offer not taken." also says how long the answer took.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -67,6 +67,8 @@
 
 type conn struct {
 	net.Conn
+	// number tells the pool's connections apart.
+	number  uint64
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
@@ -143,6 +145,9 @@
 	ConnectTimeout time.Duration
 	// Peer, if not nil, is the process that must be at the other end.
 	Peer *Peer
+	// Used, if not nil, lists the connections on which the same request was sent before. The pool
+	// adds the one that it sends the request on.
+	Used *UsedConnections
 }
 
 // Do sends a request to an address and reads the response header. The response body must be closed;
@@ -159,6 +164,7 @@
 	}
 	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
 	e.stop = context.AfterFunc(ctx, func() { c.closeWithCause(context.Cause(ctx)) })
+	bounds.Used.add(c)
 	response, err := e.start(request)
 	if err != nil {
 		e.discard()
@@ -253,7 +259,8 @@
 
 // open opens a connection within the limits on connections and connect time.
 func (p *Pool) open(ctx context.Context, name string, bounds Bounds) (*conn, error) {
-	if !p.reserve(name, bounds.Connections) {
+	number, reserved := p.reserve(name, bounds.Connections)
+	if !reserved {
 		return nil, ErrNoConnection
 	}
 	timeout := p.dialTimeout
@@ -270,7 +277,7 @@
 		p.release(name)
 		return nil, eris.Wrapf(dialError(err), "dial %s: %v", name, err)
 	}
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize)}
+	c := &conn{Conn: raw, number: number, reader: bufio.NewReaderSize(raw, bufferSize)}
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c, nil
 }
@@ -302,7 +309,9 @@
 	}
 }
 
-func (p *Pool) reserve(name string, limit int) bool {
+// reserve counts a new connection to an address and returns its number, unless the address has as many
+// connections as the limit; 0 for no limit.
+func (p *Pool) reserve(name string, limit int) (number uint64, reserved bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
@@ -311,11 +320,11 @@
 		p.addresses[name] = a
 	}
 	if limit > 0 && a.open >= limit {
-		return false
+		return 0, false
 	}
 	a.open++
 	p.dials++
-	return true
+	return p.dials, true
 }
 
 func (p *Pool) release(name string) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/tenant"
@@ -201,6 +202,9 @@
 	// ThisRunOnly: the call must not reach a later run of the back end at the same address, as
 	// far as runs tell who they are. Such an answer is Misdirected.
 	ThisRunOnly bool
+	// Connections lists the connections on which the call was sent; nil if that is not tracked. The
+	// driver adds to it.
+	Connections *httpconn.UsedConnections
 }
 
 // Answer is an instance's answer, with its body unread.
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -7,6 +7,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mintpulley/mintpulley/internal/admission"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/residency"
@@ -42,6 +43,8 @@
 	// offers counts all offers, and latest is the last of them.
 	offers int
 	latest latestOffer
+	// connections lists the connections on which the call was sent.
+	connections httpconn.UsedConnections
 	// countedAt is the instance whose load includes the call, nil for none.
 	countedAt *instance.Instance
 	// stream is the state of an answer that is a stream, nil before.
@@ -174,6 +177,7 @@
 	c.latest = latestOffer{beganAt: now, heardAt: now}
 	outgoing.ConnectionLimit = c.relay.connectionLimit(c.service)
 	outgoing.NewConnection = c.tracker.IsSuspect()
+	outgoing.Connections = &c.connections
 	outgoing.ConnectTimeout = c.relay.monitor.connectTimeout(target)
 	c.latest.pending = &pendingOffer{target: target, kind: c.call.Route.Name, alternative: c.alternativeTo(target)}
 	c.latest.context = c.relay.monitor.startOffer(ctx, c.latest.pending)
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -28,7 +28,7 @@
 		return true
 	}
 	c.releaseFailed(target)
-	c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err).Msg("Offer failed.")
+	c.logFailedOffer(target, err)
 	if httpconn.IsNotSent(err) {
 		// The instance does not accept connections. Nearly always it is gone, and most back
 		// ends stop a run when its connection breaks. A back end that is shutting down may
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 )
 
@@ -68,6 +69,7 @@
 		return
 	}
 	event = event.Str("instance", target.ID).Str("version", target.Version).Int("status", status).Int("offers", c.offers).Int("runs", c.runs).
+		Uint64("connection", c.connections.Latest()).
 		Dur("held", time.Since(c.call.Received)).Dur("instances_age", c.relay.Pool.ListAge()).Int64("routes_version", c.routesVersion())
 	if !c.heldUp.Since.IsZero() {
 		event = c.logForecast(event)
@@ -98,7 +100,17 @@
 // request.
 func (c *callHandler) logNotTaken(target instance.Instance, status int) {
 	logger := callLogger(c.relay.routine, c.call)
-	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Msg("Offer not taken.")
+	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Uint64("connection", c.connections.Latest()).
+		Dur("answered_after", time.Since(c.latest.beganAt)).Msg("Offer not taken.")
+}
+
+// logFailedOffer logs an offer that ended with an error.
+func (c *callHandler) logFailedOffer(target instance.Instance, err error) {
+	line := c.logger.Info().Str("instance", target.ID).Int("offer", c.offers).Err(err)
+	if !httpconn.IsNotSent(err) {
+		line = line.Uint64("connection", c.connections.Latest())
+	}
+	line.Msg("Offer failed.")
 }
 
 // logRefusal adds the fields of a refused call: how far it got, and what held it up.
