httpconn: a request is sent at most once on a connection

Cause: an engine that is full refuses a request, and the daemon offers it to the same engine again 15 to 60 ms later, often on the same connection. A late second copy of the first refusal then stands where the second answer is due. It has the request's ID, so nothing tells it apart, and the request is taken for not run while it runs. A request's ID is not an offer's: each second offer of one ID on a connection is in doubt, whatever the first answer was.

Change: a call keeps the list of the connections that it was sent on, and the pool takes another idle one, or opens one. At the limit of connections it closes the longest idle one of those on the list and opens another in its place; one in use is never closed. That holds for whatever made the call go out again: refusal, 421, broken answer, resumption of a stream. Nothing is kept beyond the call, so there is no bound on how late a copy may be, and calls that are offered once pay nothing.

Weighed: closing each connection that refused (a new connection for each refusal, where engines shed in their thousands); a memory of IDs on the connection (a bound on how late a copy may be, and memory for all calls, not for those that are offered again).

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -11,6 +11,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -57,6 +58,8 @@
 	mutex       sync.Mutex
 	addresses   map[string]*address
 	dials       uint64
+	// replaced counts the idle connections that were closed to make room for another.
+	replaced uint64
 }
 
 type address struct {
@@ -115,6 +118,14 @@
 	return p.dials
 }
 
+// Replaced returns the number of idle connections that were closed so far because a request that had
+// been sent on all connections to an address, at its limit of connections, needed another one.
+func (p *Pool) Replaced() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.replaced
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(name string) {
 	p.mutex.Lock()
@@ -145,8 +156,8 @@
 	ConnectTimeout time.Duration
 	// Peer, if not nil, is the process that must be at the other end.
 	Peer *Peer
-	// Used, if not nil, lists the connections on which the same request was sent before. The pool
-	// adds the one that it sends the request on.
+	// Used, if not nil, lists the connections on which the same request was sent before: none of them
+	// is used. The pool adds the one that it sends the request on.
 	Used *UsedConnections
 }
 
@@ -177,7 +188,7 @@
 // closed meanwhile, so it is not the last word.
 func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !bounds.Fresh {
-		if c := p.takeIdle(name); c != nil {
+		if c := p.takeIdle(name, bounds.Used); c != nil {
 			if p.identify(ctx, c, bounds.Peer) == nil {
 				return c, nil
 			}
@@ -185,6 +196,9 @@
 		}
 	}
 	c, err := p.open(ctx, name, bounds)
+	if errors.Is(err, ErrNoConnection) && p.closeUsed(name, bounds.Used) {
+		c, err = p.open(ctx, name, bounds)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -230,7 +244,7 @@
 // Hold keeps a connection to an address open until ctx ends, an idle one if there is one. It returns
 // ErrResetUnused if the peer closes it before. A connection that is still open is kept for a later request.
 func (p *Pool) Hold(ctx context.Context, name string) error {
-	c := p.takeIdle(name)
+	c := p.takeIdle(name, nil)
 	if c == nil {
 		opened, err := p.open(ctx, name, Bounds{})
 		if err != nil {
@@ -290,25 +304,56 @@
 	return ErrNotSent
 }
 
-func (p *Pool) takeIdle(name string) *conn {
-	now := time.Now()
+// takeIdle returns an open idle connection to an address that is not among the used ones, nil if there
+// is none.
+func (p *Pool) takeIdle(name string, used *UsedConnections) *conn {
 	for {
-		p.mutex.Lock()
-		a := p.addresses[name]
-		if a == nil || len(a.idle) == 0 {
-			p.mutex.Unlock()
-			return nil
-		}
-		c := a.idle[len(a.idle)-1]
-		a.idle = a.idle[:len(a.idle)-1]
-		p.mutex.Unlock()
-		if now.Before(c.expires) && isReusable(c.Conn) {
+		c := p.removeIdle(name, used)
+		if c == nil || time.Now().Before(c.expires) && isReusable(c.Conn) {
 			return c
 		}
 		p.drop(name, c)
 	}
 }
 
+// removeIdle removes the latest idle connection that is not among the used ones from those of an
+// address, and returns it; nil if there is none.
+func (p *Pool) removeIdle(name string, used *UsedConnections) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		return nil
+	}
+	for i, c := range slices.Backward(a.idle) {
+		if !used.contains(c) {
+			a.idle = slices.Delete(a.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// closeUsed makes room for another connection to an address: it closes the longest idle one of those
+// that are used, and reports whether there was one.
+func (p *Pool) closeUsed(name string, used *UsedConnections) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	a := p.addresses[name]
+	if a == nil {
+		return false
+	}
+	i := slices.IndexFunc(a.idle, used.contains)
+	if i < 0 {
+		return false
+	}
+	_ = a.idle[i].Close() // nothing waits to be sent
+	a.idle = slices.Delete(a.idle, i, i+1)
+	a.open--
+	p.replaced++
+	return true
+}
+
 // reserve counts a new connection to an address and returns its number, unless the address has as many
 // connections as the limit; 0 for no limit.
 func (p *Pool) reserve(name string, limit int) (number uint64, reserved bool) {
--- a/internal/httpconn/used_connections.go
+++ b/internal/httpconn/used_connections.go
@@ -1,7 +1,11 @@
 package httpconn
 
-// UsedConnections lists the connections on which one request was sent. The zero value is empty. It
-// must not be used by two exchanges at the same time.
+import "slices"
+
+// UsedConnections lists the connections on which one request was sent. A peer may send an answer twice,
+// the second time late, and a request's ID does not tell which of its sends is answered; so a request is
+// sent at most once on a connection. The zero value is empty. It must not be used by two exchanges at
+// the same time.
 type UsedConnections struct {
 	// numbers are the connections' numbers in their pool, oldest first.
 	numbers []uint64
@@ -16,6 +20,11 @@
 	return u.numbers[len(u.numbers)-1]
 }
 
+// contains reports whether a connection was used.
+func (u *UsedConnections) contains(c *conn) bool {
+	return u != nil && slices.Contains(u.numbers, c.number)
+}
+
 func (u *UsedConnections) add(c *conn) {
 	if u != nil {
 		u.numbers = append(u.numbers, c.number)
