ledger: a turn is kept as long as the turns that continue it

Cause: how long a turn is kept was taken for its own property. Each use of a chain renewed the time of the last use of all its turns, but each was then dropped by the retention of the route that it came by. A chain that begins on a route of 15 s and goes on by one of 60 s lost its first turn 25 s after its last use, and with it all others. So it was in memory, after a takeover, and where texts are read later.

Change: a turn has the time until which it is needed, the latest end of its own retention and of those of all turns that continue it. A use passes the longest retention met so far up the chain, so none is dropped before a later one. A successor works it out anew from the records, as each names the turn before it: records and messages are as before, and builds before and after read each other. Beside: a chain's text is put together only where it is wanted, and no more for each end of a turn and each begin whose daemon has it.

Cost: no byte and no append more. Not covered: a daemon of a build before that holds the shard for a while still drops by its own rule.

--- a/internal/ledger/former_accounts.go
+++ b/internal/ledger/former_accounts.go
@@ -47,3 +47,11 @@
 	}
 	return b
 }
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/ledger/holder_capacity.go
+++ b/internal/ledger/holder_capacity.go
@@ -81,17 +81,17 @@
 
 // usage returns the sizes of the shard's newest records and when they expire.
 func (s *state) usage(now time.Time) (profile storecapacity.Profile, sizes shardSizes) {
-	add := func(sum *int64, bytes int64, usedAt time.Time, retentionMS int64) {
-		life := time.Duration(retentionMS)*time.Millisecond + RetentionMargin
+	add := func(sum *int64, bytes int64, neededUntil time.Time, retention time.Duration) {
 		*sum += bytes
-		profile.Add(bytes, life-now.Sub(usedAt))
-		profile.RetentionMS = max(profile.RetentionMS, life.Milliseconds())
+		profile.Add(bytes, neededUntil.Add(RetentionMargin).Sub(now))
+		profile.RetentionMS = max(profile.RetentionMS, (retention + RetentionMargin).Milliseconds())
 	}
 	for _, turn := range s.turns {
-		add(&sizes.turns, int64(len(turn.Input)+len(turn.Output)+turnHeaderBytes), turn.usedAt, turn.RetentionMS)
+		add(&sizes.turns, int64(len(turn.Input)+len(turn.Output)+turnHeaderBytes), turn.neededUntil, turn.retention())
 	}
 	for _, entry := range s.accounts {
-		add(&sizes.accounts, accountBytes, entry.usedAt, entry.RetentionMS)
+		retention := time.Duration(entry.RetentionMS) * time.Millisecond
+		add(&sizes.accounts, accountBytes, entry.usedAt.Add(retention), retention)
 	}
 	return profile, sizes
 }
--- a/internal/ledger/recovery_world_test.go
+++ b/internal/ledger/recovery_world_test.go
@@ -144,10 +144,3 @@
 	}
 	return nil
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/ledger/shard_clock.go
+++ b/internal/ledger/shard_clock.go
@@ -58,20 +58,7 @@
 		entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
 	}
 	for _, entry := range s.turns {
-		entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
-	}
-	for _, entry := range s.turns {
-		s.extendChainRetention(entry)
-	}
-}
-
-// extendChainRetention keeps the turns before a turn for as long as that turn, since their
-// own records do not show that they are still in use.
-func (s *state) extendChainRetention(entry *turnEntry) {
-	for before := s.turns[entry.Previous]; before != nil; before = s.turns[before.Previous] {
-		if !before.usedAt.Before(entry.usedAt) {
-			return
-		}
-		before.usedAt = entry.usedAt
+		s.restoreUse(entry)
 	}
+	s.restoreChains()
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -80,6 +80,8 @@
 	// to its record; 0 if it is not known.
 	UsedAtMS int64
 	usedAt   time.Time
+	// neededUntil is when the retentions of the turn, and of the turns that continue it, are over.
+	neededUntil time.Time
 }
 
 func newState(now time.Time) *state {
@@ -97,10 +99,10 @@
 	if _, over := s.ended[turn.ID]; over {
 		return Grant{}, resultEnded
 	}
-	if turn.Imported != nil && s.turns[turn.Imported.ID] == nil {
-		s.keep(turn.Imported, turn.Retention.Milliseconds(), now)
+	if turn.Imported != nil {
+		s.keep(turn.Imported, turn.Retention, now)
 	}
-	history, err := s.history(turn.Previous, now)
+	chain, err := s.useChain(turn.Previous, turn.Retention, now)
 	if err != nil {
 		return Grant{}, resultUnknownTurn
 	}
@@ -121,11 +123,11 @@
 	s.markDirty(accountPrefix + turn.Program)
 	entry.noteOrigin(turn, s.clock.showMS(now))
 	grant := Grant{
-		History: history, Underway: underway, Instance: entry.instanceOf(turn.Session),
+		Underway: underway, Instance: entry.instanceOf(turn.Session), HistoryOmitted: turn.HistoryKnown,
 		Origin: entry.originOf(turn.Resumes), OriginKept: turn.Origin != nil,
 	}
-	if turn.HistoryKnown {
-		grant.History, grant.HistoryOmitted = nil, true
+	if !turn.HistoryKnown {
+		grant.History = textOf(chain)
 	}
 	return grant, resultOK
 }
@@ -148,14 +150,14 @@
 	if outcome.Kept == nil {
 		return resultOK
 	}
-	retention := outcome.Retention.Milliseconds()
+	retention := outcome.Retention
 	if entry != nil {
-		retention = max(retention, entry.RetentionMS)
+		retention = max(retention, time.Duration(entry.RetentionMS)*time.Millisecond)
 	}
 	if outcome.Imported != nil {
 		s.keep(outcome.Imported, retention, now)
 	}
-	if _, err := s.history(outcome.Kept.Previous, now); err != nil {
+	if _, err := s.useChain(outcome.Kept.Previous, retention, now); err != nil {
 		return resultUnknownTurn
 	}
 	s.keep(outcome.Kept, retention, now)
@@ -172,22 +174,24 @@
 	return true
 }
 
-func (s *state) keep(turn *KeptTurn, retentionMS int64, now time.Time) {
+// keep adds a completed turn, unless it is kept already. The turns before it must have been used.
+func (s *state) keep(turn *KeptTurn, retention time.Duration, now time.Time) {
 	if s.turns[turn.ID] != nil {
 		return
 	}
-	s.turns[turn.ID] = &turnEntry{KeptTurn: *turn, RetentionMS: retentionMS, usedAt: now}
+	entry := &turnEntry{KeptTurn: *turn, RetentionMS: retention.Milliseconds()}
+	entry.use(now, retention)
+	s.turns[turn.ID] = entry
 	s.markDirty(turnPrefix + turn.ID)
-	_, _ = s.history(turn.Previous, now) // marks the chain as used
 }
 
 // find returns a turn with its whole chain merged into one turn, nil if it is not kept.
 func (s *state) find(id string, now time.Time) *KeptTurn {
-	text, err := s.history(id, now)
+	chain, err := s.useChain(id, 0, now)
 	if err != nil || id == "" {
 		return nil
 	}
-	return &KeptTurn{ID: id, Input: text}
+	return &KeptTurn{ID: id, Input: textOf(chain)}
 }
 
 // expire drops up to limit records that are past their retention, and returns how many.
@@ -201,7 +205,7 @@
 		}
 	}
 	for id, entry := range s.turns {
-		if dropped < limit && isExpired(now.Sub(entry.usedAt), entry.RetentionMS) {
+		if dropped < limit && now.Sub(entry.neededUntil) > RetentionMargin {
 			delete(s.turns, id)
 			s.markDirty(turnPrefix + id)
 			dropped++
@@ -210,7 +214,8 @@
 	return dropped
 }
 
-// isExpired reports whether a record that was not used for a time is past its retention.
+// isExpired reports whether a record that was not used for a time, and that nothing else needs, is past
+// its retention.
 func isExpired(unusedFor time.Duration, retentionMS int64) bool {
 	return unusedFor > time.Duration(retentionMS)*time.Millisecond+RetentionMargin
 }
--- a/internal/ledger/state_records.go
+++ b/internal/ledger/state_records.go
@@ -102,7 +102,6 @@
 	if err := s.load(record); err != nil {
 		return err
 	}
-	entry := s.turns[id]
-	entry.usedAt = s.clock.timeOf(entry.UsedAtMS)
+	s.restoreUse(s.turns[id])
 	return nil
 }
