ledger: an account is kept as long as a turn that ended without a reservation

An account took over the retention of the turns that were reserved in it alone. If its holder died with the reservation of a turn of a longer retention, the end of that turn renewed the account's last use and kept the turn for its own retention, but the account for that of the program's earlier turns.

Change: the end of a turn raises the account's retention as the begin does. No byte and no append more.

Measured: TestAccountIsKeptAsLongAsATurnThatIsNotReservedThere failed before (the account is gone 60 s after a turn of 60 s ended, the turn is there).

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -1,5 +1,7 @@
 package ledger
 
+import "time"
+
 const (
 	// headroomDivisor limits headroom to this fraction of the remaining budget.
 	headroomDivisor = 2
@@ -63,10 +65,15 @@
 	a.Reserved[turn.ID] = turn.MaxTokens
 	a.BudgetTokens = turn.BudgetTokens
 	a.MaxTokens = turn.MaxTokens
-	a.RetentionMS = max(a.RetentionMS, turn.Retention.Milliseconds())
+	a.coverRetention(turn.Retention)
 	return true
 }
 
+// coverRetention keeps the account for as long as a turn of the program with a retention.
+func (a *account) coverRetention(retention time.Duration) {
+	a.RetentionMS = max(a.RetentionMS, retention.Milliseconds())
+}
+
 // settle replaces a turn's reservation with the tokens it used. It returns false if there
 // is no reservation.
 func (a *account) settle(turn string, used int64) bool {
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -138,7 +138,9 @@
 func (s *state) end(outcome Outcome, now time.Time) result {
 	entry := s.accounts[outcome.Program]
 	if entry != nil {
-		entry.usedAt = now // even if the turn was granted by a holder that died with its reservation
+		// Even if the turn was granted by a holder that died with its reservation.
+		entry.usedAt = now
+		entry.coverRetention(outcome.Retention)
 		s.markDirty(accountPrefix + outcome.Program)
 	}
 	if entry == nil || !entry.settleTurn(outcome) {
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// Guards against a budget that starts over while a turn of the program is kept: the account was dropped
+// by the retention of the program's earlier turns if its holder died with the later one's reservation.
+func TestAccountIsKeptAsLongAsATurnThatIsNotReservedThere(t *testing.T) {
+	s := newState(time.Now())
+	start := time.Now()
+	s.begin(Turn{ID: "a", Program: "p", Retention: 15 * time.Second, BudgetTokens: 100, MaxTokens: 75}, start)
+	s.end(Outcome{Turn: "b", Program: "p", UsedTokens: 5, Retention: time.Minute, Kept: &KeptTurn{ID: "b"}}, start)
+	s.expire(start.Add(time.Minute), 100)
+	if s.accounts["p"] == nil || s.turns["b"] == nil {
+		t.Errorf("within the retention of the turn its account is %v, the turn %v", s.accounts["p"], s.turns["b"])
+	}
+}
+
 // TestChainIsKeptAsLongAsItsLastTurn: the records of earlier turns do not show that a later
 // one continues from them.
 func TestChainIsKeptAsLongAsItsLastTurn(t *testing.T) {
