httpconn: a late second answer does not cost the next request its own

Cause: an answer in excess stands in the place of the next request's answer. It has another request's ID, so it was rejected and the connection closed, as after an answer that cannot be trusted: the request may have run, and one that must not be repeated fails. The question to a peer for its identity took such an answer for that of a process that does not tell who it is, so a request could reach a later run of a back end at the same address.

Change: a connection remembers the last 16 requests that it answered whole. An answer with the ID of one of them is read to its end and passed over, up to 64 KB and four in a row; then the connection breaks as before. Any other wrong ID is rejected as before. Of a request itself there is never a second answer on its connection, as it is sent there once.

Cost: 16 IDs for each connection that answered as many, some 0.5 KB; no call.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -10,9 +10,6 @@
 	"github.com/rotisserie/eris"
 )
 
-// firstFinalStatus is the lowest status code of a final response.
-const firstFinalStatus = 200
-
 // exchange is one request and its response on a connection.
 type exchange struct {
 	pool    *Pool
@@ -25,7 +22,9 @@
 	// unlimitedUnacknowledged is set if the request is so long that the connection must have no
 	// limit on unacknowledged bytes.
 	unlimitedUnacknowledged bool
-	finished                sync.Once
+	// labels tells the answers on the connection apart, nil if they have no labels.
+	labels   *Labels
+	finished sync.Once
 }
 
 // start writes the request and reads the response header.
@@ -43,7 +42,7 @@
 	} else {
 		go func() { e.written <- e.write(request) }()
 	}
-	response, err := e.readHead(request)
+	response, err := e.conn.readAnswer(request, e.labels, e.pool.countExcess)
 	if err != nil {
 		return nil, eris.Wrapf(ErrBroken, "read: %v", err)
 	}
@@ -67,19 +66,6 @@
 	return e.conn.writer.Flush()
 }
 
-// readHead reads the final response, skipping informational ones (1xx).
-func (e *exchange) readHead(request *http.Request) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(e.conn.reader, request)
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= firstFinalStatus {
-			return response, nil
-		}
-	}
-}
-
 // finish returns the connection to the pool if the request was written and the response read
 // completely, and nothing follows the response.
 func (e *exchange) finish(response *http.Response) {
@@ -92,6 +78,9 @@
 		if e.unlimitedUnacknowledged {
 			e.conn.limitUnacknowledged(unacknowledgedTimeout)
 		}
+		if e.labels != nil {
+			e.conn.noteAnswered(e.labels.Request)
+		}
 		e.pool.putIdle(e.address, e.conn, idle)
 	})
 }
--- a/internal/httpconn/peer.go
+++ b/internal/httpconn/peer.go
@@ -27,12 +27,13 @@
 
 // identify makes sure that the required process is at the other end of a connection, if it tells
 // who it is. The error otherwise wraps ErrOtherPeer or ErrResetUnused.
-func (p *Pool) identify(ctx context.Context, c *conn, peer *Peer) error {
+func (p *Pool) identify(ctx context.Context, c *conn, bounds Bounds) error {
+	peer := bounds.Peer
 	if peer == nil {
 		return nil
 	}
 	if c.peer == "" {
-		if err := c.ask(ctx, peer, p.dialTimeout); err != nil {
+		if err := p.ask(ctx, c, bounds); err != nil {
 			return eris.Wrapf(ErrResetUnused, "ask who is there: %v", err)
 		}
 	}
@@ -45,11 +46,12 @@
 // errClosing: the process closes the connection after its answer.
 var errClosing = eris.New("httpconn: the connection is being closed")
 
-// ask asks the process at the other end for its identity, for at most the given time.
-func (c *conn) ask(ctx context.Context, peer *Peer, timeout time.Duration) error {
+// ask asks the process at the other end for its identity, for at most the timeout of dialling.
+func (p *Pool) ask(ctx context.Context, c *conn, bounds Bounds) error {
+	peer := bounds.Peer
 	stop := context.AfterFunc(ctx, func() { c.closeWithCause(context.Cause(ctx)) })
 	defer stop()
-	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(p.dialTimeout)); err != nil {
 		return err
 	}
 	if err := peer.Question.Write(c.writer); err != nil {
@@ -58,7 +60,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(c.reader, peer.Question)
+	response, err := c.readAnswer(peer.Question, bounds.Labels.ofQuestion(), p.countExcess)
 	if err != nil {
 		return err
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -60,6 +60,8 @@
 	dials       uint64
 	// replaced counts the idle connections that were closed to make room for another.
 	replaced uint64
+	// excess counts the answers in excess that were passed over.
+	excess uint64
 }
 
 type address struct {
@@ -79,6 +81,8 @@
 	sent int64
 	// peer is the identity of the process at the other end, "" before it was asked.
 	peer string
+	// answered are the labels of the latest requests that were answered, oldest first.
+	answered []string
 }
 
 // Write implements net.Conn.
@@ -126,6 +130,19 @@
 	return p.replaced
 }
 
+// Excess returns the number of answers in excess that were passed over so far.
+func (p *Pool) Excess() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.excess
+}
+
+func (p *Pool) countExcess() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.excess++
+}
+
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(name string) {
 	p.mutex.Lock()
@@ -159,6 +176,9 @@
 	// Used, if not nil, lists the connections on which the same request was sent before: none of them
 	// is used. The pool adds the one that it sends the request on.
 	Used *UsedConnections
+	// Labels, if not nil, tells the answers on a connection apart, so that a late second answer to an
+	// earlier request is passed over.
+	Labels *Labels
 }
 
 // Do sends a request to an address and reads the response header. The response body must be closed;
@@ -173,7 +193,7 @@
 		p.drop(name, c)
 		return nil, ErrSendTooLate
 	}
-	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1)}
+	e := &exchange{pool: p, address: name, conn: c, written: make(chan error, 1), labels: bounds.Labels}
 	e.stop = context.AfterFunc(ctx, func() { c.closeWithCause(context.Cause(ctx)) })
 	bounds.Used.add(c)
 	response, err := e.start(request)
@@ -189,7 +209,7 @@
 func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !bounds.Fresh {
 		if c := p.takeIdle(name, bounds.Used); c != nil {
-			if p.identify(ctx, c, bounds.Peer) == nil {
+			if p.identify(ctx, c, bounds) == nil {
 				return c, nil
 			}
 			p.drop(name, c)
@@ -202,7 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.identify(ctx, c, bounds.Peer); err != nil {
+	if err := p.identify(ctx, c, bounds); err != nil {
 		p.drop(name, c)
 		return nil, eris.Wrap(err, name)
 	}
