ledger: no append leaves a daemon that the store's bounds refuse

Cause: all changes of a shard went into one call, a turn into one record, whatever their size; the store's bounds were not read from the settings; and a refusal that no repeat changes (413) was taken for "outcome unknown", so the holder repeated the same call until its process ended.

Change: - store_record_bytes and store_call_bytes come from the settings (defaults as on the deploy page; 0 or too little is an error that names the field). - A turn or copied chain that is longer than a record is kept as a chain of turns with the same text, whose last one has its ID: it is found whole or not at all, and a build before reads it as what it is. No record has a new form. - Changes beyond one call go in several, one after the other, each with its own sequence number; operations are answered after the last. What a successor finds if the holder dies between two: an account without its turn or the reverse (the caller has no whole answer; the end is repeated and adds what is missing), new headroom only as what both the old and the new record allow, and the allowance, which comes last and covers programs whose account is missing. - 400, 413, 414 and 422 are rejections: the append is not repeated, the largest record is logged, and the shard is read again without the changes.

Not done: a bound in bytes on what waits in an outage, beside the relays' own.

--- a/internal/ledger/append.go
+++ b/internal/ledger/append.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -37,8 +39,11 @@
 
 // pendingAppend is an append under way, with the operations that wait for it.
 type pendingAppend struct {
+	// writer is that of the first call. The store takes the records in several calls if they are
+	// too large for one; until the last of them, no operation is answered.
 	writer  store.Writer
 	records []store.Record
+	calls   [][]store.Record
 	waiting []pendingReply
 	// sentAt is when the first try began.
 	sentAt time.Time
@@ -103,9 +108,15 @@
 	if !h.state.allowance.sentAt.IsZero() {
 		h.status.allowanceSentAt.set(h.state.allowance.sentAt)
 	}
+	calls := h.bounds.Split(records)
 	h.sequence++
-	h.appends.pending = &pendingAppend{writer: h.writer(), records: records, waiting: waiting, sentAt: time.Now()}
+	h.appends.pending = &pendingAppend{writer: h.writer(), records: records, calls: calls, waiting: waiting, sentAt: time.Now()}
+	h.sequence += uint64(len(calls) - 1)
 	h.status.appending.Store(true)
+	if len(calls) > 1 {
+		h.logger.Info().Uint64("epoch", h.epoch).Int("calls", len(calls)).Int("records", len(records)).Int("bytes", store.SizeOf(records)).
+			Msg("Changes are appended in several calls.")
+	}
 	go h.runAppend(ctx, h.appends.pending)
 }
 
@@ -119,13 +130,28 @@
 	return records, err
 }
 
-// runAppend appends records until the store gives a final answer. All tries have the same
-// sequence number, so the store applies the append once. Until then it reports regularly
-// that the append is still under way.
+// appendCalls makes the calls of an append one after the other, each until the store gives a final
+// answer. All tries at a call have the same sequence number, so the store applies it once. It reports
+// each call that is done to progress.
+func (h *holder) appendCalls(ctx context.Context, current *pendingAppend, progress chan<- struct{}) error {
+	ctx = store.WithPurpose(ctx, store.PurposeChanges)
+	writer := current.writer
+	for _, records := range current.calls {
+		if err := h.records.append(ctx, h.partition, writer, records); err != nil {
+			return err
+		}
+		writer.Sequence++
+		progress <- struct{}{}
+	}
+	return nil
+}
+
+// runAppend makes an append. While the store does not answer, it reports regularly that the append is
+// still under way.
 func (h *holder) runAppend(ctx context.Context, current *pendingAppend) {
 	done := make(chan error, 1)
-	ctx = store.WithPurpose(ctx, store.PurposeChanges)
-	go func() { done <- h.records.append(ctx, h.partition, current.writer, current.records) }()
+	progress := make(chan struct{}, len(current.calls))
+	go func() { done <- h.appendCalls(ctx, current, progress) }()
 	slow := time.NewTimer(slowAppendAfter)
 	defer slow.Stop()
 	for {
@@ -133,6 +159,9 @@
 		select {
 		case event.err = <-done:
 			event.underway = false
+		case <-progress:
+			slow.Reset(slowAppendAfter)
+			continue
 		case <-slow.C:
 			slow.Reset(slowAppendInterval)
 		case <-ctx.Done():
@@ -162,11 +191,22 @@
 	case event.err == nil:
 		h.completeAppend(ctx, current, time.Now())
 	default:
+		if errors.Is(event.err, store.ErrRejected) {
+			h.logRejected(current, event.err)
+		}
 		h.drop()
 		h.refuseAll(current.waiting, h.noteLoss(ctx, event.err))
 	}
 }
 
+// logRejected logs an append that the store never takes.
+func (h *holder) logRejected(current *pendingAppend, err error) {
+	largest := slices.MaxFunc(current.records, func(a, b store.Record) int { return len(a.Value) - len(b.Value) })
+	h.logger.Error().Err(err).Uint64("epoch", h.epoch).Int("calls", len(current.calls)).Int("records", len(current.records)).
+		Int("bytes", store.SizeOf(current.records)).Str("largest", largest.Key).Int("largest_bytes", len(largest.Value)).
+		Msg("Changes rejected by the store. The shard is read again without them.")
+}
+
 // completeAppend handles a successful append.
 func (h *holder) completeAppend(ctx context.Context, done *pendingAppend, now time.Time) {
 	h.appends.pending = nil
--- a/internal/ledger/claim.go
+++ b/internal/ledger/claim.go
@@ -233,6 +233,7 @@
 func (h *holder) installState(records []store.Record, first bool, now time.Time) restoredAccounts {
 	h.state = newState(now)
 	h.state.machine = h.machine
+	h.state.maxTextBytes = maxTextBytes(h.bounds)
 	h.limiter = quota.NewLimiter(h.quotaTolerance, first, now)
 	h.status.holding.Store(true)
 	h.tenure.prolong(now)
--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -46,6 +46,8 @@
 	storeBytes float64
 	// readBytes is the store's read capacity per second as told to daemons.
 	readBytes float64
+	// bounds are what the store takes in one append, as told to daemons.
+	bounds store.Bounds
 
 	mutex        sync.Mutex
 	services     map[structs.DaemonID]*Service
@@ -100,6 +102,7 @@
 
 		StoreReadBytes: f.readBytes,
 		StoreBytes:     f.storeBytes,
+		StoreBounds:    f.bounds,
 
 		Machine: testMachine(id),
 		Quota:   testTolerance,
--- a/internal/ledger/holder.go
+++ b/internal/ledger/holder.go
@@ -40,7 +40,9 @@
 	directory store.Partition
 	daemon    string
 	records   *recordStore
-	known     *holderTable
+	// bounds are what the store takes in one append.
+	bounds store.Bounds
+	known  *holderTable
 	// capacity estimates the space in the store.
 	capacity *storeCapacity
 	fleet    fleet
--- a/internal/ledger/holder_release.go
+++ b/internal/ledger/holder_release.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 const (
@@ -97,8 +99,7 @@
 	h.state.returnHeadroom()
 	records, err := h.takeChanges()
 	if err == nil && len(records) > 0 {
-		h.sequence++
-		err = h.records.appendWithin(ctx, appendTimeout, h.partition, h.writer(), records)
+		err = h.appendLast(ctx, records)
 	}
 	if err != nil {
 		h.logger.Warn().Err(err).Uint64("epoch", h.epoch).Msg("Headroom not returned.")
@@ -117,6 +118,17 @@
 	h.requestTake(ctx, current.to, h.epoch)
 }
 
+// appendLast appends the last changes of a shard that is given up.
+func (h *holder) appendLast(ctx context.Context, records []store.Record) error {
+	for _, call := range h.bounds.Split(records) {
+		h.sequence++
+		if err := h.records.appendWithin(ctx, appendTimeout, h.partition, h.writer(), call); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // drop discards the shard's state and refuses the operations that wait for the next append.
 // The caller must refuse those that wait for the append under way.
 func (h *holder) drop() {
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -61,6 +61,8 @@
 	// if it is not known, in which case nothing is refused before the store itself refuses
 	// an append.
 	StoreBytes float64
+	// StoreBounds are what the store takes in one append.
+	StoreBounds store.Bounds
 	// ClientOnly: the daemon never holds a shard, even if asked to.
 	ClientOnly bool
 	// Machine is the monotonic clock of the machine that the daemon runs on.
--- a/internal/ledger/record_store.go
+++ b/internal/ledger/record_store.go
@@ -112,7 +112,7 @@
 
 // isFinal reports whether another try would have the same outcome.
 func isFinal(err error) bool {
-	return isSuperseded(err) || errors.Is(err, store.ErrMalformed) || errors.Is(err, store.ErrTrimmed)
+	return isSuperseded(err) || errors.Is(err, store.ErrRejected) || errors.Is(err, store.ErrMalformed) || errors.Is(err, store.ErrTrimmed)
 }
 
 // isSuperseded reports whether another writer holds the shard.
--- a/internal/ledger/service.go
+++ b/internal/ledger/service.go
@@ -77,6 +77,7 @@
 				directory:      s.Directory,
 				daemon:         string(s.Self),
 				records:        s.records,
+				bounds:         s.StoreBounds,
 				known:          s.known,
 				capacity:       s.capacity,
 				fleet:          s,
--- a/internal/ledger/simulation_test.go
+++ b/internal/ledger/simulation_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/ledger"
+	"github.com/mintpulley/mintpulley/internal/store"
 )
 
 // The simulation runs turns of programs at a fleet of ledgers while daemons, the network
@@ -40,6 +41,8 @@
 	faults   []fault
 	// excess is by how much programs may exceed their budgets.
 	excess int64
+	// bounds are what the store takes in one append; the zero value sets none.
+	bounds store.Bounds
 }
 
 // anyFaults returns a course with all kinds of faults and with a protection disabled.
@@ -132,7 +135,7 @@
 func play(t *testing.T, seed uint64, kind courseKind) (seen *checker) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(seed, kind.breakage)
+		w := newWorld(seed, kind)
 		seen = newChecker(kind.excess)
 		var callers, faultRuns sync.WaitGroup
 		faultRuns.Go(func() { playFaults(w, kind.faults, &faultRuns) })
@@ -223,6 +226,24 @@
 	}
 }
 
+// Guards against promises that hold only while all changes of a shard are appended at once: turns go to
+// the store in pieces, and few records fit into a call.
+func TestPromisesWhereAppendsTakeSeveralCalls(t *testing.T) {
+	course := anyFaults(breakNothing)
+	course.bounds = store.Bounds{RecordBytes: 2056, CallBytes: 2056}
+	for seed := range uint64(*simulationSeeds) {
+		t.Run(fmt.Sprint(seed+1), func(t *testing.T) {
+			seen := play(t, seed+1, course)
+			if len(seen.violations) > 0 {
+				t.Errorf("guarantees violated:\n%s", seen)
+			}
+			if len(seen.ids) < 20 {
+				t.Errorf("only %d turns were completed", len(seen.ids))
+			}
+		})
+	}
+}
+
 // Where no holder is lost, no budget is exceeded by a single token.
 func TestBudgetsAreExactWhileTheStoreFails(t *testing.T) {
 	for seed := range uint64(*simulationSeeds) {
--- a/internal/ledger/simulation_world_test.go
+++ b/internal/ledger/simulation_world_test.go
@@ -33,6 +33,7 @@
 type world struct {
 	breakage breakage
 	store    *memory.Store
+	bounds   store.Bounds
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -64,14 +65,16 @@
 	leaving bool
 }
 
-func newWorld(seed uint64, breakage breakage) *world {
+func newWorld(seed uint64, kind courseKind) *world {
 	w := &world{
-		breakage: breakage,
+		breakage: kind.breakage,
 		store:    memory.New(),
+		bounds:   kind.bounds,
 		random:   rand.New(rand.NewPCG(seed, seed+1)),
 		faults:   faults{slowness: 1},
 	}
-	w.store.SetFencing(breakage != breakFencing)
+	w.store.SetFencing(kind.breakage != breakFencing)
+	w.store.SetBounds(kind.bounds)
 	for number := range simulatedDaemons {
 		w.daemons = append(w.daemons, &simulatedDaemon{number: number})
 	}
@@ -140,6 +143,7 @@
 		Partitions:       partitions,
 		Directory:        store.Partition{Space: "holders"},
 		DiscoveryTimeout: ledger.DefaultDiscoveryTimeout,
+		StoreBounds:      w.bounds,
 		Logger:           zerolog.Nop(),
 		Metrics:          ledger.NewMetrics(prometheus.NewRegistry()),
 	})
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -54,6 +54,8 @@
 	clock             shardClock
 	// machine is the clock of the machine that the holder runs on.
 	machine MachineClock
+	// maxTextBytes is the most text of a turn that fits into one record; 0 for no bound.
+	maxTextBytes int
 }
 
 type accountEntry struct {
@@ -176,15 +178,18 @@
 	return true
 }
 
-// keep adds a completed turn, unless it is kept already. The turns before it must have been used.
+// keep adds a completed turn, or those of its pieces that are not kept already. The turns before it
+// must have been used.
 func (s *state) keep(turn *KeptTurn, retention time.Duration, now time.Time) {
-	if s.turns[turn.ID] != nil {
-		return
+	for _, piece := range turn.pieces(s.maxTextBytes) {
+		if s.turns[piece.ID] != nil {
+			continue
+		}
+		entry := &turnEntry{KeptTurn: piece, RetentionMS: retention.Milliseconds()}
+		entry.use(now, retention)
+		s.turns[piece.ID] = entry
+		s.markDirty(turnPrefix + piece.ID)
 	}
-	entry := &turnEntry{KeptTurn: *turn, RetentionMS: retention.Milliseconds()}
-	entry.use(now, retention)
-	s.turns[turn.ID] = entry
-	s.markDirty(turnPrefix + turn.ID)
 }
 
 // find returns a turn with its whole chain merged into one turn, nil if it is not kept.
--- a/internal/ledger/state_records.go
+++ b/internal/ledger/state_records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -49,6 +50,7 @@
 		}
 		records = append(records, store.Record{Key: key, Value: value})
 	}
+	slices.SortFunc(records, compareRecords)
 	clear(s.dirty)
 	return records, nil
 }
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -123,6 +123,7 @@
 
 		StoreReadBytes: d.settings.StoreReadMegabytes * 1e6,
 		StoreBytes:     d.settings.StoreMegabytes * 1e6,
+		StoreBounds:    store.Bounds{RecordBytes: d.settings.StoreRecordBytes, CallBytes: d.settings.StoreCallBytes},
 
 		Confirmations: d,
 		Evacuations:   d,
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -25,6 +25,15 @@
 // longer to notice a back end that is gone than any caller waits.
 const maxHeartbeat = 10 * time.Minute
 
+const (
+	// defaultStoreRecordBytes and defaultStoreCallBytes are the bounds of an append if the settings
+	// do not name them.
+	defaultStoreRecordBytes = 256 << 10
+	defaultStoreCallBytes   = 2 << 20
+	// minStoreRecordBytes leaves room for some text in the record of a turn.
+	minStoreRecordBytes = 8 << 10
+)
+
 // Settings is the content of a relay daemon's settings file.
 type Settings struct {
 	// Adapter is the name of the platform's adapter.
@@ -86,6 +95,10 @@
 	// StoreMegabytes is the store's capacity for the whole fleet in megabytes; 0 if unknown: then
 	// no request is refused to save space.
 	StoreMegabytes float64 `yaml:"store_megabytes"`
+	// StoreRecordBytes and StoreCallBytes are the most bytes of one record, and of all records of one
+	// append, that the store takes.
+	StoreRecordBytes int `yaml:"store_record_bytes"`
+	StoreCallBytes   int `yaml:"store_call_bytes"`
 	// LogLevel is "trace", "debug", "info", "warn" or "error".
 	LogLevel string `yaml:"log_level"`
 }
@@ -96,6 +109,8 @@
 		LedgerSpaces:     2,
 		LedgerPartitions: 12,
 		StopSeconds:      8,
+		StoreRecordBytes: defaultStoreRecordBytes,
+		StoreCallBytes:   defaultStoreCallBytes,
 		RevocationMS:     5000,
 		HeartbeatMS:      milliseconds(instance.DefaultHeartbeat),
 
@@ -210,6 +225,12 @@
 	if s.StoreReadMegabytes < 0 {
 		add("store_read_megabytes", "must not be negative")
 	}
+	if s.StoreRecordBytes < minStoreRecordBytes {
+		add("store_record_bytes", fmt.Sprintf("is %d, must be at least %d", s.StoreRecordBytes, minStoreRecordBytes))
+	}
+	if s.StoreCallBytes < s.StoreRecordBytes {
+		add("store_call_bytes", fmt.Sprintf("is %d, must be at least store_record_bytes, which is %d", s.StoreCallBytes, s.StoreRecordBytes))
+	}
 	if s.StoreMegabytes < 0 {
 		add("store_megabytes", "must not be negative")
 	}
--- a/internal/relaydaemon/settings_test.go
+++ b/internal/relaydaemon/settings_test.go
@@ -56,3 +56,20 @@
 		t.Fatal("logging blocks on a slow reader")
 	}
 }
+
+// A bound of an append that leaves no room is named; without bounds the usual ones hold.
+func TestInvalidBoundsOfAnAppendAreNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"store_record_bytes: 0\n":                            "store_record_bytes: is 0",
+		"store_record_bytes: 8191\n":                         "store_record_bytes: is 8191",
+		"store_call_bytes: 0\n":                              "store_call_bytes: is 0",
+		"store_record_bytes: 9000\nstore_call_bytes: 8999\n": "store_call_bytes: is 8999",
+	} {
+		if _, err := ParseSettings("boot.yaml", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: got %v, want %q", text, err, want)
+		}
+	}
+	if _, err := ParseSettings("boot.yaml", nil); err == nil || strings.Contains(err.Error(), "store_record_bytes") || strings.Contains(err.Error(), "store_call_bytes") {
+		t.Errorf("without bounds: %v", err)
+	}
+}
--- a/internal/store/memory/memory.go
+++ b/internal/store/memory/memory.go
@@ -50,6 +50,7 @@
 	// appends refused because of it.
 	capacity     int
 	fullRefusals int
+	bounds       store.Bounds
 }
 
 type partition struct {
@@ -148,6 +149,13 @@
 	s.capacity = bytes
 }
 
+// SetBounds sets the most bytes that the store takes in one append.
+func (s *Store) SetBounds(bounds store.Bounds) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.bounds = bounds
+}
+
 // FullRefusals returns the number of appends that were refused because the store was full.
 func (s *Store) FullRefusals() int {
 	s.mutex.Lock()
@@ -202,6 +210,9 @@
 	if s.down {
 		return store.ErrUnavailable
 	}
+	if !s.bounds.Accepts(records) {
+		return store.ErrRejected
+	}
 	fault := FaultNone
 	if s.fault != nil {
 		fault = s.fault(name, by)
--- a/internal/store/proxy/messages.go
+++ b/internal/store/proxy/messages.go
@@ -108,6 +108,7 @@
 	resultSequence    result = "sequence"
 	resultTrimmed     result = "trimmed"
 	resultMalformed   result = "malformed"
+	resultRejected    result = "rejected"
 )
 
 // errorOf maps each result except resultOK to its error.
@@ -119,6 +120,7 @@
 	resultSequence:    store.ErrSequence,
 	resultTrimmed:     store.ErrTrimmed,
 	resultMalformed:   store.ErrMalformed,
+	resultRejected:    store.ErrRejected,
 }
 
 func resultOf(err error) result {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -27,6 +27,8 @@
 	ErrFenced = eris.New("store: the writer's epoch was superseded")
 	// ErrSequence: the sequence number is not the successor of the writer's last one.
 	ErrSequence = eris.New("store: the writer's sequence number does not follow")
+	// ErrRejected: the store never takes this call, which had no effect; it is too large, for example.
+	ErrRejected = eris.New("store: rejected for good")
 	// ErrTrimmed: the records at this offset were trimmed.
 	ErrTrimmed = eris.New("store: the records at this offset are gone")
 	// ErrMalformed: the answer could not be parsed.
