httpconn: a full back end does not get a connection for each repeated offer

At the limit of connections, each such offer closed one connection and opened another. So many connections would fill the slots of those that are full already.

Change: a connection is closed for another one only after it was idle for 250 ms. Before that the back end counts as one without a free connection, as where all are in use, and the call goes on to the next.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -30,6 +30,9 @@
 	defaultIdleTime = 400 * time.Millisecond
 	// idleShare is the share of the announced Keep-Alive timeout that is used.
 	idleShare = 0.7
+	// minIdleReplaced is how long a connection must have been idle to be closed for another one. It
+	// bounds the connections that a back end gets while many requests are sent to it again.
+	minIdleReplaced = 250 * time.Millisecond
 	// bufferSize is the size of read and write buffers in bytes.
 	bufferSize = 4 << 10
 	// maxInlineBody is the maximum size, in bytes, of a body that is written before the response is
@@ -77,6 +80,8 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
+	// idleSince is when the connection last became idle.
+	idleSince time.Time
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
 	// peer is the identity of the process at the other end, "" before it was asked.
@@ -355,7 +360,7 @@
 }
 
 // closeUsed makes room for another connection to an address: it closes the longest idle one of those
-// that are used, and reports whether there was one.
+// that are used, and reports whether there was one that has been idle for minIdleReplaced.
 func (p *Pool) closeUsed(name string, used *UsedConnections) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -363,7 +368,8 @@
 	if a == nil {
 		return false
 	}
-	i := slices.IndexFunc(a.idle, used.contains)
+	now := time.Now()
+	i := slices.IndexFunc(a.idle, func(c *conn) bool { return used.contains(c) && now.Sub(c.idleSince) >= minIdleReplaced })
 	if i < 0 {
 		return false
 	}
@@ -406,7 +412,8 @@
 }
 
 func (p *Pool) putIdle(name string, c *conn, idle time.Duration) {
-	c.expires = time.Now().Add(idle)
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(idle)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
