ledger: tests of an outage of a minute, and of two quick losses (known red)

Two quick losses of a holder beside a store that takes no append: shown, and not mended. TestTwoQuickLossesCostNoMoreThanOneTurn lets a program take turns of different sizes at three holders, each of which starts within 2 s of the former one's latest append. Mending it needs the largest turn that a holder grants at once in the allowance's record, durable before the first grant.

--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -397,3 +397,45 @@
 		}
 	})
 }
+
+// quicklyLost returns the state of a process that starts on the machine of a holder that died soon after
+// its latest append, of which the store has some records.
+func quicklyLost(t *testing.T, records recordedShard, epoch uint64, machine MachineClock, now time.Time) *state {
+	t.Helper()
+	s := records.takeOver(t, false, now)
+	s.machine = machine
+	s.forfeitHeadroom()
+	s.openAllowance(holderRecord{Epoch: epoch}, nil, now)
+	records.append(t, s)
+	s.confirmAllowance(now)
+	return s
+}
+
+// Guards against a budget that is exceeded by more than one turn after two quick losses of a holder beside a
+// store that takes no append: what a lost holder may have granted was reckoned by the size of a later turn.
+func TestTwoQuickLossesCostNoMoreThanOneTurn(t *testing.T) {
+	const budget = 100
+	machine := MachineClock{Boot: "b", Now: func() time.Duration { return time.Second }, Started: time.Second}
+	rapid.Check(t, func(rt *rapid.T) {
+		now, records := time.Now(), recordedShard{}
+		granted, largest := int64(0), int64(0)
+		for epoch := range uint64(3) {
+			s := quicklyLost(t, records, epoch+1, machine, now)
+			s.coverRetention(time.Minute)
+			records.append(t, s)
+			s.confirmAllowance(now)
+			for i := range 60 { // in the last round, the store takes appends again
+				most := rapid.Int64Range(1, 60).Draw(rt, "most")
+				turn := Turn{ID: fmt.Sprint("turn-", epoch, "-", i), Program: "p", BudgetTokens: budget, MaxTokens: most, Retention: time.Minute}
+				_, outcome := s.begin(turn, now)
+				if outcome == resultOK && (epoch == 2 || s.takeHeadroom(turn, now)) {
+					granted += most
+					largest = max(largest, most)
+				}
+			}
+		}
+		if granted > budget+largest {
+			rt.Errorf("%d tokens were granted of a budget of %d, with turns of at most %d", granted, budget, largest)
+		}
+	})
+}
--- a/internal/ledger/large_append_test.go
+++ b/internal/ledger/large_append_test.go
@@ -265,3 +265,60 @@
 		}
 	}
 }
+
+// What waits for the store in an outage of a minute is appended once it is back, in as many calls as its
+// bytes need, and all ends that waited are answered.
+func TestBacklogOfAMinuteIsAppendedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const programs, textBytes = 120, 26_000
+		o := &outage{}
+		f := newTestFleet(t, 0)
+		f.bounds = store.Bounds{RecordBytes: 256 << 10, CallBytes: 2 << 20}
+		f.store.SetBounds(f.bounds)
+		f.storeOf = func(id structs.DaemonID) store.Store {
+			return &outageStore{Store: &testStore{Store: f.store, fleet: f}, outage: o, daemon: id}
+		}
+		for i := range 2 {
+			f.start(daemonID(i, 1))
+		}
+		s := f.service(daemonID(0, 1))
+		names := programsOfOneShard(s, programs)
+		for _, name := range names {
+			useProgram(t, s, name, "first-"+name, 3*time.Minute)
+		}
+		time.Sleep(5 * time.Second)
+		o.victim = f.holderOf(names[0])
+		o.left.Store(1 << 40)
+		o.isOut.Store(true)
+		var callers sync.WaitGroup
+		var ended atomic.Int64
+		for _, name := range names {
+			begin(t, s, Turn{ID: "turn-" + name, Program: name, BudgetTokens: 100, MaxTokens: 20, Retention: 3 * time.Minute})
+			callers.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+				defer cancel()
+				kept := &KeptTurn{ID: "turn-" + name, Input: make([]byte, textBytes)}
+				if err := s.End(ctx, Outcome{Turn: "turn-" + name, Program: name, UsedTokens: 20, Retention: 3 * time.Minute, Kept: kept}); err != nil {
+					t.Error(err)
+				}
+				ended.Add(1)
+			})
+		}
+		time.Sleep(time.Minute)
+		if ended.Load() > 0 {
+			t.Fatalf("%d turns are recorded although the store is out", ended.Load())
+		}
+		o.isOut.Store(false)
+		back := time.Now()
+		callers.Wait()
+		took, calls := time.Since(back), o.calls.Load()
+		t.Logf("%d bytes were appended in %d calls, %s after the store was back", programs*textBytes, calls, took)
+		if least := int64(programs*textBytes) / int64(f.bounds.CallBytes); calls > 2*least+4 {
+			t.Errorf("%d calls, want some %d", calls, least)
+		}
+		if took > 2*time.Second {
+			t.Errorf("the ends were recorded %s after the store was back", took)
+		}
+		begin(t, s, Turn{ID: "next", Program: names[0], Previous: "turn-" + names[0], BudgetTokens: 100, MaxTokens: 20, Retention: 3 * time.Minute})
+	})
+}
