ledger: a proof of ownership that has expired is counted, not logged

Where few requests come to a shard each may find its proof expired, which would be a line each; the line tells of pauses alone now, and the counter both causes. Read as a newcomer: how long an account is kept has a method, as for turns.

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -69,6 +69,9 @@
 	return true
 }
 
+// retention is how long the account is kept after its last use.
+func (a *account) retention() time.Duration { return time.Duration(a.RetentionMS) * time.Millisecond }
+
 // coverRetention keeps the account for as long as a turn of the program with a retention.
 func (a *account) coverRetention(retention time.Duration) {
 	a.RetentionMS = max(a.RetentionMS, retention.Milliseconds())
--- a/internal/ledger/holder_capacity.go
+++ b/internal/ledger/holder_capacity.go
@@ -90,8 +90,7 @@
 		add(&sizes.turns, int64(len(turn.Input)+len(turn.Output)+turnHeaderBytes), turn.neededUntil, turn.retention())
 	}
 	for _, entry := range s.accounts {
-		retention := time.Duration(entry.RetentionMS) * time.Millisecond
-		add(&sizes.accounts, accountBytes, entry.usedAt.Add(retention), retention)
+		add(&sizes.accounts, accountBytes, entry.usedAt.Add(entry.retention()), entry.retention())
 	}
 	return profile, sizes
 }
--- a/internal/ledger/metrics.go
+++ b/internal/ledger/metrics.go
@@ -15,8 +15,8 @@
 	losses   *prometheus.CounterVec
 	skipped  prometheus.Counter
 	silences prometheus.Counter
-	// doubts counts how often a holder's ownership of its shard was in doubt.
-	doubts prometheus.Counter
+	// doubts counts how often a holder's ownership of its shard was in doubt, by cause.
+	doubts *prometheus.CounterVec
 	// confirms counts shards that a claimant left to their confirmed holder, and requests
 	// that were forwarded to one.
 	confirms *prometheus.CounterVec
@@ -57,10 +57,10 @@
 			Help: "Requests that a shard's holder did not answer.",
 		}),
 	}
-	m.doubts = prometheus.NewCounter(prometheus.CounterOpts{
+	m.doubts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "ownership_doubts_total",
-		Help: "Times at which a holder had no proof that it still holds its shard, and made an append before it decided.",
-	})
+		Help: "Times at which a holder had no proof that it still holds its shard, and made an append before it decided: the proof had expired, or the daemon was paused.",
+	}, []string{"cause"})
 	m.grants = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "mintpulley", Subsystem: "ledger", Name: "turns_total",
 		Help: "Turns that began, by what they waited for.",
@@ -117,7 +117,13 @@
 
 func (m *Metrics) forwarded() { m.confirms.WithLabelValues("passed_on").Inc() }
 
-func (m *Metrics) ownershipDoubted() { m.doubts.Inc() }
+func (m *Metrics) ownershipDoubted(paused bool) {
+	cause := "expired"
+	if paused {
+		cause = "paused"
+	}
+	m.doubts.WithLabelValues(cause).Inc()
+}
 
 func (m *Metrics) silent() { m.silences.Inc() }
 
--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -105,13 +105,23 @@
 		h.refuse(o, resultImpaired)
 		return
 	}
+	now := time.Now()
 	if len(h.ownership.waiting) == 0 {
-		h.metrics.ownershipDoubted()
-		h.logger.Info().Uint64("epoch", h.epoch).Dur("proved", time.Since(h.ownership.provedAt)).
-			Msg("Ownership of the shard is in doubt. An append decides.")
+		h.noteDoubt(now)
 	}
 	h.ownership.waiting = append(h.ownership.waiting, o)
-	h.renewOwnership(ctx, time.Now())
+	h.renewOwnership(ctx, now)
+}
+
+// noteDoubt counts that a decision waits for a proof of ownership, and logs that after a pause. A proof
+// that has expired is usual where few requests come.
+func (h *holder) noteDoubt(now time.Time) {
+	paused := h.pauses.pausedSince(h.ownership.provedAt, now)
+	h.metrics.ownershipDoubted(paused)
+	if paused {
+		h.logger.Info().Uint64("epoch", h.epoch).Dur("proved", now.Sub(h.ownership.provedAt)).
+			Msg("This daemon was paused. An append decides whether it still holds the shard.")
+	}
 }
 
 // newLimiter returns the limiter of tenants' limits for a shard that was claimed from a former holder.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -156,7 +156,7 @@
 	}
 	retention := outcome.Retention
 	if entry != nil {
-		retention = max(retention, time.Duration(entry.RetentionMS)*time.Millisecond)
+		retention = max(retention, entry.retention())
 	}
 	if outcome.Imported != nil {
 		s.keep(outcome.Imported, retention, now)
