ledger: a refused turn keeps the account as long as the chain that it names

A turn that is refused for its budget prolongs the chain that it names by its own retention, and the account by that of the program's earlier turns alone. A program whose first turn came by a route of 15 s and whose second, by one of 60 s, was refused could come back after 25 s: its account was gone, its chain was there, and its budget started over (BUDGET).

Change: each begin raises the account's retention, also one that is refused. The refusal's append carries it, as it did the account before; no call more.

Measured: TestAccountIsKeptAsLongAsAChainThatARefusedTurnNames failed before (a minute later the turn got "ok", want "budget_spent").

--- a/internal/ledger/account.go
+++ b/internal/ledger/account.go
@@ -65,7 +65,6 @@
 	a.Reserved[turn.ID] = turn.MaxTokens
 	a.BudgetTokens = turn.BudgetTokens
 	a.MaxTokens = turn.MaxTokens
-	a.coverRetention(turn.Retention)
 	return true
 }
 
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -115,6 +115,7 @@
 		entry = s.newAccount(turn, now)
 	}
 	entry.usedAt = now
+	entry.coverRetention(turn.Retention) // also if the turn is refused: the chain that it names is prolonged
 	if !entry.reserve(turn) {
 		if underway {
 			s.markDirty(accountPrefix + turn.Program)
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -118,6 +118,26 @@
 	}
 }
 
+// Guards against a budget that starts over after a refusal: the refused turn prolongs the chain that it
+// names by its own retention, so the account must last as long.
+func TestAccountIsKeptAsLongAsAChainThatARefusedTurnNames(t *testing.T) {
+	s := newState(time.Now())
+	start := time.Now()
+	turn := Turn{ID: "a", Program: "p", Retention: 15 * time.Second, BudgetTokens: 100, MaxTokens: 100}
+	s.begin(turn, start)
+	s.end(Outcome{Turn: "a", Program: "p", UsedTokens: 100, Retention: turn.Retention, Kept: &KeptTurn{ID: "a"}}, start)
+	next := Turn{ID: "b", Program: "p", Previous: "a", Retention: time.Minute, BudgetTokens: 100, MaxTokens: 1}
+	if _, got := s.begin(next, start); got != resultBudgetSpent {
+		t.Fatalf("got %q, want %q", got, resultBudgetSpent)
+	}
+	late := start.Add(time.Minute)
+	s.expire(late, 100)
+	next.ID = "c"
+	if _, got := s.begin(next, late); got != resultBudgetSpent {
+		t.Errorf("a minute later: got %q, want %q", got, resultBudgetSpent)
+	}
+}
+
 // TestChainIsKeptAsLongAsItsLastTurn: the records of earlier turns do not show that a later
 // one continues from them.
 func TestChainIsKeptAsLongAsItsLastTurn(t *testing.T) {
