ledger: a restarted daemon does not wait for its own former run

Cause: a successor that hears nothing from the former holder lets tenants' buckets fill 350 ms later, as that may go on deciding. The run before at its own address is not asked and counts as silent, though it has ended; and so did no holder.

Change: only a holder at another address that did not answer is waited for.

Measured: TestSuccessorWaitsOnlyForAHolderThatMayDecide (all four cases waited for whoever was silent before, by reading; the function is new).

--- a/internal/ledger/ownership.go
+++ b/internal/ledger/ownership.go
@@ -7,6 +7,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // A holder that decides without an append does not learn from the store that it has lost its shard: it
@@ -125,15 +126,21 @@
 }
 
 // newLimiter returns the limiter of tenants' limits for a shard that was claimed from a former holder.
-// Unless it heard from that, the former holder may go on deciding until its proof of ownership expires.
 func (h *holder) newLimiter(former holderRecord, answer holderAnswer) *quota.Limiter {
 	limiter := quota.NewLimiter(h.quotaTolerance, former.Daemon == "", time.Now())
-	if answer != holderGone {
+	if h.mayStillDecide(former, answer) {
 		limiter.AwaitFormer()
 	}
 	return limiter
 }
 
+// mayStillDecide reports whether a former holder may go on deciding until its proof of ownership expires:
+// one that answered does not, and one at this daemon's address has ended.
+func (h *holder) mayStillDecide(former holderRecord, answer holderAnswer) bool {
+	address := structs.DaemonID(former.Daemon).Address()
+	return former.Daemon != "" && answer != holderGone && address != structs.DaemonID(h.daemon).Address()
+}
+
 // noteOwnership records that the store accepted an append that was sent at a time.
 func (h *holder) noteOwnership(sentAt time.Time) {
 	h.ownership.provedAt = later(h.ownership.provedAt, sentAt)
--- a/internal/ledger/quota_test.go
+++ b/internal/ledger/quota_test.go
@@ -212,3 +212,21 @@
 		}
 	}
 }
+
+func TestSuccessorWaitsOnlyForAHolderThatMayDecide(t *testing.T) {
+	h := &holder{holderOptions: holderOptions{daemon: string(daemonID(0, 2))}}
+	for name, c := range map[string]struct {
+		former string
+		answer holderAnswer
+		want   bool
+	}{
+		"a silent one":                      {string(daemonID(1, 1)), holderSilent, true},
+		"one that answered":                 {string(daemonID(1, 1)), holderGone, false},
+		"the run before at its own address": {string(daemonID(0, 1)), holderSilent, false},
+		"none":                              {"", holderSilent, false},
+	} {
+		if got := h.mayStillDecide(holderRecord{Daemon: c.former}, c.answer); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
