--- a/internal/httpconn/answers.go
+++ b/internal/httpconn/answers.go
@@ -13,14 +13,14 @@
 	firstFinalStatus = 200
 	// rememberedAnswers is how many of the latest requests answered on a connection are remembered.
 	rememberedAnswers = 16
-	// maxExcessBytes bounds the body of an answer in excess that is read to get at the next answer.
-	maxExcessBytes = 64 << 10
-	// maxExcessAnswers bounds the answers in excess that are passed over for one request.
-	maxExcessAnswers = 4
+	// maxDuplicateBytes bounds the body of a duplicate answer that is read to get at the next answer.
+	maxDuplicateBytes = 64 << 10
+	// maxDuplicates bounds the duplicate answers that are skipped for one request.
+	maxDuplicates = 4
 )
 
-// errExcess: a connection brings more in excess than is passed over.
-var errExcess = eris.New("httpconn: too much in excess on the connection")
+// errDuplicates: a connection brings more duplicate answers, or longer ones, than are skipped.
+var errDuplicates = eris.New("httpconn: too many or too long duplicate answers on the connection")
 
 // Labels tells which request an answer belongs to, where answers carry that.
 type Labels struct {
@@ -39,9 +39,9 @@
 }
 
 // readAnswer reads the head of the answer to a request. It skips informational responses (1xx) and
-// passes answers in excess over, each of which it reports to onExcess.
-func (c *conn) readAnswer(request *http.Request, labels *Labels, onExcess func()) (*http.Response, error) {
-	for excess := 0; excess <= maxExcessAnswers; {
+// duplicate answers, each of which it reports to onDuplicate.
+func (c *conn) readAnswer(request *http.Request, labels *Labels, onDuplicate func()) (*http.Response, error) {
+	for duplicates := 0; duplicates <= maxDuplicates; {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
@@ -49,16 +49,16 @@
 		if response.StatusCode < firstFinalStatus {
 			continue
 		}
-		if !c.isExcess(response, labels) {
+		if !c.isDuplicate(response, labels) {
 			return response, nil
 		}
-		excess++
-		onExcess()
-		if err := passOver(response); err != nil {
+		duplicates++
+		onDuplicate()
+		if err := discardDuplicate(response); err != nil {
 			return nil, err
 		}
 	}
-	return nil, errExcess
+	return nil, errDuplicates
 }
 
 // noteAnswered remembers that a request was answered whole on the connection.
@@ -72,9 +72,9 @@
 	c.answered = append(c.answered, label)
 }
 
-// isExcess reports whether a response is a second answer to an earlier request on the connection. A
+// isDuplicate reports whether a response is a second answer to an earlier request on the connection. A
 // peer may send one late, where the answer to another request is due.
-func (c *conn) isExcess(response *http.Response, labels *Labels) bool {
+func (c *conn) isDuplicate(response *http.Response, labels *Labels) bool {
 	if labels == nil {
 		return false
 	}
@@ -82,15 +82,15 @@
 	return label != labels.Request && slices.Contains(c.answered, label)
 }
 
-// passOver reads an answer in excess to its end.
-func passOver(response *http.Response) error {
+// discardDuplicate reads a duplicate answer to its end.
+func discardDuplicate(response *http.Response) error {
 	defer func() { _ = response.Body.Close() }() // it was read to its end, or the connection is closed
-	read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxExcessBytes+1))
+	read, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxDuplicateBytes+1))
 	if err != nil {
 		return err
 	}
-	if read > maxExcessBytes || response.Close {
-		return errExcess
+	if read > maxDuplicateBytes || response.Close {
+		return errDuplicates
 	}
 	return nil
 }
--- a/internal/httpconn/answers_test.go
+++ b/internal/httpconn/answers_test.go
@@ -13,9 +13,8 @@
 
 const labelHeader = "Label"
 
-// newLabelledServer answers each request with its label. At each request it first sends the answer to
-// the request before on the connection once more.
-func newLabelledServer(t *testing.T, padding int) (address string) {
+// listen serves each connection to an address until the test ends.
+func listen(t *testing.T, serve func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,25 +29,46 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for latest := ""; ; {
-					request, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					text := request.Header.Get(labelHeader) + strings.Repeat(" ", padding)
-					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s",
-						labelHeader, request.Header.Get(labelHeader), len(text), text)
-					_, _ = io.WriteString(conn, latest+answer)
-					latest = answer
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// listenAndRepeat answers each request on a connection. At each, it first sends the answer to the request
+// before once more.
+func listenAndRepeat(t *testing.T, answerTo func(request *http.Request) string) (address string) {
+	t.Helper()
+	return listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for latest := ""; ; {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			answer := answerTo(request)
+			_, _ = io.WriteString(conn, latest+answer)
+			latest = answer
+		}
+	})
+}
+
+// answerOf returns an answer with a label.
+func answerOf(label, text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s", labelHeader, label, len(text), text)
+}
+
+// newLabelledServer answers each request with its label and some spaces, and repeats its answers.
+func newLabelledServer(t *testing.T, padding int) (address string) {
+	t.Helper()
+	return listenAndRepeat(t, func(request *http.Request) string {
+		label := request.Header.Get(labelHeader)
+		return answerOf(label, label+strings.Repeat(" ", padding))
+	})
+}
+
 // sendLabelled sends a request with a label and returns the answer.
 func sendLabelled(t *testing.T, p *Pool, address, label string, bounds Bounds) (string, error) {
 	t.Helper()
@@ -66,7 +86,7 @@
 
 // Guards against a request that fails, though it was answered, because a late second answer to an earlier
 // one comes first.
-func TestAnswerInExcessDoesNotCostTheNextRequestItsAnswer(t *testing.T) {
+func TestDuplicateAnswerDoesNotCostTheNextRequestItsAnswer(t *testing.T) {
 	address := newLabelledServer(t, 0)
 	p := NewPool(time.Second)
 	for i := range 3 * rememberedAnswers {
@@ -75,21 +95,21 @@
 			t.Fatalf("request %s: got %q, %v", label, got, err)
 		}
 	}
-	if dials, excess := p.Dials(), p.Excess(); dials != 1 || excess != 3*rememberedAnswers-1 {
-		t.Errorf("%d connections, %d answers in excess, want 1 and %d", dials, excess, 3*rememberedAnswers-1)
+	if dials, duplicates := p.Dials(), p.Duplicates(); dials != 1 || duplicates != 3*rememberedAnswers-1 {
+		t.Errorf("%d connections, %d duplicate answers, want 1 and %d", dials, duplicates, 3*rememberedAnswers-1)
 	}
 }
 
-// An answer in excess that is too long to be passed over breaks the connection, and the next request goes
+// A duplicate answer that is too long to be skipped breaks the connection, and the next request goes
 // on another one.
-func TestLongAnswerInExcessBreaksTheConnection(t *testing.T) {
-	address := newLabelledServer(t, maxExcessBytes)
+func TestLongDuplicateAnswerBreaksTheConnection(t *testing.T) {
+	address := newLabelledServer(t, maxDuplicateBytes)
 	p := NewPool(time.Second)
 	if got, err := sendLabelled(t, p, address, "first", Bounds{}); err != nil || got != "first" {
 		t.Fatalf("got %q, %v", got, err)
 	}
 	if got, err := sendLabelled(t, p, address, "second", Bounds{}); err == nil {
-		t.Errorf("an answer behind a long one in excess: %q", got)
+		t.Errorf("an answer behind a long one in duplicates: %q", got)
 	}
 	if got, err := sendLabelled(t, p, address, "third", Bounds{}); err != nil || got != "third" {
 		t.Errorf("on another connection: %q, %v", got, err)
@@ -98,7 +118,7 @@
 
 // Guards against a process that is taken for one which does not tell who it is, because a late second
 // answer to an earlier request comes in the place of its identity.
-func TestAnswerInExcessIsNotTakenForAnIdentity(t *testing.T) {
+func TestDuplicateAnswerIsNotTakenForAnIdentity(t *testing.T) {
 	address := newLabelledServer(t, 0)
 	p := NewPool(time.Second)
 	if _, err := sendLabelled(t, p, address, "first", Bounds{}); err != nil {
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -42,7 +42,7 @@
 	} else {
 		go func() { e.written <- e.write(request) }()
 	}
-	response, err := e.conn.readAnswer(request, e.labels, e.pool.countExcess)
+	response, err := e.conn.readAnswer(request, e.labels, e.pool.countDuplicate)
 	if err != nil {
 		return nil, eris.Wrapf(ErrBroken, "read: %v", err)
 	}
--- a/internal/httpconn/peer.go
+++ b/internal/httpconn/peer.go
@@ -60,7 +60,7 @@
 	if err := c.writer.Flush(); err != nil {
 		return err
 	}
-	response, err := c.readAnswer(peer.Question, bounds.Labels.ofQuestion(), p.countExcess)
+	response, err := c.readAnswer(peer.Question, bounds.Labels.ofQuestion(), p.countDuplicate)
 	if err != nil {
 		return err
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -63,8 +63,8 @@
 	dials       uint64
 	// replaced counts the idle connections that were closed to make room for another.
 	replaced uint64
-	// excess counts the answers in excess that were passed over.
-	excess uint64
+	// duplicates counts the duplicate answers that were skipped.
+	duplicates uint64
 }
 
 type address struct {
@@ -135,17 +135,17 @@
 	return p.replaced
 }
 
-// Excess returns the number of answers in excess that were passed over so far.
-func (p *Pool) Excess() uint64 {
+// Duplicates returns the number of duplicate answers that were skipped so far.
+func (p *Pool) Duplicates() uint64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.excess
+	return p.duplicates
 }
 
-func (p *Pool) countExcess() {
+func (p *Pool) countDuplicate() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.excess++
+	p.duplicates++
 }
 
 // CloseIdle closes the idle connections to an address.
@@ -182,7 +182,7 @@
 	// is used. The pool adds the one that it sends the request on.
 	Used *UsedConnections
 	// Labels, if not nil, tells the answers on a connection apart, so that a late second answer to an
-	// earlier request is passed over.
+	// earlier request is skipped.
 	Labels *Labels
 }
 
--- a/internal/httpconn/used_connections_test.go
+++ b/internal/httpconn/used_connections_test.go
@@ -1,59 +1,28 @@
 package httpconn
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 )
 
-// repeatingServer numbers its answers, and sends each a second time as soon as the next request is read
-// on the connection.
-type repeatingServer struct {
-	address string
-	number  atomic.Int64
-	opened  atomic.Int64
-}
-
-func newRepeatingServer(t *testing.T) *repeatingServer {
+// newRepeatingServer numbers its answers, and repeats them.
+func newRepeatingServer(t *testing.T) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &repeatingServer{address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.opened.Add(1)
-			go s.serve(conn)
-		}
-	}()
-	return s
+	var number atomic.Int64
+	return listenAndRepeat(t, func(*http.Request) string { return answerOf("", fmt.Sprint(number.Add(1))) })
 }
 
-func (s *repeatingServer) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	reader := bufio.NewReader(conn)
-	for latest := ""; ; {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, latest)
-		text := fmt.Sprint(s.number.Add(1))
-		latest = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nKeep-Alive: timeout=10\r\n\r\n%s", len(text), text)
-		_, _ = io.WriteString(conn, latest)
+// setIdleFor makes all idle connections to an address count as idle for a time.
+func (p *Pool) setIdleFor(name string, idle time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.addresses[name].idle {
+		c.idleSince = time.Now().Add(-idle)
 	}
 }
 
@@ -73,14 +42,14 @@
 func TestRequestThatIsSentAgainGetsNoCopyOfItsEarlierAnswer(t *testing.T) {
 	for name, limit := range map[string]int{"without a limit of connections": 0, "at the limit of connections": 1} {
 		t.Run(name, func(t *testing.T) {
-			s := newRepeatingServer(t)
+			address := newRepeatingServer(t)
 			p := NewPool(time.Second)
 			used := &UsedConnections{}
 			for i := range 3 {
-				if got, err := sendOn(t, p, s.address, Bounds{Connections: limit, Used: used}); err != nil || got != fmt.Sprint(i+1) {
+				if got, err := sendOn(t, p, address, Bounds{Connections: limit, Used: used}); err != nil || got != fmt.Sprint(i+1) {
 					t.Fatalf("send %d: got answer %q, %v", i+1, got, err)
 				}
-				time.Sleep(minIdleReplaced)
+				p.setIdleFor(address, minIdleReplaced)
 			}
 		})
 	}
@@ -88,16 +57,17 @@
 
 // Guards against a full back end that gets a new connection for each request that is offered to it again.
 func TestConnectionIsNotReplacedSoon(t *testing.T) {
-	s := newRepeatingServer(t)
+	address := newRepeatingServer(t)
 	p := NewPool(time.Second)
 	used := &UsedConnections{}
-	if _, err := sendOn(t, p, s.address, Bounds{Connections: 1, Used: used}); err != nil {
+	if _, err := sendOn(t, p, address, Bounds{Connections: 1, Used: used}); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := sendOn(t, p, s.address, Bounds{Connections: 1, Used: used}); !errors.Is(err, ErrNoConnection) {
+	p.setIdleFor(address, -time.Minute) // however slowly the test runs
+	if _, err := sendOn(t, p, address, Bounds{Connections: 1, Used: used}); !errors.Is(err, ErrNoConnection) {
 		t.Errorf("got %v, want %v", err, ErrNoConnection)
 	}
-	if got, err := sendOn(t, p, s.address, Bounds{Connections: 1, Used: &UsedConnections{}}); err != nil {
+	if got, err := sendOn(t, p, address, Bounds{Connections: 1, Used: &UsedConnections{}}); err != nil {
 		t.Errorf("another request on the connection: %q, %v", got, err)
 	}
 	if p.Dials() != 1 || p.Replaced() != 0 {
--- a/internal/ledger/chain_retention_test.go
+++ b/internal/ledger/chain_retention_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,7 +53,7 @@
 		if len(value) == 0 {
 			continue
 		}
-		if late && len(key) > len(turnPrefix) && key[:len(turnPrefix)] == turnPrefix {
+		if late && strings.HasPrefix(key, turnPrefix) {
 			turns = append(turns, record)
 			continue
 		}
