ledger: two losses of a holder cost no more than one turn

A turn that did not fit raised what the holder grants a program at once, and many small turns used that up: as many tokens as the refused turn has, in one holder. And what a lost holder may have granted was reckoned by the size of a later turn, so a small one counted next to nothing of two grants.

Change: what the allowance adds is taken by the turn that it is added for, and until the store may be out it is added once. After a loss an allowance grants 0.375 of a budget at most; two losses count for that much, as far as that leaves room for the turn. The first holder's grant is at most one turn, which may exceed the budget. Nothing on record changes.

The test beside them asks the product for what it forfeits, with the same bound. A program whose turns are an eighth of its budget forfeits 0.375 of it after two losses, 0.19 before; after one loss nothing changes.

--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -25,8 +25,9 @@
 // Most programs begin after the loss and have spent nothing before it. To keep programs
 // whose budget has room for only a turn or two running, a fraction of one turn's tokens is
 // not counted as lost: a program that did begin before the loss may exceed its budget by
-// that much. This is the only case in which a budget is exceeded, and never by more than
-// the tokens of one turn.
+// that much. This is the only case in which a budget is exceeded, and by no more than the
+// tokens of one turn, unless that turn is most of the budget: two holders may have granted the
+// largest turn and laterAllowanceShare.
 
 const (
 	// allowanceKey is the key of the allowance's record.
@@ -39,6 +40,8 @@
 	budgetReserveShare = 0.42
 	// lossToleranceShare is the part of a turn's most tokens that is not counted as lost.
 	lossToleranceShare = 0.5
+	// laterAllowanceShare is the largest part of a program's budget that an allowance grants after a loss.
+	laterAllowanceShare = 0.375
 	// singleTurnPeriod is how long after the latest append was sent the allowance grants
 	// only one turn. It covers the restart of a killed process; in an outage, it delays
 	// programs of several turns.
@@ -164,15 +167,13 @@
 }
 
 // newAccount returns the account of an unknown program. What lost allowances may have
-// granted counts as spent, and what this holder's allowance grants is headroom.
+// granted counts as spent.
 func (s *state) newAccount(turn Turn, now time.Time) *accountEntry {
 	entry := &accountEntry{}
 	if turn.BudgetTokens > 0 && s.hasLostAllowance(now) {
-		lost := turn.lostGrants(s.allowance.losses)
-		entry.Spent = max(lost-turn.lossTolerance(), 0)
+		entry.Spent = turn.forfeited(s.allowance.losses)
 		entry.Forfeited = entry.Spent
 	}
-	s.raiseAllowance(entry, turn, now)
 	return entry
 }
 
@@ -192,16 +193,13 @@
 	return turn.nextAllowance(lost)
 }
 
-// raiseAllowance adds to an account without a record whatever the allowance grants in
-// addition by now.
-func (s *state) raiseAllowance(entry *accountEntry, turn Turn, now time.Time) {
-	if entry.isOnRecord {
-		return
-	}
-	if more := s.allowanceFor(turn, now) - entry.allowanceGranted; more > 0 {
-		entry.allowanceGranted += more
-		entry.headroom.immediate += more
+// allowanceRaise returns the tokens that the allowance can add now to what it has granted an account
+// without a record. Until the store may be out it grants one turn, so it adds nothing to that.
+func (s *state) allowanceRaise(entry *accountEntry, turn Turn, now time.Time) int64 {
+	if entry.isOnRecord || entry.allowanceGranted > 0 && !s.storeMayBeOut(now) {
+		return 0
 	}
+	return max(s.allowanceFor(turn, now)-entry.allowanceGranted, 0)
 }
 
 // lostGrants returns the tokens that lost allowances may have granted the turn's program.
@@ -219,6 +217,21 @@
 	return lost
 }
 
+// forfeited returns the tokens that lost allowances may have granted the turn's program and that count
+// as spent. A program of equal turns was granted what lostGrants returns at most. One of unequal turns may
+// have been granted its largest turn by the first holder, which needs not be counted, and
+// laterAllowance by the second, which is counted as far as it leaves room for the turn.
+func (t Turn) forfeited(l losses) int64 {
+	spent := max(t.lostGrants(l)-t.lossTolerance(), 0)
+	if l.OfOneTurn+l.OfAll < 2 {
+		return spent
+	}
+	return max(spent, min(t.laterAllowance(), t.BudgetTokens-t.MaxTokens))
+}
+
+// laterAllowance returns the most tokens that an allowance grants after a loss.
+func (t Turn) laterAllowance() int64 { return int64(laterAllowanceShare * float64(t.BudgetTokens)) }
+
 // nextAllowance returns the tokens that may be granted to the turn's program without a
 // record of it, after others were lost; 0 if there is no room for a turn.
 func (t Turn) nextAllowance(lost int64) int64 {
@@ -228,6 +241,9 @@
 	kept := max(int64(budgetReserveShare*float64(t.BudgetTokens)), t.MaxTokens)
 	left := t.BudgetTokens + t.lossTolerance() - lost - kept
 	next := min(max(int64(allowanceShare*float64(t.BudgetTokens)), t.MaxTokens), left, t.BudgetTokens)
+	if lost > 0 {
+		next = min(next, t.laterAllowance())
+	}
 	if next < t.MaxTokens {
 		return 0
 	}
--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -385,7 +386,7 @@
 			l.OfAll = rapid.IntRange(0, 1).Draw(t, "of all")
 		}
 		lost := turn.lostGrants(l)
-		spent := max(lost-turn.lossTolerance(), 0)
+		spent := turn.forfeited(l)
 		if most := lost + turn.BudgetTokens - spent; most > turn.BudgetTokens+turn.MaxTokens/2 {
 			t.Errorf("%+v: %d tokens of a budget of %d", l, most, turn.BudgetTokens)
 		}
@@ -398,9 +399,9 @@
 	})
 }
 
-// quicklyLost returns the state of a process that starts on the machine of a holder that died soon after
-// its latest append, of which the store has some records.
-func quicklyLost(t *testing.T, records recordedShard, epoch uint64, machine MachineClock, now time.Time) *state {
+// quicklyLost returns the state of a process that starts on the machine of a holder that died, of which the
+// store has some records.
+func quicklyLost(t rapid.TB, records recordedShard, epoch uint64, machine MachineClock, now time.Time) *state {
 	t.Helper()
 	s := records.takeOver(t, false, now)
 	s.machine = machine
@@ -434,8 +435,66 @@
 				}
 			}
 		}
-		if granted > budget+largest {
+	if granted > budget+largest {
 			rt.Errorf("%d tokens were granted of a budget of %d, with turns of at most %d", granted, budget, largest)
 		}
 	})
 }
+
+// Guards against a budget that is exceeded by more than one turn after any losses of a holder, quick ones and
+// ones in an outage, beside a store that takes none of what it granted.
+func TestLossesOfAnyKindCostNoMoreThanOneTurn(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		losses := rapid.IntRange(1, 4).Draw(rt, "losses")
+		holders := make([]lossyHolder, losses+1)
+		for number := range holders {
+			holders[number].inOutage = rapid.Bool().Draw(rt, "in an outage")
+			holders[number].turns = rapid.SliceOfN(rapid.Int64Range(1, 60), 60, 60).Draw(rt, "turns")
+		}
+		checkLosses(rt, holders)
+	})
+}
+
+// Guards against the same if the program's turns are of more than half of its budget, too.
+func TestLossesCostNoMoreThanOneTurnOfMostOfTheBudget(t *testing.T) {
+	small := slices.Repeat([]int64{1}, 60)
+	checkLosses(t, []lossyHolder{{turns: []int64{66}}, {inOutage: true, turns: small}, {turns: []int64{66}}})
+}
+
+// lossyHolder is a holder that is lost with what it has granted, at once or after the store has been out
+// for long. It is asked for turns of some tokens.
+type lossyHolder struct {
+	inOutage bool
+	turns    []int64
+}
+
+// checkLosses checks a program with a budget of 100 tokens whose shard loses all holders but the last, for
+// which the store takes appends.
+func checkLosses(t rapid.TB, holders []lossyHolder) {
+	const budget = 100
+	now, records := time.Now(), recordedShard{}
+	granted, largest, startedAfter := int64(0), int64(0), time.Duration(0)
+	for number, holder := range holders {
+		machine := MachineClock{Boot: "b", Now: func() time.Duration { return time.Second }, Started: time.Second + startedAfter}
+		s := quicklyLost(t, records, uint64(number)+1, machine, now)
+		s.coverRetention(time.Minute)
+		records.append(t, s)
+		s.confirmAllowance(now)
+		startedAfter = 0
+		if holder.inOutage {
+			startedAfter = 2 * singleTurnPeriod
+		}
+		for i, most := range holder.turns {
+			turn := Turn{ID: fmt.Sprint("turn-", number, "-", i), Program: "p", BudgetTokens: budget, MaxTokens: most, Retention: time.Minute}
+			_, outcome := s.begin(turn, now)
+			isRecorded := number == len(holders)-1
+			if outcome == resultOK && (isRecorded || s.takeHeadroom(turn, now.Add(startedAfter))) {
+				granted += most
+				largest = max(largest, most)
+			}
+		}
+	}
+	if granted > budget+largest {
+		t.Errorf("%d tokens were granted of a budget of %d, with turns of at most %d", granted, budget, largest)
+	}
+}
--- a/internal/ledger/headroom.go
+++ b/internal/ledger/headroom.go
@@ -56,9 +56,10 @@
 	s.inAppend = s.inAppend[:0]
 }
 
-// hasHeadroom reports whether an account's headroom has room for a turn.
-func (e *accountEntry) hasHeadroom(most int64, inOutage bool) bool {
-	return e.headroom.available(inOutage) >= most && (!e.isInAppend || e.appending.available(inOutage) >= most)
+// hasHeadroom reports whether an account's headroom, raised by some tokens of the allowance, has room for
+// a turn.
+func (e *accountEntry) hasHeadroom(most, raise int64, inOutage bool) bool {
+	return e.headroom.available(inOutage)+raise >= most && (!e.isInAppend || e.appending.available(inOutage) >= most)
 }
 
 // storeMayBeOut reports whether nothing has been sent to the store for so long that it may
@@ -74,19 +75,21 @@
 	if entry == nil {
 		return s.allowanceFor(turn, now) >= turn.MaxTokens
 	}
-	return entry.hasHeadroom(turn.MaxTokens, s.storeMayBeOut(now))
+	return entry.hasHeadroom(turn.MaxTokens, s.allowanceRaise(entry, turn, now), s.storeMayBeOut(now))
 }
 
 // takeHeadroom grants a turn that is reserved from headroom, if there is room.
 func (s *state) takeHeadroom(turn Turn, now time.Time) bool {
 	entry := s.accounts[turn.Program]
-	s.raiseAllowance(entry, turn, now)
 	if _, granted := entry.unrecorded[turn.ID]; granted {
 		return true // it is a repeated request
 	}
-	if !entry.hasHeadroom(turn.MaxTokens, s.storeMayBeOut(now)) {
+	raise := s.allowanceRaise(entry, turn, now)
+	if !entry.hasHeadroom(turn.MaxTokens, raise, s.storeMayBeOut(now)) {
 		return false
 	}
+	entry.allowanceGranted += raise
+	entry.headroom.immediate += raise
 	entry.takeHeadroom(turn.MaxTokens)
 	if entry.unrecorded == nil {
 		entry.unrecorded = map[string]struct{}{}
