--- a/internal/ledger/allowance_test.go
+++ b/internal/ledger/allowance_test.go
@@ -435,7 +435,7 @@
 				}
 			}
 		}
-	if granted > budget+largest {
+		if granted > budget+largest {
 			rt.Errorf("%d tokens were granted of a budget of %d, with turns of at most %d", granted, budget, largest)
 		}
 	})
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -409,3 +409,21 @@
 		t.Errorf("%d sends are removed after the lifetime of suspects, want 2", len(keys))
 	}
 }
+
+func TestRefusalOfAContentIsLoggedOnce(t *testing.T) {
+	now := time.Now()
+	table := newTable(nil)
+	digest := (&Content{Target: "x"}).Digest()
+	for number := range Limit {
+		table.put(endKey(digest, fmt.Sprint(number)), Send{State: StateEnded, Instance: fmt.Sprint(number)}, 1, now)
+	}
+	for number, want := range []bool{true, false} {
+		if sends, isFirst := table.firstRefusal(digest); isFirst != want || isFirst && len(sends) != Limit {
+			t.Errorf("refusal %d: first %v, with %d sends", number, isFirst, len(sends))
+		}
+	}
+	table.put(answeredKey(digest, 1), Send{State: StateAnswered, Generation: 1}, 2, now)
+	if _, isFirst := table.firstRefusal(digest); !isFirst {
+		t.Error("a refusal after an answer is not the first")
+	}
+}
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -50,6 +50,8 @@
 	// sends holds the latest state of all sends. Those of an earlier generation do not count.
 	sends      map[sendKey]*knownSend
 	generation int64
+	// isRefused is set once this daemon has refused the content.
+	isRefused bool
 	// isRunning reports whether a back end is known to run.
 	isRunning func(instance string) bool
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -75,6 +75,19 @@
 	return known, ends > 0, t.changed
 }
 
+// firstRefusal returns the sends for which a content is refused, the earliest first, and whether it was not
+// refused by this daemon before.
+func (t *table) firstRefusal(content Digest) (sends []Send, isFirst bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	s := t.suspects[content]
+	if s == nil || s.isRefused {
+		return nil, false
+	}
+	s.isRefused = true
+	return s.countedSends(), true
+}
+
 // isLogged reports whether a send was read from the store.
 func (t *table) isLogged(key sendKey) bool {
 	t.mutex.Lock()
@@ -135,6 +148,7 @@
 	}
 	if send.State == StateAnswered {
 		s.generation = max(s.generation, send.Generation)
+		s.isRefused = false
 	}
 	s.first(now) // notes which reservation is first
 }
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -29,6 +29,8 @@
 	// burstWait is how long after the first end a content is not refused yet: other daemons may know
 	// that it had been answered before.
 	burstWait = 250 * time.Millisecond
+	// maxLoggedSends is the most sends of a content in one log line.
+	maxLoggedSends = 12
 	// unconfirmedLimit is how many back ends may have ended under a content that is sent while the
 	// store is out. The daemons that know of one end may all send it once more.
 	unconfirmedLimit = 1
@@ -134,6 +136,7 @@
 			return nil
 		case known.ends >= Limit:
 			if now.Sub(known.endedAt) >= burstWait {
+				t.logFirstRefusal()
 				return ErrLimitReached
 			}
 			if err := awaitChangeUntil(ctx, known.endedAt.Add(burstWait), changed); err != nil {
@@ -161,6 +164,16 @@
 	}
 }
 
+// logFirstRefusal logs for which sends the content is refused from now on.
+func (t *Tracker) logFirstRefusal() {
+	sends, isFirst := t.guard.table.firstRefusal(t.Digest())
+	if !isFirst {
+		return
+	}
+	t.guard.Logger.Warn().Str("content", string(t.Digest())).Str("request", t.about.Request).Int("sends", len(sends)).
+		Interface("latest", sends[max(len(sends)-maxLoggedSends, 0):]).Msg("Content refused from now on. Too many back ends ended under it.")
+}
+
 // reserve reserves a send, unless another request of this daemon reserves the same content.
 func (t *Tracker) reserve(ctx context.Context, prefer func() string) {
 	if !t.guard.claim(t) {
