poison: a reservation released in an outage is never stored alone

Cause: an append that failed was repeated with the same records until the store took it. So a reservation of a request that was refused in an outage was stored first, and its deletion with the next append, some ms later. A daemon killed between them left a reservation that nobody released: one back end more that counts as ended under the content.

Change: each attempt has all that was queued by then, in order.

Measured: TestReservationReleasedInAnOutageIsNeverStored failed before (3 records, 2 expected).

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -427,3 +427,25 @@
 		t.Error("a refusal after an answer is not the first")
 	}
 }
+
+// Guards against a reservation that counts as an end although it was released: the store had been out, and the
+// daemon was killed after the reservation was taken and before its deletion was.
+func TestReservationReleasedInAnOutageIsNeverStored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		d := f.living()[0]
+		d.endOnce("x", "e0")
+		d.endOnce("x", "e1")
+		f.store.SetDown(true)
+		tracker := d.track("x")
+		if err := tracker.Admit(d.alive, func() string { return "e2" }); !errors.Is(err, ErrUnconfirmed) {
+			t.Fatalf("got %v, want %v", err, ErrUnconfirmed)
+		}
+		tracker.Close()
+		f.store.SetDown(false)
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			f.checkRecords(2) // the ends
+		}
+	})
+}
--- a/internal/poison/writer.go
+++ b/internal/poison/writer.go
@@ -107,7 +107,10 @@
 				return
 			}
 		}
-		if !w.appendBatch(ctx, batch, recovered) {
+		if !w.appendBatch(ctx, batch) {
+			w.awaitRetry(ctx, recovered())
+		}
+		if ctx.Err() != nil {
 			return
 		}
 	}
@@ -131,31 +134,33 @@
 	return slices.Clone(w.queue)
 }
 
-// appendBatch appends writes, and repeats that until the store has taken them; false if ctx ended
-// first.
-func (w *writer) appendBatch(ctx context.Context, batch []*write, recovered func() <-chan struct{}) bool {
+// appendBatch appends writes, and reports whether the store has taken them. If not, the next attempt has what
+// was queued since, too: a reservation that is released by then never stands alone in the store.
+func (w *writer) appendBatch(ctx context.Context, batch []*write) bool {
 	var records []store.Record
 	for _, queued := range batch {
 		records = append(records, queued.records...)
 	}
-	for {
-		err := w.appendOnce(ctx, records)
-		if err == nil {
-			w.remove(batch, len(records))
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
-		}
+	err := w.appendOnce(ctx, records)
+	if err == nil {
+		w.remove(batch, len(records))
+		return true
+	}
+	if ctx.Err() == nil {
 		w.logger.Warn().Err(err).Int("records", len(records)).Msg("Sends of suspected contents not stored. This is tried again.")
 		w.failAll()
-		retry := time.NewTimer(appendRetry)
-		select {
-		case <-retry.C:
-		case <-recovered():
-		case <-ctx.Done():
-		}
-		retry.Stop()
+	}
+	return false
+}
+
+// awaitRetry waits for the next attempt.
+func (w *writer) awaitRetry(ctx context.Context, recovered <-chan struct{}) {
+	retry := time.NewTimer(appendRetry)
+	defer retry.Stop()
+	select {
+	case <-retry.C:
+	case <-recovered:
+	case <-ctx.Done():
 	}
 }
 
