poison: the order of a list does not make reservations count as sent

Cause: records that were read were applied one by one, and after each the earliest reservation so far counted as the one whose turn it was. The log's order makes that right; a list, which a daemon reads at its start, is ordered by key, so that several reservations counted as sent. Those of daemons that were killed became ends of back ends when their time was over.

Measured: TestListInAnyOrderHasOneFirstReservation failed before: five reservations of lost daemons count as five ends, one may have been sent.

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -428,6 +428,28 @@
 	}
 }
 
+// Guards against reservations that count as sent, and later as ends, because a list names them before the one
+// whose turn it was.
+func TestListInAnyOrderHasOneFirstReservation(t *testing.T) {
+	now := time.Now()
+	table := newTable(nil)
+	digest := (&Content{Target: "x"}).Digest()
+	var listed []store.Record
+	for number := 5; number > 0; number-- {
+		send := Send{State: StateReserved, Instance: fmt.Sprint("e", number), AtMS: now.UnixMilli(), HoldMS: 1000}
+		record, err := send.record(newSendKey(digest, uint64(number)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		record.Offset = int64(number)
+		listed = append(listed, record)
+	}
+	table.apply(store.Update{Records: listed, Complete: true}, now)
+	if known, _, _ := table.standing(digest, now.Add(time.Second+2*holdMargin)); known.ends != 1 {
+		t.Errorf("%d of five reservations of lost daemons count as ends, want 1", known.ends)
+	}
+}
+
 // Guards against a reservation that counts as an end although it was released: the store had been out, and the
 // daemon was killed after the reservation was taken and before its deletion was.
 func TestReservationReleasedInAnOutageIsNeverStored(t *testing.T) {
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -14,8 +14,10 @@
 	// sameEndWindow is for how long the end of a back end is told by several sends: a request may
 	// still be sent on a connection whose end has not arrived yet.
 	sameEndWindow = 250 * time.Millisecond
-	// maxClockSkew is by how much the clock of another daemon may be ahead.
-	maxClockSkew = time.Minute
+	// maxClockSkew is by how much the clock of another daemon may be ahead, and usualClockSkew by how much
+	// two clocks differ as long as nothing is wrong with them.
+	maxClockSkew   = time.Minute
+	usualClockSkew = 500 * time.Millisecond
 	// notLogged is the offset of a send that was not read from the store yet.
 	notLogged = math.MaxInt64
 	// suspectLifetime is how long a content stays suspected after the last back end ended under
@@ -45,6 +47,12 @@
 	return now.Sub(k.heardAt) > k.hold()+holdMargin
 }
 
+// blocksUntil returns the time of day until which a reservation that is first keeps later ones from being sent,
+// by its record: this daemon may have heard of it late.
+func (k *knownSend) blocksUntil() time.Time {
+	return k.changedAt().Add(k.hold() + holdMargin - usualClockSkew)
+}
+
 // suspect is a content under which a back end has ended.
 type suspect struct {
 	// sends holds the latest state of all sends. Those of an earlier generation do not count.
@@ -64,7 +72,7 @@
 func (s *suspect) first(now time.Time) sendKey {
 	first, offset := sendKey(""), int64(notLogged)
 	for key, send := range s.sends {
-		if send.State == StateReserved && s.counts(send) && send.offset < offset && !send.isOver(now) {
+		if s.isOpen(send) && send.offset < offset && !send.isOver(now) {
 			first, offset = key, send.offset
 		}
 	}
@@ -74,6 +82,42 @@
 	return first
 }
 
+// noteEarlierTurns notes the reservations whose turn may have come before this daemon heard of them: by the
+// times of day in the records, none that precedes it in the log held any more.
+func (s *suspect) noteEarlierTurns(now time.Time) {
+	var blockedUntil time.Time
+	for _, send := range s.openInOrder() {
+		reservedAt := send.changedAt()
+		turnAt := latest(reservedAt, blockedUntil)
+		if !turnAt.After(now) && !turnAt.After(reservedAt.Add(send.hold())) {
+			send.wasFirst = true
+		}
+		blockedUntil = latest(blockedUntil, send.blocksUntil())
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// openInOrder returns the reservations that may be sent, in the order of the log.
+func (s *suspect) openInOrder() []*knownSend {
+	var open []*knownSend
+	for _, send := range s.sends {
+		if s.isOpen(send) && send.offset != notLogged {
+			open = append(open, send)
+		}
+	}
+	slices.SortFunc(open, func(a, b *knownSend) int { return cmp.Compare(a.offset, b.offset) })
+	return open
+}
+
+// isOpen reports whether a send is a reservation that counts.
+func (s *suspect) isOpen(send *knownSend) bool { return send.State == StateReserved && s.counts(send) }
+
 // ends returns how many back ends have ended under the content: those that a daemon saw, and those
 // that are presumed to have.
 func (s *suspect) ends(now time.Time) int { return s.seenEnds() + s.presumedEnds(now) }
@@ -83,8 +127,8 @@
 func (s *suspect) presumedEnds(now time.Time) int {
 	presumed := 0
 	for _, send := range s.sends {
-		isOpen := send.State == StateReserved && s.counts(send) && send.wasFirst && send.isOver(now)
-		if isOpen && send.Instance != "" && !s.isRunning(send.Instance) {
+		isPresumed := s.isOpen(send) && send.wasFirst && send.isOver(now)
+		if isPresumed && send.Instance != "" && !s.isRunning(send.Instance) {
 			presumed++
 		}
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -123,10 +123,12 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.putLocked(key, send, offset, now)
+	t.suspects[key.content()].first(now)
 	t.signal()
 }
 
-// putLocked is put for callers that hold the mutex and signal the change.
+// putLocked is put for callers that hold the mutex, note which reservations are first then, and signal the
+// change.
 func (t *table) putLocked(key sendKey, send Send, offset int64, now time.Time) {
 	content := key.content()
 	s := t.suspects[content]
@@ -150,7 +152,6 @@
 		s.generation = max(s.generation, send.Generation)
 		s.isRefused = false
 	}
-	s.first(now) // notes which reservation is first
 }
 
 // drop removes sends.
@@ -186,7 +187,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	listed := map[sendKey]bool{}
+	changed := map[Digest]bool{}
 	for _, record := range update.Records {
+		changed[sendKey(record.Key).content()] = true
 		if len(record.Value) == 0 {
 			t.dropLocked(sendKey(record.Key))
 			continue
@@ -205,10 +208,22 @@
 	if update.Complete {
 		t.dropUnlisted(listed)
 	}
+	t.noteTurns(changed, now)
 	t.signal()
 	return ended, malformed
 }
 
+// noteTurns notes whose turn it was and is, once all records of an update are applied: a list is not in the
+// order of the log, so that each part of it has another first reservation.
+func (t *table) noteTurns(changed map[Digest]bool, now time.Time) {
+	for content := range changed {
+		if s := t.suspects[content]; s != nil {
+			s.noteEarlierTurns(now)
+			s.first(now)
+		}
+	}
+}
+
 // dropUnlisted removes the sends that the store has no more.
 func (t *table) dropUnlisted(listed map[sendKey]bool) {
 	for _, s := range t.suspects {
