poison: reservations of replaced daemons whose turn never came do not count as ends

Cause: of the reservations of a content one at a time is sent; the others wait. When all daemons are killed together, each may leave one. Those behind the first were presumed to have been sent in turn, as the time of each was over, although their daemons were gone before.

Change: a run of a daemon is certainly over once a later one has its address. If that is so while an earlier reservation still blocks one of that run, it was never sent: it does not count and holds nobody up. What is concluded from a reservation is forgotten if it turns out to be resolved. A daemon that has the first reservation drops those behind it before its own ends, for daemons that read the list later. Machines that do not come back count as before.

Cost: a map of addresses in each daemon.

--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -34,6 +34,8 @@
 	guards map[structs.DaemonID]*guardDaemon
 	// isRunning reports whether a back end runs; nil for none.
 	isRunning func(instance string) bool
+	// listeners are told of each daemon that starts.
+	listeners []func(membership.Member)
 }
 
 // guardDaemon is a daemon of a fleet.
@@ -70,7 +72,11 @@
 	})
 	f.mutex.Lock()
 	f.guards[self] = d
+	listeners := slices.Clone(f.listeners)
 	f.mutex.Unlock()
+	for _, listener := range listeners {
+		listener(membership.Member{Daemon: structs.Daemon{ID: self}, State: membership.StateAlive})
+	}
 	go d.Run(d.alive)
 	return d
 }
@@ -113,7 +119,11 @@
 func (f *fleet) State(structs.DaemonID) membership.State { return membership.StateAlive }
 
 // Subscribe implements membership.View.
-func (f *fleet) Subscribe(func(membership.Member)) {}
+func (f *fleet) Subscribe(listener func(membership.Member)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.listeners = append(f.listeners, listener)
+}
 
 // fleetTeller delivers what the daemons of a fleet tell each other.
 type fleetTeller struct{ fleet *fleet }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -96,10 +96,11 @@
 		options.Connectivity = store.UnknownConnectivity{}
 	}
 	g := &Guard{
-		Options: options, table: newTable(options.IsRunning), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
+		Options: options, refresh: make(chan struct{}, 1), listed: make(chan struct{}),
 		writer:    newWriter(options.Store, options.Logger, options.Metrics),
 		reserving: map[Digest]*Tracker{}, released: map[sendKey]released{},
 	}
+	g.table = newTable(knownRuns{instances: options.IsRunning, daemons: newLatestRuns(options.View)})
 	options.Metrics.observe(&g.table)
 	return g
 }
@@ -177,14 +178,28 @@
 	return kept
 }
 
-// release drops a reservation.
+// release drops a reservation, and those whose turn never came because of it.
 func (g *Guard) release(key sendKey) {
+	g.dropNeverSentBehind(key)
 	g.mutex.Lock()
 	g.released[key] = released{at: time.Now(), write: g.writer.append(store.Record{Key: string(key)})}
 	g.mutex.Unlock()
 	g.table.drop(key)
 }
 
+// dropNeverSentBehind drops the reservations whose turn never came because of an own one, before that ends:
+// daemons that hear of them only then could not tell.
+func (g *Guard) dropNeverSentBehind(own sendKey) {
+	never := g.table.neverSentBehind(own)
+	if len(never) == 0 {
+		return
+	}
+	g.writer.append(deletions(never)...)
+	g.table.drop(never...)
+	g.Logger.Info().Str("content", string(own.content())).Int("reservations", len(never)).
+		Msg("Reservations dropped. Their daemons were replaced before their turn came.")
+}
+
 // forgetReleased forgets the reservations that were released long ago.
 func (g *Guard) forgetReleased(now time.Time) {
 	g.mutex.Lock()
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -289,7 +289,7 @@
 
 func TestMostEndsAreKeptLongestWhenThereAreTooManyContents(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newTable(nil)
+	table := newTable(knownRuns{})
 	add := func(content string, ends int, at time.Time) {
 		digest := (&Content{Target: content}).Digest()
 		for number := range ends {
@@ -314,7 +314,7 @@
 }
 
 func TestRecordsOfOtherBuildsAreRead(t *testing.T) {
-	table := newTable(nil)
+	table := newTable(knownRuns{})
 	digest := (&Content{Target: "x"}).Digest()
 	_, malformed := table.apply(store.Update{Records: []store.Record{
 		{Key: string(endKey(digest, "e0")), Value: []byte(`{"state":"ended","instance":"e0","later":{"a":1}}`)},
@@ -398,7 +398,7 @@
 // The clock of the daemon that stored a send may be years ahead, and the record may be another writer's.
 func TestSendsOfAWrongClockHaveALifetime(t *testing.T) {
 	now := time.Unix(1000, 0)
-	table := newTable(nil)
+	table := newTable(knownRuns{})
 	digest := (&Content{Target: "x"}).Digest()
 	table.put(endKey(digest, "e0"), Send{State: StateEnded, Instance: "e0", AtMS: now.AddDate(9, 0, 0).UnixMilli()}, 1, now)
 	table.put(newSendKey(digest, 1), Send{State: StateReserved, HoldMS: 1 << 62, AtMS: now.UnixMilli()}, 2, now)
@@ -412,7 +412,7 @@
 
 func TestRefusalOfAContentIsLoggedOnce(t *testing.T) {
 	now := time.Now()
-	table := newTable(nil)
+	table := newTable(knownRuns{})
 	digest := (&Content{Target: "x"}).Digest()
 	for number := range Limit {
 		table.put(endKey(digest, fmt.Sprint(number)), Send{State: StateEnded, Instance: fmt.Sprint(number)}, 1, now)
@@ -432,7 +432,7 @@
 // whose turn it was.
 func TestListInAnyOrderHasOneFirstReservation(t *testing.T) {
 	now := time.Now()
-	table := newTable(nil)
+	table := newTable(knownRuns{})
 	digest := (&Content{Target: "x"}).Digest()
 	var listed []store.Record
 	for number := 5; number > 0; number-- {
@@ -450,6 +450,71 @@
 	}
 }
 
+// Guards against an innocent content that is refused after one back end ended, because all daemons were
+// killed together: each had a reservation, of which one at most was sent.
+func TestReservationsOfDaemonsKilledTogetherCountAsOneEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6)
+		f.living()[0].endOnce("x", "e0")
+		for number, d := range f.living() {
+			timeLeft, instance := 4*time.Second, fmt.Sprint("e", 1+number)
+			if number == 0 {
+				timeLeft = 500 * time.Millisecond
+			}
+			ctx, cancel := context.WithTimeout(d.alive, timeLeft)
+			defer cancel()
+			go func() { _ = d.track("x").Admit(ctx, func() string { return instance }) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		f.killAll()
+		for number := range 6 {
+			f.start(number, 2)
+		}
+		d := f.living()[0]
+		for range 200 { // requests look at the content all the time
+			time.Sleep(100 * time.Millisecond)
+			if ends := d.ends("x"); ends > 2 {
+				t.Fatalf("%d back ends count as ended, one ended and one may have", ends)
+			}
+		}
+	})
+}
+
+// Guards against the same where one daemon lives: it has the first reservation, and its back end ends after the
+// others have been replaced.
+func TestReservationsOfReplacedDaemonsBehindALivingOneAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4)
+		f.living()[0].endOnce("x", "e0")
+		survivor := f.living()[0]
+		first := survivor.track("x")
+		if err := first.Admit(survivor.alive, noPreference); err != nil {
+			t.Fatal(err)
+		}
+		for number, d := range f.living()[1:] {
+			ctx, cancel := context.WithTimeout(d.alive, 4*time.Second)
+			defer cancel()
+			go func() { _ = d.track("x").Admit(ctx, func() string { return fmt.Sprint("other ", number) }) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, d := range f.living()[1:] {
+			f.end(d)
+		}
+		for number := 1; number < 4; number++ {
+			f.start(number, 2)
+		}
+		time.Sleep(100 * time.Millisecond)
+		first.Ended(survivor.alive, "e1", nil)
+		first.Close()
+		time.Sleep(10 * time.Second)
+		for _, d := range f.living() {
+			if ends := d.ends("x"); ends != 2 {
+				t.Errorf("%d ends count at %s, want 2", ends, d.Self)
+			}
+		}
+	})
+}
+
 // Guards against a reservation that counts as an end although it was released: the store had been out, and the
 // daemon was killed after the reservation was taken and before its deletion was.
 func TestReservationReleasedInAnOutageIsNeverStored(t *testing.T) {
--- a/internal/poison/operator.go
+++ b/internal/poison/operator.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "poison: read the contents under which back ends ended")
 	}
-	known := newTable(nil)
+	known := newTable(knownRuns{})
 	known.apply(store.Update{Records: records, Complete: true}, now)
 	return &known, nil
 }
--- /dev/null
+++ b/internal/poison/runs.go
@@ -0,0 +1,55 @@
+package poison
+
+import (
+	"sync"
+
+	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/structs"
+)
+
+// knownRuns tells which runs of back ends and daemons are over. The zero value knows nothing.
+type knownRuns struct {
+	// instances reports whether a back end is known to run, by its ID; nil if that is not known.
+	instances func(instance string) bool
+	daemons   *latestRuns
+}
+
+// isRunning reports whether a back end is known to run.
+func (k knownRuns) isRunning(instance string) bool {
+	return k.instances != nil && k.instances(instance)
+}
+
+// isDaemonReplaced reports whether a run of a daemon is certainly over, as a later one has its address.
+func (k knownRuns) isDaemonReplaced(daemon structs.DaemonID) bool {
+	return k.daemons != nil && k.daemons.isReplaced(daemon)
+}
+
+// latestRuns holds the latest run of each daemon, by its address. It is safe for concurrent use.
+type latestRuns struct {
+	mutex        sync.Mutex
+	incarnations map[string]uint64
+}
+
+// newLatestRuns returns the latest runs of a view's members, and follows them.
+func newLatestRuns(view membership.View) *latestRuns {
+	r := &latestRuns{incarnations: map[string]uint64{}}
+	view.Subscribe(r.note)
+	for _, member := range view.Members() {
+		r.note(member)
+	}
+	return r
+}
+
+// note notes a run of a daemon, also one that is over itself.
+func (r *latestRuns) note(member membership.Member) {
+	id := member.Daemon.ID
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.incarnations[id.Address()] = max(r.incarnations[id.Address()], id.Incarnation())
+}
+
+func (r *latestRuns) isReplaced(daemon structs.DaemonID) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.incarnations[daemon.Address()] > daemon.Incarnation()
+}
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -37,6 +37,9 @@
 	// wasFirst is set once it was the turn of a reservation while its holder could still send the
 	// content.
 	wasFirst bool
+	// behind is the reservation whose turn it was when the holder of this one was gone, so that this one's
+	// turn never came; "" if that is not known.
+	behind sendKey
 }
 
 // mayBeSent reports whether the holder of a reservation may still begin to send the content.
@@ -60,25 +63,28 @@
 	generation int64
 	// isRefused is set once this daemon has refused the content.
 	isRefused bool
-	// isRunning reports whether a back end is known to run.
-	isRunning func(instance string) bool
+	fleet     knownRuns
 }
 
 // counts reports whether a send counts.
 func (s *suspect) counts(send *knownSend) bool { return send.Generation >= s.generation }
 
 // first returns the key of the reservation whose turn it is, "" if there is none: the earliest in
-// the store's log that still holds.
+// the store's log that still holds and may be sent.
 func (s *suspect) first(now time.Time) sendKey {
 	first, offset := sendKey(""), int64(notLogged)
 	for key, send := range s.sends {
-		if s.isOpen(send) && send.offset < offset && !send.isOver(now) {
+		if s.isOpen(send) && send.behind == "" && send.offset < offset && !send.isOver(now) {
 			first, offset = key, send.offset
 		}
 	}
-	if first != "" && s.sends[first].mayBeSent(now) {
+	if first == "" {
+		return ""
+	}
+	if s.sends[first].mayBeSent(now) {
 		s.sends[first].wasFirst = true
 	}
+	s.noteNeverSent(first, now)
 	return first
 }
 
@@ -107,7 +113,7 @@
 func (s *suspect) openInOrder() []*knownSend {
 	var open []*knownSend
 	for _, send := range s.sends {
-		if s.isOpen(send) && send.offset != notLogged {
+		if s.isOpen(send) && send.behind == "" && send.offset != notLogged {
 			open = append(open, send)
 		}
 	}
@@ -118,6 +124,42 @@
 // isOpen reports whether a send is a reservation that counts.
 func (s *suspect) isOpen(send *knownSend) bool { return send.State == StateReserved && s.counts(send) }
 
+// noteNeverSent notes the reservations behind the first one whose holders are gone while its turn lasts:
+// their own turn never came.
+func (s *suspect) noteNeverSent(first sendKey, now time.Time) {
+	holder := s.sends[first]
+	if now.After(holder.blocksUntil()) {
+		return
+	}
+	for _, send := range s.sends {
+		isBehind := s.isOpen(send) && !send.wasFirst && send.offset != notLogged && send.offset > holder.offset
+		if isBehind && send.behind == "" && s.fleet.isDaemonReplaced(send.Daemon) {
+			send.behind = first
+		}
+	}
+}
+
+// neverSentBehind returns the reservations whose turn never came because of a reservation.
+func (s *suspect) neverSentBehind(first sendKey) []sendKey {
+	var never []sendKey
+	for key, send := range s.sends {
+		if send.behind == first {
+			never = append(never, key)
+		}
+	}
+	return never
+}
+
+// noteResolved forgets what was concluded from a reservation that has become something else: its turn may
+// have been over before this daemon heard of it.
+func (s *suspect) noteResolved(first sendKey) {
+	for _, send := range s.sends {
+		if send.behind == first {
+			send.behind = ""
+		}
+	}
+}
+
 // ends returns how many back ends have ended under the content: those that a daemon saw, and those
 // that are presumed to have.
 func (s *suspect) ends(now time.Time) int { return s.seenEnds() + s.presumedEnds(now) }
@@ -128,7 +170,7 @@
 	presumed := 0
 	for _, send := range s.sends {
 		isPresumed := s.isOpen(send) && send.wasFirst && send.isOver(now)
-		if isPresumed && send.Instance != "" && !s.isRunning(send.Instance) {
+		if isPresumed && send.Instance != "" && !s.fleet.isRunning(send.Instance) {
 			presumed++
 		}
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -37,17 +37,12 @@
 	shapes map[shape]int
 	// changed is closed and replaced at each change.
 	changed chan struct{}
-	// isRunning reports whether a back end is known to run.
-	isRunning func(instance string) bool
+	fleet   knownRuns
 }
 
-// newTable returns an empty table. isRunning reports whether a back end is known to run; nil if that is
-// not known of any.
-func newTable(isRunning func(instance string) bool) table {
-	if isRunning == nil {
-		isRunning = func(string) bool { return false }
-	}
-	return table{suspects: map[Digest]*suspect{}, shapes: map[shape]int{}, changed: make(chan struct{}), isRunning: isRunning}
+// newTable returns an empty table.
+func newTable(fleet knownRuns) table {
+	return table{suspects: map[Digest]*suspect{}, shapes: map[shape]int{}, changed: make(chan struct{}), fleet: fleet}
 }
 
 // mayContain reports whether a content may be suspected. It does not read the content's body.
@@ -133,7 +128,7 @@
 	content := key.content()
 	s := t.suspects[content]
 	if s == nil {
-		s = &suspect{sends: map[sendKey]*knownSend{}, isRunning: t.isRunning}
+		s = &suspect{sends: map[sendKey]*knownSend{}, fleet: t.fleet}
 		t.suspects[content] = s
 		t.shapes[content.shape()]++
 		t.count.Add(1)
@@ -147,6 +142,7 @@
 	case known.State == StateReserved: // an end is final
 		known.Send, known.heardAt = send, now
 		known.offset = min(known.offset, offset)
+		s.noteResolved(key)
 	}
 	if send.State == StateAnswered {
 		s.generation = max(s.generation, send.Generation)
@@ -171,6 +167,7 @@
 		return
 	}
 	delete(s.sends, key)
+	s.noteResolved(key)
 	if len(s.sends) > 0 {
 		return
 	}
@@ -235,6 +232,18 @@
 	}
 }
 
+// neverSentBehind returns the reservations whose turn never came because of a reservation that holds.
+func (t *table) neverSentBehind(first sendKey) []sendKey {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	s := t.suspects[first.content()]
+	if s == nil {
+		return nil
+	}
+	s.first(time.Now()) // notes those whose holders are gone by now
+	return s.neverSentBehind(first)
+}
+
 // wake wakes those that wait for a change.
 func (t *table) wake() {
 	t.mutex.Lock()
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -317,6 +317,7 @@
 	key := endKey(t.Digest(), instance)
 	if t.reserved != nil {
 		key = t.reserved.key // the reservation becomes the end
+		t.guard.dropNeverSentBehind(key)
 	}
 	t.reserved = nil
 	t.ended = &endedSend{key: key, send: t.newSend(StateEnded, instance)}
