ledger: a test of a limit's owner that is cut off from all, known red

Cause: while the store does not answer, a holder decides without a proof of ownership, as nobody can take the shard over then; a holder that is cut off takes its own cut for that until it knows better, 1.5 s after the first lost call.

Change: tests only. The check and bound of TestLimitHasOneOwnerAfterAFreeze, a third case.

--- a/internal/ledger/fleet_test.go
+++ b/internal/ledger/fleet_test.go
@@ -43,6 +43,8 @@
 	viewOf  func(structs.DaemonID) View
 	storeOf func(structs.DaemonID) store.Store
 	severed func(from, to structs.DaemonID) bool
+	// connectivityOf returns what a daemon that starts knows of its way to the store; nil for nothing.
+	connectivityOf func(structs.DaemonID) store.Connectivity
 	// storeBytes is the size of the store as told to daemons.
 	storeBytes float64
 	// readBytes is the store's read capacity per second as told to daemons.
@@ -94,8 +96,13 @@
 	if f.storeOf != nil {
 		records = f.storeOf(id)
 	}
+	var connectivity store.Connectivity
+	if f.connectivityOf != nil {
+		connectivity = f.connectivityOf(id)
+	}
 	s := NewService(Options{
 		Self:             id,
+		Connectivity:     connectivity,
 		Store:            records,
 		Transport:        &testTransport{fleet: f, self: id},
 		View:             f.view(id),
--- a/internal/ledger/quota_test.go
+++ b/internal/ledger/quota_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/mintpulley/mintpulley/internal/quota"
+	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -88,10 +90,16 @@
 // mostAdmitted lets all daemons ask for a tenant five times as often as its limit allows, while the owner
 // of the limit becomes unreachable and comes back, several times. It returns the most requests that were
 // admitted in a window, and how many were in all. isFrozen: the owner's own callers ask nothing meanwhile,
-// and it notices that it was paused when it is back.
-func mostAdmitted(t *testing.T, isFrozen bool) (most, all int) {
+// and it notices that it was paused when it is back. isStoreCut: it does not reach the store either.
+func mostAdmitted(t *testing.T, isFrozen, isStoreCut bool) (most, all int) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newTestFleet(t, 4)
+		f := newTestFleet(t, 0)
+		if isStoreCut {
+			f.cutFromStore()
+		}
+		for number := range 4 {
+			f.start(daemonID(number, 1))
+		}
 		admitted := &admissions{}
 		askFor := func(length time.Duration, passedOver func(structs.DaemonID) bool) {
 			for range int(length / (20 * time.Millisecond)) {
@@ -121,13 +129,72 @@
 	return most, all
 }
 
+// cutDaemon is a daemon that reaches the store unless it is cut off, and knows of that some time later.
+type cutDaemon struct {
+	store.Store
+	store.UnknownConnectivity
+	fleet *testFleet
+	id    structs.DaemonID
+	mutex sync.Mutex
+	// cutSince is when the first call was lost; zero if none was since the latest answer.
+	cutSince time.Time
+}
+
+// isolationKnownAfter is how long a daemon reaches neither the store nor another daemon until it knows that.
+const isolationKnownAfter = 1500 * time.Millisecond
+
+// IsIsolated implements store.Connectivity.
+func (c *cutDaemon) IsIsolated() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return !c.cutSince.IsZero() && time.Since(c.cutSince) > isolationKnownAfter
+}
+
+// Append implements store.Store.
+func (c *cutDaemon) Append(ctx context.Context, partition store.Partition, writer store.Writer, records []store.Record) error {
+	c.fleet.mutex.Lock()
+	isCut := c.fleet.disconnected[c.id]
+	c.fleet.mutex.Unlock()
+	c.noteCall(isCut)
+	if isCut {
+		<-ctx.Done()
+		return store.ErrOutcomeUnknown
+	}
+	return c.Store.Append(ctx, partition, writer, records)
+}
+
+func (c *cutDaemon) noteCall(isCut bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case !isCut:
+		c.cutSince = time.Time{}
+	case c.cutSince.IsZero():
+		c.cutSince = time.Now()
+	}
+}
+
+// cutFromStore makes the daemons that start reach the store only while they are connected.
+func (f *testFleet) cutFromStore() {
+	cut := map[structs.DaemonID]*cutDaemon{}
+	f.storeOf = func(id structs.DaemonID) store.Store {
+		cut[id] = &cutDaemon{Store: &testStore{Store: f.store, fleet: f}, fleet: f, id: id}
+		return cut[id]
+	}
+	f.connectivityOf = func(id structs.DaemonID) store.Connectivity { return cut[id] }
+}
+
 // Guards against a limit that two owners enforce: one that was frozen or cut off from the other daemons goes
 // on deciding beside its successor.
 func TestLimitHasOneOwnerAfterAFreeze(t *testing.T) {
-	for name, isFrozen := range map[string]bool{"frozen": true, "cut off from the others": false} {
+	for name, c := range map[string]struct{ isFrozen, isStoreCut bool }{
+		"frozen":                                {isFrozen: true},
+		"cut off from the others":               {},
+		"cut off from the others and the store": {isStoreCut: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			allowed := int(testTolerance.Window.Seconds()*10*1.1 + 1.1 + 10.5)
-			most, all := mostAdmitted(t, isFrozen)
+			most, all := mostAdmitted(t, c.isFrozen, c.isStoreCut)
 			if most > allowed {
 				t.Errorf("%d requests in five seconds, want %d at most", most, allowed)
 			}
