httpconn: a request is not sent on a connection that has answered its label

Cause: which connections a request was sent on was known to one handling of it only. A caller that sends another request under the same ID, against the protocol, could get it onto a connection that has answered the first, where a late second copy of that answer is taken for its own: a refusal that is not true, and a second run elsewhere.

Change: the labels that a connection remembers (the latest 16) exclude it, too, as those that the same handling used do.

Measured: TestRequestWithAnAnsweredLabelGetsNoCopyOfThatAnswer failed before (the second request got the first one's answer), with and without a limit of connections. Tests of httpconn, platform, relay and relaydaemon pass.

--- a/internal/httpconn/answers.go
+++ b/internal/httpconn/answers.go
@@ -79,9 +79,12 @@
 		return false
 	}
 	label := labels.Of(response)
-	return label != labels.Request && slices.Contains(c.answered, label)
+	return label != labels.Request && c.hasAnswered(label)
 }
 
+// hasAnswered reports whether the request with a label is one of the latest that were answered.
+func (c *conn) hasAnswered(label string) bool { return slices.Contains(c.answered, label) }
+
 // discardDuplicate reads a duplicate answer to its end.
 func discardDuplicate(response *http.Response) error {
 	defer func() { _ = response.Body.Close() }() // it was read to its end, or the connection is closed
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -186,6 +186,12 @@
 	Labels *Labels
 }
 
+// exclude reports whether a request must not be sent on a connection: it was sent there before, by its
+// sender or by another one that gave it the same label.
+func (b Bounds) exclude(c *conn) bool {
+	return b.Used.contains(c) || b.Labels != nil && c.hasAnswered(b.Labels.Request)
+}
+
 // Do sends a request to an address and reads the response header. The response body must be closed;
 // if it was read to its end, the connection is kept. The error wraps ErrNotSent or ErrBroken. When
 // ctx ends, the connection is closed; if the cause is ErrPeerCutOff, undelivered data is dropped.
@@ -213,7 +219,7 @@
 // closed meanwhile, so it is not the last word.
 func (p *Pool) take(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	if !bounds.Fresh {
-		if c := p.takeIdle(name, bounds.Used); c != nil {
+		if c := p.takeIdle(name, bounds); c != nil {
 			if p.identify(ctx, c, bounds) == nil {
 				return c, nil
 			}
@@ -221,7 +227,7 @@
 		}
 	}
 	c, err := p.open(ctx, name, bounds)
-	if errors.Is(err, ErrNoConnection) && p.closeUsed(name, bounds.Used) {
+	if errors.Is(err, ErrNoConnection) && p.closeExcluded(name, bounds) {
 		c, err = p.open(ctx, name, bounds)
 	}
 	if err != nil {
@@ -269,7 +275,7 @@
 // Hold keeps a connection to an address open until ctx ends, an idle one if there is one. It returns
 // ErrResetUnused if the peer closes it before. A connection that is still open is kept for a later request.
 func (p *Pool) Hold(ctx context.Context, name string) error {
-	c := p.takeIdle(name, nil)
+	c := p.takeIdle(name, Bounds{})
 	if c == nil {
 		opened, err := p.open(ctx, name, Bounds{})
 		if err != nil {
@@ -329,11 +335,11 @@
 	return ErrNotSent
 }
 
-// takeIdle returns an open idle connection to an address that is not among the used ones, nil if there
-// is none.
-func (p *Pool) takeIdle(name string, used *UsedConnections) *conn {
+// takeIdle returns an open idle connection to an address that the bounds do not exclude, nil if there is
+// none.
+func (p *Pool) takeIdle(name string, bounds Bounds) *conn {
 	for {
-		c := p.removeIdle(name, used)
+		c := p.removeIdle(name, bounds)
 		if c == nil || time.Now().Before(c.expires) && isReusable(c.Conn) {
 			return c
 		}
@@ -341,9 +347,9 @@
 	}
 }
 
-// removeIdle removes the latest idle connection that is not among the used ones from those of an
-// address, and returns it; nil if there is none.
-func (p *Pool) removeIdle(name string, used *UsedConnections) *conn {
+// removeIdle removes the latest idle connection that the bounds do not exclude from those of an address,
+// and returns it; nil if there is none.
+func (p *Pool) removeIdle(name string, bounds Bounds) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
@@ -351,7 +357,7 @@
 		return nil
 	}
 	for i, c := range slices.Backward(a.idle) {
-		if !used.contains(c) {
+		if !bounds.exclude(c) {
 			a.idle = slices.Delete(a.idle, i, i+1)
 			return c
 		}
@@ -359,9 +365,9 @@
 	return nil
 }
 
-// closeUsed makes room for another connection to an address: it closes the longest idle one of those
-// that are used, and reports whether there was one that has been idle for minIdleReplaced.
-func (p *Pool) closeUsed(name string, used *UsedConnections) bool {
+// closeExcluded makes room for another connection to an address: it closes the longest idle one of those
+// that the bounds exclude, and reports whether there was one that has been idle for minIdleReplaced.
+func (p *Pool) closeExcluded(name string, bounds Bounds) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
@@ -369,7 +375,7 @@
 		return false
 	}
 	now := time.Now()
-	i := slices.IndexFunc(a.idle, func(c *conn) bool { return used.contains(c) && now.Sub(c.idleSince) >= minIdleReplaced })
+	i := slices.IndexFunc(a.idle, func(c *conn) bool { return bounds.exclude(c) && now.Sub(c.idleSince) >= minIdleReplaced })
 	if i < 0 {
 		return false
 	}
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -197,7 +197,7 @@
 	if err != nil || body != "ok" {
 		t.Fatalf("got %q, %v", body, err)
 	}
-	if c := p.takeIdle(s.address, nil); c != nil {
+	if c := p.takeIdle(s.address, Bounds{}); c != nil {
 		t.Error("a connection is kept although the rest of a body was not sent")
 	}
 }
@@ -332,7 +332,7 @@
 	if dials := pool.Dials(); dials != 1 {
 		t.Errorf("%d connections were opened, want 1", dials)
 	}
-	c := pool.takeIdle(server.address, nil)
+	c := pool.takeIdle(server.address, Bounds{})
 	if c == nil {
 		t.Fatal("the connection is not kept")
 	}
--- a/internal/httpconn/used_connections_test.go
+++ b/internal/httpconn/used_connections_test.go
@@ -112,3 +112,22 @@
 		t.Errorf("%d connections were closed for others", p.Replaced())
 	}
 }
+
+// Guards against a caller's second request with the same ID being given a late copy of the answer to the first.
+func TestRequestWithAnAnsweredLabelGetsNoCopyOfThatAnswer(t *testing.T) {
+	for name, limit := range map[string]int{"without a limit of connections": 0, "at the limit of connections": 1} {
+		t.Run(name, func(t *testing.T) {
+			var number atomic.Int64
+			address := listenAndRepeat(t, func(*http.Request) string { return answerOf("a", fmt.Sprint(number.Add(1))) })
+			p := NewPool(time.Second)
+			labels := &Labels{Request: "a", Of: func(response *http.Response) string { return response.Header.Get(labelHeader) }}
+			for i := range 3 {
+				bounds := Bounds{Connections: limit, Used: &UsedConnections{}, Labels: labels}
+				if got, err := sendOn(t, p, address, bounds); err != nil || got != fmt.Sprint(i+1) {
+					t.Fatalf("request %d: got answer %q, %v", i+1, got, err)
+				}
+				p.setIdleFor(address, minIdleReplaced)
+			}
+		})
+	}
+}
