--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -61,6 +61,8 @@
 type Guard struct {
 	Options
 	table table
+	// daemons are the latest runs of the daemons.
+	daemons *latestRuns
 	// answers are the contents that were answered through this daemon.
 	answers answers
 	// detached are the Trackers whose requests have ended.
@@ -96,11 +98,11 @@
 		options.Connectivity = store.UnknownConnectivity{}
 	}
 	g := &Guard{
-		Options: options, refresh: make(chan struct{}, 1), listed: make(chan struct{}),
+		Options: options, daemons: newLatestRuns(options.View), refresh: make(chan struct{}, 1), listed: make(chan struct{}),
 		writer:    newWriter(options.Store, options.Logger, options.Metrics),
 		reserving: map[Digest]*Tracker{}, released: map[sendKey]released{},
 	}
-	g.table = newTable(knownRuns{instances: options.IsRunning, daemons: newLatestRuns(options.View)})
+	g.table = newTable(knownRuns{isInstanceRunning: options.IsRunning, daemons: g.daemons})
 	options.Metrics.observe(&g.table)
 	return g
 }
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -9,14 +9,15 @@
 
 // knownRuns tells which runs of back ends and daemons are over. The zero value knows nothing.
 type knownRuns struct {
-	// instances reports whether a back end is known to run, by its ID; nil if that is not known.
-	instances func(instance string) bool
-	daemons   *latestRuns
+	// isInstanceRunning reports whether a back end is known to run, by its ID; nil if that is not known.
+	isInstanceRunning func(instance string) bool
+	// daemons are the latest runs of the daemons; nil if they are not known.
+	daemons *latestRuns
 }
 
 // isRunning reports whether a back end is known to run.
 func (k knownRuns) isRunning(instance string) bool {
-	return k.instances != nil && k.instances(instance)
+	return k.isInstanceRunning != nil && k.isInstanceRunning(instance)
 }
 
 // isDaemonReplaced reports whether a run of a daemon is certainly over, as a later one has its address.
