poison: runs of daemons at addresses that have no member are forgotten

Cause: the latest run of each address was kept for as long as the daemon runs; machines that are replaced under new addresses add up, some 60 bytes each. Found by reading. Measured: TestRunsAtAddressesWithoutAMemberAreForgotten covers it (it needs the new method, so it was not run red); the package's tests pass.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -215,6 +215,7 @@
 		clock.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval))
 		now := time.Now()
 		g.forgetReleased(now)
+		g.daemons.keepOnly(g.View.Members())
 		keys := g.table.removable(now)
 		if len(keys) == 0 {
 			continue
--- a/internal/poison/lost_reservations_test.go
+++ b/internal/poison/lost_reservations_test.go
@@ -8,9 +8,26 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/membership"
 	"github.com/mintpulley/mintpulley/internal/store"
+	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
+// Guards against addresses of machines that are gone for good being kept for ever.
+func TestRunsAtAddressesWithoutAMemberAreForgotten(t *testing.T) {
+	memberOf := func(address string, incarnation uint64) membership.Member {
+		return membership.Member{Daemon: structs.Daemon{ID: structs.NewDaemonID(address, incarnation)}}
+	}
+	runs := latestRuns{incarnations: map[string]uint64{}}
+	for _, address := range []string{"a:1", "b:1"} {
+		runs.note(memberOf(address, 2))
+	}
+	runs.keepOnly([]membership.Member{memberOf("a:1", 2)})
+	if len(runs.incarnations) != 1 || !runs.isReplaced(structs.NewDaemonID("a:1", 1)) || runs.isReplaced(structs.NewDaemonID("b:1", 1)) {
+		t.Errorf("known runs are %v, want that of a:1", runs.incarnations)
+	}
+}
+
 // Guards against reservations that count as sent, and later as ends, because a list names them before the one
 // whose turn it was.
 func TestListInAnyOrderHasOneFirstReservation(t *testing.T) {
--- a/internal/poison/runs.go
+++ b/internal/poison/runs.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/mintpulley/mintpulley/internal/membership"
@@ -49,6 +50,17 @@
 	r.incarnations[id.Address()] = max(r.incarnations[id.Address()], id.Incarnation())
 }
 
+// keepOnly forgets the runs at other addresses than the members'.
+func (r *latestRuns) keepOnly(members []membership.Member) {
+	addresses := map[string]bool{}
+	for _, member := range members {
+		addresses[member.Daemon.ID.Address()] = true
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	maps.DeleteFunc(r.incarnations, func(address string, _ uint64) bool { return !addresses[address] })
+}
+
 func (r *latestRuns) isReplaced(daemon structs.DaemonID) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
