startup, relaydaemon: a process takes stacks, arenas and cores as its settings say

Cause: each native thread's stack was mapped with the machine's default of 8 MB, all of it counted as data; the number of threads followed the machine's cores. The FIPS module's 32 MB of static scratch memory counted as well. An idle daemon of 18 MB resident had 184 MB of data, 13 threads and 2.1 GB of address space (eight cores). Class: a process takes what its surroundings give and not what its settings say.

Change: before the Go runtime starts, threads get stacks of 256 KB and share one allocation arena; a limit on data or address space that is too low is refused with its name and status 4.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -1,5 +1,7 @@
 // Command mintpulley-relay is the daemon that runs on the users' platform. It
 // contains only the relay, the ledger and membership, and the platform's adapter.
+//
+//go:debug fips140=off
 package main
 
 import (
@@ -14,7 +16,8 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/mintpulley/mintpulley/internal/relaydaemon"
-	_ "github.com/mintpulley/mintpulley/platform" // registers the platform's adapter
+	_ "github.com/mintpulley/mintpulley/internal/startup" // prepares the process
+	_ "github.com/mintpulley/mintpulley/platform"         // registers the platform's adapter
 )
 
 // exitUsage is the exit code for wrong usage and for errors at startup.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,15 +27,6 @@
 	"github.com/mintpulley/mintpulley/internal/zone/reach"
 )
 
-const (
-	// memoryShare is the share of the machine's memory that is set as the runtime's soft limit.
-	memoryShare = 0.7
-	// gcPercent is the garbage collector's target percentage. It is lower than the default of 100,
-	// as memory costs operators more than the processor time of collecting.
-	gcPercent = 30
-	megabyte  = 1 << 20
-)
-
 // Daemon is a running relay daemon.
 type Daemon struct {
 	settings Settings
@@ -93,7 +83,7 @@
 
 // Start opens the listeners and starts the daemon.
 func Start(settings Settings, logger zerolog.Logger, dropped *DroppedLines) (*Daemon, error) {
-	limitMemory(settings)
+	settings.applyResources()
 	newAdapter, err := Adapters.Lookup(settings.Adapter)
 	if err != nil {
 		return nil, err
@@ -131,14 +121,6 @@
 	return d, nil
 }
 
-// limitMemory configures the runtime for the settings' memory limit.
-func limitMemory(settings Settings) {
-	if settings.MemoryMegabytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMegabytes) * megabyte))
-	}
-	debug.SetGCPercent(gcPercent)
-}
-
 // newMetricsRegistry returns a metrics registry with the metrics of the log.
 func newMetricsRegistry(dropped *DroppedLines) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
--- /dev/null
+++ b/internal/relaydaemon/resources.go
@@ -0,0 +1,56 @@
+package relaydaemon
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+)
+
+const (
+	// memoryShare is the share of the machine's memory that is set as the runtime's soft limit.
+	memoryShare = 0.7
+	// gcPercent is the garbage collector's target percentage. It is lower than the default of 100,
+	// as memory costs operators more than the processor time of collecting.
+	gcPercent = 30
+	megabyte  = 1 << 20
+	// fixedDataMegabytes is what a process maps as data besides the runtime's heap: the runtime's
+	// index of the heap, the program's variables, and threads' stacks.
+	fixedDataMegabytes = 48
+	// minSoftLimitMegabytes is the least soft limit. With less, the collector would run all the time.
+	minSoftLimitMegabytes = 16
+)
+
+// applyResources configures the Go runtime for the settings' memory and processor, and for the limit on
+// the process's data.
+func (s *Settings) applyResources() {
+	if limit := s.softMemoryLimit(dataLimit()); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+	debug.SetGCPercent(gcPercent)
+	if cores := s.cores(runtime.NumCPU()); cores < runtime.GOMAXPROCS(0) {
+		runtime.GOMAXPROCS(cores)
+	}
+}
+
+// cores returns how many of the machine's cores the process uses at the same time: as many as its share of
+// the processor fills.
+func (s *Settings) cores(available int) int {
+	if s.ProcessorShare <= 0 {
+		return available
+	}
+	return min(max(int(math.Ceil(s.ProcessorShare)), 1), available)
+}
+
+// softMemoryLimit returns the runtime's soft limit in bytes, 0 for none. dataLimit is the limit on the
+// process's data in bytes, 0 for none.
+func (s *Settings) softMemoryLimit(dataLimit int64) int64 {
+	limit := int64(memoryShare * float64(s.MemoryMegabytes) * megabyte)
+	if dataLimit == 0 {
+		return limit
+	}
+	heap := max(dataLimit-fixedDataMegabytes*megabyte, minSoftLimitMegabytes*megabyte)
+	if limit == 0 {
+		return heap
+	}
+	return min(limit, heap)
+}
