--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -30,6 +30,7 @@
 var errNoSettings = errors.New("--settings: is missing")
 
 func main() {
+	signal.Ignore(syscall.SIGPIPE) // a write to an output that takes no more then fails, and does not end the process
 	command := &cli.Command{
 		Name:  "mintpulley-relay",
 		Usage: "relay programs' requests to engines and services on the platform",
