relaydaemon: a start waits for addresses that are taken or not there yet

What callers saw: a daemon whose front, ready or peer address was taken (a former process that is still ending) or not the machine's yet ended at once with status 2, and only a supervisor started it again.

Cause: listeners were opened once, the peer's in the middle of joining. Class: a return from main on an error that passes.

A metrics address that is taken is tried again beside the work.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
@@ -20,8 +21,13 @@
 	_ "github.com/mintpulley/mintpulley/platform"         // registers the platform's adapter
 )
 
-// exitUsage is the exit code for wrong usage and for errors at startup.
-const exitUsage = 2
+// Exit codes.
+const (
+	// exitUsage is the exit code for wrong usage and wrong settings.
+	exitUsage = 2
+	// exitUnavailable is the exit code of a start that gave up waiting for an address.
+	exitUnavailable = 3
+)
 
 // signalBuffer is how many signals may be pending while the daemon starts. Signals
 // during a shutdown are ignored.
@@ -43,8 +49,15 @@
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "mintpulley-relay:", err)
-		os.Exit(exitUsage)
+		os.Exit(exitCode(err))
+	}
+}
+
+func exitCode(err error) int {
+	if errors.Is(err, relaydaemon.ErrAddressUnavailable) {
+		return exitUnavailable
 	}
+	return exitUsage
 }
 
 func run(_ context.Context, command *cli.Command) error {
@@ -66,7 +79,14 @@
 	logger, closer := relaydaemon.NewLogger(os.Stdout, level, droppedLines.Add)
 	defer func() { _ = closer.Close() }()
 	logger = logger.With().Str("machine", settings.Name).Logger()
-	daemon, err := relaydaemon.Start(settings, logger, &droppedLines)
+	listeners, err := relaydaemon.OpenListeners(settings, logger, pauseUnlessStopped(signals))
+	if errors.Is(err, relaydaemon.ErrInterrupted) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	daemon, err := relaydaemon.Start(settings, listeners, logger, &droppedLines)
 	if err != nil {
 		return err
 	}
@@ -79,3 +99,16 @@
 	daemon.Stop()
 	return nil
 }
+
+// pauseUnlessStopped returns a pause that ends early when a signal arrives, and reports whether that was
+// none that stops the daemon.
+func pauseUnlessStopped(signals <-chan os.Signal) relaydaemon.Pause {
+	return func(length time.Duration) bool {
+		select {
+		case received := <-signals:
+			return received == syscall.SIGHUP
+		case <-time.After(length):
+			return true
+		}
+	}
+}
--- a/internal/peer/tcp/transport.go
+++ b/internal/peer/tcp/transport.go
@@ -43,6 +43,11 @@
 	closed   bool
 }
 
+// Serve starts a transport on a listener. handler gets all messages for this process of the daemon.
+func Serve(listener net.Listener, self structs.DaemonID, handler peer.Handler, counter Counter, logger zerolog.Logger) *Transport {
+	return serve(listener, dialTCP, self, handler, counter, logger)
+}
+
 // Listen starts a transport at the address of self. handler gets all messages for this process of
 // the daemon.
 func Listen(self structs.DaemonID, handler peer.Handler, counter Counter, logger zerolog.Logger) (*Transport, error) {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -62,7 +62,7 @@
 	metrics *prometheus.Registry
 	// watchMetrics count the reads of watched partitions.
 	watchMetrics *store.WatchMetrics
-	// servers are all HTTP servers except front, which serves callers.
+	// servers are the HTTP servers except front, which serves callers, and that of the metrics.
 	servers []*http.Server
 	front   *frontServer
 
@@ -81,11 +81,12 @@
 	workers    sync.WaitGroup
 }
 
-// Start opens the listeners and starts the daemon.
-func Start(settings Settings, logger zerolog.Logger, dropped *DroppedLines) (*Daemon, error) {
+// Start starts the daemon on open listeners, which it closes on an error.
+func Start(settings Settings, listeners *Listeners, logger zerolog.Logger, dropped *DroppedLines) (*Daemon, error) {
 	settings.applyResources()
 	newAdapter, err := Adapters.Lookup(settings.Adapter)
 	if err != nil {
+		listeners.close()
 		return nil, err
 	}
 	metrics := newMetricsRegistry(dropped)
@@ -109,13 +110,8 @@
 		}),
 	}
 	d.preparePlacement()
-	if err := d.join(); err != nil {
-		return nil, err
-	}
-	if err := d.listen(); err != nil {
-		d.transport.Close()
-		return nil, err
-	}
+	d.join(listeners.peer)
+	d.listen(listeners)
 	d.run()
 	logger.Info().Str("id", string(d.membership.Self.ID)).Str("zone", settings.Zone).Msg("Daemon started.")
 	return d, nil
@@ -148,6 +144,7 @@
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
 	d.workers.Go(func() { d.runReachMonitor(ctx) })
+	d.workers.Go(func() { d.serveMetrics(ctx) })
 }
 
 // Table implements Gateway. It waits for the first routes while they are likely to arrive before
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -1,6 +1,7 @@
 package relaydaemon
 
 import (
+	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,24 +31,21 @@
 	recordMemoryShare = 0.1
 )
 
-// join makes the daemon a member of the fleet and creates its components. The order matters, as
+// join makes the daemon a member of the fleet, which reaches it at a listener, and creates its components. The order matters, as
 // each component uses those before it.
-func (d *Daemon) join() error {
+func (d *Daemon) join(listener net.Listener) {
 	receiver := &receiverSlot{}
-	if err := d.joinMembers(receiver); err != nil {
-		return err
-	}
+	d.joinMembers(listener, receiver)
 	d.joinStore()
 	d.joinLedger()
 	d.joinGuard()
 	d.joinRelay()
 	d.prepareReachMonitor()
 	receiver.daemon.Store(d)
-	return nil
 }
 
 // joinMembers creates the registry, the transport to other daemons, and the membership.
-func (d *Daemon) joinMembers(receiver peer.Handler) error {
+func (d *Daemon) joinMembers(listener net.Listener, receiver peer.Handler) {
 	d.registry = newMemberRegistry(d.adapter.Store(), d.settings, d.coldLimiter, componentLogger(d.logger, "members"))
 	self := structs.Daemon{
 		ID:     structs.NewDaemonID(d.settings.PeerAddress, d.registry.incarnation()),
@@ -57,10 +55,7 @@
 		Capacity: d.settings.capacity(),
 	}
 	sent := newTraffic(d.topology, d.metrics, componentLogger(d.logger, "peer"))
-	transport, err := tcp.Listen(self.ID, receiver, sent.count, componentLogger(d.logger, "peer"))
-	if err != nil {
-		return err
-	}
+	transport := tcp.Serve(listener, self.ID, receiver, sent.count, componentLogger(d.logger, "peer"))
 	d.transport = transport
 	d.membership = membership.New(membership.Options{
 		Self:      self,
@@ -71,7 +66,6 @@
 		Logger:    componentLogger(d.logger, "membership"),
 	})
 	sent.members = d.membership.Lookup
-	return nil
 }
 
 // joinStore creates the store client, which calls the store directly or by way of other daemons.
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -1,14 +1,16 @@
 package relaydaemon
 
 import (
+	"context"
 	"log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+
+	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
 const (
@@ -21,48 +23,50 @@
 	headerLimit = 256 << 10
 	// metricsPath is the path of the metrics endpoint.
 	metricsPath = "/metrics"
+	// metricsRetryInterval is the time between attempts to listen at the metrics address.
+	metricsRetryInterval = time.Second
 )
 
-// listen opens the daemon's listeners and serves on them. Metrics come last and are optional: if
-// their address is taken, the daemon runs without them.
-func (d *Daemon) listen() error {
-	if err := d.serve(d.settings.ReadyAddress, d.adapter.Ready(d.isReady)); err != nil {
-		return err
-	}
-	if err := d.listenToCallers(); err != nil {
-		return err
-	}
-	if d.settings.MetricsAddress == "" {
-		return nil
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(d.metrics, promhttp.HandlerOpts{}))
-	if err := d.serve(d.settings.MetricsAddress, mux); err != nil {
-		d.logger.Error().Err(err).Str("metrics_address", d.settings.MetricsAddress).Msg("Metrics address not available. Metrics are not served.")
-	}
-	return nil
+// listen serves on the daemon's listeners.
+func (d *Daemon) listen(listeners *Listeners) {
+	d.serve(listeners.ready, d.adapter.Ready(d.isReady))
+	d.listenToCallers(listeners.front)
 }
 
-func (d *Daemon) listenToCallers() error {
-	listener, err := net.Listen("tcp", d.settings.FrontAddress)
-	if err != nil {
-		return eris.Wrap(err, "relaydaemon: listen")
-	}
+func (d *Daemon) listenToCallers(listener net.Listener) {
 	server := newServer(d.adapter.Front(d), componentLogger(d.logger, "http"))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // the front server enforces its own limits
 	d.front = newFrontServer(server, listener, d.RedirectsCallers)
-	return nil
 }
 
-func (d *Daemon) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrap(err, "relaydaemon: listen")
+// serveMetrics serves metrics. They are optional: while their address is not available, the daemon runs
+// without them.
+func (d *Daemon) serveMetrics(ctx context.Context) {
+	if d.settings.MetricsAddress == "" {
+		return
 	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, promhttp.HandlerFor(d.metrics, promhttp.HandlerOpts{}))
+	server := newServer(mux, componentLogger(d.logger, "http"))
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // its connections end with the daemon
+	defer stop()
+	for isLogged := false; ctx.Err() == nil; clock.Sleep(ctx, metricsRetryInterval) {
+		listener, err := net.Listen("tcp", d.settings.MetricsAddress)
+		if err == nil {
+			_ = server.Serve(listener) // ends when the server is closed
+			return
+		}
+		if !isLogged {
+			d.logger.Error().Err(err).Str("metrics_address", d.settings.MetricsAddress).Msg("Metrics address not available. Metrics are not served. The daemon tries again.")
+			isLogged = true
+		}
+	}
+}
+
+func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
 	server := newServer(handler, componentLogger(d.logger, "http"))
 	d.servers = append(d.servers, server)
 	go func() { _ = server.Serve(listener) }() // ends when the server is closed
-	return nil
 }
 
 func newServer(handler http.Handler, logger zerolog.Logger) *http.Server {
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -71,6 +71,9 @@
 	// StopSeconds is the stop time: how many seconds after the begin of a planned shutdown the
 	// platform kills the process. The shutdown deadline is exitMargin before the kill.
 	StopSeconds float64 `yaml:"stop_seconds"`
+	// StartSeconds is how many seconds the start waits for addresses that are taken, or not the
+	// machine's yet.
+	StartSeconds float64 `yaml:"start_seconds"`
 	// HeartbeatMS is the interval in milliseconds at which running back ends write their entries.
 	HeartbeatMS float64 `yaml:"heartbeat_milliseconds"`
 	// RevocationMS is the time in milliseconds after the revocation of a key from which no request
@@ -109,6 +112,7 @@
 		LedgerSpaces:     2,
 		LedgerPartitions: 12,
 		StopSeconds:      8,
+		StartSeconds:     60,
 		StoreRecordBytes: defaultStoreRecordBytes,
 		StoreCallBytes:   defaultStoreCallBytes,
 		RevocationMS:     5000,
@@ -196,6 +200,9 @@
 	if s.StopSeconds <= 0 {
 		add("stop_seconds", "must be above 0")
 	}
+	if s.StartSeconds <= 0 {
+		add("start_seconds", "must be above 0")
+	}
 }
 
 // checkBounds checks the limits that operators promise to others.
@@ -279,6 +286,10 @@
 	return warmup.Tolerance{Overage: s.ColdOverage, Slack: s.ColdSlack}
 }
 
+func (s *Settings) startTime() time.Duration {
+	return time.Duration(s.StartSeconds * float64(time.Second))
+}
+
 func (s *Settings) stopTime() time.Duration {
 	return time.Duration(s.StopSeconds * float64(time.Second))
 }
