httpconn: the head of a response has a bound in bytes

What callers saw: an engine that sends bytes without end that are no answer made the daemon's memory grow until the route's end or the process's own (reported by the users).

Cause: net/http's reader of responses bounds neither the status line nor headers, and informational responses (1xx) were skipped without a count. Class: a reader without a bound in bytes.

Change: all heads that are read for one answer (informational ones and those of duplicates included) take 32 KB at most; beyond it the connection is closed, the request may have run as after any broken connection, the engine counts as failed, and mintpulley_connections_overlong_heads_total counts it.

Chunk lengths, extensions and trailers were bounded before.

--- a/internal/httpconn/answers.go
+++ b/internal/httpconn/answers.go
@@ -41,6 +41,8 @@
 // readAnswer reads the head of the answer to a request. It skips informational responses (1xx) and
 // duplicate answers, each of which it reports to onDuplicate.
 func (c *conn) readAnswer(request *http.Request, labels *Labels, onDuplicate func()) (*http.Response, error) {
+	c.heads.beginHeads()
+	defer c.heads.pauseHeads()
 	for duplicates := 0; duplicates <= maxDuplicates; {
 		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -54,9 +56,11 @@
 		}
 		duplicates++
 		onDuplicate()
+		c.heads.pauseHeads()
 		if err := discardDuplicate(response); err != nil {
 			return nil, err
 		}
+		c.heads.resumeHeads()
 	}
 	return nil, errDuplicates
 }
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -43,6 +43,7 @@
 		go func() { e.written <- e.write(request) }()
 	}
 	response, err := e.conn.readAnswer(request, e.labels, e.pool.countDuplicate)
+	e.pool.countIfOverlong(err)
 	if err != nil {
 		return nil, eris.Wrapf(ErrBroken, "read: %v", err)
 	}
--- a/internal/httpconn/peer.go
+++ b/internal/httpconn/peer.go
@@ -61,6 +61,7 @@
 		return err
 	}
 	response, err := c.readAnswer(peer.Question, bounds.Labels.ofQuestion(), p.countDuplicate)
+	p.countIfOverlong(err)
 	if err != nil {
 		return err
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -65,6 +65,8 @@
 	replaced uint64
 	// duplicates counts the duplicate answers that were skipped.
 	duplicates uint64
+	// overlong counts the responses whose head was too long.
+	overlong uint64
 }
 
 type address struct {
@@ -76,7 +78,9 @@
 type conn struct {
 	net.Conn
 	// number tells the pool's connections apart.
-	number  uint64
+	number uint64
+	// reader reads what the peer sends, by way of heads.
+	heads   *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	expires time.Time
@@ -142,6 +146,23 @@
 	return p.duplicates
 }
 
+// Overlong returns the number of responses so far whose head was too long.
+func (p *Pool) Overlong() uint64 {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.overlong
+}
+
+// countIfOverlong counts a response that was not read because its head was too long.
+func (p *Pool) countIfOverlong(err error) {
+	if !errors.Is(err, ErrHeadTooLong) {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.overlong++
+}
+
 func (p *Pool) countDuplicate() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -322,7 +343,8 @@
 		p.release(name)
 		return nil, eris.Wrapf(dialError(err), "dial %s: %v", name, err)
 	}
-	c := &conn{Conn: raw, number: number, reader: bufio.NewReaderSize(raw, bufferSize)}
+	c := &conn{Conn: raw, number: number, heads: &headReader{source: raw}}
+	c.reader = bufio.NewReaderSize(c.heads, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c, nil
 }
