relay, eventstream: an answer without end takes little memory, a long one is passed on while it arrives

What callers saw: a body without end made a daemon hold 16 MB and more for each request before it gave up; an event without end 4 MB.

Cause: answers were read whole up to 16 MB and events up to 4 MB, with buffers that grow by copying. Class: a bound per connection that many connections together exceed.

Change: up to 256 KB of an answer are held, as before: if it breaks off, the caller sees nothing of it and a repeatable request runs again. A longer answer, up to 16 MB as before, is passed on while it arrives; if it breaks off, the caller's connection is closed (a repeatable request with such an answer does not run again any more). An event has 256 KB at most, the stored output of a turn 4 MB. Buffers double and an event's data is gathered once.

--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 
 	"github.com/rotisserie/eris"
 )
@@ -38,35 +39,35 @@
 // Next returns the next complete event. It returns io.EOF at the end of the stream, and
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *Reader) Next() (Event, error) {
-	var event Event
-	hasData := false
+	var raw []byte
 	for {
-		line, err := r.readLine(&event)
+		start := len(raw)
+		longer, err := r.appendLine(raw)
 		if err != nil {
 			return Event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return event, nil
+		if raw = longer; len(bytes.TrimRight(raw[start:], "\r\n")) == 0 {
+			return parse(raw), nil
 		}
-		hasData = event.parseField(text, hasData)
 	}
 }
 
-// readLine appends the next line to event.Raw and returns it.
-func (r *Reader) readLine(event *Event) ([]byte, error) {
-	start := len(event.Raw)
+// appendLine appends the next line of an event to what was read of it.
+func (r *Reader) appendLine(raw []byte) ([]byte, error) {
 	for {
 		part, err := r.source.ReadSlice('\n')
-		event.Raw = append(event.Raw, part...)
-		if len(event.Raw) > r.limit {
+		if len(raw)+len(part) > r.limit {
 			return nil, ErrTooLong
 		}
+		if free := cap(raw) - len(raw); free < len(part) {
+			raw = slices.Grow(raw, max(len(part), cap(raw)))
+		}
+		raw = append(raw, part...)
 		if err == nil {
-			return event.Raw[start:], nil
+			return raw, nil
 		}
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return nil, truncationError(err, event.Raw)
+			return nil, truncationError(err, raw)
 		}
 	}
 }
@@ -78,6 +79,16 @@
 	return err
 }
 
+// parse parses the lines of a complete event.
+func parse(raw []byte) Event {
+	event := Event{Raw: raw}
+	hasData := false
+	for line := range bytes.Lines(raw) {
+		hasData = event.parseField(bytes.TrimRight(line, "\r\n"), hasData)
+	}
+	return event
+}
+
 // parseField parses one line into the event. It returns whether the event has had a data
 // field so far.
 func (e *Event) parseField(line []byte, hasData bool) bool {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -37,6 +37,8 @@
 	body          string
 	// cut ends the body with errCut; stall blocks at its end until the call's context ends.
 	cut, stall bool
+	// endless is repeated without end after the body.
+	endless string
 	// hold blocks until the call's context ends, without an answer.
 	hold bool
 }
@@ -75,6 +77,9 @@
 	if next.stall {
 		body = io.MultiReader(body, stalledReader{ctx})
 	}
+	if next.endless != "" {
+		body = io.MultiReader(body, repeatedReader{next.endless})
+	}
 	status := next.status
 	if status == 0 {
 		status = http.StatusOK
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -13,11 +13,11 @@
 
 const kindStream = route.KindStream
 
-// errAnswerTooLong is returned if an answer exceeds maxBodyBytes.
+// errAnswerTooLong is returned if an answer exceeds maxAnswerBytes.
 var errAnswerTooLong = eris.New("relay: the answer is too long")
 
-// handlePlain handles a request whose answer is passed on as a whole: if an answer breaks
-// off, the caller sees nothing of it, and a repeatable request runs again.
+// handlePlain handles a request whose answer is passed on as a whole, unless it is long: if an answer
+// breaks off, the caller sees nothing of it, and a repeatable request runs again.
 func (c *callHandler) handlePlain(ctx context.Context) {
 	for {
 		outgoing := OutgoingCall{Call: c.call, Body: c.call.Body, Deadline: c.call.Deadline, Urgency: defaultUrgency}
@@ -26,13 +26,14 @@
 			return
 		}
 		body, err := readWhole(answer.Body)
-		if err == nil {
-			took := time.Since(c.latest.beganAt)
-			c.relay.Pool.RecordLatency(target.ID, c.call.Route.Name, took)
-			c.relay.serving.observe(c.call.Route.Name, servingTime{untilFirst: took, total: took})
-			c.release(target, instance.OutcomeAnswered)
+		switch {
+		case err == nil:
+			c.recordServed(target)
 			c.answerUnlessFalsePromise(answer, body, target)
 			return
+		case errors.Is(err, errAnswerLong):
+			c.passOnUnlessFalsePromise(ctx, answer, body, target)
+			return
 		}
 		if !c.canRetryBroken(ctx, target, err) {
 			return
@@ -40,18 +41,36 @@
 	}
 }
 
+// recordServed records that an instance answered the call whole.
+func (c *callHandler) recordServed(target instance.Instance) {
+	took := time.Since(c.latest.beganAt)
+	c.relay.Pool.RecordLatency(target.ID, c.call.Route.Name, took)
+	c.relay.serving.observe(c.call.Route.Name, servingTime{untilFirst: took, total: took})
+	c.release(target, instance.OutcomeAnswered)
+}
+
 // answerUnlessFalsePromise passes an answer on. If callers would take its status to mean
 // that the request has not run, but the instance did run it, a caller that must not repeat
 // the request is told that it may have run.
 func (c *callHandler) answerUnlessFalsePromise(answer *Answer, body []byte, target instance.Instance) {
-	if answer.StatusMeansNotRun && !c.call.Route.Repeatable() {
-		c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer falsely implies that the request was not run. It is not passed on.")
-		c.refuseWithCause(brokenOffRefusal, CauseFalsePromise)
+	if c.isFalsePromise(answer) {
+		c.refuseFalsePromise(answer, target)
 		return
 	}
 	c.answer(answer, body, target)
 }
 
+// isFalsePromise reports whether callers would take an answer's status to mean that the request has not
+// run, and must not repeat it.
+func (c *callHandler) isFalsePromise(answer *Answer) bool {
+	return answer.StatusMeansNotRun && !c.call.Route.Repeatable()
+}
+
+func (c *callHandler) refuseFalsePromise(answer *Answer, target instance.Instance) {
+	c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer falsely implies that the request was not run. It is not passed on.")
+	c.refuseWithCause(brokenOffRefusal, CauseFalsePromise)
+}
+
 func (c *callHandler) answer(answer *Answer, body []byte, target instance.Instance) {
 	c.relay.Metrics.answered(c.call, answer.Status)
 	c.countHeldUp(heldUpServed)
@@ -74,15 +93,3 @@
 	c.noteBrokenRun(ctx, target)
 	return c.mayRunAgain()
 }
-
-func readWhole(body io.ReadCloser) ([]byte, error) {
-	defer func() { _ = body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(data) > maxBodyBytes {
-		return nil, errAnswerTooLong
-	}
-	return data, nil
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,10 +36,14 @@
 	minTimeLeft = 5 * time.Millisecond
 	// maxStreamRuns bounds how often a stream is run, including the resumptions.
 	maxStreamRuns = 4
-	// maxBodyBytes bounds an answer that is read as a whole.
-	maxBodyBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 4 << 20
+	// maxHeldAnswerBytes bounds the part of an answer that is held in memory; a longer answer is passed
+	// on while it arrives. maxAnswerBytes bounds the whole answer.
+	maxHeldAnswerBytes = 256 << 10
+	maxAnswerBytes     = 16 << 20
+	// maxEventBytes bounds one event of a stream, and maxOutputBytes the data of all events of a turn,
+	// which is stored.
+	maxEventBytes  = 256 << 10
+	maxOutputBytes = 4 << 20
 	// beginRetryPause is the pause between attempts to reserve a turn.
 	beginRetryPause = 120 * time.Millisecond
 	// settleTimeout bounds the settlement of a finished turn in the background.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -140,6 +140,9 @@
 // forwardNonStream passes on an answer that is not a stream.
 func (c *callHandler) forwardNonStream(ctx context.Context, answer *Answer, target instance.Instance, state *streamState) {
 	body, err := readWhole(answer.Body)
+	if errors.Is(err, errAnswerLong) {
+		_ = answer.Body.Close() // closes the connection
+	}
 	switch {
 	case err == nil:
 		c.release(target, instance.OutcomeAnswered)
@@ -175,8 +178,7 @@
 		} else {
 			state.firstEventLatency = time.Since(c.latest.beganAt)
 		}
-		c.latest.heardAt = time.Now()
-		c.relay.monitor.noteProgress(c.latest.pending, c.latest.heardAt)
+		c.noteHeard()
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
@@ -185,7 +187,9 @@
 			state.firstEventAfter = time.Since(c.call.Received)
 			c.relay.Metrics.firstEvent(c.call)
 		}
-		state.note(event)
+		if err := state.note(event); err != nil {
+			return err
+		}
 		if err := c.responder.Event(event.Raw); err != nil {
 			return errCallerLeft
 		}
@@ -193,15 +197,28 @@
 	}
 }
 
-func (s *streamState) note(event eventstream.Event) {
+// noteHeard records that the instance of the latest offer sent something.
+func (c *callHandler) noteHeard() {
+	c.latest.heardAt = time.Now()
+	c.relay.monitor.noteProgress(c.latest.pending, c.latest.heardAt)
+}
+
+// note records an event that is passed on next. It fails with errAnswerTooLong if the output exceeds
+// maxOutputBytes.
+func (s *streamState) note(event eventstream.Event) error {
+	isKept := s.turn != nil && s.turn.retain
+	if isKept && len(s.output)+len(event.Data) >= maxOutputBytes {
+		return errAnswerTooLong
+	}
 	s.events++
 	if event.ID != "" {
 		s.lastID = event.ID
 	}
-	if s.turn != nil && s.turn.retain {
+	if isKept {
 		s.output = append(s.output, event.Data...)
 		s.output = append(s.output, '\n')
 	}
+	return nil
 }
 
 // isResumable reports whether a back end can be told where to go on.
