memorybudget, platform, relay: the texts of all requests have one bound per process

What callers saw: 40 callers that each sent 4 MB (16 MB are allowed) ended a daemon with a limit on data of 72 MB and more ("fatal error: runtime: out of memory", status 2); with it all its other requests.

Cause: bodies were bounded one by one, and read into buffers that grow by copying; nothing bounded them together. Class: a bound per connection that many connections together exceed.

A large answer is passed on earlier where the memory is full.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -14,6 +14,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/tenant"
 )
@@ -29,6 +30,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Memory holds the call's texts, nil for no bound.
+	Memory *memorybudget.Holding
 	// Model is the model that the request names, "" for none.
 	Model string
 	// Received is when the request had been read completely.
@@ -123,6 +126,8 @@
 	ReasonEvacuated         Reason = "evacuated"
 	ReasonFull              Reason = "full"
 	ReasonLedgerUnavailable Reason = "ledger_unavailable"
+	// ReasonMemoryFull: the daemon has no memory for the request's text.
+	ReasonMemoryFull Reason = "memory_full"
 	// ReasonStoreCrowded: the store has no capacity for a new program.
 	ReasonStoreCrowded Reason = "store_crowded"
 	ReasonStarting     Reason = "starting"
--- a/internal/relay/long_answer.go
+++ b/internal/relay/long_answer.go
@@ -8,9 +8,11 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/instance"
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 )
 
-// errAnswerLong is returned with the first part of an answer that exceeds maxHeldAnswerBytes.
+// errAnswerLong is returned with the first part of an answer that exceeds maxHeldAnswerBytes, or what the
+// daemon has memory for.
 var errAnswerLong = eris.New("relay: the answer is too long to be held in memory")
 
 const (
@@ -22,8 +24,8 @@
 
 // readWhole reads an answer to its end and closes it. If the answer is longer than what is held in
 // memory, it returns the first part and errAnswerLong, and the rest is still to be read.
-func readWhole(body io.ReadCloser) ([]byte, error) {
-	held, err := readHeld(body)
+func readWhole(body io.ReadCloser, memory *memorybudget.Holding) ([]byte, error) {
+	held, err := readHeld(body, memory)
 	if errors.Is(err, errAnswerLong) {
 		return held, err
 	}
@@ -34,14 +36,17 @@
 	return held, nil
 }
 
-// readHeld reads what may be held of an answer. The error is io.EOF at its end, or errAnswerLong with one
-// byte more than may be held.
-func readHeld(body io.Reader) ([]byte, error) {
+// readHeld reads what may be held of an answer. The error is io.EOF at its end, or errAnswerLong.
+func readHeld(body io.Reader, memory *memorybudget.Holding) ([]byte, error) {
 	const most = maxHeldAnswerBytes + 1
 	held := make([]byte, 0, minHeldAnswerBytes)
 	for len(held) < most {
 		if len(held) == cap(held) {
-			held = append(make([]byte, 0, min(2*cap(held), most)), held...)
+			size := min(2*cap(held), most)
+			if !memory.Grow(size - cap(held)) {
+				return held, errAnswerLong
+			}
+			held = append(make([]byte, 0, size), held...)
 		}
 		n, err := body.Read(held[len(held):cap(held)])
 		held = held[:len(held)+n]
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -25,7 +25,7 @@
 		if answer == nil {
 			return
 		}
-		body, err := readWhole(answer.Body)
+		body, err := readWhole(answer.Body, c.call.Memory)
 		switch {
 		case err == nil:
 			c.recordServed(target)
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -22,6 +22,9 @@
 // for the answer.
 var stoppingRefusal = Refusal{Reason: ReasonStopping, RetryAfter: shortRetryAfter, Detail: "This daemon stops."}
 
+// MemoryFullRefusal refuses a request whose text the daemon has no memory for. Others may have.
+var MemoryFullRefusal = Refusal{Reason: ReasonMemoryFull, RetryAfter: shortRetryAfter, Detail: "This daemon has no memory for another request of this length."}
+
 // refuseEnded ends a call whose context ended or whose own deadline is too close: the call's
 // deadline passed, its caller disconnected, or the daemon reached its shutdown deadline.
 func (c *callHandler) refuseEnded(ctx context.Context) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,6 +61,10 @@
 			return false
 		}
 		state.turn = turn
+		if !c.call.Memory.Grow(len(turn.History) + len(c.call.Body)) {
+			c.refuse(MemoryFullRefusal)
+			return false
+		}
 		state.prompt = slices.Concat(turn.History, c.call.Body)
 		turn.History = nil // the prompt contains it
 		return !c.isResumption() || c.bindToOrigin(turn.Origin)
@@ -113,6 +117,9 @@
 		c.relay.sessions.note(c.call.Program, target.ID)
 		c.relay.serving.observe(c.call.Route.Name, servingTime{untilFirst: state.firstEventLatency, total: time.Since(c.latest.beganAt)})
 		state.instance = target.ID
+		if state.turn != nil {
+			c.call.Memory.Shrink(len(state.prompt))
+		}
 		state.prompt = nil // frees the memory while the turn is being stored
 		c.endStream(ctx, answer, target, state)
 		return false
@@ -139,7 +146,7 @@
 
 // forwardNonStream passes on an answer that is not a stream.
 func (c *callHandler) forwardNonStream(ctx context.Context, answer *Answer, target instance.Instance, state *streamState) {
-	body, err := readWhole(answer.Body)
+	body, err := readWhole(answer.Body, c.call.Memory)
 	if errors.Is(err, errAnswerLong) {
 		_ = answer.Body.Close() // closes the connection
 	}
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -10,6 +10,7 @@
 
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/kernel"
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 	"github.com/mintpulley/mintpulley/internal/relay"
 	"github.com/mintpulley/mintpulley/internal/route"
 	"github.com/mintpulley/mintpulley/internal/store"
@@ -46,6 +47,8 @@
 	// Identify returns the tenant that a request acts for, nil for none, or why the request is
 	// refused. It must be called once the request has arrived.
 	Identify(ctx context.Context, query IdentifyQuery) (*tenant.Tenant, *relay.Refusal)
+	// Memory returns the memory for the texts of requests.
+	Memory() *memorybudget.Budget
 	// EnsureEnding calls serve with a responder that records how the request ends, and aborts a
 	// request that serve leaves without an ending.
 	EnsureEnding(ctx context.Context, request string, responder relay.Responder, serve func(relay.Responder))
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
 	"github.com/mintpulley/mintpulley/internal/membership"
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 	"github.com/mintpulley/mintpulley/internal/peer/tcp"
 	"github.com/mintpulley/mintpulley/internal/poison"
 	"github.com/mintpulley/mintpulley/internal/relay"
@@ -33,6 +34,8 @@
 	logger   zerolog.Logger
 	adapter  Adapter
 
+	// memory bounds the texts of all requests.
+	memory *memorybudget.Budget
 	// admission decides how long requests wait.
 	admission *admission.Controller
 	relay     *relay.Relay
@@ -89,7 +92,8 @@
 		listeners.close()
 		return nil, err
 	}
-	metrics := newMetricsRegistry(dropped)
+	memory := settings.requestMemory()
+	metrics := newMetricsRegistry(dropped, memory)
 	d := &Daemon{
 		settings: settings,
 		logger:   logger,
@@ -101,6 +105,7 @@
 		routesConfirmation: newConfirmation(),
 
 		startedAt: time.Now(),
+		memory:    memory,
 		admission: &admission.Controller{},
 		topology:  settings.topology(),
 		adapter: newAdapter(AdapterOptions{
@@ -117,9 +122,12 @@
 	return d, nil
 }
 
-// newMetricsRegistry returns a metrics registry with the metrics of the log.
-func newMetricsRegistry(dropped *DroppedLines) *prometheus.Registry {
+// newMetricsRegistry returns a metrics registry with the metrics of the log and of the requests' memory.
+func newMetricsRegistry(dropped *DroppedLines, memory *memorybudget.Budget) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "mintpulley", Subsystem: "requests", Name: "text_bytes", Help: "Memory that the texts of requests take.",
+	}, func() float64 { return float64(memory.Held()) }))
 	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "mintpulley", Subsystem: "log", Name: "lines_lost_total", Help: "Log lines that were dropped.",
 	}, func() float64 { return float64(dropped.Count()) }))
@@ -165,6 +173,9 @@
 	return d.table.Load()
 }
 
+// Memory implements Gateway.
+func (d *Daemon) Memory() *memorybudget.Budget { return d.memory }
+
 // EnsureEnding implements Gateway.
 func (d *Daemon) EnsureEnding(ctx context.Context, request string, responder relay.Responder, serve func(relay.Responder)) {
 	d.relay.EnsureEnding(ctx, request, responder, serve)
--- a/internal/relaydaemon/resources.go
+++ b/internal/relaydaemon/resources.go
@@ -4,11 +4,15 @@
 	"math"
 	"runtime"
 	"runtime/debug"
+
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 )
 
 const (
 	// memoryShare is the share of the machine's memory that is set as the runtime's soft limit.
 	memoryShare = 0.7
+	// requestMemoryShare is the share of the memory that the texts of requests may take together.
+	requestMemoryShare = 0.12
 	// gcPercent is the garbage collector's target percentage. It is lower than the default of 100,
 	// as memory costs operators more than the processor time of collecting.
 	gcPercent = 30
@@ -32,6 +36,11 @@
 	}
 }
 
+// requestMemory returns the memory for the texts of requests.
+func (s *Settings) requestMemory() *memorybudget.Budget {
+	return memorybudget.New(int64(requestMemoryShare * float64(s.MemoryMegabytes) * megabyte))
+}
+
 // cores returns how many of the machine's cores the process uses at the same time: as many as its share of
 // the processor fills.
 func (s *Settings) cores(available int) int {
