relaydaemon, httpconn: callers and engines leave descriptors for the probe, the peers and the store

What callers saw: 100 open connections to a daemon with 64 descriptors left its readiness probe unanswered for as long as they stayed (over a minute); it could open none to the store, to other daemons or to engines. Nothing ended.

Cause: whoever came first got the descriptors. Class: the process takes what its surroundings give.

Change: connections of callers use up to 55 in 100 of the process's limit, further ones wait in the listen queue; those to engines 30 in 100: at that limit the one that has been idle for longest is closed, and without one the request finds no free connection, as at an engine's own limit.

--- a/cmd/mintpulley-relay/endless_answer_test.go
+++ b/cmd/mintpulley-relay/endless_answer_test.go
@@ -75,15 +75,3 @@
 	}
 	p.awaitServed(t)
 }
-
-// awaitServed waits until the daemon serves an ordinary request.
-func (p *process) awaitServed(t *testing.T) {
-	t.Helper()
-	deadline := time.Now().Add(startTime)
-	for i := 0; p.call(t.Context(), "/repeat/x", fmt.Sprintf("after-%d", i), http.NoBody) != http.StatusOK; i++ {
-		if time.Now().After(deadline) {
-			t.Fatalf("no ordinary request is served:\n%.3000s", p.output())
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-}
--- a/cmd/mintpulley-relay/fleet_test.go
+++ b/cmd/mintpulley-relay/fleet_test.go
@@ -225,6 +225,18 @@
 	return response.StatusCode
 }
 
+// awaitServed waits until the daemon serves an ordinary request.
+func (p *process) awaitServed(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(startTime)
+	for i := 0; p.call(t.Context(), "/repeat/x", fmt.Sprintf("after-%d", i), http.NoBody) != http.StatusOK; i++ {
+		if time.Now().After(deadline) {
+			t.Fatalf("no ordinary request is served:\n%.3000s", p.output())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // answeringEngine answers every request whole.
 func answeringEngine(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -61,6 +61,9 @@
 	mutex       sync.Mutex
 	addresses   map[string]*address
 	dials       uint64
+	// limit is the maximum number of connections to all addresses together, 0 for no limit, and opened the
+	// number of those that are open.
+	limit, opened int
 	// replaced counts the idle connections that were closed to make room for another.
 	replaced uint64
 	// duplicates counts the duplicate answers that were skipped.
@@ -124,6 +127,10 @@
 	return &Pool{dialTimeout: dialTimeout, addresses: map[string]*address{}}
 }
 
+// LimitConnections bounds the connections to all addresses together; 0 for no limit. It must be called
+// before the first exchange.
+func (p *Pool) LimitConnections(limit int) { p.limit = limit }
+
 // Dials returns the number of connection attempts so far.
 func (p *Pool) Dials() uint64 {
 	p.mutex.Lock()
@@ -179,7 +186,7 @@
 	}
 	for _, c := range a.idle {
 		_ = c.Close()
-		a.open--
+		p.countClosed(a)
 	}
 	a.idle = nil
 	if a.open == 0 {
@@ -403,7 +410,7 @@
 	}
 	_ = a.idle[i].Close() // nothing waits to be sent
 	a.idle = slices.Delete(a.idle, i, i+1)
-	a.open--
+	p.countClosed(a)
 	p.replaced++
 	return true
 }
@@ -414,14 +421,15 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
-	if a == nil {
+	if limit > 0 && a != nil && a.open >= limit || !p.hasRoom() {
+		return 0, false
+	}
+	if a = p.addresses[name]; a == nil {
 		a = &address{}
 		p.addresses[name] = a
 	}
-	if limit > 0 && a.open >= limit {
-		return 0, false
-	}
 	a.open++
+	p.opened++
 	p.dials++
 	return p.dials, true
 }
@@ -433,12 +441,46 @@
 	if a == nil {
 		return
 	}
-	a.open--
+	p.countClosed(a)
 	if a.open <= 0 && len(a.idle) == 0 {
 		delete(p.addresses, name)
 	}
 }
 
+// countClosed counts a connection that was closed. The caller must hold the mutex.
+func (p *Pool) countClosed(a *address) {
+	a.open--
+	p.opened--
+}
+
+// hasRoom reports whether another connection may be open. At the limit it closes the one that has been idle
+// for longest, if there is one. The caller must hold the mutex.
+func (p *Pool) hasRoom() bool {
+	return p.limit <= 0 || p.opened < p.limit || p.closeLongestIdle()
+}
+
+// closeLongestIdle closes the connection that has been idle for longest, and reports whether there was one.
+// The caller must hold the mutex.
+func (p *Pool) closeLongestIdle() bool {
+	var longest *address
+	var name string
+	for n, a := range p.addresses {
+		if len(a.idle) > 0 && (longest == nil || a.idle[0].idleSince.Before(longest.idle[0].idleSince)) {
+			longest, name = a, n
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	_ = longest.idle[0].Close() // nothing waits to be sent
+	longest.idle = slices.Delete(longest.idle, 0, 1)
+	p.countClosed(longest)
+	if longest.open == 0 {
+		delete(p.addresses, name)
+	}
+	return true
+}
+
 func (p *Pool) putIdle(name string, c *conn, idle time.Duration) {
 	c.idleSince = time.Now()
 	c.expires = c.idleSince.Add(idle)
--- a/internal/httpconn/pool_test.go
+++ b/internal/httpconn/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"os"
 	"strings"
@@ -365,3 +366,46 @@
 		t.Errorf("%d addresses are left", open)
 	}
 }
+
+func TestConnectionsToAllAddressesHaveALimit(t *testing.T) {
+	pool := NewPool(time.Second)
+	pool.LimitConnections(2)
+	var addresses []string
+	for range 3 {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Keep-Alive", "timeout=9") }))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	first, err := pool.Do(t.Context(), addresses[0], Bounds{}, endlessRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := pool.Do(t.Context(), addresses[1], Bounds{}, endlessRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := pool.Do(t.Context(), addresses[2], Bounds{}, endlessRequest()); !errors.Is(err, ErrNoConnection) {
+		t.Errorf("a third connection: got %v, want ErrNoConnection", err)
+	}
+	readToEnd(t, second)
+	third, err := pool.Do(t.Context(), addresses[2], Bounds{}, endlessRequest())
+	if err != nil {
+		t.Errorf("beside an idle connection: %v", err)
+	} else {
+		readToEnd(t, third)
+	}
+	readToEnd(t, first)
+	if pool.opened != 2 {
+		t.Errorf("%d connections are counted, want 2", pool.opened)
+	}
+}
+
+func readToEnd(t *testing.T, response *http.Response) {
+	t.Helper()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Error(err)
+	}
+	if err := response.Body.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/relaydaemon/adapter.go
+++ b/internal/relaydaemon/adapter.go
@@ -24,8 +24,11 @@
 // AdapterOptions configure an adapter.
 type AdapterOptions struct {
 	StoreAddress string
-	Logger       zerolog.Logger
-	Registry     prometheus.Registerer
+	// EngineConnections is how many connections to back ends may be open, 0 for no limit.
+	EngineConnections int
+
+	Logger   zerolog.Logger
+	Registry prometheus.Registerer
 }
 
 // IdentifyQuery is the input of Gateway.Identify.
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -110,8 +110,10 @@
 		topology:  settings.topology(),
 		adapter: newAdapter(AdapterOptions{
 			StoreAddress: settings.StoreAddress,
-			Logger:       componentLogger(logger, "adapter"),
-			Registry:     metrics,
+
+			EngineConnections: engineConnections(descriptorLimit()),
+			Logger:            componentLogger(logger, "adapter"),
+			Registry:          metrics,
 		}),
 	}
 	d.preparePlacement()
--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -52,7 +52,7 @@
 
 // newFrontServer starts to serve on a listener. server must not set timeouts: the front server
 // enforces the operators' limits itself. No connection is kept while redirects returns true.
-func newFrontServer(server *http.Server, listener net.Listener, redirects func() bool) *frontServer {
+func newFrontServer(server *http.Server, listener *frontListener, redirects func() bool) *frontServer {
 	shutdownDeadline, reachShutdownDeadline := context.WithCancel(context.Background())
 	callers, cancelAll := context.WithCancelCause(context.Background())
 	s := &frontServer{
@@ -61,7 +61,7 @@
 		cancelAll:             cancelAll,
 		redirects:             redirects,
 		server:                server,
-		listener:              &frontListener{Listener: listener},
+		listener:              listener,
 		acceptEnded:           make(chan struct{}),
 		limits:                route.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout},
 		open:                  map[*frontConnection]struct{}{},
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -31,6 +31,8 @@
 // http.Server cannot be changed while it runs.
 type frontConnection struct {
 	net.Conn
+	// release frees the connection's slot, nil for none.
+	release func()
 
 	mutex  sync.Mutex
 	limits route.Limits
@@ -48,6 +50,14 @@
 	expired bool
 }
 
+// Close implements net.Conn.
+func (c *frontConnection) Close() error {
+	if c.release != nil {
+		defer c.release()
+	}
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *frontConnection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
--- a/internal/relaydaemon/front_slow_reader_test.go
+++ b/internal/relaydaemon/front_slow_reader_test.go
@@ -19,7 +19,7 @@
 	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, err := io.WriteString(w, longAnswer)
 		writes <- err
-	})}, d.pipeListener, neverRedirects)
+	})}, newFrontListener(d.pipeListener, 0), neverRedirects)
 	t.Cleanup(d.server.close)
 	return d, writes
 }
--- a/internal/relaydaemon/resources.go
+++ b/internal/relaydaemon/resources.go
@@ -13,6 +13,11 @@
 	memoryShare = 0.7
 	// requestMemoryShare is the share of the memory that the texts of requests may take together.
 	requestMemoryShare = 0.12
+	// callerDescriptorShare and engineDescriptorShare are the shares of the process's descriptors that
+	// connections of callers and to back ends may use. The rest is for other daemons, the store, the
+	// platform's probe and the process itself.
+	callerDescriptorShare = 0.55
+	engineDescriptorShare = 0.3
 	// gcPercent is the garbage collector's target percentage. It is lower than the default of 100,
 	// as memory costs operators more than the processor time of collecting.
 	gcPercent = 30
@@ -50,6 +55,19 @@
 	return min(max(int(math.Ceil(s.ProcessorShare)), 1), available)
 }
 
+// callerConnections and engineConnections return how many connections of callers and to back ends may be
+// open with a limit on descriptors, 0 for no limit.
+func callerConnections(descriptors int) int { return shareOf(descriptors, callerDescriptorShare) }
+
+func engineConnections(descriptors int) int { return shareOf(descriptors, engineDescriptorShare) }
+
+func shareOf(descriptors int, share float64) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(int(share*float64(descriptors)), 1)
+}
+
 // softMemoryLimit returns the runtime's soft limit in bytes, 0 for none. dataLimit is the limit on the
 // process's data in bytes, 0 for none.
 func (s *Settings) softMemoryLimit(dataLimit int64) int64 {
