--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -42,7 +42,7 @@
 		Usage: "relay programs' requests to engines and services on the platform",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "the settings `FILE`"},
-			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings, the limits of the process and its addresses, and exit"},
 		},
 		Action:   run,
 		Commands: []*cli.Command{traceCommand(), contentsCommand()},
@@ -68,9 +68,12 @@
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before anything else, as a signal without a handler ends the process
 	settings, err := relaydaemon.ReadSettings(path)
-	if err != nil || command.Bool("check") {
+	if err != nil {
 		return err
 	}
+	if command.Bool("check") {
+		return relaydaemon.CheckSurroundings(settings)
+	}
 	level, err := zerolog.ParseLevel(settings.LogLevel)
 	if err != nil {
 		return fmt.Errorf("%s: log_level: %w", path, err)
--- a/cmd/mintpulley-relay/start_test.go
+++ b/cmd/mintpulley-relay/start_test.go
@@ -109,3 +109,21 @@
 	}
 	p.stop(t)
 }
+
+func TestCheckNamesAnAddressThatIsTaken(t *testing.T) {
+	address := loopbacktest.FreeAddress(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := strings.Replace(settingsText(t), "front_address: ", "front_address: "+address+" # ", 1)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	free, _ := startProcess(t, "--settings", path, "--check")
+	if err := free.Wait(); err != nil {
+		t.Errorf("with free addresses: %v", err)
+	}
+	listenAt(t, address)
+	taken, out := startProcess(t, "--settings", path, "--check")
+	if err := taken.Wait(); err == nil || !strings.Contains(out.String(), "front_address") {
+		t.Errorf("with a taken address: got %v, want an error that names the field:\n%s", err, out)
+	}
+}
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -170,7 +170,7 @@
 		StoppingSince: d.stopping.Since,
 
 		Admission:             d.admission,
-		MaxPendingRecordBytes: int64(recordMemoryShare * float64(d.settings.MemoryMegabytes) * megabyte),
+		MaxPendingRecordBytes: int64(recordMemoryShare * float64(d.settings.memoryBytes())),
 		Logger:                componentLogger(d.logger, "relay"),
 		Metrics:               relay.NewMetrics(d.metrics),
 	})
--- a/internal/relaydaemon/resources.go
+++ b/internal/relaydaemon/resources.go
@@ -25,6 +25,8 @@
 	// fixedDataMegabytes is what a process maps as data besides the runtime's heap: the runtime's
 	// index of the heap, the program's variables, and threads' stacks.
 	fixedDataMegabytes = 48
+	// minMemoryMegabytes is the least memory of a machine: the fixed data and the least heap.
+	minMemoryMegabytes = fixedDataMegabytes + minSoftLimitMegabytes
 	// minSoftLimitMegabytes is the least soft limit. With less, the collector would run all the time.
 	minSoftLimitMegabytes = 16
 )
@@ -41,9 +43,17 @@
 	}
 }
 
+// memoryBytes returns the memory limit in bytes, 0 for none.
+func (s *Settings) memoryBytes() int64 {
+	if s.MemoryMegabytes == nil {
+		return 0
+	}
+	return int64(*s.MemoryMegabytes * megabyte)
+}
+
 // requestMemory returns the memory for the texts of requests.
 func (s *Settings) requestMemory() *memorybudget.Budget {
-	return memorybudget.New(int64(requestMemoryShare * float64(s.MemoryMegabytes) * megabyte))
+	return memorybudget.New(int64(requestMemoryShare * float64(s.memoryBytes())))
 }
 
 // cores returns how many of the machine's cores the process uses at the same time: as many as its share of
@@ -71,7 +81,7 @@
 // softMemoryLimit returns the runtime's soft limit in bytes, 0 for none. dataLimit is the limit on the
 // process's data in bytes, 0 for none.
 func (s *Settings) softMemoryLimit(dataLimit int64) int64 {
-	limit := int64(memoryShare * float64(s.MemoryMegabytes) * megabyte)
+	limit := int64(memoryShare * float64(s.memoryBytes()))
 	if dataLimit == 0 {
 		return limit
 	}
--- a/internal/relaydaemon/settings.go
+++ b/internal/relaydaemon/settings.go
@@ -60,8 +60,8 @@
 	// same in the whole fleet.
 	LedgerSpaces     int `yaml:"ledger_spaces"`
 	LedgerPartitions int `yaml:"ledger_partitions"`
-	// MemoryMegabytes is the memory limit of the process; 0 for none.
-	MemoryMegabytes int `yaml:"memory_megabytes"`
+	// MemoryMegabytes is the memory limit of the process; nil for none.
+	MemoryMegabytes *float64 `yaml:"memory_megabytes"`
 	// ProcessorShare is the share of a core that the process gets, ProcessorSpeed the relative
 	// speed of that core, and LinkMegabits the bandwidth of its network link in Mbit/s; 0 if
 	// unknown.
@@ -191,8 +191,8 @@
 	if s.LedgerSpaces < 1 || s.LedgerPartitions < 1 {
 		add("ledger_spaces, ledger_partitions", "must be at least 1")
 	}
-	if s.MemoryMegabytes < 0 {
-		add("memory_megabytes", "must not be negative")
+	if s.MemoryMegabytes != nil && !(*s.MemoryMegabytes >= minMemoryMegabytes) { // NaN compares as false
+		add("memory_megabytes", fmt.Sprintf("is %v, must be at least %d", *s.MemoryMegabytes, minMemoryMegabytes))
 	}
 	if s.ProcessorShare < 0 || s.ProcessorSpeed < 0 || s.LinkMegabits < 0 {
 		add("processor_share, processor_speed, link_megabits", "must not be negative")
