versionrecord, relay: streams are not joined after all daemons were lost, also if callers name no request

What callers saw: all daemons were killed while streams ran, and the version that began them left before the daemons were back. Callers that took their streams up without naming the first request were answered 200, and the text was joined from two versions: 60 of 60 streams with one version before, 30 of 60 with two. Callers that name it (Resumes), as the pages ask, were never joined: their streams go on at their version or are refused.

Cause: a daemon that has just started took the versions that it found for all there had been, for callers of whom nothing else tells the origin; what was known of others died with the daemons. Class: a conclusion from what a process has seen since its start.

Change: the store keeps which software versions of each service may have begun a stream that is still resumed: those listed, and those that left within the time that streams last (10 s or two timeouts).

--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -1,6 +1,10 @@
 package instance
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Preview returns the instance that Take would choose for a query now, without counting a
 // request there, and whether instances of its service run other software versions. It returns
@@ -40,6 +44,18 @@
 	return known, isSole
 }
 
+// Versions returns the software versions of each service's instances, sorted, including those that leave and
+// those that may have left.
+func (p *Pool) Versions() map[string][]string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	versions := make(map[string][]string, len(p.byService))
+	for name, index := range p.byService {
+		versions[name] = slices.Sorted(maps.Keys(index.versions))
+	}
+	return versions
+}
+
 // noteVersions records which services have a single software version.
 func (p *Pool) noteVersions(now time.Time) {
 	for name := range p.soleVersions {
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -177,8 +177,8 @@
 // soleOrigin returns the origin of a stream if its service has had a single software version
 // since before the stream can have begun; nil otherwise. It is for streams that a former build
 // began, whose record is lost, or whose caller does not name the first request. For the last
-// it is enough that this daemon has seen no other version since it started: nothing will ever
-// tell more.
+// it is enough that this daemon has seen no other version since it started, and that none is on
+// record from before: nothing will ever tell more.
 func (c *callHandler) soleOrigin() *ledger.Origin {
 	if len(c.call.Route.Services) != 1 {
 		return nil
@@ -187,13 +187,30 @@
 	if !isSole || time.Since(sole.AsOf) > maxSoleListAge {
 		return nil
 	}
-	from := c.call.Received.Add(-max(minSoleTime, soleTimeouts*c.call.Route.Timeout))
-	if sole.Since.After(from) && !(sole.IsSinceStart && c.call.Resumes == "") {
+	from := c.call.Received.Add(-SoleTime(c.call.Route.Timeout))
+	isSoleSinceStart := sole.IsSinceStart && c.call.Resumes == "" && !c.relay.mayHaveServedBefore(c.service, sole.Version)
+	if sole.Since.After(from) && !isSoleSinceStart {
 		return nil
 	}
 	return &ledger.Origin{Service: c.service, Version: sole.Version}
 }
 
+// FormerVersions tells which software versions back ends had before this daemon started.
+type FormerVersions interface {
+	// MayHaveServed reports whether back ends of another software version than the given one may have begun
+	// streams of a service shortly before.
+	MayHaveServed(service, otherThan string) bool
+}
+
+// mayHaveServedBefore is MayHaveServed of the record of former versions, false without one.
+func (r *Relay) mayHaveServedBefore(service, otherThan string) bool {
+	return r.FormerVersions != nil && r.FormerVersions.MayHaveServed(service, otherThan)
+}
+
+// SoleTime returns for how long a service must have had a single software version for a stream of unknown
+// origin to be resumed on a route with a timeout, or 0 for none.
+func SoleTime(timeout time.Duration) time.Duration { return max(minSoleTime, soleTimeouts*timeout) }
+
 // confirmOrigin makes sure, before the first event of a new stream is passed on, that the
 // ledger does not name another software version than that of the instance which sends it.
 func (c *callHandler) confirmOrigin(ctx context.Context, target instance.Instance) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,9 @@
 	Pool   *instance.Pool
 	Driver Driver
 	Ledger Ledger
+	// FormerVersions tells which software versions served before this daemon started; nil if that is not
+	// recorded.
+	FormerVersions FormerVersions
 	// Quota admits the requests of tenants that have a limit; nil if no tenant has one.
 	Quota Quota
 	// ContentGuard decides which contents may be sent after back ends ended under them; nil for all.
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -28,6 +28,7 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/memory"
 	"github.com/mintpulley/mintpulley/internal/structs"
+	"github.com/mintpulley/mintpulley/internal/versionrecord"
 )
 
 const (
@@ -72,6 +73,8 @@
 	pool   *instance.Pool
 	ledger *ledger.Service
 	guard  *poison.Guard
+	// versions keeps the record of software versions.
+	versions *versionrecord.Keeper
 	// alive ends when the daemon is killed.
 	alive context.Context
 	kill  context.CancelFunc
@@ -166,7 +169,13 @@
 		Self: d.id, Store: f.store, Records: f.store, Teller: &fleetTeller{fleet: f, self: d.id}, View: f,
 		Logger: zerolog.Nop(), Metrics: poison.NewMetrics(prometheus.NewRegistry()),
 	})
+	d.versions = versionrecord.New(versionrecord.Options{
+		Store: f.store, Listed: d.pool.Versions, KeepFor: func() time.Duration { return SoleTime(f.route.Timeout) },
+		IsWriter: func() bool { return number < 2 }, Logger: zerolog.Nop(),
+	})
 	d.relay = New(Options{
+		FormerVersions: d.versions,
+
 		ContentGuard: d.guard,
 		Pool:         d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
 		Daemons: func() int { return fleetDaemons }, Logger: zerolog.Nop(), Metrics: NewMetrics(prometheus.NewRegistry()),
@@ -176,6 +185,7 @@
 	f.mutex.Unlock()
 	go d.ledger.Run(d.alive)
 	go d.guard.Run(d.alive)
+	go d.versions.Run(d.alive)
 	go d.relay.WatchSilence(d.alive)
 	f.relist()
 	return d
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/mintpulley/mintpulley/internal/store"
 	"github.com/mintpulley/mintpulley/internal/store/fanout"
 	"github.com/mintpulley/mintpulley/internal/store/proxy"
+	"github.com/mintpulley/mintpulley/internal/versionrecord"
 	"github.com/mintpulley/mintpulley/internal/warmup"
 	"github.com/mintpulley/mintpulley/internal/zone"
 	"github.com/mintpulley/mintpulley/internal/zone/reach"
@@ -43,7 +44,9 @@
 	// regional are the ledgers of the regions.
 	regional *regionalLedgers
 	// guard limits the back ends that one content may end.
-	guard      *poison.Guard
+	guard *poison.Guard
+	// versions keeps the record of back ends' software versions.
+	versions   *versionrecord.Keeper
 	membership *membership.Membership
 	transport  *tcp.Transport
 	pool       *instance.Pool
@@ -151,6 +154,7 @@
 	d.workers.Go(func() { d.ledger.Run(ctx) })
 	d.regional.setRunner(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
 	d.workers.Go(func() { d.guard.Run(ctx) })
+	d.workers.Go(func() { d.versions.Run(ctx) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
 	d.workers.Go(func() { d.runReachMonitor(ctx) })
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -39,6 +39,7 @@
 	d.joinStore()
 	d.joinLedger()
 	d.joinGuard()
+	d.joinVersions()
 	d.joinRelay()
 	d.prepareReachMonitor()
 	receiver.daemon.Store(d)
@@ -158,10 +159,12 @@
 		Driver:       d.adapter.Driver(),
 		Ledger:       d.regional.combinedLedger(d.ledger),
 		ContentGuard: d.guard,
-		Quota:        quota.NewGate(d.ledger, d.settings.quotaTolerance()),
-		Table:        d.table.Load,
-		RoutesAge:    d.routesAge,
-		Daemons:      func() int { return len(d.membership.Members()) },
+
+		FormerVersions: d.versions,
+		Quota:          quota.NewGate(d.ledger, d.settings.quotaTolerance()),
+		Table:          d.table.Load,
+		RoutesAge:      d.routesAge,
+		Daemons:        func() int { return len(d.membership.Members()) },
 
 		Evacuations: &d.evacuations,
 		Zones:       d.reachability,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -132,6 +132,17 @@
 	return t
 }
 
+// LongestTimeout returns the longest timeout of a route, 0 if none has one.
+func (t *Table) LongestTimeout() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // RestrictsRegions reports whether any route or tenant restricts the regions of its
 // requests.
 func (t *Table) RestrictsRegions() bool {
