mintpulley-relay: a test of turns through an outage and takeovers within a limit on data

Cause: the bounds on memory had no test with kept turns, an outage of the store, a takeover and the loss of all.

--- a/cmd/mintpulley-relay/fleet_test.go
+++ b/cmd/mintpulley-relay/fleet_test.go
@@ -88,8 +88,9 @@
 	t.Cleanup(engine.Close)
 	f.store.Put("keyed.op", "config", fmt.Sprintf(`{"version":1,"routes":[
  {"name":"once","host":%q,"pathPrefix":"/once/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":500,"service":"s"},
+ {"name":"turn","host":%q,"pathPrefix":"/turn/","kind":"stream","timeoutMs":3000,"targetLatencyMs":500,"gapAimMs":500,"sticky":true,"retainContext":true,"retentionS":600,"service":"s"},
  {"name":"repeat","host":%q,"pathPrefix":"/repeat/","kind":"safe","timeoutMs":3000,"targetLatencyMs":500,"maxAttempts":1,"service":"s"}],
- "services":[{"name":"s","maxConnections":400}],"limits":{"maxBodyBytes":16777216,"maxHeaderBytes":65536}}`, fleetHost, fleetHost))
+ "services":[{"name":"s","maxConnections":400,"engine":{"slots":64,"kvCapacity":1000000,"tokensPerEvent":4}}],"limits":{"maxBodyBytes":16777216,"maxHeaderBytes":65536}}`, fleetHost, fleetHost, fleetHost))
 	f.store.Put("keyed.servers", "e-1", fmt.Sprintf(
 		`{"service":"s","address":%q,"zone":"z","version":"1","slots":64,"state":"ready","callSeq":1}`, strings.TrimPrefix(engine.URL, "http://")))
 	for range options.daemons {
@@ -134,16 +135,24 @@
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
+	command, ended := p.Cmd, p.ended
 	go func() {
-		defer close(p.ended)
-		_ = p.Wait() // the tests look at ProcessState
+		defer close(ended)
+		_ = command.Wait() // the tests look at ProcessState
 	}()
 	t.Cleanup(func() {
-		_ = p.Process.Kill() // fails if it has ended
-		<-p.ended
+		_ = command.Process.Kill() // fails if it has ended
+		<-ended
 	})
 }
 
+// again returns a command like one that was run.
+func (*process) again(before *exec.Cmd) *exec.Cmd {
+	command := exec.Command(before.Path, before.Args[1:]...)
+	command.Stdout, command.Stderr = before.Stdout, before.Stderr
+	return command
+}
+
 func (p *process) write(t *testing.T, store, seeds string, options fleetOptions) {
 	t.Helper()
 	text := fmt.Sprintf("adapter: platform\nname: %q\nzone: z\nregion: r\nfront_address: %q\nready_address: %q\npeer_address: %q\nmetrics_address: %q\nstore_address: %q\nseeds: %q\nmemory_megabytes: %d\nstop_seconds: %d\n%s",
