relaydaemon: heads that callers send share the memory for the texts of requests

Cause: the head of a request may have 256 KB, and nothing bounded the heads of many callers together: some 4,500 connections may be open. Found by going through the readers. Change: what arrives of a head counts twice its bytes in the memory for texts until the connection is idle or closed; one that does not fit is closed before its request was read.

--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -44,7 +44,7 @@
 	return b.held.Load()
 }
 
-// Begin returns the holding of a new request.
+// Begin returns the holding of a new request; one without a bound if the budget is nil.
 func (b *Budget) Begin() *Holding { return &Holding{budget: b} }
 
 // limitFor returns the budget of a request whose texts take a number of bytes.
--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 	"github.com/mintpulley/mintpulley/internal/route"
 )
 
@@ -15,6 +16,9 @@
 // an answer.
 const writeStallTimeout = 30 * time.Second
 
+// headMemoryFactor is how many bytes of memory a byte of a request's head takes once it is parsed.
+const headMemoryFactor = 2
+
 // phase is the state of a caller's connection.
 type phase int
 
@@ -33,6 +37,8 @@
 	net.Conn
 	// release frees the connection's slot, nil for none.
 	release func()
+	// head holds the head of the request that arrives or is served; the mutex guards it.
+	head *memorybudget.Holding
 
 	mutex  sync.Mutex
 	limits route.Limits
@@ -55,14 +61,17 @@
 	if c.release != nil {
 		defer c.release()
 	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.head.Release()
 	return c.Conn.Close()
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails with memorybudget.ErrFull if there is no memory for a request's head.
 func (c *frontConnection) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
-	if n > 0 {
-		c.onBytesArrived(time.Now())
+	if n > 0 && !c.onBytesArrived(n, time.Now()) {
+		return 0, memorybudget.ErrFull
 	}
 	return n, err
 }
@@ -173,20 +182,21 @@
 
 // startIdle is idleFor for callers that hold the mutex.
 func (c *frontConnection) startIdle(least time.Duration, now time.Time) {
+	c.head.Release()
 	c.reusableUntil = now.Add(least)
 	c.begin(phaseIdle, now)
 }
 
 // onBytesArrived starts phaseHeader when the first bytes of a request arrive, even if the
-// connection has just expired.
-func (c *frontConnection) onBytesArrived(now time.Time) {
+// connection has just expired. It returns false if there is no memory for the bytes of a head.
+func (c *frontConnection) onBytesArrived(count int, now time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != phaseIdle {
-		return
+	if c.phase == phaseIdle {
+		c.expired = false
+		c.begin(phaseHeader, now)
 	}
-	c.expired = false
-	c.begin(phaseHeader, now)
+	return c.phase != phaseHeader || c.head.Grow(headMemoryFactor*count)
 }
 
 // expire makes the server close the connection if it is idle and its caller may no longer reuse it.
--- a/internal/relaydaemon/front_deadline_test.go
+++ b/internal/relaydaemon/front_deadline_test.go
@@ -81,7 +81,7 @@
 			server := newFrontServer(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 				call := &relay.Call{ID: "q", Route: turns, Received: time.Now(), Program: &relay.Program{ID: "p", BudgetTokens: 10}}
 				r.Serve(request.Context(), call, responder)
-			})}, newFrontListener(listener, 0), neverRedirects)
+			})}, newFrontListener(listener, 0, nil), neverRedirects)
 			listener.dial(t).send("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 			time.Sleep(time.Second)
 			server.reachShutdownDeadline()
--- a/internal/relaydaemon/front_listener.go
+++ b/internal/relaydaemon/front_listener.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/mintpulley/mintpulley/internal/memorybudget"
 )
 
 // deadlineListener is a listener whose Accept supports a deadline, such as *net.TCPListener.
@@ -17,6 +19,8 @@
 // wait in the kernel's queue.
 type frontListener struct {
 	net.Listener
+	// memory bounds the heads that callers send, nil for no bound.
+	memory *memorybudget.Budget
 	// slots holds an item for each open connection, nil for no limit.
 	slots chan struct{}
 	// ending is closed by acceptRemaining.
@@ -26,9 +30,10 @@
 	isFinalDeadline bool
 }
 
-// newFrontListener returns a listener that has up to limit connections open; 0 for no limit.
-func newFrontListener(listener net.Listener, limit int) *frontListener {
-	l := &frontListener{Listener: listener, ending: make(chan struct{})}
+// newFrontListener returns a listener that has up to limit connections open; 0 for no limit. memory bounds
+// the heads that callers send, nil for no bound.
+func newFrontListener(listener net.Listener, limit int, memory *memorybudget.Budget) *frontListener {
+	l := &frontListener{Listener: listener, memory: memory, ending: make(chan struct{})}
 	if limit > 0 {
 		l.slots = make(chan struct{}, limit)
 	}
@@ -73,7 +78,7 @@
 	for {
 		connection, err := l.Listener.Accept()
 		if err == nil {
-			return &frontConnection{Conn: connection, release: release}, nil
+			return &frontConnection{Conn: connection, release: release, head: l.memory.Begin()}, nil
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			release()
--- a/internal/relaydaemon/front_reuse_test.go
+++ b/internal/relaydaemon/front_reuse_test.go
@@ -150,7 +150,7 @@
 	}
 	gate := &gatedListener{Listener: listener, opened: make(chan struct{})}
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
-	server := newFrontServer(&http.Server{Handler: handler}, newFrontListener(gate, 0), neverRedirects)
+	server := newFrontServer(&http.Server{Handler: handler}, newFrontListener(gate, 0, nil), neverRedirects)
 	defer server.close()
 	connection, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
--- a/internal/relaydaemon/front_slow_reader_test.go
+++ b/internal/relaydaemon/front_slow_reader_test.go
@@ -19,7 +19,7 @@
 	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, err := io.WriteString(w, longAnswer)
 		writes <- err
-	})}, newFrontListener(d.pipeListener, 0), neverRedirects)
+	})}, newFrontListener(d.pipeListener, 0, nil), neverRedirects)
 	t.Cleanup(d.server.close)
 	return d, writes
 }
--- a/internal/relaydaemon/front_test.go
+++ b/internal/relaydaemon/front_test.go
@@ -106,7 +106,7 @@
 		body, _ := io.ReadAll(r.Body)
 		_, _ = fmt.Fprintf(w, "%s %s", r.URL.Path, body)
 	}
-	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(handler)}, newFrontListener(d.pipeListener, 0), func() bool { return d.redirects })
+	d.server = newFrontServer(&http.Server{Handler: http.HandlerFunc(handler)}, newFrontListener(d.pipeListener, 0, nil), func() bool { return d.redirects })
 	t.Cleanup(d.server.close)
 	return d
 }
@@ -216,7 +216,7 @@
 	server := newFrontServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		taken.Add(1)
 		_, _ = io.Copy(w, r.Body)
-	})}, newFrontListener(listener, 0), neverRedirects)
+	})}, newFrontListener(listener, 0, nil), neverRedirects)
 	defer server.close()
 	var running sync.WaitGroup
 	for range callers {
--- a/internal/relaydaemon/listen.go
+++ b/internal/relaydaemon/listen.go
@@ -36,7 +36,7 @@
 func (d *Daemon) listenToCallers(listener net.Listener) {
 	server := newServer(d.adapter.Front(d), componentLogger(d.logger, "http"))
 	server.ReadHeaderTimeout, server.IdleTimeout = 0, 0 // the front server enforces its own limits
-	d.front = newFrontServer(server, newFrontListener(listener, callerConnections(descriptorLimit())), d.RedirectsCallers)
+	d.front = newFrontServer(server, newFrontListener(listener, callerConnections(descriptorLimit()), d.memory), d.RedirectsCallers)
 }
 
 // serveMetrics serves metrics. They are optional: while their address is not available, the daemon runs
--- a/internal/relaydaemon/logs_test.go
+++ b/internal/relaydaemon/logs_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	front := newFrontServer(server, newFrontListener(listener, 0), neverRedirects)
+	front := newFrontServer(server, newFrontListener(listener, 0, nil), neverRedirects)
 	if _, err := http.Get("http://" + listener.Addr().String() + "/a"); err == nil {
 		t.Error("a request that panicked was answered")
 	}
