--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -82,17 +82,13 @@
 	logger, closer := relaydaemon.NewLogger(os.Stdout, level, droppedLines.Add)
 	defer func() { _ = closer.Close() }()
 	logger = logger.With().Str("machine", settings.Name).Logger()
-	listeners, err := relaydaemon.OpenListeners(settings, logger, pauseUnlessStopped(signals))
+	daemon, err := start(settings, logger, &droppedLines, signals)
 	if errors.Is(err, relaydaemon.ErrInterrupted) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	daemon, err := relaydaemon.Start(settings, listeners, logger, &droppedLines)
-	if err != nil {
-		return err
-	}
 	for received := range signals {
 		if received != syscall.SIGHUP {
 			break
@@ -103,6 +99,16 @@
 	return nil
 }
 
+// start opens the listeners and starts the daemon. The error is relaydaemon.ErrInterrupted if a signal to stop
+// arrives while an address is not available.
+func start(settings relaydaemon.Settings, logger zerolog.Logger, dropped *relaydaemon.DroppedLines, signals <-chan os.Signal) (*relaydaemon.Daemon, error) {
+	listeners, err := relaydaemon.OpenListeners(settings, logger, pauseUnlessStopped(signals))
+	if err != nil {
+		return nil, err
+	}
+	return relaydaemon.Start(settings, listeners, logger, dropped)
+}
+
 // pauseUnlessStopped returns a pause that ends early when a signal arrives, and reports whether that was
 // none that stops the daemon.
 func pauseUnlessStopped(signals <-chan os.Signal) relaydaemon.Pause {
