--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -11,9 +11,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -127,10 +124,6 @@
 	return &Pool{dialTimeout: dialTimeout, addresses: map[string]*address{}}
 }
 
-// LimitConnections bounds the connections to all addresses together; 0 for no limit. It must be called
-// before the first exchange.
-func (p *Pool) LimitConnections(limit int) { p.limit = limit }
-
 // Dials returns the number of connection attempts so far.
 func (p *Pool) Dials() uint64 {
 	p.mutex.Lock()
@@ -176,24 +169,6 @@
 	p.duplicates++
 }
 
-// CloseIdle closes the idle connections to an address.
-func (p *Pool) CloseIdle(name string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	a := p.addresses[name]
-	if a == nil {
-		return
-	}
-	for _, c := range a.idle {
-		_ = c.Close()
-		p.countClosed(a)
-	}
-	a.idle = nil
-	if a.open == 0 {
-		delete(p.addresses, name)
-	}
-}
-
 // Bounds limit an exchange. The zero value sets no limits.
 type Bounds struct {
 	// Connections is the maximum number of open connections to the address; 0 for no limit.
@@ -364,57 +339,6 @@
 	return ErrNotSent
 }
 
-// takeIdle returns an open idle connection to an address that the bounds do not exclude, nil if there is
-// none.
-func (p *Pool) takeIdle(name string, bounds Bounds) *conn {
-	for {
-		c := p.removeIdle(name, bounds)
-		if c == nil || time.Now().Before(c.expires) && isReusable(c.Conn) {
-			return c
-		}
-		p.drop(name, c)
-	}
-}
-
-// removeIdle removes the latest idle connection that the bounds do not exclude from those of an address,
-// and returns it; nil if there is none.
-func (p *Pool) removeIdle(name string, bounds Bounds) *conn {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	a := p.addresses[name]
-	if a == nil {
-		return nil
-	}
-	for i, c := range slices.Backward(a.idle) {
-		if !bounds.exclude(c) {
-			a.idle = slices.Delete(a.idle, i, i+1)
-			return c
-		}
-	}
-	return nil
-}
-
-// closeExcluded makes room for another connection to an address: it closes the longest idle one of those
-// that the bounds exclude, and reports whether there was one that has been idle for minIdleReplaced.
-func (p *Pool) closeExcluded(name string, bounds Bounds) bool {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	a := p.addresses[name]
-	if a == nil {
-		return false
-	}
-	now := time.Now()
-	i := slices.IndexFunc(a.idle, func(c *conn) bool { return bounds.exclude(c) && now.Sub(c.idleSince) >= minIdleReplaced })
-	if i < 0 {
-		return false
-	}
-	_ = a.idle[i].Close() // nothing waits to be sent
-	a.idle = slices.Delete(a.idle, i, i+1)
-	p.countClosed(a)
-	p.replaced++
-	return true
-}
-
 // reserve counts a new connection to an address and returns its number, unless the address has as many
 // connections as the limit; 0 for no limit.
 func (p *Pool) reserve(name string, limit int) (number uint64, reserved bool) {
@@ -447,71 +371,5 @@
 	}
 }
 
-// countClosed counts a connection that was closed. The caller must hold the mutex.
-func (p *Pool) countClosed(a *address) {
-	a.open--
-	p.opened--
-}
-
-// hasRoom reports whether another connection may be open. At the limit it closes the one that has been idle
-// for longest, if there is one. The caller must hold the mutex.
-func (p *Pool) hasRoom() bool {
-	return p.limit <= 0 || p.opened < p.limit || p.closeLongestIdle()
-}
-
-// closeLongestIdle closes the connection that has been idle for longest, and reports whether there was one.
-// The caller must hold the mutex.
-func (p *Pool) closeLongestIdle() bool {
-	var longest *address
-	var name string
-	for n, a := range p.addresses {
-		if len(a.idle) > 0 && (longest == nil || a.idle[0].idleSince.Before(longest.idle[0].idleSince)) {
-			longest, name = a, n
-		}
-	}
-	if longest == nil {
-		return false
-	}
-	_ = longest.idle[0].Close() // nothing waits to be sent
-	longest.idle = slices.Delete(longest.idle, 0, 1)
-	p.countClosed(longest)
-	if longest.open == 0 {
-		delete(p.addresses, name)
-	}
-	return true
-}
-
-func (p *Pool) putIdle(name string, c *conn, idle time.Duration) {
-	c.idleSince = time.Now()
-	c.expires = c.idleSince.Add(idle)
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	a := p.addresses[name]
-	if a == nil {
-		_ = c.Close()
-		return
-	}
-	a.idle = append(a.idle, c)
-}
-
-// idleTime returns how long a connection may stay idle after a response; 0 means that it must be
-// closed.
-func idleTime(response *http.Response) time.Duration {
-	if response.Close {
-		return 0
-	}
-	for part := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err == nil && seconds > 0 {
-			return time.Duration(float64(seconds) * idleShare * float64(time.Second))
-		}
-	}
-	return defaultIdleTime
-}
-
 // IsNotSent reports whether no byte of the request left this machine.
 func IsNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
