relaydaemon, relay: no turns are begun while the memory is tight

What callers saw: with a limit on data of 72 MB and 40 callers, a daemon ended after some 40 s of an outage of the store ("out of memory"); with 244 MB it grew by 0.6 MB a second.

Cause: each turn that is refused in an outage leaves what has to be settled once the store is back, and nothing bounded that together.

Change: while more than 0.75 of the runtime's soft limit is in use (live heap and stacks, looked at each 100 ms), turns are refused at once as not run (memory_full, 50 ms), before the ledger hears of them, until less than 0.65 is. Without memory_megabytes and a limit on data there is no such bound.

--- a/cmd/mintpulley-relay/memory_turns_test.go
+++ b/cmd/mintpulley-relay/memory_turns_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,11 +24,12 @@
 	turnInput   = 4 << 10
 	// turnsOfProgram is how many turns a program takes.
 	turnsOfProgram = 6
-	// phaseLength is how long each phase of the test lasts, and outageLength an outage of the store.
-	phaseLength  = 2 * time.Second
-	outageLength = 4 * time.Second
+	// phaseLength is how long each phase of the test lasts.
+	phaseLength = 2 * time.Second
 )
 
+var outageLength = flag.Duration("memory.outage", 4*time.Second, "how long the store is out in the test of turns within a limit on data")
+
 // streamingEngine answers turns with a few events.
 func streamingEngine(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/turn/") {
@@ -101,7 +103,7 @@
 	}
 	time.Sleep(phaseLength)
 	f.store.SetFault(standin.FaultRefuses)
-	time.Sleep(outageLength)
+	time.Sleep(*outageLength)
 	f.store.SetFault(standin.FaultNone)
 	time.Sleep(phaseLength)
 	f.daemons[0].restart(t)
--- a/internal/relay/long_answer_test.go
+++ b/internal/relay/long_answer_test.go
@@ -104,3 +104,19 @@
 		t.Errorf("%d bytes are kept, want at most %d", len(state.output), maxOutputBytes)
 	}
 }
+
+func TestNoTurnIsBegunWhileTheMemoryIsTight(t *testing.T) {
+	h := newHarness(t, step{body: "id: 1\ndata: x\n\n"})
+	h.relay.IsMemoryTight = func() bool { return true }
+	r := newRoute(route.KindStream)
+	got := h.serve(newTurn(r))
+	if got.refusal == nil || got.refusal.Reason != ReasonMemoryFull || !got.refusal.Reason.PromisesNotRun() || got.refusal.RetryAfter == 0 {
+		t.Errorf("got %+v, want a refusal that promises that the turn has not run", got.refusal)
+	}
+	if len(h.ledger.turns) > 0 || len(h.driver.sent) > 0 {
+		t.Errorf("%d turns were begun and %d sent", len(h.ledger.turns), len(h.driver.sent))
+	}
+	if plain := h.serve(newCall(newRoute(route.KindRepeatable))); plain.refusal != nil {
+		t.Errorf("a request that is no turn was refused: %+v", plain.refusal)
+	}
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -23,7 +23,7 @@
 var stoppingRefusal = Refusal{Reason: ReasonStopping, RetryAfter: shortRetryAfter, Detail: "This daemon stops."}
 
 // MemoryFullRefusal refuses a request whose text the daemon has no memory for. Others may have.
-var MemoryFullRefusal = Refusal{Reason: ReasonMemoryFull, RetryAfter: shortRetryAfter, Detail: "This daemon has no memory for another request of this length."}
+var MemoryFullRefusal = Refusal{Reason: ReasonMemoryFull, RetryAfter: shortRetryAfter, Detail: "This daemon has no memory for the request."}
 
 // refuseEnded ends a call whose context ended or whose own deadline is too close: the call's
 // deadline passed, its caller disconnected, or the daemon reached its shutdown deadline.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,8 @@
 	Pool   *instance.Pool
 	Driver Driver
 	Ledger Ledger
+	// IsMemoryTight reports whether no turns are to be begun as the process's memory is tight; nil for never.
+	IsMemoryTight func() bool
 	// FormerVersions tells which software versions served before this daemon started; nil if that is not
 	// recorded.
 	FormerVersions FormerVersions
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -38,6 +38,10 @@
 
 // beginTurn reserves the turn's tokens. If ok is false, the call was ended.
 func (c *callHandler) beginTurn(ctx context.Context) (turn *turnState, ok bool) {
+	if c.relay.IsMemoryTight != nil && c.relay.IsMemoryTight() {
+		c.refuse(MemoryFullRefusal)
+		return nil, false
+	}
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(ctx, c.beginDeadline(started))
 	defer cancel()
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -37,6 +37,8 @@
 
 	// memory bounds the texts of all requests.
 	memory *memorybudget.Budget
+	// memoryPressure tells whether the process's memory is tight.
+	memoryPressure *memoryPressure
 	// admission decides how long requests wait.
 	admission *admission.Controller
 	relay     *relay.Relay
@@ -119,6 +121,7 @@
 			Registry:          metrics,
 		}),
 	}
+	d.memoryPressure = newMemoryPressure(settings.softMemoryLimit(dataLimit()), componentLogger(logger, "memory"))
 	d.preparePlacement()
 	d.join(listeners.peer)
 	d.listen(listeners)
@@ -154,6 +157,7 @@
 	d.workers.Go(func() { d.ledger.Run(ctx) })
 	d.regional.setRunner(func(service *ledger.Service) { d.workers.Go(func() { service.Run(ctx) }) })
 	d.workers.Go(func() { d.guard.Run(ctx) })
+	d.workers.Go(func() { d.memoryPressure.run(ctx) })
 	d.workers.Go(func() { d.versions.Run(ctx) })
 	d.workers.Go(func() { d.watchRoutes(ctx) })
 	d.workers.Go(func() { d.watchInstances(ctx) })
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -161,6 +161,7 @@
 		ContentGuard: d.guard,
 
 		FormerVersions: d.versions,
+		IsMemoryTight:  d.memoryPressure.isTight.Load,
 		Quota:          quota.NewGate(d.ledger, d.settings.quotaTolerance()),
 		Table:          d.table.Load,
 		RoutesAge:      d.routesAge,
