memorybudget: a body that is cut off is not taken for whole

Cause: io.ReadFull tells the end of a text and a text that is cut off by the same error. Found by reading the diff. Change: a loop of its own that tells them apart.

Measured: TestTextThatIsCutOffIsNotTakenForWhole failed before, passes now. TestRequestWhoseBodyIsCutOffIsNotSent passed before as well (the caller's leaving ends the request first in its plays); it stands for the whole path.

--- a/internal/memorybudget/budget.go
+++ b/internal/memorybudget/budget.go
@@ -119,14 +119,16 @@
 	if !h.Grow(size) {
 		return nil, ErrFull
 	}
-	text := make([]byte, size)
-	filled := copy(text, before)
+	text := append(make([]byte, 0, size), before...)
 	h.Shrink(cap(before))
-	n, err := io.ReadFull(source, text[filled:])
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && n < size-filled {
-		return text[:filled+n], io.ErrUnexpectedEOF
+	text, err := fill(text, source)
+	if errors.Is(err, io.EOF) && len(text) == size {
+		return text, nil
 	}
-	return text[:filled+n], err
+	if errors.Is(err, io.EOF) {
+		return text, io.ErrUnexpectedEOF
+	}
+	return text, err
 }
 
 // readPieces reads a text of unknown length into pieces, and joins them.
@@ -137,19 +139,30 @@
 		if !h.Grow(size) {
 			return nil, ErrFull
 		}
-		piece := make([]byte, size)
-		n, err := io.ReadFull(source, piece)
-		length += n
-		pieces = append(pieces, piece[:n])
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
-			break
+		piece, err := fill(make([]byte, 0, size), source)
+		length += len(piece)
+		pieces = append(pieces, piece)
+		if errors.Is(err, io.EOF) {
+			return h.join(pieces, length)
 		}
 		if err != nil {
 			return nil, err
 		}
 		size = min(2*size, shortText)
 	}
-	return h.join(pieces, length)
+}
+
+// fill reads until a buffer is full. The error is io.EOF at the end of the text; io.ReadFull would not tell the
+// end from a text that was cut off.
+func fill(buffer []byte, source io.Reader) ([]byte, error) {
+	for len(buffer) < cap(buffer) {
+		n, err := source.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil {
+			return buffer, err
+		}
+	}
+	return buffer, nil
 }
 
 // join joins the pieces of a text.
--- a/internal/memorybudget/budget_test.go
+++ b/internal/memorybudget/budget_test.go
@@ -71,3 +71,16 @@
 	}
 	none.Release()
 }
+
+func TestTextThatIsCutOffIsNotTakenForWhole(t *testing.T) {
+	for _, length := range []int{0, 10, minPiece, 1000, 100_000} {
+		for _, declared := range []int64{-1, int64(length), int64(length) + 1} {
+			source := io.MultiReader(strings.NewReader(strings.Repeat("x", length)), iotest.ErrReader(io.ErrUnexpectedEOF))
+			text, err := New(1<<20).Begin().ReadAll(source, declared)
+			isWhole := declared == int64(length) // no more is read
+			if isWhole != (err == nil) || isWhole && len(text) != length {
+				t.Errorf("%d bytes, %d declared: got %d bytes and %v", length, declared, len(text), err)
+			}
+		}
+	}
+}
