mintpulley-relay: only the daemon ignores SIGPIPE

Cause: the commands that print (trace, contents) would have told of a broken pipe where their reader ends early. Change: the daemon alone ignores the signal. Measured: the tests of the output pass.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -36,7 +36,6 @@
 var errNoSettings = errors.New("--settings: is missing")
 
 func main() {
-	signal.Ignore(syscall.SIGPIPE) // a write to an output that takes no more then fails, and does not end the process
 	command := &cli.Command{
 		Name:  "mintpulley-relay",
 		Usage: "relay programs' requests to engines and services on the platform",
@@ -65,6 +64,7 @@
 	if path == "" {
 		return errNoSettings
 	}
+	signal.Ignore(syscall.SIGPIPE) // a write to an output that takes no more then fails, and does not end the daemon
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before anything else, as a signal without a handler ends the process
 	settings, err := relaydaemon.ReadSettings(path)
