httpconn, mintpulley-relay: comments say why an error is dropped and what a pause does

Cause: two dropped errors without a reason came along when functions were moved; two comments had to be puzzled out. Change: comments only. Measured: the two packages' tests pass.

--- a/cmd/mintpulley-relay/main.go
+++ b/cmd/mintpulley-relay/main.go
@@ -109,8 +109,8 @@
 	return relaydaemon.Start(settings, listeners, logger, dropped)
 }
 
-// pauseUnlessStopped returns a pause that ends early when a signal arrives, and reports whether that was
-// none that stops the daemon.
+// pauseUnlessStopped returns a pause that a signal ends early. It gives the start up if the signal is one to
+// stop; a SIGHUP does not.
 func pauseUnlessStopped(signals <-chan os.Signal) relaydaemon.Pause {
 	return func(length time.Duration) bool {
 		select {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -79,7 +79,7 @@
 	net.Conn
 	// number tells the pool's connections apart.
 	number uint64
-	// reader reads what the peer sends, by way of heads.
+	// heads reads from the connection and bounds the heads of answers; reader buffers what it reads.
 	heads   *headReader
 	reader  *bufio.Reader
 	writer  *bufio.Writer
--- a/internal/httpconn/pool_idle.go
+++ b/internal/httpconn/pool_idle.go
@@ -17,7 +17,7 @@
 		return
 	}
 	for _, c := range a.idle {
-		_ = c.Close()
+		_ = c.Close() // nothing waits to be sent
 		p.countClosed(a)
 	}
 	a.idle = nil
@@ -84,7 +84,7 @@
 	defer p.mutex.Unlock()
 	a := p.addresses[name]
 	if a == nil {
-		_ = c.Close()
+		_ = c.Close() // nothing waits to be sent
 		return
 	}
 	a.idle = append(a.idle, c)
