httpconn: an answer without length that is reset during the upload is not complete

Callers saw: a 200 with a part of the engine's body that looked like all of it (MIXED), when the engine had answered a long upload early, without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports the failure of a connection once, to whoever asks first. The request is written beside the reading of the answer; if the writer got ECONNRESET, the reader saw an orderly end, which is how such an answer ends.

Change: at the end of an answer that only the end of its connection delimits, the exchange asks the writer. An error of writing breaks the answer off.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -16,7 +16,7 @@
 	address string
 	conn    *conn
 	stop    func() bool
-	// written receives the result of writing the request.
+	// written receives the result of writing the request, and keeps it for the next one who asks.
 	written chan error
 	inline  bool
 	// unlimitedUnacknowledged is set if the request is so long that the connection must have no
@@ -89,6 +89,7 @@
 func (e *exchange) isWritten() bool {
 	select {
 	case err := <-e.written:
+		e.written <- err
 		return err == nil
 	default:
 		return false
@@ -119,9 +120,13 @@
 // Read implements io.Reader.
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.source.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		b.whole = true
+	if !errors.Is(err, io.EOF) || b.whole {
+		return n, err
 	}
+	if failure := b.exchange.confirmEnd(b.response); failure != nil {
+		return n, failure
+	}
+	b.whole = true
 	return n, err
 }
 
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -88,6 +88,8 @@
 	idleSince time.Time
 	// sent is the number of bytes that the kernel accepted.
 	sent int64
+	// writeError is the first error of writing to the connection. net/http may hide it in the error of the request.
+	writeError error
 	// peer is the identity of the process at the other end, "" before it was asked.
 	peer string
 	// answered are the labels of the latest requests that were answered, oldest first.
@@ -98,6 +100,9 @@
 func (c *conn) Write(buffer []byte) (int, error) {
 	n, err := c.Conn.Write(buffer)
 	c.sent += int64(n)
+	if err != nil && c.writeError == nil {
+		c.writeError = err
+	}
 	return n, err
 }
 
