httpconn: an answer whose status or version is none of HTTP's is broken

Callers saw: a status that is none (600, 999), or an answer that stood behind one with the status 000, 099 or +20, with a version such as 9.9, or behind an unasked 101. A lone answer with the status 000 was skipped as informational and what followed was taken for a head, which failed: such an answer alone reached no caller before, and its test is kept.

Cause: net/http parses any three characters that make a number, and any digits as the version; the pool skipped whatever lay below 200.

Change: the bytes of each head are kept until it was checked as RFC 9112 has it: HTTP/1.0 or 1.1, a status of three digits from 100 to 599, no 101, no control byte in the reason. What fails is ErrMalformedHead, a broken connection: a request that must not be repeated gets 502, another one goes to another engine. All readers of this package (engines, reports, the store) share the check.

--- a/internal/httpconn/answers.go
+++ b/internal/httpconn/answers.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// firstFinalStatus is the lowest status code of a final response.
-	firstFinalStatus = 200
 	// rememberedAnswers is how many of the latest requests answered on a connection are remembered.
 	rememberedAnswers = 16
 	// maxDuplicateBytes bounds the body of a duplicate answer that is read to get at the next answer.
@@ -42,9 +40,8 @@
 // duplicate answers, each of which it reports to onDuplicate.
 func (c *conn) readAnswer(request *http.Request, labels *Labels, onDuplicate func()) (*http.Response, error) {
 	c.heads.beginHeads()
-	defer c.heads.pauseHeads()
 	for duplicates := 0; duplicates <= maxDuplicates; {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -56,15 +53,28 @@
 		}
 		duplicates++
 		onDuplicate()
-		c.heads.pauseHeads()
 		if err := discardDuplicate(response); err != nil {
 			return nil, err
 		}
-		c.heads.resumeHeads()
 	}
 	return nil, errDuplicates
 }
 
+// readHead reads and checks the head of one response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // cannot fail: it is buffered
+	c.heads.beginHead(buffered)
+	defer c.heads.releaseHead()
+	response, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(c.heads.endHead(c.reader)); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
 // noteAnswered remembers that a request was answered whole on the connection.
 func (c *conn) noteAnswered(label string) {
 	if label == "" {
