httpconn: an answer in whose head a line is malformed is broken

Callers saw: an answer with a blank in or behind the name of a field. Such a line was not taken for the length or the coding that it meant, so callers got a body that was not the engine's: "ok-and-more" for "Content-Length : 2", the bare chunks for "Transfer-Encoding : chunked". Names with a control byte were refused already by net/http; those cases are kept as tests.

Cause: net/http takes a name with blanks for a field of its own, joins a line that begins with a blank to the one before, drops the length where there is a coding, too, and the coding in HTTP/1.0, and none of that shows once it is parsed.

Names in trailers are checked at the end of the body.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -126,6 +126,9 @@
 	if failure := b.exchange.confirmEnd(b.response); failure != nil {
 		return n, failure
 	}
+	if failure := checkTrailer(b.response.Trailer); failure != nil {
+		return n, failure
+	}
 	b.whole = true
 	return n, err
 }
