httpconn, drivers: all clients of HTTP read answers through one strict reader

Callers saw, at the daemon of `mintpulley daemon`: answers of engines, tools, the log, the machine list and daemons that were cut off or malformed and were taken for whole, such as a body shorter than its length after a whole JSON value.

Most bodies had no bound; an answer of a tool beyond 4 MB was cut there and passed on as whole.

Change: httpconn.Transport is an http.RoundTripper on the Pool. NewClient reads a body to its end, up to a bound, before anyone decodes it; NewStreamClient is for streams. The drivers, the operator's client, the load tool and the demo use them. A request of which no byte was sent, also on a reset connection, counts as such.

Evidence: answertest serves 14 broken answers to each reader. Before the change 7 to 11 of them looked sound to each (httpapp, openai, httplog, httplist, operator); now none does, and sound ones pass.

--- a/internal/demo/programs.go
+++ b/internal/demo/programs.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/gateway"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -214,6 +215,12 @@
 	return err
 }
 
+// maxApplicationBytes bounds the answer to an application or tool request.
+const maxApplicationBytes = 4 << 20
+
+// applicationClient makes application and tool requests. The program's context bounds each of them.
+var applicationClient = httpconn.NewClient(maxApplicationBytes, 0)
+
 // callApplication makes an application or tool request.
 func (p *programRun) callApplication(target, operation string, repeatable bool) error {
 	headers := p.headers(repeatable, false)
@@ -224,7 +231,7 @@
 	}
 	request.Header = headers
 	request.Header.Set("Authorization", "Bearer "+p.key)
-	response, err := http.DefaultClient.Do(request.WithContext(p.ctx))
+	response, err := applicationClient.Do(request.WithContext(p.ctx))
 	if err != nil {
 		return eris.Wrap(err, "demo: call application")
 	}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -29,7 +29,7 @@
 
 // start writes the request and reads the response header.
 func (e *exchange) start(request *http.Request) (*http.Response, error) {
-	e.inline = request.ContentLength <= maxInlineBody
+	e.inline = request.ContentLength >= 0 && request.ContentLength <= maxInlineBody
 	if e.unlimitedUnacknowledged = request.ContentLength >= minLongBody; e.unlimitedUnacknowledged {
 		e.conn.limitUnacknowledged(0)
 	}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/gateway"
-	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 )
 
 // Errors of calls.
@@ -22,8 +22,6 @@
 )
 
 const (
-	// connectionsPerDaemon limits the idle connections kept to one daemon.
-	connectionsPerDaemon = 4096
 	// lineLimit is the maximum size of one event in bytes.
 	lineLimit = 1 << 20
 )
@@ -33,7 +31,7 @@
 type caller struct{ client *http.Client }
 
 func newCaller() *caller {
-	return &caller{client: httpdriver.NewClient(connectionsPerDaemon)}
+	return &caller{client: httpconn.NewStreamClient()}
 }
 
 // message is one message of a conversation in the request body.
--- a/internal/load/scrape.go
+++ b/internal/load/scrape.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 )
 
 // processMetrics are a daemon's metrics of its own process.
@@ -35,6 +37,12 @@
 	return total
 }
 
+// maxMetricsBytes bounds the metrics of a daemon.
+const maxMetricsBytes = 16 << 20
+
+// metricsClient reads metrics. The caller's context bounds each request.
+var metricsClient = httpconn.NewClient(maxMetricsBytes, 0)
+
 // scrape reads a daemon's metrics.
 func scrape(ctx context.Context, address string) (processMetrics, error) {
 	var p processMetrics
@@ -42,7 +50,7 @@
 	if err != nil {
 		return p, eris.Wrap(err, "load: metrics")
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := metricsClient.Do(request)
 	if err != nil {
 		return p, eris.Wrap(err, "load: metrics")
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -10,14 +10,19 @@
 
 	"github.com/mintpulley/mintpulley/internal/configuration"
 	"github.com/mintpulley/mintpulley/internal/dispatch"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // ErrUnreachable is returned when none of the addressed daemons answered.
 var ErrUnreachable = eris.New("operator: no daemon answered")
 
-// clientTimeout bounds one request, including the publication of a change.
-const clientTimeout = 30 * time.Second
+const (
+	// clientTimeout bounds one request, including the publication of a change.
+	clientTimeout = 30 * time.Second
+	// maxAnswerBytes bounds the body of an answer.
+	maxAnswerBytes = 64 << 20
+)
 
 // RequestError is an error response of a daemon.
 type RequestError struct {
@@ -43,12 +48,12 @@
 
 // NewClient returns a client of the daemons at these HTTP addresses.
 func NewClient(addresses []string, key string) *Client {
-	return &Client{addresses: addresses, key: key, http: &http.Client{Timeout: clientTimeout}}
+	return &Client{addresses: addresses, key: key, http: httpconn.NewClient(maxAnswerBytes, clientTimeout)}
 }
 
 // At returns a client of another daemon, with its own timeout.
 func (c *Client) At(address string, timeout time.Duration) *Client {
-	return &Client{addresses: []string{address}, key: c.key, http: &http.Client{Timeout: timeout}}
+	return &Client{addresses: []string{address}, key: c.key, http: httpconn.NewClient(maxAnswerBytes, timeout)}
 }
 
 // do sends a request to one daemon after another until one answers.
--- a/internal/plugins/application/httpapp/setup.go
+++ b/internal/plugins/application/httpapp/setup.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
@@ -27,8 +28,6 @@
 	defaultTimeout = 30 * time.Second
 	// maximumAnswerBytes bounds the body of a response.
 	maximumAnswerBytes = 4 << 20
-	// idleConnectionsPerBackEnd bounds the idle connections to one back end.
-	idleConnectionsPerBackEnd = 64
 )
 
 // Headers of a request.
@@ -50,7 +49,7 @@
 
 // New returns a driver for application back ends and tool services.
 func New(settings framework.DriverSettings) framework.ApplicationDriver {
-	return &driver{client: httpdriver.NewClient(idleConnectionsPerBackEnd), timeout: settings.TimeoutOr(defaultTimeout)}
+	return &driver{client: httpconn.NewClient(maximumAnswerBytes, 0), timeout: settings.TimeoutOr(defaultTimeout)}
 }
 
 // Invoke implements framework.ApplicationDriver.
@@ -75,7 +74,7 @@
 		return httpdriver.EndForSendError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswerBytes))
+	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		return framework.AttemptEnd{Kind: framework.EndLost, Message: err.Error()}
 	}
--- a/internal/plugins/engine/openai/setup.go
+++ b/internal/plugins/engine/openai/setup.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
-	"github.com/mintpulley/mintpulley/internal/plugins/httpdriver"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
@@ -22,8 +22,8 @@
 const (
 	// defaultTimeout bounds one request that is not a stream.
 	defaultTimeout = 2 * time.Second
-	// idleConnectionsPerEngine bounds the idle connections to one engine.
-	idleConnectionsPerEngine = 256
+	// maxAnswerBytes bounds the body of an answer that is not a stream.
+	maxAnswerBytes = 16 << 20
 )
 
 func init() {
@@ -31,13 +31,19 @@
 }
 
 type driver struct {
+	// client makes the requests whose answers are not streams.
 	client  *http.Client
+	streams *http.Client
 	timeout time.Duration
 }
 
 // New returns a driver for all OpenAI-compatible engines.
 func New(settings framework.DriverSettings) framework.EngineDriver {
-	return &driver{client: httpdriver.NewClient(idleConnectionsPerEngine), timeout: settings.TimeoutOr(defaultTimeout)}
+	return &driver{
+		client:  httpconn.NewClient(maxAnswerBytes, 0),
+		streams: httpconn.NewStreamClient(),
+		timeout: settings.TimeoutOr(defaultTimeout),
+	}
 }
 
 // Cancel implements framework.EngineDriver.
--- a/internal/plugins/engine/openai/stream.go
+++ b/internal/plugins/engine/openai/stream.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return framework.AttemptEnd{Kind: framework.EndRejected, Message: err.Error()}
 	}
-	response, err := d.client.Do(prepared.WithContext(ctx))
+	response, err := d.streams.Do(prepared.WithContext(ctx))
 	if err != nil {
 		return httpdriver.EndForSendError(err)
 	}
--- a/internal/plugins/eventlog/httplog/setup.go
+++ b/internal/plugins/eventlog/httplog/setup.go
@@ -10,14 +10,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // Name is the driver's name in the settings.
 const Name = "http"
 
-// defaultTimeout bounds one append or read at one address.
-const defaultTimeout = 2 * time.Second
+const (
+	// defaultTimeout bounds one append or read at one address.
+	defaultTimeout = 2 * time.Second
+	// maxAnswerBytes bounds the answer to one read.
+	maxAnswerBytes = 64 << 20
+)
 
 func init() {
 	framework.EventLogs.Register(Name, New)
@@ -30,7 +35,7 @@
 
 // New returns a client of the log service.
 func New(settings framework.DriverSettings) framework.EventLog {
-	client := &http.Client{Timeout: settings.TimeoutOr(defaultTimeout)}
+	client := httpconn.NewClient(maxAnswerBytes, settings.TimeoutOr(defaultTimeout))
 	return &eventLog{client: client, addresses: settings.Addresses}
 }
 
--- a/internal/plugins/httpdriver/httpdriver.go
+++ b/internal/plugins/httpdriver/httpdriver.go
@@ -1,27 +1,16 @@
-// Package httpdriver holds the common parts of HTTP drivers: the client, and the
-// interpretation of connection errors and rejected requests.
+// Package httpdriver holds the common parts of HTTP drivers: the interpretation of
+// connection errors and rejected requests.
 package httpdriver
 
 import (
 	"net"
-	"net/http"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 )
 
-// NewClient returns a client with a limit of idle connections per back end and
-// no limit in total. It disables compression, which would delay the events of a
-// stream.
-func NewClient(idleConnectionsPerBackEnd int) *http.Client {
-	transport := http.DefaultTransport.(*http.Transport).Clone()
-	transport.MaxIdleConnsPerHost = idleConnectionsPerBackEnd
-	transport.MaxIdleConns = 0 // no limit
-	transport.DisableCompression = true
-	return &http.Client{Transport: transport}
-}
-
 // HeaderRejected is set on responses to requests that certainly did not run.
 const HeaderRejected = "X-Rejected"
 
@@ -29,12 +18,12 @@
 const RejectedDraining = "draining"
 
 // EndForSendError returns the end of an attempt whose request got no response.
-// It is EndRejected if no connection was established, so that no byte was sent,
-// and otherwise EndLost, since the request may have run.
+// It is EndRejected if no byte was sent, and otherwise EndLost, since the request
+// may have run.
 func EndForSendError(err error) framework.AttemptEnd {
 	var operation *net.OpError
-	if eris.As(err, &operation) && operation.Op == "dial" {
-		return framework.AttemptEnd{Kind: framework.EndRejected, Message: "connection refused"}
+	if httpconn.IsNotSent(err) || eris.As(err, &operation) && operation.Op == "dial" {
+		return framework.AttemptEnd{Kind: framework.EndRejected, Message: "not sent: " + err.Error()}
 	}
 	return framework.AttemptEnd{Kind: framework.EndLost, Message: err.Error()}
 }
--- a/internal/plugins/machinelist/httplist/setup.go
+++ b/internal/plugins/machinelist/httplist/setup.go
@@ -12,14 +12,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/mintpulley/mintpulley/internal/framework"
+	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/structs"
 )
 
 // Name is the driver's name in the settings.
 const Name = "http"
 
-// defaultTimeout bounds one read of the list at one address.
-const defaultTimeout = time.Second
+const (
+	// defaultTimeout bounds one read of the list at one address.
+	defaultTimeout = time.Second
+	// maxListBytes bounds the list.
+	maxListBytes = 64 << 20
+)
 
 func init() {
 	framework.MachineLists.Register(Name, New)
@@ -32,7 +37,7 @@
 
 // New returns a client of the machine list.
 func New(settings framework.DriverSettings) framework.MachineList {
-	client := &http.Client{Timeout: settings.TimeoutOr(defaultTimeout)}
+	client := httpconn.NewClient(maxListBytes, settings.TimeoutOr(defaultTimeout))
 	return &list{client: client, addresses: settings.Addresses}
 }
 
