openai: only its end marker completes a stream, and a line has a bound

Callers saw: an answer as complete, without its usage, whose stream had been cut off after the event that finishes the text. Its tokens were not counted.

Cause: the parser took the finish reason for the end; an error of reading behind it was dropped. A line without end was gathered until memory ran out.

Change: a stream that ends or breaks before "[DONE]" is lost, as is one with a line above 1 MB.

--- a/internal/plugins/engine/openai/answers_test.go
+++ b/internal/plugins/engine/openai/answers_test.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -35,9 +36,15 @@
 	if end := startAt(t, answertest.Sound(whole)); end.Kind != framework.EndCompleted {
 		t.Errorf("a sound stream: %s, %s", end.Kind, end.Message)
 	}
-	broken := answertest.Broken(textEvent)
-	broken["no finish reason"] = answertest.Sound(textEvent + endMarker)
-	broken["no events"] = answertest.Sound("")
+	broken := map[string]string{
+		"no end marker":    answertest.Sound(textEvent + lastEvent),
+		"no finish reason": answertest.Sound(textEvent + endMarker),
+		"no events":        answertest.Sound(""),
+		"endless line":     answertest.Sound("data: " + strings.Repeat("x", maxLineBytes+1) + "\n\n" + whole),
+	}
+	for name, answer := range answertest.Broken(textEvent + lastEvent) {
+		broken[name] = answer
+	}
 	for name, answer := range broken {
 		if end := startAt(t, answer); end.Kind != framework.EndLost {
 			t.Errorf("%s: the end is %s, want %s", name, end.Kind, framework.EndLost)
--- a/internal/plugins/engine/openai/stream.go
+++ b/internal/plugins/engine/openai/stream.go
@@ -20,6 +20,8 @@
 const (
 	// streamBufferBytes is the size of a stream's read buffer.
 	streamBufferBytes = 8 << 10
+	// maxLineBytes bounds one line of a stream.
+	maxLineBytes = 1 << 20
 	// maximumErrorBytes bounds the part of an error response that is read.
 	maximumErrorBytes = 4 << 10
 )
@@ -81,16 +83,17 @@
 }
 
 // readStream passes the chunks of a stream to the observer, in one batch for all
-// that are buffered.
+// that are buffered. Only the end marker completes a stream: its usage follows the
+// event that finishes the text.
 func readStream(body io.Reader, observer framework.EngineObserver) framework.AttemptEnd {
 	reader := bufio.NewReaderSize(body, streamBufferBytes)
-	parser := &eventParser{end: framework.AttemptEnd{Kind: framework.EndLost, Message: "the stream broke off"}}
+	parser := &eventParser{end: framework.AttemptEnd{Kind: framework.EndLost, Message: "the stream has no finish reason"}}
 	var long []byte
 	for {
 		line, err := readLine(reader, &long)
 		if err != nil {
 			flush(observer, parser.takeChunks())
-			return parser.end
+			return framework.AttemptEnd{Kind: framework.EndLost, Message: "the stream broke off: " + err.Error()}
 		}
 		done, malformed := parser.parseLine(line)
 		if malformed != nil {
@@ -107,6 +110,9 @@
 	}
 }
 
+// errLineTooLong: a line of a stream exceeds maxLineBytes.
+var errLineTooLong = eris.New("openai: a line of the stream is too long")
+
 // readLine returns the next line. Lines longer than the reader's buffer are
 // assembled in long, which is reused.
 func readLine(reader *bufio.Reader, long *[]byte) ([]byte, error) {
@@ -118,6 +124,9 @@
 	for eris.Is(err, bufio.ErrBufferFull) {
 		line, err = reader.ReadSlice('\n')
 		*long = append(*long, line...)
+		if len(*long) > maxLineBytes {
+			return nil, errLineTooLong
+		}
 	}
 	return *long, err
 }
