operator, httplog, httplist: an answer without what was asked for is an error

Callers saw: an empty or null answer with the status 200 as a verdict, as an append at offset 0, as an empty list of entries or of machines.

Cause: decoding null, or skipping an empty body as sling does, leaves the target at its zero value.

Change: an answer to operators must be an object; an append's must have an offset, a read's a list, a machine list's its total. What lacks it is unknown, as after a broken connection.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -1,6 +1,8 @@
 package operator
 
 import (
+	"bytes"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -61,20 +63,31 @@
 	last := eris.Wrap(ErrUnreachable, "no address was given")
 	for _, address := range c.addresses {
 		base := sling.New().Client(c.http).Base("http://"+address+PathPrefix).Set("Authorization", "Bearer "+c.key)
+		var answer json.RawMessage
 		var failure ErrorBody
-		response, err := prepare(base).Receive(target, &failure)
-		switch {
-		case err != nil:
-			last = eris.Wrap(ErrUnreachable, err.Error())
-		case response.StatusCode == http.StatusOK:
-			return nil
-		default:
+		response, err := prepare(base).Receive(&answer, &failure)
+		if err == nil && response.StatusCode != http.StatusOK {
 			return &RequestError{Status: response.StatusCode, Detail: failure.Error}
 		}
+		if err == nil {
+			err = decodeObject(answer, target)
+		}
+		if err == nil {
+			return nil
+		}
+		last = eris.Wrap(ErrUnreachable, err.Error())
 	}
 	return last
 }
 
+// decodeObject decodes an answer, which must be an object: null would leave the target as it is.
+func decodeObject(answer json.RawMessage, target any) error {
+	if !bytes.HasPrefix(answer, []byte("{")) {
+		return eris.Errorf("operator: the answer %.20q is no object", answer)
+	}
+	return json.Unmarshal(answer, target)
+}
+
 func get(path string) func(*sling.Sling) *sling.Sling {
 	return func(s *sling.Sling) *sling.Sling { return s.Get(path) }
 }
--- a/internal/operator/client_answers_test.go
+++ b/internal/operator/client_answers_test.go
@@ -21,4 +21,9 @@
 			t.Errorf("%s: the answer looks sound", name)
 		}
 	}
+	for _, empty := range []string{"", "null"} {
+		if publish(answertest.Sound(empty)) == nil {
+			t.Errorf("the body %q looks like a verdict", empty)
+		}
+	}
 }
--- a/internal/plugins/eventlog/httplog/answers_test.go
+++ b/internal/plugins/eventlog/httplog/answers_test.go
@@ -53,4 +53,12 @@
 			t.Errorf("%s: the answer to a read looks sound", name)
 		}
 	}
+	for _, body := range []string{"", "null", "{}"} {
+		if offset, err := appendTo(t, answertest.Sound(body)); err == nil {
+			t.Errorf("with the body %q, the append seems to be at offset %d", body, offset)
+		}
+		if readFrom(t, answertest.Sound(body)) == nil {
+			t.Errorf("the body %q looks like a list of entries", body)
+		}
+	}
 }
--- a/internal/plugins/eventlog/httplog/setup.go
+++ b/internal/plugins/eventlog/httplog/setup.go
@@ -47,7 +47,8 @@
 
 // appendResponse is the response body of an append.
 type appendResponse struct {
-	Offset structs.LogOffset `json:"offset"`
+	// Offset is nil if the answer does not tell it.
+	Offset *structs.LogOffset `json:"offset"`
 }
 
 // Append implements framework.EventLog. It uses only the first address: a retry
@@ -58,11 +59,14 @@
 		request := sling.New().Client(l.client).Post("http://" + l.addresses[0] + "/streams/" + string(stream)).
 			BodyJSON(appendRequest{OperationID: operationID, Payload: payload})
 		response, err := request.ReceiveSuccess(&answer)
-		if err == nil && response.StatusCode == http.StatusOK {
-			done(answer.Offset, nil)
-			return
+		switch {
+		case err != nil || response.StatusCode != http.StatusOK:
+			done(0, unreachable(err))
+		case answer.Offset == nil:
+			done(0, unreachable(errMalformed))
+		default:
+			done(*answer.Offset, nil)
 		}
-		done(0, unreachable(err))
 	}()
 }
 
@@ -83,8 +87,11 @@
 				QueryStruct(readQuery{From: from, Limit: limit})
 			response, err := request.ReceiveSuccess(&entries)
 			if err == nil && response.StatusCode == http.StatusOK {
-				done(entries, nil)
-				return
+				if entries != nil {
+					done(entries, nil)
+					return
+				}
+				err = errMalformed
 			}
 			last = err
 		}
@@ -92,6 +99,10 @@
 	}()
 }
 
+// errMalformed: an answer with the status 200 lacks what was asked for.
+var errMalformed = eris.New("httplog: the answer is malformed")
+
+// unreachable returns the error of a call that failed with err, or with another status than 200 if err is nil.
 func unreachable(err error) error {
 	if err == nil {
 		return eris.Wrap(framework.ErrUnavailable, "event log")
--- a/internal/plugins/machinelist/httplist/answers_test.go
+++ b/internal/plugins/machinelist/httplist/answers_test.go
@@ -28,4 +28,9 @@
 			t.Errorf("%s: the answer looks like a list", name)
 		}
 	}
+	for _, body := range []string{"", "null", "{}"} {
+		if listFrom(t, answertest.Sound(body)) == nil {
+			t.Errorf("the body %q looks like a list", body)
+		}
+	}
 }
--- a/internal/plugins/machinelist/httplist/setup.go
+++ b/internal/plugins/machinelist/httplist/setup.go
@@ -84,9 +84,17 @@
 		}
 		return framework.FullListResponse("", machines), nil
 	}
-	var response framework.ListResponse
+	var response struct {
+		framework.ListResponse
+		// Total hides that of the embedded type, to tell whether there is one.
+		Total *int `json:"total"`
+	}
 	if err := json.Unmarshal(body, &response); err != nil {
 		return framework.ListResponse{}, eris.Wrap(err, "machine list: decode response")
 	}
-	return response, nil
+	if response.Total == nil {
+		return framework.ListResponse{}, eris.Wrap(framework.ErrUnreachable, "machine list: total: is missing")
+	}
+	response.ListResponse.Total = *response.Total
+	return response.ListResponse, nil
 }
