relaydaemon: a cut answer does not look complete to callers of HTTP/1.0

Callers saw: a part of a long answer, or of a stream, as all of it, if they spoke HTTP/1.0 and the engine's answer was cut off behind its head.

Cause: without chunks the end of the connection ends an answer, and the front ends a connection in order also when it breaks an answer off.

HTTP/1.1 is as before: a chunked answer has a last chunk.

--- a/internal/relaydaemon/front_connection.go
+++ b/internal/relaydaemon/front_connection.go
@@ -229,6 +229,21 @@
 	return true
 }
 
+// resetOnClose sets whether closing the connection resets it, also if the process ends. A reset tells a caller
+// that its answer is not whole.
+func (c *frontConnection) resetOnClose(isSet bool) {
+	const discardAtOnce, systemDefault = 0, -1
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	linger := systemDefault
+	if isSet {
+		linger = discardAtOnce
+	}
+	_ = tcp.SetLinger(linger) // fails if the connection is closed
+}
+
 // CloseWrite closes the write side. net/http looks for this method, and uses it where closing the
 // connection at once would reset it.
 func (c *frontConnection) CloseWrite() error {
