relay: late in a planned stop, a call that can't be answered in time is refused as not run

Callers saw: late in the grace of a planned stop, requests that were passed on to an engine and then cut at the shutdown deadline: 502 "may have run" for a request that must not be repeated, a broken stream for others. With a grace of 8 s the drain at 2.5 s leaves time enough; with one of 3 s, requests were taken up to the deadline. Held-up requests were offered up to it with any grace.

Cause: only the drain refused calls, after the fixed time that new connections take to go elsewhere, whatever was left of the grace.

Change: the relay knows the shutdown deadline from SIGTERM on. A call that has not run is offered only if twice its route's usual serving time, or what its own deadline leaves, ends before; else it is refused at once, as not run, and its caller tries another daemon. What holds a call up is waited for no longer.

On virtual time, TestCallsLateInAShutdownAreServedOrHaveNotRun fails for all kinds without the refusal.

--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -34,7 +34,12 @@
 		}
 	}
 	if end.IsZero() {
-		return c.call.Received.Add(defaultPatience)
+		end = c.call.Received.Add(defaultPatience)
+	}
+	if stopBy := c.relay.stopBy.Load(); stopBy != nil {
+		if latest := stopBy.Add(-c.servingTimeBeforeShutdown()); latest.Before(end) {
+			end = latest
+		}
 	}
 	return end
 }
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -95,6 +95,9 @@
 			c.refuseEnded(ctx)
 			return nil, instance.Instance{}
 		}
+		if c.refuseBeforeShutdown() {
+			return nil, instance.Instance{}
+		}
 		target, found := c.pickInstance()
 		if !found {
 			if !c.retryWithoutInstance(ctx) {
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -17,6 +17,7 @@
 	dto "github.com/prometheus/client_model/go"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
 	"github.com/mintpulley/mintpulley/internal/ledger"
@@ -39,6 +40,8 @@
 	cut, stall bool
 	// endless is repeated without end after the body.
 	endless string
+	// takes is the time until the answer; if the call's context ends before, there is none.
+	takes time.Duration
 	// hold blocks until the call's context ends, without an answer.
 	hold bool
 }
@@ -67,6 +70,12 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if next.takes > 0 {
+		clock.Sleep(ctx, next.takes)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
 	if next.err != nil {
 		return nil, next.err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,8 +127,10 @@
 	frontRefusalSampler, brokenOffSampler zerolog.Sampler
 	// pendingRecords bounds the text of turns that wait to be stored.
 	pendingRecords recordMemory
-	// draining is set once new calls are refused.
+	// draining is set once new calls are refused, and stopBy is the shutdown deadline of a planned shutdown,
+	// nil before.
 	draining atomic.Bool
+	stopBy   atomic.Pointer[time.Time]
 	monitor  *offerMonitor
 	// settling counts the turns whose outcome is not stored yet, and inProgress the calls.
 	settling   sync.WaitGroup
@@ -198,6 +200,10 @@
 	c.handlePlain(ctx)
 }
 
+// StopBy announces the shutdown deadline of a planned shutdown. Calls that an instance would probably not answer
+// by then are no longer offered to one.
+func (r *Relay) StopBy(deadline time.Time) { r.stopBy.Store(&deadline) }
+
 // Drain makes the relay refuse new calls. Calls in progress continue.
 func (r *Relay) Drain() { r.draining.Store(true) }
 
--- a/internal/relay/shutdown_deadline.go
+++ b/internal/relay/shutdown_deadline.go
@@ -1,6 +1,9 @@
 package relay
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // callerContextKey is the key under which WithShutdownDeadline stores the caller's own
 // context.
@@ -27,3 +30,30 @@
 	}
 	return ctx
 }
+
+// shutdownServingFactor is how many times its usual serving time a call must have until the shutdown deadline to be
+// offered to an instance: some calls take longer than usual, and none can be served after it.
+const shutdownServingFactor = 2
+
+// servingTimeBeforeShutdown returns the time until the shutdown deadline that a call needs to be offered.
+func (c *callHandler) servingTimeBeforeShutdown() time.Duration {
+	return shutdownServingFactor * c.relay.serving.average(c.call.Route.Name).total
+}
+
+// refuseBeforeShutdown refuses a call that has not run and that an instance would probably not answer by the
+// shutdown deadline, so that its caller tries another daemon, and reports whether it did.
+func (c *callHandler) refuseBeforeShutdown() bool {
+	stopBy := c.relay.stopBy.Load()
+	if stopBy == nil || c.mayHaveRun() {
+		return false
+	}
+	end := time.Now().Add(c.servingTimeBeforeShutdown())
+	if !c.call.Deadline.IsZero() && c.call.Deadline.Before(end) {
+		end = c.call.Deadline
+	}
+	if end.Before(*stopBy) {
+		return false
+	}
+	c.refuse(stoppingRefusal)
+	return true
+}
--- a/internal/relay/shutdown_deadline_test.go
+++ b/internal/relay/shutdown_deadline_test.go
@@ -151,3 +151,53 @@
 		})
 	}
 }
+
+// Calls all through a planned shutdown are answered by an instance or have not run, also those that are held up.
+func TestCallsLateInAShutdownAreServedOrHaveNotRun(t *testing.T) {
+	const serving, interval = 100 * time.Millisecond, 20 * time.Millisecond
+	for _, kind := range []route.Kind{route.KindOnce, route.KindRepeatable, route.KindStream} {
+		t.Run(string(kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t, step{body: "id: 1\ndata: x\n\n", takes: serving})
+				h.serve(newCall(newRoute(kind))) // shows the usual serving time
+				deadline := time.Now().Add(shutdownDeadlineAfter)
+				h.relay.StopBy(deadline)
+				ctx, stop := context.WithDeadlineCause(h.t.Context(), deadline, ErrShutdownDeadline)
+				defer stop()
+				served := 0
+				for time.Now().Before(deadline) {
+					offers, began := len(h.driver.sent), time.Now()
+					got := &recorder{}
+					h.relay.Serve(ctx, newCall(newRoute(kind)), got)
+					switch {
+					case got.status == 200:
+						served++
+					case len(h.driver.sent) > offers:
+						t.Errorf("%v before the deadline: offered, and refused with %+v", deadline.Sub(began), got.refusal)
+					case got.refusal == nil || got.refusal.Reason != ReasonStopping || got.refusal.RetryAfter <= 0 || time.Since(began) > 0:
+						t.Errorf("%v before the deadline: refused after %v with %+v", deadline.Sub(began), time.Since(began), got.refusal)
+					}
+					time.Sleep(interval)
+				}
+				if served < 6 {
+					t.Errorf("%d calls were served", served)
+				}
+			})
+		})
+	}
+}
+
+// A call that no instance accepts is refused while another daemon can still serve it.
+func TestHeldUpCallIsRefusedBeforeTheShutdownDeadline(t *testing.T) {
+	const serving = 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, step{body: "x", takes: serving}, step{notRun: true, status: 503})
+		h.serve(newCall(newRoute(route.KindOnce))) // shows the usual serving time
+		deadline := time.Now().Add(shutdownDeadlineAfter)
+		h.relay.StopBy(deadline)
+		got := h.serve(newCall(newRoute(route.KindOnce)))
+		if left := time.Until(deadline); left < serving || got.refusal == nil || !got.refusal.Reason.PromisesNotRun() {
+			t.Errorf("refused %v before the deadline with %+v", left, got.refusal)
+		}
+	})
+}
--- a/internal/relaydaemon/stop.go
+++ b/internal/relaydaemon/stop.go
@@ -38,6 +38,7 @@
 func (d *Daemon) stop() {
 	started := time.Now()
 	d.stopping.Store(true)
+	d.relay.StopBy(started.Add(d.settings.stopTime() - exitMargin))
 	d.logger.Info().Msg("Daemon stops.")
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.stopTime()-exitMargin)
 	defer cancel()
