relay, relaydaemon: a daemon out of step with the list of back ends joins no streams

Callers saw: a stream with events of two software versions (ORDER). It had begun, through another daemon, at an engine of a version that had just joined, broke, and was taken up at a daemon that had not read the list of engines since.

Cause: a stream of unknown origin goes on if its service has had one version for long. The list that shows so might be 1.5 s old, and a daemon reads it only every 1.1 s, or later if it stood still or was cut off: what joined in between was missing, and with it the version that may have begun the stream.

Change: such a stream goes on only by a list that is current as of its request, which came after the stream's first event, and so after the entry of its engine. The daemon has the list read at once (at most each 250 ms; the pause between two reads ends) and waits for that up to 1.5 s; without it, or while the store is silent, the stream is refused as not run. Named streams with a record never wait.

Evidence: TestDaemonOutOfStepJoinsNoStreams (24 cases: cut off or only behind, by 0, 0.5 and 5 s, streams of programs and others, named or not) failed before in the 8 unnamed ones with up to 5 s: 21 to 30 of 60 streams were joined, all that had begun at the new version. Named streams were green before.

--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -30,8 +30,6 @@
 	// that is when it read its first list, so there may have been others just before.
 	Since        time.Time
 	IsSinceStart bool
-	// AsOf is the time as of which the list was last known to be current.
-	AsOf time.Time
 }
 
 // SoleVersion returns the only software version of a service's instances, including those that
@@ -39,9 +37,8 @@
 func (p *Pool) SoleVersion(service string) (sole SoleVersion, isSole bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	known, isSole := p.soleVersions[service]
-	known.AsOf = p.listedAt
-	return known, isSole
+	sole, isSole = p.soleVersions[service]
+	return sole, isSole
 }
 
 // Versions returns the software versions of each service's instances, sorted, including those that leave and
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -35,9 +35,9 @@
 	// and its resumption last. soleTimeouts is the same in timeouts of the route.
 	minSoleTime  = 10 * time.Second
 	soleTimeouts = 2
-	// maxSoleListAge is how long ago the list of instances may have been confirmed that
-	// shows it. It is longer than two reads of the list are apart.
-	maxSoleListAge = 1500 * time.Millisecond
+	// maxListWait bounds the wait for a list of instances that is current. It is longer than
+	// two reads of the list are apart.
+	maxListWait = 1500 * time.Millisecond
 	// streamProgramPrefix precedes the ID of the request that began a stream without a
 	// program, in place of a program's ID.
 	streamProgramPrefix = "stream:"
@@ -154,10 +154,10 @@
 // bindToOrigin binds a call that resumes a stream to the stream's origin, and reports whether
 // it may go on. If not, the call was ended. recorded is the origin according to the ledger,
 // nil if that does not know it.
-func (c *callHandler) bindToOrigin(recorded *ledger.Origin) bool {
+func (c *callHandler) bindToOrigin(ctx context.Context, recorded *ledger.Origin) bool {
 	origin := recorded
 	if origin == nil {
-		origin = c.soleOrigin()
+		origin = c.soleOrigin(ctx)
 	}
 	if origin == nil {
 		c.refuse(originUnknownRefusal)
@@ -179,12 +179,18 @@
 // began, whose record is lost, or whose caller does not name the first request. For the last
 // it is enough that this daemon has seen no other version since it started, and that none is on
 // record from before: nothing will ever tell more.
-func (c *callHandler) soleOrigin() *ledger.Origin {
+//
+// The list must be current as of the call: the stream may have begun, at another daemon, at an
+// instance that joined after this daemon last read the list.
+func (c *callHandler) soleOrigin(ctx context.Context) *ledger.Origin {
 	if len(c.call.Route.Services) != 1 {
 		return nil
 	}
+	if _, isSole := c.relay.Pool.SoleVersion(c.service); !isSole || !c.awaitCurrentList(ctx) {
+		return nil
+	}
 	sole, isSole := c.relay.Pool.SoleVersion(c.service)
-	if !isSole || time.Since(sole.AsOf) > maxSoleListAge {
+	if !isSole {
 		return nil
 	}
 	from := c.call.Received.Add(-SoleTime(c.call.Route.Timeout))
@@ -195,6 +201,24 @@
 	return &ledger.Origin{Service: c.service, Version: sole.Version}
 }
 
+// InstanceList tells how current the list of instances is.
+type InstanceList interface {
+	// AwaitCurrent has the list read if necessary, and waits until it is known to be current as of a
+	// time. It returns false if that is not known by a deadline or when ctx ends.
+	AwaitCurrent(ctx context.Context, asOf, deadline time.Time) bool
+}
+
+// awaitCurrentList reports whether the list of instances is current as of when the call was received.
+// It waits for that, but no longer than the call can wait.
+func (c *callHandler) awaitCurrentList(ctx context.Context) bool {
+	now := time.Now()
+	deadline := now.Add(maxListWait)
+	if latest := c.beginDeadline(now); latest.Before(deadline) {
+		deadline = latest
+	}
+	return c.relay.InstanceList != nil && c.relay.InstanceList.AwaitCurrent(ctx, c.call.Received, deadline)
+}
+
 // FormerVersions tells which software versions back ends had before this daemon started.
 type FormerVersions interface {
 	// MayHaveServed reports whether back ends of another software version than the given one may have begun
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,9 @@
 	Ledger Ledger
 	// IsMemoryTight reports whether no turns are to be begun as the process's memory is tight; nil for never.
 	IsMemoryTight func() bool
+	// InstanceList tells how current the list of instances is; nil if that is not known. Streams of
+	// unknown origin are then not resumed.
+	InstanceList InstanceList
 	// FormerVersions tells which software versions served before this daemon started; nil if that is not
 	// recorded.
 	FormerVersions FormerVersions
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -67,19 +67,19 @@
 		}
 		state.prompt = slices.Concat(turn.History, c.call.Body)
 		turn.History = nil // the prompt contains it
-		return !c.isResumption() || c.bindToOrigin(turn.Origin)
+		return !c.isResumption() || c.bindToOrigin(ctx, turn.Origin)
 	}
 	if !c.isResumption() {
 		c.recordOriginLater()
 		return true
 	}
 	origin, err := c.findOrigin(ctx)
-	if err != nil && c.soleOrigin() == nil {
+	if err != nil && c.soleOrigin(ctx) == nil {
 		c.logger.Warn().Err(err).Str("resumes", c.call.Resumes).Msg("Origin of a stream could not be looked up.")
 		c.refuse(Refusal{Reason: ReasonLedgerUnavailable, RetryAfter: c.retryAfter(), Detail: "The stream's record can not be reached."})
 		return false
 	}
-	return c.bindToOrigin(origin)
+	return c.bindToOrigin(ctx, origin)
 }
 
 // sessionInstance returns the instance that has most of the prompt in its cache, "" if
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"github.com/mintpulley/mintpulley/internal/clock"
 	"github.com/mintpulley/mintpulley/internal/eventstream"
 	"github.com/mintpulley/mintpulley/internal/httpconn"
 	"github.com/mintpulley/mintpulley/internal/instance"
@@ -64,6 +65,10 @@
 	list []instance.Instance
 	// started counts the daemons that were started.
 	started uint64
+	// outOfStep is the daemon that learns of no changes of the list, "" for none. isCutOff: it also exchanges no
+	// messages with the others.
+	outOfStep structs.DaemonID
+	isCutOff  bool
 }
 
 // versionDaemon is one daemon of a versionFleet.
@@ -143,6 +148,9 @@
 // relist tells all daemons the list of engines.
 func (f *versionFleet) relist() {
 	for _, d := range f.living() {
+		if d.id == f.outOfStep {
+			continue
+		}
 		d.pool.Replace(f.list)
 		d.pool.ConfirmList(time.Now())
 	}
@@ -175,6 +183,7 @@
 	})
 	d.relay = New(Options{
 		FormerVersions: d.versions,
+		InstanceList:   &fleetList{fleet: f, daemon: d},
 
 		ContentGuard: d.guard,
 		Pool:         d.pool, Driver: f.driver, Ledger: d.ledger, Table: func() *route.Table { return table },
@@ -257,6 +266,23 @@
 // Subscribe implements membership.View.
 func (f *versionFleet) Subscribe(func(membership.Member)) {}
 
+// fleetList is the list of engines as one daemon of a versionFleet reads it.
+type fleetList struct {
+	fleet  *versionFleet
+	daemon *versionDaemon
+}
+
+// AwaitCurrent implements InstanceList.
+func (l *fleetList) AwaitCurrent(ctx context.Context, _, deadline time.Time) bool {
+	if l.daemon.id == l.fleet.outOfStep {
+		clock.Sleep(ctx, time.Until(deadline))
+		return false
+	}
+	time.Sleep(storeDelay)
+	l.daemon.pool.Replace(l.fleet.list)
+	return true
+}
+
 // fleetTeller tells of the suspects of one daemon of a versionFleet.
 type fleetTeller struct {
 	fleet *versionFleet
@@ -284,7 +310,7 @@
 	t.fleet.mutex.Lock()
 	from, target := t.fleet.daemons[t.self], t.fleet.daemons[to]
 	t.fleet.mutex.Unlock()
-	if from == nil || target == nil {
+	if from == nil || target == nil || t.fleet.isCutOff && (t.fleet.outOfStep == t.self || t.fleet.outOfStep == to) {
 		return
 	}
 	if request, isRequest := message.(*ledger.Request); isRequest && t.fleet.toHolder != nil {
--- a/internal/relaydaemon/daemon.go
+++ b/internal/relaydaemon/daemon.go
@@ -80,6 +80,8 @@
 	// routesConfirmation is the time as of which the routes in force, keys included, are known to
 	// be the newest.
 	routesConfirmation *confirmation
+	// listConfirmation is the same for the list of back ends.
+	listConfirmation *confirmation
 	// tableReady is closed once routes are known.
 	tableReady chan struct{}
 	startedAt  time.Time
@@ -108,6 +110,7 @@
 
 		tableReady:         make(chan struct{}),
 		routesConfirmation: newConfirmation(),
+		listConfirmation:   newListConfirmation(),
 
 		startedAt: time.Now(),
 		memory:    memory,
--- a/internal/relaydaemon/join.go
+++ b/internal/relaydaemon/join.go
@@ -160,6 +160,7 @@
 		Ledger:       d.regional.combinedLedger(d.ledger),
 		ContentGuard: d.guard,
 
+		InstanceList:   d.listConfirmation,
 		FormerVersions: d.versions,
 		IsMemoryTight:  d.memoryPressure.isTight.Load,
 		Quota:          quota.NewGate(d.ledger, d.settings.quotaTolerance()),
--- a/internal/relaydaemon/keys.go
+++ b/internal/relaydaemon/keys.go
@@ -23,12 +23,14 @@
 	// minRefreshInterval is the minimum time between reads on demand, so that callers without a key
 	// do not cause a call to the store for each request.
 	minRefreshInterval = 100 * time.Millisecond
+	// minListRefreshInterval is the same for the list of back ends, which streams of unknown origin wait for.
+	minListRefreshInterval = 250 * time.Millisecond
 	// assumedPatience is how long a caller without a deadline is assumed to wait.
 	assumedPatience = 2 * time.Second
 )
 
-// confirmation is the time as of which the routes in force, tenants' keys included, are known to be
-// the newest. It is never later than the state that the store's answer describes.
+// confirmation is the time as of which the routes in force, tenants' keys included, or the list of back
+// ends, are known to be the newest. It is never later than the state that the store's answer describes.
 type confirmation struct {
 	mutex sync.Mutex
 	at    time.Time
@@ -36,7 +38,7 @@
 	renewed chan struct{}
 	// unreachableSince is when the store stopped answering, zero while it answers.
 	unreachableSince time.Time
-	// refresh makes the watcher of the routes read at once. newerRoutes tells it that newer routes
+	// refresh makes the watcher read at once. newerRoutes tells it that newer routes
 	// exist; this does not interrupt the read in flight, which will return them, and repeats it
 	// only if no answer begins to arrive.
 	refresh, newerRoutes *clock.RateLimitedSignal
@@ -48,6 +50,13 @@
 	}
 }
 
+// newListConfirmation returns the confirmation of the list of back ends, which is read less often on demand.
+func newListConfirmation() *confirmation {
+	c := newConfirmation()
+	c.refresh = clock.NewRateLimitedSignal(minListRefreshInterval)
+	return c
+}
+
 // confirm records a confirmation as of a time. The store's answer must already be in force.
 func (c *confirmation) confirm(asOf time.Time) {
 	c.mutex.Lock()
@@ -91,10 +100,26 @@
 // await waits for a confirmation that is at most maxAge old, until a deadline or until ctx ends,
 // and reports whether there is one.
 func (c *confirmation) await(ctx context.Context, maxAge time.Duration, until time.Time) bool {
+	return c.awaitThat(ctx, func(at, now time.Time) bool { return now.Sub(at) <= maxAge }, until)
+}
+
+// AwaitCurrent implements relay.InstanceList. It does not wait while the store does not answer.
+func (c *confirmation) AwaitCurrent(ctx context.Context, asOf, deadline time.Time) bool {
+	isCurrent := func(at, _ time.Time) bool { return !at.Before(asOf) }
+	now := time.Now()
+	if c.outageStart(now).Before(now) {
+		deadline = now
+	}
+	return c.awaitThat(ctx, isCurrent, deadline)
+}
+
+// awaitThat waits for a confirmation that is sufficient, until a deadline or until ctx ends, and reports
+// whether there is one. isSufficient gets the time as of which the confirmation is, and the current time.
+func (c *confirmation) awaitThat(ctx context.Context, isSufficient func(at, now time.Time) bool, until time.Time) bool {
 	for {
 		now := time.Now()
 		at, renewed := c.last()
-		if !at.IsZero() && now.Sub(at) <= maxAge {
+		if !at.IsZero() && isSufficient(at, now) {
 			return true
 		}
 		if !now.Before(until) {
--- a/internal/relaydaemon/watch.go
+++ b/internal/relaydaemon/watch.go
@@ -104,8 +104,13 @@
 		OnUpdate: func(update store.Update) {
 			d.adapter.CloseIdle(d.pool.Apply(d.adapter.Instances(update)))
 		},
-		OnRead: d.pool.ConfirmList,
+		OnRead: func(asOf time.Time) {
+			d.pool.ConfirmList(asOf)
+			d.listConfirmation.confirm(asOf)
+		},
+		Refresh: d.listConfirmation.refresh.C(),
 		OnConnectivity: func(err error) {
+			d.listConfirmation.recordConnectivity(err)
 			if err != nil {
 				d.pool.MarkListUnavailable()
 			} else {
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-
-	"github.com/mintpulley/mintpulley/internal/clock"
 )
 
 // WatchSettings are the timing parameters of a Watcher.
@@ -65,14 +63,15 @@
 	known := map[string]Record{}
 	next := int64(-1)
 	state := connectivityState{onChange: w.OnConnectivity}
+	isRefresh := false
 	for ctx.Err() == nil {
 		if next < 0 && w.List != nil {
 			next = w.list(ctx, known, &state)
 			continue
 		}
 		wait := w.Settings.Wait
-		if state.unreachable {
-			wait = 0 // only check whether the store answers
+		if state.unreachable || isRefresh {
+			wait = 0 // only check whether the store answers, or what it holds now
 		}
 		answer := newHedgedRead(w, next, &state).run(ctx, wait)
 		switch {
@@ -94,8 +93,24 @@
 		if w.OnRead != nil {
 			w.OnRead(answer.asOf())
 		}
-		clock.Sleep(ctx, answer.call.progress.Pause(w.Settings.Pause))
+		isRefresh = w.pause(ctx, answer.call.progress.Pause(w.Settings.Pause))
+	}
+}
+
+// pause waits between two reads, and reports whether a refresh ended the pause.
+func (w *Watcher) pause(ctx context.Context, length time.Duration) (isRefresh bool) {
+	if length <= 0 {
+		return false
+	}
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-w.Refresh:
+		return true
 	}
+	return false
 }
 
 // list lists all keys by List. It returns the offset to continue from, negative if it failed.
