instance, store: versions that came and went unseen count against a sole one

Callers saw: as before, if the engines of the other version had left again by the time that the daemon caught up: its list then shows one version, as it did all the time.

Cause: a read of several changes of an entry kept only the newest, and a whole list read after a gap shows nothing of the gap.

Change: replaced entries of a read are passed on, and their versions end the time for which a service had a sole one. So does a whole list after more than 1.5 s without a read: what came and went meanwhile is not known.

The daemons of that fleet now confirm their lists each second, as real ones do; before, only the test did.

--- a/internal/instance/pool.go
+++ b/internal/instance/pool.go
@@ -119,6 +119,9 @@
 	Removed []string
 	// Complete is set if Instances are all entries: back ends without one of them have none.
 	Complete bool
+	// Passed are the software versions of entries that were written since the last update and have
+	// been replaced or removed since.
+	Passed []ServiceVersion
 }
 
 // Replace sets the list of all instances; see Apply.
@@ -164,6 +167,7 @@
 	p.restorePresumedGone()
 	gone = append(gone, p.dropUnlisted(now)...)
 	p.noteVersions(now)
+	p.notePassedVersions(update, now)
 	return gone
 }
 
--- a/internal/instance/versions.go
+++ b/internal/instance/versions.go
@@ -53,6 +53,29 @@
 	return versions
 }
 
+// ServiceVersion is a software version of a service's instances.
+type ServiceVersion struct{ Service, Version string }
+
+// maxUnseenTime is for how long the list may not have been read before a complete list proves nothing about
+// the versions in between: entries may have come and gone. It is longer than two reads are apart.
+const maxUnseenTime = 1500 * time.Millisecond
+
+// notePassedVersions records that a service's only software version may not have been the only one since the
+// last update: instances of others came and went, or may have.
+func (p *Pool) notePassedVersions(update Update, now time.Time) {
+	for _, passed := range update.Passed {
+		if sole, isSole := p.soleVersions[passed.Service]; isSole && sole.Version != passed.Version {
+			p.soleVersions[passed.Service] = SoleVersion{Version: sole.Version, Since: now}
+		}
+	}
+	if !update.Complete || now.Sub(p.listedAt) <= maxUnseenTime {
+		return
+	}
+	for service, sole := range p.soleVersions {
+		p.soleVersions[service] = SoleVersion{Version: sole.Version, Since: now}
+	}
+}
+
 // noteVersions records which services have a single software version.
 func (p *Pool) noteVersions(now time.Time) {
 	for name := range p.soleVersions {
--- a/internal/relay/out_of_step_test.go
+++ b/internal/relay/out_of_step_test.go
@@ -30,7 +30,7 @@
 	time.Sleep(2 * SoleTime(f.route.Timeout))
 	f.relist()
 	behindOthers := f.daemonAt(0)
-	f.outOfStep, f.isCutOff = behindOthers.id, isCutOff
+	f.setOutOfStep(behindOthers.id, isCutOff)
 	time.Sleep(behind)
 	f.startEngine("e8", "v2")
 	f.startEngine("e9", "v2")
@@ -50,3 +50,28 @@
 		t.Errorf("%d of %d streams, %d of them begun at the new version, hold events of two versions", got.mixed, versionStreams, begunAtNew)
 	}
 }
+
+// TestVersionThatCameAndWentUnseenJoinsNoStreams resumes streams at a daemon that was out of step while engines of
+// another version joined and left again.
+func TestVersionThatCameAndWentUnseenJoinsNoStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFleet(t, "v1", "v1")
+		time.Sleep(2 * SoleTime(f.route.Timeout))
+		f.relist()
+		behindOthers := f.daemonAt(0)
+		f.setOutOfStep(behindOthers.id, false)
+		f.startEngine("e8", "v2")
+		f.startEngine("e9", "v2")
+		streams := newStreams(f, false)
+		callAll(streams, func(s *streamCaller, number int) {
+			s.resumes = new(string)
+			s.call(f.daemonAt(1+number%(fleetDaemons-1)), passedOn)
+		})
+		f.removeEngines("v2")
+		f.setOutOfStep("", false)
+		callAll(streams, func(s *streamCaller, _ int) { s.call(behindOthers, 0) })
+		if got := countStreams(streams); got.mixed > 0 {
+			t.Errorf("%d of %d streams hold events of two versions", got.mixed, versionStreams)
+		}
+	})
+}
--- a/internal/relay/version_fleet_test.go
+++ b/internal/relay/version_fleet_test.go
@@ -44,6 +44,8 @@
 	peerDelay = time.Millisecond
 	// storeDelay is the time that an append to the store takes.
 	storeDelay = 4 * time.Millisecond
+	// listInterval is the time between two reads of the list of engines.
+	listInterval = time.Second
 )
 
 // versionFleet is a fleet of relays with their ledgers, one store, and engines of several
@@ -65,8 +67,7 @@
 	list []instance.Instance
 	// started counts the daemons that were started.
 	started uint64
-	// outOfStep is the daemon that learns of no changes of the list, "" for none. isCutOff: it also exchanges no
-	// messages with the others.
+	// outOfStep and isCutOff are what setOutOfStep was told.
 	outOfStep structs.DaemonID
 	isCutOff  bool
 }
@@ -148,7 +149,7 @@
 // relist tells all daemons the list of engines.
 func (f *versionFleet) relist() {
 	for _, d := range f.living() {
-		if d.id == f.outOfStep {
+		if f.isOutOfStep(d.id) {
 			continue
 		}
 		d.pool.Replace(f.list)
@@ -156,6 +157,30 @@
 	}
 }
 
+// confirmRegularly confirms the list of a daemon as often as daemons read it, until the daemon is killed.
+func (f *versionFleet) confirmRegularly(d *versionDaemon) {
+	for d.alive.Err() == nil {
+		clock.Sleep(d.alive, listInterval)
+		if !f.isOutOfStep(d.id) {
+			d.pool.ConfirmList(time.Now())
+		}
+	}
+}
+
+// setOutOfStep makes a daemon learn of no changes of the list, and, if it is cut off, exchange no messages with
+// the others; "" for none.
+func (f *versionFleet) setOutOfStep(id structs.DaemonID, isCutOff bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.outOfStep, f.isCutOff = id, isCutOff
+}
+
+func (f *versionFleet) isOutOfStep(id structs.DaemonID) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.outOfStep == id
+}
+
 // start starts a daemon at an address.
 func (f *versionFleet) start(number int) *versionDaemon {
 	f.started++
@@ -196,6 +221,7 @@
 	go d.guard.Run(d.alive)
 	go d.versions.Run(d.alive)
 	go d.relay.WatchSilence(d.alive)
+	go f.confirmRegularly(d)
 	f.relist()
 	return d
 }
@@ -274,12 +300,13 @@
 
 // AwaitCurrent implements InstanceList.
 func (l *fleetList) AwaitCurrent(ctx context.Context, _, deadline time.Time) bool {
-	if l.daemon.id == l.fleet.outOfStep {
+	if l.fleet.isOutOfStep(l.daemon.id) {
 		clock.Sleep(ctx, time.Until(deadline))
 		return false
 	}
 	time.Sleep(storeDelay)
 	l.daemon.pool.Replace(l.fleet.list)
+	l.daemon.pool.ConfirmList(time.Now())
 	return true
 }
 
@@ -309,8 +336,9 @@
 func (t *fleetTransport) Send(to structs.DaemonID, message peer.Message) {
 	t.fleet.mutex.Lock()
 	from, target := t.fleet.daemons[t.self], t.fleet.daemons[to]
+	isCut := t.fleet.isCutOff && (t.fleet.outOfStep == t.self || t.fleet.outOfStep == to)
 	t.fleet.mutex.Unlock()
-	if from == nil || target == nil || t.fleet.isCutOff && (t.fleet.outOfStep == t.self || t.fleet.outOfStep == to) {
+	if from == nil || target == nil || isCut {
 		return
 	}
 	if request, isRequest := message.(*ledger.Request); isRequest && t.fleet.toHolder != nil {
--- a/internal/store/listing.go
+++ b/internal/store/listing.go
@@ -25,22 +25,27 @@
 	// Records holds the newest record of each key that changed, at most one for each key; one
 	// without a value deletes its key.
 	Records []Record
+	// Replaced holds the records that were read, too, and that a later one of the same key follows.
+	Replaced []Record
 	// Complete: these are all keys, and all others are gone.
 	Complete bool
 }
 
-// newestOfEach returns the last record of each key, in order.
-func newestOfEach(records []Record) []Record {
+// newestOfEach returns the last record of each key, in order, and the records before those.
+func newestOfEach(records []Record) (newest, replaced []Record) {
 	seen := make(map[string]bool, len(records))
-	newest := make([]Record, 0, len(records))
+	newest = make([]Record, 0, len(records))
 	for _, record := range slices.Backward(records) {
-		if !seen[record.Key] {
-			seen[record.Key] = true
-			newest = append(newest, record)
+		if seen[record.Key] {
+			replaced = append(replaced, record)
+			continue
 		}
+		seen[record.Key] = true
+		newest = append(newest, record)
 	}
 	slices.Reverse(newest)
-	return newest
+	slices.Reverse(replaced)
+	return newest, replaced
 }
 
 // Newest reads the newest record of each key, page by page. end is the offset up to which the
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -135,7 +135,8 @@
 // apply passes what was read to OnUpdate, OnAdvance or OnChange, the first that is set.
 func (w *Watcher) apply(known map[string]Record, records []Record, listed bool, end int64) {
 	if w.OnUpdate != nil {
-		w.OnUpdate(Update{Records: newestOfEach(records), Complete: listed})
+		newest, replaced := newestOfEach(records)
+		w.OnUpdate(Update{Records: newest, Replaced: replaced, Complete: listed})
 		return
 	}
 	if listed {
