httpconn: connection, counters and heads have files of their own; malformed heads are counted

Cause: pool.go held the pool, its connections and five counters; a malformed head showed in the log of one request only.

--- a/internal/httpconn/answers.go
+++ b/internal/httpconn/answers.go
@@ -66,8 +66,11 @@
 	c.heads.beginHead(buffered)
 	defer c.heads.releaseHead()
 	response, err := http.ReadResponse(c.reader, request)
-	if err != nil {
+	switch {
+	case err != nil && c.heads.hasFailed:
 		return nil, err
+	case err != nil:
+		return nil, eris.Wrap(ErrMalformedHead, err.Error())
 	}
 	if err := checkHead(c.heads.endHead(c.reader)); err != nil {
 		return nil, err
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -43,8 +43,8 @@
 		go func() { e.written <- e.write(request) }()
 	}
 	response, err := e.conn.readAnswer(request, e.labels, e.pool.countDuplicate)
-	e.pool.countIfOverlong(err)
 	if err != nil {
+		e.pool.countBadHead(err)
 		return nil, eris.Wrapf(ErrBroken, "read: %v", err)
 	}
 	response.Body = &body{source: response.Body, exchange: e, response: response}
--- a/internal/httpconn/head_check_test.go
+++ b/internal/httpconn/head_check_test.go
@@ -44,11 +44,14 @@
 	hint := "HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("a", 3000) + "\r\n\r\n"
 	final := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 3000) + "\r\nContent-Length: 2\r\nKeep-Alive: timeout=10\r\n\r\nok"
 	p := NewPool(0)
-	s := newRawServer(t, hint+hint+final, hint+final, hint+strings.Replace(final, "200", "000", 1))
-	for i, want := range []string{"ok", "ok", ""} {
+	s := newRawServer(t, hint+hint+final, hint+final, hint+strings.Replace(final, "200", "000", 1), "no HTTP\r\n\r\n")
+	for i, want := range []string{"ok", "ok", "", ""} {
 		body, err := exchangeBody(t, p, s.address, "b")
 		if body != want || (err == nil) != (want != "") {
 			t.Errorf("answer %d: got %q, %v", i, body, err)
 		}
 	}
+	if malformed := p.Malformed(); malformed != 2 {
+		t.Errorf("%d malformed heads are counted, want two", malformed)
+	}
 }
--- a/internal/httpconn/head_limit.go
+++ b/internal/httpconn/head_reader.go
@@ -31,6 +31,8 @@
 	// kept holds what was read since the head began, nil for nothing, and buffer the pooled buffer under it.
 	kept   []byte
 	buffer *[]byte
+	// hasFailed is set if reading the head failed, rather than parsing it.
+	hasFailed bool
 }
 
 // beginHeads starts to count the bytes of the heads of one response.
@@ -38,7 +40,7 @@
 
 // beginHead begins a head, of which buffered were read before.
 func (r *headReader) beginHead(buffered []byte) {
-	r.isHead = true
+	r.isHead, r.hasFailed = true, false
 	r.keep(buffered)
 }
 
@@ -73,9 +75,11 @@
 		return r.source.Read(buffer)
 	}
 	if r.left <= 0 {
+		r.hasFailed = true
 		return 0, ErrHeadTooLong
 	}
 	n, err := r.source.Read(buffer[:min(len(buffer), r.left)])
+	r.hasFailed = err != nil
 	r.left -= n
 	r.keep(buffer[:n])
 	return n, err
--- a/internal/httpconn/peer.go
+++ b/internal/httpconn/peer.go
@@ -61,8 +61,8 @@
 		return err
 	}
 	response, err := c.readAnswer(peer.Question, bounds.Labels.ofQuestion(), p.countDuplicate)
-	p.countIfOverlong(err)
 	if err != nil {
+		p.countBadHead(err)
 		return err
 	}
 	identity := peer.Read(response)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -57,16 +57,10 @@
 	dialTimeout time.Duration
 	mutex       sync.Mutex
 	addresses   map[string]*address
-	dials       uint64
 	// limit is the maximum number of connections to all addresses together, 0 for no limit, and opened the
 	// number of those that are open.
 	limit, opened int
-	// replaced counts the idle connections that were closed to make room for another.
-	replaced uint64
-	// duplicates counts the duplicate answers that were skipped.
-	duplicates uint64
-	// overlong counts the responses whose head was too long.
-	overlong uint64
+	counts        counts
 }
 
 type address struct {
@@ -75,105 +69,11 @@
 	open int
 }
 
-type conn struct {
-	net.Conn
-	// number tells the pool's connections apart.
-	number uint64
-	// heads reads from the connection and bounds the heads of answers; reader buffers what it reads.
-	heads   *headReader
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	expires time.Time
-	// idleSince is when the connection last became idle.
-	idleSince time.Time
-	// sent is the number of bytes that the kernel accepted.
-	sent int64
-	// writeError is the first error of writing to the connection. net/http may hide it in the error of the request.
-	writeError error
-	// peer is the identity of the process at the other end, "" before it was asked.
-	peer string
-	// answered are the labels of the latest requests that were answered, oldest first.
-	answered []string
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(buffer []byte) (int, error) {
-	n, err := c.Conn.Write(buffer)
-	c.sent += int64(n)
-	if err != nil && c.writeError == nil {
-		c.writeError = err
-	}
-	return n, err
-}
-
-// closeWithCause closes the connection. If the cause is ErrPeerCutOff, unsent data is dropped:
-// otherwise the kernel would keep sending it, and an abandoned request could arrive once the peer
-// is reachable again.
-func (c *conn) closeWithCause(cause error) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && errors.Is(cause, ErrPeerCutOff) {
-		_ = tcp.SetLinger(0) // fails if the connection is already closed
-	}
-	_ = c.Close() // the exchange gets a read error
-}
-
-// limitUnacknowledged sets how long bytes may stay unacknowledged; 0 means no limit. It fails on a
-// broken connection, which the next use detects anyway.
-func (c *conn) limitUnacknowledged(limit time.Duration) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcpoption.SetUserTimeout(tcp, limit)
-	}
-}
-
 // NewPool returns a pool that dials with a timeout.
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{dialTimeout: dialTimeout, addresses: map[string]*address{}}
 }
 
-// Dials returns the number of connection attempts so far.
-func (p *Pool) Dials() uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.dials
-}
-
-// Replaced returns the number of idle connections that were closed so far because a request that had
-// been sent on all connections to an address, at its limit of connections, needed another one.
-func (p *Pool) Replaced() uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.replaced
-}
-
-// Duplicates returns the number of duplicate answers that were skipped so far.
-func (p *Pool) Duplicates() uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.duplicates
-}
-
-// Overlong returns the number of responses so far whose head was too long.
-func (p *Pool) Overlong() uint64 {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.overlong
-}
-
-// countIfOverlong counts a response that was not read because its head was too long.
-func (p *Pool) countIfOverlong(err error) {
-	if !errors.Is(err, ErrHeadTooLong) {
-		return
-	}
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.overlong++
-}
-
-func (p *Pool) countDuplicate() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.duplicates++
-}
-
 // Bounds limit an exchange. The zero value sets no limits.
 type Bounds struct {
 	// Connections is the maximum number of open connections to the address; 0 for no limit.
@@ -301,15 +201,6 @@
 	return nil
 }
 
-// awaitInput waits until the peer sends something or closes the connection, or ctx ends.
-func (c *conn) awaitInput(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetReadDeadline(time.Now()) }) // fails if it is closed
-	_, _ = c.reader.Peek(1)                                                      // what ended it, isReusable tells
-	if !stop() {
-		_ = c.SetReadDeadline(time.Time{}) // fails if it is closed
-	}
-}
-
 // open opens a connection within the limits on connections and connect time.
 func (p *Pool) open(ctx context.Context, name string, bounds Bounds) (*conn, error) {
 	number, reserved := p.reserve(name, bounds.Connections)
@@ -359,8 +250,8 @@
 	}
 	a.open++
 	p.opened++
-	p.dials++
-	return p.dials, true
+	p.counts.dials++
+	return p.counts.dials, true
 }
 
 func (p *Pool) release(name string) {
--- a/internal/httpconn/pool_idle.go
+++ b/internal/httpconn/pool_idle.go
@@ -73,7 +73,7 @@
 	_ = a.idle[i].Close() // nothing waits to be sent
 	a.idle = slices.Delete(a.idle, i, i+1)
 	p.countClosed(a)
-	p.replaced++
+	p.counts.replaced++
 	return true
 }
 
