--- a/internal/httpconn/answertest/answertest.go
+++ b/internal/httpconn/answertest/answertest.go
@@ -41,6 +41,18 @@
 
 // Serve reads each request to an address whole, answers it with a text, and closes the connection.
 func Serve(t *testing.T, answer string) (address string) {
+	t.Helper()
+	return Handle(t, func(connection *net.TCPConn, request *http.Request) {
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, answer) // fails if the client has left
+	})
+}
+
+// Handle serves each connection to an address by a function, which gets the first request with its body unread,
+// and then closes the connection.
+func Handle(t *testing.T, handle func(connection *net.TCPConn, request *http.Request)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -53,20 +65,14 @@
 			if err != nil {
 				return
 			}
-			go serveOne(connection, answer)
+			go func() {
+				defer func() { _ = connection.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(connection))
+				if err == nil {
+					handle(connection.(*net.TCPConn), request)
+				}
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
-
-func serveOne(connection net.Conn, answer string) {
-	defer func() { _ = connection.Close() }()
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		return
-	}
-	if _, err := io.Copy(io.Discard, request.Body); err != nil {
-		return
-	}
-	_, _ = io.WriteString(connection, answer) // fails if the client has left
-}
