httpconn: the body of a sent request is left to its writer

Cause: RoundTrip closed it on return, while an early answer leaves it being written. Change: it is closed on errors only; the writer closes it otherwise, as net/http does. Measured: tests of internal/httpconn green.

--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -49,14 +49,11 @@
 
 // RoundTrip implements http.RoundTripper. The error wraps ErrNotSent, ErrBroken or ErrBodyTooLong.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	if request.Body != nil {
-		defer func() { _ = request.Body.Close() }() // it was written, or the exchange has failed
-	}
-	if request.URL.Scheme != "http" {
-		return nil, eris.Wrap(ErrScheme, request.URL.Scheme)
-	}
-	response, err := t.Pool.Do(request.Context(), addressOf(request), Bounds{}, request)
+	response, err := t.send(request)
 	if err != nil {
+		if request.Body != nil {
+			_ = request.Body.Close() // no more of it is sent
+		}
 		return nil, err
 	}
 	if t.MaxBodyBytes == 0 {
@@ -68,6 +65,14 @@
 	return response, nil
 }
 
+// send sends a request. If that succeeds, its body is closed once it was written, which may be after the response.
+func (t *Transport) send(request *http.Request) (*http.Response, error) {
+	if request.URL.Scheme != "http" {
+		return nil, eris.Wrap(ErrScheme, request.URL.Scheme)
+	}
+	return t.Pool.Do(request.Context(), addressOf(request), Bounds{}, request)
+}
+
 // readBody replaces the body of a response by its bytes.
 func (t *Transport) readBody(response *http.Response) error {
 	defer func(body io.Closer) { _ = body.Close() }(response.Body) // it was read to its end, or its connection is closed
