relaydaemon: an answer in HTTP/1.0 has left the process before its connection ends in order

Callers could see: a part of a whole answer as all of it, if the process ended while the last bytes still waited in the server's buffer. Seen in reading only. Cause: the connection stopped to be reset at its close before these were written. Change: they are flushed first. Measured: TestCutAnswersDoNotLookCompleteInHTTP10, whole and cut, and the tests of relaydaemon are green; no test shows the moment itself.

--- a/internal/relaydaemon/front.go
+++ b/internal/relaydaemon/front.go
@@ -93,13 +93,14 @@
 		}
 		connection.enter(phaseServing, time.Now())
 		answer := &reuseAnnouncer{ResponseWriter: w, server: s, connection: connection}
-		endsAnswer := !r.ProtoAtLeast(1, 1) // without chunks, the end of the connection may end the answer
-		if endsAnswer {
+		mayEndWithConnection := !r.ProtoAtLeast(1, 1) // such an answer has no chunks, and maybe no length
+		if mayEndWithConnection {
 			connection.resetOnClose(true)
 		}
 		handler.ServeHTTP(answer, r)
 		answer.announceReuse() // an answer without a body may not have written its header yet
-		if endsAnswer {
+		if mayEndWithConnection {
+			_ = http.NewResponseController(answer).Flush() // fails if the caller has left
 			connection.resetOnClose(false)
 		}
 	})
