--- a/internal/httpconn/pool_counts.go
+++ b/internal/httpconn/pool_counts.go
@@ -8,22 +8,22 @@
 }
 
 // Dials returns the number of connection attempts so far.
-func (p *Pool) Dials() uint64 { return p.read().dials }
+func (p *Pool) Dials() uint64 { return p.currentCounts().dials }
 
 // Replaced returns the number of idle connections that were closed so far because a request that had
 // been sent on all connections to an address, at its limit of connections, needed another one.
-func (p *Pool) Replaced() uint64 { return p.read().replaced }
+func (p *Pool) Replaced() uint64 { return p.currentCounts().replaced }
 
 // Duplicates returns the number of duplicate answers that were skipped so far.
-func (p *Pool) Duplicates() uint64 { return p.read().duplicates }
+func (p *Pool) Duplicates() uint64 { return p.currentCounts().duplicates }
 
 // Overlong returns the number of responses so far whose head was too long.
-func (p *Pool) Overlong() uint64 { return p.read().overlong }
+func (p *Pool) Overlong() uint64 { return p.currentCounts().overlong }
 
 // Malformed returns the number of responses so far whose head was malformed.
-func (p *Pool) Malformed() uint64 { return p.read().malformed }
+func (p *Pool) Malformed() uint64 { return p.currentCounts().malformed }
 
-func (p *Pool) read() counts {
+func (p *Pool) currentCounts() counts {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.counts
