review/7: a program gets 1521 tokens of a budget of 900 if all daemons are killed twice

Turns of a program without a record are granted from the shard's allowance; for two lost holders less is counted than they may have granted. Change: a case with a script, in which clients of real processes meet it without an outage of the store.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -19,6 +19,7 @@
 	"misdirected": playMisdirected,
 	"comments":    playComments,
 	"path":        playPath,
+	"budget":      playBudget,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
