relay, platform: an answer counts as not run only by a proof, not by its status 421

Each of four orders ran 8 to 16 times, and its caller got the daemon's 503, which promises that it has not run.

Cause: the driver set Misdirected for each status of 421, and the relay took that for "not run" beside NotRun, the proof proper. The protocol knows 421 as the answer of another engine than the one in Expect-Instance; the one that is meant may use the status as it likes.

Ruled out: a late copy of an answer (all connections differ), a second daemon (no line of it).

Change: one typed proof (NotRunProof) in place of the two fields. The log line of an offer names its proof. Without a proof a run is counted, after which neither another offer of what must not be repeated nor a promise "not run" is possible.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -205,7 +205,7 @@
 	// end ran when it was opened.
 	NewConnection bool
 	// ThisRunOnly: the call must not reach a later run of the back end at the same address, as
-	// far as runs tell who they are. Such an answer is Misdirected.
+	// far as runs tell who they are. The answer then has ProofOtherRun.
 	ThisRunOnly bool
 	// Connections lists the connections on which the call was sent; nil if that is not tracked. The
 	// driver adds to it.
@@ -218,15 +218,30 @@
 	Header http.Header
 	// Body must be closed by the receiver of the answer.
 	Body io.ReadCloser
-	// NotRun: the instance guarantees that it did not run the request.
-	NotRun bool
-	// StatusMeansNotRun: callers take the status to mean that the request has not run. The
-	// instance itself guarantees that only if NotRun is set, too.
+	// NotRun is what proves that the request was not run. Without a proof it may have been, whatever
+	// the status.
+	NotRun NotRunProof
+	// StatusMeansNotRun: callers take the status to mean that the request has not run.
 	StatusMeansNotRun bool
-	// Misdirected: another instance uses the address now.
-	Misdirected bool
 }
 
+// NotRunProof is what proves that a back end did not run a call.
+type NotRunProof string
+
+const (
+	// ProofNone: nothing does, so the call may have run.
+	ProofNone NotRunProof = ""
+	// ProofDeclared: the instance says so.
+	ProofDeclared NotRunProof = "declared"
+	// ProofOtherInstance: another instance has the address, and turned the call away.
+	ProofOtherInstance NotRunProof = "other_instance"
+	// ProofOtherRun: the call was not sent, as a later run of the back end has the address.
+	ProofOtherRun NotRunProof = "other_run"
+)
+
+// isGone reports whether the instance that the call was meant for has left its address.
+func (p NotRunProof) isGone() bool { return p == ProofOtherInstance || p == ProofOtherRun }
+
 // Driver sends calls to instances in their protocol. Errors of Send wrap
 // httpconn.ErrNotSent if no byte left this machine; after any other error the request may
 // have run.
--- a/internal/relay/call_handler.go
+++ b/internal/relay/call_handler.go
@@ -106,8 +106,9 @@
 			continue
 		}
 		answer, err := c.send(ctx, target, outgoing)
-		c.relay.offered.add(c.service, err == nil && !answer.NotRun)
-		if err == nil && !answer.NotRun && !answer.Misdirected {
+		isTaken := err == nil && answer.NotRun == ProofNone
+		c.relay.offered.add(c.service, isTaken)
+		if isTaken {
 			c.noteRun(target)
 			c.noteTaken()
 			return answer, target
--- a/internal/relay/failed_offer.go
+++ b/internal/relay/failed_offer.go
@@ -93,15 +93,15 @@
 
 func (c *callHandler) noteNotRun(target instance.Instance, answer *Answer) {
 	outcome := instance.OutcomeFull
-	if answer.Misdirected {
+	if answer.NotRun.isGone() {
 		outcome = instance.OutcomeGone
 		c.boundTo = ""
 	} else {
 		c.refusals++
 	}
 	c.release(target, outcome)
-	c.relay.Metrics.notRun(answer.Misdirected)
-	c.logNotTaken(target, answer.Status)
+	c.relay.Metrics.notRun(answer.NotRun)
+	c.logNotTaken(target, answer)
 }
 
 // maxRuns returns how often the call may run.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -34,8 +34,9 @@
 	notRun bool
 	// impliesNotRun: callers take the status to mean that the request was not run.
 	impliesNotRun bool
-	misdirected   bool
-	body          string
+	// misdirected: another instance has the address, and turned the call away.
+	misdirected bool
+	body        string
 	// cut ends the body with errCut; stall blocks at its end until the call's context ends.
 	cut, stall bool
 	// endless is repeated without end after the body.
@@ -93,7 +94,18 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: next.notRun, StatusMeansNotRun: next.impliesNotRun, Misdirected: next.misdirected}, nil
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: proofOf(next.notRun, next.misdirected), StatusMeansNotRun: next.impliesNotRun}, nil
+}
+
+// proofOf returns what proves that an instance did not run a call.
+func proofOf(notRun, misdirected bool) NotRunProof {
+	switch {
+	case misdirected:
+		return ProofOtherInstance
+	case notRun:
+		return ProofDeclared
+	}
+	return ProofNone
 }
 
 // ConnectToLiving implements Driver.
--- a/internal/relay/logs.go
+++ b/internal/relay/logs.go
@@ -98,10 +98,10 @@
 
 // logNotTaken logs an offer that an instance did not run. There may be many of them for one
 // request.
-func (c *callHandler) logNotTaken(target instance.Instance, status int) {
+func (c *callHandler) logNotTaken(target instance.Instance, answer *Answer) {
 	logger := callLogger(c.relay.routine, c.call)
-	logger.Info().Str("instance", target.ID).Int("status", status).Int("offer", c.offers).Uint64("connection", c.connections.Latest()).
-		Dur("answered_after", time.Since(c.latest.beganAt)).Msg("Offer not taken.")
+	logger.Info().Str("instance", target.ID).Int("status", answer.Status).Str("proof", string(answer.NotRun)).Int("offer", c.offers).
+		Uint64("connection", c.connections.Latest()).Dur("answered_after", time.Since(c.latest.beganAt)).Msg("Offer not taken.")
 }
 
 // logFailedOffer logs an offer that ended with an error.
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -166,9 +166,9 @@
 	m.resumptions.WithLabelValues(begunBy, version).Inc()
 }
 
-func (m *Metrics) notRun(misdirected bool) {
+func (m *Metrics) notRun(proof NotRunProof) {
 	cause := "full"
-	if misdirected {
+	if proof.isGone() {
 		cause = "other_instance"
 	}
 	m.offersNotTaken.WithLabelValues(cause).Inc()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -68,7 +68,7 @@
 
 func (c *callHandler) refuseFalsePromise(answer *Answer, target instance.Instance) {
 	c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer falsely implies that the request was not run. It is not passed on.")
-	c.refuseWithCause(brokenOffRefusal, CauseFalsePromise)
+	c.refuseWithCause(falsePromiseRefusal, CauseFalsePromise)
 }
 
 func (c *callHandler) answer(answer *Answer, body []byte, target instance.Instance) {
--- a/internal/relay/simulated_driver_test.go
+++ b/internal/relay/simulated_driver_test.go
@@ -210,7 +210,7 @@
 }
 
 func answerOf(status int, body string, notRun, other bool) *Answer {
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), NotRun: notRun, Misdirected: other}
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body)), NotRun: proofOf(notRun, other)}
 }
 
 // event returns the text of one event of a call's stream.
--- a/internal/relay/turned_down_test.go
+++ b/internal/relay/turned_down_test.go
@@ -38,7 +38,7 @@
 	}
 	d.mutex.Unlock()
 	if !takes {
-		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: ProofDeclared}, nil
 	}
 	time.Sleep(d.work)
 	d.mutex.Lock()
--- a/internal/relay/version_engines_test.go
+++ b/internal/relay/version_engines_test.go
@@ -72,7 +72,7 @@
 		return nil, httpconn.ErrNotSent
 	}
 	if e.isFull(to.ID) {
-		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: ProofDeclared}, nil
 	}
 	if e.onRun != nil {
 		e.onRun()
