relay, platform: an engine's own 402, 404 or 410 is not passed on for a turn

What callers saw: an engine that ran a turn and answered 402 of its own got its answer through to the caller, who takes a 402 for the promise that the budget is spent and the turn has not run (REFUSED). The same with 404 and 410 for a turn that names a previous one: they say "no such turn" (LOST).

Cause: of the statuses that mean something to callers only 408, 421, 429 and 503 were checked before an answer is passed on; those that are the system's word on a turn were not. Found by going through who says "not run" (docs/design/not-run.md).

Change: the driver names what callers take a status to mean (Implication); the relay decides by the kind of call whether that would mislead. Requests that are no turns, and 404 or 410 for a first turn, go through unchanged with their seal.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -221,10 +221,24 @@
 	// NotRun is what proves that the request was not run. Without a proof it may have been, whatever
 	// the status.
 	NotRun NotRunProof
-	// StatusMeansNotRun: callers take the status to mean that the request has not run.
-	StatusMeansNotRun bool
+	// Implies is what callers take the status to mean.
+	Implies Implication
 }
 
+// Implication is what callers take the status of an answer to mean, whoever gave it.
+type Implication string
+
+const (
+	// ImpliesNothing: the status only belongs to the answer.
+	ImpliesNothing Implication = ""
+	// ImpliesNotRun: the request has not run.
+	ImpliesNotRun Implication = "not_run"
+	// ImpliesBudgetSpent: a turn has not run, as its program's budget is spent.
+	ImpliesBudgetSpent Implication = "budget_spent"
+	// ImpliesUnknownTurn: a turn has not run, as the turn that it continues is not known.
+	ImpliesUnknownTurn Implication = "unknown_turn"
+)
+
 // NotRunProof is what proves that a back end did not run a call.
 type NotRunProof string
 
--- a/internal/relay/ending_test.go
+++ b/internal/relay/ending_test.go
@@ -88,7 +88,7 @@
 		want: loggedEnding{Ending: EndingRefused, Cause: CauseBackEndGivenUp, By: PartyDaemon, MayHaveRun: true},
 	},
 	"back end promises falsely": {
-		kind: route.KindOnce, steps: []step{{status: 503, impliesNotRun: true}},
+		kind: route.KindOnce, steps: []step{{status: 503, implies: ImpliesNotRun}},
 		want: loggedEnding{Ending: EndingRefused, Cause: CauseFalsePromise, By: PartyBackEnd, MayHaveRun: true},
 	},
 	"event cannot be written": {
--- a/internal/relay/false_promise_test.go
+++ b/internal/relay/false_promise_test.go
@@ -21,7 +21,7 @@
 		"resumable stream": {route.KindStream, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, step{status: 503, body: "busy", impliesNotRun: true})
+			h := newHarness(t, step{status: 503, body: "busy", implies: ImpliesNotRun})
 			r := newRoute(c.kind)
 			r.Resumable = c.resumable
 			got := h.serve(newCall(r))
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -32,8 +32,8 @@
 	err    error
 	status int
 	notRun bool
-	// impliesNotRun: callers take the status to mean that the request was not run.
-	impliesNotRun bool
+	// implies is what callers take the status to mean.
+	implies Implication
 	// misdirected: another instance has the address, and turned the call away.
 	misdirected bool
 	body        string
@@ -94,7 +94,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: proofOf(next.notRun, next.misdirected), StatusMeansNotRun: next.impliesNotRun}, nil
+	return &Answer{Status: status, Header: http.Header{}, Body: io.NopCloser(body), NotRun: proofOf(next.notRun, next.misdirected), Implies: next.implies}, nil
 }
 
 // proofOf returns what proves that an instance did not run a call.
--- a/internal/relay/long_answer_test.go
+++ b/internal/relay/long_answer_test.go
@@ -85,7 +85,7 @@
 }
 
 func TestLongAnswerThatFalselyPromisesIsNotPassedOn(t *testing.T) {
-	h := newHarness(t, step{status: http.StatusServiceUnavailable, impliesNotRun: true, body: strings.Repeat("x", 2*maxHeldAnswerBytes)})
+	h := newHarness(t, step{status: http.StatusServiceUnavailable, implies: ImpliesNotRun, body: strings.Repeat("x", 2*maxHeldAnswerBytes)})
 	caller := &recorder{}
 	h.relay.Serve(t.Context(), newCall(newRoute(route.KindOnce)), caller)
 	if caller.refusal == nil || caller.refusal.Reason != ReasonBroken || caller.body.Len() > 0 {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -49,9 +49,8 @@
 	c.release(target, instance.OutcomeAnswered)
 }
 
-// answerUnlessFalsePromise passes an answer on. If callers would take its status to mean
-// that the request has not run, but the instance did run it, a caller that must not repeat
-// the request is told that it may have run.
+// answerUnlessFalsePromise passes an answer on. If its status would mislead the caller, as the
+// instance did run the request, the caller is told that it may have run.
 func (c *callHandler) answerUnlessFalsePromise(answer *Answer, body []byte, target instance.Instance) {
 	if c.isFalsePromise(answer) {
 		c.refuseFalsePromise(answer, target)
@@ -60,14 +59,22 @@
 	c.answer(answer, body, target)
 }
 
-// isFalsePromise reports whether callers would take an answer's status to mean that the request has not
-// run, and must not repeat it.
+// isFalsePromise reports whether the caller would be misled by an answer's status: to repeat what must not
+// run twice, or to believe what only the system knows of a turn.
 func (c *callHandler) isFalsePromise(answer *Answer) bool {
-	return answer.StatusMeansNotRun && !c.call.Route.Repeatable()
+	switch answer.Implies {
+	case ImpliesNotRun:
+		return !c.call.Route.Repeatable()
+	case ImpliesBudgetSpent:
+		return c.isTurn()
+	case ImpliesUnknownTurn:
+		return c.isTurn() && c.call.Program.Previous != ""
+	}
+	return false
 }
 
 func (c *callHandler) refuseFalsePromise(answer *Answer, target instance.Instance) {
-	c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Msg("Answer falsely implies that the request was not run. It is not passed on.")
+	c.logger.Info().Str("instance", target.ID).Int("status", answer.Status).Str("implies", string(answer.Implies)).Msg("Answer falsely implies that the request was not run. It is not passed on.")
 	c.refuseWithCause(falsePromiseRefusal, CauseFalsePromise)
 }
 
