--- a/internal/peer/codec_test.go
+++ b/internal/peer/codec_test.go
@@ -69,6 +69,15 @@
 	}
 }
 
+func TestLineThatStopsIsMalformed(t *testing.T) {
+	line := `{"from":"a#1","to":"b#2","kind":"test.note","body":{"text":"x"}}`
+	for count := range len(line) {
+		if _, _, message, err := peer.Decode([]byte(line[:count])); err == nil {
+			t.Errorf("%s was taken for %v", line[:count], message)
+		}
+	}
+}
+
 func TestDecoderKeepsNothingOfTheLine(t *testing.T) {
 	var decoder peer.Decoder
 	line := []byte(`{"from":"a#1","to":"b#2","kind":"test.note","body":{"text":"x"}}`)
