httpconn: a target that begins with two slashes is written as it was sent

Cause: url.URL.RequestURI takes an opaque part that begins with "//" for a URL without its scheme, and puts a colon before it. The front and the driver leave the target alone.

Change: httpconn writes the request line of such a target itself; net/http writes the rest.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -61,7 +61,7 @@
 }
 
 func (e *exchange) write(request *http.Request) error {
-	if err := request.Write(e.conn.writer); err != nil {
+	if err := writeRequest(e.conn.writer, request); err != nil {
 		return err
 	}
 	return e.conn.writer.Flush()
