eventstream, relay: a block without data is no event

Cause: the reader took every block up to an empty line for an event.

Callers get the engine's bytes as before; events alone are kept, counted, timed and resumed. A comment is passed on at once.

--- a/internal/relay/long_answer_test.go
+++ b/internal/relay/long_answer_test.go
@@ -95,7 +95,7 @@
 
 func TestEndlessTurnIsNotKeptWithoutABound(t *testing.T) {
 	state := &streamState{turn: &turnState{retain: true}}
-	event := eventstream.Event{Data: []byte(strings.Repeat("x", 1<<10))}
+	event := eventstream.Block{IsEvent: true, Data: []byte(strings.Repeat("x", 1<<10))}
 	var err error
 	for err == nil && len(state.output) <= maxOutputBytes {
 		err = state.note(event)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -172,57 +172,72 @@
 
 var errCallerLeft = errors.New("relay: the caller left")
 
-// forwardEvents passes events on until the stream ends. io.EOF means that it is complete.
+// forwardEvents passes events on until the stream ends, and what stands between them. io.EOF means that the
+// stream is complete.
 func (c *callHandler) forwardEvents(answer *Answer, target instance.Instance, state *streamState) error {
 	reader := eventstream.NewReader(answer.Body, maxEventBytes)
-	for passed := 0; ; passed++ {
-		event, err := reader.Next()
+	for isFirst := true; ; {
+		block, err := reader.Next()
 		if err != nil {
 			return err
 		}
-		if passed > 0 {
-			c.relay.Pool.RecordLatency(target.ID, c.call.Route.Name, time.Since(c.latest.heardAt))
-		} else {
-			state.firstEventLatency = time.Since(c.latest.beganAt)
+		if block.IsEvent {
+			c.observeEvent(target, state, isFirst)
+			isFirst = false
 		}
 		c.noteHeard()
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
 			state.hasHead = true
-			state.beganAt = &target
-			c.origin.bind(target.Version)
-			state.firstEventAfter = time.Since(c.call.Received)
-			c.relay.Metrics.firstEvent(c.call)
 		}
-		if err := state.note(event); err != nil {
+		if err := state.note(block); err != nil {
 			return err
 		}
-		if err := c.responder.Event(event.Raw); err != nil {
+		if err := c.responder.Event(block.Raw); err != nil {
 			return errCallerLeft
 		}
 		c.relay.monitor.restartWait(c.latest.pending)
 	}
 }
 
+// observeEvent records when an event arrived, and with the first one of the answer where the stream began. isFirst
+// is set for the first event of the latest offer.
+func (c *callHandler) observeEvent(target instance.Instance, state *streamState, isFirst bool) {
+	if isFirst {
+		state.firstEventLatency = time.Since(c.latest.beganAt)
+	} else {
+		c.relay.Pool.RecordLatency(target.ID, c.call.Route.Name, time.Since(c.latest.heardAt))
+	}
+	if state.beganAt == nil {
+		state.beganAt = &target
+		c.origin.bind(target.Version)
+		state.firstEventAfter = time.Since(c.call.Received)
+		c.relay.Metrics.firstEvent(c.call)
+	}
+}
+
 // noteHeard records that the instance of the latest offer sent something.
 func (c *callHandler) noteHeard() {
 	c.latest.heardAt = time.Now()
 	c.relay.monitor.noteProgress(c.latest.pending, c.latest.heardAt)
 }
 
-// note records an event that is passed on next. It fails with errAnswerTooLong if the output exceeds
+// note records a block that is passed on next. It fails with errAnswerTooLong if the output exceeds
 // maxOutputBytes.
-func (s *streamState) note(event eventstream.Event) error {
+func (s *streamState) note(block eventstream.Block) error {
+	if block.HasID {
+		s.lastID = block.ID
+	}
+	if !block.IsEvent {
+		return nil
+	}
 	isKept := s.turn != nil && s.turn.retain
-	if isKept && len(s.output)+len(event.Data) >= maxOutputBytes {
+	if isKept && len(s.output)+len(block.Data) >= maxOutputBytes {
 		return errAnswerTooLong
 	}
 	s.events++
-	if event.ID != "" {
-		s.lastID = event.ID
-	}
 	if isKept {
-		s.output = append(s.output, event.Data...)
+		s.output = append(s.output, block.Data...)
 		s.output = append(s.output, '\n')
 	}
 	return nil
