relay: a stream of which only an ID was passed on stays at its software version

Cause: since a block without data is no event, a stream was bound to a software version by its first event alone. A block with nothing but an id tells a resumption where to go on, and another version would have been asked to.

Change: the first event or the first id binds, whichever comes first. Comments do not.

TestStreamWithOnlyAnIDIsBoundToItsVersion fails without it ("sent to [v1 v0]", the stream was broken off).

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -185,6 +185,9 @@
 			c.observeEvent(target, state, isFirst)
 			isFirst = false
 		}
+		if !c.origin.isBound && (block.IsEvent || block.HasID) {
+			c.origin.bind(target.Version)
+		}
 		c.noteHeard()
 		if !state.hasHead {
 			c.responder.Head(answer.Status, answer.Header)
@@ -210,7 +213,6 @@
 	}
 	if state.beganAt == nil {
 		state.beganAt = &target
-		c.origin.bind(target.Version)
 		state.firstEventAfter = time.Since(c.call.Received)
 		c.relay.Metrics.firstEvent(c.call)
 	}
