relay, platform: answers, their checks and false promises have files of their own

Cause: what an answer proves stood among the calls and the drivers, and what callers would be misled by among the plain answers, although streams and long answers use it too.

--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -10,10 +10,6 @@
 // brokenOffRefusal ends a call whose back end broke off and that may not run again.
 var brokenOffRefusal = Refusal{Reason: ReasonBroken, Detail: "The back end broke off; the request may have run."}
 
-// falsePromiseRefusal ends a call that a back end may have run and answered with a status by which its
-// caller would take it for not run.
-var falsePromiseRefusal = Refusal{Reason: ReasonBroken, Detail: "The back end's answer implies falsely that the request has not run; it may have run."}
-
 // originGoneRefusal ends a call that only one software version of one service may go on with,
 // which no back end of its route has any more; originUnknownRefusal ends one for which nobody
 // knows that version. Retrying the same call would not help, only a new stream.
