Revert "ledger: a turn that leaves no room for a later allowance needs a record"

Cause of the failure: three promises to programs with such turns do not fit together (a turn of 0.64 of the budget begins at once; three turns that reserve 0.37 run in an outage after a loss; after two losses there is room for a turn).

--- a/internal/ledger/allowance.go
+++ b/internal/ledger/allowance.go
@@ -26,8 +26,8 @@
 // whose budget has room for only a turn or two running, a fraction of one turn's tokens is
 // not counted as lost: a program that did begin before the loss may exceed its budget by
 // that much. This is the only case in which a budget is exceeded, and by no more than the
-// tokens of one turn. A turn that leaves no room for laterAllowanceShare is therefore not granted
-// without a record: else two lost holders may have granted more than the budget.
+// tokens of one turn, unless that turn is most of the budget: two holders may have granted the
+// largest turn and laterAllowanceShare.
 
 const (
 	// allowanceKey is the key of the allowance's record.
@@ -238,9 +238,6 @@
 	if t.BudgetTokens == 0 {
 		return unboundedHeadroom
 	}
-	if t.MaxTokens > t.BudgetTokens-t.laterAllowance() {
-		return 0
-	}
 	kept := max(int64(budgetReserveShare*float64(t.BudgetTokens)), t.MaxTokens)
 	left := t.BudgetTokens + t.lossTolerance() - lost - kept
 	next := min(max(int64(allowanceShare*float64(t.BudgetTokens)), t.MaxTokens), left, t.BudgetTokens)
